--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,37 @@
+// Bundles the program into one file and, with --binary, makes the single-executable dist/endivewell.
+import { build } from "esbuild";
+import { execFileSync } from "node:child_process";
+import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from "node:fs";
+import { inject } from "postject";
+
+const SENTINEL_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
+
+mkdirSync("dist", { recursive: true });
+await build({
+    entryPoints: ["src/main.ts"],
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "cjs",
+    outfile: "dist/endivewell.cjs",
+    // Optional native add-on of hot-shots, used for Unix sockets only.
+    external: ["unix-dgram"],
+    logLevel: "warning",
+});
+
+if (process.argv.includes("--binary")) {
+    const configuration = {
+        main: "dist/endivewell.cjs",
+        output: "dist/endivewell.blob",
+        disableExperimentalSEAWarning: true,
+    };
+    writeFileSync("dist/sea.json", JSON.stringify(configuration));
+    execFileSync(process.execPath, ["--experimental-sea-config", "dist/sea.json"], { stdio: "inherit" });
+    copyFileSync(process.execPath, "dist/endivewell");
+    chmodSync("dist/endivewell", 0o755);
+    const { readFileSync } = await import("node:fs");
+    await inject("dist/endivewell", "NODE_SEA_BLOB", readFileSync("dist/endivewell.blob"), {
+        sentinelFuse: SENTINEL_FUSE,
+    });
+    console.log("built dist/endivewell");
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,2 @@
+/** Entry point of the `endivewell` binary. */
+console.log("endivewell");
--- /dev/null
+++ b/src/test/core/verdict.test.ts
@@ -0,0 +1,28 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { canRetry, combineVerdicts, parseVerdict, Verdict } from "../../lib/core/verdict.js";
+
+const verdicts = fc.array(fc.constantFrom(...Object.values(Verdict)), { maxLength: 6 });
+
+// Guards against telling a caller `notRun` although one attempt may have run.
+test("a combined verdict is notRun only if every attempt is notRun", () => {
+    fc.assert(fc.property(verdicts, attempts => {
+        const combined = combineVerdicts(attempts);
+        assert.equal(combined === Verdict.notRun, attempts.every(verdict => verdict === Verdict.notRun));
+    }));
+});
+
+// Guards against a corrupted or newer verdict being taken as proof that nothing ran.
+test("an unknown verdict is read as mayHaveRun", () => {
+    assert.equal(parseVerdict("not-run"), Verdict.mayHaveRun);
+    assert.equal(parseVerdict(""), Verdict.mayHaveRun);
+});
+
+// Guards against a second run of a booking whose first attempt is unclear.
+test("non-idempotent work is retried only after notRun", () => {
+    assert.equal(canRetry(Verdict.mayHaveRun, false), false);
+    assert.equal(canRetry(Verdict.notRun, false), true);
+    assert.equal(canRetry(Verdict.mayHaveRun, true), true);
+    assert.equal(canRetry(Verdict.ran, true), false);
+});
