--- /dev/null
+++ b/src/lib/core/manifest.ts
@@ -0,0 +1,157 @@
+/**
+ * A manifest names every file of a version and every chunk of each file. The SHA-256 of its canonical
+ * bytes is the version's root digest. Profiles name the root digest, so a version can't change its
+ * content after it has been published.
+ *
+ * Manifests come from the network, so `parseManifest` checks everything that later code relies on.
+ */
+import { createHash } from "node:crypto";
+import VError from "verror";
+
+/** Lowercase hexadecimal SHA-256. */
+export type Digest = string;
+
+/** A piece of a file. Files that share content share chunks. `size` is in bytes. */
+export interface Chunk {
+    readonly digest: Digest;
+    readonly size: number;
+}
+
+/** A file of a version. `path` is relative, with `/` as the separator; `size` is in bytes. */
+export interface ManifestFile {
+    readonly path: string;
+    readonly size: number;
+    readonly chunks: readonly Chunk[];
+}
+
+export interface Manifest {
+    readonly format: 1;
+    readonly model: string;
+    readonly files: readonly ManifestFile[];
+}
+
+/** Where a chunk's content belongs. `offset` is in bytes from the start of the file. */
+export interface Placement {
+    readonly path: string;
+    readonly offset: number;
+}
+
+/** A distinct chunk of a version together with every place that holds its content. */
+export interface PlacedChunk extends Chunk {
+    readonly index: number;
+    readonly placements: readonly Placement[];
+}
+
+/** Upper bound for the size of one chunk in bytes: a whole chunk is held in memory while it is verified. */
+export const MAX_CHUNK_BYTES = 8 * 1024 * 1024;
+
+const DIGEST_PATTERN = /^[0-9a-f]{64}$/;
+
+export function digestOf(bytes: Uint8Array): Digest {
+    return createHash("sha256").update(bytes).digest("hex");
+}
+
+export function isDigest(text: string): boolean {
+    return DIGEST_PATTERN.test(text);
+}
+
+/** Returns the canonical bytes of a manifest: files sorted by path, keys in a fixed order. */
+export function encodeManifest(manifest: Manifest): Buffer {
+    const files = [...manifest.files]
+        .sort((a, b) => (a.path < b.path ? -1 : 1))
+        .map(file => ({
+            path: file.path,
+            size: file.size,
+            chunks: file.chunks.map(chunk => ({ digest: chunk.digest, size: chunk.size })),
+        }));
+    return Buffer.from(JSON.stringify({ format: 1, model: manifest.model, files }));
+}
+
+/**
+ * Parses the bytes of a manifest and checks them against its root digest.
+ *
+ * @throws VError named `ManifestError` if the digest or the content is wrong.
+ */
+export function parseManifest(bytes: Uint8Array, rootDigest: Digest): Manifest {
+    const actual = digestOf(bytes);
+    if (actual !== rootDigest) throw manifestError("the manifest's SHA-256 is %s, expected %s", actual, rootDigest);
+    let parsed: unknown;
+    try {
+        parsed = JSON.parse(Buffer.from(bytes).toString("utf8"));
+    }
+    catch {
+        throw manifestError("manifest %s is not JSON", rootDigest);
+    }
+    return checkManifest(parsed, rootDigest);
+}
+
+/** Returns the distinct chunks of a version in the order of their first use. */
+export function placeChunks(manifest: Manifest): PlacedChunk[] {
+    const byDigest = new Map<Digest, { size: number; placements: Placement[] }>();
+    for (const file of manifest.files) {
+        let offset = 0;
+        for (const chunk of file.chunks) {
+            const known = byDigest.get(chunk.digest) ?? { size: chunk.size, placements: [] };
+            known.placements.push({ path: file.path, offset });
+            byDigest.set(chunk.digest, known);
+            offset += chunk.size;
+        }
+    }
+    return [...byDigest].map(([digest, { size, placements }], index) => ({ index, digest, size, placements }));
+}
+
+/** Returns the number of bytes that a transfer of the whole version moves, shared chunks counted once. */
+export function transferSize(chunks: readonly PlacedChunk[]): number {
+    return chunks.reduce((sum, chunk) => sum + chunk.size, 0);
+}
+
+function checkManifest(value: unknown, rootDigest: Digest): Manifest {
+    if (!isRecord(value) || value.format !== 1 || typeof value.model !== "string" || !Array.isArray(value.files)) {
+        throw manifestError("manifest %s is not a version manifest of format 1", rootDigest);
+    }
+    const files = value.files.map(file => checkFile(file, rootDigest));
+    const paths = new Set(files.map(file => file.path));
+    if (paths.size !== files.length) throw manifestError("manifest %s names a file twice", rootDigest);
+    const sizes = new Map<Digest, number>();
+    for (const chunk of files.flatMap(file => file.chunks)) {
+        if ((sizes.get(chunk.digest) ?? chunk.size) !== chunk.size) {
+            throw manifestError("manifest %s gives chunk %s two sizes", rootDigest, chunk.digest);
+        }
+        sizes.set(chunk.digest, chunk.size);
+    }
+    return { format: 1, model: value.model, files };
+}
+
+function checkFile(value: unknown, rootDigest: Digest): ManifestFile {
+    if (!isRecord(value) || typeof value.path !== "string" || !Array.isArray(value.chunks)) {
+        throw manifestError("manifest %s holds a file without path or chunks", rootDigest);
+    }
+    if (!isSafePath(value.path)) throw manifestError("manifest %s holds the unsafe path %j", rootDigest, value.path);
+    const chunks = value.chunks.map(chunk => checkChunk(chunk, rootDigest));
+    const size = chunks.reduce((sum, chunk) => sum + chunk.size, 0);
+    if (size !== value.size) throw manifestError("manifest %s: the chunks of %s don't add up", rootDigest, value.path);
+    return { path: value.path, size, chunks };
+}
+
+function checkChunk(value: unknown, rootDigest: Digest): Chunk {
+    const valid = isRecord(value) && typeof value.digest === "string" && isDigest(value.digest) &&
+        typeof value.size === "number" && Number.isSafeInteger(value.size) &&
+        value.size > 0 && value.size <= MAX_CHUNK_BYTES;
+    if (!valid) throw manifestError("manifest %s holds an invalid chunk", rootDigest);
+    return { digest: value.digest as string, size: value.size as number };
+}
+
+/** Rejects absolute paths and parent directories, which would write outside the version's directory. */
+function isSafePath(path: string): boolean {
+    const parts = path.split("/");
+    return path.length <= 1024 && !path.includes("\0") && !path.includes("\\") &&
+        parts.every(part => part !== "" && part !== "." && part !== "..");
+}
+
+function isRecord(value: unknown): value is Record<string, unknown> {
+    return typeof value === "object" && value !== null;
+}
+
+function manifestError(format: string, ...args: unknown[]): VError {
+    return new VError({ name: "ManifestError" }, format, ...args);
+}
--- /dev/null
+++ b/src/lib/observability/index.ts
@@ -0,0 +1,1 @@
+export * from "./log.js";
--- /dev/null
+++ b/src/lib/platform/objectStore.ts
@@ -0,0 +1,71 @@
+/**
+ * Adapter of the platform's object store. The weight store speaks the same protocol and holds manifests
+ * under `manifests/ROOT` and chunks under `chunks/DIGEST`.
+ */
+import type { IncomingMessage } from "node:http";
+import VError from "verror";
+import type { Digest } from "../core/index.js";
+import { openRequest, sendRequest } from "./http.js";
+
+export interface ObjectStore {
+    /** Returns the object, or `undefined` if it doesn't exist. Throws a VError if the store fails. */
+    get(key: string): Promise<Buffer | undefined>;
+    /** Opens the object as a stream. The caller must consume or destroy it. */
+    open(key: string, signal: AbortSignal): Promise<IncomingMessage>;
+    has(key: string): Promise<boolean>;
+    put(key: string, content: Uint8Array): Promise<void>;
+}
+
+export interface ObjectStoreOptions {
+    readonly url: string;
+    /** Time without any byte after which a request fails. */
+    readonly timeoutMs: number;
+}
+
+export function createObjectStore(options: ObjectStoreOptions): ObjectStore {
+    const { timeoutMs } = options;
+    const objectUrl = (key: string) => `${options.url}/objects/${key.split("/").map(encodeURIComponent).join("/")}`;
+
+    async function get(key: string): Promise<Buffer | undefined> {
+        const answer = await sendRequest({ method: "GET", url: objectUrl(key), timeoutMs });
+        if (answer.status === 404) return undefined;
+        checkStatus(answer.status, 200, key);
+        return answer.body;
+    }
+
+    async function open(key: string, signal: AbortSignal): Promise<IncomingMessage> {
+        const response = await openRequest({ method: "GET", url: objectUrl(key), timeoutMs, signal });
+        if (response.statusCode !== 200) {
+            response.destroy();
+            checkStatus(response.statusCode ?? 0, 200, key);
+        }
+        return response;
+    }
+
+    async function has(key: string): Promise<boolean> {
+        const answer = await sendRequest({ method: "HEAD", url: objectUrl(key), timeoutMs });
+        if (answer.status === 404) return false;
+        checkStatus(answer.status, 200, key);
+        return true;
+    }
+
+    async function put(key: string, content: Uint8Array): Promise<void> {
+        const answer = await sendRequest({ method: "PUT", url: objectUrl(key), body: content, timeoutMs });
+        if (answer.status !== 200 && answer.status !== 201) checkStatus(answer.status, 201, key);
+    }
+
+    return { get, open, has, put };
+}
+
+export function manifestKey(rootDigest: Digest): string {
+    return `manifests/${rootDigest}`;
+}
+
+export function chunkKey(digest: Digest): string {
+    return `chunks/${digest}`;
+}
+
+function checkStatus(status: number, expected: number, key: string): void {
+    if (status === expected) return;
+    throw new VError({ name: "ObjectStoreError", info: { status } }, "the store answered %d for %s", status, key);
+}
--- /dev/null
+++ b/src/lib/settings/index.ts
@@ -0,0 +1,2 @@
+export * from "./load.js";
+export * from "./schema.js";
--- /dev/null
+++ b/src/lib/settings/schema.ts
@@ -0,0 +1,113 @@
+/**
+ * Schemas of the settings files. Unknown keys are refused, so that a misspelt key is found at start.
+ * Secrets never stand in settings; they are named by file.
+ */
+import { z } from "zod";
+import { RANKS } from "../core/index.js";
+
+const port = z.int().min(0).max(65535);
+const url = z.url({ protocol: /^https?$/ });
+const milliseconds = z.int().min(1).max(3_600_000);
+const bytesPerSecond = z.int().min(1000);
+const rank = z.enum(RANKS);
+
+const listenSchema = z.strictObject({
+    /** IP number to listen on. */
+    host: z.string().default("127.0.0.1"),
+    /** 0 takes a free port. */
+    port,
+});
+
+const platformSchema = z.strictObject({
+    tableUrl: url,
+    weightStoreUrl: url,
+    vmListUrl: url,
+    /** Time without any byte from the platform after which a request fails. */
+    timeoutMs: milliseconds.default(2000),
+    /** Region of the weight store, which draws each chunk first. */
+    weightStoreRegion: z.string(),
+});
+
+const tlsSchema = z.strictObject({
+    certificateFile: z.string(),
+    keyFile: z.string(),
+    /** Certificate authority that signs all processes of the system. */
+    authorityFile: z.string(),
+});
+
+const metricsSchema = z.strictObject({
+    /** StatsD server. */
+    host: z.string(),
+    port,
+    prefix: z.string().default("endivewell."),
+});
+
+const processFields = {
+    /** Unique name of this process; equal to its name in the platform's list of VMs. */
+    process: z.string().min(1).max(100),
+    failureDomain: z.string().min(1),
+    region: z.string().min(1),
+    /** gRPC server for other processes of the system. */
+    rpc: listenSchema,
+    platform: platformSchema,
+    /** Mutual TLS between own processes. Required unless every address is on loopback. */
+    tls: tlsSchema.optional(),
+    metrics: metricsSchema.optional(),
+    /** Interval between two reads of the configuration row and of the list of VMs. */
+    pollMs: milliseconds.default(500),
+    /** How long a planned stop waits for requests in progress. */
+    drainMs: milliseconds.default(30_000),
+};
+
+export const entrySchema = z.strictObject({
+    ...processFields,
+    /** HTTP server for callers and for the administration API. */
+    http: listenSchema,
+    accounts: z.array(z.strictObject({
+        client: z.string().min(1).max(100),
+        /** File that holds the bearer key. */
+        keyFile: z.string(),
+        defaultRank: rank.default("standard"),
+        highestRank: rank.default("urgent"),
+    })),
+    operators: z.array(z.strictObject({
+        name: z.string().min(1).max(100),
+        tokenFile: z.string(),
+        role: z.enum(["viewer", "operator"]),
+    })),
+    limits: z.strictObject({
+        bodyBytes: z.int().min(1024).default(1024 * 1024),
+        headerBytes: z.int().min(1024).default(16 * 1024),
+        connections: z.int().min(1).default(2000),
+        /** Time a caller may take to send a whole request. */
+        requestMs: milliseconds.default(15_000),
+        /** Longest time until an answer ends. */
+        answerMs: milliseconds.default(120_000),
+    }).prefault({}),
+});
+
+export const agentSchema = z.strictObject({
+    ...processFields,
+    /** Pool that this agent belongs to. */
+    service: z.string().min(1).max(63),
+    backendServer: z.strictObject({
+        kind: z.enum(["model", "plain"]),
+        url,
+        /** Requests that the backend server works on at the same time. */
+        concurrency: z.int().min(1).max(10_000).default(8),
+    }),
+    /** Memory-backed directory for weights, which the engine reads. Not used beside a plain service. */
+    weightsPath: z.string(),
+    links: z.strictObject({
+        /** Share of the VM's link that weights may use, each way. */
+        inBytesPerSecond: bytesPerSecond.default(125_000_000),
+        outBytesPerSecond: bytesPerSecond.default(125_000_000),
+        /** Share of the links to other regions that this VM's weights may use, each way. */
+        regionBytesPerSecond: bytesPerSecond.default(1_500_000),
+    }).prefault({}),
+});
+
+export type EntrySettings = Readonly<z.infer<typeof entrySchema>>;
+export type AgentSettings = Readonly<z.infer<typeof agentSchema>>;
+export type ProcessSettings = EntrySettings | AgentSettings;
+export type TlsSettings = Readonly<z.infer<typeof tlsSchema>>;
--- /dev/null
+++ b/src/lib/standIn/faults.ts
@@ -0,0 +1,55 @@
+/**
+ * Fault switches shared by all stand-ins. `PUT /faults` with a JSON object sets the named switches and
+ * leaves the others; `GET /faults` returns them.
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { z } from "zod";
+import { answerJson, readJson } from "./httpServer.js";
+
+const faultsSchema = z.strictObject({
+    /** Added to each answer. */
+    delayMs: z.number().min(0).default(0),
+    /** Connections are closed without an answer and without an effect. */
+    outage: z.boolean().default(false),
+    /** Fraction of writes whose answer is lost after they have taken effect. */
+    loseAnswers: z.number().min(0).max(1).default(0),
+    /** Fraction of objects that are sent with a wrong byte. */
+    corrupt: z.number().min(0).max(1).default(0),
+    /** Answers stop in the middle and the connection stays open. */
+    stall: z.boolean().default(false),
+});
+
+export type Faults = Readonly<z.infer<typeof faultsSchema>>;
+
+export interface FaultSwitches {
+    readonly current: () => Faults;
+    readonly set: (changes: Partial<Faults>) => void;
+    /** Draws whether a fault with this probability strikes now. */
+    readonly strikes: (probability: number) => boolean;
+    /** Serves `/faults`; returns whether it handled the request. */
+    readonly serve: (request: IncomingMessage, response: ServerResponse) => Promise<boolean>;
+}
+
+export function createFaultSwitches(seed: number): FaultSwitches {
+    const generator = xoroshiro128plus(seed);
+    let faults = faultsSchema.parse({});
+
+    function set(changes: Partial<Faults>): void {
+        faults = faultsSchema.parse({ ...faults, ...changes });
+    }
+
+    function strikes(probability: number): boolean {
+        return probability > 0 && uniformFloat64(generator) < probability;
+    }
+
+    async function serve(request: IncomingMessage, response: ServerResponse): Promise<boolean> {
+        if (request.url !== "/faults") return false;
+        if (request.method === "PUT") set(await readJson(request) as Partial<Faults>);
+        answerJson(response, 200, faults);
+        return true;
+    }
+
+    return { current: () => faults, set, strikes, serve };
+}
--- /dev/null
+++ b/src/lib/standIn/index.ts
@@ -0,0 +1,4 @@
+export * from "./engine.js";
+export * from "./faults.js";
+export * from "./platform.js";
+export * from "./service.js";
--- /dev/null
+++ b/src/lib/standIn/service.ts
@@ -0,0 +1,46 @@
+/**
+ * Stand-in of a plain service that books, orders or takes deposits. It runs every call it gets and
+ * counts the runs of each booking, so that a test sees lost and doubled ones.
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { createFaultSwitches, type FaultSwitches } from "./faults.js";
+import { answerJson, readJson, type RunningServer, startHttpServer } from "./httpServer.js";
+
+export interface ServiceOptions {
+    /** Time that one call takes. */
+    readonly workMs: number;
+    readonly seed: number;
+    readonly port?: number;
+    readonly host?: string;
+}
+
+export interface ServiceStandIn extends RunningServer {
+    readonly faults: FaultSwitches;
+    /** Number of runs by booking reference. */
+    readonly runs: () => ReadonlyMap<string, number>;
+}
+
+export async function startServiceStandIn(options: ServiceOptions): Promise<ServiceStandIn> {
+    const faults = createFaultSwitches(options.seed);
+    const runs = new Map<string, number>();
+
+    async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        if (await faults.serve(request, response)) return;
+        if (request.url === "/evidence") return answerJson(response, 200, Object.fromEntries(runs));
+        if (faults.current().outage) {
+            request.socket.destroy();
+            return;
+        }
+        if (request.method === "GET") return answerJson(response, 200, { path: request.url, bookings: runs.size });
+        const body = await readJson(request) as { reference?: string };
+        const reference = body.reference ?? "";
+        runs.set(reference, (runs.get(reference) ?? 0) + 1);
+        await sleep(options.workMs + faults.current().delayMs);
+        if (faults.strikes(faults.current().loseAnswers)) response.destroy();
+        else answerJson(response, 201, { reference, state: "booked", run: runs.get(reference) });
+    }
+
+    const server = await startHttpServer(serve, options.port, options.host);
+    return { ...server, faults, runs: () => runs };
+}
