--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,7 +1,7 @@
 // Bundles the program into one file and, with --binary, makes the single-executable dist/endivewell.
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
-import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from "node:fs";
+import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from "node:fs";
 import { inject } from "postject";
 
 const SENTINEL_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
@@ -13,6 +13,8 @@
     platform: "node",
     target: "node20",
     format: "cjs",
+    // Some packages ship a CommonJS build that loads its parts dynamically, which a bundle can't follow.
+    mainFields: ["module", "main"],
     outfile: "dist/endivewell.cjs",
     // Optional native add-on of hot-shots, used for Unix sockets only.
     external: ["unix-dgram"],
@@ -29,7 +31,6 @@
     execFileSync(process.execPath, ["--experimental-sea-config", "dist/sea.json"], { stdio: "inherit" });
     copyFileSync(process.execPath, "dist/endivewell");
     chmodSync("dist/endivewell", 0o755);
-    const { readFileSync } = await import("node:fs");
     await inject("dist/endivewell", "NODE_SEA_BLOB", readFileSync("dist/endivewell.blob"), {
         sentinelFuse: SENTINEL_FUSE,
     });
--- /dev/null
+++ b/src/harness/fleet.ts
@@ -0,0 +1,302 @@
+/**
+ * Starts a fleet of separate processes on loopback for benches, process-level tests and `npm run fleet`:
+ * a stand-in platform, stand-in engines and services, an agent beside each of them, and entries.
+ */
+import { mkdir, mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { fileURLToPath } from "node:url";
+import { sendRequest, type Vm } from "../lib/platform/index.js";
+import { type AgentState, createConnections, createCredentials } from "../lib/rpc/index.js";
+import type { EngineOptions } from "../lib/standIn/index.js";
+import { type Child, startChild } from "./childProcess.js";
+import type { StandInAddresses, StandInHostOptions } from "./standInHost.js";
+
+export interface FleetOptions {
+    readonly entries: number;
+    /** Agents beside model engines, in the pool `models`. */
+    readonly runners: number;
+    /** Agents beside the plain service `bookings`. */
+    readonly bookings: number;
+    /** VMs are spread over the regions in turn. The weight store is in the first. */
+    readonly regions?: readonly string[];
+    readonly originBytesPerSecond?: number;
+    readonly engine?: Partial<EngineOptions>;
+    readonly bookingMs?: number;
+    /** Number of client accounts, named `client-0` and so on; their keys are equal to their names. */
+    readonly clients?: number;
+    /** Settings merged into those of every agent or entry. */
+    readonly agentSettings?: Readonly<Record<string, unknown>>;
+    readonly entrySettings?: Readonly<Record<string, unknown>>;
+    readonly seed?: number;
+}
+
+export interface FleetProcess extends Child {
+    readonly vm: Vm;
+    /** Settings file, for starting the process again. */
+    readonly settingsFile: string;
+    /** HTTP address of the entry, or of the backend server beside an agent. */
+    readonly url: string;
+}
+
+export interface Fleet {
+    readonly directory: string;
+    readonly platformUrl: string;
+    readonly standIns: Child;
+    readonly entries: FleetProcess[];
+    readonly runners: FleetProcess[];
+    readonly bookings: FleetProcess[];
+    /** Starts the process again under the same name and updates the list of VMs. */
+    restart(process: FleetProcess): Promise<FleetProcess>;
+    /** Changes the fault switches of a stand-in. */
+    setFaults(url: string, faults: Readonly<Record<string, unknown>>): Promise<void>;
+    /** Reads the state of an agent. */
+    readState(process: FleetProcess): Promise<AgentState>;
+    stop(): Promise<void>;
+}
+
+export const POOL = "models";
+export const BOOKINGS = "bookings";
+export const OPERATOR_TOKEN = "operator";
+
+const MAIN = fileURLToPath(new URL("../main.js", import.meta.url));
+const STAND_IN_HOST = fileURLToPath(new URL("standInHost.js", import.meta.url));
+const STOP_TIMEOUT_MS = 35_000;
+const DEFAULT_REGIONS = ["etela"];
+const READY_TIMEOUT_MS = 15_000;
+const HTTP_TIMEOUT_MS = 30_000;
+
+export async function startFleet(options: FleetOptions): Promise<Fleet> {
+    const regions = options.regions ?? DEFAULT_REGIONS;
+    const directory = await mkdtemp(join(tmpdir(), "endivewell-fleet-"));
+    const connections = createConnections(createCredentials(undefined));
+    const standIns = await startStandIns(options, directory);
+    const addresses = standIns.ready as StandInAddresses;
+    const regionOf = (index: number) => regions[index % regions.length] ?? DEFAULT_REGIONS[0] as string;
+
+    function commonSettings(name: string, index: number) {
+        return {
+            process: name,
+            failureDomain: `${regionOf(index)}-1`,
+            region: regionOf(index),
+            rpc: { port: 0 },
+            platform: {
+                tableUrl: addresses.platform,
+                weightStoreUrl: addresses.platform,
+                vmListUrl: addresses.platform,
+                weightStoreRegion: regions[0],
+            },
+        };
+    }
+
+    async function startAgentProcess(
+        name: string,
+        index: number,
+        service: string,
+        kind: "model" | "plain",
+        url: string,
+    ): Promise<FleetProcess> {
+        const settings = {
+            ...commonSettings(name, index),
+            service,
+            backendServer: { kind, url },
+            weightsPath: join(directory, name),
+            ...options.agentSettings,
+        };
+        return launch(name, "agent", service, settings, url);
+    }
+
+    async function startEntryProcess(index: number): Promise<FleetProcess> {
+        const name = `entry-${index}`;
+        const settings = {
+            ...commonSettings(name, index),
+            http: { port: 0 },
+            accounts: await writeAccounts(directory, options.clients ?? 4),
+            operators: [{ name: "operator", tokenFile: join(directory, "operator.token"), role: "operator" }],
+            ...options.entrySettings,
+        };
+        return launch(name, "entry", "", settings, "");
+    }
+
+    async function launch(
+        name: string,
+        role: "entry" | "agent",
+        service: string,
+        settings: ReturnType<typeof commonSettings>,
+        backendUrl: string,
+    ): Promise<FleetProcess> {
+        const settingsFile = join(directory, `${name}.jsonc`);
+        await writeFile(settingsFile, JSON.stringify(settings, undefined, 4));
+        const { failureDomain, region } = settings;
+        const base = { name, role, service, failureDomain, region, state: "live" } as const;
+        return spawnProcess(base, settingsFile, backendUrl);
+    }
+
+    async function spawnProcess(
+        base: Omit<Vm, "address">,
+        settingsFile: string,
+        backendUrl: string,
+    ): Promise<FleetProcess> {
+        const child = await startChild({ name: base.name, args: [MAIN, base.role, "--settings", settingsFile] });
+        const ports = child.ready as { rpc: number; http?: number; };
+        const vm: Vm = { ...base, address: `127.0.0.1:${ports.rpc}` };
+        await sendRequest({
+            method: "PUT",
+            url: `${addresses.platform}/vms/${vm.name}`,
+            body: JSON.stringify(vm),
+        });
+        const url = ports.http === undefined ? backendUrl : `http://127.0.0.1:${ports.http}`;
+        return { ...child, vm, settingsFile, url };
+    }
+
+    async function restart(process: FleetProcess): Promise<FleetProcess> {
+        const fresh = await spawnProcess(process.vm, process.settingsFile, process.url);
+        for (const list of [entries, runners, bookings]) {
+            const index = list.findIndex(known => known.name === process.name);
+            if (index >= 0) list[index] = fresh;
+        }
+        return fresh;
+    }
+
+    async function setFaults(url: string, faults: Readonly<Record<string, unknown>>): Promise<void> {
+        await sendRequest({ method: "PUT", url: `${url}/faults`, body: JSON.stringify(faults) });
+    }
+
+    function readState(process: FleetProcess): Promise<AgentState> {
+        return new Promise((resolve, reject) => {
+            const call = connections.agent(process.vm.address).watchState({ process: "harness" });
+            call.once("data", (state: AgentState) => {
+                resolve(state);
+                call.cancel();
+            });
+            call.on("error", reject);
+        });
+    }
+
+    async function stop(): Promise<void> {
+        connections.close();
+        await Promise.all(entries.map(process => process.stop(STOP_TIMEOUT_MS)));
+        await Promise.all([...runners, ...bookings].map(process => process.stop(STOP_TIMEOUT_MS)));
+        await standIns.stop(STOP_TIMEOUT_MS);
+        await rm(directory, { recursive: true, force: true });
+    }
+
+    await writeFile(join(directory, "operator.token"), OPERATOR_TOKEN, { mode: 0o600 });
+    const runners = await inBatches(options.runners, index => {
+        return startAgentProcess(`runner-${index}`, index, POOL, "model", addresses.engines[index] ?? "");
+    });
+    const bookings = await inBatches(options.bookings, index => {
+        return startAgentProcess(`bookings-${index}`, index, BOOKINGS, "plain", addresses.services[0] ?? "");
+    });
+    const entries = await inBatches(options.entries, startEntryProcess);
+    await waitUntil("the entries are ready", async () => {
+        const answers = await Promise.all(entries.map(entry => sendToEntry(entry, "GET", "/readyz", "")));
+        return answers.every(answer => answer.status === 200);
+    }, READY_TIMEOUT_MS);
+    return {
+        directory,
+        platformUrl: addresses.platform,
+        standIns,
+        entries,
+        runners,
+        bookings,
+        restart,
+        setFaults,
+        readState,
+        stop,
+    };
+}
+
+/** Sends a request to an entry as a client or, with the operator's token, as the operator. */
+export function sendToEntry(
+    entry: FleetProcess,
+    method: string,
+    path: string,
+    key: string,
+    body?: unknown,
+    headers: Readonly<Record<string, string>> = {},
+) {
+    return sendRequest({
+        method,
+        url: entry.url + path,
+        headers: { authorization: `Bearer ${key}`, "content-type": "application/json", ...headers },
+        body: body === undefined ? undefined : JSON.stringify(body),
+        timeoutMs: HTTP_TIMEOUT_MS,
+    });
+}
+
+/** Waits until a condition holds; throws after the timeout with what was waited for. */
+export async function waitUntil(
+    what: string,
+    condition: () => Promise<boolean> | boolean,
+    timeoutMs: number,
+): Promise<void> {
+    const deadline = Date.now() + timeoutMs;
+    while (!await condition()) {
+        if (Date.now() > deadline) throw new Error(`timed out waiting until ${what}`);
+        await sleep(50);
+    }
+}
+
+/** Waits until every given agent serves the version and every entry knows it. */
+export function waitUntilServing(fleet: Fleet, agents: readonly FleetProcess[], digest: string, timeoutMs: number) {
+    const addresses = new Set(agents.map(agent => agent.vm.address));
+    return waitUntil(`${agents.length} agents serve ${digest}`, async () => {
+        const states = await Promise.all(agents.map(agent => fleet.readState(agent)));
+        if (states.some(state => state.servingDigest !== digest)) return false;
+        const views = await Promise.all(fleet.entries.map(readView));
+        return views.every(view => view.filter(isServing).length === addresses.size);
+    }, timeoutMs);
+
+    function isServing({ address, state }: AgentView): boolean {
+        return addresses.has(address) && state?.servingDigest === digest;
+    }
+}
+
+interface AgentView {
+    readonly address: string;
+    readonly state?: AgentState;
+}
+
+/** Reads which agents an entry knows. */
+async function readView(entry: FleetProcess): Promise<AgentView[]> {
+    const answer = await sendToEntry(entry, "GET", "/admin/v1/status", OPERATOR_TOKEN);
+    return (JSON.parse(answer.body.toString()) as { agents: AgentView[]; }).agents;
+}
+
+function startStandIns(options: FleetOptions, directory: string): Promise<Child> {
+    const seed = options.seed ?? 1;
+    const engine = { slots: 8, tokensPerSecond: 50, ignoresFence: false, ...options.engine };
+    const hostOptions: StandInHostOptions = {
+        platform: {
+            directory: join(directory, "objects"),
+            originBytesPerSecond: options.originBytesPerSecond ?? 256 * 1024 * 1024,
+            seed,
+        },
+        engines: Array.from({ length: options.runners }, (_, index) => ({ seed: seed + index, ...engine })),
+        services: options.bookings > 0 ? [{ workMs: options.bookingMs ?? 5, seed }] : [],
+    };
+    return startChild({ name: "stand-ins", args: [STAND_IN_HOST, JSON.stringify(hostOptions)] });
+}
+
+async function writeAccounts(directory: string, clients: number) {
+    await mkdir(join(directory, "keys"), { recursive: true });
+    return Promise.all(Array.from({ length: clients }, async (_, index) => {
+        const client = `client-${index}`;
+        const keyFile = join(directory, "keys", client);
+        await writeFile(keyFile, client, { mode: 0o600 });
+        return { client, keyFile };
+    }));
+}
+
+/** Starts processes a few at a time, so that a large fleet doesn't overload the machine. */
+async function inBatches<T>(count: number, start: (index: number) => Promise<T>): Promise<T[]> {
+    const BATCH = 8;
+    const started: T[] = [];
+    for (let index = 0; index < count; index += BATCH) {
+        const size = Math.min(BATCH, count - index);
+        started.push(...await Promise.all(Array.from({ length: size }, (_, offset) => start(index + offset))));
+    }
+    return started;
+}
--- /dev/null
+++ b/src/harness/fleetScript.ts
@@ -0,0 +1,26 @@
+/** `npm run fleet`: starts a fleet of separate processes, prints the addresses, stops it on Ctrl-C. */
+import { parseArgs } from "node:util";
+import { untilSignal } from "../lib/cli/untilSignal.js";
+import { OPERATOR_TOKEN, startFleet } from "./fleet.js";
+
+const { values } = parseArgs({
+    options: {
+        entries: { type: "string", default: "2" },
+        agents: { type: "string", default: "8" },
+        bookings: { type: "string", default: "3" },
+    },
+});
+
+const fleet = await startFleet({
+    entries: Number(values.entries),
+    runners: Number(values.agents),
+    bookings: Number(values.bookings),
+});
+const print = (line: string) => process.stdout.write(`${line}\n`);
+print(`platform   ${fleet.platformUrl}`);
+for (const entry of fleet.entries) print(`${entry.name}    ${entry.url}`);
+for (const agent of [...fleet.runners, ...fleet.bookings]) print(`${agent.name}   ${agent.vm.address}`);
+print(`client key ${fleet.directory}/keys/client-0, operator token ${OPERATOR_TOKEN}`);
+print("Ctrl-C stops the fleet.");
+await untilSignal();
+await fleet.stop();
--- /dev/null
+++ b/src/harness/index.ts
@@ -0,0 +1,2 @@
+export * from "./childProcess.js";
+export * from "./fleet.js";
--- /dev/null
+++ b/src/lib/agent/agentService.ts
@@ -0,0 +1,73 @@
+/** Handlers of the Agent service: dispatch of requests, state, manifests and chunks. */
+import type { ServerWritableStream } from "@grpc/grpc-js";
+import { placeChunks } from "../core/index.js";
+import type {
+    AgentServer,
+    AgentState,
+    AnswerFrame,
+    ChunkPiece,
+    DispatchRequest,
+    ReadChunkRequest,
+    WatchStateRequest,
+} from "../rpc/index.js";
+import { type ChunkStore, loadManifest } from "./chunkStore.js";
+import type { Gate } from "./gate.js";
+
+/** Longest pause between two state messages. */
+const STATE_INTERVAL_MS = 1000;
+
+export interface StateFeed {
+    readonly current: () => AgentState;
+    /** Calls the listener after each change; returns a function that removes it. */
+    subscribe(listener: () => void): () => void;
+}
+
+export function createAgentService(gate: Gate, store: ChunkStore, state: StateFeed): AgentServer {
+    return {
+        dispatch: call => dispatch(call, gate),
+        watchState: call => watchState(call, state),
+        watchChunks: call => call.end(),
+        readChunk: call => void readChunk(call, store),
+        readManifest: (call, reply) => {
+            store.readManifest(call.request.rootDigest).then(
+                manifest => reply(null, { manifest: manifest ?? Buffer.alloc(0) }),
+                (error: Error) => reply(error),
+            );
+        },
+    };
+}
+
+function dispatch(call: ServerWritableStream<DispatchRequest, AnswerFrame>, gate: Gate): void {
+    const { attemptId } = call.request;
+    const cancellation = new AbortController();
+    call.on("cancelled", () => cancellation.abort());
+    call.on("error", () => cancellation.abort());
+    const sink = {
+        send: (frame: NonNullable<AnswerFrame["frame"]>) => void call.write({ attemptId, frame }),
+        end: () => call.end(),
+        signal: cancellation.signal,
+    };
+    gate.dispatch(call.request, sink).catch((error: Error) => call.destroy(error));
+}
+
+function watchState(call: ServerWritableStream<WatchStateRequest, AgentState>, state: StateFeed): void {
+    const send = () => void call.write(state.current());
+    const timer = setInterval(send, STATE_INTERVAL_MS);
+    const unsubscribe = state.subscribe(send);
+    const stop = () => {
+        clearInterval(timer);
+        unsubscribe();
+    };
+    call.on("cancelled", stop);
+    call.on("error", stop);
+    send();
+}
+
+async function readChunk(call: ServerWritableStream<ReadChunkRequest, ChunkPiece>, store: ChunkStore): Promise<void> {
+    const { rootDigest, chunkDigest } = call.request;
+    const manifest = await loadManifest(store, rootDigest);
+    const chunk = manifest && placeChunks(manifest).find(({ digest }) => digest === chunkDigest);
+    const content = chunk && await store.read(rootDigest, chunk);
+    call.write(content === undefined ? { data: Buffer.alloc(0), refusal: "unknown" } : { data: content, refusal: "" });
+    call.end();
+}
--- /dev/null
+++ b/src/lib/agent/chunkStore.ts
@@ -0,0 +1,132 @@
+/**
+ * Keeps versions in the memory-backed directory that the engine reads: one directory per root digest and
+ * the manifest beside it. It holds no chunk in memory.
+ */
+import { createHash } from "node:crypto";
+import { createReadStream } from "node:fs";
+import { type FileHandle, mkdir, open, readdir, readFile, rm, stat, truncate, writeFile } from "node:fs/promises";
+import { dirname, join } from "node:path";
+import { type Digest, digestOf, isDigest, type Manifest, parseManifest, type PlacedChunk } from "../core/index.js";
+
+const MANIFEST_SUFFIX = ".manifest.json";
+
+export interface ChunkStore {
+    /** Directory of a version, for the engine. */
+    path(rootDigest: Digest): string;
+    /** Creates the files of a version at their full size and stores its manifest. */
+    create(rootDigest: Digest, manifestBytes: Uint8Array, manifest: Manifest): Promise<void>;
+    readManifest(rootDigest: Digest): Promise<Buffer | undefined>;
+    /** Writes a verified chunk to every place that needs it. */
+    write(rootDigest: Digest, chunk: PlacedChunk, content: Uint8Array): Promise<void>;
+    /** Reads a chunk and returns it if its content matches its digest. */
+    read(rootDigest: Digest, chunk: PlacedChunk): Promise<Buffer | undefined>;
+    /** Hashes every file again and returns the paths that differ from the manifest. */
+    verify(rootDigest: Digest, manifest: Manifest): Promise<string[]>;
+    /** Lists the versions that have a manifest here. */
+    list(): Promise<Digest[]>;
+    remove(rootDigest: Digest): Promise<void>;
+}
+
+export function createChunkStore(root: string): ChunkStore {
+    const path = (rootDigest: Digest) => join(root, rootDigest);
+    const manifestPath = (rootDigest: Digest) => `${path(rootDigest)}${MANIFEST_SUFFIX}`;
+
+    async function create(rootDigest: Digest, manifestBytes: Uint8Array, manifest: Manifest): Promise<void> {
+        for (const file of manifest.files) {
+            const target = join(path(rootDigest), file.path);
+            await mkdir(dirname(target), { recursive: true });
+            const handle = await open(target, "a");
+            await handle.close();
+            await truncate(target, file.size);
+        }
+        await writeFile(manifestPath(rootDigest), manifestBytes);
+    }
+
+    function readManifest(rootDigest: Digest): Promise<Buffer | undefined> {
+        return readFile(manifestPath(rootDigest)).catch(() => undefined);
+    }
+
+    async function write(rootDigest: Digest, chunk: PlacedChunk, content: Uint8Array): Promise<void> {
+        for (const place of chunk.placements) {
+            await withFile(join(path(rootDigest), place.path), "r+", async handle => {
+                await handle.write(content, 0, content.length, place.offset);
+            });
+        }
+    }
+
+    async function read(rootDigest: Digest, chunk: PlacedChunk): Promise<Buffer | undefined> {
+        const place = chunk.placements[0];
+        if (place === undefined) return undefined;
+        const content = Buffer.allocUnsafe(chunk.size);
+        try {
+            const { bytesRead } = await withFile(
+                join(path(rootDigest), place.path),
+                "r",
+                handle => handle.read(content, 0, chunk.size, place.offset),
+            );
+            return bytesRead === chunk.size && digestOf(content) === chunk.digest ? content : undefined;
+        }
+        catch {
+            return undefined;
+        }
+    }
+
+    async function verify(rootDigest: Digest, manifest: Manifest): Promise<string[]> {
+        const wrong: string[] = [];
+        for (const file of manifest.files) {
+            const target = join(path(rootDigest), file.path);
+            const size = await stat(target).then(stats => stats.size, () => -1);
+            if (size !== file.size || !await matches(target, file.chunks)) wrong.push(file.path);
+        }
+        return wrong;
+    }
+
+    async function list(): Promise<Digest[]> {
+        const names = await readdir(root).catch(() => []);
+        return names
+            .filter(name => name.endsWith(MANIFEST_SUFFIX))
+            .map(name => name.slice(0, -MANIFEST_SUFFIX.length))
+            .filter(isDigest);
+    }
+
+    async function remove(rootDigest: Digest): Promise<void> {
+        await rm(manifestPath(rootDigest), { force: true });
+        await rm(path(rootDigest), { recursive: true, force: true });
+    }
+
+    return { path, create, readManifest, write, read, verify, list, remove };
+}
+
+/** Reads the manifest of a stored version and checks it. Returns `undefined` if it is missing or wrong. */
+export async function loadManifest(store: ChunkStore, rootDigest: Digest): Promise<Manifest | undefined> {
+    const bytes = await store.readManifest(rootDigest);
+    if (bytes === undefined) return undefined;
+    try {
+        return parseManifest(bytes, rootDigest);
+    }
+    catch {
+        return undefined;
+    }
+}
+
+async function withFile<T>(path: string, flags: string, use: (handle: FileHandle) => Promise<T>): Promise<T> {
+    const handle = await open(path, flags);
+    try {
+        return await use(handle);
+    }
+    finally {
+        await handle.close();
+    }
+}
+
+async function matches(path: string, chunks: readonly { digest: Digest; size: number; }[]): Promise<boolean> {
+    let offset = 0;
+    for (const chunk of chunks) {
+        const hash = createHash("sha256");
+        const range = { start: offset, end: offset + chunk.size - 1 };
+        for await (const piece of createReadStream(path, range)) hash.update(piece as Buffer);
+        if (hash.digest("hex") !== chunk.digest) return false;
+        offset += chunk.size;
+    }
+    return true;
+}
--- /dev/null
+++ b/src/lib/agent/index.ts
@@ -0,0 +1,1 @@
+export * from "./agent.js";
--- /dev/null
+++ b/src/lib/cli/agentCommand.ts
@@ -0,0 +1,21 @@
+/** `endivewell agent`: runs the agent beside a backend server until it is told to stop. */
+import { Command, Flags } from "@oclif/core";
+import { startAgent } from "../agent/index.js";
+import { agentSchema, loadSettings } from "../settings/index.js";
+import { untilSignal } from "./untilSignal.js";
+
+export class AgentCommand extends Command {
+    static override readonly summary = "Run the agent beside a backend server.";
+    static override readonly examples = ["<%= config.bin %> agent --settings agent.jsonc"];
+    static override readonly flags = {
+        settings: Flags.string({ summary: "Settings file, JSON with comments.", required: true }),
+    };
+
+    async run(): Promise<void> {
+        const { flags } = await this.parse(AgentCommand);
+        const agent = await startAgent(loadSettings(flags.settings, agentSchema));
+        this.log(JSON.stringify({ rpc: agent.port }));
+        await untilSignal();
+        await agent.stop();
+    }
+}
--- /dev/null
+++ b/src/lib/cli/entryCommand.ts
@@ -0,0 +1,21 @@
+/** `endivewell entry`: runs an entry until it is told to stop. */
+import { Command, Flags } from "@oclif/core";
+import { startEntry } from "../entry/index.js";
+import { entrySchema, loadSettings } from "../settings/index.js";
+import { untilSignal } from "./untilSignal.js";
+
+export class EntryCommand extends Command {
+    static override readonly summary = "Run an entry: the server for callers and operators.";
+    static override readonly examples = ["<%= config.bin %> entry --settings entry.jsonc"];
+    static override readonly flags = {
+        settings: Flags.string({ summary: "Settings file, JSON with comments.", required: true }),
+    };
+
+    async run(): Promise<void> {
+        const { flags } = await this.parse(EntryCommand);
+        const entry = await startEntry(loadSettings(flags.settings, entrySchema));
+        this.log(JSON.stringify({ http: entry.port, rpc: entry.rpcPort }));
+        await untilSignal();
+        await entry.stop();
+    }
+}
--- /dev/null
+++ b/src/lib/cli/index.ts
@@ -0,0 +1,1 @@
+export * from "./run.js";
--- /dev/null
+++ b/src/lib/cli/run.ts
@@ -0,0 +1,112 @@
+/**
+ * Runs a command line. Commands are registered explicitly, because the single executable has no files
+ * from which oclif could discover them. Each command's module is loaded only when it runs, so that an
+ * agent doesn't hold the operator's commands in memory.
+ */
+import { type Command, Config, Errors, Flags, Interfaces, run as runOclif } from "@oclif/core";
+import VError from "verror";
+import { ExitCode } from "./exitCode.js";
+
+export const VERSION = "0.1.0";
+
+const JSON_FLAG = { json: Flags.boolean({ summary: "Print JSON.", helpGroup: "GLOBAL" }) };
+
+type CommandClass = Command.Class;
+
+const commandLoaders: Readonly<Record<string, () => Promise<CommandClass>>> = {
+    agent: async () => (await import("./agentCommand.js")).AgentCommand,
+    entry: async () => (await import("./entryCommand.js")).EntryCommand,
+    local: async () => (await import("./localCommand.js")).LocalCommand,
+    publish: async () => (await import("./publishCommand.js")).PublishCommand,
+};
+
+const packageDescription = {
+    name: "endivewell",
+    version: VERSION,
+    oclif: { bin: "endivewell", topicSeparator: " " as const, topics: {} },
+};
+
+/** Runs the command and returns the exit code. */
+export async function run(argv: readonly string[]): Promise<number> {
+    try {
+        const config = new Config({
+            root: process.cwd(),
+            pjson: packageDescription as Interfaces.PJSON,
+            plugins: new Map([["endivewell", await createPlugin(argv)]]),
+        });
+        await config.load();
+        await runOclif([...argv], config);
+        return ExitCode.success;
+    }
+    catch (error) {
+        return reportError(error as Error);
+    }
+}
+
+/** Loads only the module of the command that runs; help needs all of them. */
+async function createPlugin(argv: readonly string[]): Promise<Interfaces.Plugin> {
+    const ids = Object.keys(commandLoaders);
+    const id = [argv.slice(0, 2).join(":"), argv[0] ?? ""].find(candidate => ids.includes(candidate));
+    const needed = id === undefined ? ids : [id];
+    const commands = await Promise.all(needed.map(async name => describe(name, await loadCommand(name))));
+    return {
+        _base: "",
+        alias: "endivewell",
+        commandIDs: needed,
+        commands,
+        commandsDir: undefined,
+        findCommand: (name: string) => loadCommand(name),
+        hasManifest: false,
+        hooks: {},
+        isRoot: true,
+        load: async () => undefined,
+        moduleType: "commonjs",
+        name: "endivewell",
+        options: { root: process.cwd() },
+        pjson: packageDescription as Interfaces.PJSON,
+        root: process.cwd(),
+        topics: [],
+        type: "core",
+        valid: true,
+        version: VERSION,
+    };
+}
+
+function loadCommand(name: string): Promise<CommandClass> {
+    const load = commandLoaders[name];
+    if (load === undefined) throw new VError({ name: "UsageError" }, "unknown command %s", name);
+    return load();
+}
+
+function describe(id: string, command: CommandClass): Command.Loadable {
+    return {
+        ...command,
+        id,
+        summary: command.summary,
+        description: command.description,
+        examples: command.examples,
+        args: withNames(command.args ?? {}),
+        flags: withNames({ ...command.enableJsonFlag ? JSON_FLAG : {}, ...command.flags }),
+        aliases: [],
+        hiddenAliases: [],
+        hidden: false,
+        strict: true,
+        pluginName: "endivewell",
+        pluginType: "core",
+        load: async () => command,
+    } as unknown as Command.Loadable;
+}
+
+/** oclif's help reads each flag's name from the flag itself. */
+function withNames<T extends object>(items: Record<string, T>): Record<string, T & { name: string; }> {
+    return Object.fromEntries(Object.entries(items).map(([name, item]) => [name, { ...item, name }]));
+}
+
+function reportError(error: Error): number {
+    if (error instanceof Errors.ExitError) return error.oclif.exit ?? ExitCode.failed;
+    process.stderr.write(`${error.message}\n`);
+    if (error instanceof Errors.CLIError) return ExitCode.usage;
+    if (error.name === "SettingsError" || error.name === "UsageError") return ExitCode.usage;
+    const { exitCode } = VError.info(error) as { exitCode?: number; };
+    return exitCode ?? ExitCode.failed;
+}
--- a/src/lib/core/configuration.ts
+++ b/src/lib/core/configuration.ts
@@ -34,10 +34,10 @@
 }
 
 export type ChangeDecision =
-    | { readonly kind: "apply"; readonly next: Configuration }
-    | { readonly kind: "alreadyApplied"; readonly revision: number }
-    | { readonly kind: "conflict"; readonly current: ProfileEntry | undefined }
-    | { readonly kind: "invalid"; readonly problems: readonly ProfileProblem[] };
+    | { readonly kind: "apply"; readonly next: Configuration; }
+    | { readonly kind: "alreadyApplied"; readonly revision: number; }
+    | { readonly kind: "conflict"; readonly current: ProfileEntry | undefined; }
+    | { readonly kind: "invalid"; readonly problems: readonly ProfileProblem[]; };
 
 export const EMPTY_CONFIGURATION: Configuration = { revision: 0, profiles: {}, changes: [] };
 
--- a/src/lib/core/manifest.ts
+++ b/src/lib/core/manifest.ts
@@ -87,7 +87,7 @@
 
 /** Returns the distinct chunks of a version in the order of their first use. */
 export function placeChunks(manifest: Manifest): PlacedChunk[] {
-    const byDigest = new Map<Digest, { size: number; placements: Placement[] }>();
+    const byDigest = new Map<Digest, { size: number; placements: Placement[]; }>();
     for (const file of manifest.files) {
         let offset = 0;
         for (const chunk of file.chunks) {
--- a/src/lib/core/profile.ts
+++ b/src/lib/core/profile.ts
@@ -36,8 +36,8 @@
 }
 
 export type ProfileCheck =
-    | { readonly kind: "valid"; readonly profile: Profile }
-    | { readonly kind: "invalid"; readonly problems: readonly ProfileProblem[] };
+    | { readonly kind: "valid"; readonly profile: Profile; }
+    | { readonly kind: "invalid"; readonly problems: readonly ProfileProblem[]; };
 
 /** Validates untrusted input and fills in defaults. */
 export function checkProfile(input: unknown): ProfileCheck {
--- /dev/null
+++ b/src/lib/entry/entry.ts
@@ -0,0 +1,67 @@
+/** Starts an entry: configuration, membership, directory of agents, dispatcher and HTTP server. */
+import { createEventRecorder, createNodeService, startConfigurationSync, startMembershipTask } from "../node/index.js";
+import { createLog } from "../observability/index.js";
+import { createTableService, createVmList } from "../platform/index.js";
+import { createConnections, createCredentials, startRpcServer } from "../rpc/index.js";
+import type { EntrySettings } from "../settings/index.js";
+import { createAccounts } from "./accounts.js";
+import { startAgentDirectory } from "./agentDirectory.js";
+import { createDispatcher } from "./dispatcher.js";
+import { startEntryServer } from "./server.js";
+
+const log = createLog("entry");
+
+export interface RunningEntry {
+    /** Port of the HTTP server. */
+    readonly port: number;
+    /** Port of the gRPC server. */
+    readonly rpcPort: number;
+    /** Fails readiness, finishes the requests in progress within `drainMs`, and stops. */
+    stop(): Promise<void>;
+}
+
+export async function startEntry(settings: EntrySettings): Promise<RunningEntry> {
+    const { platform } = settings;
+    const { timeoutMs } = platform;
+    const now = () => Date.now();
+    const accounts = createAccounts(settings);
+    const events = createEventRecorder(settings.process, now);
+    const credentials = createCredentials(settings.tls);
+    const connections = createConnections(credentials);
+    const table = createTableService({ url: platform.tableUrl, timeoutMs });
+    const configuration = startConfigurationSync(table, settings.pollMs, now);
+    const membership = startMembershipTask(createVmList({ url: platform.vmListUrl, timeoutMs }), settings.pollMs);
+    const directory = startAgentDirectory({ process: settings.process, membership, connections, now });
+    const dispatcher = createDispatcher({ directory, connections, now, random: Math.random });
+    const status = () => ({
+        process: settings.process,
+        configurationRevision: configuration.current().revision,
+        configurationAgeMs: now() - configuration.confirmedAt(),
+        requestsInProgress: dispatcher.inProgress(),
+        agents: directory.all(now()),
+    });
+    const node = createNodeService({ configuration, events, status });
+    const rpc = await startRpcServer({ ...settings.rpc, credentials, node });
+    const server = await startEntryServer({
+        settings,
+        accounts,
+        configuration,
+        dispatcher,
+        events,
+        now,
+        table,
+        status,
+        ready: () => directory.ready(now()),
+    });
+    log.info("entry %s listens on port %d", settings.process, server.port);
+
+    async function stop(): Promise<void> {
+        await server.stop(settings.drainMs);
+        directory.stop();
+        await Promise.all([membership.stop(), configuration.stop()]);
+        connections.close();
+        await rpc.stop(1000);
+    }
+
+    return { port: server.port, rpcPort: rpc.port, stop };
+}
--- /dev/null
+++ b/src/lib/entry/index.ts
@@ -0,0 +1,1 @@
+export * from "./entry.js";
--- /dev/null
+++ b/src/lib/entry/openaiApi.ts
@@ -0,0 +1,88 @@
+/** The OpenAI-compatible API for model work: completions, chat completions and the list of models. */
+import { capRank, isRank, type ProfileEntry, type Rank, RANKS } from "../core/index.js";
+import type { Account } from "./accounts.js";
+import { createCallerAnswer } from "./answer.js";
+import { rejection, sendProblem } from "./problem.js";
+import { parseJsonObject, readLimitedBody } from "./requestBody.js";
+import type { EntryParts, RequestContext } from "./requestContext.js";
+
+export const RANK_HEADER = "endivewell-rank";
+
+/** Characters of a prompt that make about one token. */
+const CHARACTERS_PER_TOKEN = 4;
+
+const DEFAULT_MAX_TOKENS = 256;
+
+export async function serveCompletion(parts: EntryParts, context: RequestContext): Promise<void> {
+    const { response, request, requestId } = context;
+    const account = parts.accounts.client(request);
+    if (account === undefined) return sendProblem(response, rejection(401, "unknown account", "send a bearer key"));
+    const read = await readLimitedBody(request, parts.settings.limits.bodyBytes);
+    if (read.kind === "aborted") return;
+    if (read.kind === "tooLarge") {
+        return sendProblem(response, rejection(413, "the body is too large", "shorten the request"));
+    }
+    const body = parseJsonObject(read.body);
+    if (body === undefined) return sendProblem(response, rejection(400, "invalid JSON", "send a JSON object"));
+    const entry = findProfile(parts, String(body.model ?? ""));
+    if (entry === undefined) {
+        return sendProblem(response, rejection(404, "unknown model", "GET /v1/models lists the models"));
+    }
+    const rank = rankOf(request.headers[RANK_HEADER], account);
+    if (rank === undefined) {
+        const detail = `${RANK_HEADER} takes one of ${RANKS.join(", ")}`;
+        return sendProblem(response, rejection(400, "unknown rank", detail));
+    }
+    const answer = createCallerAnswer(response);
+    const engineBody = Buffer.from(JSON.stringify({ ...body, priority: RANKS.indexOf(rank) }));
+    const result = await parts.dispatcher.dispatch({
+        requestId,
+        client: account.client,
+        rank,
+        service: entry.profile.service,
+        profile: entry.profile.name,
+        profileRevision: entry.revision,
+        rootDigest: entry.profile.rootDigest,
+        method: "POST",
+        path: context.url.pathname,
+        headers: [
+            { name: "content-type", value: "application/json" },
+            { name: "content-length", value: String(engineBody.length) },
+        ],
+        body: engineBody,
+        idempotent: true,
+        idempotencyKey: "",
+        deadline: parts.now() + parts.settings.limits.answerMs,
+        estimatedTokens: estimateTokens(body, read.body.length),
+    }, answer);
+    answer.finish(result);
+}
+
+export function serveModels(parts: EntryParts, { request, response }: RequestContext): void {
+    if (parts.accounts.client(request) === undefined) {
+        return sendProblem(response, rejection(401, "unknown account", "send a bearer key"));
+    }
+    const data = Object.values(parts.configuration.current().profiles)
+        .map(({ profile }) => ({ id: profile.name, object: "model", owned_by: profile.model }));
+    response.writeHead(200, { "content-type": "application/json" });
+    response.end(JSON.stringify({ object: "list", data }));
+}
+
+/** A model name is a profile's name; the model that a profile names is accepted if just one profile has it. */
+function findProfile(parts: EntryParts, model: string): ProfileEntry | undefined {
+    const { profiles } = parts.configuration.current();
+    if (Object.hasOwn(profiles, model)) return profiles[model];
+    const matching = Object.values(profiles).filter(({ profile }) => profile.model === model);
+    return matching.length === 1 ? matching[0] : undefined;
+}
+
+export function rankOf(header: string | string[] | undefined, account: Account): Rank | undefined {
+    if (header === undefined) return account.defaultRank;
+    if (typeof header !== "string" || !isRank(header)) return undefined;
+    return capRank(header, account.highestRank);
+}
+
+function estimateTokens(body: Record<string, unknown>, bodyBytes: number): number {
+    const output = typeof body.max_tokens === "number" ? body.max_tokens : DEFAULT_MAX_TOKENS;
+    return Math.max(1, Math.ceil(bodyBytes / CHARACTERS_PER_TOKEN) + Math.max(0, Math.ceil(output)));
+}
--- /dev/null
+++ b/src/lib/entry/problem.ts
@@ -0,0 +1,33 @@
+/** Answers that aren't a success: `application/problem+json` (RFC 9457) with a verdict. */
+import type { ServerResponse } from "node:http";
+import { Verdict } from "../core/index.js";
+
+export interface Problem {
+    readonly status: number;
+    /** Short, stable and human-readable; the same for every occurrence. */
+    readonly title: string;
+    readonly detail: string;
+    readonly verdict: Verdict;
+    /** When a later try helps, in milliseconds from now. */
+    readonly retryAfterMs?: number;
+    /** Further members, for example both values of a conflict. */
+    readonly extra?: Readonly<Record<string, unknown>>;
+}
+
+export const VERDICT_HEADER = "endivewell-verdict";
+
+export function sendProblem(response: ServerResponse, problem: Problem): void {
+    if (response.headersSent || response.destroyed) {
+        response.destroy();
+        return;
+    }
+    const { status, title, detail, verdict, retryAfterMs, extra } = problem;
+    if (retryAfterMs !== undefined) response.setHeader("retry-after", Math.ceil(retryAfterMs / 1000));
+    response.writeHead(status, { "content-type": "application/problem+json", [VERDICT_HEADER]: verdict });
+    response.end(JSON.stringify({ type: "about:blank", title, status, detail, verdict, ...extra }));
+}
+
+/** A problem that is found before anything is dispatched. */
+export function rejection(status: number, title: string, detail: string): Problem {
+    return { status, title, detail, verdict: Verdict.notRun };
+}
--- /dev/null
+++ b/src/lib/entry/requestBody.ts
@@ -0,0 +1,36 @@
+/** Reads request bodies up to a limit. */
+import type { IncomingMessage } from "node:http";
+
+export type BodyResult =
+    | { readonly kind: "complete"; readonly body: Buffer; }
+    | { readonly kind: "tooLarge"; }
+    | { readonly kind: "aborted"; };
+
+export async function readLimitedBody(request: IncomingMessage, maxBytes: number): Promise<BodyResult> {
+    if (Number(request.headers["content-length"] ?? 0) > maxBytes) return { kind: "tooLarge" };
+    const pieces: Buffer[] = [];
+    let size = 0;
+    try {
+        for await (const piece of request as AsyncIterable<Buffer>) {
+            size += piece.length;
+            if (size > maxBytes) return { kind: "tooLarge" };
+            pieces.push(piece);
+        }
+    }
+    catch {
+        return { kind: "aborted" };
+    }
+    return { kind: "complete", body: Buffer.concat(pieces) };
+}
+
+/** Parses a JSON object; returns `undefined` for anything else. */
+export function parseJsonObject(body: Buffer): Record<string, unknown> | undefined {
+    try {
+        const value: unknown = JSON.parse(body.toString("utf8"));
+        const isObject = typeof value === "object" && value !== null && !Array.isArray(value);
+        return isObject ? value as Record<string, unknown> : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/lib/entry/server.ts
@@ -0,0 +1,89 @@
+/** The entry's HTTP server: limits on input, routes, health, and a stop that lets requests finish. */
+import { randomUUID } from "node:crypto";
+import * as http from "node:http";
+import type { AddressInfo } from "node:net";
+import VError from "verror";
+import { createLog } from "../observability/index.js";
+import { type AdminParts, serveAdmin } from "./adminApi.js";
+import { serveCompletion, serveModels } from "./openaiApi.js";
+import { rejection, sendProblem } from "./problem.js";
+import type { RequestContext } from "./requestContext.js";
+import { serveService } from "./servicesApi.js";
+
+const log = createLog("entry:server");
+
+export const REQUEST_ID_HEADER = "endivewell-request-id";
+
+export interface EntryServer {
+    readonly port: number;
+    /** Fails readiness at once, and resolves when all requests have ended or after the timeout. */
+    stop(timeoutMs: number): Promise<void>;
+}
+
+export async function startEntryServer(parts: AdminParts): Promise<EntryServer> {
+    const { http: listen, limits } = parts.settings;
+    let leaving = false;
+
+    async function route(context: RequestContext): Promise<void> {
+        const { response, request, url } = context;
+        const { pathname } = url;
+        if (pathname === "/healthz") return sendHealth(response, true);
+        if (pathname === "/readyz") return sendHealth(response, !leaving && parts.ready());
+        if (pathname.startsWith("/admin/")) return serveAdmin(parts, context);
+        if (pathname.startsWith("/services/")) return serveService(parts, context);
+        const isCompletion = pathname === "/v1/chat/completions" || pathname === "/v1/completions";
+        if (isCompletion && request.method === "POST") return serveCompletion(parts, context);
+        if (pathname === "/v1/models" && request.method === "GET") return serveModels(parts, context);
+        sendProblem(response, rejection(404, "no such resource", `${request.method} ${pathname} isn't served`));
+    }
+
+    const options = {
+        maxHeaderSize: limits.headerBytes,
+        requestTimeout: limits.requestMs,
+        headersTimeout: limits.requestMs,
+    };
+    const server = http.createServer(options, (request, response) => {
+        const requestId = randomUUID();
+        response.setHeader(REQUEST_ID_HEADER, requestId);
+        if (leaving) response.setHeader("connection", "close");
+        const url = parseUrl(request.url ?? "/");
+        if (url === undefined) return sendProblem(response, rejection(400, "invalid address", "send a valid path"));
+        route({ requestId, request, response, url }).catch((error: Error) => {
+            log.warn("request %s failed: %s", requestId, error.message);
+            const detail = "see the entry's log for the request identifier";
+            sendProblem(response, { status: 500, title: "internal error", detail, verdict: "mayHaveRun" });
+        });
+    });
+    server.maxConnections = limits.connections;
+    await new Promise<void>((resolve, reject) => {
+        server.once("error", error => {
+            reject(
+                new VError({ name: "ListenError", cause: error }, "can't listen on %s:%d", listen.host, listen.port),
+            );
+        });
+        server.listen(listen.port, listen.host, resolve);
+    });
+
+    function stop(timeoutMs: number): Promise<void> {
+        leaving = true;
+        return new Promise(resolve => {
+            const timer = setTimeout(() => server.closeAllConnections(), timeoutMs);
+            server.close(() => {
+                clearTimeout(timer);
+                resolve();
+            });
+            server.closeIdleConnections();
+        });
+    }
+
+    return { port: (server.address() as AddressInfo).port, stop };
+}
+
+function sendHealth(response: http.ServerResponse, healthy: boolean): void {
+    response.writeHead(healthy ? 200 : 503, { "content-type": "text/plain" });
+    response.end(healthy ? "ok\n" : "not ready\n");
+}
+
+function parseUrl(path: string): URL | undefined {
+    return URL.canParse(path, "http://entry") ? new URL(path, "http://entry") : undefined;
+}
--- /dev/null
+++ b/src/lib/local/index.ts
@@ -0,0 +1,1 @@
+export * from "./localFleet.js";
--- /dev/null
+++ b/src/lib/local/localFleet.ts
@@ -0,0 +1,116 @@
+/**
+ * A whole system in one process on loopback: stand-in platform, engines and a booking service, with an
+ * agent beside each and one entry. For first runs, demos and tests.
+ */
+import { mkdir, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import { type RunningAgent, startAgent } from "../agent/index.js";
+import { type RunningEntry, startEntry } from "../entry/index.js";
+import { agentSchema, entrySchema } from "../settings/index.js";
+import {
+    type EngineStandIn,
+    type PlatformStandIn,
+    type ServiceStandIn,
+    startEngineStandIn,
+    startPlatformStandIn,
+    startServiceStandIn,
+} from "../standIn/index.js";
+
+export interface LocalFleetOptions {
+    readonly replicas: number;
+    /** Directory for the weight store, the agents' weights and the keys. */
+    readonly directory: string;
+    readonly originBytesPerSecond: number;
+    /** Port of the entry; 0 takes a free one. */
+    readonly port: number;
+}
+
+export interface LocalFleet {
+    readonly entry: RunningEntry;
+    readonly url: string;
+    readonly agents: readonly RunningAgent[];
+    readonly engines: readonly EngineStandIn[];
+    readonly bookings: ServiceStandIn;
+    readonly platform: PlatformStandIn;
+    stop(): Promise<void>;
+}
+
+/** Keys of the demonstration account and operator. They protect nothing. */
+export const DEMO_CLIENT_KEY = "demo-client";
+export const DEMO_OPERATOR_TOKEN = "demo-operator";
+export const DEMO_POOL = "models";
+
+const FAILURE_DOMAIN = "local-1";
+const REGION = "local";
+
+export async function startLocalFleet(options: LocalFleetOptions): Promise<LocalFleet> {
+    const { directory, replicas } = options;
+    await mkdir(directory, { recursive: true });
+    const platform = await startPlatformStandIn({
+        directory: join(directory, "objects"),
+        originBytesPerSecond: options.originBytesPerSecond,
+        seed: 1,
+    });
+    const common = {
+        failureDomain: FAILURE_DOMAIN,
+        region: REGION,
+        rpc: { port: 0 },
+        pollMs: 200,
+        platform: {
+            tableUrl: platform.url,
+            weightStoreUrl: platform.url,
+            vmListUrl: platform.url,
+            weightStoreRegion: REGION,
+        },
+    };
+    const engines: EngineStandIn[] = [];
+    const agents: RunningAgent[] = [];
+
+    async function addAgent(process: string, service: string, kind: "model" | "plain", url: string): Promise<void> {
+        const agent = await startAgent(agentSchema.parse({
+            ...common,
+            process,
+            service,
+            backendServer: { kind, url },
+            weightsPath: join(directory, process),
+        }));
+        agents.push(agent);
+        platform.setVm({
+            name: process,
+            address: `127.0.0.1:${agent.port}`,
+            role: "agent",
+            service,
+            failureDomain: FAILURE_DOMAIN,
+            region: REGION,
+            state: "live",
+        });
+    }
+
+    for (let index = 0; index < replicas; index++) {
+        const engine = await startEngineStandIn({ slots: 8, tokensPerSecond: 50, ignoresFence: false, seed: index });
+        engines.push(engine);
+        await addAgent(`runner-${index}`, DEMO_POOL, "model", engine.url);
+    }
+    const bookings = await startServiceStandIn({ workMs: 5, seed: 1 });
+    await addAgent("bookings-0", "bookings", "plain", bookings.url);
+
+    const keyFile = join(directory, "client.key");
+    const tokenFile = join(directory, "operator.token");
+    await writeFile(keyFile, DEMO_CLIENT_KEY, { mode: 0o600 });
+    await writeFile(tokenFile, DEMO_OPERATOR_TOKEN, { mode: 0o600 });
+    const entry = await startEntry(entrySchema.parse({
+        ...common,
+        process: "entry-0",
+        http: { port: options.port },
+        accounts: [{ client: "demo", keyFile }],
+        operators: [{ name: "demo", tokenFile, role: "operator" }],
+    }));
+
+    async function stop(): Promise<void> {
+        await entry.stop();
+        await Promise.all(agents.map(agent => agent.stop()));
+        await Promise.all([platform, bookings, ...engines].map(server => server.stop()));
+    }
+
+    return { entry, url: `http://127.0.0.1:${entry.port}`, agents, engines, bookings, platform, stop };
+}
--- /dev/null
+++ b/src/lib/node/nodeService.ts
@@ -0,0 +1,31 @@
+/** Handlers of the Node service, which every process serves to the others. */
+import type { Configuration } from "../core/index.js";
+import type { NodeServer } from "../rpc/index.js";
+import type { ConfigurationSync } from "./configurationSync.js";
+import type { EventRecorder } from "./eventRecorder.js";
+
+export interface NodeServiceOptions {
+    readonly configuration: ConfigurationSync;
+    readonly events: EventRecorder;
+    /** Returns the status document of this process. */
+    readonly status: () => unknown;
+}
+
+export function createNodeService({ configuration, events, status }: NodeServiceOptions): NodeServer {
+    return {
+        syncConfiguration: (call, reply) => {
+            const { snapshot, revision } = call.request;
+            if (snapshot !== "") configuration.offer(JSON.parse(snapshot) as Configuration);
+            const current = configuration.current();
+            const newer = current.revision > revision ? JSON.stringify(current) : "";
+            reply(null, { revision: current.revision, snapshot: newer });
+        },
+        readEvents: (call, reply) => {
+            const found = events.read(call.request.subject);
+            reply(null, {
+                events: found.map(event => ({ ...event, attributes: JSON.stringify(event.attributes) })),
+            });
+        },
+        readStatus: (_call, reply) => reply(null, { status: JSON.stringify(status()) }),
+    };
+}
--- a/src/lib/platform/engine.ts
+++ b/src/lib/platform/engine.ts
@@ -35,7 +35,7 @@
 /** Loading large weights takes minutes. */
 const LOAD_TIMEOUT_MS = 15 * 60 * 1000;
 
-export function createEngine(options: { readonly url: string; readonly timeoutMs: number }): Engine {
+export function createEngine(options: { readonly url: string; readonly timeoutMs: number; }): Engine {
     async function readState(): Promise<EngineState> {
         const answer = await sendRequest({
             method: "GET",
--- a/src/lib/platform/tableService.ts
+++ b/src/lib/platform/tableService.ts
@@ -6,18 +6,18 @@
 import { type HttpAnswer, sendRequest } from "./http.js";
 
 export type TableRead =
-    | { readonly kind: "found"; readonly value: unknown; readonly etag: string }
-    | { readonly kind: "missing" }
-    | { readonly kind: "unavailable"; readonly cause: Error };
+    | { readonly kind: "found"; readonly value: unknown; readonly etag: string; }
+    | { readonly kind: "missing"; }
+    | { readonly kind: "unavailable"; readonly cause: Error; };
 
 export type TableWrite =
-    | { readonly kind: "written"; readonly etag: string }
-    | { readonly kind: "conflict" }
+    | { readonly kind: "written"; readonly etag: string; }
+    | { readonly kind: "conflict"; }
     /** The write may have taken effect, now or later. */
-    | { readonly kind: "unclear"; readonly cause: Error };
+    | { readonly kind: "unclear"; readonly cause: Error; };
 
 /** `absent` requires that the row doesn't exist; otherwise the row must still have the given tag. */
-export type WriteCondition = { readonly kind: "absent" } | { readonly kind: "unchanged"; readonly etag: string };
+export type WriteCondition = { readonly kind: "absent"; } | { readonly kind: "unchanged"; readonly etag: string; };
 
 export interface TableService {
     read(table: string, key: string): Promise<TableRead>;
--- a/src/lib/platform/vmList.ts
+++ b/src/lib/platform/vmList.ts
@@ -22,7 +22,7 @@
     read(): Promise<readonly Vm[]>;
 }
 
-export function createVmList(options: { readonly url: string; readonly timeoutMs: number }): VmList {
+export function createVmList(options: { readonly url: string; readonly timeoutMs: number; }): VmList {
     async function read(): Promise<readonly Vm[]> {
         const answer = await sendRequest({
             method: "GET",
--- /dev/null
+++ b/src/lib/publish/index.ts
@@ -0,0 +1,1 @@
+export * from "./publish.js";
--- /dev/null
+++ b/src/lib/publish/publish.ts
@@ -0,0 +1,101 @@
+/**
+ * Publishes a directory as a version: every chunk goes to the weight store under its digest, then the
+ * manifest under the root digest. Memory use doesn't depend on the size of the files, and chunks that the
+ * store has already aren't sent again, so an interrupted publish is resumed by running it again.
+ */
+import { open, readdir, stat } from "node:fs/promises";
+import { join, relative, sep } from "node:path";
+import VError from "verror";
+import {
+    type Chunk,
+    type Digest,
+    digestOf,
+    encodeManifest,
+    type Manifest,
+    type ManifestFile,
+    MAX_CHUNK_BYTES,
+} from "../core/index.js";
+import { chunkKey, manifestKey, type ObjectStore } from "../platform/index.js";
+
+export const DEFAULT_CHUNK_BYTES = 256 * 1024;
+
+export interface PublishOptions {
+    readonly directory: string;
+    readonly model: string;
+    readonly chunkBytes?: number;
+    readonly store: ObjectStore;
+    readonly onProgress?: (progress: PublishProgress) => void;
+}
+
+export interface PublishProgress {
+    readonly bytesRead: number;
+    readonly bytesTotal: number;
+    readonly bytesSent: number;
+}
+
+export interface PublishedVersion {
+    readonly rootDigest: Digest;
+    readonly manifest: Manifest;
+    readonly bytesSent: number;
+}
+
+/** Throws a VError named `PublishError` if the directory can't be read or is empty. */
+export async function publishDirectory(options: PublishOptions): Promise<PublishedVersion> {
+    const { directory, store } = options;
+    const chunkBytes = Math.min(options.chunkBytes ?? DEFAULT_CHUNK_BYTES, MAX_CHUNK_BYTES);
+    const paths = await listFiles(directory);
+    if (paths.length === 0) throw new VError({ name: "PublishError" }, "%s holds no files", directory);
+    const sizes = await Promise.all(paths.map(async path => (await stat(join(directory, path))).size));
+    const bytesTotal = sizes.reduce((sum, size) => sum + size, 0);
+    let bytesRead = 0;
+    let bytesSent = 0;
+
+    async function publishFile(path: string): Promise<ManifestFile> {
+        const chunks: Chunk[] = [];
+        const handle = await open(join(directory, path), "r");
+        const buffer = Buffer.allocUnsafe(chunkBytes);
+        try {
+            for (;;) {
+                const { bytesRead: size } = await handle.read(buffer, 0, chunkBytes);
+                if (size === 0) break;
+                chunks.push(await publishChunk(buffer.subarray(0, size)));
+            }
+        }
+        finally {
+            await handle.close();
+        }
+        return { path, size: chunks.reduce((sum, chunk) => sum + chunk.size, 0), chunks };
+    }
+
+    async function publishChunk(content: Buffer): Promise<Chunk> {
+        const digest = digestOf(content);
+        if (!await store.has(chunkKey(digest))) {
+            await store.put(chunkKey(digest), content);
+            bytesSent += content.length;
+        }
+        bytesRead += content.length;
+        options.onProgress?.({ bytesRead, bytesTotal, bytesSent });
+        return { digest, size: content.length };
+    }
+
+    const files: ManifestFile[] = [];
+    for (const path of paths) files.push(await publishFile(path));
+    const manifest: Manifest = { format: 1, model: options.model, files };
+    const bytes = encodeManifest(manifest);
+    const rootDigest = digestOf(bytes);
+    await store.put(manifestKey(rootDigest), bytes);
+    return { rootDigest, manifest, bytesSent };
+}
+
+async function listFiles(directory: string): Promise<string[]> {
+    try {
+        const entries = await readdir(directory, { withFileTypes: true, recursive: true });
+        return entries
+            .filter(entry => entry.isFile())
+            .map(entry => relative(directory, join(entry.parentPath, entry.name)).split(sep).join("/"))
+            .sort();
+    }
+    catch (error) {
+        throw new VError({ name: "PublishError", cause: error as Error }, "can't read %s", directory);
+    }
+}
--- a/src/lib/settings/load.ts
+++ b/src/lib/settings/load.ts
@@ -19,8 +19,8 @@
 }
 
 export type SettingsResult<T> =
-    | { readonly kind: "valid"; readonly settings: T }
-    | { readonly kind: "invalid"; readonly problems: readonly SettingsProblem[] };
+    | { readonly kind: "valid"; readonly settings: T; }
+    | { readonly kind: "invalid"; readonly problems: readonly SettingsProblem[]; };
 
 /** Longest excerpt of a wrong value in a problem. */
 const MAX_FOUND_LENGTH = 80;
@@ -101,7 +101,10 @@
 }
 
 function valueAt(value: unknown, path: readonly (string | number)[]): unknown {
-    return path.reduce<unknown>((inner, part) => (inner as Record<string | number, unknown> | undefined)?.[part], value);
+    return path.reduce<unknown>(
+        (inner, part) => (inner as Record<string | number, unknown> | undefined)?.[part],
+        value,
+    );
 }
 
 function lineAt(text: string, offset: number): number {
--- a/src/lib/standIn/engine.ts
+++ b/src/lib/standIn/engine.ts
@@ -25,7 +25,7 @@
 
 /** What the engine saw, for the assertions of tests. */
 export interface EngineEvidence {
-    readonly loads: readonly { readonly digest: string; readonly fence: number }[];
+    readonly loads: readonly { readonly digest: string; readonly fence: number; }[];
     /** Orders whose directory didn't hold exactly the named version. */
     readonly wrongLoads: number;
     readonly completed: number;
@@ -51,7 +51,7 @@
 }
 
 interface CompletionBody {
-    readonly messages?: readonly { readonly content: string }[];
+    readonly messages?: readonly { readonly content: string; }[];
     readonly prompt?: string;
     readonly max_tokens?: number;
     readonly stream?: boolean;
@@ -68,7 +68,7 @@
 
 export async function startEngineStandIn(options: EngineOptions): Promise<EngineStandIn> {
     const faults = createFaultSwitches(options.seed);
-    const loads: { digest: string; fence: number }[] = [];
+    const loads: { digest: string; fence: number; }[] = [];
     const waiting: Waiter[] = [];
     let state = { digest: "", generation: 1, fence: 0 };
     let running = 0;
--- a/src/lib/standIn/faults.ts
+++ b/src/lib/standIn/faults.ts
@@ -3,8 +3,8 @@
  * leaves the others; `GET /faults` returns them.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { z } from "zod";
 import { answerJson, readJson } from "./httpServer.js";
 
--- a/src/lib/standIn/service.ts
+++ b/src/lib/standIn/service.ts
@@ -33,7 +33,7 @@
             return;
         }
         if (request.method === "GET") return answerJson(response, 200, { path: request.url, bookings: runs.size });
-        const body = await readJson(request) as { reference?: string };
+        const body = await readJson(request) as { reference?: string; };
         const reference = body.reference ?? "";
         runs.set(reference, (runs.get(reference) ?? 0) + 1);
         await sleep(options.workMs + faults.current().delayMs);
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,2 +1,4 @@
 /** Entry point of the `endivewell` binary. */
-console.log("endivewell");
+import { run } from "./lib/cli/index.js";
+
+run(process.argv.slice(2)).then(code => process.exit(code));
--- /dev/null
+++ b/src/test/harness/fleet.test.ts
@@ -0,0 +1,47 @@
+import assert from "node:assert/strict";
+import { randomBytes } from "node:crypto";
+import { mkdir, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import { test } from "node:test";
+import { OPERATOR_TOKEN, POOL, sendToEntry, startFleet, waitUntil, waitUntilServing } from "../../harness/index.js";
+import { createObjectStore } from "../../lib/platform/index.js";
+import { publishDirectory } from "../../lib/publish/index.js";
+import { expectedToken } from "../../lib/standIn/index.js";
+
+// Guards against a break anywhere on the whole path: publish, profile, rollout, streamed answer, booking.
+test("separate processes serve a request and a booking from published weights", async () => {
+    const fleet = await startFleet({ entries: 1, runners: 2, bookings: 1 });
+    try {
+        const [entry] = fleet.entries;
+        assert.ok(entry);
+        const weights = join(fleet.directory, "weights");
+        await mkdir(weights);
+        await writeFile(join(weights, "model.bin"), randomBytes(1_000_000));
+        const store = createObjectStore({ url: fleet.platformUrl, timeoutMs: 5000 });
+        const { rootDigest } = await publishDirectory({ directory: weights, model: "m", store });
+        const profile = { name: "desk", model: "m", rootDigest, service: POOL };
+        const change = await sendToEntry(entry, "PUT", "/admin/v1/profiles/desk", OPERATOR_TOKEN, profile);
+        assert.equal(change.status, 200, change.body.toString());
+        await waitUntilServing(fleet, fleet.runners, rootDigest, 20_000);
+
+        const body = { model: "desk", stream: true, max_tokens: 4, messages: [{ role: "user", content: "hello" }] };
+        await waitUntil("the entry serves the profile", async () => {
+            const models = await sendToEntry(entry, "GET", "/v1/models", "client-0");
+            return models.body.includes("desk");
+        }, 5000);
+        const answer = await sendToEntry(entry, "POST", "/v1/chat/completions", "client-0", body);
+        const text = answer.body.toString();
+        assert.equal(answer.status, 200, text);
+        for (let position = 0; position < 4; position++) {
+            assert.ok(text.includes(expectedToken(rootDigest, "hello", position)), text);
+        }
+        assert.ok(text.endsWith("data: [DONE]\n\n"));
+
+        const booking = await sendToEntry(entry, "POST", "/services/bookings/b", "client-0", { reference: "r1" });
+        assert.equal(booking.status, 201, booking.body.toString());
+        assert.deepEqual(JSON.parse(booking.body.toString()), { reference: "r1", state: "booked", run: 1 });
+    }
+    finally {
+        await fleet.stop();
+    }
+});
