Add a stand-in for the links between regions

Cause: crossing times between regions and cuts could not be measured on one machine. Change: relays that share a rate per pair of regions and direction, wired into the stand-in platform and the harness. The gRPC library's use of proxies from the environment is off.

--- a/src/harness/fleet.ts
+++ b/src/harness/fleet.ts
@@ -9,7 +9,7 @@
 import { fileURLToPath } from "node:url";
 import { sendRequest, type Vm } from "../lib/platform/index.js";
 import { type AgentState, createConnections, createCredentials } from "../lib/rpc/index.js";
-import type { EngineOptions } from "../lib/standIn/index.js";
+import type { EngineOptions, RegionsOptions } from "../lib/standIn/index.js";
 import { type Child, startChild } from "./childProcess.js";
 import type { StandInAddresses, StandInHostOptions } from "./standInHost.js";
 
@@ -21,6 +21,8 @@
     readonly bookings: number;
     /** VMs are spread over the regions in turn. The weight store is in the first. */
     readonly regions?: readonly string[];
+    /** Limits the links between regions; without it they are as fast as loopback. */
+    readonly regionLinks?: { readonly bytesPerSecond: number; readonly latencyMs: number; };
     readonly originBytesPerSecond?: number;
     readonly engine?: Partial<EngineOptions>;
     readonly bookingMs?: number;
@@ -75,16 +77,22 @@
     const addresses = standIns.ready as StandInAddresses;
     const regionOf = (index: number) => regions[index % regions.length] ?? DEFAULT_REGIONS[0] as string;
 
+    const platformUrls = JSON.parse(
+        (await sendRequest({ method: "GET", url: `${addresses.platform}/regions` })).body.toString(),
+    ) as Record<string, string>;
+
     function commonSettings(name: string, index: number) {
+        const region = regionOf(index);
+        const platformUrl = platformUrls[region] ?? addresses.platform;
         return {
             process: name,
-            failureDomain: `${regionOf(index)}-1`,
-            region: regionOf(index),
+            failureDomain: `${region}-1`,
+            region,
             rpc: { port: 0 },
             platform: {
-                tableUrl: addresses.platform,
-                weightStoreUrl: addresses.platform,
-                vmListUrl: addresses.platform,
+                tableUrl: platformUrl,
+                weightStoreUrl: platformUrl,
+                vmListUrl: `${platformUrl}/regions/${region}`,
                 weightStoreRegion: regions[0],
             },
         };
@@ -273,6 +281,7 @@
             directory: join(directory, "objects"),
             originBytesPerSecond: options.originBytesPerSecond ?? 256 * 1024 * 1024,
             seed,
+            regions: regionsOf(options),
         },
         engines: Array.from({ length: options.runners }, (_, index) => ({ seed: seed + index, ...engine })),
         services: options.bookings > 0 ? [{ workMs: options.bookingMs ?? 5, seed }] : [],
@@ -280,6 +289,11 @@
     return startChild({ name: "stand-ins", args: [STAND_IN_HOST, JSON.stringify(hostOptions)] });
 }
 
+function regionsOf({ regions = [], regionLinks }: FleetOptions): RegionsOptions | undefined {
+    if (regionLinks === undefined) return undefined;
+    return { names: regions, linkBytesPerSecond: regionLinks.bytesPerSecond, latencyMs: regionLinks.latencyMs };
+}
+
 async function writeAccounts(directory: string, clients: number) {
     await mkdir(join(directory, "keys"), { recursive: true });
     return Promise.all(Array.from({ length: clients }, async (_, index) => {
--- a/src/lib/local/localFleet.ts
+++ b/src/lib/local/localFleet.ts
@@ -75,7 +75,7 @@
             weightsPath: join(directory, process),
         }));
         agents.push(agent);
-        platform.setVm({
+        await platform.setVm({
             name: process,
             address: `127.0.0.1:${agent.port}`,
             role: "agent",
--- a/src/lib/rpc/connections.ts
+++ b/src/lib/rpc/connections.ts
@@ -10,6 +10,8 @@
 export const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
 
 const OPTIONS = {
+    // The environment must not route traffic between own processes through a proxy.
+    "grpc.enable_http_proxy": 0,
     "grpc.max_receive_message_length": MAX_MESSAGE_BYTES,
     "grpc.keepalive_time_ms": 5_000,
     "grpc.keepalive_timeout_ms": 2_000,
--- a/src/lib/standIn/platform.ts
+++ b/src/lib/standIn/platform.ts
@@ -1,21 +1,34 @@
 /**
  * Stand-in of the platform: table service, weight store and list of VMs behind one address, with fault
  * switches at `/faults` and counters for tests at `/evidence`. VMs are registered with `PUT /vms/NAME`.
+ *
+ * With `regions`, each region other than the platform's reaches the platform and the VMs of other regions
+ * through relays that share the rate of the link; `GET /regions` returns the platform's address for each
+ * region, and `PUT /links` cuts a link.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Vm } from "../platform/index.js";
 import { createFaultSwitches, type FaultSwitches } from "./faults.js";
 import { answerJson, readJson, type RunningServer, startHttpServer } from "./httpServer.js";
+import { createRegionLinks, type LinkState, type RegionLinks } from "./link.js";
 import { createObjectsStandIn } from "./objects.js";
 import { createTablesStandIn } from "./tables.js";
 
+/** Regions with limited links between them. The platform is in the first. */
+export interface RegionsOptions {
+    readonly names: readonly string[];
+    readonly linkBytesPerSecond: number;
+    readonly latencyMs: number;
+}
+
 export interface PlatformOptions {
     /** Directory for objects. */
     readonly directory: string;
     /** Rate of the weight store's link in bytes a second. */
     readonly originBytesPerSecond: number;
     readonly seed: number;
+    readonly regions?: RegionsOptions;
     readonly port?: number;
     readonly host?: string;
 }
@@ -24,7 +37,7 @@
     readonly faults: FaultSwitches;
     /** Bytes of chunks drawn from the weight store. */
     readonly originBytes: () => number;
-    readonly setVm: (vm: Vm) => void;
+    readonly setVm: (vm: Vm) => Promise<void>;
     readonly removeVm: (name: string) => void;
 }
 
@@ -38,11 +51,30 @@
         now: () => performance.now(),
     });
     const vms = new Map<string, Vm>();
+    // Addresses of VMs as seen from another region, under `REGION VM`.
+    const relayed = new Map<string, string>();
+    const regionNames = options.regions?.names ?? [];
+    const links = options.regions && createRegionLinks({
+        bytesPerSecond: options.regions.linkBytesPerSecond,
+        latencyMs: options.regions.latencyMs,
+        now: () => performance.now(),
+    });
 
     async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
         if (await faults.serve(request, response)) return;
         const url = request.url ?? "";
-        if (url === "/evidence") return answerJson(response, 200, { originBytes: objects.chunkBytesSent() });
+        if (url === "/evidence") {
+            return answerJson(response, 200, {
+                originBytes: objects.chunkBytesSent(),
+                linkBytes: links?.bytes() ?? {},
+            });
+        }
+        if (url === "/regions") return answerJson(response, 200, Object.fromEntries(platformUrls));
+        if (url === "/links") {
+            const { a, b, state } = await readJson(request) as { a: string; b: string; state: LinkState; };
+            links?.set(a, b, state);
+            return answerJson(response, 200, {});
+        }
         const { outage, delayMs } = faults.current();
         if (outage) {
             request.socket.destroy();
@@ -52,6 +84,7 @@
         if (url.startsWith("/tables/")) return tables.serve(request, response);
         if (url.startsWith("/objects/")) return objects.serve(request, response);
         if (url === "/vms") return answerJson(response, 200, [...vms.values()]);
+        if (url.startsWith("/regions/")) return answerJson(response, 200, vmsSeenFrom(url.split("/")[2] ?? ""));
         if (url.startsWith("/vms/")) return registerVm(request, response);
         answerJson(response, 404, { error: "no such resource" });
     }
@@ -59,16 +92,52 @@
     async function registerVm(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const name = decodeURIComponent((request.url ?? "").slice("/vms/".length));
         if (request.method === "DELETE") vms.delete(name);
-        else vms.set(name, { ...(await readJson(request) as Vm), name });
+        else await setVm({ ...(await readJson(request) as Vm), name });
         answerJson(response, 200, {});
     }
 
+    async function setVm(vm: Vm): Promise<void> {
+        const known = vms.get(vm.name);
+        if (links !== undefined && known?.address !== vm.address) await openRelays(links, vm);
+        vms.set(vm.name, vm);
+    }
+
+    async function openRelays(regionLinks: RegionLinks, vm: Vm): Promise<void> {
+        const [host = "", port] = vm.address.split(":");
+        for (const region of regionNames.filter(name => name !== vm.region)) {
+            const relayPort = await regionLinks.relay(region, vm.region, host, Number(port));
+            relayed.set(`${region} ${vm.name}`, `127.0.0.1:${relayPort}`);
+        }
+    }
+
+    function vmsSeenFrom(region: string): Vm[] {
+        return [...vms.values()].map(vm => ({ ...vm, address: relayed.get(`${region} ${vm.name}`) ?? vm.address }));
+    }
+
+    async function relayPlatform(port: number): Promise<Map<string, string>> {
+        const urls = new Map<string, string>();
+        const [home = "", ...others] = regionNames;
+        for (const region of others) {
+            const relayPort = await links?.relay(region, home, "127.0.0.1", port);
+            urls.set(region, `http://127.0.0.1:${relayPort}`);
+        }
+        return urls;
+    }
+
     const server = await startHttpServer(serve, options.port, options.host);
+    const platformUrls = await relayPlatform(server.port);
+
+    async function stop(): Promise<void> {
+        links?.stop();
+        await server.stop();
+    }
+
     return {
         ...server,
+        stop,
         faults,
         originBytes: objects.chunkBytesSent,
-        setVm: vm => vms.set(vm.name, vm),
+        setVm,
         removeVm: name => vms.delete(name),
     };
 }
