Add the bench of memory, processor time and control bytes

Cause: the limits of 64 MB, 4.4% of a core and 3 KB/s per node were not measured. Change: a meter of socket bytes loaded into measured processes, usage from /proc, and the bench footprint with slopes over the number of agents.

--- /dev/null
+++ b/src/bench/footprint.ts
@@ -0,0 +1,153 @@
+/**
+ * Bench `footprint`: memory, processor time and network bytes that each role spends on control, at
+ * several fleet sizes, idle and under a small load, with the slopes over the number of agents.
+ */
+import { randomBytes } from "node:crypto";
+import { mkdir, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+    type Fleet,
+    type FleetProcess,
+    meterFileOf,
+    OPERATOR_TOKEN,
+    POOL,
+    type ProcessUsage,
+    readUsage,
+    sendToEntry,
+    startFleet,
+    waitUntilServing,
+} from "../harness/index.js";
+import { createObjectStore } from "../lib/platform/index.js";
+import { publishDirectory } from "../lib/publish/index.js";
+import type { Bench } from "./bench.js";
+
+const ENTRIES = 4;
+const SETTLE_MS = 3000;
+const MEASURE_MS = 10_000;
+const LOAD_REQUESTS_PER_SECOND = 50;
+const TOKENS_PER_REQUEST = 8;
+const WEIGHTS_BYTES = 1024 * 1024;
+
+interface RoleUsage {
+    readonly rssMb: number;
+    readonly cpuPercentOfCore: number;
+    readonly bytesPerSecond: number;
+    readonly openSockets: number;
+}
+
+interface SizeFigures {
+    readonly agents: number;
+    readonly idle: Readonly<Record<"entry" | "agent", RoleUsage>>;
+    readonly loaded: Readonly<Record<"entry" | "agent", RoleUsage>>;
+    readonly loadedRequestsPerSecond: number;
+}
+
+export const run: Bench = async options => {
+    const sizes = (options.agents ?? "8,24,60").split(",").map(Number);
+    const measured: SizeFigures[] = [];
+    for (const agents of sizes) measured.push(await measureSize(agents));
+    return { entries: ENTRIES, sizes: measured, idleSlopePerAgent: slopesOf(measured) };
+};
+
+async function measureSize(agents: number): Promise<SizeFigures> {
+    const fleet = await startFleet({ entries: ENTRIES, runners: agents, bookings: 0, metered: true });
+    try {
+        await rollOut(fleet);
+        await sleep(SETTLE_MS);
+        const idle = await measureRoles(fleet, () => Promise.resolve());
+        let requests = 0;
+        const loaded = await measureRoles(fleet, async () => {
+            requests = await sendLoad(fleet, MEASURE_MS);
+        });
+        return { agents, idle, loaded, loadedRequestsPerSecond: requests / (MEASURE_MS / 1000) };
+    }
+    finally {
+        await fleet.stop();
+    }
+}
+
+async function rollOut(fleet: Fleet): Promise<void> {
+    const weights = join(fleet.directory, "weights");
+    await mkdir(weights);
+    await writeFile(join(weights, "model.bin"), randomBytes(WEIGHTS_BYTES));
+    const store = createObjectStore({ url: fleet.platformUrl, timeoutMs: 5000 });
+    const { rootDigest } = await publishDirectory({ directory: weights, model: "m", store });
+    const profile = { name: "desk", model: "m", rootDigest, service: POOL, maxUnavailable: fleet.runners.length };
+    const [entry] = fleet.entries;
+    if (entry === undefined) throw new Error("the fleet has no entry");
+    const answer = await sendToEntry(entry, "PUT", "/admin/v1/profiles/desk", OPERATOR_TOKEN, profile);
+    if (answer.status !== 200) throw new Error(answer.body.toString());
+    await waitUntilServing(fleet, fleet.runners, rootDigest, 120_000);
+}
+
+async function measureRoles(fleet: Fleet, load: () => Promise<void>): Promise<Record<"entry" | "agent", RoleUsage>> {
+    const processes = [...fleet.entries, ...fleet.runners];
+    const before = await readAll(processes);
+    const startedAt = performance.now();
+    await Promise.all([load(), sleep(MEASURE_MS)]);
+    const seconds = (performance.now() - startedAt) / 1000;
+    const after = await readAll(processes);
+    const usages = processes.map((_, index) => usageBetween(before[index], after[index], seconds));
+    return {
+        entry: mean(usages.slice(0, fleet.entries.length)),
+        agent: mean(usages.slice(fleet.entries.length)),
+    };
+}
+
+function readAll(processes: readonly FleetProcess[]): Promise<ProcessUsage[]> {
+    return Promise.all(processes.map(process => readUsage(process, meterFileOf(process.settingsFile))));
+}
+
+function usageBetween(before: ProcessUsage | undefined, after: ProcessUsage | undefined, seconds: number): RoleUsage {
+    if (before === undefined || after === undefined) throw new Error("a process was not measured");
+    const bytes = after.bytesRead + after.bytesWritten - before.bytesRead - before.bytesWritten;
+    return {
+        rssMb: after.rssMb,
+        cpuPercentOfCore: 100 * (after.cpuSeconds - before.cpuSeconds) / seconds,
+        bytesPerSecond: bytes / seconds,
+        openSockets: after.openSockets,
+    };
+}
+
+async function sendLoad(fleet: Fleet, durationMs: number): Promise<number> {
+    const body = { model: "desk", stream: true, max_tokens: TOKENS_PER_REQUEST, prompt: "hello" };
+    const deadline = performance.now() + durationMs;
+    const pending: Promise<unknown>[] = [];
+    let sent = 0;
+    while (performance.now() < deadline) {
+        const entry = fleet.entries[sent % fleet.entries.length];
+        if (entry === undefined) break;
+        pending.push(sendToEntry(entry, "POST", "/v1/completions", `client-${sent % 4}`, body));
+        sent++;
+        await sleep(1000 / LOAD_REQUESTS_PER_SECOND);
+    }
+    await Promise.all(pending);
+    return sent;
+}
+
+function mean(usages: readonly RoleUsage[]): RoleUsage {
+    const average = (pick: (usage: RoleUsage) => number) => {
+        return usages.reduce((sum, usage) => sum + pick(usage), 0) / usages.length;
+    };
+    return {
+        rssMb: average(usage => usage.rssMb),
+        cpuPercentOfCore: average(usage => usage.cpuPercentOfCore),
+        bytesPerSecond: average(usage => usage.bytesPerSecond),
+        openSockets: average(usage => usage.openSockets),
+    };
+}
+
+/** Change per further agent between the smallest and the largest fleet, while idle. */
+function slopesOf(sizes: readonly SizeFigures[]): Record<"entry" | "agent", Partial<RoleUsage>> {
+    const first = sizes[0];
+    const last = sizes.at(-1);
+    if (first === undefined || last === undefined || first === last) return { entry: {}, agent: {} };
+    const step = last.agents - first.agents;
+    const slope = (role: "entry" | "agent") => ({
+        rssMb: (last.idle[role].rssMb - first.idle[role].rssMb) / step,
+        cpuPercentOfCore: (last.idle[role].cpuPercentOfCore - first.idle[role].cpuPercentOfCore) / step,
+        bytesPerSecond: (last.idle[role].bytesPerSecond - first.idle[role].bytesPerSecond) / step,
+    });
+    return { entry: slope("entry"), agent: slope("agent") };
+}
--- a/src/harness/fleet.ts
+++ b/src/harness/fleet.ts
@@ -11,6 +11,7 @@
 import { type AgentState, createConnections, createCredentials } from "../lib/rpc/index.js";
 import type { EngineOptions, RegionsOptions } from "../lib/standIn/index.js";
 import { type Child, startChild } from "./childProcess.js";
+import { meterEnvironment } from "./processUsage.js";
 import type { StandInAddresses, StandInHostOptions } from "./standInHost.js";
 
 export interface FleetOptions {
@@ -32,6 +33,8 @@
     readonly agentSettings?: Readonly<Record<string, unknown>>;
     readonly entrySettings?: Readonly<Record<string, unknown>>;
     readonly seed?: number;
+    /** Counts network bytes in every entry and agent, for `readUsage`. */
+    readonly metered?: boolean;
 }
 
 export interface FleetProcess extends Child {
@@ -146,7 +149,11 @@
         settingsFile: string,
         backendUrl: string,
     ): Promise<FleetProcess> {
-        const child = await startChild({ name: base.name, args: [MAIN, base.role, "--settings", settingsFile] });
+        const child = await startChild({
+            name: base.name,
+            args: [MAIN, base.role, "--settings", settingsFile],
+            env: options.metered === true ? meterEnvironment(meterFileOf(settingsFile)) : {},
+        });
         const ports = child.ready as { rpc: number; http?: number; };
         const vm: Vm = { ...base, address: `127.0.0.1:${ports.rpc}` };
         await sendRequest({
@@ -216,6 +223,11 @@
     };
 }
 
+/** File to which a metered process writes its socket totals. */
+export function meterFileOf(settingsFile: string): string {
+    return `${settingsFile}.sockets`;
+}
+
 /** Sends a request to an entry as a client or, with the operator's token, as the operator. */
 export function sendToEntry(
     entry: FleetProcess,
--- a/src/harness/index.ts
+++ b/src/harness/index.ts
@@ -1,2 +1,3 @@
 export * from "./childProcess.js";
 export * from "./fleet.js";
+export * from "./processUsage.js";
