Read the VM list conditionally

Cause: each process read the whole list twice a second, which grows with the fleet. Change: the adapter sends the entity tag it knows; an unchanged list is answered with 304. The test runner ends tests that leave a server open instead of waiting for it.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -24,4 +24,11 @@
     console.error(`no test file matches ${filters.join(" ")}`);
     process.exit(2);
 }
-run(process.execPath, ["--enable-source-maps", "--test", "--test-concurrency=4", ...tests]);
+run(process.execPath, [
+    "--enable-source-maps",
+    "--test",
+    "--test-force-exit",
+    "--test-timeout=180000",
+    "--test-concurrency=4",
+    ...tests,
+]);
--- a/src/lib/platform/vmList.ts
+++ b/src/lib/platform/vmList.ts
@@ -23,16 +23,24 @@
 }
 
 export function createVmList(options: { readonly url: string; readonly timeoutMs: number; }): VmList {
+    let known: readonly Vm[] = [];
+    let etag = "";
+
+    // An unchanged list is not sent again: a full one grows with the fleet and is read by every process.
     async function read(): Promise<readonly Vm[]> {
         const answer = await sendRequest({
             method: "GET",
             url: `${options.url}/vms`,
+            headers: etag === "" ? {} : { "if-none-match": etag },
             timeoutMs: options.timeoutMs,
         });
+        if (answer.status === 304) return known;
         if (answer.status !== 200) {
             throw new VError({ name: "VmListError" }, "the VM list answered with status %d", answer.status);
         }
-        return z.array(vmSchema).parse(JSON.parse(answer.body.toString("utf8")));
+        known = z.array(vmSchema).parse(JSON.parse(answer.body.toString("utf8")));
+        etag = answer.headers.etag ?? "";
+        return known;
     }
 
     return { read };
--- a/src/lib/standIn/platform.ts
+++ b/src/lib/standIn/platform.ts
@@ -8,6 +8,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import { digestOf } from "../core/index.js";
 import type { Vm } from "../platform/index.js";
 import { createFaultSwitches, type FaultSwitches } from "./faults.js";
 import { answerJson, readJson, type RunningServer, startHttpServer } from "./httpServer.js";
@@ -83,12 +84,21 @@
         if (delayMs > 0) await sleep(delayMs);
         if (url.startsWith("/tables/")) return tables.serve(request, response);
         if (url.startsWith("/objects/")) return objects.serve(request, response);
-        if (url === "/vms") return answerJson(response, 200, [...vms.values()]);
-        if (url.startsWith("/regions/")) return answerJson(response, 200, vmsSeenFrom(url.split("/")[2] ?? ""));
+        if (url === "/vms") return answerList([...vms.values()], request, response);
+        if (url.startsWith("/regions/")) return answerList(vmsSeenFrom(url.split("/")[2] ?? ""), request, response);
         if (url.startsWith("/vms/")) return registerVm(request, response);
         answerJson(response, 404, { error: "no such resource" });
     }
 
+    function answerList(list: readonly Vm[], request: IncomingMessage, response: ServerResponse): void {
+        const etag = `"${digestOf(Buffer.from(JSON.stringify(list))).slice(0, 16)}"`;
+        if (request.headers["if-none-match"] === etag) {
+            response.writeHead(304, { etag });
+            response.end();
+        }
+        else answerJson(response, 200, list, { etag });
+    }
+
     async function registerVm(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const name = decodeURIComponent((request.url ?? "").slice("/vms/".length));
         if (request.method === "DELETE") vms.delete(name);
--- /dev/null
+++ b/src/test/platform/vmList.test.ts
@@ -0,0 +1,37 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createVmList, type Vm } from "../../lib/platform/index.js";
+import { answerJson, startHttpServer } from "../../lib/standIn/httpServer.js";
+
+const VM: Vm = {
+    name: "runner-0",
+    address: "127.0.0.1:1",
+    role: "agent",
+    service: "models",
+    failureDomain: "etela-1",
+    region: "etela",
+    state: "live",
+};
+
+// Guards against control traffic that grows with the fleet although nothing has changed.
+test("an unchanged list is not sent again and stays known", async () => {
+    const statuses: number[] = [];
+    const server = await startHttpServer(async (request, response) => {
+        const unchanged = request.headers["if-none-match"] === "\"1\"";
+        statuses.push(unchanged ? 304 : 200);
+        if (unchanged) response.writeHead(304).end();
+        else answerJson(response, 200, [VM], { etag: "\"1\"" });
+    });
+    const list = createVmList({ url: server.url, timeoutMs: 1000 });
+    assert.deepEqual(await list.read(), [VM]);
+    assert.deepEqual(await list.read(), [VM]);
+    assert.deepEqual(statuses, [200, 304]);
+    await server.stop();
+});
+
+// Guards against a malformed list being taken for an empty fleet.
+test("a malformed list is an error", async () => {
+    const server = await startHttpServer(async (_request, response) => answerJson(response, 200, [{ name: "x" }]));
+    await assert.rejects(createVmList({ url: server.url, timeoutMs: 1000 }).read());
+    await server.stop();
+});
