--- /dev/null
+++ b/src/bench/distribution.ts
@@ -0,0 +1,181 @@
+/**
+ * Distribution bench: how long a pool takes from the accepted profile change until all replicas serve, and
+ * how many copies cross the links, for the transfer between agents and for the two baselines.
+ *
+ * Options: `--replicas N` (24), `--seed N`, `--megabytes N` of weights, `--rate N` MB/s of a VM's link each
+ * way, `--chunk-kb N`, `--strategies LIST`, `--scale LIST` of replica counts for the ratio.
+ */
+import { mkdir, readFile, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { type Fleet, OPERATOR_TOKEN, POOL, sendToEntry, startFleet } from "../harness/index.js";
+import { createObjectStore, sendRequest } from "../lib/platform/index.js";
+import { publishDirectory } from "../lib/publish/index.js";
+import type { TransferState } from "../lib/rpc/index.js";
+import type { Bench, Figures } from "./bench.js";
+
+interface Parameters {
+    readonly strategy: string;
+    readonly replicas: number;
+    readonly seed: number;
+    readonly bytes: number;
+    readonly bytesPerSecond: number;
+    readonly chunkBytes: number;
+}
+
+interface Measured {
+    readonly seconds: number;
+    readonly originCopies: number;
+    readonly maxVmCopies: number;
+    readonly meanVmCopies: number;
+    readonly peakAgentRssMb: number;
+    readonly idleAgentRssMb: number;
+}
+
+const MEGABYTE = 1_000_000;
+const PEERS = "peers";
+const SERVE_TIMEOUT_MS = 300_000;
+const POLL_MS = 100;
+
+/** Time for the agents to read the list of VMs after the last VM has been added to it. */
+const SETTLE_MS = 1500;
+
+export const run: Bench = async options => {
+    const number = (name: string, fallback: number) => Number(options[name] ?? fallback);
+    const replicas = number("replicas", 24);
+    const base = {
+        seed: number("seed", 1),
+        bytes: number("megabytes", 24) * MEGABYTE,
+        bytesPerSecond: number("rate", 3) * MEGABYTE,
+        chunkBytes: number("chunk-kb", 128) * 1024,
+    };
+    const strategies = (options.strategies ?? `${PEERS},chain,originOnly`).split(",");
+    const runs: Record<string, Measured> = {};
+    for (const strategy of strategies) runs[strategy] = await measure({ ...base, strategy, replicas });
+    const scale: Record<string, Measured> = {};
+    for (const count of (options.scale ?? "").split(",").filter(text => text !== "")) {
+        scale[count] = await measure({ ...base, strategy: PEERS, replicas: Number(count) });
+    }
+    return summarize(base.bytes / base.bytesPerSecond, replicas, runs, scale, base);
+};
+
+function summarize(
+    boundSeconds: number,
+    replicas: number,
+    runs: Readonly<Record<string, Measured>>,
+    scale: Readonly<Record<string, Measured>>,
+    base: Readonly<Record<string, number>>,
+): Figures {
+    const own = runs[PEERS];
+    const ratio = (a: Measured | undefined, b: Measured | undefined) => {
+        return a === undefined || b === undefined ? undefined : round(a.seconds / b.seconds);
+    };
+    const counts = Object.keys(scale).map(Number).sort((a, b) => a - b);
+    return {
+        replicas,
+        ...base,
+        boundSeconds: round(boundSeconds),
+        originCopies: own?.originCopies,
+        maxVmCopies: own?.maxVmCopies,
+        meanVmCopies: own?.meanVmCopies,
+        secondsOverBound: own && round(own.seconds / boundSeconds),
+        speedupOverOriginOnly: ratio(runs.originOnly, own),
+        speedupOverChain: ratio(runs.chain, own),
+        peakAgentRssMb: own?.peakAgentRssMb,
+        idleAgentRssMb: own?.idleAgentRssMb,
+        secondsRatioOfScale: ratio(scale[String(counts.at(-1))], scale[String(counts[0])]),
+        runs,
+        scale,
+    };
+}
+
+async function measure(parameters: Parameters): Promise<Measured> {
+    const { strategy, replicas, bytes, bytesPerSecond, seed } = parameters;
+    const fleet = await startFleet({
+        entries: 1,
+        runners: replicas,
+        bookings: 0,
+        seed,
+        originBytesPerSecond: 2 * bytesPerSecond,
+        agentSettings: {
+            transferStrategy: strategy,
+            links: { inBytesPerSecond: bytesPerSecond, outBytesPerSecond: bytesPerSecond },
+        },
+    });
+    try {
+        const rootDigest = await publishRandom(fleet, parameters);
+        await sleep(SETTLE_MS);
+        const idleAgentRssMb = await rssMb(fleet, "VmRSS");
+        const originBefore = await originBytes(fleet);
+        const seconds = await rollOut(fleet, rootDigest);
+        const states = await Promise.all(fleet.runners.map(fleet.readState));
+        const copies = states.map(state => vmBytes(state.transfers[0]) / bytes);
+        return {
+            seconds: round(seconds),
+            originCopies: round((await originBytes(fleet) - originBefore) / bytes),
+            maxVmCopies: round(Math.max(...copies)),
+            meanVmCopies: round(copies.reduce((sum, value) => sum + value, 0) / copies.length),
+            peakAgentRssMb: await rssMb(fleet, "VmHWM"),
+            idleAgentRssMb,
+        };
+    }
+    finally {
+        await fleet.stop();
+    }
+}
+
+async function publishRandom(fleet: Fleet, { bytes, seed, chunkBytes }: Parameters): Promise<string> {
+    const directory = join(fleet.directory, "weights");
+    await mkdir(directory);
+    const generator = xoroshiro128plus(seed);
+    const words = Int32Array.from({ length: bytes / 4 }, () => uniformInt(generator, -0x80000000, 0x7fffffff));
+    await writeFile(join(directory, "model.bin"), new Uint8Array(words.buffer));
+    const store = createObjectStore({ url: fleet.platformUrl, timeoutMs: 5000 });
+    return (await publishDirectory({ directory, model: "m", chunkBytes, store })).rootDigest;
+}
+
+/** Returns the seconds from the accepted change until every replica reports that it serves the version. */
+async function rollOut(fleet: Fleet, rootDigest: string): Promise<number> {
+    const [entry] = fleet.entries;
+    if (entry === undefined) throw new Error("the fleet has no entry");
+    const profile = { name: "desk", model: "m", rootDigest, service: POOL };
+    const answer = await sendToEntry(entry, "PUT", "/admin/v1/profiles/desk", OPERATOR_TOKEN, profile);
+    if (answer.status !== 200) throw new Error(`the profile was refused: ${answer.body.toString()}`);
+    const started = performance.now();
+    let waiting = fleet.runners;
+    while (waiting.length > 0) {
+        if (performance.now() - started > SERVE_TIMEOUT_MS) {
+            throw new Error(`${waiting.length} replicas do not serve the version in time`);
+        }
+        await sleep(POLL_MS);
+        const states = await Promise.all(waiting.map(fleet.readState));
+        waiting = waiting.filter((_, index) => states[index]?.servingDigest !== rootDigest);
+    }
+    return (performance.now() - started) / 1000;
+}
+
+async function originBytes(fleet: Fleet): Promise<number> {
+    const answer = await sendRequest({ method: "GET", url: `${fleet.platformUrl}/evidence` });
+    return (JSON.parse(answer.body.toString()) as { originBytes: number; }).originBytes;
+}
+
+function vmBytes(state: TransferState | undefined): number {
+    if (state === undefined) return 0;
+    return state.bytesFromOrigin + state.bytesFromDomain + state.bytesFromRegion + state.bytesFromOtherRegions +
+        state.bytesSent;
+}
+
+/** Largest resident set of an agent. Weights are in files and do not count. */
+async function rssMb(fleet: Fleet, field: "VmRSS" | "VmHWM"): Promise<number> {
+    const sizes = await Promise.all(fleet.runners.map(async ({ pid }) => {
+        const text = await readFile(`/proc/${pid}/status`, "utf8");
+        return Number(new RegExp(`${field}:\\s+(\\d+)`).exec(text)?.[1] ?? 0) * 1024 / MEGABYTE;
+    }));
+    return round(Math.max(...sizes));
+}
+
+function round(value: number): number {
+    return Math.round(value * 1000) / 1000;
+}
--- a/src/lib/agent/agent.ts
+++ b/src/lib/agent/agent.ts
@@ -2,13 +2,18 @@
 import { createEventRecorder, createNodeService, startConfigurationSync, startMembershipTask } from "../node/index.js";
 import { createLog } from "../observability/index.js";
 import { createEngine, createObjectStore, createTableService, createVmList } from "../platform/index.js";
-import { type AgentState, createCredentials, startRpcServer } from "../rpc/index.js";
+import { type AgentState, createConnections, createCredentials, startRpcServer } from "../rpc/index.js";
 import type { AgentSettings } from "../settings/index.js";
 import { type Activation, startActivation } from "./activation.js";
 import { createAgentService } from "./agentService.js";
+import { createChunkSources } from "./chunkSources.js";
 import { createChunkStore } from "./chunkStore.js";
 import { createGate } from "./gate.js";
+import { createHeldVersions } from "./heldVersions.js";
+import { createLinks } from "./links.js";
 import { startTransfer } from "./transfer.js";
+import type { TransferEnvironment } from "./transferTask.js";
+import { createUploads } from "./uploads.js";
 
 const log = createLog("agent");
 
@@ -33,6 +38,37 @@
     const membership = startMembershipTask(createVmList({ url: platform.vmListUrl, timeoutMs }), settings.pollMs);
     const configuration = startConfigurationSync(table, settings.pollMs, now);
     const store = createChunkStore(settings.weightsPath);
+    const held = createHeldVersions(store);
+    const links = createLinks(settings.links, settings.region, () => performance.now());
+    const credentials = createCredentials(settings.tls);
+    const connections = createConnections(credentials);
+    const peers = () => {
+        return membership.current().filter(vm => vm.service === settings.service && vm.name !== settings.process);
+    };
+    const uploads = createUploads({
+        held,
+        store,
+        links,
+        regionOf: process => peers().find(vm => vm.name === process)?.region ?? settings.region,
+    });
+    const environment: TransferEnvironment = {
+        settings,
+        store,
+        held,
+        sources: createChunkSources({
+            process: settings.process,
+            connections,
+            weightStore,
+            weightStoreRegion: platform.weightStoreRegion,
+            links,
+        }),
+        weightStore,
+        connections,
+        events,
+        peers,
+        now: () => performance.now(),
+        random: Math.random,
+    };
     const listeners = new Set<() => void>();
     const announce = () => listeners.forEach(listener => listener());
     let activation: Activation | undefined;
@@ -67,10 +103,10 @@
                 chunksHeld: progress.progress.chunksHeld,
                 chunksTotal: progress.progress.chunksTotal,
                 bytesFromOrigin: progress.progress.bytesFromOrigin,
-                bytesFromDomain: 0,
-                bytesFromRegion: 0,
-                bytesFromOtherRegions: 0,
-                bytesSent: 0,
+                bytesFromDomain: progress.progress.bytesFromDomain,
+                bytesFromRegion: progress.progress.bytesFromRegion,
+                bytesFromOtherRegions: progress.progress.bytesFromOtherRegions,
+                bytesSent: progress.bytesSent(),
                 phase: progress.progress.phase,
                 error: progress.progress.error,
             }],
@@ -83,9 +119,9 @@
     };
     const rpc = await startRpcServer({
         ...settings.rpc,
-        credentials: createCredentials(settings.tls),
+        credentials,
         node: createNodeService({ configuration, events, status: state }),
-        agent: createAgentService(gate, store, { current: state, subscribe }),
+        agent: createAgentService(gate, held, uploads, { current: state, subscribe }),
     });
     if (backendServer.kind === "model") {
         activation = startActivation({
@@ -94,7 +130,7 @@
             store,
             configuration,
             events,
-            startTransfer: rootDigest => startTransfer({ rootDigest, store, weightStore }),
+            startTransfer: rootDigest => startTransfer(rootDigest, environment),
             pause: gate.pause,
             onChange: announce,
         });
@@ -107,6 +143,7 @@
         await Promise.race([drained, new Promise(resolve => setTimeout(resolve, settings.drainMs).unref())]);
         activation?.stop();
         await Promise.all([membership.stop(), configuration.stop()]);
+        connections.close();
         await rpc.stop(1000);
     }
 
--- a/src/lib/agent/agentService.ts
+++ b/src/lib/agent/agentService.ts
@@ -1,36 +1,47 @@
 /** Handlers of the Agent service: dispatch of requests, state, manifests and chunks. */
 import type { ServerWritableStream } from "@grpc/grpc-js";
-import { placeChunks } from "../core/index.js";
 import type {
     AgentServer,
     AgentState,
     AnswerFrame,
+    ChunkAvailability,
     ChunkPiece,
     DispatchRequest,
     ReadChunkRequest,
+    WatchChunksRequest,
     WatchStateRequest,
 } from "../rpc/index.js";
-import { type ChunkStore, loadManifest } from "./chunkStore.js";
 import type { Gate } from "./gate.js";
+import type { HeldVersions } from "./heldVersions.js";
+import { writeBitmap } from "./neighbours.js";
+import type { Uploads } from "./uploads.js";
 
 /** Longest pause between two state messages. */
 const STATE_INTERVAL_MS = 1000;
 
+/** Additions are collected for this long, which is short against the time of one chunk on a link. */
+const CHUNK_BATCH_MS = 20;
+
 export interface StateFeed {
     readonly current: () => AgentState;
     /** Calls the listener after each change; returns a function that removes it. */
     subscribe(listener: () => void): () => void;
 }
 
-export function createAgentService(gate: Gate, store: ChunkStore, state: StateFeed): AgentServer {
+export function createAgentService(
+    gate: Gate,
+    held: HeldVersions,
+    uploads: Uploads,
+    state: StateFeed,
+): AgentServer {
     return {
         dispatch: call => dispatch(call, gate),
         watchState: call => watchState(call, state),
-        watchChunks: call => call.end(),
-        readChunk: call => void readChunk(call, store),
+        watchChunks: call => void watchChunks(call, held),
+        readChunk: call => void readChunk(call, uploads),
         readManifest: (call, reply) => {
-            store.readManifest(call.request.rootDigest).then(
-                manifest => reply(null, { manifest: manifest ?? Buffer.alloc(0) }),
+            held.find(call.request.rootDigest).then(
+                version => reply(null, { manifest: version?.manifestBytes ?? Buffer.alloc(0) }),
                 (error: Error) => reply(error),
             );
         },
@@ -63,11 +74,50 @@
     send();
 }
 
-async function readChunk(call: ServerWritableStream<ReadChunkRequest, ChunkPiece>, store: ChunkStore): Promise<void> {
-    const { rootDigest, chunkDigest } = call.request;
-    const manifest = await loadManifest(store, rootDigest);
-    const chunk = manifest && placeChunks(manifest).find(({ digest }) => digest === chunkDigest);
-    const content = chunk && await store.read(rootDigest, chunk);
-    call.write(content === undefined ? { data: Buffer.alloc(0), refusal: "unknown" } : { data: content, refusal: "" });
-    call.end();
+async function watchChunks(
+    call: ServerWritableStream<WatchChunksRequest, ChunkAvailability>,
+    held: HeldVersions,
+): Promise<void> {
+    const { rootDigest } = call.request;
+    let batch: number[] = [];
+    let timer: NodeJS.Timeout | undefined;
+    const flush = () => {
+        timer = undefined;
+        call.write({ bitmap: Buffer.alloc(0), added: batch });
+        batch = [];
+    };
+    // Watching starts before the bitmap is made, so that no chunk is missed between the two.
+    const unwatch = held.watch(rootDigest, index => {
+        batch.push(index);
+        timer ??= setTimeout(flush, CHUNK_BATCH_MS);
+    });
+    const stop = () => {
+        clearTimeout(timer);
+        unwatch();
+    };
+    call.on("cancelled", stop);
+    call.on("error", stop);
+    call.on("close", stop);
+    const version = await held.find(rootDigest);
+    const bitmap = version === undefined ? Buffer.alloc(0) : writeBitmap(version.chunks.length, version.has);
+    call.write({ bitmap, added: [] });
+}
+
+async function readChunk(call: ServerWritableStream<ReadChunkRequest, ChunkPiece>, uploads: Uploads): Promise<void> {
+    const cancellation = new AbortController();
+    call.on("cancelled", () => cancellation.abort());
+    call.on("error", () => cancellation.abort());
+    const sink = {
+        write: (data: Buffer) => call.write({ data, refusal: "" }),
+        onDrain: (listener: () => void) => void call.once("drain", listener),
+        signal: cancellation.signal,
+    };
+    try {
+        const refusal = await uploads.send(call.request, sink);
+        if (refusal !== undefined) call.write({ data: Buffer.alloc(0), refusal });
+        call.end();
+    }
+    catch (error) {
+        call.destroy(error as Error);
+    }
 }
--- /dev/null
+++ b/src/lib/agent/chunkSources.ts
@@ -0,0 +1,128 @@
+/** Reads one chunk from another agent or from the origin, at the rate of the links, and verifies it. */
+import type { ClientReadableStream } from "@grpc/grpc-js";
+import { type Digest, digestOf, type PlacedChunk, RequestOutcome } from "../core/index.js";
+import { chunkKey, type ObjectStore, type Vm } from "../platform/index.js";
+import type { ChunkPiece, Connections } from "../rpc/index.js";
+import type { Links } from "./links.js";
+
+/** `content` is set if the outcome is `held`; `bytes` counts what arrived in any case. */
+export interface ChunkResult {
+    readonly outcome: RequestOutcome;
+    readonly bytes: number;
+    readonly content?: Buffer;
+}
+
+export interface ChunkSources {
+    /** `waitMs` is how long the other agent may take to fetch the chunk itself. */
+    readFromPeer(vm: Vm, rootDigest: Digest, chunk: PlacedChunk, waitMs: number, signal: AbortSignal): Promise<
+        ChunkResult
+    >;
+    readFromOrigin(chunk: PlacedChunk, signal: AbortSignal): Promise<ChunkResult>;
+}
+
+export interface ChunkSourcesOptions {
+    readonly process: string;
+    readonly connections: Connections;
+    readonly weightStore: ObjectStore;
+    readonly weightStoreRegion: string;
+    readonly links: Links;
+}
+
+/** A source that sends no byte for this long is stalled. The share of a busy sender's link is far below it. */
+const STALL_MS = 2000;
+
+export function createChunkSources(options: ChunkSourcesOptions): ChunkSources {
+    const { links, weightStore } = options;
+
+    async function readFromPeer(
+        vm: Vm,
+        rootDigest: Digest,
+        chunk: PlacedChunk,
+        waitMs: number,
+        signal: AbortSignal,
+    ): Promise<ChunkResult> {
+        const call = options.connections.agent(vm.address).readChunk({
+            process: options.process,
+            rootDigest,
+            chunkDigest: chunk.digest,
+            waitMs,
+        });
+        const cancel = () => call.cancel();
+        signal.addEventListener("abort", cancel, { once: true });
+        try {
+            return await collect(piecesOf(call), chunk, vm.region, waitMs, signal);
+        }
+        finally {
+            signal.removeEventListener("abort", cancel);
+            call.cancel();
+        }
+    }
+
+    async function readFromOrigin(chunk: PlacedChunk, signal: AbortSignal): Promise<ChunkResult> {
+        const stop = new AbortController();
+        try {
+            const either = AbortSignal.any([signal, stop.signal]);
+            const response = await weightStore.open(chunkKey(chunk.digest), either);
+            return await collect(response as AsyncIterable<Buffer>, chunk, options.weightStoreRegion, 0, signal);
+        }
+        catch {
+            return { outcome: signal.aborted ? RequestOutcome.cancelled : RequestOutcome.failed, bytes: 0 };
+        }
+        finally {
+            stop.abort();
+        }
+    }
+
+    async function collect(
+        pieces: AsyncIterable<Buffer | RequestOutcome>,
+        chunk: PlacedChunk,
+        region: string,
+        waitMs: number,
+        signal: AbortSignal,
+    ): Promise<ChunkResult> {
+        const received: Buffer[] = [];
+        let bytes = 0;
+        const iterator = pieces[Symbol.asyncIterator]();
+        try {
+            for (let allowed = STALL_MS + waitMs;; allowed = STALL_MS) {
+                const step = await withinTime(iterator.next(), allowed);
+                if (step === undefined) return { outcome: RequestOutcome.stalled, bytes };
+                if (step.done === true) break;
+                if (typeof step.value === "string") return { outcome: step.value, bytes };
+                bytes += step.value.length;
+                if (bytes > chunk.size) return { outcome: RequestOutcome.corrupt, bytes };
+                received.push(step.value);
+                await links.receive(step.value.length, region);
+            }
+        }
+        catch {
+            return { outcome: signal.aborted ? RequestOutcome.cancelled : RequestOutcome.failed, bytes };
+        }
+        if (signal.aborted) return { outcome: RequestOutcome.cancelled, bytes };
+        const content = Buffer.concat(received, bytes);
+        if (digestOf(content) !== chunk.digest) return { outcome: RequestOutcome.corrupt, bytes };
+        return { outcome: RequestOutcome.held, bytes, content };
+    }
+
+    return { readFromPeer, readFromOrigin };
+}
+
+async function* piecesOf(call: ClientReadableStream<ChunkPiece>): AsyncGenerator<Buffer | RequestOutcome> {
+    for await (const piece of call as AsyncIterable<ChunkPiece>) {
+        if (piece.refusal === "") yield piece.data;
+        else yield piece.refusal === "busy" ? RequestOutcome.busy : RequestOutcome.unknown;
+    }
+}
+
+async function withinTime<T>(step: Promise<T>, timeoutMs: number): Promise<T | undefined> {
+    let timer: NodeJS.Timeout | undefined;
+    const expired = new Promise<undefined>(resolve => timer = setTimeout(resolve, timeoutMs, undefined));
+    // After a timeout nobody awaits the step, and its later failure must not end the process.
+    step.catch(() => undefined);
+    try {
+        return await Promise.race([step, expired]);
+    }
+    finally {
+        clearTimeout(timer);
+    }
+}
--- a/src/lib/agent/chunkStore.ts
+++ b/src/lib/agent/chunkStore.ts
@@ -6,7 +6,7 @@
 import { createReadStream } from "node:fs";
 import { type FileHandle, mkdir, open, readdir, readFile, rm, stat, truncate, writeFile } from "node:fs/promises";
 import { dirname, join } from "node:path";
-import { type Digest, digestOf, isDigest, type Manifest, parseManifest, type PlacedChunk } from "../core/index.js";
+import { type Digest, digestOf, isDigest, type Manifest, type PlacedChunk } from "../core/index.js";
 
 const MANIFEST_SUFFIX = ".manifest.json";
 
@@ -97,18 +97,6 @@
     return { path, create, readManifest, write, read, verify, list, remove };
 }
 
-/** Reads the manifest of a stored version and checks it. Returns `undefined` if it is missing or wrong. */
-export async function loadManifest(store: ChunkStore, rootDigest: Digest): Promise<Manifest | undefined> {
-    const bytes = await store.readManifest(rootDigest);
-    if (bytes === undefined) return undefined;
-    try {
-        return parseManifest(bytes, rootDigest);
-    }
-    catch {
-        return undefined;
-    }
-}
-
 async function withFile<T>(path: string, flags: string, use: (handle: FileHandle) => Promise<T>): Promise<T> {
     const handle = await open(path, flags);
     try {
--- /dev/null
+++ b/src/lib/agent/heldVersions.ts
@@ -0,0 +1,118 @@
+/**
+ * Keeps the manifest, the chunk index and the set of verified chunks of the versions on this VM in memory,
+ * so that serving a chunk needs no parsing. Transfers add chunks; the handlers of other agents read them.
+ */
+import { type Digest, type Manifest, parseManifest, placeChunks, type PlacedChunk } from "../core/index.js";
+import type { ChunkStore } from "./chunkStore.js";
+
+export interface HeldVersion {
+    readonly rootDigest: Digest;
+    readonly manifest: Manifest;
+    readonly manifestBytes: Buffer;
+    readonly chunks: readonly PlacedChunk[];
+    find(digest: Digest): PlacedChunk | undefined;
+    readonly has: (index: number) => boolean;
+    readonly count: () => number;
+    /** Marks a chunk that has been verified and written. */
+    hold(index: number): void;
+    /** Withdraws a chunk whose content on disk is found to be wrong. */
+    drop(index: number): void;
+    /** Bytes of chunk content sent to other VMs since the version was opened. */
+    bytesSent: number;
+}
+
+export interface HeldVersions {
+    /** Returns the version if it is open or its manifest is on disk. */
+    find(rootDigest: Digest): Promise<HeldVersion | undefined>;
+    /** Opens a version for a transfer. */
+    open(rootDigest: Digest, manifestBytes: Buffer): HeldVersion;
+    /** Calls the listener with each chunk of the version that is added later; returns a function that removes it. */
+    watch(rootDigest: Digest, listener: (index: number) => void): () => void;
+}
+
+/** Versions kept in memory. Older ones are read from disk again when they are asked for. */
+const MAX_VERSIONS = 4;
+
+export function createHeldVersions(store: ChunkStore): HeldVersions {
+    const versions = new Map<Digest, HeldVersion>();
+    const loading = new Map<Digest, Promise<HeldVersion | undefined>>();
+    const listeners = new Map<Digest, Set<(index: number) => void>>();
+
+    function open(rootDigest: Digest, manifestBytes: Buffer): HeldVersion {
+        const known = versions.get(rootDigest);
+        if (known !== undefined) return known;
+        const version = createHeldVersion(rootDigest, manifestBytes, index => {
+            for (const listener of listeners.get(rootDigest) ?? []) listener(index);
+        });
+        versions.set(rootDigest, version);
+        const [oldest] = versions.keys();
+        if (versions.size > MAX_VERSIONS && oldest !== undefined) versions.delete(oldest);
+        return version;
+    }
+
+    async function find(rootDigest: Digest): Promise<HeldVersion | undefined> {
+        const known = versions.get(rootDigest);
+        if (known !== undefined) return known;
+        const pending = loading.get(rootDigest) ?? load(rootDigest);
+        loading.set(rootDigest, pending);
+        return pending.finally(() => loading.delete(rootDigest));
+    }
+
+    async function load(rootDigest: Digest): Promise<HeldVersion | undefined> {
+        const bytes = await store.readManifest(rootDigest);
+        if (bytes === undefined) return undefined;
+        try {
+            const version = open(rootDigest, bytes);
+            void holdFromDisk(version);
+            return version;
+        }
+        catch {
+            return undefined;
+        }
+    }
+
+    /** After a restart the files are there, but which chunks are complete has to be found out. */
+    async function holdFromDisk(version: HeldVersion): Promise<void> {
+        for (const chunk of version.chunks) {
+            if (await store.read(version.rootDigest, chunk) !== undefined) version.hold(chunk.index);
+        }
+    }
+
+    function watch(rootDigest: Digest, listener: (index: number) => void): () => void {
+        const known = listeners.get(rootDigest) ?? new Set();
+        listeners.set(rootDigest, known.add(listener));
+        return () => {
+            known.delete(listener);
+            if (known.size === 0 && listeners.get(rootDigest) === known) listeners.delete(rootDigest);
+        };
+    }
+
+    return { find, open, watch };
+}
+
+function createHeldVersion(
+    rootDigest: Digest,
+    manifestBytes: Buffer,
+    onHeld: (index: number) => void,
+): HeldVersion {
+    const manifest = parseManifest(manifestBytes, rootDigest);
+    const chunks = placeChunks(manifest);
+    const byDigest = new Map(chunks.map(chunk => [chunk.digest, chunk]));
+    const held = new Set<number>();
+    return {
+        rootDigest,
+        manifest,
+        manifestBytes,
+        chunks,
+        find: digest => byDigest.get(digest),
+        has: index => held.has(index),
+        count: () => held.size,
+        hold: index => {
+            if (held.has(index)) return;
+            held.add(index);
+            onHeld(index);
+        },
+        drop: index => void held.delete(index),
+        bytesSent: 0,
+    };
+}
--- /dev/null
+++ b/src/lib/agent/links.ts
@@ -0,0 +1,40 @@
+/** Rate limits of this VM's weight traffic, shared by all its transfers and uploads. */
+import { setTimeout as sleep } from "node:timers/promises";
+import { createTokenBucket, type TokenBucket } from "../core/index.js";
+import type { AgentSettings } from "../settings/index.js";
+
+export interface Links {
+    /** Waits until received bytes fit the rates. `region` is the sender's region. */
+    receive(bytes: number, region: string): Promise<void>;
+    /** Waits until bytes may be sent to a VM in `region`. */
+    send(bytes: number, region: string): Promise<void>;
+}
+
+/** Size of the pieces in which chunks are sent; the rates are applied to each piece. */
+export const PIECE_BYTES = 64 * 1024;
+
+/** Shorter waits are left to the next piece, because timers are not more precise. */
+const MIN_SLEEP_MS = 1;
+
+export function createLinks(settings: AgentSettings["links"], ownRegion: string, now: () => number): Links {
+    const bucket = (ratePerSecond: number) => createTokenBucket({ ratePerSecond, burst: PIECE_BYTES });
+    const inbound = bucket(settings.inBytesPerSecond);
+    const outbound = bucket(settings.outBytesPerSecond);
+    const fromRegions = new Map<string, TokenBucket>();
+    const toRegions = new Map<string, TokenBucket>();
+
+    async function pass(direction: TokenBucket, regions: Map<string, TokenBucket>, bytes: number, region: string) {
+        let wait = direction.take(bytes, now());
+        if (region !== ownRegion) {
+            const link = regions.get(region) ?? bucket(settings.regionBytesPerSecond);
+            regions.set(region, link);
+            wait = Math.max(wait, link.take(bytes, now()));
+        }
+        if (wait >= MIN_SLEEP_MS) await sleep(wait);
+    }
+
+    return {
+        receive: (bytes, region) => pass(inbound, fromRegions, bytes, region),
+        send: (bytes, region) => pass(outbound, toRegions, bytes, region),
+    };
+}
--- /dev/null
+++ b/src/lib/agent/neighbours.ts
@@ -0,0 +1,107 @@
+/**
+ * Watches which chunks of a version a bounded set of VMs of the region hold. VMs of the same failure domain
+ * come first; a quarter of the places stays with other domains, so that chunks cross between domains.
+ */
+import { type Digest, rankMembers } from "../core/index.js";
+import type { Vm } from "../platform/index.js";
+import type { ChunkAvailability, Connections } from "../rpc/index.js";
+
+export interface Neighbours {
+    /** Compares the watches with the list of VMs. */
+    reconcile(vms: readonly Vm[]): void;
+    readonly find: (name: string) => Vm | undefined;
+    stop(): void;
+}
+
+export interface NeighboursOptions {
+    readonly process: string;
+    readonly failureDomain: string;
+    readonly rootDigest: Digest;
+    readonly connections: Connections;
+    /** The VM has sent its first message. */
+    readonly onConnected: (vm: Vm) => void;
+    readonly onChunk: (vm: Vm, index: number) => void;
+    /**
+     * The watch ended. `failed` tells whether the VM ended it or can't be reached; it is then watched again
+     * at the next `reconcile`.
+     */
+    readonly onLost: (vm: Vm, failed: boolean) => void;
+}
+
+export const MAX_NEIGHBOURS = 16;
+
+/** Returns the VMs to watch. The order differs from VM to VM, so that the watches form a connected graph. */
+export function chooseNeighbours(process: string, failureDomain: string, vms: readonly Vm[]): Vm[] {
+    const order = rankMembers(process, vms.map(vm => vm.name));
+    const byName = new Map(vms.map(vm => [vm.name, vm]));
+    const ordered = order.flatMap(name => byName.get(name) ?? []).filter(vm => vm.name !== process);
+    const near = ordered.filter(vm => vm.failureDomain === failureDomain);
+    const far = ordered.filter(vm => vm.failureDomain !== failureDomain);
+    const farPlaces = Math.max(MAX_NEIGHBOURS / 4, MAX_NEIGHBOURS - near.length);
+    const chosenFar = far.slice(0, farPlaces);
+    return [...near.slice(0, MAX_NEIGHBOURS - chosenFar.length), ...chosenFar];
+}
+
+export function createNeighbours(options: NeighboursOptions): Neighbours {
+    const watches = new Map<string, { vm: Vm; close(failed: boolean): void; }>();
+
+    function reconcile(vms: readonly Vm[]): void {
+        const chosen = new Map(
+            chooseNeighbours(options.process, options.failureDomain, vms).map(vm => [vm.name, vm]),
+        );
+        const listed = new Set(vms.map(vm => vm.address));
+        for (const { vm, close } of watches.values()) {
+            if (chosen.get(vm.name)?.address === vm.address) continue;
+            close(false);
+            if (!listed.has(vm.address)) options.connections.drop(vm.address);
+        }
+        for (const vm of chosen.values()) {
+            if (!watches.has(vm.name)) open(vm);
+        }
+    }
+
+    function open(vm: Vm): void {
+        const call = options.connections.agent(vm.address).watchChunks({
+            process: options.process,
+            rootDigest: options.rootDigest,
+        });
+        let connected = false;
+        let ended = false;
+        function close(failed: boolean): void {
+            if (ended) return;
+            ended = true;
+            watches.delete(vm.name);
+            call.cancel();
+            options.onLost(vm, failed);
+        }
+        watches.set(vm.name, { vm, close });
+        call.on("data", ({ bitmap, added }: ChunkAvailability) => {
+            if (ended) return;
+            if (!connected) options.onConnected(vm);
+            connected = true;
+            for (const index of [...readBitmap(bitmap), ...added]) options.onChunk(vm, index);
+        });
+        call.on("error", () => close(true));
+        call.on("end", () => close(true));
+    }
+
+    function stop(): void {
+        for (const { close } of watches.values()) close(false);
+    }
+
+    return { reconcile, find: name => watches.get(name)?.vm, stop };
+}
+
+export function writeBitmap(count: number, has: (index: number) => boolean): Buffer {
+    const bitmap = Buffer.alloc(Math.ceil(count / 8));
+    for (let index = 0; index < count; index++) {
+        if (has(index)) bitmap[index >> 3] = (bitmap[index >> 3] ?? 0) | (1 << (index & 7));
+    }
+    return bitmap;
+}
+
+function* readBitmap(bitmap: Buffer): Generator<number> {
+    for (let index = 0; index < bitmap.length * 8; index++) {
+        if (((bitmap[index >> 3] ?? 0) >> (index & 7) & 1) === 1) yield index;
+    }
+}
--- /dev/null
+++ b/src/lib/agent/peerStrategy.ts
@@ -0,0 +1,232 @@
+/** The transfer between agents: carries out the requests that the transfer plan chooses. */
+import {
+    assignChunk,
+    type ChunkAssignment,
+    createTransferPlan,
+    type PlannedRequest,
+    RequestOutcome,
+    TAKEOVER_DELAY_MS,
+    takeoverDelayMs,
+    UPSTREAM,
+} from "../core/index.js";
+import { createLog } from "../observability/index.js";
+import type { Vm } from "../platform/index.js";
+import type { ChunkResult } from "./chunkSources.js";
+import { createNeighbours } from "./neighbours.js";
+import { transferError, type TransferTask } from "./transferTask.js";
+
+const log = createLog("agent:transfer");
+
+const MAX_REQUESTS = 8;
+const MAX_REQUESTS_PER_PEER = 2;
+const MAX_DUPLICATES = 2;
+
+/** Requests to the origin from all VMs of a region together, so that the first chunks are complete early. */
+const REGION_UPSTREAM_REQUESTS = 12;
+const MAX_UPSTREAM_REQUESTS = 4;
+
+/** Longest pause between two looks at the plan; events wake it earlier. */
+const PLAN_INTERVAL_MS = 50;
+const RECONCILE_MS = 500;
+
+/** How long the designated VM of another region may take to fetch a chunk itself. */
+const UPSTREAM_WAIT_MS = 3000;
+
+/** Wrong answers of the origin for one chunk after which the transfer ends. */
+const MAX_WRONG_FROM_ORIGIN = 8;
+
+/** Corrupted chunks from one peer that are reported to the operator. */
+const REPORTED_CORRUPTIONS = 3;
+
+/** A takeover waits for several times the time of one chunk on this VM's link. */
+const TAKEOVER_CHUNK_TIMES = 8;
+
+interface Upstream extends ChunkAssignment {
+    readonly delayMs: number;
+}
+
+export async function fetchFromPeers(task: TransferTask): Promise<void> {
+    const { environment, version, signal } = task;
+    const { settings, events, now, random, sources } = environment;
+    const { rootDigest, chunks } = version;
+    const running = new Map<PlannedRequest, AbortController>();
+    const corruptions = new Map<string, number>();
+    const upstreamFailures = new Map<number, number>();
+    const wrongFromOrigin = new Map<number, number>();
+    const unreachable = new Set<string>();
+    let upstream: Upstream[] = [];
+    let assignedTo = "";
+    let failure: Error | undefined;
+    let lastArrivalAt = now();
+    let reconciledAt = Number.NEGATIVE_INFINITY;
+    let wake: () => void = () => undefined;
+
+    const largest = chunks.reduce((size, chunk) => Math.max(size, chunk.size), 0);
+    const chunkMs = largest / settings.links.inBytesPerSecond * 1000;
+    const takeoverStepMs = Math.max(TAKEOVER_DELAY_MS, TAKEOVER_CHUNK_TIMES * chunkMs);
+    const regionSize = 1 + environment.peers().filter(vm => vm.region === settings.region).length;
+    const share = Math.ceil(REGION_UPSTREAM_REQUESTS / regionSize);
+
+    const plan = createTransferPlan({
+        chunkCount: chunks.length,
+        maxRequests: MAX_REQUESTS,
+        maxRequestsPerPeer: MAX_REQUESTS_PER_PEER,
+        maxUpstreamRequests: Math.min(MAX_UPSTREAM_REQUESTS, share),
+        maxDuplicates: MAX_DUPLICATES,
+        upstreamDueAt: chunk => lastArrivalAt + (upstream[chunk]?.delayMs ?? 0),
+        random,
+    });
+    const known = new Set<number>();
+    const arrived = (index: number) => {
+        if (known.has(index)) return;
+        known.add(index);
+        lastArrivalAt = now();
+    };
+    for (const { index } of chunks) {
+        if (version.has(index)) plan.hold(index);
+    }
+
+    const neighbours = createNeighbours({
+        process: settings.process,
+        failureDomain: settings.failureDomain,
+        rootDigest,
+        connections: environment.connections,
+        onConnected: vm => {
+            unreachable.delete(vm.name);
+            plan.addPeer(vm.name, vm.failureDomain === settings.failureDomain ? 0 : 1);
+        },
+        onChunk: (vm, index) => {
+            plan.peerHas(vm.name, index);
+            arrived(index);
+            wake();
+        },
+        onLost: (vm, failed) => {
+            if (failed) unreachable.add(vm.name);
+            plan.removePeer(vm.name);
+        },
+    });
+
+    function reconcile(): void {
+        reconciledAt = now();
+        const peers = environment.peers();
+        neighbours.reconcile(peers.filter(vm => vm.region === settings.region));
+        const self = { name: settings.process, region: settings.region };
+        const members = [self, ...peers.filter(vm => !unreachable.has(vm.name))];
+        const key = members.map(({ name }) => name).sort().join("\n");
+        if (key === assignedTo) return;
+        assignedTo = key;
+        const { weightStoreRegion } = settings.platform;
+        upstream = chunks.map(({ digest }) => {
+            const assignment = assignChunk(digest, self, members, weightStoreRegion);
+            return { ...assignment, delayMs: takeoverDelayMs(assignment.rank, random(), takeoverStepMs) };
+        });
+    }
+
+    function startRequests(): void {
+        for (let request = plan.next(now()); request !== undefined; request = plan.next(now())) {
+            const controller = new AbortController();
+            running.set(request, controller);
+            void perform(request, controller.signal);
+        }
+    }
+
+    async function perform(request: PlannedRequest, cancelled: AbortSignal): Promise<void> {
+        let outcome: RequestOutcome = RequestOutcome.failed;
+        try {
+            outcome = await read(request, cancelled);
+        }
+        catch (error) {
+            failure = error as Error;
+        }
+        running.delete(request);
+        plan.finish(request, outcome, now());
+        if (outcome === RequestOutcome.held) {
+            arrived(request.chunk);
+            for (const loser of plan.requestsFor(request.chunk)) running.get(loser)?.abort();
+        }
+        wake();
+    }
+
+    async function read(request: PlannedRequest, cancelled: AbortSignal): Promise<RequestOutcome> {
+        const chunk = chunks[request.chunk];
+        if (chunk === undefined) return RequestOutcome.failed;
+        const vm = request.source === UPSTREAM ? upstreamVm(request.chunk) : neighbours.find(request.source);
+        if (vm === undefined && request.source !== UPSTREAM) return RequestOutcome.failed;
+        const waitMs = request.source === UPSTREAM ? UPSTREAM_WAIT_MS : 0;
+        const result = vm === undefined ?
+            await sources.readFromOrigin(chunk, cancelled) :
+            await sources.readFromPeer(vm, rootDigest, chunk, waitMs, cancelled);
+        if (signal.aborted) return RequestOutcome.cancelled;
+        await task.accept(chunk, result, vm);
+        report(request, result, vm);
+        return result.outcome;
+    }
+
+    /** Each failure moves on to the next source; the origin is the last. */
+    function upstreamVm(chunk: number): Vm | undefined {
+        const name = upstream[chunk]?.sources[upstreamFailures.get(chunk) ?? 0];
+        return environment.peers().find(vm => vm.name === name);
+    }
+
+    function report({ chunk, source }: PlannedRequest, { outcome }: ChunkResult, vm: Vm | undefined): void {
+        const name = vm?.name ?? "origin";
+        if (source === UPSTREAM && outcome !== RequestOutcome.held && outcome !== RequestOutcome.busy) {
+            upstreamFailures.set(chunk, (upstreamFailures.get(chunk) ?? 0) + 1);
+        }
+        if (source === UPSTREAM && outcome === RequestOutcome.held && (upstream[chunk]?.rank ?? 0) > 0) {
+            events.record("transfer.takenOver", rootDigest, { chunk, rank: upstream[chunk]?.rank ?? 0 });
+        }
+        if (outcome === RequestOutcome.stalled) {
+            events.record("transfer.sourceStalled", rootDigest, { chunk, source: name });
+        }
+        if (outcome === RequestOutcome.corrupt) reportCorruption(chunk, name, vm === undefined);
+    }
+
+    function reportCorruption(chunk: number, name: string, fromOrigin: boolean): void {
+        events.record("transfer.chunkCorrupted", rootDigest, { chunk, source: name });
+        const count = (corruptions.get(name) ?? 0) + 1;
+        corruptions.set(name, count);
+        if (count === REPORTED_CORRUPTIONS) {
+            log.warn(
+                "%s sent %d corrupted chunks of version %s; check its memory and its link",
+                name,
+                count,
+                rootDigest,
+            );
+        }
+        if (!fromOrigin) return;
+        const wrong = (wrongFromOrigin.get(chunk) ?? 0) + 1;
+        wrongFromOrigin.set(chunk, wrong);
+        if (wrong >= MAX_WRONG_FROM_ORIGIN) {
+            failure = transferError(
+                "the weight store sent a wrong chunk %s %d times; publish the version again",
+                chunks[chunk]?.digest,
+                wrong,
+            );
+        }
+    }
+
+    function pause(): Promise<void> {
+        return new Promise(resolve => {
+            const timer = setTimeout(resolve, PLAN_INTERVAL_MS);
+            wake = () => {
+                clearTimeout(timer);
+                resolve();
+            };
+        });
+    }
+
+    signal.addEventListener("abort", () => wake(), { once: true });
+    try {
+        while (plan.missing() > 0 && failure === undefined && !signal.aborted) {
+            if (now() - reconciledAt >= RECONCILE_MS) reconcile();
+            startRequests();
+            await pause();
+        }
+    }
+    finally {
+        for (const controller of running.values()) controller.abort();
+        neighbours.stop();
+    }
+    if (failure !== undefined) throw failure;
+}
--- a/src/lib/agent/transfer.ts
+++ b/src/lib/agent/transfer.ts
@@ -1,12 +1,20 @@
 /**
- * Fetches a version into the chunk store. This is the baseline: every chunk comes from the weight store.
- * Chunks are verified before they are written, and the files are hashed again at the end.
+ * Fetches a version into the chunk store. The strategy decides where the chunks come from; the manifest,
+ * the check of files that are there already and the final check are common to all strategies. Chunks are
+ * verified before they are written, and the files are hashed again at the end.
  */
-import VError from "verror";
-import { type Digest, digestOf, type Manifest, parseManifest, placeChunks } from "../core/index.js";
+import { Metadata } from "@grpc/grpc-js";
+import { setTimeout as sleep } from "node:timers/promises";
+import { type Digest, type Manifest, parseManifest, type PlacedChunk } from "../core/index.js";
 import { createLog } from "../observability/index.js";
-import { chunkKey, manifestKey, type ObjectStore } from "../platform/index.js";
-import type { ChunkStore } from "./chunkStore.js";
+import { manifestKey, type Vm } from "../platform/index.js";
+import type { Connections } from "../rpc/index.js";
+import type { AgentSettings } from "../settings/index.js";
+import { fetchAlongChain, fetchFromOrigin } from "./baselineStrategies.js";
+import type { ChunkResult } from "./chunkSources.js";
+import type { HeldVersion } from "./heldVersions.js";
+import { fetchFromPeers } from "./peerStrategy.js";
+import { type TransferEnvironment, transferError, type TransferStrategy } from "./transferTask.js";
 
 const log = createLog("agent:transfer");
 
@@ -19,84 +27,175 @@
 
 export type TransferPhase = (typeof TransferPhase)[keyof typeof TransferPhase];
 
-/** Progress of one transfer. Byte counts cover chunk content only. */
+/** Progress of one transfer. Byte counts cover all chunk content that arrived, also if it was dropped. */
 export interface TransferProgress {
     phase: TransferPhase;
     chunksHeld: number;
     chunksTotal: number;
     bytesFromOrigin: number;
+    bytesFromDomain: number;
+    bytesFromRegion: number;
+    bytesFromOtherRegions: number;
     error: string;
 }
 
 export interface Transfer {
     readonly rootDigest: Digest;
     readonly progress: Readonly<TransferProgress>;
+    readonly bytesSent: () => number;
     /** Resolves with the manifest when the version is complete and verified; rejects with a VError. */
     readonly done: Promise<Manifest>;
     cancel(): void;
 }
 
-export interface TransferOptions {
-    readonly rootDigest: Digest;
-    readonly store: ChunkStore;
-    readonly weightStore: ObjectStore;
-}
+const STRATEGIES: Readonly<Record<AgentSettings["transferStrategy"], TransferStrategy>> = {
+    peers: fetchFromPeers,
+    originOnly: fetchFromOrigin,
+    chain: fetchAlongChain,
+};
+
+/** Peers asked for the manifest in one round. */
+const MANIFEST_PEERS = 4;
+const MANIFEST_ROUNDS = 20;
+const MANIFEST_PAUSE_MS = 500;
+const MANIFEST_TIMEOUT_MS = 2000;
 
-const PARALLEL_FETCHES = 4;
+/** Times that chunks which turn out wrong on disk are fetched again before the transfer ends. */
+const REPAIR_ROUNDS = 2;
 
-export function startTransfer({ rootDigest, store, weightStore }: TransferOptions): Transfer {
+export function startTransfer(rootDigest: Digest, environment: TransferEnvironment): Transfer {
+    const { store, held, events } = environment;
+    const cancellation = new AbortController();
+    const { signal } = cancellation;
     const progress: TransferProgress = {
         phase: TransferPhase.fetching,
         chunksHeld: 0,
         chunksTotal: 0,
         bytesFromOrigin: 0,
+        bytesFromDomain: 0,
+        bytesFromRegion: 0,
+        bytesFromOtherRegions: 0,
         error: "",
     };
-    let cancelled = false;
+    let version: HeldVersion | undefined;
 
     async function run(): Promise<Manifest> {
-        const bytes = await weightStore.get(manifestKey(rootDigest));
-        if (bytes === undefined) throw transferError("the weight store has no version %s", rootDigest);
-        const manifest = parseManifest(bytes, rootDigest);
-        await store.create(rootDigest, bytes, manifest);
-        await fetchChunks(manifest);
-        progress.phase = TransferPhase.verifying;
-        const wrong = await store.verify(rootDigest, manifest);
-        if (wrong.length > 0) throw transferError("files differ from the manifest: %s", wrong.join(", "));
+        const started = environment.now();
+        const bytes = await fetchManifest(rootDigest, environment, signal);
+        const opened = held.open(rootDigest, bytes);
+        version = opened;
+        progress.chunksTotal = opened.chunks.length;
+        await store.create(rootDigest, bytes, opened.manifest);
+        await holdExisting(opened);
+        events.record("transfer.started", rootDigest, {
+            chunksHeld: opened.count(),
+            chunksTotal: opened.chunks.length,
+        });
+        for (let round = 0;; round++) {
+            progress.phase = TransferPhase.fetching;
+            await STRATEGIES[environment.settings.transferStrategy]({ environment, version: opened, signal, accept });
+            checkCancelled();
+            progress.phase = TransferPhase.verifying;
+            const wrong = await store.verify(rootDigest, opened.manifest);
+            if (wrong.length === 0) break;
+            if (round === REPAIR_ROUNDS) throw transferError("files differ from the manifest: %s", wrong.join(", "));
+            log.warn("files of version %s changed on disk and are fetched again: %s", rootDigest, wrong.join(", "));
+            await dropWrong(opened);
+        }
+        checkCancelled();
         progress.phase = TransferPhase.complete;
+        events.record("transfer.complete", rootDigest, { milliseconds: environment.now() - started });
         log.info("version %s is complete", rootDigest);
-        return manifest;
+        return opened.manifest;
     }
 
-    async function fetchChunks(manifest: Manifest): Promise<void> {
-        const missing = placeChunks(manifest);
-        progress.chunksTotal = missing.length;
-        async function fetchNext(): Promise<void> {
-            for (let chunk = missing.shift(); chunk !== undefined; chunk = missing.shift()) {
-                if (cancelled) throw transferError("the transfer of %s was cancelled", rootDigest);
-                const held = await store.read(rootDigest, chunk);
-                if (held === undefined) {
-                    const content = await weightStore.get(chunkKey(chunk.digest));
-                    if (content === undefined || digestOf(content) !== chunk.digest) {
-                        throw transferError("the weight store has no correct chunk %s", chunk.digest);
-                    }
-                    progress.bytesFromOrigin += content.length;
-                    await store.write(rootDigest, chunk, content);
-                }
-                progress.chunksHeld++;
+    /** A restarted agent finds files that are partly there; each chunk counts only after it is verified. */
+    async function holdExisting(opened: HeldVersion): Promise<void> {
+        for (const chunk of opened.chunks) {
+            checkCancelled();
+            if (!opened.has(chunk.index) && await store.read(rootDigest, chunk) !== undefined) {
+                opened.hold(chunk.index);
             }
         }
-        await Promise.all(Array.from({ length: PARALLEL_FETCHES }, fetchNext));
+        progress.chunksHeld = opened.count();
+    }
+
+    async function dropWrong(opened: HeldVersion): Promise<void> {
+        for (const chunk of opened.chunks) {
+            if (await store.read(rootDigest, chunk) === undefined) opened.drop(chunk.index);
+        }
+        progress.chunksHeld = opened.count();
+    }
+
+    async function accept(chunk: PlacedChunk, { bytes, content }: ChunkResult, vm: Vm | undefined): Promise<void> {
+        const { failureDomain, region } = environment.settings;
+        if (vm === undefined) progress.bytesFromOrigin += bytes;
+        else if (vm.failureDomain === failureDomain) progress.bytesFromDomain += bytes;
+        else if (vm.region === region) progress.bytesFromRegion += bytes;
+        else progress.bytesFromOtherRegions += bytes;
+        if (content === undefined || version === undefined || version.has(chunk.index)) return;
+        checkCancelled();
+        await store.write(rootDigest, chunk, content);
+        version.hold(chunk.index);
+        progress.chunksHeld = version.count();
+    }
+
+    function checkCancelled(): void {
+        if (signal.aborted) throw transferError("the transfer of %s was cancelled", rootDigest);
     }
 
     const done = run().catch((error: Error) => {
+        cancellation.abort();
         progress.phase = TransferPhase.failed;
         progress.error = error.message;
+        events.record("transfer.failed", rootDigest, { error: error.message });
         throw error;
     });
-    return { rootDigest, progress, done, cancel: () => cancelled = true };
+    return {
+        rootDigest,
+        progress,
+        bytesSent: () => version?.bytesSent ?? 0,
+        done,
+        cancel: () => cancellation.abort(),
+    };
+}
+
+/** Reads the manifest from the origin or, while the origin is out, from a few peers. */
+async function fetchManifest(
+    rootDigest: Digest,
+    environment: TransferEnvironment,
+    signal: AbortSignal,
+): Promise<Buffer> {
+    const { store, weightStore, peers, random } = environment;
+    const isRight = (bytes: Buffer | undefined): bytes is Buffer => {
+        if (bytes === undefined || bytes.length === 0) return false;
+        try {
+            return parseManifest(bytes, rootDigest) !== undefined;
+        }
+        catch {
+            return false;
+        }
+    };
+    const stored = await store.readManifest(rootDigest);
+    if (isRight(stored)) return stored;
+    for (let round = 0; round < MANIFEST_ROUNDS && !signal.aborted; round++) {
+        const fromOrigin = await weightStore.get(manifestKey(rootDigest)).catch(() => undefined);
+        if (isRight(fromOrigin)) return fromOrigin;
+        const asked = peers().map(vm => ({ vm, order: random() })).sort((a, b) => a.order - b.order);
+        for (const { vm } of asked.slice(0, MANIFEST_PEERS)) {
+            const fromPeer = await readManifest(environment.connections, vm, rootDigest);
+            if (isRight(fromPeer)) return fromPeer;
+        }
+        await sleep(MANIFEST_PAUSE_MS);
+    }
+    throw transferError("neither the weight store nor a peer sent a correct manifest of version %s", rootDigest);
 }
 
-function transferError(format: string, ...args: unknown[]): VError {
-    return new VError({ name: "TransferError" }, format, ...args);
+function readManifest(connections: Connections, vm: Vm, rootDigest: Digest): Promise<Buffer | undefined> {
+    return new Promise(resolve => {
+        const deadline = Date.now() + MANIFEST_TIMEOUT_MS;
+        connections.agent(vm.address).readManifest({ rootDigest }, new Metadata(), { deadline }, (error, answer) => {
+            resolve(error === null ? answer.manifest : undefined);
+        });
+    });
 }
--- /dev/null
+++ b/src/lib/agent/transferTask.ts
@@ -0,0 +1,41 @@
+/** What a transfer's strategy works with. */
+import VError from "verror";
+import type { PlacedChunk } from "../core/index.js";
+import type { EventRecorder } from "../node/index.js";
+import type { ObjectStore, Vm } from "../platform/index.js";
+import type { Connections } from "../rpc/index.js";
+import type { AgentSettings } from "../settings/index.js";
+import type { ChunkResult, ChunkSources } from "./chunkSources.js";
+import type { ChunkStore } from "./chunkStore.js";
+import type { HeldVersion, HeldVersions } from "./heldVersions.js";
+
+/** What all transfers of an agent share. */
+export interface TransferEnvironment {
+    readonly settings: AgentSettings;
+    readonly store: ChunkStore;
+    readonly held: HeldVersions;
+    readonly sources: ChunkSources;
+    readonly weightStore: ObjectStore;
+    readonly connections: Connections;
+    readonly events: EventRecorder;
+    /** Agents of the own pool, in all regions, without this one. */
+    readonly peers: () => readonly Vm[];
+    readonly now: () => number;
+    /** Returns a number in [0, 1). */
+    readonly random: () => number;
+}
+
+/** One transfer as its strategy sees it. */
+export interface TransferTask {
+    readonly environment: TransferEnvironment;
+    readonly version: HeldVersion;
+    readonly signal: AbortSignal;
+    /** Counts what arrived and writes the chunk if it is right. `vm` is `undefined` for the origin. */
+    accept(chunk: PlacedChunk, result: ChunkResult, vm: Vm | undefined): Promise<void>;
+}
+
+export type TransferStrategy = (task: TransferTask) => Promise<void>;
+
+export function transferError(format: string, ...args: unknown[]): VError {
+    return new VError({ name: "TransferError" }, format, ...args);
+}
--- /dev/null
+++ b/src/lib/agent/uploads.ts
@@ -0,0 +1,116 @@
+/** Sends chunks to other VMs: bounded in number, at the rate of the links, from verified content only. */
+import { setTimeout as sleep } from "node:timers/promises";
+import type { PlacedChunk } from "../core/index.js";
+import type { ReadChunkRequest } from "../rpc/index.js";
+import type { ChunkStore } from "./chunkStore.js";
+import type { HeldVersion, HeldVersions } from "./heldVersions.js";
+import { type Links, PIECE_BYTES } from "./links.js";
+
+export interface UploadSink {
+    /** Returns false if the next write should wait for `onDrain`. */
+    write(data: Buffer): boolean;
+    onDrain(listener: () => void): void;
+    readonly signal: AbortSignal;
+}
+
+export interface Uploads {
+    /** Sends the chunk, or returns the reason for not doing so. */
+    send(request: ReadChunkRequest, sink: UploadSink): Promise<"busy" | "unknown" | undefined>;
+}
+
+export interface UploadsOptions {
+    readonly held: HeldVersions;
+    readonly store: ChunkStore;
+    readonly links: Links;
+    readonly regionOf: (process: string) => string;
+}
+
+/** With more uploads at the same time, each would be slow enough to look stalled on a small link. */
+const MAX_UPLOADS = 8;
+
+/** Requests that wait for a chunk hold no content, only a listener. */
+const MAX_WAITING = 512;
+const MAX_WAIT_MS = 10_000;
+
+/** A receiver that takes nothing for this long gives its place to another. */
+const DRAIN_TIMEOUT_MS = 10_000;
+
+export function createUploads({ held, store, links, regionOf }: UploadsOptions): Uploads {
+    let uploading = 0;
+    let waiting = 0;
+
+    async function send(request: ReadChunkRequest, sink: UploadSink): Promise<"busy" | "unknown" | undefined> {
+        const found = await findHeld(request) ?? await waitForChunk(request, sink.signal);
+        if (found === undefined) return "unknown";
+        if (uploading >= MAX_UPLOADS) return "busy";
+        uploading++;
+        try {
+            return await sendChunk(found.version, found.chunk, regionOf(request.process), sink);
+        }
+        finally {
+            uploading--;
+        }
+    }
+
+    async function findHeld({ rootDigest, chunkDigest }: ReadChunkRequest) {
+        const version = await held.find(rootDigest);
+        const chunk = version?.find(chunkDigest);
+        return version !== undefined && chunk !== undefined && version.has(chunk.index) ?
+            { version, chunk } :
+            undefined;
+    }
+
+    async function waitForChunk(request: ReadChunkRequest, signal: AbortSignal) {
+        if (request.waitMs === 0 || waiting >= MAX_WAITING) return undefined;
+        waiting++;
+        const done = new AbortController();
+        const either = AbortSignal.any([signal, done.signal]);
+        const unwatch = held.watch(request.rootDigest, () => {
+            void findHeld(request).then(found => found && done.abort());
+        });
+        try {
+            // The chunk may have arrived between the first look and the start of the watch.
+            if (await findHeld(request) === undefined) {
+                await sleep(Math.min(request.waitMs, MAX_WAIT_MS), undefined, { signal: either });
+            }
+        }
+        catch {
+            // The wait ended early, because the chunk is here or the caller has left.
+        }
+        finally {
+            unwatch();
+            waiting--;
+        }
+        return findHeld(request);
+    }
+
+    async function sendChunk(version: HeldVersion, chunk: PlacedChunk, region: string, sink: UploadSink) {
+        const content = await store.read(version.rootDigest, chunk);
+        if (content === undefined) {
+            version.drop(chunk.index);
+            return "unknown";
+        }
+        for (let offset = 0; offset < content.length; offset += PIECE_BYTES) {
+            const piece = content.subarray(offset, offset + PIECE_BYTES);
+            await links.send(piece.length, region);
+            if (sink.signal.aborted) return undefined;
+            version.bytesSent += piece.length;
+            if (!sink.write(piece)) await drained(sink);
+        }
+        return undefined;
+    }
+
+    return { send };
+}
+
+function drained(sink: UploadSink): Promise<void> {
+    return new Promise((resolve, reject) => {
+        const timer = setTimeout(() => reject(new Error("the receiver takes no data")), DRAIN_TIMEOUT_MS);
+        const done = () => {
+            clearTimeout(timer);
+            resolve();
+        };
+        sink.onDrain(done);
+        sink.signal.addEventListener("abort", done, { once: true });
+    });
+}
--- a/src/lib/core/index.ts
+++ b/src/lib/core/index.ts
@@ -1,3 +1,4 @@
+export * from "./chunkAssignment.js";
 export * from "./configuration.js";
 export * from "./hybridClock.js";
 export * from "./manifest.js";
@@ -6,4 +7,5 @@
 export * from "./rendezvous.js";
 export * from "./timeline.js";
 export * from "./tokenBucket.js";
+export * from "./transferPlan.js";
 export * from "./verdict.js";
--- a/src/lib/settings/schema.ts
+++ b/src/lib/settings/schema.ts
@@ -98,6 +98,8 @@
     }),
     /** Memory-backed directory for weights, which the engine reads. Not used beside a plain service. */
     weightsPath: z.string(),
+    /** `peers` is for use; `originOnly` and `chain` are baselines that the distribution bench measures. */
+    transferStrategy: z.enum(["peers", "originOnly", "chain"]).default("peers"),
     links: z.strictObject({
         /** Share of the VM's link that weights may use, each way. */
         inBytesPerSecond: bytesPerSecond.default(125_000_000),
