Keep weight files open and queue uploads in order

Cause: opening files took 12% and hashing the empty files of a new version about a second of CPU per agent; uploads in parallel delayed the first copy that can be passed on. Change: a bounded set of open files, no check of files that did not exist, two uploads at a time with a queue, and a set of chunks that no peer has.

--- a/src/lib/agent/chunkStore.ts
+++ b/src/lib/agent/chunkStore.ts
@@ -2,11 +2,10 @@
  * Keeps versions in the memory-backed directory that the engine reads: one directory per root digest and
  * the manifest beside it. It holds no chunk in memory.
  */
-import { createHash } from "node:crypto";
-import { createReadStream } from "node:fs";
-import { type FileHandle, mkdir, open, readdir, readFile, rm, stat, truncate, writeFile } from "node:fs/promises";
+import { mkdir, open, readdir, readFile, rm, stat, truncate, writeFile } from "node:fs/promises";
 import { dirname, join } from "node:path";
 import { type Digest, digestOf, isDigest, type Manifest, type PlacedChunk } from "../core/index.js";
+import { createOpenFiles } from "./openFiles.js";
 
 const MANIFEST_SUFFIX = ".manifest.json";
 
@@ -28,6 +27,7 @@
 }
 
 export function createChunkStore(root: string): ChunkStore {
+    const openFiles = createOpenFiles();
     const path = (rootDigest: Digest) => join(root, rootDigest);
     const manifestPath = (rootDigest: Digest) => `${path(rootDigest)}${MANIFEST_SUFFIX}`;
 
@@ -48,7 +48,7 @@
 
     async function write(rootDigest: Digest, chunk: PlacedChunk, content: Uint8Array): Promise<void> {
         for (const place of chunk.placements) {
-            await withFile(join(path(rootDigest), place.path), "r+", async handle => {
+            await openFiles.use(join(path(rootDigest), place.path), async handle => {
                 await handle.write(content, 0, content.length, place.offset);
             });
         }
@@ -59,9 +59,8 @@
         if (place === undefined) return undefined;
         const content = Buffer.allocUnsafe(chunk.size);
         try {
-            const { bytesRead } = await withFile(
+            const { bytesRead } = await openFiles.use(
                 join(path(rootDigest), place.path),
-                "r",
                 handle => handle.read(content, 0, chunk.size, place.offset),
             );
             return bytesRead === chunk.size && digestOf(content) === chunk.digest ? content : undefined;
@@ -90,6 +89,7 @@
     }
 
     async function remove(rootDigest: Digest): Promise<void> {
+        openFiles.close(path(rootDigest));
         await rm(manifestPath(rootDigest), { force: true });
         await rm(path(rootDigest), { recursive: true, force: true });
     }
@@ -97,24 +97,20 @@
     return { path, create, readManifest, write, read, verify, list, remove };
 }
 
-async function withFile<T>(path: string, flags: string, use: (handle: FileHandle) => Promise<T>): Promise<T> {
-    const handle = await open(path, flags);
+async function matches(path: string, chunks: readonly { digest: Digest; size: number; }[]): Promise<boolean> {
+    const largest = chunks.reduce((size, chunk) => Math.max(size, chunk.size), 0);
+    const content = Buffer.allocUnsafe(largest);
+    const handle = await open(path, "r");
     try {
-        return await use(handle);
+        let offset = 0;
+        for (const chunk of chunks) {
+            const { bytesRead } = await handle.read(content, 0, chunk.size, offset);
+            if (bytesRead !== chunk.size || digestOf(content.subarray(0, chunk.size)) !== chunk.digest) return false;
+            offset += chunk.size;
+        }
+        return true;
     }
     finally {
         await handle.close();
     }
 }
-
-async function matches(path: string, chunks: readonly { digest: Digest; size: number; }[]): Promise<boolean> {
-    let offset = 0;
-    for (const chunk of chunks) {
-        const hash = createHash("sha256");
-        const range = { start: offset, end: offset + chunk.size - 1 };
-        for await (const piece of createReadStream(path, range)) hash.update(piece as Buffer);
-        if (hash.digest("hex") !== chunk.digest) return false;
-        offset += chunk.size;
-    }
-    return true;
-}
--- a/src/lib/agent/transfer.ts
+++ b/src/lib/agent/transfer.ts
@@ -81,12 +81,13 @@
 
     async function run(): Promise<Manifest> {
         const started = environment.now();
-        const bytes = await fetchManifest(rootDigest, environment, signal);
+        const stored = await store.readManifest(rootDigest);
+        const bytes = await fetchManifest(rootDigest, stored, environment, signal);
         const opened = held.open(rootDigest, bytes);
         version = opened;
         progress.chunksTotal = opened.chunks.length;
         await store.create(rootDigest, bytes, opened.manifest);
-        await holdExisting(opened);
+        if (stored !== undefined) await holdExisting(opened);
         events.record("transfer.started", rootDigest, {
             chunksHeld: opened.count(),
             chunksTotal: opened.chunks.length,
@@ -163,10 +164,11 @@
 /** Reads the manifest from the origin or, while the origin is out, from a few peers. */
 async function fetchManifest(
     rootDigest: Digest,
+    stored: Buffer | undefined,
     environment: TransferEnvironment,
     signal: AbortSignal,
 ): Promise<Buffer> {
-    const { store, weightStore, peers, random } = environment;
+    const { weightStore, peers, random } = environment;
     const isRight = (bytes: Buffer | undefined): bytes is Buffer => {
         if (bytes === undefined || bytes.length === 0) return false;
         try {
@@ -176,7 +178,6 @@
             return false;
         }
     };
-    const stored = await store.readManifest(rootDigest);
     if (isRight(stored)) return stored;
     for (let round = 0; round < MANIFEST_ROUNDS && !signal.aborted; round++) {
         const fromOrigin = await weightStore.get(manifestKey(rootDigest)).catch(() => undefined);
--- a/src/lib/agent/uploads.ts
+++ b/src/lib/agent/uploads.ts
@@ -25,8 +25,14 @@
     readonly regionOf: (process: string) => string;
 }
 
-/** With more uploads at the same time, each would be slow enough to look stalled on a small link. */
-const MAX_UPLOADS = 8;
+/**
+ * Chunks are sent nearly one after the other: the first receiver can pass its chunk on while the next one
+ * is being sent. The second place covers the time in which a chunk is read and its last piece is taken.
+ */
+const MAX_SENDING = 2;
+
+/** With more uploads in progress, the last would wait long enough to look stalled on a small link. */
+const MAX_UPLOADS = 12;
 
 /** Requests that wait for a chunk hold no content, only a listener. */
 const MAX_WAITING = 512;
@@ -36,7 +42,9 @@
 const DRAIN_TIMEOUT_MS = 10_000;
 
 export function createUploads({ held, store, links, regionOf }: UploadsOptions): Uploads {
+    const queue: (() => void)[] = [];
     let uploading = 0;
+    let sending = 0;
     let waiting = 0;
 
     async function send(request: ReadChunkRequest, sink: UploadSink): Promise<"busy" | "unknown" | undefined> {
@@ -45,13 +53,27 @@
         if (uploading >= MAX_UPLOADS) return "busy";
         uploading++;
         try {
-            return await sendChunk(found.version, found.chunk, regionOf(request.process), sink);
+            return await inTurn(() => sendChunk(found.version, found.chunk, regionOf(request.process), sink));
         }
         finally {
             uploading--;
         }
     }
 
+    async function inTurn<T>(upload: () => Promise<T>): Promise<T> {
+        if (sending >= MAX_SENDING) await new Promise<void>(resolve => queue.push(resolve));
+        else sending++;
+        try {
+            return await upload();
+        }
+        finally {
+            const next = queue.shift();
+            // The place passes to the next upload, so that a new request can't take it first.
+            if (next === undefined) sending--;
+            else next();
+        }
+    }
+
     async function findHeld({ rootDigest, chunkDigest }: ReadChunkRequest) {
         const version = await held.find(rootDigest);
         const chunk = version?.find(chunkDigest);
@@ -85,6 +107,7 @@
     }
 
     async function sendChunk(version: HeldVersion, chunk: PlacedChunk, region: string, sink: UploadSink) {
+        if (sink.signal.aborted) return undefined;
         const content = await store.read(version.rootDigest, chunk);
         if (content === undefined) {
             version.drop(chunk.index);
--- a/src/lib/core/transferPlan.ts
+++ b/src/lib/core/transferPlan.ts
@@ -87,6 +87,8 @@
 export function createTransferPlan(options: TransferPlanOptions): TransferPlan {
     const { chunkCount, random } = options;
     const missing = new Set(Array.from({ length: chunkCount }, (_, chunk) => chunk));
+    /** Missing chunks that no peer has. */
+    const unseen = new Set(missing);
     const copies = Array.from({ length: chunkCount }, () => 0);
     const peers = new Map<string, Peer>();
     const inProgress = new Map<number, PlannedRequest[]>();
@@ -97,6 +99,7 @@
 
     function hold(chunk: number): void {
         missing.delete(chunk);
+        unseen.delete(chunk);
         upstream.delete(chunk);
     }
 
@@ -106,7 +109,7 @@
     }
 
     function removePeer(name: string): void {
-        for (const chunk of peers.get(name)?.chunks ?? []) copies[chunk] = copiesOf(chunk) - 1;
+        for (const chunk of peers.get(name)?.chunks ?? []) addCopies(chunk, -1);
         peers.delete(name);
     }
 
@@ -114,7 +117,13 @@
         const peer = peers.get(name);
         if (peer === undefined || chunk >= chunkCount || peer.chunks.has(chunk)) return;
         peer.chunks.add(chunk);
-        copies[chunk] = copiesOf(chunk) + 1;
+        addCopies(chunk, 1);
+    }
+
+    function addCopies(chunk: number, change: number): void {
+        copies[chunk] = copiesOf(chunk) + change;
+        if (copiesOf(chunk) > 0) unseen.delete(chunk);
+        else if (missing.has(chunk)) unseen.add(chunk);
     }
 
     function copiesOf(chunk: number): number {
@@ -127,9 +136,7 @@
 
     function nextUpstream(now: number): PlannedRequest | undefined {
         if (upstreamRequests >= options.maxUpstreamRequests) return undefined;
-        const due = [...missing].filter(chunk => {
-            return copiesOf(chunk) === 0 && !inProgress.has(chunk) && canGoUpstream(chunk, now);
-        });
+        const due = [...unseen].filter(chunk => !inProgress.has(chunk) && canGoUpstream(chunk, now));
         const chunk = due[Math.floor(random() * due.length)];
         return chunk === undefined ? undefined : start(chunk, UPSTREAM, now);
     }
@@ -217,7 +224,7 @@
         const peer = peers.get(source);
         if (peer === undefined) return;
         peer.requests = Math.max(0, peer.requests - 1);
-        if (outcome === RequestOutcome.unknown && peer.chunks.delete(chunk)) copies[chunk] = copiesOf(chunk) - 1;
+        if (outcome === RequestOutcome.unknown && peer.chunks.delete(chunk)) addCopies(chunk, -1);
         if (outcome === RequestOutcome.held) peer.failures = 0;
         else if (outcome !== RequestOutcome.cancelled) {
             peer.failures++;
