Spread requests over more sources

Cause: rarest first sent many requests to the few holders of a rare chunk; their queues grew to a second while other links were idle.

--- a/src/lib/agent/links.ts
+++ b/src/lib/agent/links.ts
@@ -13,11 +13,14 @@
 /** Size of the pieces in which chunks are sent; the rates are applied to each piece. */
 export const PIECE_BYTES = 64 * 1024;
 
+/** Covers timers that fire late on a busy VM; with a smaller burst the rate is not reached. */
+const BURST_BYTES = 4 * PIECE_BYTES;
+
 /** Shorter waits are left to the next piece, because timers are not more precise. */
 const MIN_SLEEP_MS = 1;
 
 export function createLinks(settings: AgentSettings["links"], ownRegion: string, now: () => number): Links {
-    const bucket = (ratePerSecond: number) => createTokenBucket({ ratePerSecond, burst: PIECE_BYTES });
+    const bucket = (ratePerSecond: number) => createTokenBucket({ ratePerSecond, burst: BURST_BYTES });
     const inbound = bucket(settings.inBytesPerSecond);
     const outbound = bucket(settings.outBytesPerSecond);
     const fromRegions = new Map<string, TokenBucket>();
--- a/src/lib/agent/peerStrategy.ts
+++ b/src/lib/agent/peerStrategy.ts
@@ -17,8 +17,8 @@
 
 const log = createLog("agent:transfer");
 
-const MAX_REQUESTS = 8;
-const MAX_REQUESTS_PER_PEER = 2;
+const MAX_REQUESTS = 6;
+const MAX_REQUESTS_PER_PEER = 1;
 const MAX_DUPLICATES = 2;
 
 /** Requests to the origin from all VMs of a region together, so that the first chunks are complete early. */
