Fetch chunks upstream that only failing peers announce; test transfers under faults

Cause: a paused peer, or one that sends corrupted chunks, could keep a chunk from being fetched elsewhere; a request that lost to a duplicate could cause another duplicate (found by the new property). Change: chunks of a suspended peer do not count as copies; a fault switch for objects only; properties of the core modules and process-level tests of corruption, kill -9, a paused peer and an origin that is out.

--- a/src/lib/agent/heldVersions.ts
+++ b/src/lib/agent/heldVersions.ts
@@ -2,7 +2,7 @@
  * Keeps the manifest, the chunk index and the set of verified chunks of the versions on this VM in memory,
  * so that serving a chunk needs no parsing. Transfers add chunks; the handlers of other agents read them.
  */
-import { type Digest, type Manifest, parseManifest, placeChunks, type PlacedChunk } from "../core/index.js";
+import { type Digest, isDigest, type Manifest, parseManifest, placeChunks, type PlacedChunk } from "../core/index.js";
 import type { ChunkStore } from "./chunkStore.js";
 
 export interface HeldVersion {
@@ -53,6 +53,8 @@
     async function find(rootDigest: Digest): Promise<HeldVersion | undefined> {
         const known = versions.get(rootDigest);
         if (known !== undefined) return known;
+        // The digest comes from another process and becomes part of a path.
+        if (!isDigest(rootDigest)) return undefined;
         const pending = loading.get(rootDigest) ?? load(rootDigest);
         loading.set(rootDigest, pending);
         return pending.finally(() => loading.delete(rootDigest));
--- a/src/lib/core/transferPlan.ts
+++ b/src/lib/core/transferPlan.ts
@@ -75,6 +75,12 @@
 const MAX_PAUSE_MS = 30_000;
 const MAX_BUSY_PAUSE_MS = 200;
 
+const SUSPENDING: ReadonlySet<RequestOutcome> = new Set([
+    RequestOutcome.corrupt,
+    RequestOutcome.stalled,
+    RequestOutcome.failed,
+]);
+
 interface Peer {
     readonly name: string;
     readonly distance: number;
@@ -82,6 +88,11 @@
     requests: number;
     failures: number;
     notBefore: number;
+    /**
+     * The peer failed and its pause is not over. Its chunks don't count as copies meanwhile, so that a chunk
+     * which only such peers announce is fetched upstream.
+     */
+    suspended: boolean;
 }
 
 export function createTransferPlan(options: TransferPlanOptions): TransferPlan {
@@ -105,19 +116,39 @@
 
     function addPeer(name: string, distance: number): void {
         removePeer(name);
-        peers.set(name, { name, distance, chunks: new Set(), requests: 0, failures: 0, notBefore: 0 });
+        peers.set(name, {
+            name,
+            distance,
+            chunks: new Set(),
+            requests: 0,
+            failures: 0,
+            notBefore: 0,
+            suspended: false,
+        });
     }
 
     function removePeer(name: string): void {
-        for (const chunk of peers.get(name)?.chunks ?? []) addCopies(chunk, -1);
+        const peer = peers.get(name);
+        if (peer !== undefined) suspend(peer);
         peers.delete(name);
     }
 
+    function suspend(peer: Peer): void {
+        if (peer.suspended) return;
+        peer.suspended = true;
+        for (const chunk of peer.chunks) addCopies(chunk, -1);
+    }
+
+    function resume(peer: Peer): void {
+        peer.suspended = false;
+        for (const chunk of peer.chunks) addCopies(chunk, 1);
+    }
+
     function peerHas(name: string, chunk: number): void {
         const peer = peers.get(name);
         if (peer === undefined || chunk >= chunkCount || peer.chunks.has(chunk)) return;
         peer.chunks.add(chunk);
-        addCopies(chunk, 1);
+        if (!peer.suspended) addCopies(chunk, 1);
     }
 
     function addCopies(chunk: number, change: number): void {
@@ -131,6 +162,9 @@
     }
 
     function next(now: number): PlannedRequest | undefined {
+        for (const peer of peers.values()) {
+            if (peer.suspended && peer.notBefore <= now) resume(peer);
+        }
         return nextUpstream(now) ?? nextFromPeers(now) ?? nextDuplicate(now);
     }
 
@@ -164,6 +198,8 @@
         if (duplicates >= options.maxDuplicates || peerRequests >= options.maxRequests) return undefined;
         const free = freePeers(now);
         for (const [chunk, [first, ...others]] of inProgress) {
+            // A request that lost to a duplicate may still be in progress.
+            if (!missing.has(chunk)) continue;
             if (first === undefined || others.length > 0 || now - first.startedAt < DUPLICATE_AGE_MS) continue;
             const candidates = free.filter(peer => peer.name !== first.source && peer.chunks.has(chunk));
             if (candidates.length > 0) return startFromPeer(chunk, candidates, now);
@@ -224,12 +260,12 @@
         const peer = peers.get(source);
         if (peer === undefined) return;
         peer.requests = Math.max(0, peer.requests - 1);
-        if (outcome === RequestOutcome.unknown && peer.chunks.delete(chunk)) addCopies(chunk, -1);
+        if (outcome === RequestOutcome.unknown && peer.chunks.delete(chunk) && !peer.suspended) addCopies(chunk, -1);
         if (outcome === RequestOutcome.held) peer.failures = 0;
-        else if (outcome !== RequestOutcome.cancelled) {
-            peer.failures++;
-            peer.notBefore = Math.max(peer.notBefore, now + pauseMs(outcome, peer.failures));
-        }
+        if (outcome === RequestOutcome.held || outcome === RequestOutcome.cancelled) return;
+        peer.failures++;
+        peer.notBefore = Math.max(peer.notBefore, now + pauseMs(outcome, peer.failures));
+        if (SUSPENDING.has(outcome)) suspend(peer);
     }
 
     function pauseMs(outcome: RequestOutcome, failures: number): number {
--- a/src/lib/standIn/platform.ts
+++ b/src/lib/standIn/platform.ts
@@ -43,8 +43,8 @@
         if (await faults.serve(request, response)) return;
         const url = request.url ?? "";
         if (url === "/evidence") return answerJson(response, 200, { originBytes: objects.chunkBytesSent() });
-        const { outage, delayMs } = faults.current();
-        if (outage) {
+        const { outage, objectsOutage, delayMs } = faults.current();
+        if (outage || (objectsOutage && url.startsWith("/objects/"))) {
             request.socket.destroy();
             return;
         }
--- /dev/null
+++ b/src/test/agent/transfer.test.ts
@@ -0,0 +1,196 @@
+import type { ServerWritableStream } from "@grpc/grpc-js";
+import assert from "node:assert/strict";
+import { randomBytes } from "node:crypto";
+import { mkdir, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+    type Fleet,
+    type FleetProcess,
+    OPERATOR_TOKEN,
+    POOL,
+    sendToEntry,
+    startFleet,
+    waitUntil,
+} from "../../harness/index.js";
+import { createObjectStore, sendRequest } from "../../lib/platform/index.js";
+import { publishDirectory } from "../../lib/publish/index.js";
+import { type AgentServer, createCredentials, type NodeServer, startRpcServer } from "../../lib/rpc/index.js";
+
+const BYTES = 3_000_000;
+const CHUNK_BYTES = 64 * 1024;
+const RATE = 1_000_000;
+const TIMEOUT_MS = 60_000;
+
+// The list of VMs is read every 200 ms.
+const SETTLE_MS = 600;
+
+async function withFleet(runners: number, use: (fleet: Fleet) => Promise<void>): Promise<void> {
+    const fleet = await startFleet({
+        entries: 1,
+        runners,
+        bookings: 0,
+        originBytesPerSecond: 2 * RATE,
+        agentSettings: { pollMs: 200, links: { inBytesPerSecond: RATE, outBytesPerSecond: RATE } },
+    });
+    try {
+        await use(fleet);
+    }
+    finally {
+        await fleet.stop();
+    }
+}
+
+async function publish(fleet: Fleet) {
+    const directory = join(fleet.directory, "weights");
+    await mkdir(directory);
+    await writeFile(join(directory, "model.bin"), randomBytes(BYTES));
+    const store = createObjectStore({ url: fleet.platformUrl, timeoutMs: 5000 });
+    return publishDirectory({ directory, model: "m", chunkBytes: CHUNK_BYTES, store });
+}
+
+async function rollOut(fleet: Fleet, rootDigest: string): Promise<void> {
+    const [entry] = fleet.entries;
+    assert.ok(entry);
+    await sleep(SETTLE_MS);
+    const profile = { name: "desk", model: "m", rootDigest, service: POOL };
+    const answer = await sendToEntry(entry, "PUT", "/admin/v1/profiles/desk", OPERATOR_TOKEN, profile);
+    assert.equal(answer.status, 200, answer.body.toString());
+}
+
+function waitUntilServed(fleet: Fleet, agents: readonly FleetProcess[], rootDigest: string): Promise<void> {
+    return waitUntil(`${agents.length} agents serve ${rootDigest}`, async () => {
+        const states = await Promise.all(agents.map(fleet.readState));
+        return states.every(state => state.servingDigest === rootDigest);
+    }, TIMEOUT_MS);
+}
+
+async function waitUntilHeld(fleet: Fleet, agents: readonly FleetProcess[], fraction: number): Promise<void> {
+    await waitUntil(`the agents hold ${fraction} of the chunks`, async () => {
+        const transfers = (await Promise.all(agents.map(fleet.readState))).map(state => state.transfers[0]);
+        return transfers.every(state => (state?.chunksHeld ?? 0) >= fraction * (BYTES / CHUNK_BYTES));
+    }, TIMEOUT_MS);
+}
+
+async function originBytes(fleet: Fleet): Promise<number> {
+    const answer = await sendRequest({ method: "GET", url: `${fleet.platformUrl}/evidence` });
+    return (JSON.parse(answer.body.toString()) as { originBytes: number; }).originBytes;
+}
+
+/** Checks through the engines that no VM loaded anything but the exact version. */
+async function checkLoads(agents: readonly FleetProcess[]): Promise<void> {
+    for (const agent of agents) {
+        const answer = await sendRequest({ method: "GET", url: `${agent.url}/evidence` });
+        assert.equal((JSON.parse(answer.body.toString()) as { wrongLoads: number; }).wrongLoads, 0);
+    }
+}
+
+/** Starts a peer that announces every chunk and sends each with a wrong byte. */
+async function startCorruptPeer(fleet: Fleet, name: string, digests: readonly string[], read: (key: string) => Buffer) {
+    const agent = {
+        watchChunks: (call: ServerWritableStream<unknown, unknown>) => {
+            call.write({ bitmap: Buffer.alloc(0), added: digests.map((_, index) => index) });
+        },
+        readChunk: (call: ServerWritableStream<{ chunkDigest: string; }, unknown>) => {
+            const data = Buffer.from(read(call.request.chunkDigest));
+            data[0] = (data[0] ?? 0) ^ 0xff;
+            call.write({ data, refusal: "" });
+            call.end();
+        },
+        readManifest: (_call: unknown, reply: (error: null, answer: unknown) => void) => {
+            reply(null, { manifest: Buffer.from("{}") });
+        },
+    };
+    const unused = () => undefined;
+    const server = await startRpcServer({
+        host: "127.0.0.1",
+        port: 0,
+        credentials: createCredentials(undefined),
+        node: { syncConfiguration: unused, readEvents: unused, readStatus: unused } as unknown as NodeServer,
+        agent: { dispatch: unused, watchState: unused, ...agent } as unknown as AgentServer,
+    });
+    const [runner] = fleet.runners;
+    const vm = { ...runner?.vm, name, address: `127.0.0.1:${server.port}` };
+    await sendRequest({ method: "PUT", url: `${fleet.platformUrl}/vms/${name}`, body: JSON.stringify(vm) });
+    return server;
+}
+
+// Guards against corrupted weights that reach an engine, and against a transfer that hangs because peers which
+// announce every chunk never deliver one. Three of ten VMs send corrupted chunks.
+test("a transfer completes although 30% of the peers send corrupted chunks", async () => {
+    await withFleet(7, async fleet => {
+        const { rootDigest, manifest } = await publish(fleet);
+        const digests = (manifest.files[0]?.chunks ?? []).map(chunk => chunk.digest);
+        const sizes = new Map(manifest.files[0]?.chunks.map(chunk => [chunk.digest, chunk.size]));
+        const read = (digest: string) => randomBytes(sizes.get(digest) ?? 1);
+        const names = ["corrupt-0", "corrupt-1", "corrupt-2"];
+        const peers = await Promise.all(names.map(name => startCorruptPeer(fleet, name, digests, read)));
+        try {
+            await rollOut(fleet, rootDigest);
+            await waitUntilServed(fleet, fleet.runners, rootDigest);
+            await checkLoads(fleet.runners);
+            assert.ok(await originBytes(fleet) <= 4 * BYTES);
+        }
+        finally {
+            await Promise.all(peers.map(peer => peer.stop(100)));
+        }
+    });
+});
+
+// Guards against a transfer that waits for killed VMs, and against a restarted agent that fetches again what
+// it has on disk.
+test("a transfer survives kill -9, and a restarted agent keeps its chunks", async () => {
+    await withFleet(6, async fleet => {
+        const { rootDigest } = await publish(fleet);
+        await rollOut(fleet, rootDigest);
+        const [first, second, ...others] = fleet.runners;
+        assert.ok(first && second);
+        await waitUntilHeld(fleet, [first, second], 0.4);
+        first.signal("SIGKILL");
+        second.signal("SIGKILL");
+        await Promise.all([first.exited, second.exited]);
+        await waitUntilServed(fleet, others, rootDigest);
+        const restarted = await fleet.restart(first);
+        await waitUntilServed(fleet, [restarted], rootDigest);
+        await checkLoads([...others, restarted]);
+        const transfer = (await fleet.readState(restarted)).transfers[0];
+        assert.ok(transfer !== undefined);
+        const { bytesFromOrigin, bytesFromDomain, bytesFromRegion } = transfer;
+        assert.ok(bytesFromOrigin + bytesFromDomain + bytesFromRegion <= 0.7 * BYTES);
+        assert.ok(await originBytes(fleet) <= 4 * BYTES);
+    });
+});
+
+// Guards against a transfer that waits for a VM whose connections stay open but which does nothing.
+test("a transfer completes while a peer is paused, and the peer completes afterwards", async () => {
+    await withFleet(5, async fleet => {
+        const { rootDigest } = await publish(fleet);
+        await rollOut(fleet, rootDigest);
+        const [paused, ...others] = fleet.runners;
+        assert.ok(paused);
+        await waitUntilHeld(fleet, [paused], 0.2);
+        paused.signal("SIGSTOP");
+        await waitUntilServed(fleet, others, rootDigest);
+        paused.signal("SIGCONT");
+        await waitUntilServed(fleet, [paused], rootDigest);
+        await checkLoads(fleet.runners);
+    });
+});
+
+// Guards against a rollout that needs the origin after every chunk has left it once.
+test("peers complete a transfer when the origin is out after one copy", async () => {
+    await withFleet(6, async fleet => {
+        const { rootDigest } = await publish(fleet);
+        await rollOut(fleet, rootDigest);
+        await waitUntil("one copy has left the origin", async () => await originBytes(fleet) >= BYTES, TIMEOUT_MS);
+        // The last bytes are still on their way to the VM that asked for them.
+        await sleep(300);
+        await fleet.setFaults(fleet.platformUrl, { objectsOutage: true });
+        const held = await Promise.all(fleet.runners.map(fleet.readState));
+        assert.ok(held.some(state => state.servingDigest !== rootDigest), "the outage came too late to matter");
+        await waitUntilServed(fleet, fleet.runners, rootDigest);
+        await checkLoads(fleet.runners);
+        assert.ok(await originBytes(fleet) <= 1.2 * BYTES);
+    });
+});
--- /dev/null
+++ b/src/test/core/chunkAssignment.test.ts
@@ -0,0 +1,58 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { assignChunk, MAX_TAKEOVER_STEPS, orderRegions, takeoverDelayMs } from "../../lib/core/chunkAssignment.js";
+
+const SEED = 1;
+const REGIONS = ["etela", "lansi", "pohjoinen"];
+const fleets = fc.uniqueArray(
+    fc.record({ name: fc.string({ minLength: 1, maxLength: 8 }), region: fc.constantFrom(...REGIONS) }),
+    { minLength: 1, maxLength: 30, selector: vm => vm.name },
+);
+const digests = fc.stringMatching(/^[0-9a-f]{64}$/);
+
+// Guards against a chunk that no VM of a region fetches, or that several fetch at once.
+test("the ranks of a region's VMs are 0, 1, 2 and so on", () => {
+    fc.assert(
+        fc.property(fleets, digests, (vms, digest) => {
+            for (const region of REGIONS) {
+                const members = vms.filter(vm => vm.region === region);
+                const ranks = members.map(vm => assignChunk(digest, vm, vms, "etela").rank).sort((a, b) => a - b);
+                assert.deepEqual(ranks, members.map((_, index) => index));
+            }
+        }),
+        { seed: SEED },
+    );
+});
+
+// Guards against regions that wait for each other, and against a source that does not fetch the chunk.
+test("sources are first in their region and in a region that comes earlier", () => {
+    fc.assert(
+        fc.property(fleets, digests, (vms, digest) => {
+            const order = orderRegions(digest, "etela", vms.map(vm => vm.region));
+            for (const vm of vms) {
+                const { sources } = assignChunk(digest, vm, vms, "etela");
+                assert.equal(sources.length, order.indexOf(vm.region));
+                for (const name of sources) {
+                    const source = vms.find(other => other.name === name);
+                    assert.ok(source !== undefined);
+                    assert.ok(order.indexOf(source.region) < order.indexOf(vm.region));
+                    assert.equal(assignChunk(digest, source, vms, "etela").rank, 0);
+                }
+            }
+        }),
+        { seed: SEED },
+    );
+});
+
+// Guards against a takeover that never falls due, or that comes before that of the VM before it.
+test("takeover delays grow with the rank up to a bound", () => {
+    const jitter = fc.double({ min: 0, max: 0.999, noNaN: true });
+    fc.assert(
+        fc.property(fc.nat(1000), jitter, jitter, (rank, a, b) => {
+            assert.ok(takeoverDelayMs(rank, a) <= takeoverDelayMs(MAX_TAKEOVER_STEPS, 1));
+            if (rank < MAX_TAKEOVER_STEPS) assert.ok(takeoverDelayMs(rank, a) < takeoverDelayMs(rank + 1, b));
+        }),
+        { seed: SEED },
+    );
+});
--- /dev/null
+++ b/src/test/core/transferPlan.test.ts
@@ -0,0 +1,99 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { createTransferPlan, type PlannedRequest, RequestOutcome, UPSTREAM } from "../../lib/core/transferPlan.js";
+
+const SEED = 1;
+const LIMITS = { maxRequests: 5, maxRequestsPerPeer: 2, maxUpstreamRequests: 2, maxDuplicates: 2 };
+
+function createPlan(chunkCount: number, seed: number, upstreamDueAt: (chunk: number) => number) {
+    const generator = xoroshiro128plus(seed);
+    const random = () => uniformFloat64(generator);
+    return { random, plan: createTransferPlan({ chunkCount, ...LIMITS, upstreamDueAt, random }) };
+}
+
+// Guards against a transfer that hangs or exceeds its limits when many requests fail, some peers always send
+// corrupted chunks and some never answer.
+test("a transfer completes within its limits under faults", () => {
+    const faults = fc.constantFrom(RequestOutcome.held, RequestOutcome.corrupt, RequestOutcome.stalled, "random");
+    fc.assert(
+        fc.property(
+            fc.integer({ min: 1, max: 40 }),
+            fc.array(faults, { maxLength: 8 }),
+            fc.nat(),
+            (chunks, peers, seed) => {
+                const { plan, random } = createPlan(chunks, seed, chunk => chunk * 10);
+                const running = new Map<PlannedRequest, number>();
+                // Every peer announces every chunk, also those that can't deliver it.
+                peers.forEach((_, peer) => {
+                    plan.addPeer(String(peer), peer % 2);
+                    for (let chunk = 0; chunk < chunks; chunk++) plan.peerHas(String(peer), chunk);
+                });
+                const outcomeOf = ({ source }: PlannedRequest) => {
+                    const fault = source === UPSTREAM ? "random" : peers[Number(source)] ?? "random";
+                    if (fault !== "random") return fault;
+                    const outcomes = Object.values(RequestOutcome);
+                    return outcomes[Math.floor(random() * outcomes.length)] ?? RequestOutcome.held;
+                };
+                let now = 0;
+                for (; plan.missing() > 0 && now < 3_600_000; now += 50) {
+                    for (let request = plan.next(now); request !== undefined; request = plan.next(now)) {
+                        assert.equal(plan.isHeld(request.chunk), false);
+                        running.set(request, now + 10 + random() * 2000);
+                    }
+                    checkLimits([...running.keys()]);
+                    for (const [request, endsAt] of running) {
+                        if (endsAt > now) continue;
+                        running.delete(request);
+                        plan.finish(request, outcomeOf(request), now);
+                    }
+                }
+                assert.equal(plan.missing(), 0);
+            },
+        ),
+        { seed: SEED, numRuns: 60 },
+    );
+});
+
+function checkLimits(running: readonly PlannedRequest[]): void {
+    const fromPeers = running.filter(({ source }) => source !== UPSTREAM);
+    assert.ok(fromPeers.length <= LIMITS.maxRequests);
+    assert.ok(running.length - fromPeers.length <= LIMITS.maxUpstreamRequests);
+    assert.ok(running.length - new Set(running.map(({ chunk }) => chunk)).size <= LIMITS.maxDuplicates);
+    for (const name of new Set(fromPeers.map(({ source }) => source))) {
+        assert.ok(fromPeers.filter(({ source }) => source === name).length <= LIMITS.maxRequestsPerPeer);
+    }
+}
+
+// Guards against a chunk that few VMs hold being lost with them because common chunks were fetched first.
+test("the rarest chunk is requested first, from the nearest peer that has it", () => {
+    const holdings = fc.array(fc.uniqueArray(fc.nat(9), { minLength: 1 }), { minLength: 1, maxLength: 6 });
+    fc.assert(
+        fc.property(holdings, fc.nat(), (peers, seed) => {
+            const { plan } = createPlan(10, seed, () => Infinity);
+            peers.forEach((chunks, peer) => {
+                plan.addPeer(String(peer), peer);
+                for (const chunk of chunks) plan.peerHas(String(peer), chunk);
+            });
+            const copies = (chunk: number) => peers.filter(chunks => chunks.includes(chunk)).length;
+            const request = plan.next(0);
+            assert.ok(request !== undefined);
+            assert.equal(copies(request.chunk), Math.min(...peers.flat().map(copies)));
+            assert.equal(Number(request.source), peers.findIndex(chunks => chunks.includes(request.chunk)));
+        }),
+        { seed: SEED },
+    );
+});
+
+// Guards against a wait for ever for a paused VM that alone has announced a chunk.
+test("a chunk that only a stalled peer has is fetched upstream", () => {
+    const { plan } = createPlan(1, SEED, () => 0);
+    plan.addPeer("paused", 0);
+    plan.peerHas("paused", 0);
+    const request = plan.next(0);
+    assert.equal(request?.source, "paused");
+    plan.finish(request, RequestOutcome.stalled, 100);
+    assert.equal(plan.next(100)?.source, UPSTREAM);
+});
