Bound pauses towards the origin and keep a source that has no chunk yet

Cause: after an outage of the origin the pause could reach 30 s, and a region went to the origin when the other region's VM had not fetched the chunk within one wait. Change: upstream pauses of at most 4 s; an unknown chunk counts as a failure of its source only when no chunk has arrived in the region for a while; four uploads and five requests in progress. Tests of uploads, of a version that replaces another, and of a stalled origin.

--- a/src/lib/agent/peerStrategy.ts
+++ b/src/lib/agent/peerStrategy.ts
@@ -17,7 +17,7 @@
 
 const log = createLog("agent:transfer");
 
-const MAX_REQUESTS = 6;
+const MAX_REQUESTS = 5;
 const MAX_REQUESTS_PER_PEER = 1;
 const MAX_DUPLICATES = 2;
 
@@ -170,7 +170,7 @@
 
     function report({ chunk, source }: PlannedRequest, { outcome }: ChunkResult, vm: Vm | undefined): void {
         const name = vm?.name ?? "origin";
-        if (source === UPSTREAM && outcome !== RequestOutcome.held && outcome !== RequestOutcome.busy) {
+        if (source === UPSTREAM && isFailure(outcome)) {
             upstreamFailures.set(chunk, (upstreamFailures.get(chunk) ?? 0) + 1);
         }
         if (source === UPSTREAM && outcome === RequestOutcome.held && (upstream[chunk]?.rank ?? 0) > 0) {
@@ -182,6 +182,12 @@
         if (outcome === RequestOutcome.corrupt) reportCorruption(chunk, name, vm === undefined);
     }
 
+    /** A source that does not have the chunk yet is kept while chunks still arrive in the region. */
+    function isFailure(outcome: RequestOutcome): boolean {
+        if (outcome === RequestOutcome.unknown) return now() - lastArrivalAt >= takeoverStepMs;
+        return outcome !== RequestOutcome.held && outcome !== RequestOutcome.busy;
+    }
+
     function reportCorruption(chunk: number, name: string, fromOrigin: boolean): void {
         events.record("transfer.chunkCorrupted", rootDigest, { chunk, source: name });
         const count = (corruptions.get(name) ?? 0) + 1;
--- a/src/lib/agent/uploads.ts
+++ b/src/lib/agent/uploads.ts
@@ -32,7 +32,7 @@
 const MAX_SENDING = 2;
 
 /** With more uploads in progress, the last would wait long enough to look stalled on a small link. */
-const MAX_UPLOADS = 6;
+const MAX_UPLOADS = 4;
 
 /** Requests that wait for a chunk hold no content, only a listener. */
 const MAX_WAITING = 512;
--- a/src/lib/core/transferPlan.ts
+++ b/src/lib/core/transferPlan.ts
@@ -75,6 +75,9 @@
 const MAX_PAUSE_MS = 30_000;
 const MAX_BUSY_PAUSE_MS = 200;
 
+/** Bounds the time that is lost after an outage of the origin has ended. */
+const MAX_UPSTREAM_PAUSE_MS = 4000;
+
 const SUSPENDING: ReadonlySet<RequestOutcome> = new Set([
     RequestOutcome.corrupt,
     RequestOutcome.stalled,
@@ -252,7 +255,8 @@
         upstreamRequests--;
         if (outcome === RequestOutcome.held || outcome === RequestOutcome.cancelled) return;
         const failures = (upstream.get(chunk)?.failures ?? 0) + 1;
-        upstream.set(chunk, { failures, notBefore: now + pauseMs(RequestOutcome.failed, failures) });
+        const pause = pauseMs(RequestOutcome.failed, failures);
+        upstream.set(chunk, { failures, notBefore: now + Math.min(MAX_UPSTREAM_PAUSE_MS, pause) });
     }
 
     function finishPeer({ source, chunk }: PlannedRequest, outcome: RequestOutcome, now: number): void {
--- a/src/test/agent/transfer.test.ts
+++ b/src/test/agent/transfer.test.ts
@@ -42,21 +42,24 @@
     }
 }
 
-async function publish(fleet: Fleet) {
-    const directory = join(fleet.directory, "weights");
+async function publish(fleet: Fleet, name = "weights") {
+    const directory = join(fleet.directory, name);
     await mkdir(directory);
     await writeFile(join(directory, "model.bin"), randomBytes(BYTES));
     const store = createObjectStore({ url: fleet.platformUrl, timeoutMs: 5000 });
     return publishDirectory({ directory, model: "m", chunkBytes: CHUNK_BYTES, store });
 }
 
-async function rollOut(fleet: Fleet, rootDigest: string): Promise<void> {
+/** Changes the profile and returns its new ETag. */
+async function rollOut(fleet: Fleet, rootDigest: string, etag?: string): Promise<string> {
     const [entry] = fleet.entries;
     assert.ok(entry);
     await sleep(SETTLE_MS);
     const profile = { name: "desk", model: "m", rootDigest, service: POOL };
-    const answer = await sendToEntry(entry, "PUT", "/admin/v1/profiles/desk", OPERATOR_TOKEN, profile);
+    const headers: Record<string, string> = etag === undefined ? {} : { "if-match": etag };
+    const answer = await sendToEntry(entry, "PUT", "/admin/v1/profiles/desk", OPERATOR_TOKEN, profile, headers);
     assert.equal(answer.status, 200, answer.body.toString());
+    return answer.headers.etag ?? "";
 }
 
 function waitUntilServed(fleet: Fleet, agents: readonly FleetProcess[], rootDigest: string): Promise<void> {
@@ -194,3 +197,30 @@
         assert.ok(await originBytes(fleet) <= 1.2 * BYTES);
     });
 });
+
+// Guards against a cancelled transfer that goes on, and against contents of two versions being mixed.
+test("a version that replaces another in mid-transfer is served whole", async () => {
+    await withFleet(4, async fleet => {
+        const first = await publish(fleet, "first");
+        const second = await publish(fleet, "second");
+        const etag = await rollOut(fleet, first.rootDigest);
+        await waitUntilHeld(fleet, fleet.runners, 0.3);
+        await rollOut(fleet, second.rootDigest, etag);
+        await waitUntilServed(fleet, fleet.runners, second.rootDigest);
+        await checkLoads(fleet.runners);
+    });
+});
+
+// Guards against requests to the origin that wait for ever on an open connection without data.
+test("a transfer completes after the origin has stalled", async () => {
+    await withFleet(4, async fleet => {
+        const { rootDigest } = await publish(fleet);
+        await rollOut(fleet, rootDigest);
+        await waitUntilHeld(fleet, fleet.runners, 0.1);
+        await fleet.setFaults(fleet.platformUrl, { stall: true });
+        await sleep(4000);
+        await fleet.setFaults(fleet.platformUrl, { stall: false });
+        await waitUntilServed(fleet, fleet.runners, rootDigest);
+        await checkLoads(fleet.runners);
+    });
+});
--- /dev/null
+++ b/src/test/agent/uploads.test.ts
@@ -0,0 +1,54 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { ChunkStore } from "../../lib/agent/chunkStore.js";
+import { createHeldVersions } from "../../lib/agent/heldVersions.js";
+import { createUploads, type UploadSink } from "../../lib/agent/uploads.js";
+import { digestOf, encodeManifest } from "../../lib/core/index.js";
+
+function setUp(send: () => Promise<void>) {
+    const content = Buffer.from("content of a chunk");
+    const chunk = { digest: digestOf(content), size: content.length };
+    const manifest = encodeManifest({
+        format: 1,
+        model: "m",
+        files: [{ path: "f", size: chunk.size, chunks: [chunk] }],
+    });
+    const store = { read: async () => content, readManifest: async () => undefined } as unknown as ChunkStore;
+    const held = createHeldVersions(store);
+    const version = held.open(digestOf(manifest), manifest);
+    const uploads = createUploads({ held, store, links: { receive: send, send }, regionOf: () => "etela" });
+    const received: Buffer[] = [];
+    const sink: UploadSink = {
+        write: data => received.push(data) > 0,
+        onDrain: () => undefined,
+        signal: new AbortController().signal,
+    };
+    const request = { process: "p", rootDigest: version.rootDigest, chunkDigest: chunk.digest, waitMs: 0 };
+    return { uploads, version, sink, request, received, content };
+}
+
+// Guards against a VM that takes on so many uploads that each of them looks stalled.
+test("uploads beyond the cap are refused as busy", async () => {
+    let release: () => void = () => undefined;
+    const released = new Promise<void>(resolve => release = resolve);
+    const { uploads, version, sink, request } = setUp(() => released);
+    version.hold(0);
+    const results = Array.from({ length: 20 }, () => uploads.send(request, sink));
+    const refused = await Promise.race([Promise.all(results.slice(10)), released]);
+    assert.deepEqual(refused, Array.from({ length: 10 }, () => "busy"));
+    release();
+    await Promise.all(results);
+    assert.equal(await uploads.send(request, sink), undefined);
+});
+
+// Guards against a region that polls a designated VM, or misses the chunk when it arrives.
+test("a request with a wait is answered when the chunk arrives, and refused when it doesn't", async () => {
+    const { uploads, version, sink, request, received, content } = setUp(async () => undefined);
+    assert.equal(await uploads.send(request, sink), "unknown");
+    assert.equal(await uploads.send({ ...request, waitMs: 20 }, sink), "unknown");
+    const waiting = uploads.send({ ...request, waitMs: 10_000 }, sink);
+    setTimeout(() => version.hold(0), 20);
+    assert.equal(await waiting, undefined);
+    assert.deepEqual(Buffer.concat(received), content);
+    assert.equal(version.bytesSent, content.length);
+});
