--- a/src/bench/bench.ts
+++ b/src/bench/bench.ts
@@ -13,6 +13,7 @@
 
 const benches: Readonly<Record<string, () => Promise<Bench>>> = {
     footprint: async () => (await import("./footprint.js")).run,
+    distribution: async () => (await import("./distribution.js")).run,
 };
 
 const { positionals, tokens } = parseArgs({ allowPositionals: true, strict: false, tokens: true });
--- a/src/lib/standIn/platform.ts
+++ b/src/lib/standIn/platform.ts
@@ -76,8 +76,8 @@
             links?.set(a, b, state);
             return answerJson(response, 200, {});
         }
-        const { outage, delayMs } = faults.current();
-        if (outage) {
+        const { outage, objectsOutage, delayMs } = faults.current();
+        if (outage || (objectsOutage && url.startsWith("/objects/"))) {
             request.socket.destroy();
             return;
         }
