Order loads under a lease, switch in slots and halt bad rollouts

Cause: two agents beside one engine could both order loads, every replica switched at once, and a version that fails its requests went everywhere. Change: leases in the table service without synchronized clocks, checked in the step that sends the order; maxUnavailable slots; judgement of the first requests after a switch. The config bench has outages longer than the time in which an entry settles a change.

--- a/src/bench/config.ts
+++ b/src/bench/config.ts
@@ -19,7 +19,8 @@
 
 const PROFILES = 6;
 const LOST_ANSWERS = 0.1;
-const OUTAGE_MS = 3000;
+/** In turn: shorter and longer than the time that an entry tries to settle a change. */
+const OUTAGES_MS = [3000, 10_000];
 const OUTAGE_INTERVAL_MS = 20_000;
 const SETTLE_MS = 2000;
 const REPEAT_ONE_IN = 10;
@@ -118,7 +119,7 @@
         const outage = { start: Date.now(), end: Infinity };
         outages.push(outage);
         await fleet.setFaults(fleet.platformUrl, { tableOutage: true });
-        await sleep(OUTAGE_MS);
+        await sleep(OUTAGES_MS[outages.length % OUTAGES_MS.length] ?? 0);
         await fleet.setFaults(fleet.platformUrl, { tableOutage: false });
         outage.end = Date.now();
     }
--- a/src/lib/agent/activation.ts
+++ b/src/lib/agent/activation.ts
@@ -1,13 +1,18 @@
 /**
  * Brings the engine to the version that the configuration names. This task is the sole issuer of orders
- * to the engine: it orders only complete and verified versions, reads the engine's state before and after
- * each order, and never issues an order for a revision older than the greatest one it has seen.
+ * to the engine: it orders only complete and verified versions and reads the engine's state before and
+ * after each order. It holds the engine's lease, and for a switch also one of the pool's slots, and
+ * validates the revision and both leases with the table right before the order. An empty engine has no
+ * version to mix answers with, so it is loaded without leases while the table can't be reached.
  */
-import { type Configuration, type Digest, profilesOf } from "../core/index.js";
+import { setTimeout as sleep } from "node:timers/promises";
+import VError from "verror";
+import { type Configuration, type Digest, judgeRollout, type ProfileEntry, profilesOf } from "../core/index.js";
 import type { ConfigurationSync, EventRecorder } from "../node/index.js";
 import { createLog } from "../observability/index.js";
 import type { Engine, EngineState } from "../platform/index.js";
 import type { ChunkStore } from "./chunkStore.js";
+import type { Lease, LeaseResult } from "./lease.js";
 import type { Transfer } from "./transfer.js";
 
 const log = createLog("agent:activation");
@@ -15,12 +20,33 @@
 /** Longest pause before the engine's state is read again or a failed step is retried. */
 const POLL_MS = 1000;
 
+/** Held leases are renewed about three times in their lifetime. */
+const RENEW_MS = 2500;
+
+/** Pauses between two tries to take a slot; they grow, because hundreds of agents can wait at once. */
+const FIRST_WAIT_MS = 250;
+const LONGEST_WAIT_MS = 4000;
+
+/** How long a switched replica keeps its slot while no request has shown whether the version works. */
+const OBSERVE_MS = 2000;
+
+/** Table for the leases of engines; the key is the name of the VM. */
+export const ENGINE_LEASE_TABLE = "engineLeases";
+
+/** Table for the slots of a pool, with keys `SERVICE.0`, `SERVICE.1` and so on. */
+export const SLOT_TABLE = "switchSlots";
+
 export interface Activation {
     /** State of the engine as last read. `digest` is empty while requests must not be sent to it. */
     readonly serving: () => EngineState;
     /** The transfer in progress or the last one. */
     readonly transfer: () => Transfer | undefined;
-    stop(): void;
+    /** Tells whether a complete version waits for a slot, for the engine's lease or for the table. */
+    readonly waiting: () => boolean;
+    /** Reports the outcome of a request that the engine answered or failed to answer. */
+    recordOutcome(succeeded: boolean): void;
+    /** Stops the task and frees its leases. */
+    stop(): Promise<void>;
 }
 
 export interface ActivationOptions {
@@ -32,20 +58,39 @@
     readonly startTransfer: (rootDigest: Digest) => Transfer;
     /** Waits until no request uses the engine and keeps new ones out until `resume` is called. */
     readonly pause: () => Promise<{ resume(): void; }>;
+    /** Returns the lease with a key; the same object for the same key. */
+    readonly lease: (tableName: string, key: string) => Lease;
+    readonly engineKey: string;
+    /** Pauses the profile if it still has the revision. Resolves to whether the outcome is settled. */
+    readonly haltRollout: (entry: ProfileEntry, reason: string) => Promise<boolean>;
     readonly onChange: () => void;
 }
 
+type Permission = "granted" | "refused" | "withoutTable";
+
+interface Halt {
+    readonly digest: Digest;
+    readonly reason: string;
+}
+
 const NOTHING_LOADED: EngineState = { digest: "", generation: 0, fence: 0 };
 
 export function startActivation(options: ActivationOptions): Activation {
-    const { engine, store, configuration, events } = options;
+    const { engine, store, configuration, events, service } = options;
+    const engineLease = options.lease(ENGINE_LEASE_TABLE, options.engineKey);
     let serving = NOTHING_LOADED;
     let transfer: Transfer | undefined;
+    let waiting = false;
     let stopped = false;
     let wake: () => void = () => undefined;
+    /** Last version that this process saw in the engine; a paused rollout may load it again. */
+    let servedBefore = "";
+    /** Outcomes since the last switch; `undefined` before the first switch. */
+    let outcomes: boolean[] | undefined;
+    let halt: Halt | undefined;
 
     configuration.onChange(() => {
-        const wanted = wantedDigest(configuration.current(), options.service);
+        const wanted = wantedDigest(configuration.current(), service);
         if (transfer !== undefined && transfer.rootDigest !== wanted) transfer.cancel();
         wake();
     });
@@ -55,58 +100,187 @@
             await step().catch((error: Error) => {
                 log.warn("the version could not be activated: %s", error.message);
             });
-            await new Promise<void>(resolve => {
-                wake = resolve;
-                setTimeout(resolve, POLL_MS).unref();
-            });
+            if (!stopped) await pauseOrWake(POLL_MS);
         }
     }
 
+    function pauseOrWake(ms: number): Promise<void> {
+        return new Promise<void>(resolve => {
+            const timer = setTimeout(resolve, ms).unref();
+            wake = () => {
+                clearTimeout(timer);
+                resolve();
+            };
+        });
+    }
+
     async function step(): Promise<void> {
         setServing(await engine.readState().catch(() => NOTHING_LOADED));
-        const wanted = wantedDigest(configuration.current(), options.service);
+        if (halt !== undefined) await reportHalt(halt);
+        const wanted = nextDigest();
         if (wanted === undefined || wanted === serving.digest) return;
         events.record("rollout.fetching", wanted);
         transfer = options.startTransfer(wanted);
         await transfer.done;
-        await order(wanted);
+        await activate(wanted);
+    }
+
+    /** Returns the version to serve next, or `undefined` if the engine stays as it is. */
+    function nextDigest(): Digest | undefined {
+        const current = configuration.current();
+        const wanted = wantedDigest(current, service);
+        const paused = profilesOf(current, service).some(({ profile }) => profile.paused);
+        return paused && wanted !== servedBefore ? undefined : wanted;
+    }
+
+    async function activate(digest: Digest): Promise<void> {
+        const held: Lease[] = [];
+        const renewal = setInterval(() => held.forEach(lease => void lease.acquire()), RENEW_MS);
+        try {
+            waiting = true;
+            let pauseMs = FIRST_WAIT_MS;
+            while (!stopped && nextDigest() === digest) {
+                const permission = await takeLeases(held);
+                const isFirst = serving.digest === "";
+                if (permission === "granted" || (permission === "withoutTable" && isFirst)) {
+                    waiting = false;
+                    if (await order(digest, held)) return await observe(digest, isFirst);
+                }
+                waiting = true;
+                await pauseOrWake(pauseMs * (0.5 + Math.random()));
+                pauseMs = Math.min(LONGEST_WAIT_MS, pauseMs * 1.5);
+            }
+        }
+        finally {
+            waiting = false;
+            clearInterval(renewal);
+            await Promise.all(held.map(lease => lease.release()));
+        }
     }
 
-    async function order(digest: Digest): Promise<void> {
+    /** Takes a slot of the pool if the engine serves another version, then the engine's lease. */
+    async function takeLeases(held: Lease[]): Promise<Permission> {
+        const slot = serving.digest === "" ? "held" : await takeSlot(held);
+        const result = slot === "held" ? await takeInto(held, engineLease) : slot;
+        if (result === "unavailable") return "withoutTable";
+        return result === "busy" ? "refused" : "granted";
+    }
+
+    /** Tries one slot at a time, so that hundreds of waiting agents cost the table one read each per try. */
+    function takeSlot(held: Lease[]): Promise<LeaseResult> {
+        const own = held.find(lease => lease !== engineLease);
+        if (own !== undefined) return takeInto(held, own);
+        const slots = Math.max(1, ...profilesOf(configuration.current(), service).map(e => e.profile.maxUnavailable));
+        const index = Math.floor(Math.random() * slots);
+        return takeInto(held, options.lease(SLOT_TABLE, `${service}.${index}`));
+    }
+
+    async function takeInto(held: Lease[], lease: Lease): Promise<LeaseResult> {
+        const result = await lease.acquire();
+        const index = held.indexOf(lease);
+        if (result === "held" && index === -1) held.push(lease);
+        if (result === "busy" && index >= 0) held.splice(index, 1);
+        return result;
+    }
+
+    /** Returns whether the engine serves the version; `false` asks for another try. */
+    async function order(digest: Digest, held: readonly Lease[]): Promise<boolean> {
         const gate = await options.pause();
         try {
-            const current = configuration.current();
-            if (wantedDigest(current, options.service) !== digest) return;
+            const renewed = await Promise.all(held.map(lease => lease.acquire()));
+            const terms = held.map(lease => ({ lease, epoch: lease.epoch() }));
+            // The revision and the engine's state are read under the leases: what another holder did before
+            // is seen here, and what it does later shows in an epoch.
+            const tableAnswers = await configuration.refresh();
+            if (nextDigest() !== digest) return false;
+            const { revision } = configuration.current();
+            const before = await engine.readState();
+            setServing(before);
+            if (before.digest === digest) return true;
+            if (before.fence > revision) throw staleOrder(before.fence, revision);
+            const isSwitch = before.digest !== "";
+            const needed = isSwitch ? 2 : tableAnswers ? 1 : 0;
+            if (held.length < needed || (isSwitch && !tableAnswers)) return false;
+            if (needed > 0 && renewed.some(result => result !== "held")) return false;
+            // Nothing may be awaited between this check and the order: the process can be stopped anywhere.
+            if (needed > 0 && terms.some(({ epoch, lease }) => !lease.valid() || lease.epoch() !== epoch)) return false;
+            const loading = engine.load({ digest, path: store.path(digest), fence: revision });
             setServing(NOTHING_LOADED);
-            await engine.load({ digest, path: store.path(digest), fence: current.revision });
-            const loaded = await engine.readState();
-            if (loaded.digest !== digest) throw new Error(`the engine serves ${loaded.digest} after the order`);
-            setServing(loaded);
-            events.record("rollout.serving", digest, { generation: loaded.generation });
+            await loading;
+            return await confirm(digest, isSwitch);
         }
         finally {
             gate.resume();
         }
     }
 
+    async function confirm(digest: Digest, isSwitch: boolean): Promise<boolean> {
+        const loaded = await engine.readState();
+        if (loaded.digest !== digest) throw new Error(`the engine serves ${loaded.digest} after the order`);
+        outcomes = isSwitch ? [] : undefined;
+        halt = undefined;
+        setServing(loaded);
+        events.record("rollout.serving", digest, { generation: loaded.generation });
+        return true;
+    }
+
+    /** Keeps the slot until the first requests on the new version have shown whether it works. */
+    async function observe(digest: Digest, isFirst: boolean): Promise<void> {
+        if (isFirst || outcomes === undefined) return;
+        const polls = 20;
+        for (let poll = 0; poll < polls && !stopped && judgeRollout(outcomes) === "open"; poll++) {
+            await sleep(OBSERVE_MS / polls);
+        }
+        if (halt !== undefined) await reportHalt(halt);
+        log.info("version %s is %s after its first requests", digest, judgeRollout(outcomes));
+    }
+
+    function recordOutcome(succeeded: boolean): void {
+        if (outcomes === undefined || judgeRollout(outcomes) !== "open") return;
+        outcomes.push(succeeded);
+        if (judgeRollout(outcomes) !== "failing") return;
+        const failures = outcomes.filter(outcome => !outcome).length;
+        const reason = `${failures} of the first ${outcomes.length} requests failed on ${options.engineKey}`;
+        halt = { digest: serving.digest, reason };
+        wake();
+    }
+
+    async function reportHalt(reported: Halt): Promise<void> {
+        const entries = profilesOf(configuration.current(), service).filter(({ profile }) => {
+            return profile.rootDigest === reported.digest && !profile.paused;
+        });
+        const settled = await Promise.all(entries.map(entry => options.haltRollout(entry, reported.reason)));
+        if (settled.every(Boolean) && halt === reported) halt = undefined;
+        events.record("rollout.halted", reported.digest, { reason: reported.reason });
+    }
+
     function setServing(state: EngineState): void {
         const changed = state.digest !== serving.digest || state.generation !== serving.generation;
         serving = state;
+        if (state.digest !== "") servedBefore = state.digest;
         if (changed) options.onChange();
     }
 
-    void run();
+    const running = run();
     return {
         serving: () => serving,
         transfer: () => transfer,
+        waiting: () => waiting,
+        recordOutcome,
         stop: () => {
             stopped = true;
             transfer?.cancel();
             wake();
+            return running;
         },
     };
 }
 
+function staleOrder(fence: number, revision: number): VError {
+    const format = "the engine has seen revision %d and this agent only %d; it waits for a newer configuration";
+    return new VError({ name: "ActivationError" }, format, fence, revision);
+}
+
 /** Returns the root digest that a pool serves, or `undefined` if no profile names the pool. */
 export function wantedDigest(configuration: Configuration, service: string): Digest | undefined {
     return profilesOf(configuration, service)[0]?.profile.rootDigest;
--- a/src/lib/agent/agent.ts
+++ b/src/lib/agent/agent.ts
@@ -1,4 +1,7 @@
 /** Starts the agent beside a backend server: configuration, transfer, activation, gate and its gRPC server. */
+import { randomUUID } from "node:crypto";
+import type { ProfileEntry } from "../core/index.js";
+import { createProfileStore } from "../entry/profileStore.js";
 import { createEventRecorder, createNodeService, startConfigurationSync, startMembershipTask } from "../node/index.js";
 import { createLog } from "../observability/index.js";
 import { createEngine, createObjectStore, createTableService, createVmList } from "../platform/index.js";
@@ -8,6 +11,8 @@
 import { createAgentService } from "./agentService.js";
 import { createChunkStore } from "./chunkStore.js";
 import { createGate } from "./gate.js";
+import { createElapsedClock, createLease, type Lease } from "./lease.js";
+import { reportOutcomes } from "./outcomes.js";
 import { startTransfer } from "./transfer.js";
 
 const log = createLog("agent");
@@ -45,6 +50,10 @@
         random: Math.random,
     });
     const store = createChunkStore(settings.weightsPath);
+    const elapsed = createElapsedClock(() => performance.now(), now);
+    const profileStore = createProfileStore({ table, weightStore, now: elapsed, random: Math.random });
+    const token = `${settings.process}/${randomUUID()}`;
+    const leases = new Map<string, Lease>();
     const listeners = new Set<() => void>();
     const announce = () => listeners.forEach(listener => listener());
     let activation: Activation | undefined;
@@ -57,6 +66,25 @@
         now,
     });
 
+    function lease(tableName: string, key: string): Lease {
+        const id = `${tableName}/${key}`;
+        const known = leases.get(id) ?? createLease({ table, tableName, key, token, now: elapsed });
+        leases.set(id, known);
+        return known;
+    }
+
+    async function haltRollout({ profile, revision }: ProfileEntry, reason: string): Promise<boolean> {
+        const result = await profileStore.apply({
+            changeId: `halt-${settings.process}-${revision}`,
+            name: profile.name,
+            action: { kind: "setPaused", paused: true, reason },
+            expectedRevision: revision,
+        });
+        log.warn("halting the rollout of %s: %s (%s)", profile.name, reason, result.kind);
+        if (result.kind === "accepted") configuration.offer({ ...result.configuration, changes: [] });
+        return result.kind !== "unavailable";
+    }
+
     function state(): AgentState {
         const serving = activation?.serving() ?? NOTHING_LOADED;
         const progress = activation?.transfer();
@@ -83,7 +111,7 @@
                 bytesFromRegion: 0,
                 bytesFromOtherRegions: 0,
                 bytesSent: 0,
-                phase: progress.progress.phase,
+                phase: activation?.waiting() === true ? "waitingForSlot" : progress.progress.phase,
                 error: progress.progress.error,
             }],
         };
@@ -98,7 +126,11 @@
         ...settings.rpc,
         credentials,
         node: createNodeService({ configuration, events, status }),
-        agent: createAgentService(gate, store, { current: state, subscribe }),
+        agent: createAgentService(
+            reportOutcomes(gate, succeeded => activation?.recordOutcome(succeeded)),
+            store,
+            { current: state, subscribe },
+        ),
     });
     if (backendServer.kind === "model") {
         activation = startActivation({
@@ -109,6 +141,9 @@
             events,
             startTransfer: rootDigest => startTransfer({ rootDigest, store, weightStore }),
             pause: gate.pause,
+            lease,
+            engineKey: settings.process,
+            haltRollout,
             onChange: announce,
         });
     }
@@ -118,7 +153,8 @@
         const drained = gate.drain();
         announce();
         await Promise.race([drained, new Promise(resolve => setTimeout(resolve, settings.drainMs).unref())]);
-        activation?.stop();
+        // An order in progress can take minutes; its lease then expires.
+        await Promise.race([activation?.stop(), new Promise(resolve => setTimeout(resolve, 1000).unref())]);
         await Promise.all([membership.stop(), configuration.stop()]);
         connections.close();
         await rpc.stop(1000);
--- a/src/lib/node/configurationSync.ts
+++ b/src/lib/node/configurationSync.ts
@@ -64,6 +64,8 @@
     readonly offer: (snapshot: Configuration) => void;
     /** Handles an exchange that another process started. */
     readonly exchange: (request: SyncConfigurationRequest) => SyncConfigurationResponse;
+    /** Reads the table now. Resolves to whether the table answered; nothing newer was committed before the call. */
+    readonly refresh: () => Promise<boolean>;
     /** Calls the listener after each new revision. */
     readonly onChange: (listener: ConfigurationListener) => void;
     /** Last time at which the table confirmed the revision here or at a process that told this one; 0 if never. */
@@ -108,21 +110,23 @@
         confirmedAt = Math.max(confirmedAt, Math.min(at, now()));
     }
 
-    async function poll(): Promise<void> {
+    /** Returns whether the table confirmed the revision that is now in force. */
+    async function poll(): Promise<boolean> {
         const startedAt = now();
         polledAt = startedAt;
         const read = await table.read(CONFIGURATION_TABLE, CONFIGURATION_KEY, etag);
-        if (read.kind === "unavailable") return;
+        if (read.kind === "unavailable") return false;
         if (read.kind === "found") {
             const snapshot = parseConfiguration(read.value);
             if (snapshot === undefined) {
                 log.warn("the configuration row is invalid; revision %d stays in force", current.revision);
-                return;
+                return false;
             }
             etag = read.etag;
             offer({ ...snapshot, changes: [] });
         }
         confirm(startedAt);
+        return true;
     }
 
     function domainVms(): Vm[] {
@@ -206,6 +210,7 @@
         current: () => current,
         offer,
         exchange,
+        refresh: poll,
         onChange: listener => listeners.push(listener),
         confirmedAt: () => confirmedAt,
     };
