--- a/src/bench/bench.ts
+++ b/src/bench/bench.ts
@@ -13,6 +13,7 @@
 
 const benches: Readonly<Record<string, () => Promise<Bench>>> = {
     config: async () => (await import("./config.js")).run,
+    subsets: async () => (await import("./subsets.js")).run,
 };
 
 const { positionals, tokens } = parseArgs({ allowPositionals: true, strict: false, tokens: true });
--- /dev/null
+++ b/src/bench/subsets.ts
@@ -0,0 +1,81 @@
+/**
+ * Bench `subsets`: the assignment of agents to entries at the two-year size, in the pure core. It counts
+ * the connections of each agent and those that move when one VM is lost.
+ */
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { assignSubsets, SUBSET_SIZE, type SubsetMember } from "../lib/core/index.js";
+import type { Figures } from "./bench.js";
+
+const DOMAINS = 9;
+
+type Assignment = ReadonlyMap<string, ReadonlySet<string>>;
+
+export async function run(options: Readonly<Record<string, string>>): Promise<Figures> {
+    const agents = members("runner", Number(options.runners ?? 2400));
+    const entries = members("entry", Number(options.entries ?? 420));
+    const size = Number(options.size ?? SUBSET_SIZE);
+    const samples = Number(options.samples ?? 20);
+    const generator = xoroshiro128plus(Number(options.seed ?? 1));
+    const startedAt = performance.now();
+    const whole = assignSubsets(entries, agents, size);
+    const milliseconds = performance.now() - startedAt;
+    const agentLosses: number[] = [];
+    const entryLosses: number[] = [];
+    let worstRatio = ratioOf(whole, agents);
+    for (let sample = 0; sample < samples; sample++) {
+        const fewerAgents = agents.toSpliced(uniformInt(generator, 0, agents.length - 1), 1);
+        const withoutAgent = assignSubsets(entries, fewerAgents, size);
+        agentLosses.push(countMoved(whole, withoutAgent));
+        const fewerEntries = entries.toSpliced(uniformInt(generator, 0, entries.length - 1), 1);
+        const withoutEntry = assignSubsets(fewerEntries, agents, size);
+        entryLosses.push(countMoved(whole, withoutEntry));
+        worstRatio = Math.max(worstRatio, ratioOf(withoutAgent, fewerAgents), ratioOf(withoutEntry, agents));
+    }
+    return {
+        runners: agents.length,
+        entries: entries.length,
+        subsetSize: size,
+        connections: entries.length * size,
+        smallestSubset: Math.min(...[...whole.values()].map(subset => subset.size)),
+        mostToLeastLoaded: ratioOf(whole, agents),
+        mostToLeastLoadedAfterLoss: worstRatio,
+        ownDomainShare: ownDomainShare(whole, entries, agents),
+        newConnectionsPerLostRunner: { mean: mean(agentLosses), most: Math.max(...agentLosses) },
+        newConnectionsPerLostEntry: { mean: mean(entryLosses), most: Math.max(...entryLosses) },
+        assignMilliseconds: Math.round(milliseconds),
+    };
+}
+
+function members(prefix: string, count: number): SubsetMember[] {
+    return Array.from({ length: count }, (_, index) => {
+        return { name: `${prefix}-${index}`, failureDomain: `domain-${index % DOMAINS}` };
+    });
+}
+
+function ratioOf(assignment: Assignment, agents: readonly SubsetMember[]): number {
+    const loads = new Map(agents.map(({ name }) => [name, 0]));
+    for (const subset of assignment.values()) {
+        for (const agent of subset) loads.set(agent, (loads.get(agent) ?? 0) + 1);
+    }
+    return Math.max(...loads.values()) / Math.min(...loads.values());
+}
+
+/** Counts the connections that entries make newly. */
+function countMoved(before: Assignment, after: Assignment): number {
+    let moved = 0;
+    for (const [entry, subset] of after) {
+        for (const agent of subset) if (before.get(entry)?.has(agent) !== true) moved++;
+    }
+    return moved;
+}
+
+function ownDomainShare(whole: Assignment, entries: readonly SubsetMember[], agents: readonly SubsetMember[]): number {
+    const domains = new Map([...entries, ...agents].map(({ failureDomain, name }) => [name, failureDomain]));
+    const pairs = [...whole].flatMap(([entry, subset]) => [...subset].map(agent => [entry, agent] as const));
+    return pairs.filter(([entry, agent]) => domains.get(entry) === domains.get(agent)).length / pairs.length;
+}
+
+function mean(values: readonly number[]): number {
+    return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
--- a/src/lib/standIn/engine.ts
+++ b/src/lib/standIn/engine.ts
@@ -115,6 +115,8 @@
         const prompt = body.prompt ?? body.messages?.map(message => message.content).join("\n") ?? "";
         const start = state;
         if (start.digest === "") return answerJson(response, 503, { error: "no version is loaded" });
+        const isBroken = start.digest === faults.current().failVersion;
+        if (isBroken) return answerJson(response, 500, { error: "broken" });
         await takeSlot(body.priority ?? 0);
         try {
             if (response.destroyed) {
--- a/src/lib/standIn/faults.ts
+++ b/src/lib/standIn/faults.ts
@@ -17,6 +17,8 @@
     tableOutage: z.boolean().default(false),
     /** Fraction of writes whose answer is lost after they have taken effect. */
     loseAnswers: z.number().min(0).max(1).default(0),
+    /** Root digest whose requests a model engine answers with 500; empty for none. */
+    failVersion: z.string().default(""),
     /** Fraction of objects that are sent with a wrong byte. */
     corrupt: z.number().min(0).max(1).default(0),
     /** Answers stop in the middle and the connection stays open. */
--- /dev/null
+++ b/src/test/agent/activation.test.ts
@@ -0,0 +1,137 @@
+import assert from "node:assert/strict";
+import { randomBytes } from "node:crypto";
+import { mkdir, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { type Fleet, OPERATOR_TOKEN, POOL, sendToEntry, startFleet, waitUntil } from "../../harness/index.js";
+import { createObjectStore } from "../../lib/platform/index.js";
+import { publishDirectory } from "../../lib/publish/index.js";
+
+async function publish(fleet: Fleet, name: string): Promise<string> {
+    const directory = join(fleet.directory, name);
+    await mkdir(directory);
+    await writeFile(join(directory, "model.bin"), randomBytes(100_000));
+    const store = createObjectStore({ url: fleet.platformUrl, timeoutMs: 5000 });
+    return (await publishDirectory({ directory, model: "m", store })).rootDigest;
+}
+
+/** Puts the profile `desk` on a version and returns its new entity tag. */
+async function roll(fleet: Fleet, rootDigest: string, etag?: string, maxUnavailable = 1): Promise<string> {
+    const [entry] = fleet.entries;
+    assert.ok(entry);
+    const profile = { name: "desk", model: "m", rootDigest, service: POOL, maxUnavailable };
+    const headers: Record<string, string> = etag === undefined ? {} : { "if-match": etag };
+    const answer = await sendToEntry(entry, "PUT", "/admin/v1/profiles/desk", OPERATOR_TOKEN, profile, headers);
+    assert.equal(answer.status, 200, answer.body.toString());
+    return answer.headers.etag ?? "";
+}
+
+async function served(fleet: Fleet): Promise<string[]> {
+    return Promise.all(
+        fleet.runners.filter(({ running }) => running()).map(async runner => {
+            return (await fleet.readState(runner)).servingDigest;
+        }),
+    );
+}
+
+function waitUntilAllServe(fleet: Fleet, digest: string, timeoutMs = 20_000) {
+    return waitUntil(`all serve ${digest}`, async () => (await served(fleet)).every(d => d === digest), timeoutMs);
+}
+
+// Guards against a switch of more replicas at a time than the profile allows, and against one in an outage.
+test("replicas switch one at a time and not while the table service is out", async () => {
+    const fleet = await startFleet({ entries: 1, runners: 3, bookings: 0 });
+    try {
+        const [a, b] = [await publish(fleet, "a"), await publish(fleet, "b")];
+        const etag = await roll(fleet, a);
+        await waitUntilAllServe(fleet, a);
+        await roll(fleet, b, etag);
+        await fleet.setFaults(fleet.platformUrl, { tableOutage: true });
+        await sleep(1000);
+        const atOutage = (await served(fleet)).filter(digest => digest === b).length;
+        await sleep(3000);
+        // One replica may hold its slot and leases from before the outage.
+        assert.ok((await served(fleet)).filter(digest => digest === b).length <= Math.max(1, atOutage));
+        await fleet.setFaults(fleet.platformUrl, { tableOutage: false });
+        let least = 3;
+        await waitUntil("all serve b", async () => {
+            const digests = await served(fleet);
+            least = Math.min(least, digests.filter(digest => digest !== "").length);
+            return digests.every(digest => digest === b);
+        }, 30_000);
+        assert.ok(least >= 2, `only ${least} replicas served during the rollout`);
+    }
+    finally {
+        await fleet.stop();
+    }
+});
+
+// Guards against an old agent that continues after a stop and orders the version that it wanted before.
+test("an agent that was stopped past its lease doesn't undo a newer version on an engine without fences", async () => {
+    const fleet = await startFleet({ entries: 1, runners: 1, bookings: 0, engine: { ignoresFence: true } });
+    try {
+        const [runner] = fleet.runners;
+        assert.ok(runner);
+        const [a, b, c] = [await publish(fleet, "a"), await publish(fleet, "b"), await publish(fleet, "c")];
+        const first = await roll(fleet, a);
+        await waitUntilAllServe(fleet, a);
+        const second = await roll(fleet, b, first);
+        await fleet.setFaults(fleet.platformUrl, { delayMs: 400 });
+        // With slow answers of the table, the stop falls between taking the lease and the order.
+        await waitUntil("the agent holds the lease", async () => {
+            const lease = await fetch(`${fleet.platformUrl}/tables/engineLeases/runner-0`);
+            return (await lease.text()).includes("runner-0/");
+        }, 20_000);
+        runner.signal("SIGSTOP");
+        await fleet.setFaults(fleet.platformUrl, { delayMs: 0 });
+        assert.ok((await evidence(runner.url)).loads.every(({ digest }) => digest === a));
+        const restarted = await fleet.restart(runner);
+        await roll(fleet, c, second);
+        await waitUntilAllServe(fleet, c, 40_000);
+        runner.signal("SIGCONT");
+        const loadsBefore = (await evidence(runner.url)).loads.length;
+        await sleep(3000);
+        const { loads, wrongLoads } = await evidence(runner.url);
+        assert.equal(wrongLoads, 0);
+        assert.deepEqual(loads.slice(loadsBefore), [], "the stopped agent sent an order");
+        assert.equal((await fleet.readState(restarted)).servingDigest, c);
+        await runner.stop(5000);
+    }
+    finally {
+        await fleet.stop();
+    }
+});
+
+async function evidence(url: string) {
+    return await (await fetch(`${url}/evidence`)).json() as { loads: { digest: string; }[]; wrongLoads: number; };
+}
+
+// Guards against a rollout that goes on although the replicas that switched fail their requests.
+test("a rollout is halted with a reason when the first requests on a switched replica fail", async () => {
+    const fleet = await startFleet({ entries: 1, runners: 2, bookings: 0 });
+    try {
+        const [entry] = fleet.entries;
+        assert.ok(entry);
+        const [a, b] = [await publish(fleet, "a"), await publish(fleet, "b")];
+        const etag = await roll(fleet, a);
+        await waitUntilAllServe(fleet, a);
+        await fleet.setFaults(fleet.runners[0]?.url ?? "", { failVersion: b });
+        await fleet.setFaults(fleet.runners[1]?.url ?? "", { failVersion: b });
+        await roll(fleet, b, etag);
+        const body = { model: "desk", max_tokens: 1, messages: [{ role: "user", content: "hello" }] };
+        await waitUntil("the rollout is paused", async () => {
+            await Promise.all(Array.from({ length: 4 }, () => {
+                return sendToEntry(entry, "POST", "/v1/chat/completions", "client-0", body);
+            }));
+            const shown = await sendToEntry(entry, "GET", "/admin/v1/profiles/desk", OPERATOR_TOKEN);
+            const { paused, pauseReason } = JSON.parse(shown.body.toString());
+            return paused === true && /of the first \d requests failed on runner-/.test(pauseReason);
+        }, 15_000);
+        await sleep(3000);
+        assert.ok((await served(fleet)).includes(a), "the other replica switched after the halt");
+    }
+    finally {
+        await fleet.stop();
+    }
+});
