Watch a bounded subset of agents and combine the list with evidence

Cause: an entry watched every agent in the list, dropped the evidence of a lost stream, and closed connections that requests could still use. Change: the directory uses core/membership and core/subset, replaces lost members of the subset, and closes connections after the longest answer. Conclusion: the whole-path and activation tests pass.

--- a/src/lib/entry/agentDirectory.ts
+++ b/src/lib/entry/agentDirectory.ts
@@ -1,23 +1,43 @@
 /**
- * Watches the state of the agents in the platform's list. An agent counts as usable only while its own
- * state messages arrive; the list alone adds no trust.
+ * Watches the state of a bounded subset of the agents in the platform's list. An agent counts as usable
+ * only while its own state messages arrive; the list alone adds no trust.
  */
 import type { ClientReadableStream } from "@grpc/grpc-js";
+import {
+    assignSubsets,
+    type Evidence,
+    isWorthWatching,
+    type ListedState,
+    NO_EVIDENCE,
+    SILENT_AFTER_MS,
+    SUBSET_SIZE,
+    type SubsetMember,
+    substitutesFor,
+    type Trust,
+    trustIn,
+} from "../core/index.js";
 import type { MembershipTask } from "../node/index.js";
 import { createLog } from "../observability/index.js";
+import type { Vm } from "../platform/index.js";
 import type { AgentState, Connections } from "../rpc/index.js";
 
 const log = createLog("entry:directory");
 
-/** An agent whose last state message is older than this is not used. */
-const STATE_TIMEOUT_MS = 3000;
-
 /** Pause between two comparisons of the watches with the list of VMs. */
 const RECONCILE_MS = 250;
 
 /** Versions whose last use is remembered; the oldest is forgotten first. */
 const REMEMBERED_VERSIONS = 256;
 
+/** Pause between two assignments of a large system, because one takes a few hundred milliseconds of a core. */
+const CHOOSE_INTERVAL_MS = 5000;
+
+/** Agents of each pool that an entry watches at least, so that one can fail. */
+const SMALLEST_POOL_SUBSET = 4;
+
+/** Longer than the longest answer (`limits.answerMs`). */
+const DROP_AFTER_MS = 150_000;
+
 export interface KnownAgent {
     readonly address: string;
     readonly state: AgentState;
@@ -43,14 +63,17 @@
 }
 
 interface Watch {
-    readonly call: ClientReadableStream<AgentState>;
+    readonly address: string;
     readonly startedAt: number;
+    /** `undefined` between the loss of a stream and the next try. */
+    call: ClientReadableStream<AgentState> | undefined;
     state: AgentState | undefined;
-    receivedAt: number;
+    evidence: Evidence;
 }
 
 export interface AgentDirectoryOptions {
     readonly process: string;
+    readonly failureDomain: string;
     readonly membership: MembershipTask;
     readonly connections: Connections;
     readonly now: () => number;
@@ -60,28 +83,85 @@
     const { connections, membership, now } = options;
     const watches = new Map<string, Watch>();
     const busyAt = new Map<string, number>();
+    let listed: ReadonlyMap<string, Vm> = new Map();
+    let chosen: ReadonlySet<string> = new Set();
+    let chosenFrom = "";
+    let chosenAt = Number.NEGATIVE_INFINITY;
 
     function reconcile(): void {
-        const listed = membership.current().filter(vm => vm.role === "agent" && vm.state === "live");
-        const addresses = new Set(listed.map(vm => vm.address));
-        for (const address of addresses) if (!watches.has(address)) watch(address);
-        for (const address of watches.keys()) if (!addresses.has(address)) forget(address);
+        const at = now();
+        const vms = membership.current();
+        listed = new Map(vms.map(vm => [vm.address, vm]));
+        choose(vms, at);
+        const wanted = new Set([...chosen, ...substitutes(at)]);
+        for (const address of wanted) if (!watches.has(address)) open(createWatch(address));
+        for (const watch of watches.values()) {
+            const { address, call, evidence } = watch;
+            const isWanted = wanted.has(address) && listedState(address) === "live";
+            const isKept = !isWanted && listedState(address) !== "live" &&
+                isWorthWatching(listedState(address), evidence, at);
+            if (!isWanted && !isKept) forget(watch);
+            else if (call === undefined) open(watch);
+        }
+    }
+
+    function choose(vms: readonly Vm[], at: number): void {
+        if (at - chosenAt < CHOOSE_INTERVAL_MS && vms.length > SUBSET_SIZE) return;
+        const live = vms.filter(vm => vm.state === "live");
+        const from = live.map(vm => `${vm.name} ${vm.address} ${vm.service} ${vm.failureDomain}`).join("\n");
+        if (from === chosenFrom) return;
+        chosenFrom = from;
+        chosenAt = at;
+        chosen = chooseAgents(vms, options);
     }
 
-    function watch(address: string): void {
-        const call = connections.agent(address).watchState({ process: options.process });
-        const entry: Watch = { call, startedAt: now(), state: undefined, receivedAt: 0 };
-        watches.set(address, entry);
+    /** Agents in place of those of the subset that are lost or silent, at most as many as half of the subset. */
+    function substitutes(at: number): string[] {
+        const missing = [...chosen].filter(address => {
+            const watch = watches.get(address);
+            return watch !== undefined && at - watch.startedAt > SILENT_AFTER_MS && trust(watch, at) !== "usable";
+        });
+        const services = new Map<string, number>();
+        for (const address of missing) {
+            const service = listed.get(address)?.service ?? "";
+            services.set(service, (services.get(service) ?? 0) + 1);
+        }
+        return [...services].flatMap(([service, count]) => {
+            const pool = liveAgents([...listed.values()]).filter(vm => vm.service === service).map(byAddress);
+            const own = { name: options.process, failureDomain: options.failureDomain };
+            return substitutesFor(own, pool, chosen, Math.min(count, SUBSET_SIZE / 2));
+        });
+    }
+
+    function listedState(address: string): ListedState {
+        return listed.get(address)?.state ?? "unlisted";
+    }
+
+    function trust({ address, evidence }: Watch, at: number): Trust {
+        return trustIn(listedState(address), evidence, at);
+    }
+
+    function createWatch(address: string): Watch {
+        const watch = { address, startedAt: now(), call: undefined, state: undefined, evidence: NO_EVIDENCE };
+        watches.set(address, watch);
+        return watch;
+    }
+
+    function open(watch: Watch): void {
+        const call = connections.agent(watch.address).watchState({ process: options.process });
+        watch.call = call;
         call.on("data", (state: AgentState) => {
-            entry.state = state;
-            entry.receivedAt = now();
+            watch.state = state;
+            watch.evidence = { heardAt: now(), leaving: state.leaving, lostAt: undefined };
             if (state.running + state.queued > 0) noteBusy(state.service, state.servingDigest);
         });
         const end = () => {
-            if (watches.get(address) === entry) watches.delete(address);
+            if (watch.call !== call) return;
+            watch.call = undefined;
+            watch.evidence = { ...watch.evidence, lostAt: now() };
         };
         call.on("error", error => {
-            log.info("the watch of %s failed: %s", address, error.message);
+            log.info("the watch of %s failed: %s", watch.address, error.message);
             end();
         });
         call.on("end", end);
@@ -96,38 +176,69 @@
         if (oldest !== undefined) busyAt.delete(oldest);
     }
 
-    function forget(address: string): void {
-        watches.get(address)?.call.cancel();
+    function forget(watch: Watch): void {
+        const { address, call } = watch;
+        watch.call = undefined;
+        call?.cancel();
         watches.delete(address);
-        connections.drop(address);
+        // Requests in progress may still use the connection of an agent that left the subset.
+        const drop = () => {
+            if (!watches.has(address)) connections.drop(address);
+        };
+        setTimeout(drop, DROP_AFTER_MS).unref();
     }
 
     function usable(service: string, at: number): KnownAgent[] {
         const found: KnownAgent[] = [];
-        for (const [address, { state, receivedAt }] of watches) {
-            if (state === undefined || state.service !== service || state.leaving) continue;
-            if (at - receivedAt <= STATE_TIMEOUT_MS) found.push({ address, state });
+        for (const watch of watches.values()) {
+            const { address, state } = watch;
+            if (state?.service === service && trust(watch, at) === "usable") found.push({ address, state });
         }
         return found;
     }
 
     function all(at: number): AgentReport[] {
-        return [...watches].map(([address, { state, receivedAt }]) => ({ address, state, ageMs: at - receivedAt }));
+        return [...watches.values()].map(({ address, evidence, state }) => {
+            return { address, state, ageMs: at - (evidence.heardAt ?? 0) };
+        });
     }
 
     function ready(at: number): boolean {
         if (membership.current().length === 0) return false;
         return [...watches.values()].every(({ state, startedAt }) => {
-            return state !== undefined || at - startedAt > STATE_TIMEOUT_MS;
+            return state !== undefined || at - startedAt > SILENT_AFTER_MS;
         });
     }
 
     function stop(): void {
         clearInterval(timer);
-        for (const { call } of watches.values()) call.cancel();
+        for (const { call } of watches.values()) call?.cancel();
     }
 
     const timer = setInterval(reconcile, RECONCILE_MS);
     const lastBusy = (service: string, digest: string) => busyAt.get(`${service} ${digest}`) ?? 0;
     return { usable, all, lastBusy, ready, stop };
 }
+
+/** Returns the addresses of an entry's agents. A pool's part of the subset follows its size. */
+function chooseAgents(vms: readonly Vm[], own: { process: string; failureDomain: string; }): Set<string> {
+    const agents = liveAgents(vms);
+    if (agents.length <= SUBSET_SIZE) return new Set(agents.map(({ address }) => address));
+    const others = vms.filter(vm => vm.role === "entry" && vm.state === "live" && vm.name !== own.process);
+    const entries = [...others, { name: own.process, failureDomain: own.failureDomain }];
+    const services = [...new Set(agents.map(({ service }) => service))];
+    const addresses = services.flatMap(service => {
+        const pool = agents.filter(vm => vm.service === service);
+        const size = Math.max(SMALLEST_POOL_SUBSET, Math.ceil(SUBSET_SIZE * pool.length / agents.length));
+        return [...assignSubsets(entries, pool.map(byAddress), size).get(own.process) ?? []];
+    });
+    return new Set(addresses);
+}
+
+function liveAgents(vms: readonly Vm[]): Vm[] {
+    return vms.filter(vm => vm.role === "agent" && vm.state === "live");
+}
+
+function byAddress({ address, failureDomain }: Vm): SubsetMember {
+    return { name: address, failureDomain };
+}
--- a/src/lib/entry/entry.ts
+++ b/src/lib/entry/entry.ts
@@ -44,7 +44,13 @@
         now,
         random: Math.random,
     });
-    const directory = startAgentDirectory({ process: settings.process, membership, connections, now });
+    const directory = startAgentDirectory({
+        process: settings.process,
+        failureDomain: settings.failureDomain,
+        membership,
+        connections,
+        now,
+    });
     const dispatcher = createDispatcher({ directory, connections, now, random: Math.random });
     const status = () => ({
         process: settings.process,
