Count requests of the entry as use of a profile; test adoption and retirement

Cause: agents' reports miss requests that end between two of them, so a profile in use could be retired without force. Change: the entry notes each dispatch under a profile.

--- a/src/lib/entry/adminApi.ts
+++ b/src/lib/entry/adminApi.ts
@@ -5,19 +5,21 @@
 import type { AgentDirectory } from "./agentDirectory.js";
 import { type Problem, rejection, sendProblem } from "./problem.js";
 import type { ChangeResult, ProfileStore } from "./profileStore.js";
+import type { ProfileUse } from "./profileUse.js";
 import { parseJsonObject, readLimitedBody } from "./requestBody.js";
 import type { EntryParts, RequestContext } from "./requestContext.js";
 
 const PROFILES_PATH = "/admin/v1/profiles";
 export const CHANGE_ID_HEADER = "endivewell-change-id";
 
-/** A profile counts as in use for this long after an agent last reported work on its version. */
+/** A profile counts as in use for this long after a request under it, or an agent's report of work on its version. */
 export const IN_USE_MS = 60_000;
 
 const RETRY_AFTER_MS = 1000;
 
 export interface AdminParts extends EntryParts {
     readonly profileStore: ProfileStore;
+    readonly profileUse: ProfileUse;
     readonly directory: AgentDirectory;
     /** Returns the status document of the system as this entry sees it. */
     readonly status: () => unknown;
@@ -131,10 +133,11 @@
 
 /** Returns why a profile counts as in use, or `undefined` if it doesn't. */
 function useOf(parts: AdminParts, { profile }: ProfileEntry): string | undefined {
-    const busy = parts.directory.lastBusy(profile.service, profile.rootDigest);
+    const reported = parts.directory.lastBusy(profile.service, profile.rootDigest);
+    const busy = Math.max(reported, parts.profileUse.lastUsed(profile.name));
     const ageMs = parts.now() - busy;
     if (ageMs > IN_USE_MS) return undefined;
-    return `agents worked on requests for this version ${Math.ceil(ageMs / 1000)} s ago; add force=true to retire it`;
+    return `the profile was used ${Math.ceil(ageMs / 1000)} s ago; add force=true to retire it`;
 }
 
 function answerChange(parts: AdminParts, context: RequestContext, change: ProfileChange, result: ChangeResult): void {
--- a/src/lib/entry/entry.ts
+++ b/src/lib/entry/entry.ts
@@ -8,6 +8,7 @@
 import { startAgentDirectory } from "./agentDirectory.js";
 import { createDispatcher } from "./dispatcher.js";
 import { createProfileStore } from "./profileStore.js";
+import { createProfileUse } from "./profileUse.js";
 import { startEntryServer } from "./server.js";
 
 const log = createLog("entry");
@@ -51,7 +52,8 @@
         connections,
         now,
     });
-    const dispatcher = createDispatcher({ directory, connections, now, random: Math.random });
+    const profileUse = createProfileUse(createDispatcher({ directory, connections, now, random: Math.random }), now);
+    const { dispatcher } = profileUse;
     const status = () => ({
         process: settings.process,
         configurationRevision: configuration.current().revision,
@@ -69,6 +71,7 @@
         events,
         now,
         profileStore,
+        profileUse,
         directory,
         status,
         ready: () => directory.ready(now()),
--- a/src/test/agent/activation.test.ts
+++ b/src/test/agent/activation.test.ts
@@ -67,6 +67,28 @@
     }
 });
 
+// Guards against a restarted agent that fetches and loads again what its engine serves.
+test("a restarted agent adopts the version that its engine serves", async () => {
+    const fleet = await startFleet({ entries: 1, runners: 1, bookings: 0 });
+    try {
+        const [runner] = fleet.runners;
+        assert.ok(runner);
+        const a = await publish(fleet, "a");
+        await roll(fleet, a);
+        await waitUntilAllServe(fleet, a);
+        const before = (await evidence(runner.url)).loads.length;
+        await runner.stop(5000);
+        const restarted = await fleet.restart(runner);
+        await waitUntilAllServe(fleet, a);
+        await sleep(1500);
+        assert.equal((await evidence(runner.url)).loads.length, before);
+        assert.deepEqual((await fleet.readState(restarted)).transfers, []);
+    }
+    finally {
+        await fleet.stop();
+    }
+});
+
 // Guards against an old agent that continues after a stop and orders the version that it wanted before.
 test("an agent that was stopped past its lease doesn't undo a newer version on an engine without fences", async () => {
     const fleet = await startFleet({ entries: 1, runners: 1, bookings: 0, engine: { ignoresFence: true } });
@@ -130,6 +152,17 @@
         }, 15_000);
         await sleep(3000);
         assert.ok((await served(fleet)).includes(a), "the other replica switched after the halt");
+
+        // The requests above count as use, so that a retirement needs `force`.
+        const shown = await sendToEntry(entry, "GET", "/admin/v1/profiles/desk", OPERATOR_TOKEN);
+        const headers = { "if-match": shown.headers.etag ?? "" };
+        const retire = (query: string) => {
+            return sendToEntry(entry, "DELETE", `/admin/v1/profiles/desk${query}`, OPERATOR_TOKEN, undefined, headers);
+        };
+        const refused = await retire("");
+        assert.equal(refused.status, 422);
+        assert.match(refused.body.toString(), /force=true/);
+        assert.equal((await retire("?force=true")).status, 200);
     }
     finally {
         await fleet.stop();
