--- a/src/bench/bench.ts
+++ b/src/bench/bench.ts
@@ -14,6 +14,8 @@
 const benches: Readonly<Record<string, () => Promise<Bench>>> = {
     footprint: async () => (await import("./footprint.js")).run,
     distribution: async () => (await import("./distribution.js")).run,
+    config: async () => (await import("./config.js")).run,
+    subsets: async () => (await import("./subsets.js")).run,
 };
 
 const { positionals, tokens } = parseArgs({ allowPositionals: true, strict: false, tokens: true });
--- a/src/lib/agent/agent.ts
+++ b/src/lib/agent/agent.ts
@@ -1,4 +1,7 @@
 /** Starts the agent beside a backend server: configuration, transfer, activation, gate and its gRPC server. */
+import { randomUUID } from "node:crypto";
+import type { ProfileEntry } from "../core/index.js";
+import { createProfileStore } from "../entry/profileStore.js";
 import { createEventRecorder, createNodeService, startConfigurationSync, startMembershipTask } from "../node/index.js";
 import { createLog } from "../observability/index.js";
 import { createEngine, createObjectStore, createTableService, createVmList } from "../platform/index.js";
@@ -11,6 +14,8 @@
 import { createGate } from "./gate.js";
 import { createHeldVersions } from "./heldVersions.js";
 import { createLinks } from "./links.js";
+import { createElapsedClock, createLease, type Lease } from "./lease.js";
+import { reportOutcomes } from "./outcomes.js";
 import { startTransfer } from "./transfer.js";
 import type { TransferEnvironment } from "./transferTask.js";
 import { createUploads } from "./uploads.js";
@@ -36,12 +41,22 @@
     const weightStore = createObjectStore({ url: platform.weightStoreUrl, timeoutMs });
     const engine = createEngine({ url: backendServer.url, timeoutMs });
     const membership = startMembershipTask(createVmList({ url: platform.vmListUrl, timeoutMs }), settings.pollMs);
-    const configuration = startConfigurationSync(table, settings.pollMs, now);
+    const credentials = createCredentials(settings.tls);
+    const connections = createConnections(credentials);
+    const configuration = startConfigurationSync({
+        process: settings.process,
+        failureDomain: settings.failureDomain,
+        table,
+        vms: membership.current,
+        connections,
+        events,
+        pollMs: settings.pollMs,
+        now,
+        random: Math.random,
+    });
     const store = createChunkStore(settings.weightsPath);
     const held = createHeldVersions(store);
     const links = createLinks(settings.links, settings.region, () => performance.now());
-    const credentials = createCredentials(settings.tls);
-    const connections = createConnections(credentials);
     const peers = () => {
         return membership.current().filter(vm => vm.service === settings.service && vm.name !== settings.process);
     };
@@ -69,6 +84,10 @@
         now: () => performance.now(),
         random: Math.random,
     };
+    const elapsed = createElapsedClock(() => performance.now(), now);
+    const profileStore = createProfileStore({ table, weightStore, now: elapsed, random: Math.random });
+    const token = `${settings.process}/${randomUUID()}`;
+    const leases = new Map<string, Lease>();
     const listeners = new Set<() => void>();
     const announce = () => listeners.forEach(listener => listener());
     let activation: Activation | undefined;
@@ -81,6 +100,25 @@
         now,
     });
 
+    function lease(tableName: string, key: string): Lease {
+        const id = `${tableName}/${key}`;
+        const known = leases.get(id) ?? createLease({ table, tableName, key, token, now: elapsed });
+        leases.set(id, known);
+        return known;
+    }
+
+    async function haltRollout({ profile, revision }: ProfileEntry, reason: string): Promise<boolean> {
+        const result = await profileStore.apply({
+            changeId: `halt-${settings.process}-${revision}`,
+            name: profile.name,
+            action: { kind: "setPaused", paused: true, reason },
+            expectedRevision: revision,
+        });
+        log.warn("halting the rollout of %s: %s (%s)", profile.name, reason, result.kind);
+        if (result.kind === "accepted") configuration.offer({ ...result.configuration, changes: [] });
+        return result.kind !== "unavailable";
+    }
+
     function state(): AgentState {
         const serving = activation?.serving() ?? NOTHING_LOADED;
         const progress = activation?.transfer();
@@ -107,12 +145,13 @@
                 bytesFromRegion: progress.progress.bytesFromRegion,
                 bytesFromOtherRegions: progress.progress.bytesFromOtherRegions,
                 bytesSent: progress.bytesSent(),
-                phase: progress.progress.phase,
+                phase: activation?.waiting() === true ? "waitingForSlot" : progress.progress.phase,
                 error: progress.progress.error,
             }],
         };
     }
 
+    const status = () => ({ ...state(), configurationAgeMs: now() - configuration.confirmedAt() });
     const subscribe = (listener: () => void) => {
         listeners.add(listener);
         return () => void listeners.delete(listener);
@@ -120,8 +159,13 @@
     const rpc = await startRpcServer({
         ...settings.rpc,
         credentials,
-        node: createNodeService({ configuration, events, status: state }),
-        agent: createAgentService(gate, held, uploads, { current: state, subscribe }),
+        node: createNodeService({ configuration, events, status }),
+        agent: createAgentService(
+            reportOutcomes(gate, succeeded => activation?.recordOutcome(succeeded)),
+            held,
+            uploads,
+            { current: state, subscribe },
+        ),
     });
     if (backendServer.kind === "model") {
         activation = startActivation({
@@ -132,6 +176,9 @@
             events,
             startTransfer: rootDigest => startTransfer(rootDigest, environment),
             pause: gate.pause,
+            lease,
+            engineKey: settings.process,
+            haltRollout,
             onChange: announce,
         });
     }
@@ -141,7 +188,8 @@
         const drained = gate.drain();
         announce();
         await Promise.race([drained, new Promise(resolve => setTimeout(resolve, settings.drainMs).unref())]);
-        activation?.stop();
+        // An order in progress can take minutes; its lease then expires.
+        await Promise.race([activation?.stop(), new Promise(resolve => setTimeout(resolve, 1000).unref())]);
         await Promise.all([membership.stop(), configuration.stop()]);
         connections.close();
         await rpc.stop(1000);
--- a/src/lib/standIn/faults.ts
+++ b/src/lib/standIn/faults.ts
@@ -15,8 +15,12 @@
     outage: z.boolean().default(false),
     /** As `outage`, for objects only: tables and the list of VMs stay available. */
     objectsOutage: z.boolean().default(false),
+    /** As `outage`, for the table service only. */
+    tableOutage: z.boolean().default(false),
     /** Fraction of writes whose answer is lost after they have taken effect. */
     loseAnswers: z.number().min(0).max(1).default(0),
+    /** Root digest whose requests a model engine answers with 500; empty for none. */
+    failVersion: z.string().default(""),
     /** Fraction of objects that are sent with a wrong byte. */
     corrupt: z.number().min(0).max(1).default(0),
     /** Answers stop in the middle and the connection stays open. */
