--- /dev/null
+++ b/src/lib/core/eventStream.ts
@@ -0,0 +1,38 @@
+/**
+ * Splits a server-sent event stream into whole events and counts those that carry output, so that an
+ * answer can be resumed at an exact position. Memory is bounded by the longest event.
+ */
+
+export interface EventSplitter {
+    /** Returns the bytes of the events that are complete now. Throws if an event is too long. */
+    push(piece: Buffer): Buffer;
+    /** Number of output events returned so far, without the closing `[DONE]`. */
+    readonly outputs: () => number;
+    readonly done: () => boolean;
+}
+
+const EVENT_END = "\n\n";
+const MAX_EVENT_BYTES = 256 * 1024;
+
+export function createEventSplitter(maxEventBytes = MAX_EVENT_BYTES): EventSplitter {
+    let pending = Buffer.alloc(0);
+    let outputs = 0;
+    let done = false;
+
+    function push(piece: Buffer): Buffer {
+        const all = pending.length === 0 ? piece : Buffer.concat([pending, piece]);
+        const last = all.lastIndexOf(EVENT_END);
+        const end = last < 0 ? 0 : last + EVENT_END.length;
+        // Copies, so that a short rest doesn't keep a large buffer alive.
+        pending = Buffer.from(all.subarray(end));
+        if (pending.length > maxEventBytes) throw new Error(`an event exceeds ${maxEventBytes} bytes`);
+        const complete = all.subarray(0, end);
+        for (const event of complete.toString("latin1").split(EVENT_END)) {
+            if (event === "data: [DONE]") done = true;
+            else if (event.startsWith("data:")) outputs++;
+        }
+        return complete;
+    }
+
+    return { push, outputs: () => outputs, done: () => done };
+}
--- /dev/null
+++ b/src/test/core/rankedQueue.test.ts
@@ -0,0 +1,111 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createRankedQueue, type QueueItem, type QueuePolicy, type Rank, RANKS } from "../../lib/core/index.js";
+
+const SEED = 6;
+const policy: QueuePolicy = { floors: { urgent: 0.5, standard: 0.2, overnight: 0.05 }, clientWeights: { heavy: 3 } };
+const NO_WAIT_LIMIT = { urgent: Infinity, standard: Infinity, overnight: Infinity };
+const options = { policy: () => policy, maxPerClient: 50, maxPerRank: 100, maxWaitMs: NO_WAIT_LIMIT };
+let nextId = 0;
+
+function item(rank: Rank, client: string, cost: number, deadline = Infinity): QueueItem<undefined> {
+    return { id: String(nextId++), rank, client, cost, deadline, value: undefined };
+}
+
+/** Serves for a while with every given rank always backlogged; returns tokens by key. */
+function serve(
+    sources: readonly { rank: Rank; client: string; cost: number; actual: number; }[],
+    keyOf: (i: QueueItem<undefined>) => string,
+) {
+    const queue = createRankedQueue<undefined>(options);
+    const served = new Map<string, number>();
+    const refill = (source: typeof sources[number], now: number) => {
+        queue.offer(item(source.rank, source.client, source.cost), now, 1000);
+    };
+    for (const source of sources) for (let i = 0; i < 5; i++) refill(source, 0);
+    for (let now = 1; now <= 3000; now++) {
+        const taken = queue.take(now);
+        const source = sources.find(({ rank, client }) => rank === taken?.rank && client === taken.client);
+        if (taken === undefined || source === undefined) continue;
+        queue.correct(taken, source.actual, now);
+        served.set(keyOf(taken), (served.get(keyOf(taken)) ?? 0) + source.actual);
+        refill(source, now);
+    }
+    return served;
+}
+
+// Guards against a flood of one rank, from either side, that takes the floor of another.
+test("each backlogged rank keeps its floor, and the rest goes to the most urgent", () => {
+    const cost = fc.integer({ min: 1, max: 40 });
+    fc.assert(
+        fc.property(cost, cost, cost, (a, b, c) => {
+            const costs = [a, b, c];
+            const sources = RANKS.map((rank, index) => {
+                return { rank, client: rank, cost: costs[index] ?? 1, actual: costs[index] ?? 1 };
+            });
+            const served = serve(sources, ({ rank }) => rank);
+            const total = [...served.values()].reduce((sum, tokens) => sum + tokens, 0);
+            for (const rank of RANKS) assert.ok((served.get(rank) ?? 0) / total >= 0.95 * policy.floors[rank]);
+            assert.ok((served.get("urgent") ?? 0) / total >= 0.7);
+        }),
+        { seed: SEED, numRuns: 20 },
+    );
+});
+
+// Guards against a client that gains by large requests or by estimates below its actual cost.
+test("backlogged clients share by weight whatever their costs and estimates are", () => {
+    const cost = fc.integer({ min: 1, max: 30 });
+    fc.assert(
+        fc.property(cost, cost, cost, (a, b, estimate) => {
+            const sources = [
+                { rank: "standard" as const, client: "heavy", cost: estimate, actual: a },
+                { rank: "standard" as const, client: "small", cost: b, actual: b },
+            ];
+            const served = serve(sources, ({ client }) => client);
+            const ratio = (served.get("heavy") ?? 0) / (served.get("small") ?? 1);
+            assert.ok(Math.abs(ratio - 3) < 0.3, `ratio ${ratio}`);
+        }),
+        { seed: SEED, numRuns: 20 },
+    );
+});
+
+// Guards against lost or doubled requests and against queues that grow without a bound.
+test("every offered item leaves exactly once and the bounds hold", () => {
+    const offers = fc.array(
+        fc.record({ rank: fc.constantFrom(...RANKS), client: fc.constantFrom("a", "b", "c"), deadline: fc.nat(200) }),
+        { maxLength: 150 },
+    );
+    fc.assert(
+        fc.property(offers, steps => {
+            const queue = createRankedQueue<undefined>({ ...options, maxPerClient: 10, maxPerRank: 15 });
+            const left: string[] = [];
+            const queued: string[] = [];
+            steps.forEach((step, now) => {
+                const offered = item(step.rank, step.client, 1, step.deadline + now);
+                const result = queue.offer(offered, now, 1e9);
+                if (result.kind === "queued") queued.push(offered.id);
+                if (result.kind === "queued" && result.displaced) left.push(result.displaced.id);
+                if (now % 3 === 0) left.push(...[queue.take(now)].flatMap(taken => taken ? [taken.id] : []));
+                if (now % 7 === 0 && queue.remove(offered.id)) left.push(offered.id);
+                if (now % 11 === 0) left.push(...queue.expire(now).map(({ id }) => id));
+                assert.ok(queue.length() <= 30);
+            });
+            left.push(...queue.clear().map(({ id }) => id));
+            assert.deepEqual(left.sort(), queued.sort());
+            assert.equal(queue.length(), 0);
+        }),
+        { seed: SEED },
+    );
+});
+
+// Guards against admission of work that can't start in time, and against refusal of a small client's work
+// because of a large client's backlog.
+test("a request is refused early by its own client's predicted wait", () => {
+    const maxWaitMs = { urgent: 1000, standard: 1000, overnight: 1000 };
+    const queue = createRankedQueue<undefined>({ ...options, maxWaitMs });
+    let refusals = 0;
+    for (let i = 0; i < 40; i++) if (queue.offer(item("urgent", "large", 100), 0, 1000).kind === "refused") refusals++;
+    assert.ok(refusals >= 28, `${refusals} refusals`);
+    assert.equal(queue.offer(item("urgent", "small", 100), 0, 1000).kind, "queued");
+});
--- /dev/null
+++ b/src/test/core/routing.test.ts
@@ -0,0 +1,50 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type Candidate, chooseAgent, createRetryBudget } from "../../lib/core/index.js";
+
+const SEED = 6;
+const idle = { running: 0, queued: 0, limit: 8, predictedWaitMs: 0, sentSinceReport: 0 };
+const sequence = (...numbers: number[]) => () => numbers.shift() ?? 0;
+
+// Guards against herding: a report lags, and every request goes to the agent that looked idle last.
+test("requests sent since the report count against a candidate", () => {
+    const candidates = [{ ...idle, address: "a", sentSinceReport: 4 }, { ...idle, address: "b", running: 2 }];
+    assert.equal(chooseAgent(candidates, undefined, sequence(0, 0))?.address, "b");
+});
+
+// Guards against prefix affinity that overloads one agent or lasts after the cache has dropped the prefix.
+test("affinity yields to overload and to age", () => {
+    const busy: Candidate[] = [{ ...idle, address: "a" }, { ...idle, address: "b", running: 2 }];
+    const choose = (candidates: Candidate[], ageMs: number) => {
+        return chooseAgent(candidates, { address: "b", ageMs }, sequence(0, 0))?.address;
+    };
+    assert.equal(choose(busy, 0), "b");
+    assert.equal(choose(busy, 600_000), "a");
+    assert.equal(choose([{ ...idle, address: "a" }, { ...idle, address: "b", predictedWaitMs: 600 }], 0), "a");
+    assert.equal(choose([{ ...idle, address: "a", running: 7 }, { ...idle, address: "b", running: 8 }], 0), "a");
+});
+
+// Guards against a choice outside the candidates for any random numbers.
+test("a candidate is chosen whenever there is one", () => {
+    const number = fc.double({ min: 0, max: 1, maxExcluded: true, noNaN: true });
+    fc.assert(
+        fc.property(fc.integer({ min: 1, max: 9 }), number, number, (count, a, b) => {
+            const candidates = Array.from({ length: count }, (_, i) => ({ ...idle, address: String(i) }));
+            assert.ok(
+                candidates.includes(chooseAgent(candidates, undefined, sequence(a, b)) ?? { ...idle, address: "" }),
+            );
+        }),
+        { seed: SEED },
+    );
+    assert.equal(chooseAgent([], undefined, Math.random), undefined);
+});
+
+// Guards against a retry storm: without successes, retries end.
+test("retries are limited to the burst plus a fraction of the successes", () => {
+    const budget = createRetryBudget({ ratio: 0.1, burst: 5 });
+    const takeAll = () => Array.from({ length: 100 }, () => budget.take()).filter(Boolean).length;
+    assert.equal(takeAll(), 5);
+    for (let i = 0; i < 21; i++) budget.success();
+    assert.equal(takeAll(), 2);
+});
