Queue, limit and refuse requests at the gate

Cause: the gate forwarded every request at once, so an overload of one rank slowed all. Change: the gate holds the ranked queue under the adaptive limit with floors and weights from the pool's profile, refuses early with notRun and a retry time, drops cancelled and expired requests, waits for slow readers with a bounded buffer, counts output tokens, passes only whole and valid events, and keeps queued requests during a planned switch. The agent reports running, queued, limit and predicted waits. Conclusion: capacity is shared where the requests of all entries meet.

--- a/src/lib/agent/agent.ts
+++ b/src/lib/agent/agent.ts
@@ -1,4 +1,5 @@
 /** Starts the agent beside a backend server: configuration, transfer, activation, gate and its gRPC server. */
+import { DEFAULT_QUEUE_POLICY, profilesOf } from "../core/index.js";
 import { createEventRecorder, createNodeService, startConfigurationSync, startMembershipTask } from "../node/index.js";
 import { createLog } from "../observability/index.js";
 import { createEngine, createObjectStore, createTableService, createVmList } from "../platform/index.js";
@@ -20,6 +21,12 @@
     stop(): Promise<void>;
 }
 
+/** Changes of the load are reported together, so that their number doesn't grow with the requests. */
+const LOAD_INTERVAL_MS = 100;
+
+/** With queues at the entries, the agent passes on whatever the entries' shares let through. */
+const UNLIMITED = 10_000;
+
 const NOTHING_LOADED = { digest: "", generation: 0, fence: 0 };
 
 export async function startAgent(settings: AgentSettings): Promise<RunningAgent> {
@@ -36,18 +43,30 @@
     const listeners = new Set<() => void>();
     const announce = () => listeners.forEach(listener => listener());
     let activation: Activation | undefined;
+    let loadTimer: NodeJS.Timeout | undefined;
+    const announceLoad = () => {
+        loadTimer ??= setTimeout(() => {
+            loadTimer = undefined;
+            announce();
+        }, LOAD_INTERVAL_MS);
+    };
 
     const gate = createGate({
         backendUrl: backendServer.url,
         kind: backendServer.kind,
         serving: () => activation?.serving() ?? NOTHING_LOADED,
         engine,
+        concurrency: settings.scheduling === "entryQueues" ? UNLIMITED : backendServer.concurrency,
+        policy: () => profilesOf(configuration.current(), settings.service)[0]?.profile ?? DEFAULT_QUEUE_POLICY,
+        ranked: settings.scheduling === "agentQueues",
+        onChange: announceLoad,
         now,
     });
 
     function state(): AgentState {
         const serving = activation?.serving() ?? NOTHING_LOADED;
         const progress = activation?.transfer();
+        const load = gate.load();
         return {
             process: settings.process,
             failureDomain: settings.failureDomain,
@@ -57,10 +76,10 @@
             servingDigest: serving.digest,
             loadGeneration: serving.generation,
             leaving: gate.leaving(),
-            running: gate.running(),
-            queued: 0,
-            concurrencyLimit: backendServer.concurrency,
-            predictedWaitMs: [0, 0, 0],
+            running: load.running,
+            queued: load.queued,
+            concurrencyLimit: Math.min(load.limit, backendServer.concurrency),
+            predictedWaitMs: load.predictedWaitMs,
             configurationRevision: configuration.current().revision,
             transfers: progress === undefined ? [] : [{
                 rootDigest: progress.rootDigest,
--- a/src/lib/agent/agentService.ts
+++ b/src/lib/agent/agentService.ts
@@ -1,5 +1,6 @@
 /** Handlers of the Agent service: dispatch of requests, state, manifests and chunks. */
 import type { ServerWritableStream } from "@grpc/grpc-js";
+import { once } from "node:events";
 import { placeChunks } from "../core/index.js";
 import type {
     AgentServer,
@@ -16,6 +17,9 @@
 /** Longest pause between two state messages. */
 const STATE_INTERVAL_MS = 1000;
 
+/** An entry that reads nothing for this long has stalled or its caller has. */
+const SLOW_READER_TIMEOUT_MS = 20_000;
+
 export interface StateFeed {
     readonly current: () => AgentState;
     /** Calls the listener after each change; returns a function that removes it. */
@@ -43,13 +47,20 @@
     call.on("cancelled", () => cancellation.abort());
     call.on("error", () => cancellation.abort());
     const sink = {
-        send: (frame: NonNullable<AnswerFrame["frame"]>) => void call.write({ attemptId, frame }),
+        send: (frame: NonNullable<AnswerFrame["frame"]>) => call.write({ attemptId, frame }),
+        drained: () => drained(call, cancellation.signal),
         end: () => call.end(),
         signal: cancellation.signal,
     };
     gate.dispatch(call.request, sink).catch((error: Error) => call.destroy(error));
 }
 
+/** Waits until an entry that reads slowly has caught up; gives up after a time, which frees the engine. */
+async function drained(call: ServerWritableStream<DispatchRequest, AnswerFrame>, signal: AbortSignal): Promise<void> {
+    if (!call.writableNeedDrain) return;
+    await once(call, "drain", { signal: AbortSignal.any([signal, AbortSignal.timeout(SLOW_READER_TIMEOUT_MS)]) });
+}
+
 function watchState(call: ServerWritableStream<WatchStateRequest, AgentState>, state: StateFeed): void {
     const send = () => void call.write(state.current());
     const timer = setInterval(send, STATE_INTERVAL_MS);
--- a/src/lib/agent/gate.ts
+++ b/src/lib/agent/gate.ts
@@ -3,28 +3,58 @@
  * voids an answer whose weights changed while it was made.
  */
 import type { IncomingMessage } from "node:http";
-import { Verdict } from "../core/index.js";
+import {
+    bindRequest,
+    createConcurrencyLimit,
+    createEventSplitter,
+    createRankedQueue,
+    isBindingKept,
+    isRank,
+    MAX_QUEUE_WAIT_MS,
+    type QueueItem,
+    type QueuePolicy,
+    Rank,
+    RANKS,
+    Verdict,
+} from "../core/index.js";
 import { createLog } from "../observability/index.js";
 import { type Engine, type EngineState, openRequest, wasNeverSent } from "../platform/index.js";
 import type { AnswerFrame, DispatchRequest } from "../rpc/index.js";
 
 const log = createLog("agent:gate");
 
+type Frame = NonNullable<AnswerFrame["frame"]>;
+
 /** One attempt's answer on its way to the entry. */
 export interface AnswerSink {
-    send(frame: NonNullable<AnswerFrame["frame"]>): void;
+    /** Returns false when the entry reads too slowly; the sender then waits for `drained`. */
+    send(frame: Frame): boolean;
+    /** Resolves when more can be sent; rejects if the entry reads nothing for too long. */
+    drained(): Promise<void>;
     end(): void;
     /** Aborts when the entry cancels the attempt. */
     readonly signal: AbortSignal;
 }
 
+export interface GateLoad {
+    readonly running: number;
+    readonly queued: number;
+    readonly limit: number;
+    /** Predicted wait of a new request by rank, most urgent first. */
+    readonly predictedWaitMs: number[];
+}
+
 export interface Gate {
+    /** Queues the request and resolves when its answer has ended. */
     dispatch(request: DispatchRequest, sink: AnswerSink): Promise<void>;
-    /** Waits until no request uses the engine and keeps new ones out until `resume` is called. */
+    /**
+     * Waits until no request uses the engine and keeps new ones out until `resume` is called. Queued
+     * requests stay queued; those that the engine can no longer serve are then refused.
+     */
     pause(): Promise<{ resume(): void; }>;
-    /** Refuses all further requests and resolves when those in progress have ended. */
+    /** Refuses all further and all queued requests and resolves when those in progress have ended. */
     drain(): Promise<void>;
-    readonly running: () => number;
+    readonly load: () => GateLoad;
     readonly leaving: () => boolean;
 }
 
@@ -33,6 +63,14 @@
     readonly kind: "model" | "plain";
     readonly serving: () => EngineState;
     readonly engine: Engine;
+    /** Greatest number of requests that run at the same time. */
+    readonly concurrency: number;
+    /** Floors and client weights in force. */
+    readonly policy: () => QueuePolicy;
+    /** `false` runs requests first in, first out without early refusal, as a baseline for benches. */
+    readonly ranked: boolean;
+    /** Called after each change of the load. */
+    readonly onChange: () => void;
     readonly now: () => number;
 }
 
@@ -41,38 +79,168 @@
 /** Time without any byte from the backend server after which an attempt fails. */
 const BACKEND_TIMEOUT_MS = 30_000;
 
+const MAX_QUEUED_PER_CLIENT = 64;
+const MAX_QUEUED_PER_RANK = 256;
+
+/** Interval at which queued requests whose deadline has passed are refused. */
+const EXPIRY_INTERVAL_MS = 250;
+
+/** Weight of a new sample in the mean rate of a slot. */
+const RATE_SMOOTHING = 0.1;
+
+/** Characters of a prompt that make about one token, as in the entry's estimate. */
+const CHARACTERS_PER_TOKEN = 4;
+
+/** The end of a whole answer, which holds its usage. */
+const TAIL_BYTES = 2048;
+
+interface Waiting {
+    readonly request: DispatchRequest;
+    readonly sink: AnswerSink;
+    /** Resolves `dispatch`. */
+    readonly settle: () => void;
+}
+
+type Item = QueueItem<Waiting>;
+
 export function createGate(options: GateOptions): Gate {
+    const { now } = options;
+    const queue = createRankedQueue<Waiting>({
+        policy: options.policy,
+        maxPerClient: options.ranked ? MAX_QUEUED_PER_CLIENT : Infinity,
+        maxPerRank: MAX_QUEUED_PER_RANK,
+        maxWaitMs: options.ranked ? MAX_QUEUE_WAIT_MS : { urgent: Infinity, standard: Infinity, overnight: Infinity },
+    });
+    const limit = createConcurrencyLimit({ max: options.concurrency });
     const idleWaiters: (() => void)[] = [];
+    let slotTokensPerSecond: number | undefined;
     let running = 0;
     let paused = false;
     let leaving = false;
+    let expiry: NodeJS.Timeout | undefined;
 
-    async function dispatch(request: DispatchRequest, sink: AnswerSink): Promise<void> {
-        const deadline = options.now() + request.remainingMs;
+    function dispatch(request: DispatchRequest, sink: AnswerSink): Promise<void> {
         const refusal = refusalOf(request);
-        if (refusal !== undefined) return refuse(sink, Verdict.notRun, refusal);
+        if (refusal !== undefined) {
+            refuse(sink, Verdict.notRun, refusal);
+            return Promise.resolve();
+        }
+        return new Promise(settle => enqueue(itemOf({ request, sink, settle })));
+    }
+
+    function refusalOf(request: DispatchRequest): string | undefined {
+        if (leaving) return "the VM is leaving";
+        if (options.kind === "plain") return undefined;
+        if (paused) return "the engine is switching versions";
+        if (bindRequest(request.rootDigest, options.serving()) === undefined) {
+            return "the engine doesn't serve the version";
+        }
+        return undefined;
+    }
+
+    function itemOf(value: Waiting): Item {
+        const { attemptId, rank, client, estimatedTokens, remainingMs } = value.request;
+        const rankOfItem = options.ranked && isRank(rank) ? rank : Rank.standard;
+        return {
+            id: attemptId,
+            rank: rankOfItem,
+            client: options.ranked ? client : "",
+            cost: Math.max(1, estimatedTokens),
+            deadline: now() + remainingMs,
+            value,
+        };
+    }
+
+    function enqueue(item: Item): void {
+        const { sink, settle } = item.value;
+        const offer = queue.offer(item, now(), tokensPerSecond());
+        if (offer.kind === "refused") {
+            refuse(sink, Verdict.notRun, offer.reason, offer.retryAfterMs);
+            return settle();
+        }
+        if (offer.displaced !== undefined) dismiss(offer.displaced, "the queue of the rank is full");
+        sink.signal.addEventListener("abort", () => {
+            if (!queue.remove(item.id)) return;
+            sink.end();
+            settle();
+            options.onChange();
+        });
+        expiry ??= setInterval(dismissExpired, EXPIRY_INTERVAL_MS);
+        pump();
+    }
+
+    /** Refuses a request that was removed from the queue, so it has certainly not run. */
+    function dismiss({ value }: Item, reason: string): void {
+        refuse(value.sink, Verdict.notRun, reason);
+        value.settle();
+    }
+
+    function dismissExpired(): void {
+        for (const item of queue.expire(now())) dismiss(item, "the deadline has passed");
+        if (queue.length() > 0) return;
+        clearInterval(expiry);
+        expiry = undefined;
+    }
+
+    /** Starts queued requests while there are free slots. */
+    function pump(): void {
+        while (!paused && running < limit.current()) {
+            const item = queue.take(now());
+            if (item === undefined) break;
+            void run(item);
+        }
+        options.onChange();
+    }
+
+    async function run(item: Item): Promise<void> {
+        const { request, sink, settle } = item.value;
         running++;
+        const startedAt = now();
+        const measured = measure(sink, now);
         try {
-            await forward(request, deadline, sink);
+            await forward(request, item.deadline, measured.sink);
+        }
+        catch (error) {
+            log.warn("attempt %s failed: %s", request.attemptId, (error as Error).message);
+            finish(sink, Verdict.mayHaveRun, "the agent failed");
         }
         finally {
+            learn(item, startedAt, measured);
             running--;
             if (running === 0) idleWaiters.splice(0).forEach(resolve => resolve());
+            settle();
+            pump();
         }
     }
 
-    function refusalOf(request: DispatchRequest): string | undefined {
-        if (leaving) return "the VM is leaving";
-        if (options.kind === "plain") return undefined;
-        if (paused) return "the engine is switching versions";
-        if (options.serving().digest !== request.rootDigest) return "the engine doesn't serve the version";
-        return undefined;
+    /** Corrects the estimated cost and adapts the limit and the rate. */
+    function learn(item: Item, startedAt: number, { firstDataAt, lastDataAt, outputTokens }: Measured): void {
+        const ended = outputTokens();
+        if (ended === undefined) return;
+        const prompt = Math.ceil(item.value.request.body.length / CHARACTERS_PER_TOKEN);
+        const cost = options.kind === "plain" ? 1 : Math.max(1, prompt + ended);
+        queue.correct(item, cost, now());
+        const rate = 1000 * cost / Math.max(1, now() - startedAt);
+        slotTokensPerSecond = slotTokensPerSecond === undefined ?
+            rate :
+            slotTokensPerSecond + RATE_SMOOTHING * (rate - slotTokensPerSecond);
+        const [first, last] = [firstDataAt(), lastDataAt()];
+        if (options.kind === "plain" || first === undefined || last === undefined || last === first) return;
+        limit.firstToken(first - startedAt, running, now());
+        if (ended > 1) limit.betweenTokens((last - first) / (ended - 1), running, now());
+    }
+
+    /** Infinite until the first answer has ended, so that nothing is refused on a guess. */
+    function tokensPerSecond(): number {
+        return slotTokensPerSecond === undefined ? Infinity : slotTokensPerSecond * limit.current();
     }
 
     async function forward(request: DispatchRequest, deadline: number, sink: AnswerSink): Promise<void> {
         const start = options.serving();
+        const refusal = refusalOf(request);
+        if (refusal !== undefined) return refuse(sink, Verdict.notRun, refusal);
         if (options.now() >= deadline) return refuse(sink, Verdict.notRun, "the deadline has passed");
-        sink.send({ $case: "admitted", admitted: { loadGeneration: start.generation, queueLength: 0 } });
+        sink.send({ $case: "admitted", admitted: { loadGeneration: start.generation, queueLength: queue.length() } });
         let response: IncomingMessage;
         try {
             response = await openRequest({
@@ -102,17 +270,26 @@
             response.destroy();
             return refuse(sink, Verdict.mayHaveRun, "the engine changed its version");
         }
+        if (request.resumePosition > 0 && response.headers["x-engine-resumed"] !== String(request.resumePosition)) {
+            response.destroy();
+            return refuse(sink, Verdict.ran, "the engine can't resume the answer");
+        }
         sink.send({ $case: "head", head: { status: response.statusCode ?? 502, headers: headersOf(response) } });
+        const counter = createOutputCounter(response);
         try {
             for await (const piece of response as AsyncIterable<Buffer>) {
-                sink.send({ $case: "data", data: piece });
+                const whole = counter.push(piece);
+                if (whole.length > 0 && !sink.send({ $case: "data", data: whole })) await sink.drained();
             }
+            if (!counter.complete()) throw new Error("the stream ended early");
             const error = await endProblem(start);
-            finish(sink, error === "" ? Verdict.ran : Verdict.mayHaveRun, error);
+            // A void answer did run, and its beginning must not be continued by another attempt.
+            finish(sink, Verdict.ran, error, counter.outputs());
         }
         catch (error) {
+            response.destroy();
             log.info("attempt %s broke off: %s", request.attemptId, (error as Error).message);
-            finish(sink, Verdict.mayHaveRun, "the backend server broke off its answer");
+            finish(sink, Verdict.mayHaveRun, "the backend server broke off its answer", counter.outputs());
         }
     }
 
@@ -120,39 +297,117 @@
     async function endProblem(start: EngineState): Promise<string> {
         if (options.kind === "plain") return "";
         const end = await options.engine.readState();
-        const same = end.generation === start.generation && end.digest === start.digest;
-        return same ? "" : "the engine changed its version during the answer";
+        const binding = { rootDigest: start.digest, generation: start.generation };
+        return isBindingKept(binding, end) ? "" : "the engine changed its version during the answer";
     }
 
     async function pause(): Promise<{ resume(): void; }> {
         paused = true;
         await idle();
-        return { resume: () => paused = false };
+        return { resume };
+    }
+
+    function resume(): void {
+        paused = false;
+        pump();
     }
 
     function drain(): Promise<void> {
         leaving = true;
+        for (const item of queue.clear()) dismiss(item, "the VM is leaving");
+        clearInterval(expiry);
         return idle();
     }
 
+    function load(): GateLoad {
+        const rate = tokensPerSecond();
+        return {
+            running,
+            queued: queue.length(),
+            limit: limit.current(),
+            predictedWaitMs: RANKS.map(rank =>
+                Math.min(MAX_REPORTED_WAIT_MS, Math.round(queue.predictWaitMs(rank, now(), rate)))
+            ),
+        };
+    }
+
     function idle(): Promise<void> {
         if (running === 0) return Promise.resolve();
         return new Promise(resolve => idleWaiters.push(resolve));
     }
 
-    return { dispatch, pause, drain, running: () => running, leaving: () => leaving };
+    return { dispatch, pause, drain, load, leaving: () => leaving };
 }
 
-function refuse(sink: AnswerSink, verdict: Verdict, reason: string): void {
-    sink.send({ $case: "refused", refused: { verdict, reason, retryAfterMs: RETRY_AFTER_MS } });
+const MAX_REPORTED_WAIT_MS = 3_600_000;
+
+function refuse(sink: AnswerSink, verdict: Verdict, reason: string, retryAfterMs = RETRY_AFTER_MS): void {
+    sink.send({
+        $case: "refused",
+        refused: { verdict, reason, retryAfterMs: Math.min(retryAfterMs, MAX_REPORTED_WAIT_MS) },
+    });
     sink.end();
 }
 
-function finish(sink: AnswerSink, verdict: Verdict, error: string): void {
-    sink.send({ $case: "end", end: { verdict, error, outputTokens: 0 } });
+function finish(sink: AnswerSink, verdict: Verdict, error: string, outputTokens = 0): void {
+    sink.send({ $case: "end", end: { verdict, error, outputTokens } });
     sink.end();
 }
 
+interface Measured {
+    readonly sink: AnswerSink;
+    readonly firstDataAt: () => number | undefined;
+    readonly lastDataAt: () => number | undefined;
+    /** `undefined` unless the answer ended without an error. */
+    readonly outputTokens: () => number | undefined;
+}
+
+/** Observes the frames of an attempt for the limit and the correction of its cost. */
+function measure(sink: AnswerSink, now: () => number): Measured {
+    let firstDataAt: number | undefined;
+    let lastDataAt: number | undefined;
+    let outputTokens: number | undefined;
+
+    function send(frame: Frame): boolean {
+        if (frame.$case === "data") {
+            lastDataAt = now();
+            firstDataAt ??= lastDataAt;
+        }
+        if (frame.$case === "end" && frame.end.error === "") outputTokens = frame.end.outputTokens;
+        return sink.send(frame);
+    }
+
+    return {
+        sink: { ...sink, send },
+        firstDataAt: () => firstDataAt,
+        lastDataAt: () => lastDataAt,
+        outputTokens: () => outputTokens,
+    };
+}
+
+interface OutputCounter {
+    /** Returns the bytes to pass on now: whole events of an event stream, or every byte otherwise. */
+    push(piece: Buffer): Buffer;
+    readonly outputs: () => number;
+    readonly complete: () => boolean;
+}
+
+function createOutputCounter(response: IncomingMessage): OutputCounter {
+    if ((response.headers["content-type"] ?? "").startsWith("text/event-stream")) {
+        const splitter = createEventSplitter();
+        return { push: splitter.push, outputs: splitter.outputs, complete: splitter.done };
+    }
+    let tail = "";
+    return {
+        push: piece => {
+            tail = (tail + piece.toString("latin1", Math.max(0, piece.length - TAIL_BYTES))).slice(-TAIL_BYTES);
+            return piece;
+        },
+        outputs: () => Number(/"completion_tokens":\s*(\d{1,9})/.exec(tail)?.[1] ?? 0),
+        complete: () => true,
+    };
+}
+
 function answeredBy(response: IncomingMessage, state: EngineState): boolean {
     return response.headers["x-engine-digest"] === state.digest &&
         response.headers["x-engine-generation"] === String(state.generation);
--- a/src/lib/core/eventStream.ts
+++ b/src/lib/core/eventStream.ts
@@ -4,7 +4,7 @@
  */
 
 export interface EventSplitter {
-    /** Returns the bytes of the events that are complete now. Throws if an event is too long. */
+    /** Returns the bytes of the events that are complete now. Throws if an event is too long or malformed. */
     push(piece: Buffer): Buffer;
     /** Number of output events returned so far, without the closing `[DONE]`. */
     readonly outputs: () => number;
@@ -29,10 +29,23 @@
         const complete = all.subarray(0, end);
         for (const event of complete.toString("latin1").split(EVENT_END)) {
             if (event === "data: [DONE]") done = true;
-            else if (event.startsWith("data:")) outputs++;
+            else if (event.startsWith("data:")) {
+                checkJson(event);
+                outputs++;
+            }
+            else if (event !== "" && !event.startsWith(":")) throw new Error("an event has no data");
         }
         return complete;
     }
 
     return { push, outputs: () => outputs, done: () => done };
 }
+
+function checkJson(event: string): void {
+    try {
+        JSON.parse(event.slice("data:".length));
+    }
+    catch {
+        throw new Error("an event isn't valid JSON");
+    }
+}
--- a/src/lib/core/rank.ts
+++ b/src/lib/core/rank.ts
@@ -17,6 +17,16 @@
 /** Time between tokens that 95 in 100 requests must meet. */
 export const INTER_TOKEN_TARGET_MS = 74;
 
+/**
+ * Longest predicted wait with which a request is admitted. Urgent work keeps a quarter of the time to the
+ * first token for the engine; the others may wait as long as a caller usually does.
+ */
+export const MAX_QUEUE_WAIT_MS: Readonly<Record<Rank, number>> = {
+    urgent: 1500,
+    standard: 8000,
+    overnight: 60_000,
+};
+
 export function isRank(text: string): text is Rank {
     return RANKS.some(rank => rank === text);
 }
--- a/src/lib/core/rankedQueue.ts
+++ b/src/lib/core/rankedQueue.ts
@@ -24,6 +24,12 @@
     readonly clientWeights: Readonly<Record<string, number>>;
 }
 
+/** Policy of a pool without a profile, such as a plain service. */
+export const DEFAULT_QUEUE_POLICY: QueuePolicy = {
+    floors: { urgent: 0.5, standard: 0.2, overnight: 0.05 },
+    clientWeights: {},
+};
+
 export interface RankedQueueOptions {
     /** Read at each decision, because an operator may change it. */
     readonly policy: () => QueuePolicy;
--- a/src/lib/core/routing.ts
+++ b/src/lib/core/routing.ts
@@ -59,3 +59,28 @@
 function isOverloaded({ running, limit, predictedWaitMs, sentSinceReport }: Candidate): boolean {
     return predictedWaitMs > OVERLOAD_WAIT_MS || running + sentSinceReport >= limit;
 }
+
+/** Remembers where prefixes were used last. Bounded: the prefix that was used longest ago is forgotten. */
+export interface AffinityTable {
+    find(prefix: string, now: number): PrefixAffinity | undefined;
+    record(prefix: string, address: string, now: number): void;
+}
+
+export function createAffinityTable(capacity: number): AffinityTable {
+    // A Map keeps the order of insertion, so its first key is the oldest.
+    const uses = new Map<string, { address: string; usedAt: number; }>();
+
+    function find(prefix: string, now: number): PrefixAffinity | undefined {
+        const use = uses.get(prefix);
+        return use && { address: use.address, ageMs: now - use.usedAt };
+    }
+
+    function record(prefix: string, address: string, now: number): void {
+        uses.delete(prefix);
+        uses.set(prefix, { address, usedAt: now });
+        const [oldest] = uses.keys();
+        if (uses.size > capacity && oldest !== undefined) uses.delete(oldest);
+    }
+
+    return { find, record };
+}
--- a/src/lib/settings/schema.ts
+++ b/src/lib/settings/schema.ts
@@ -55,6 +55,12 @@
     metrics: metricsSchema.optional(),
     /** Interval between two reads of the configuration row and of the list of VMs. */
     pollMs: milliseconds.default(500),
+    /**
+     * Where requests wait: in ranked queues at the agents; in ranked queues at the entries, which send only
+     * what fits their static share of an agent; or first in, first out at agents chosen at random. The
+     * latter two exist for comparison. All processes of a fleet use the same value.
+     */
+    scheduling: z.enum(["agentQueues", "entryQueues", "fifo"]).default("agentQueues"),
     /** How long a planned stop waits for requests in progress. */
     drainMs: milliseconds.default(30_000),
 };
@@ -79,6 +85,8 @@
         bodyBytes: z.int().min(1024).default(1024 * 1024),
         headerBytes: z.int().min(1024).default(16 * 1024),
         connections: z.int().min(1).default(2000),
+        /** Requests of one account that this entry works on at the same time. */
+        requestsPerClient: z.int().min(1).default(500),
         /** Time a caller may take to send a whole request. */
         requestMs: milliseconds.default(15_000),
         /** Longest time until an answer ends. */
