Route by predicted work and bound retries at the dispatcher

Cause: agents were chosen at random, retries had no budget and a silent agent held its requests. Change: two random candidates by predicted work with prefix affinity, a retry budget, abandonment of silent agents, a head that waits for the first byte, resumed event streams at the exact position, a watch that outlives the list of VMs, backpressure from the caller, a bound of requests per account and the second design with queues at the entries behind the setting scheduling.

--- a/src/lib/entry/agentDirectory.ts
+++ b/src/lib/entry/agentDirectory.ts
@@ -15,11 +15,18 @@
 /** Pause between two comparisons of the watches with the list of VMs. */
 const RECONCILE_MS = 250;
 
+/** A request that was sent so shortly before a report is probably not counted in it. */
+const REPORT_DELAY_MS = 50;
+
 export interface KnownAgent {
     readonly address: string;
     readonly state: AgentState;
+    /** Own requests that the last report can't contain yet. */
+    readonly sentSinceReport: number;
 }
 
+export type AgentHealth = "usable" | "leaving" | "silent";
+
 export interface AgentReport {
     readonly address: string;
     /** `undefined` until the first state message. */
@@ -30,6 +37,10 @@
 export interface AgentDirectory {
     /** Agents of a pool that reported recently and aren't leaving. */
     usable(service: string, now: number): KnownAgent[];
+    /** Whether work at an agent can go on; an agent that isn't watched is silent. */
+    health(address: string, now: number): AgentHealth;
+    /** Counts a request that is sent to an agent now. */
+    recordSent(address: string, now: number): void;
     /** Every agent in the list with the age of its last state message, for the status report. */
     all(now: number): AgentReport[];
     /** Tells whether every listed agent has reported or has had the time to. False until the list is known. */
@@ -40,8 +51,11 @@
 interface Watch {
     readonly call: ClientReadableStream<AgentState>;
     readonly startedAt: number;
+    /** False once the list of VMs calls the agent leaving or no longer contains it. */
+    listed: boolean;
     state: AgentState | undefined;
     receivedAt: number;
+    sentAt: number[];
 }
 
 export interface AgentDirectoryOptions {
@@ -59,16 +73,22 @@
         const listed = membership.current().filter(vm => vm.role === "agent" && vm.state === "live");
         const addresses = new Set(listed.map(vm => vm.address));
         for (const address of addresses) if (!watches.has(address)) watch(address);
-        for (const address of watches.keys()) if (!addresses.has(address)) forget(address);
+        for (const [address, known] of watches) known.listed = addresses.has(address);
+        for (const [address, known] of watches) if (!known.listed && isSilent(known, now())) forget(address);
+    }
+
+    function isSilent({ receivedAt, startedAt }: Watch, at: number): boolean {
+        return at - Math.max(receivedAt, startedAt) > STATE_TIMEOUT_MS;
     }
 
     function watch(address: string): void {
         const call = connections.agent(address).watchState({ process: options.process });
-        const entry: Watch = { call, startedAt: now(), state: undefined, receivedAt: 0 };
+        const entry: Watch = { call, startedAt: now(), listed: true, state: undefined, receivedAt: 0, sentAt: [] };
         watches.set(address, entry);
         call.on("data", (state: AgentState) => {
             entry.state = state;
             entry.receivedAt = now();
+            entry.sentAt = entry.sentAt.filter(sentAt => sentAt > entry.receivedAt - REPORT_DELAY_MS);
         });
         const end = () => {
             if (watches.get(address) === entry) watches.delete(address);
@@ -80,6 +100,7 @@
         call.on("end", end);
     }
 
+    /** An agent that leaves is watched until it is silent, because it still finishes its requests. */
     function forget(address: string): void {
         watches.get(address)?.call.cancel();
         watches.delete(address);
@@ -88,13 +109,23 @@
 
     function usable(service: string, at: number): KnownAgent[] {
         const found: KnownAgent[] = [];
-        for (const [address, { state, receivedAt }] of watches) {
-            if (state === undefined || state.service !== service || state.leaving) continue;
-            if (at - receivedAt <= STATE_TIMEOUT_MS) found.push({ address, state });
+        for (const [address, { state, sentAt }] of watches) {
+            if (state === undefined || state.service !== service || health(address, at) !== "usable") continue;
+            found.push({ address, state, sentSinceReport: sentAt.length });
         }
         return found;
     }
 
+    function health(address: string, at: number): AgentHealth {
+        const known = watches.get(address);
+        if (known?.state === undefined || at - known.receivedAt > STATE_TIMEOUT_MS) return "silent";
+        return known.state.leaving || !known.listed ? "leaving" : "usable";
+    }
+
+    function recordSent(address: string, at: number): void {
+        watches.get(address)?.sentAt.push(at);
+    }
+
     function all(at: number): AgentReport[] {
         return [...watches].map(([address, { state, receivedAt }]) => ({ address, state, ageMs: at - receivedAt }));
     }
@@ -112,5 +143,5 @@
     }
 
     const timer = setInterval(reconcile, RECONCILE_MS);
-    return { usable, all, ready, stop };
+    return { usable, health, recordSent, all, ready, stop };
 }
--- a/src/lib/entry/answer.ts
+++ b/src/lib/entry/answer.ts
@@ -1,9 +1,13 @@
 /** Relays a dispatched answer to the caller's HTTP response. */
+import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import type { AnswerHead } from "../rpc/index.js";
 import type { AnswerReceiver, DispatchResult } from "./dispatcher.js";
 import { sendProblem } from "./problem.js";
 
+/** A caller that reads nothing for this long is disconnected, which frees its slot at the engine. */
+const SLOW_CALLER_TIMEOUT_MS = 15_000;
+
 export interface CallerAnswer extends AnswerReceiver {
     /** Ends the response: normally, with a problem, or by breaking off a response that has begun. */
     finish(result: DispatchResult): void;
@@ -23,8 +27,15 @@
         response.writeHead(status, fields);
     }
 
-    function data(piece: Buffer): void {
-        response.write(piece);
+    async function data(piece: Buffer): Promise<void> {
+        if (response.write(piece)) return;
+        try {
+            const limit = AbortSignal.timeout(SLOW_CALLER_TIMEOUT_MS);
+            await once(response, "drain", { signal: AbortSignal.any([disconnect.signal, limit]) });
+        }
+        catch {
+            response.destroy();
+        }
     }
 
     function finish(result: DispatchResult): void {
--- a/src/lib/entry/entry.ts
+++ b/src/lib/entry/entry.ts
@@ -1,4 +1,5 @@
 /** Starts an entry: configuration, membership, directory of agents, dispatcher and HTTP server. */
+import { DEFAULT_QUEUE_POLICY, profilesOf } from "../core/index.js";
 import { createEventRecorder, createNodeService, startConfigurationSync, startMembershipTask } from "../node/index.js";
 import { createLog } from "../observability/index.js";
 import { createTableService, createVmList } from "../platform/index.js";
@@ -7,6 +8,7 @@
 import { createAccounts } from "./accounts.js";
 import { startAgentDirectory } from "./agentDirectory.js";
 import { createDispatcher } from "./dispatcher.js";
+import { createEntryQueue } from "./entryQueue.js";
 import { startEntryServer } from "./server.js";
 
 const log = createLog("entry");
@@ -32,7 +34,20 @@
     const configuration = startConfigurationSync(table, settings.pollMs, now);
     const membership = startMembershipTask(createVmList({ url: platform.vmListUrl, timeoutMs }), settings.pollMs);
     const directory = startAgentDirectory({ process: settings.process, membership, connections, now });
-    const dispatcher = createDispatcher({ directory, connections, now, random: Math.random });
+    const queue = settings.scheduling !== "entryQueues" ? undefined : createEntryQueue({
+        policy: service => profilesOf(configuration.current(), service)[0]?.profile ?? DEFAULT_QUEUE_POLICY,
+        entries: () => membership.current().filter(vm => vm.role === "entry" && vm.state === "live").length,
+        now,
+    });
+    const dispatcher = createDispatcher({
+        directory,
+        connections,
+        queue,
+        routing: settings.scheduling === "fifo" ? "random" : "predictedWork",
+        requestsPerClient: settings.limits.requestsPerClient,
+        now,
+        random: Math.random,
+    });
     const status = () => ({
         process: settings.process,
         configurationRevision: configuration.current().revision,
@@ -57,6 +72,7 @@
 
     async function stop(): Promise<void> {
         await server.stop(settings.drainMs);
+        dispatcher.stop();
         directory.stop();
         await Promise.all([membership.stop(), configuration.stop()]);
         connections.close();
--- a/src/lib/entry/openaiApi.ts
+++ b/src/lib/entry/openaiApi.ts
@@ -1,4 +1,5 @@
 /** The OpenAI-compatible API for model work: completions, chat completions and the list of models. */
+import { createHash } from "node:crypto";
 import { capRank, isRank, type ProfileEntry, type Rank, RANKS } from "../core/index.js";
 import type { Account } from "./accounts.js";
 import { createCallerAnswer } from "./answer.js";
@@ -13,6 +14,9 @@
 
 const DEFAULT_MAX_TOKENS = 256;
 
+/** Prompts that agree in this many characters count as having the same prefix. */
+const PREFIX_CHARACTERS = 512;
+
 export async function serveCompletion(parts: EntryParts, context: RequestContext): Promise<void> {
     const { response, request, requestId } = context;
     const account = parts.accounts.client(request);
@@ -34,7 +38,8 @@
         return sendProblem(response, rejection(400, "unknown rank", detail));
     }
     const answer = createCallerAnswer(response);
-    const engineBody = Buffer.from(JSON.stringify({ ...body, priority: RANKS.indexOf(rank) }));
+    const engineFields = { ...body, priority: RANKS.indexOf(rank), resume_from: undefined };
+    const resumedBody = (position: number) => bodyOf({ ...engineFields, resume_from: position });
     const result = await parts.dispatcher.dispatch({
         requestId,
         client: account.client,
@@ -45,11 +50,9 @@
         rootDigest: entry.profile.rootDigest,
         method: "POST",
         path: context.url.pathname,
-        headers: [
-            { name: "content-type", value: "application/json" },
-            { name: "content-length", value: String(engineBody.length) },
-        ],
-        body: engineBody,
+        ...bodyOf(engineFields),
+        resumedBody: body.stream === true ? resumedBody : undefined,
+        prefix: prefixOf(entry.profile.rootDigest, body),
         idempotent: true,
         idempotencyKey: "",
         deadline: parts.now() + parts.settings.limits.answerMs,
@@ -82,6 +85,22 @@
     return capRank(header, account.highestRank);
 }
 
+/** The engine's body with the headers that describe it. */
+function bodyOf(fields: Record<string, unknown>) {
+    const body = Buffer.from(JSON.stringify(fields));
+    const headers = [
+        { name: "content-type", value: "application/json" },
+        { name: "content-length", value: String(body.length) },
+    ];
+    return { body, headers };
+}
+
+/** Identifies the beginning of the prompt, which an engine may have cached. */
+function prefixOf(rootDigest: string, body: Record<string, unknown>): string {
+    const prompt = typeof body.prompt === "string" ? body.prompt : JSON.stringify(body.messages ?? "");
+    return createHash("sha256").update(rootDigest).update(prompt.slice(0, PREFIX_CHARACTERS)).digest("base64");
+}
+
 function estimateTokens(body: Record<string, unknown>, bodyBytes: number): number {
     const output = typeof body.max_tokens === "number" ? body.max_tokens : DEFAULT_MAX_TOKENS;
     return Math.max(1, Math.ceil(bodyBytes / CHARACTERS_PER_TOKEN) + Math.max(0, Math.ceil(output)));
--- a/src/lib/entry/servicesApi.ts
+++ b/src/lib/entry/servicesApi.ts
@@ -46,6 +46,7 @@
         profile: "",
         profileRevision: 0,
         rootDigest: "",
+        prefix: "",
         method,
         path: (rest ?? "/") + url.search,
         headers,
--- a/src/lib/standIn/engine.ts
+++ b/src/lib/standIn/engine.ts
@@ -56,6 +56,8 @@
     readonly max_tokens?: number;
     readonly stream?: boolean;
     readonly priority?: number;
+    /** Position in tokens from which an answer that broke off continues. */
+    readonly resume_from?: number;
 }
 
 const DEFAULT_TOKENS = 16;
@@ -135,11 +137,19 @@
         response: ServerResponse,
     ): Promise<void> {
         const tokens = body.max_tokens ?? DEFAULT_TOKENS;
-        const headers = { "x-engine-digest": start.digest, "x-engine-generation": String(start.generation) };
+        const first = body.resume_from ?? 0;
+        const headers = {
+            "x-engine-digest": start.digest,
+            "x-engine-generation": String(start.generation),
+            ...first > 0 ? { "x-engine-resumed": String(first) } : {},
+        };
         let text = "";
         if (body.stream === true) response.writeHead(200, { "content-type": "text/event-stream", ...headers });
-        for (let position = 0; position < tokens; position++) {
+        for (let position = first; position < tokens; position++) {
             await sleep(1000 / options.tokensPerSecond);
+            const { breakAfterTokens, malformed } = faults.current();
+            if (breakAfterTokens > 0 && position - first >= breakAfterTokens) response.destroy();
+            if (malformed) response.write("data: {\"choices\": [\n\n");
             if (response.destroyed) {
                 cancelled++;
                 return;
--- a/src/lib/standIn/faults.ts
+++ b/src/lib/standIn/faults.ts
@@ -19,6 +19,10 @@
     corrupt: z.number().min(0).max(1).default(0),
     /** Answers stop in the middle and the connection stays open. */
     stall: z.boolean().default(false),
+    /** Tokens after which an engine breaks off each answer; 0 for never. */
+    breakAfterTokens: z.int().min(0).default(0),
+    /** An engine sends events that aren't valid JSON. */
+    malformed: z.boolean().default(false),
 });
 
 export type Faults = Readonly<z.infer<typeof faultsSchema>>;
