--- /dev/null
+++ b/src/bench/flood.ts
@@ -0,0 +1,110 @@
+/**
+ * Overload from either side: first overnight work at 10 times capacity with urgent and standard work within
+ * capacity, then urgent work at 10 times capacity. Measures each design in turn; `--design NAME` takes one.
+ */
+import * as http from "node:http";
+import { FIRST_TOKEN_TARGET_MS, INTER_TOKEN_TARGET_MS, type Rank } from "../lib/core/index.js";
+import type { Bench, Figures } from "./bench.js";
+import { measureCapacity, openLoop, type Outcome, percentile, round, tokensBetween } from "./load.js";
+import { DESIGNS, type Scheduling, startPool } from "./pool.js";
+
+const RUNNERS = 3;
+const SLOTS = 8;
+const TOKENS = 40;
+const TOKENS_PER_SECOND = 25;
+const CLIENTS = 8;
+/** Floors of the default profile. */
+const FLOORS: Readonly<Record<Rank, number>> = { urgent: 0.5, standard: 0.2, overnight: 0.05 };
+const OVERLOAD = 10;
+const FIRST_PHASE_MS = 9000;
+const SECOND_PHASE_MS = 14_000;
+/** The beginning of a phase, in which the queues of the phase before are still served. */
+const SETTLE_MS = 3000;
+
+export const run: Bench = async options => {
+    const designs = options.design === undefined ? DESIGNS : DESIGNS.filter(name => name === options.design);
+    const figures: Record<string, Figures> = {};
+    for (const design of designs) figures[design] = await measure(design);
+    return { ...figures[designs[0] ?? ""], designs: figures };
+};
+
+async function measure(design: Scheduling): Promise<Figures> {
+    const engine = { slots: SLOTS, tokensPerSecond: TOKENS_PER_SECOND };
+    const { fleet } = await startPool({ entries: 2, runners: RUNNERS, clients: CLIENTS, engine }, design);
+    const agent = new http.Agent({ keepAlive: true });
+    try {
+        const capacity = await measureCapacity(fleet.runners.map(({ url }) => url), SLOTS, TOKENS);
+        const urls = fleet.entries.map(({ url }) => url);
+        const clients = Array.from({ length: CLIENTS }, (_, index) => `client-${index}`);
+        const stream = (rank: Rank, ofCapacity: number) => {
+            return { urls, clients, rank, tokens: TOKENS, perSecond: ofCapacity * capacity / TOKENS };
+        };
+        const first = await phase(FIRST_PHASE_MS, [
+            stream("overnight", OVERLOAD),
+            stream("urgent", 0.4),
+            stream("standard", 0.2),
+        ]);
+        const second = await phase(SECOND_PHASE_MS, [
+            stream("urgent", OVERLOAD),
+            stream("standard", 0.3),
+            stream("overnight", 0.2),
+        ]);
+        const urgent = first.outcomes.filter(({ rank }) => rank === "urgent");
+        // Requests sent at the very end may still be on their way; they are counted a little later.
+        await new Promise(resolve => setTimeout(resolve, 500));
+        const within = urgent.filter(isWithinTarget).length / urgent.length;
+        const all = [...first.outcomes, ...second.outcomes];
+        const rateOf = (rank: Rank | undefined, { from, to }: Phase) => {
+            const matching = all.filter(outcome => rank === undefined || outcome.rank === rank);
+            return 1000 * tokensBetween(matching, from, to) / (to - from);
+        };
+        const standardFirst = rateOf("standard", first) / (0.2 * capacity);
+        const standardSecond = rateOf("standard", second) / (FLOORS.standard * capacity);
+        return {
+            urgentWithinTarget: round(within),
+            standardKept: round(Math.min(standardFirst, standardSecond)),
+            overnightKept: round(rateOf("overnight", second) / (FLOORS.overnight * capacity)),
+            throughputOverCapacity: round(Math.min(rateOf(undefined, first), rateOf(undefined, second)) / capacity),
+            capacityTokensPerSecond: round(capacity, 1),
+            urgentFirstTokenP95Ms: round(percentile(urgent.map(firstTokenMs), 0.95), 0),
+            urgentSent: urgent.length,
+            requests: all.length,
+            sharesFirst: sharesOf(first, capacity, rateOf),
+            sharesSecond: sharesOf(second, capacity, rateOf),
+        };
+    }
+    finally {
+        agent.destroy();
+        await fleet.stop();
+    }
+
+    async function phase(durationMs: number, streams: Parameters<typeof openLoop>[0]): Promise<Phase> {
+        const startedAt = performance.now();
+        const outcomes = await openLoop(streams, durationMs, agent);
+        return { outcomes, from: startedAt + SETTLE_MS, to: startedAt + durationMs };
+    }
+}
+
+interface Phase {
+    readonly outcomes: readonly Outcome[];
+    readonly from: number;
+    readonly to: number;
+}
+
+function sharesOf(phase: Phase, capacity: number, rateOf: (rank: Rank, phase: Phase) => number) {
+    return Object.fromEntries(
+        (["urgent", "standard", "overnight"] as const).map(rank => [rank, round(rateOf(rank, phase) / capacity)]),
+    );
+}
+
+function firstTokenMs({ sentAt, tokenTimes }: Outcome): number {
+    return (tokenTimes[0] ?? Infinity) - sentAt;
+}
+
+/** The first token in time, and 95 of 100 gaps between tokens in time. */
+function isWithinTarget(outcome: Outcome): boolean {
+    const { tokenTimes } = outcome;
+    const gaps = tokenTimes.slice(1).map((at, index) => at - (tokenTimes[index] ?? at));
+    return outcome.status === 200 && firstTokenMs(outcome) <= FIRST_TOKEN_TARGET_MS &&
+        percentile(gaps, 0.95) <= INTER_TOKEN_TARGET_MS;
+}
--- /dev/null
+++ b/src/bench/load.ts
@@ -0,0 +1,128 @@
+/** Generates streamed requests in an open loop and records when each token arrived. */
+import * as http from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Rank } from "../lib/core/index.js";
+import { PROFILE } from "./pool.js";
+
+export interface Outcome {
+    readonly client: string;
+    readonly rank: Rank;
+    readonly sentAt: number;
+    /** 0 if there was no answer. */
+    status: number;
+    readonly tokenTimes: number[];
+    endedAt: number;
+    complete: boolean;
+}
+
+export interface RequestOptions {
+    readonly url: string;
+    readonly client: string;
+    readonly rank: Rank;
+    readonly tokens: number;
+    readonly prompt: string;
+    readonly agent: http.Agent;
+}
+
+/** Sends one streamed completion; never throws. The outcome fills while the answer arrives. */
+export function sendStream(options: RequestOptions): { readonly outcome: Outcome; readonly done: Promise<Outcome>; } {
+    const { url, client, rank, tokens, prompt, agent } = options;
+    const body = JSON.stringify({ model: PROFILE, stream: true, max_tokens: tokens, prompt });
+    const outcome: Outcome = {
+        client,
+        rank,
+        sentAt: performance.now(),
+        status: 0,
+        tokenTimes: [],
+        endedAt: 0,
+        complete: false,
+    };
+    const done = new Promise<Outcome>(resolve => {
+        const end = () => {
+            outcome.endedAt = performance.now();
+            resolve(outcome);
+        };
+        const request = http.request(`${url}/v1/completions`, {
+            method: "POST",
+            agent,
+            headers: {
+                "authorization": `Bearer ${client}`,
+                "endivewell-rank": rank,
+                "content-type": "application/json",
+                "content-length": Buffer.byteLength(body),
+            },
+        }, response => {
+            outcome.status = response.statusCode ?? 0;
+            response.setEncoding("latin1");
+            response.on("data", (text: string) => {
+                if (outcome.status !== 200) return;
+                const at = performance.now();
+                for (const event of text.split("\n\n")) {
+                    if (event.startsWith("data: [DONE]")) outcome.complete = true;
+                    else if (event.startsWith("data: {\"object\"")) outcome.tokenTimes.push(at);
+                }
+            });
+            response.on("close", end);
+            response.on("error", end);
+        });
+        request.on("error", end);
+        request.end(body);
+    });
+    return { outcome, done };
+}
+
+export interface Stream {
+    readonly urls: readonly string[];
+    readonly clients: readonly string[];
+    readonly rank: Rank;
+    readonly tokens: number;
+    readonly perSecond: number;
+}
+
+/** Sends every stream at its rate for a time, evenly spaced and independent of the answers. */
+export async function openLoop(streams: readonly Stream[], durationMs: number, agent: http.Agent): Promise<Outcome[]> {
+    const outcomes: Outcome[] = [];
+    await Promise.all(streams.map(async ({ urls, clients, rank, tokens, perSecond }) => {
+        const startedAt = performance.now();
+        for (let sent = 0; sent < perSecond * durationMs / 1000; sent++) {
+            const wait = startedAt + sent * 1000 / perSecond - performance.now();
+            if (wait > 1) await sleep(wait);
+            const client = clients[sent % clients.length] ?? "";
+            const url = urls[sent % urls.length] ?? "";
+            const prompt = `${rank} ${client} ${sent}`;
+            outcomes.push(sendStream({ url, client, rank, tokens, prompt, agent }).outcome);
+        }
+        const rest = startedAt + durationMs - performance.now();
+        if (rest > 1) await sleep(rest);
+    }));
+    return outcomes;
+}
+
+/** Tokens a second that the engines deliver when called directly with all slots in use. */
+export async function measureCapacity(engines: readonly string[], slots: number, tokens: number): Promise<number> {
+    const agent = new http.Agent({ keepAlive: true });
+    const startedAt = performance.now();
+    const outcomes = await Promise.all(engines.flatMap(url => {
+        return Array.from({ length: slots }, () => {
+            return sendStream({ url, client: "direct", rank: "standard", tokens, prompt: "capacity", agent }).done;
+        });
+    }));
+    const seconds = (Math.max(...outcomes.map(({ endedAt }) => endedAt)) - startedAt) / 1000;
+    agent.destroy();
+    return outcomes.reduce((sum, { tokenTimes }) => sum + tokenTimes.length, 0) / seconds;
+}
+
+/** Tokens that arrived in a window, of the outcomes that match. */
+export function tokensBetween(outcomes: readonly Outcome[], from: number, to: number): number {
+    return outcomes.reduce((sum, { tokenTimes }) => sum + tokenTimes.filter(at => at >= from && at < to).length, 0);
+}
+
+/** Nearest-rank percentile; NaN without values. */
+export function percentile(values: readonly number[], fraction: number): number {
+    const sorted = [...values].sort((a, b) => a - b);
+    return sorted[Math.max(0, Math.ceil(fraction * sorted.length) - 1)] ?? Number.NaN;
+}
+
+export function round(value: number, digits = 3): number {
+    return Number(value.toFixed(digits));
+}
