Keep floors after excess work and start overnight requests evenly

Change: floors are paid from credit that only contended work earns; overnight starts are spaced by 0.8 of a slot's turnover; retry budgets are kept per rank.

--- a/src/lib/agent/gate.ts
+++ b/src/lib/agent/gate.ts
@@ -85,6 +85,14 @@
 /** Interval at which queued requests whose deadline has passed are refused. */
 const EXPIRY_INTERVAL_MS = 250;
 
+/**
+ * Overnight requests that start together also end together, and urgent requests then wait for a whole answer.
+ * They start at least this fraction of a slot's mean turnover apart, so that slots become free evenly.
+ */
+const OVERNIGHT_PACE = 0.8;
+
+const LIVE_RANKS: readonly Rank[] = [Rank.urgent, Rank.standard];
+
 /** Weight of a new sample in the mean rate of a slot. */
 const RATE_SMOOTHING = 0.1;
 
@@ -117,6 +125,9 @@
     let running = 0;
     let paused = false;
     let leaving = false;
+    let meanDurationMs: number | undefined;
+    let overnightStartedAt = Number.NEGATIVE_INFINITY;
+    let paceTimer: NodeJS.Timeout | undefined;
     let expiry: NodeJS.Timeout | undefined;
 
     function dispatch(request: DispatchRequest, sink: AnswerSink): Promise<void> {
@@ -185,13 +196,30 @@
     /** Starts queued requests while there are free slots. */
     function pump(): void {
         while (!paused && running < limit.current()) {
-            const item = queue.take(now());
-            if (item === undefined) break;
+            const pace = overnightDelayMs();
+            const item = queue.take(now(), pace > 0 ? LIVE_RANKS : RANKS);
+            if (item === undefined) {
+                if (pace > 0 && queue.length() > 0) paceTimer ??= setTimeout(pumpPaced, pace);
+                break;
+            }
+            if (item.rank === Rank.overnight) overnightStartedAt = now();
             void run(item);
         }
         options.onChange();
     }
 
+    function pumpPaced(): void {
+        paceTimer = undefined;
+        pump();
+    }
+
+    /** Time until the next overnight request may start. */
+    function overnightDelayMs(): number {
+        if (!options.ranked || meanDurationMs === undefined) return 0;
+        const interval = OVERNIGHT_PACE * meanDurationMs / limit.current();
+        return Math.max(0, overnightStartedAt + interval - now());
+    }
+
     async function run(item: Item): Promise<void> {
         const { request, sink, settle } = item.value;
         running++;
@@ -220,7 +248,11 @@
         const prompt = Math.ceil(item.value.request.body.length / CHARACTERS_PER_TOKEN);
         const cost = options.kind === "plain" ? 1 : Math.max(1, prompt + ended);
         queue.correct(item, cost, now());
-        const rate = 1000 * cost / Math.max(1, now() - startedAt);
+        const duration = Math.max(1, now() - startedAt);
+        const rate = 1000 * cost / duration;
+        meanDurationMs = meanDurationMs === undefined ?
+            duration :
+            meanDurationMs + RATE_SMOOTHING * (duration - meanDurationMs);
         slotTokensPerSecond = slotTokensPerSecond === undefined ?
             rate :
             slotTokensPerSecond + RATE_SMOOTHING * (rate - slotTokensPerSecond);
--- a/src/lib/core/rankedQueue.ts
+++ b/src/lib/core/rankedQueue.ts
@@ -48,8 +48,8 @@
 export interface RankedQueue<T> {
     /** `tokensPerSecond` is the current rate of the backend server, from which the wait is predicted. */
     offer(item: QueueItem<T>, now: number, tokensPerSecond: number): Offer<T>;
-    /** Takes the item that runs next and charges its estimated cost. */
-    take(now: number): QueueItem<T> | undefined;
+    /** Takes the item of the given ranks that runs next and charges its estimated cost. */
+    take(now: number, allowed?: readonly Rank[]): QueueItem<T> | undefined;
     /** Replaces the estimate that `take` charged by the actual cost. */
     correct(item: QueueItem<T>, actualCost: number, now: number): void;
     /** Removes a cancelled item; returns whether it was still queued. */
@@ -78,6 +78,8 @@
     virtualTime: number;
     queued: number;
     backlog: number;
+    /** Tokens that the rank's floor still grants; at least -1 request and at most about 1 request. */
+    credit: number;
     /** Recent work in tokens, decaying. */
     served: number;
 }
@@ -122,9 +124,9 @@
         account(state, queue, item, 1);
     }
 
-    function take(now: number): QueueItem<T> | undefined {
+    function take(now: number, allowed = RANKS): QueueItem<T> | undefined {
         decay(now);
-        const rank = nextRank();
+        const rank = nextRank(allowed);
         if (rank === undefined) return undefined;
         const state = ranks[rank];
         const queue = nextClient(state);
@@ -135,25 +137,34 @@
         state.virtualTime = Math.max(state.virtualTime, queue.virtualTime);
         queue.virtualTime += item.cost / weightOf(item.client);
         state.served += item.cost;
+        settleCredit(item);
         forgetIdle(state);
         return item;
     }
 
-    /** A backlogged rank furthest below its floor goes first; otherwise the most urgent one. */
-    function nextRank(): Rank | undefined {
+    /** The backlogged rank with the most unused credit goes first; without any, the most urgent one. */
+    function nextRank(allowed: readonly Rank[]): Rank | undefined {
         const { floors } = options.policy();
-        const backlogged = RANKS.filter(rank => ranks[rank].queued > 0);
-        const total = RANKS.reduce((sum, rank) => sum + ranks[rank].served, 0);
-        let chosen = backlogged[0];
-        let worst = 1;
-        for (const rank of backlogged) {
-            const entitled = floors[rank] * total;
-            const received = entitled > 0 ? ranks[rank].served / entitled : 1;
-            if (received >= worst) continue;
-            worst = received;
-            chosen = rank;
+        const backlogged = allowed.filter(rank => ranks[rank].queued > 0);
+        const owed = backlogged.filter(rank => ranks[rank].credit > 0);
+        if (owed.length === 0) return backlogged[0];
+        return owed.reduce((best, rank) => {
+            return ranks[rank].credit * floors[best] > ranks[best].credit * floors[rank] ? rank : best;
+        });
+    }
+
+    /**
+     * Work that runs earns each backlogged rank credit by its floor, and a rank that runs on its credit pays.
+     * Work beyond the floor isn't paid for: a rank that used idle capacity keeps its floor afterwards.
+     */
+    function settleCredit(item: QueueItem<T>): void {
+        const { floors } = options.policy();
+        const own = ranks[item.rank];
+        const usesCredit = own.credit > 0;
+        for (const rank of RANKS) {
+            if (ranks[rank].queued > 0 || rank === item.rank) ranks[rank].credit += floors[rank] * item.cost;
         }
-        return chosen;
+        if (usesCredit) own.credit -= item.cost;
     }
 
     function correct(item: QueueItem<T>, actualCost: number, now: number): void {
@@ -238,7 +249,7 @@
 }
 
 function createRankState<T>(): RankState<T> {
-    return { clients: new Map(), virtualTime: 0, queued: 0, backlog: 0, served: 0 };
+    return { clients: new Map(), virtualTime: 0, queued: 0, backlog: 0, credit: 0, served: 0 };
 }
 
 function account<T>(state: RankState<T>, queue: ClientQueue<T>, item: QueueItem<T>, sign: 1 | -1): void {
--- a/src/lib/entry/dispatcher.ts
+++ b/src/lib/entry/dispatcher.ts
@@ -117,7 +117,8 @@
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
     const { directory, connections, now, random } = options;
     const affinities = createAffinityTable(AFFINITY_CAPACITY);
-    const budget = createRetryBudget(RETRY_BUDGET);
+    // Separate per rank, so that refusals of overnight work don't use up the retries of urgent work.
+    const budgets = new Map(RANKS.map(rank => [rank, createRetryBudget(RETRY_BUDGET)]));
     const active = new Set<ActiveAttempt>();
     const byClient = new Map<string, number>();
     let inProgress = 0;
@@ -150,14 +151,14 @@
                 if (verdicts.length === 0) last = slot.failure;
                 break;
             }
-            if (verdicts.length > 0 && !budget.take()) {
+            if (verdicts.length > 0 && !budgets.get(work.rank)?.take()) {
                 slot.release();
                 break;
             }
             tried.add(slot.address);
             const result = await attempt(work, slot.address, delivery, receiver).finally(slot.release);
             if (result.kind === "complete") {
-                budget.success();
+                budgets.get(work.rank)?.success();
                 if (work.prefix !== "") affinities.record(work.prefix, slot.address, now());
                 return result;
             }
