Pace the starts of clients that hold half of the slots

Cause: a large client's requests started together, so slots became free together and small clients waited. Change: the pace of overnight starts applies to such clients too.

--- a/src/lib/agent/gate.ts
+++ b/src/lib/agent/gate.ts
@@ -86,12 +86,10 @@
 const EXPIRY_INTERVAL_MS = 250;
 
 /**
- * Overnight requests that start together also end together, and urgent requests then wait for a whole answer.
- * They start at least this fraction of a slot's mean turnover apart, so that slots become free evenly.
+ * Requests that start together also end together, and other ranks and clients then wait for a whole answer.
+ * Paced requests start at least this fraction of a slot's mean turnover apart, so that slots become free evenly.
  */
-const OVERNIGHT_PACE = 0.8;
-
-const LIVE_RANKS: readonly Rank[] = [Rank.urgent, Rank.standard];
+const START_PACE = 0.8;
 
 /** Weight of a new sample in the mean rate of a slot. */
 const RATE_SMOOTHING = 0.1;
@@ -122,11 +120,12 @@
     const limit = createConcurrencyLimit({ max: options.concurrency });
     const idleWaiters: (() => void)[] = [];
     let slotTokensPerSecond: number | undefined;
+    const runningByClient = new Map<string, number>();
     let running = 0;
     let paused = false;
     let leaving = false;
     let meanDurationMs: number | undefined;
-    let overnightStartedAt = Number.NEGATIVE_INFINITY;
+    let pacedStartAt = Number.NEGATIVE_INFINITY;
     let paceTimer: NodeJS.Timeout | undefined;
     let expiry: NodeJS.Timeout | undefined;
 
@@ -196,13 +195,13 @@
     /** Starts queued requests while there are free slots. */
     function pump(): void {
         while (!paused && running < limit.current()) {
-            const pace = overnightDelayMs();
-            const item = queue.take(now(), pace > 0 ? LIVE_RANKS : RANKS);
+            const pace = paceDelayMs();
+            const item = queue.take(now(), (rank, client) => pace === 0 || !isPaced(rank, client));
             if (item === undefined) {
                 if (pace > 0 && queue.length() > 0) paceTimer ??= setTimeout(pumpPaced, pace);
                 break;
             }
-            if (item.rank === Rank.overnight) overnightStartedAt = now();
+            if (isPaced(item.rank, item.client)) pacedStartAt = now();
             void run(item);
         }
         options.onChange();
@@ -213,16 +212,28 @@
         pump();
     }
 
-    /** Time until the next overnight request may start. */
-    function overnightDelayMs(): number {
+    /** Overnight work and clients that hold half of the slots start at a pace. */
+    function isPaced(rank: Rank, client: string): boolean {
+        return rank === Rank.overnight || 2 * (runningByClient.get(client) ?? 0) >= limit.current();
+    }
+
+    /** Time until the next paced request may start. */
+    function paceDelayMs(): number {
         if (!options.ranked || meanDurationMs === undefined) return 0;
-        const interval = OVERNIGHT_PACE * meanDurationMs / limit.current();
-        return Math.max(0, overnightStartedAt + interval - now());
+        const interval = START_PACE * meanDurationMs / limit.current();
+        return Math.max(0, pacedStartAt + interval - now());
+    }
+
+    function countRunning(client: string, change: 1 | -1): void {
+        running += change;
+        const own = (runningByClient.get(client) ?? 0) + change;
+        if (own > 0) runningByClient.set(client, own);
+        else runningByClient.delete(client);
     }
 
     async function run(item: Item): Promise<void> {
         const { request, sink, settle } = item.value;
-        running++;
+        countRunning(item.client, 1);
         const startedAt = now();
         const measured = measure(sink, now);
         try {
@@ -234,7 +245,7 @@
         }
         finally {
             learn(item, startedAt, measured);
-            running--;
+            countRunning(item.client, -1);
             if (running === 0) idleWaiters.splice(0).forEach(resolve => resolve());
             settle();
             pump();
--- a/src/lib/core/rankedQueue.ts
+++ b/src/lib/core/rankedQueue.ts
@@ -45,11 +45,14 @@
     | { readonly kind: "queued"; readonly displaced: QueueItem<T> | undefined; }
     | { readonly kind: "refused"; readonly reason: string; readonly retryAfterMs: number; };
 
+/** Whether a client's work of a rank may start now. */
+export type StartRule = (rank: Rank, client: string) => boolean;
+
 export interface RankedQueue<T> {
     /** `tokensPerSecond` is the current rate of the backend server, from which the wait is predicted. */
     offer(item: QueueItem<T>, now: number, tokensPerSecond: number): Offer<T>;
-    /** Takes the item of the given ranks that runs next and charges its estimated cost. */
-    take(now: number, allowed?: readonly Rank[]): QueueItem<T> | undefined;
+    /** Takes the item that runs next among those that may start, and charges its estimated cost. */
+    take(now: number, mayStart?: StartRule): QueueItem<T> | undefined;
     /** Replaces the estimate that `take` charged by the actual cost. */
     correct(item: QueueItem<T>, actualCost: number, now: number): void;
     /** Removes a cancelled item; returns whether it was still queued. */
@@ -124,12 +127,12 @@
         account(state, queue, item, 1);
     }
 
-    function take(now: number, allowed = RANKS): QueueItem<T> | undefined {
+    function take(now: number, mayStart: StartRule = () => true): QueueItem<T> | undefined {
         decay(now);
-        const rank = nextRank(allowed);
+        const rank = nextRank(mayStart);
         if (rank === undefined) return undefined;
         const state = ranks[rank];
-        const queue = nextClient(state);
+        const queue = nextClient(state, client => mayStart(rank, client));
         const item = queue?.items.shift();
         if (queue === undefined || item === undefined) return undefined;
         byId.delete(item.id);
@@ -143,9 +146,11 @@
     }
 
     /** The backlogged rank with the most unused credit goes first; without any, the most urgent one. */
-    function nextRank(allowed: readonly Rank[]): Rank | undefined {
+    function nextRank(mayStart: StartRule): Rank | undefined {
         const { floors } = options.policy();
-        const backlogged = allowed.filter(rank => ranks[rank].queued > 0);
+        const backlogged = RANKS.filter(rank => {
+            return nextClient(ranks[rank], client => mayStart(rank, client)) !== undefined;
+        });
         const owed = backlogged.filter(rank => ranks[rank].credit > 0);
         if (owed.length === 0) return backlogged[0];
         return owed.reduce((best, rank) => {
@@ -258,10 +263,13 @@
     state.queued += sign;
 }
 
-function nextClient<T>(state: RankState<T>): ClientQueue<T> | undefined {
+function nextClient<T>(
+    state: RankState<T>,
+    mayStart: (client: string) => boolean,
+): ClientQueue<T> | undefined {
     let next: ClientQueue<T> | undefined;
     for (const queue of state.clients.values()) {
-        if (queue.items.length === 0) continue;
+        if (queue.items.length === 0 || !mayStart(queue.client)) continue;
         if (next === undefined || queue.virtualTime < next.virtualTime) next = queue;
     }
     return next;
