Pace starts after any start, and send bench load at random times

Cause: a large client's start right after a small client's made slots free in pairs; the bench sent the small clients' requests at the same instants, so 6 of them met at 3 agents. Change: paced starts keep 0.9 of a slot's turnover from every start; the open loop is a seeded Poisson process.

--- a/src/bench/load.ts
+++ b/src/bench/load.ts
@@ -1,6 +1,8 @@
 /** Generates streamed requests in an open loop and records when each token arrived. */
 import * as http from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { Rank } from "../lib/core/index.js";
 import { PROFILE } from "./pool.js";
 
@@ -79,13 +81,22 @@
     readonly perSecond: number;
 }
 
-/** Sends every stream at its rate for a time, evenly spaced and independent of the answers. */
+const SEED = 6;
+
+const WARM_UP_DRAWS = 20;
+
+/** Sends every stream at its mean rate for a time, at random times (a Poisson process) whatever the answers are. */
 export async function openLoop(streams: readonly Stream[], durationMs: number, agent: http.Agent): Promise<Outcome[]> {
     const outcomes: Outcome[] = [];
-    await Promise.all(streams.map(async ({ urls, clients, rank, tokens, perSecond }) => {
+    await Promise.all(streams.map(async ({ urls, clients, rank, tokens, perSecond }, index) => {
+        const generator = xoroshiro128plus(SEED + index);
+        // The first numbers from small seeds are near 1 for every stream.
+        for (let i = 0; i < WARM_UP_DRAWS; i++) uniformFloat64(generator);
+        const gapMs = () => -Math.log(1 - uniformFloat64(generator)) * 1000 / perSecond;
         const startedAt = performance.now();
-        for (let sent = 0; sent < perSecond * durationMs / 1000; sent++) {
-            const wait = startedAt + sent * 1000 / perSecond - performance.now();
+        let dueMs = gapMs();
+        for (let sent = 0; dueMs < durationMs; sent++, dueMs += gapMs()) {
+            const wait = startedAt + dueMs - performance.now();
             if (wait > 1) await sleep(wait);
             const client = clients[sent % clients.length] ?? "";
             const url = urls[sent % urls.length] ?? "";
--- a/src/lib/agent/gate.ts
+++ b/src/lib/agent/gate.ts
@@ -89,7 +89,7 @@
  * Requests that start together also end together, and other ranks and clients then wait for a whole answer.
  * Paced requests start at least this fraction of a slot's mean turnover apart, so that slots become free evenly.
  */
-const START_PACE = 0.8;
+const START_PACE = 0.9;
 
 /** Weight of a new sample in the mean rate of a slot. */
 const RATE_SMOOTHING = 0.1;
@@ -125,7 +125,7 @@
     let paused = false;
     let leaving = false;
     let meanDurationMs: number | undefined;
-    let pacedStartAt = Number.NEGATIVE_INFINITY;
+    let lastStartAt = Number.NEGATIVE_INFINITY;
     let paceTimer: NodeJS.Timeout | undefined;
     let expiry: NodeJS.Timeout | undefined;
 
@@ -201,7 +201,7 @@
                 if (pace > 0 && queue.length() > 0) paceTimer ??= setTimeout(pumpPaced, pace);
                 break;
             }
-            if (isPaced(item.rank, item.client)) pacedStartAt = now();
+            lastStartAt = now();
             void run(item);
         }
         options.onChange();
@@ -221,7 +221,7 @@
     function paceDelayMs(): number {
         if (!options.ranked || meanDurationMs === undefined) return 0;
         const interval = START_PACE * meanDurationMs / limit.current();
-        return Math.max(0, pacedStartAt + interval - now());
+        return Math.max(0, lastStartAt + interval - now());
     }
 
     function countRunning(client: string, change: 1 | -1): void {
