Bound what callers can make an entry hold

Cause: idle connections, slow senders, large bodies and parallel calls of one account had no common bound. Change: a limit of requests per account that covers reading the body, a limit of buffered body bytes, checks of slow senders every second, and the longest-idle connection is closed when the entry is nearly full. Figures: test of 200 idle connections at a limit of 100, 20 slow senders, an endless body and 30 parallel calls at a limit of 10: others are served, 20 calls are refused with notRun. Conclusion: the limits hold in the process-level test.

--- a/src/bench/bench.ts
+++ b/src/bench/bench.ts
@@ -14,6 +14,7 @@
 const benches: Readonly<Record<string, () => Promise<Bench>>> = {
     fairness: async () => (await import("./fairness.js")).run,
     flood: async () => (await import("./flood.js")).run,
+    overhead: async () => (await import("./overhead.js")).run,
 };
 
 const { positionals, tokens } = parseArgs({ allowPositionals: true, strict: false, tokens: true });
--- a/src/lib/entry/dispatcher.ts
+++ b/src/lib/entry/dispatcher.ts
@@ -75,8 +75,6 @@
     readonly queue: EntryQueue | undefined;
     /** `random` is a baseline for benches. */
     readonly routing: "predictedWork" | "random";
-    /** Requests of one account that may be in progress at the same time. */
-    readonly requestsPerClient: number;
     readonly now: () => number;
     /** Returns a number in [0, 1). */
     readonly random: () => number;
@@ -120,23 +118,15 @@
     // Separate per rank, so that refusals of overnight work don't use up the retries of urgent work.
     const budgets = new Map(RANKS.map(rank => [rank, createRetryBudget(RETRY_BUDGET)]));
     const active = new Set<ActiveAttempt>();
-    const byClient = new Map<string, number>();
     let inProgress = 0;
 
     async function dispatch(work: Work, receiver: AnswerReceiver): Promise<DispatchResult> {
-        const own = byClient.get(work.client) ?? 0;
-        if (own >= options.requestsPerClient)
-            return failure(Verdict.notRun, "the account has too many requests in progress");
-        byClient.set(work.client, own + 1);
         inProgress++;
         try {
             return await runAttempts(work, receiver);
         }
         finally {
             inProgress--;
-            const left = (byClient.get(work.client) ?? 1) - 1;
-            if (left > 0) byClient.set(work.client, left);
-            else byClient.delete(work.client);
         }
     }
 
--- a/src/lib/entry/entry.ts
+++ b/src/lib/entry/entry.ts
@@ -9,6 +9,7 @@
 import { startAgentDirectory } from "./agentDirectory.js";
 import { createDispatcher } from "./dispatcher.js";
 import { createEntryQueue } from "./entryQueue.js";
+import { createRequestLimit } from "./requestLimit.js";
 import { startEntryServer } from "./server.js";
 
 const log = createLog("entry");
@@ -44,7 +45,6 @@
         connections,
         queue,
         routing: settings.scheduling === "fifo" ? "random" : "predictedWork",
-        requestsPerClient: settings.limits.requestsPerClient,
         now,
         random: Math.random,
     });
@@ -62,6 +62,7 @@
         accounts,
         configuration,
         dispatcher,
+        requestLimit: createRequestLimit(settings.limits),
         events,
         now,
         table,
--- a/src/lib/entry/openaiApi.ts
+++ b/src/lib/entry/openaiApi.ts
@@ -3,9 +3,10 @@
 import { capRank, isRank, type ProfileEntry, type Rank, RANKS } from "../core/index.js";
 import type { Account } from "./accounts.js";
 import { createCallerAnswer } from "./answer.js";
-import { rejection, sendProblem } from "./problem.js";
+import { rejection, sendProblem, TOO_MANY_BYTES, TOO_MANY_REQUESTS } from "./problem.js";
 import { parseJsonObject, readLimitedBody } from "./requestBody.js";
 import type { EntryParts, RequestContext } from "./requestContext.js";
+import type { Permit } from "./requestLimit.js";
 
 export const RANK_HEADER = "endivewell-rank";
 
@@ -18,12 +19,30 @@
 const PREFIX_CHARACTERS = 512;
 
 export async function serveCompletion(parts: EntryParts, context: RequestContext): Promise<void> {
-    const { response, request, requestId } = context;
-    const account = parts.accounts.client(request);
+    const { response } = context;
+    const account = parts.accounts.client(context.request);
     if (account === undefined) return sendProblem(response, rejection(401, "unknown account", "send a bearer key"));
-    const read = await readLimitedBody(request, parts.settings.limits.bodyBytes);
+    const permit = parts.requestLimit.enter(account.client);
+    if (permit === undefined) return sendProblem(response, TOO_MANY_REQUESTS);
+    try {
+        await servePermitted(parts, context, account, permit);
+    }
+    finally {
+        permit.release();
+    }
+}
+
+async function servePermitted(
+    parts: EntryParts,
+    context: RequestContext,
+    account: Account,
+    permit: Permit,
+): Promise<void> {
+    const { response, request, requestId } = context;
+    const read = await readLimitedBody(request, parts.settings.limits.bodyBytes, permit.reserve);
     if (read.kind === "aborted") return;
     if (read.kind === "tooLarge") {
+        if (read.overloaded === true) return sendProblem(response, TOO_MANY_BYTES);
         return sendProblem(response, rejection(413, "the body is too large", "shorten the request"));
     }
     const body = parseJsonObject(read.body);
--- a/src/lib/entry/problem.ts
+++ b/src/lib/entry/problem.ts
@@ -31,3 +31,13 @@
 export function rejection(status: number, title: string, detail: string): Problem {
     return { status, title, detail, verdict: Verdict.notRun };
 }
+
+export const TOO_MANY_REQUESTS: Problem = {
+    ...rejection(429, "too many requests", "the account has too many requests in progress; retry when some have ended"),
+    retryAfterMs: 1000,
+};
+
+export const TOO_MANY_BYTES: Problem = {
+    ...rejection(503, "the entry is overloaded", "the entry holds too many request bodies; retry later"),
+    retryAfterMs: 1000,
+};
--- a/src/lib/entry/requestBody.ts
+++ b/src/lib/entry/requestBody.ts
@@ -3,10 +3,16 @@
 
 export type BodyResult =
     | { readonly kind: "complete"; readonly body: Buffer; }
-    | { readonly kind: "tooLarge"; }
+    /** `overloaded` tells that the body is too large only for the memory that is free now. */
+    | { readonly kind: "tooLarge"; readonly overloaded?: boolean; }
     | { readonly kind: "aborted"; };
 
-export async function readLimitedBody(request: IncomingMessage, maxBytes: number): Promise<BodyResult> {
+/** Reads a body; `reserve` is asked for each piece and may refuse it for lack of memory. */
+export async function readLimitedBody(
+    request: IncomingMessage,
+    maxBytes: number,
+    reserve: (bytes: number) => boolean = () => true,
+): Promise<BodyResult> {
     if (Number(request.headers["content-length"] ?? 0) > maxBytes) return { kind: "tooLarge" };
     const pieces: Buffer[] = [];
     let size = 0;
@@ -14,6 +20,7 @@
         for await (const piece of request as AsyncIterable<Buffer>) {
             size += piece.length;
             if (size > maxBytes) return { kind: "tooLarge" };
+            if (!reserve(piece.length)) return { kind: "tooLarge", overloaded: true };
             pieces.push(piece);
         }
     }
--- a/src/lib/entry/requestContext.ts
+++ b/src/lib/entry/requestContext.ts
@@ -4,12 +4,14 @@
 import type { EntrySettings } from "../settings/index.js";
 import type { Accounts } from "./accounts.js";
 import type { Dispatcher } from "./dispatcher.js";
+import type { RequestLimit } from "./requestLimit.js";
 
 export interface EntryParts {
     readonly settings: EntrySettings;
     readonly accounts: Accounts;
     readonly configuration: ConfigurationSync;
     readonly dispatcher: Dispatcher;
+    readonly requestLimit: RequestLimit;
     readonly events: EventRecorder;
     readonly now: () => number;
 }
--- a/src/lib/entry/server.ts
+++ b/src/lib/entry/server.ts
@@ -1,7 +1,7 @@
 /** The entry's HTTP server: limits on input, routes, health, and a stop that lets requests finish. */
 import { randomUUID } from "node:crypto";
 import * as http from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import VError from "verror";
 import { createLog } from "../observability/index.js";
 import { type AdminParts, serveAdmin } from "./adminApi.js";
@@ -14,6 +14,12 @@
 
 export const REQUEST_ID_HEADER = "endivewell-request-id";
 
+/** How often connections are checked for requests that take too long to arrive. */
+const CONNECTION_CHECK_MS = 1000;
+
+/** Above this fraction of the connection limit, idle connections are closed for new ones. */
+const FULL = 0.9;
+
 export interface EntryServer {
     readonly port: number;
     /** Fails readiness at once, and resolves when all requests have ended or after the timeout. */
@@ -41,6 +47,7 @@
         maxHeaderSize: limits.headerBytes,
         requestTimeout: limits.requestMs,
         headersTimeout: limits.requestMs,
+        connectionsCheckingInterval: CONNECTION_CHECK_MS,
     };
     const server = http.createServer(options, (request, response) => {
         const requestId = randomUUID();
@@ -55,6 +62,7 @@
         });
     });
     server.maxConnections = limits.connections;
+    closeIdleWhenFull(server, limits.connections);
     await new Promise<void>((resolve, reject) => {
         server.once("error", error => {
             reject(
@@ -79,6 +87,29 @@
     return { port: (server.address() as AddressInfo).port, stop };
 }
 
+/** Keeps many idle connections of some callers from using up the limit: the one idle for longest goes. */
+function closeIdleWhenFull(server: http.Server, limit: number): void {
+    const open = new Set<Socket>();
+    // A Set keeps the order of insertion, so its first element is idle for longest.
+    const idle = new Set<Socket>();
+    server.on("connection", socket => {
+        open.add(socket);
+        idle.add(socket);
+        socket.on("close", () => {
+            open.delete(socket);
+            idle.delete(socket);
+        });
+        const [oldest] = idle;
+        if (open.size > limit * FULL) oldest?.destroy();
+    });
+    server.on("request", ({ socket }, response) => {
+        idle.delete(socket);
+        response.on("close", () => {
+            if (!socket.destroyed) idle.add(socket);
+        });
+    });
+}
+
 function sendHealth(response: http.ServerResponse, healthy: boolean): void {
     response.writeHead(healthy ? 200 : 503, { "content-type": "text/plain" });
     response.end(healthy ? "ok\n" : "not ready\n");
--- a/src/lib/entry/servicesApi.ts
+++ b/src/lib/entry/servicesApi.ts
@@ -2,11 +2,13 @@
  * Passes calls under `/services/NAME/` to a plain service. Idempotent methods (RFC 9110) may be retried;
  * others are retried only with an `Idempotency-Key`.
  */
+import type { Account } from "./accounts.js";
 import { createCallerAnswer } from "./answer.js";
 import { rankOf } from "./openaiApi.js";
-import { rejection, sendProblem } from "./problem.js";
+import { rejection, sendProblem, TOO_MANY_BYTES, TOO_MANY_REQUESTS } from "./problem.js";
 import { readLimitedBody } from "./requestBody.js";
 import type { EntryParts, RequestContext } from "./requestContext.js";
+import type { Permit } from "./requestLimit.js";
 
 const IDEMPOTENT_METHODS = new Set(["GET", "HEAD", "OPTIONS", "PUT", "DELETE"]);
 
@@ -16,9 +18,26 @@
 const MAX_KEY_LENGTH = 255;
 
 export async function serveService(parts: EntryParts, context: RequestContext): Promise<void> {
-    const { request, response, url, requestId } = context;
-    const account = parts.accounts.client(request);
+    const { response } = context;
+    const account = parts.accounts.client(context.request);
     if (account === undefined) return sendProblem(response, rejection(401, "unknown account", "send a bearer key"));
+    const permit = parts.requestLimit.enter(account.client);
+    if (permit === undefined) return sendProblem(response, TOO_MANY_REQUESTS);
+    try {
+        await servePermitted(parts, context, account, permit);
+    }
+    finally {
+        permit.release();
+    }
+}
+
+async function servePermitted(
+    parts: EntryParts,
+    context: RequestContext,
+    account: Account,
+    permit: Permit,
+): Promise<void> {
+    const { request, response, url, requestId } = context;
     const [, service, rest] = /^\/services\/([^/]+)(\/.*)?$/.exec(url.pathname) ?? [];
     if (service === undefined) return sendProblem(response, rejection(404, "unknown service", "name a service"));
     const rank = rankOf(request.headers["endivewell-rank"], account);
@@ -27,9 +46,10 @@
     if (key.length > MAX_KEY_LENGTH) {
         return sendProblem(response, rejection(400, "the Idempotency-Key is too long", `at most ${MAX_KEY_LENGTH}`));
     }
-    const read = await readLimitedBody(request, parts.settings.limits.bodyBytes);
+    const read = await readLimitedBody(request, parts.settings.limits.bodyBytes, permit.reserve);
     if (read.kind === "aborted") return;
     if (read.kind === "tooLarge") {
+        if (read.overloaded === true) return sendProblem(response, TOO_MANY_BYTES);
         return sendProblem(response, rejection(413, "the body is too large", "shorten the request"));
     }
     const method = request.method ?? "GET";
--- a/src/lib/settings/schema.ts
+++ b/src/lib/settings/schema.ts
@@ -87,6 +87,8 @@
         connections: z.int().min(1).default(2000),
         /** Requests of one account that this entry works on at the same time. */
         requestsPerClient: z.int().min(1).default(500),
+        /** Bytes of request bodies that the entry holds at the same time. */
+        bufferedBodyBytes: z.int().min(1024).default(64 * 1024 * 1024),
         /** Time a caller may take to send a whole request. */
         requestMs: milliseconds.default(15_000),
         /** Longest time until an answer ends. */
--- /dev/null
+++ b/src/test/entry/limits.test.ts
@@ -0,0 +1,67 @@
+import assert from "node:assert/strict";
+import { connect, type Socket } from "node:net";
+import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { PROFILE, startPool } from "../../bench/pool.js";
+import { sendToEntry } from "../../harness/index.js";
+
+const LIMITS = { connections: 100, requestMs: 1500, requestsPerClient: 10, bodyBytes: 8192, bufferedBodyBytes: 65536 };
+
+function openSocket(url: string, text: string): Socket {
+    const socket = connect(Number(new URL(url).port), "127.0.0.1", () => void socket.write(text));
+    socket.on("error", () => undefined);
+    socket.resume();
+    return socket;
+}
+
+// Guards against callers that hold the entry's connections, memory or slots to the harm of others: idle
+// connections, slow senders, endless bodies, and one account with unlimited parallel calls.
+test("abuse by some callers is bounded and others are served", async () => {
+    const engine = { slots: 8, tokensPerSecond: 50 };
+    const { fleet } = await startPool(
+        { entries: 1, runners: 1, engine, entrySettings: { limits: LIMITS } },
+        "agentQueues",
+    );
+    const sockets: Socket[] = [];
+    try {
+        const [entry] = fleet.entries;
+        assert.ok(entry);
+        const body = { model: PROFILE, max_tokens: 2, prompt: "others" };
+        const serveOther = async (what: string) => {
+            const answer = await sendToEntry(entry, "POST", "/v1/completions", "client-1", body);
+            assert.equal(answer.status, 200, `${what}: ${answer.body.toString()}`);
+        };
+        const head = (length: string) => {
+            return `POST /v1/completions HTTP/1.1\r\nhost: e\r\nauthorization: Bearer client-0\r\n${length}\r\n\r\n`;
+        };
+
+        for (let i = 0; i < 200; i++) sockets.push(openSocket(entry.url, ""));
+        await sleep(300);
+        await serveOther("idle connections");
+
+        const slow = Array.from({ length: 20 }, () => openSocket(entry.url, head("content-length: 100")));
+        const endless = openSocket(entry.url, head("transfer-encoding: chunked"));
+        sockets.push(...slow, endless);
+        const timer = setInterval(() => {
+            for (const socket of slow) if (!socket.destroyed) socket.write("x");
+            if (!endless.destroyed) endless.write(`1000\r\n${"x".repeat(4096)}\r\n`);
+        }, 50);
+        await serveOther("slow senders");
+        await sleep(4000);
+        clearInterval(timer);
+        assert.ok(slow.every(socket => socket.closed), "slow senders are disconnected");
+        assert.ok(endless.closed, "an endless body is cut off");
+
+        const greedy = await Promise.all(Array.from({ length: 30 }, () => {
+            return sendToEntry(entry, "POST", "/v1/completions", "client-0", { ...body, max_tokens: 40 });
+        }));
+        const refused = greedy.filter(({ status }) => status === 429);
+        assert.equal(refused.length, 20);
+        assert.ok(refused.every(({ headers }) => headers["endivewell-verdict"] === "notRun" && headers["retry-after"]));
+        await serveOther("parallel calls");
+    }
+    finally {
+        for (const socket of sockets) socket.destroy();
+        await fleet.stop();
+    }
+});
