Test pause, backpressure, endless events and drain at the gate

Cause: these paths of the gate had no tests of their own. Change: tests of the gate against a small backend server in the test. Conclusion: queued requests survive a pause, and the buffer per answer is bounded.

--- /dev/null
+++ b/src/test/agent/gate.test.ts
@@ -0,0 +1,172 @@
+import assert from "node:assert/strict";
+import { createServer, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { type AnswerSink, createGate, type Gate } from "../../lib/agent/gate.js";
+import { DEFAULT_QUEUE_POLICY } from "../../lib/core/index.js";
+import type { AnswerFrame, DispatchRequest } from "../../lib/rpc/index.js";
+
+type Frame = NonNullable<AnswerFrame["frame"]>;
+
+const STATE = { digest: "d", generation: 1, fence: 1 };
+
+interface Harness {
+    readonly gate: Gate;
+    readonly setDigest: (digest: string) => void;
+}
+
+async function withGate(
+    respond: (response: ServerResponse) => void,
+    concurrency: number,
+    run: (harness: Harness) => Promise<void>,
+): Promise<void> {
+    const server = createServer((_request, response) => {
+        const digest = { "x-engine-digest": STATE.digest, "x-engine-generation": String(STATE.generation) };
+        response.writeHead(200, { "content-type": "text/event-stream", ...digest });
+        respond(response);
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    let serving = STATE;
+    const gate = createGate({
+        backendUrl: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+        kind: "model",
+        serving: () => serving,
+        engine: { readState: async () => serving, load: async () => undefined },
+        concurrency,
+        policy: () => DEFAULT_QUEUE_POLICY,
+        ranked: true,
+        onChange: () => undefined,
+        now: () => Date.now(),
+    });
+    try {
+        await run({ gate, setDigest: digest => void (serving = { ...STATE, digest }) });
+    }
+    finally {
+        server.closeAllConnections();
+        await new Promise(resolve => server.close(resolve));
+    }
+}
+
+function request(attemptId: string): DispatchRequest {
+    return {
+        attemptId,
+        requestId: attemptId,
+        client: "c",
+        rank: "standard",
+        profile: "p",
+        rootDigest: STATE.digest,
+        profileRevision: 1,
+        remainingMs: 10_000,
+        estimatedTokens: 2,
+        method: "POST",
+        path: "/v1/completions",
+        headers: [],
+        body: Buffer.from("{}"),
+        idempotencyKey: "",
+        idempotent: true,
+        resumePosition: 0,
+    };
+}
+
+function createSink(send: (frame: Frame) => boolean = () => true, drained = async () => undefined as void) {
+    const frames: Frame[] = [];
+    const sink: AnswerSink = {
+        send: frame => {
+            frames.push(frame);
+            return send(frame);
+        },
+        drained,
+        end: () => undefined,
+        signal: new AbortController().signal,
+    };
+    return { sink, kinds: () => frames.map(({ $case }) => $case), frames };
+}
+
+// Guards against a planned switch that cuts or loses requests, or runs one on a version it isn't bound to.
+test("a pause lets running requests finish and keeps queued ones until it is over", async () => {
+    const answers: ServerResponse[] = [];
+    await withGate(response => void answers.push(response), 1, async ({ gate, setDigest }) => {
+        const sinks = [createSink(), createSink(), createSink()];
+        const done = sinks.map(({ sink }, i) => gate.dispatch(request(`a${i}`), sink));
+        while (answers.length < 1) await sleep(5);
+        let paused = false;
+        const pausing = gate.pause().then(pause => {
+            paused = true;
+            return pause;
+        });
+        await sleep(30);
+        assert.equal(paused, false);
+        answers[0]?.end("data: {}\n\ndata: [DONE]\n\n");
+        const pause = await pausing;
+        assert.deepEqual(sinks.map(({ kinds }) => kinds().at(-1)), ["end", undefined, undefined]);
+        assert.equal(gate.load().queued, 2);
+        pause.resume();
+        while (answers.length < 2) await sleep(5);
+        setDigest("another");
+        answers[1]?.end("data: {}\n\ndata: [DONE]\n\n");
+        await Promise.all(done);
+        const [, second, third] = sinks;
+        assert.match(JSON.stringify(second?.frames.at(-1)), /changed its version during the answer/);
+        assert.deepEqual(third?.kinds(), ["refused"]);
+        assert.match(JSON.stringify(third?.frames), /notRun/);
+    });
+});
+
+// Guards against an answer that is buffered without a bound for a caller that reads slowly.
+test("no more is sent while the reader is behind, and a stalled reader frees the slot", async () => {
+    const event = `data: "${"x".repeat(1000)}"\n\n`;
+    const respond = (response: ServerResponse) => {
+        const write = () => {
+            while (!response.destroyed && response.write(event.repeat(50))) { /* until the socket is full */ }
+        };
+        response.on("drain", write);
+        write();
+    };
+    await withGate(respond, 1, async ({ gate }) => {
+        let bytes = 0;
+        let stall: (error: Error) => void = () => undefined;
+        const stalled = new Promise<void>((_resolve, reject) => stall = reject);
+        const { sink, frames } = createSink(frame => {
+            if (frame.$case === "data") bytes += frame.data.length;
+            return frame.$case !== "data";
+        }, () => stalled);
+        const done = gate.dispatch(request("slow"), sink);
+        await sleep(200);
+        assert.ok(bytes > 0 && bytes < 512 * 1024, `${bytes} bytes were sent`);
+        stall(new Error("the reader stalled"));
+        await done;
+        assert.match(JSON.stringify(frames.at(-1)), /broke off/);
+        assert.equal(gate.load().running, 0);
+    });
+});
+
+// Guards against memory that grows with an engine's endless event, to the harm of other requests.
+test("an engine's endless event ends its answer", async () => {
+    const respond = (response: ServerResponse) => {
+        response.write("data: ");
+        for (let i = 0; i < 100; i++) response.write("x".repeat(10_000));
+    };
+    await withGate(respond, 1, async ({ gate }) => {
+        const { sink, kinds } = createSink();
+        await gate.dispatch(request("endless"), sink);
+        assert.deepEqual(kinds(), ["admitted", "head", "end"]);
+        assert.equal(gate.load().running, 0);
+    });
+});
+
+// Guards against requests that are reported as not run although the gate had started them.
+test("a drain refuses queued requests as not run and lets the running one finish", async () => {
+    const answers: ServerResponse[] = [];
+    await withGate(response => void answers.push(response), 1, async ({ gate }) => {
+        const [running, queued] = [createSink(), createSink()];
+        const done = [gate.dispatch(request("r"), running.sink), gate.dispatch(request("q"), queued.sink)];
+        while (answers.length < 1) await sleep(5);
+        const drained = gate.drain();
+        await done[1];
+        assert.deepEqual(queued.kinds(), ["refused"]);
+        answers[0]?.end("data: {}\n\ndata: [DONE]\n\n");
+        await drained;
+        assert.deepEqual(running.kinds(), ["admitted", "head", "data", "end"]);
+    });
+});
