--- a/src/test/entry/dispatcher.test.ts
+++ b/src/test/entry/dispatcher.test.ts
@@ -134,3 +134,37 @@
         assert.equal(outputOf((await complete(entry, "next", 3)).body), expectedOutput(digest, "next", 3));
     });
 });
+
+// Guards against answers that are cut short or mixed when an agent's process dies in the middle of them.
+test("answers of a killed agent go on elsewhere at the exact position", async () => {
+    await withPool({ entries: 1, runners: 2 }, async (fleet, digest) => {
+        const answers = Array.from({ length: 8 }, (_, i) => complete(fleet.entries[0], `k${i}`, 50));
+        await sleep(500);
+        fleet.runners[0]?.signal("SIGKILL");
+        (await Promise.all(answers)).forEach((answer, i) => {
+            assert.equal(outputOf(answer.body), expectedOutput(digest, `k${i}`, 50));
+        });
+    });
+});
+
+// Guards against new work at a VM that only the platform's list calls leaving, and against a cut of the
+// requests in progress there.
+test("a VM that the list calls leaving gets no new work and finishes what it has", async () => {
+    await withPool({ entries: 1, runners: 2 }, async (fleet, digest) => {
+        const [entry] = fleet.entries;
+        const [leaving] = fleet.runners;
+        assert.ok(leaving);
+        const early = Array.from({ length: 4 }, (_, i) => complete(entry, `e${i}`, 150));
+        await sleep(300);
+        const url = `${fleet.platformUrl}/vms/${leaving.name}`;
+        await sendRequest({ method: "PUT", url, body: JSON.stringify({ ...leaving.vm, state: "leaving" }) });
+        await sleep(1500);
+        const before = (await fleet.readState(leaving)).running;
+        const late = await Promise.all(Array.from({ length: 6 }, (_, i) => complete(entry, `l${i}`, 5)));
+        late.forEach((answer, i) => assert.equal(outputOf(answer.body), expectedOutput(digest, `l${i}`, 5)));
+        (await Promise.all(early)).forEach((answer, i) => {
+            assert.equal(outputOf(answer.body), expectedOutput(digest, `e${i}`, 150));
+        });
+        assert.equal((await evidence(leaving)).completed, before);
+    });
+});
