Report the predicted wait of a request of mean cost

Cause: the reported wait counted each client's queue as one token, so reports of agents with and without queued requests were equal and small clients' requests met at one agent. Change: the prediction in the agent's state uses the mean cost of recent requests.

--- a/src/lib/agent/gate.ts
+++ b/src/lib/agent/gate.ts
@@ -125,6 +125,7 @@
     let paused = false;
     let leaving = false;
     let meanDurationMs: number | undefined;
+    let meanCost = 1;
     let lastStartAt = Number.NEGATIVE_INFINITY;
     let paceTimer: NodeJS.Timeout | undefined;
     let expiry: NodeJS.Timeout | undefined;
@@ -259,6 +260,7 @@
         const prompt = Math.ceil(item.value.request.body.length / CHARACTERS_PER_TOKEN);
         const cost = options.kind === "plain" ? 1 : Math.max(1, prompt + ended);
         queue.correct(item, cost, now());
+        meanCost += RATE_SMOOTHING * (cost - meanCost);
         const duration = Math.max(1, now() - startedAt);
         const rate = 1000 * cost / duration;
         meanDurationMs = meanDurationMs === undefined ?
@@ -369,7 +371,7 @@
             queued: queue.length(),
             limit: limit.current(),
             predictedWaitMs: RANKS.map(rank =>
-                Math.min(MAX_REPORTED_WAIT_MS, Math.round(queue.predictWaitMs(rank, now(), rate)))
+                Math.min(MAX_REPORTED_WAIT_MS, Math.round(queue.predictWaitMs(rank, now(), rate, "", meanCost)))
             ),
         };
     }
