--- a/src/bench/bench.ts
+++ b/src/bench/bench.ts
@@ -16,6 +16,9 @@
     distribution: async () => (await import("./distribution.js")).run,
     config: async () => (await import("./config.js")).run,
     subsets: async () => (await import("./subsets.js")).run,
+    fairness: async () => (await import("./fairness.js")).run,
+    flood: async () => (await import("./flood.js")).run,
+    overhead: async () => (await import("./overhead.js")).run,
 };
 
 const { positionals, tokens } = parseArgs({ allowPositionals: true, strict: false, tokens: true });
--- a/src/lib/agent/agent.ts
+++ b/src/lib/agent/agent.ts
@@ -1,6 +1,6 @@
 /** Starts the agent beside a backend server: configuration, transfer, activation, gate and its gRPC server. */
 import { randomUUID } from "node:crypto";
-import type { ProfileEntry } from "../core/index.js";
+import { DEFAULT_QUEUE_POLICY, type ProfileEntry, profilesOf } from "../core/index.js";
 import { createProfileStore } from "../entry/profileStore.js";
 import { createEventRecorder, createNodeService, startConfigurationSync, startMembershipTask } from "../node/index.js";
 import { createLog } from "../observability/index.js";
@@ -13,8 +13,8 @@
 import { createChunkStore } from "./chunkStore.js";
 import { createGate } from "./gate.js";
 import { createHeldVersions } from "./heldVersions.js";
-import { createLinks } from "./links.js";
 import { createElapsedClock, createLease, type Lease } from "./lease.js";
+import { createLinks } from "./links.js";
 import { reportOutcomes } from "./outcomes.js";
 import { startTransfer } from "./transfer.js";
 import type { TransferEnvironment } from "./transferTask.js";
@@ -30,6 +30,12 @@
     stop(): Promise<void>;
 }
 
+/** Changes of the load are reported together, so that their number doesn't grow with the requests. */
+const LOAD_INTERVAL_MS = 100;
+
+/** With queues at the entries, the agent passes on whatever the entries' shares let through. */
+const UNLIMITED = 10_000;
+
 const NOTHING_LOADED = { digest: "", generation: 0, fence: 0 };
 
 export async function startAgent(settings: AgentSettings): Promise<RunningAgent> {
@@ -91,12 +97,23 @@
     const listeners = new Set<() => void>();
     const announce = () => listeners.forEach(listener => listener());
     let activation: Activation | undefined;
+    let loadTimer: NodeJS.Timeout | undefined;
+    const announceLoad = () => {
+        loadTimer ??= setTimeout(() => {
+            loadTimer = undefined;
+            announce();
+        }, LOAD_INTERVAL_MS);
+    };
 
     const gate = createGate({
         backendUrl: backendServer.url,
         kind: backendServer.kind,
         serving: () => activation?.serving() ?? NOTHING_LOADED,
         engine,
+        concurrency: settings.scheduling === "entryQueues" ? UNLIMITED : backendServer.concurrency,
+        policy: () => profilesOf(configuration.current(), settings.service)[0]?.profile ?? DEFAULT_QUEUE_POLICY,
+        ranked: settings.scheduling === "agentQueues",
+        onChange: announceLoad,
         now,
     });
 
@@ -122,6 +139,7 @@
     function state(): AgentState {
         const serving = activation?.serving() ?? NOTHING_LOADED;
         const progress = activation?.transfer();
+        const load = gate.load();
         return {
             process: settings.process,
             failureDomain: settings.failureDomain,
@@ -131,10 +149,10 @@
             servingDigest: serving.digest,
             loadGeneration: serving.generation,
             leaving: gate.leaving(),
-            running: gate.running(),
-            queued: 0,
-            concurrencyLimit: backendServer.concurrency,
-            predictedWaitMs: [0, 0, 0],
+            running: load.running,
+            queued: load.queued,
+            concurrencyLimit: Math.min(load.limit, backendServer.concurrency),
+            predictedWaitMs: load.predictedWaitMs,
             configurationRevision: configuration.current().revision,
             transfers: progress === undefined ? [] : [{
                 rootDigest: progress.rootDigest,
--- a/src/lib/agent/outcomes.ts
+++ b/src/lib/agent/outcomes.ts
@@ -25,9 +25,10 @@
     return {
         signal: sink.signal,
         end: () => sink.end(),
+        drained: () => sink.drained(),
         send: frame => {
             observe(frame);
-            sink.send(frame);
+            return sink.send(frame);
         },
     };
 }
--- a/src/lib/entry/agentDirectory.ts
+++ b/src/lib/entry/agentDirectory.ts
@@ -38,9 +38,14 @@
 /** Longer than the longest answer (`limits.answerMs`). */
 const DROP_AFTER_MS = 150_000;
 
+/** A request that was sent so shortly before a report is probably not counted in it. */
+const REPORT_DELAY_MS = 50;
+
 export interface KnownAgent {
     readonly address: string;
     readonly state: AgentState;
+    /** Own requests that the last report can't contain yet. */
+    readonly sentSinceReport: number;
 }
 
 export interface AgentReport {
@@ -53,6 +58,10 @@
 export interface AgentDirectory {
     /** Agents of a pool that reported recently and aren't leaving. */
     usable(service: string, now: number): KnownAgent[];
+    /** Whether work at an agent can go on; an agent that isn't watched is silent. */
+    health(address: string, now: number): Trust;
+    /** Counts a request that is sent to an agent now. */
+    recordSent(address: string, now: number): void;
     /** Every agent in the list with the age of its last state message, for the status report. */
     all(now: number): AgentReport[];
     /** Last time at which an agent of the pool reported work on a version; 0 if none did. */
@@ -69,6 +78,8 @@
     call: ClientReadableStream<AgentState> | undefined;
     state: AgentState | undefined;
     evidence: Evidence;
+    /** Times at which requests were sent that the last report can't contain yet. */
+    sentAt: number[];
 }
 
 export interface AgentDirectoryOptions {
@@ -142,7 +153,14 @@
     }
 
     function createWatch(address: string): Watch {
-        const watch = { address, startedAt: now(), call: undefined, state: undefined, evidence: NO_EVIDENCE };
+        const watch: Watch = {
+            address,
+            startedAt: now(),
+            call: undefined,
+            state: undefined,
+            evidence: NO_EVIDENCE,
+            sentAt: [],
+        };
         watches.set(address, watch);
         return watch;
     }
@@ -152,7 +170,9 @@
         watch.call = call;
         call.on("data", (state: AgentState) => {
             watch.state = state;
-            watch.evidence = { heardAt: now(), leaving: state.leaving, lostAt: undefined };
+            const heardAt = now();
+            watch.evidence = { heardAt, leaving: state.leaving, lostAt: undefined };
+            watch.sentAt = watch.sentAt.filter(sentAt => sentAt > heardAt - REPORT_DELAY_MS);
             if (state.running + state.queued > 0) noteBusy(state.service, state.servingDigest);
         });
         const end = () => {
@@ -191,12 +211,22 @@
     function usable(service: string, at: number): KnownAgent[] {
         const found: KnownAgent[] = [];
         for (const watch of watches.values()) {
-            const { address, state } = watch;
-            if (state?.service === service && trust(watch, at) === "usable") found.push({ address, state });
+            const { address, state, sentAt } = watch;
+            if (state?.service !== service || trust(watch, at) !== "usable") continue;
+            found.push({ address, state, sentSinceReport: sentAt.length });
         }
         return found;
     }
 
+    function health(address: string, at: number): Trust {
+        const watch = watches.get(address);
+        return watch === undefined ? "silent" : trust(watch, at);
+    }
+
+    function recordSent(address: string, at: number): void {
+        watches.get(address)?.sentAt.push(at);
+    }
+
     function all(at: number): AgentReport[] {
         return [...watches.values()].map(({ address, evidence, state }) => {
             return { address, state, ageMs: at - (evidence.heardAt ?? 0) };
@@ -217,7 +247,7 @@
 
     const timer = setInterval(reconcile, RECONCILE_MS);
     const lastBusy = (service: string, digest: string) => busyAt.get(`${service} ${digest}`) ?? 0;
-    return { usable, all, lastBusy, ready, stop };
+    return { usable, health, recordSent, all, lastBusy, ready, stop };
 }
 
 /** Returns the addresses of an entry's agents. A pool's part of the subset follows its size. */
--- a/src/lib/entry/entry.ts
+++ b/src/lib/entry/entry.ts
@@ -1,4 +1,5 @@
 /** Starts an entry: configuration, membership, directory of agents, dispatcher and HTTP server. */
+import { DEFAULT_QUEUE_POLICY, profilesOf } from "../core/index.js";
 import { createEventRecorder, createNodeService, startConfigurationSync, startMembershipTask } from "../node/index.js";
 import { createLog } from "../observability/index.js";
 import { createObjectStore, createTableService, createVmList } from "../platform/index.js";
@@ -7,8 +8,10 @@
 import { createAccounts } from "./accounts.js";
 import { startAgentDirectory } from "./agentDirectory.js";
 import { createDispatcher } from "./dispatcher.js";
+import { createEntryQueue } from "./entryQueue.js";
 import { createProfileStore } from "./profileStore.js";
 import { createProfileUse } from "./profileUse.js";
+import { createRequestLimit } from "./requestLimit.js";
 import { startEntryServer } from "./server.js";
 
 const log = createLog("entry");
@@ -52,7 +55,22 @@
         connections,
         now,
     });
-    const profileUse = createProfileUse(createDispatcher({ directory, connections, now, random: Math.random }), now);
+    const queue = settings.scheduling !== "entryQueues" ? undefined : createEntryQueue({
+        policy: service => profilesOf(configuration.current(), service)[0]?.profile ?? DEFAULT_QUEUE_POLICY,
+        entries: () => membership.current().filter(vm => vm.role === "entry" && vm.state === "live").length,
+        now,
+    });
+    const profileUse = createProfileUse(
+        createDispatcher({
+            directory,
+            connections,
+            queue,
+            routing: settings.scheduling === "fifo" ? "random" : "predictedWork",
+            now,
+            random: Math.random,
+        }),
+        now,
+    );
     const { dispatcher } = profileUse;
     const status = () => ({
         process: settings.process,
@@ -68,6 +86,7 @@
         accounts,
         configuration,
         dispatcher,
+        requestLimit: createRequestLimit(settings.limits),
         events,
         now,
         profileStore,
@@ -80,6 +99,7 @@
 
     async function stop(): Promise<void> {
         await server.stop(settings.drainMs);
+        dispatcher.stop();
         directory.stop();
         await Promise.all([membership.stop(), configuration.stop()]);
         connections.close();
