Claim idempotency keys before a keyed call is dispatched

Cause: a keyed call was passed to the backend server without a claim, so a retry after a lost answer could run it twice.

Change: core/claim decides from the answers of the table service, agent/claims carries the decisions out, and the gate's forward asks it for the sink before dispatch. A claim that was not dispatched is overwritten as released, because a late insert can take effect after a deletion. A refusal that no other agent can change carries its HTTP status (409, 422) in the protocol, and the dispatcher stops there. A dispatched keyed call is finished when its caller disconnects, so that the result can be replayed. The key's scope encodes its parts: client a/b with key c and client a with key b/c had the same key.

--- a/src/lib/agent/agent.ts
+++ b/src/lib/agent/agent.ts
@@ -7,6 +7,7 @@
 import { type Activation, startActivation } from "./activation.js";
 import { createAgentService } from "./agentService.js";
 import { createChunkStore } from "./chunkStore.js";
+import { createClaims } from "./claims.js";
 import { createGate } from "./gate.js";
 import { startTransfer } from "./transfer.js";
 
@@ -37,11 +38,13 @@
     const announce = () => listeners.forEach(listener => listener());
     let activation: Activation | undefined;
 
+    const claims = createClaims({ table, now });
     const gate = createGate({
         backendUrl: backendServer.url,
         kind: backendServer.kind,
         serving: () => activation?.serving() ?? NOTHING_LOADED,
         engine,
+        claims,
         now,
     });
 
@@ -102,7 +105,7 @@
     log.info("agent %s listens on port %d", settings.process, rpc.port);
 
     async function stop(): Promise<void> {
-        const drained = gate.drain();
+        const drained = gate.drain().then(() => claims.settled());
         announce();
         await Promise.race([drained, new Promise(resolve => setTimeout(resolve, settings.drainMs).unref())]);
         activation?.stop();
--- /dev/null
+++ b/src/lib/agent/claims.ts
@@ -0,0 +1,234 @@
+/**
+ * Claims the `Idempotency-Key` of a call in the table service before the gate dispatches it, replays the
+ * result of a call that ran, and settles each claim afterwards: with its result, or as released if the
+ * call was certainly not dispatched. Settlements are repeated through outages of the table service.
+ */
+import { createHash, randomUUID } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+    afterClaimRead,
+    afterClaimWrite,
+    afterSettleRead,
+    type ClaimAttempt,
+    type ClaimRead,
+    type ClaimRefusal,
+    type ClaimResult,
+    type ClaimRow,
+    type ClaimStep,
+    type Settlement,
+    Verdict,
+} from "../core/index.js";
+import { createLog } from "../observability/index.js";
+import { type TableService, type TableWrite, wasNeverSent, type WriteCondition } from "../platform/index.js";
+import type { AnswerHead, DispatchRequest } from "../rpc/index.js";
+import type { AnswerSink } from "./gate.js";
+
+const log = createLog("agent:claims");
+
+export const CLAIMS_TABLE = "claims";
+
+/** Set on an answer that was recorded earlier. */
+export const REPLAYED_HEADER = "endivewell-replayed";
+
+export interface Claims {
+    /**
+     * Claims the key of a call. Returns the sink for the answer of the call that the caller must now
+     * dispatch, or `undefined` if the attempt has been answered. A call without a key keeps its sink.
+     */
+    claim(request: DispatchRequest, deadline: number, sink: AnswerSink): Promise<AnswerSink | undefined>;
+    /** Resolves when no settlement is pending. */
+    settled(): Promise<void>;
+}
+
+/** A claim that this process made, or may have made if its tag is unknown. */
+interface OwnClaim {
+    readonly key: string;
+    readonly attempt: ClaimAttempt;
+    readonly etag?: string;
+}
+
+export interface ClaimsOptions {
+    readonly table: TableService;
+    readonly now: () => number;
+    readonly sleep?: (ms: number) => Promise<unknown>;
+    readonly createToken?: () => string;
+}
+
+/** How long a repeated call waits for the result of the first one. */
+const RESULT_WAIT_MS = 3000;
+const POLL_MS = 100;
+const SETTLE_RETRY_MS = 250;
+
+/** Keeps many pending settlements from overloading a table service that is recovering. */
+const MAX_SETTLE_RETRY_MS = 8000;
+
+/** Outages of the table service last for long periods; after this time a settlement is given up. */
+const SETTLE_TIMEOUT_MS = 3_600_000;
+
+/** Bounds the memory of settlements that wait for the end of an outage. */
+const MAX_PENDING = 2000;
+
+/** Largest body that is recorded; rows of the table service are small. */
+export const MAX_RECORDED_BYTES = 64 * 1024;
+
+const RETRY_AFTER_MS = 500;
+
+export function createClaims(options: ClaimsOptions): Claims {
+    const { table, now } = options;
+    const pause = options.sleep ?? (ms => sleep(ms, undefined, { ref: false }));
+    const createToken = options.createToken ?? randomUUID;
+    const pending = new Set<Promise<void>>();
+
+    async function claim(
+        request: DispatchRequest,
+        deadline: number,
+        sink: AnswerSink,
+    ): Promise<AnswerSink | undefined> {
+        if (request.idempotencyKey === "") return sink;
+        if (pending.size >= MAX_PENDING) return refuse(sink, TOO_MANY_PENDING);
+        const key = request.idempotencyKey;
+        let attempt: ClaimAttempt = {
+            token: createToken(),
+            fingerprint: fingerprintOf(request),
+            deadline,
+            waitUntil: now() + RESULT_WAIT_MS,
+            unclearWrites: 0,
+            mayTakeEffect: false,
+        };
+        let step: ClaimStep = { kind: "insert" };
+        for (;;) {
+            if (step.kind === "run") return begin({ key, attempt, etag: step.etag }, sink);
+            if (step.kind === "replay") return replay(sink, step.result);
+            if (step.kind === "refuse") {
+                if (attempt.mayTakeEffect) settle({ key, attempt }, { kind: "release" });
+                return refuse(sink, step.refusal);
+            }
+            if (step.kind === "insert" || step.kind === "takeOver") {
+                const write = await put(key, { ...ownRow(attempt), state: "claimed" }, conditionOf(step));
+                if (write.kind === "unclear") attempt = afterUnclearWrite(attempt, write.cause);
+                step = afterClaimWrite(write);
+                continue;
+            }
+            if (step.kind === "wait") await pause(POLL_MS);
+            step = afterClaimRead(attempt, await table.read(CLAIMS_TABLE, key), now());
+        }
+    }
+
+    /** Returns a sink that settles the claim by the answer. */
+    function begin(own: OwnClaim, sink: AnswerSink): AnswerSink | undefined {
+        if (sink.signal.aborted) {
+            settle(own, { kind: "release" });
+            return refuse(sink, { verdict: Verdict.notRun, reason: "the attempt was cancelled", status: 0 });
+        }
+        const recorder = createRecorder();
+        return {
+            send: frame => {
+                if (frame.$case === "refused" && frame.refused.verdict === Verdict.notRun) {
+                    settle(own, { kind: "release" });
+                }
+                const result = recorder.result(frame);
+                if (result !== undefined) settle(own, { kind: "record", result });
+                if (!sink.signal.aborted) sink.send(frame);
+            },
+            end: () => sink.end(),
+            // A keyed call that was dispatched is finished even if its caller is gone, so that its result
+            // is there when the caller repeats it.
+            signal: new AbortController().signal,
+        };
+    }
+
+    function settle(own: OwnClaim, settlement: Settlement): void {
+        const task: Promise<void> = settleRow(own, settlement)
+            .catch((error: Error) => log.warn("the claim of %s was not settled: %s", own.key, error.message))
+            .finally(() => pending.delete(task));
+        pending.add(task);
+    }
+
+    async function settleRow({ key, attempt, etag }: OwnClaim, settlement: Settlement): Promise<void> {
+        const end = now() + SETTLE_TIMEOUT_MS;
+        let delay = SETTLE_RETRY_MS;
+        let read: ClaimRead = etag === undefined ?
+            await table.read(CLAIMS_TABLE, key) :
+            { kind: "found", value: { ...ownRow(attempt), state: "claimed" }, etag };
+        while (now() < end) {
+            const step = afterSettleRead(attempt, settlement, read);
+            if (step.kind === "settled") return;
+            if (step.kind !== "retryLater") {
+                const write = await put(key, step.row, conditionOf(step));
+                if (write.kind === "written") return;
+            }
+            await pause(delay);
+            delay = Math.min(2 * delay, MAX_SETTLE_RETRY_MS);
+            read = await table.read(CLAIMS_TABLE, key);
+        }
+        throw new Error("the table service was unavailable for too long");
+    }
+
+    function put(key: string, row: ClaimRow, condition: WriteCondition): Promise<TableWrite> {
+        return table.write(CLAIMS_TABLE, key, row, condition);
+    }
+
+    async function settled(): Promise<void> {
+        while (pending.size > 0) await Promise.all(pending);
+    }
+
+    return { claim, settled };
+}
+
+const TOO_MANY_PENDING: ClaimRefusal = {
+    verdict: Verdict.notRun,
+    reason: "too many claims wait for the table service",
+    status: 0,
+};
+
+function refuse(sink: AnswerSink, { verdict, reason, status }: ClaimRefusal): undefined {
+    sink.send({ $case: "refused", refused: { verdict, reason, retryAfterMs: RETRY_AFTER_MS, status } });
+    sink.end();
+    return undefined;
+}
+
+function replay(sink: AnswerSink, { status, headers, body }: ClaimResult): undefined {
+    sink.send({ $case: "head", head: { status, headers: [...headers, { name: REPLAYED_HEADER, value: "true" }] } });
+    sink.send({ $case: "data", data: Buffer.from(body ?? "", "base64") });
+    sink.send({ $case: "end", end: { verdict: Verdict.ran, error: "", outputTokens: 0 } });
+    sink.end();
+    return undefined;
+}
+
+/** Collects an answer; returns it as a result at its end if it is complete. */
+function createRecorder() {
+    const pieces: Buffer[] = [];
+    let size = 0;
+    let head: AnswerHead | undefined;
+
+    function result(frame: Parameters<AnswerSink["send"]>[0]): ClaimResult | undefined {
+        if (frame.$case === "head") head = frame.head;
+        if (frame.$case === "data") {
+            size += frame.data.length;
+            if (size <= MAX_RECORDED_BYTES) pieces.push(frame.data);
+        }
+        if (frame.$case !== "end" || frame.end.error !== "" || head === undefined) return undefined;
+        const body = size <= MAX_RECORDED_BYTES ? Buffer.concat(pieces).toString("base64") : undefined;
+        const headers = head.headers.map(({ name, value }) => ({ name, value }));
+        return { status: head.status, headers, ...(body === undefined ? {} : { body }) };
+    }
+
+    return { result };
+}
+
+function afterUnclearWrite(attempt: ClaimAttempt, cause: Error): ClaimAttempt {
+    const mayTakeEffect = attempt.mayTakeEffect || !wasNeverSent(cause);
+    return { ...attempt, unclearWrites: attempt.unclearWrites + 1, mayTakeEffect };
+}
+
+function ownRow({ token, fingerprint }: ClaimAttempt): Pick<ClaimRow, "token" | "fingerprint"> {
+    return { token, fingerprint };
+}
+
+function conditionOf(step: { readonly kind: string; readonly etag?: string; }): WriteCondition {
+    return step.etag === undefined ? { kind: "absent" } : { kind: "unchanged", etag: step.etag };
+}
+
+function fingerprintOf({ method, path, body }: DispatchRequest): string {
+    return createHash("sha256").update(JSON.stringify([method, path])).update(body).digest("hex");
+}
--- a/src/lib/agent/gate.ts
+++ b/src/lib/agent/gate.ts
@@ -7,6 +7,7 @@
 import { createLog } from "../observability/index.js";
 import { type Engine, type EngineState, openRequest, wasNeverSent } from "../platform/index.js";
 import type { AnswerFrame, DispatchRequest } from "../rpc/index.js";
+import type { Claims } from "./claims.js";
 
 const log = createLog("agent:gate");
 
@@ -33,6 +34,7 @@
     readonly kind: "model" | "plain";
     readonly serving: () => EngineState;
     readonly engine: Engine;
+    readonly claims: Claims;
     readonly now: () => number;
 }
 
@@ -69,7 +71,9 @@
         return undefined;
     }
 
-    async function forward(request: DispatchRequest, deadline: number, sink: AnswerSink): Promise<void> {
+    async function forward(request: DispatchRequest, deadline: number, caller: AnswerSink): Promise<void> {
+        const sink = await options.claims.claim(request, deadline, caller);
+        if (sink === undefined) return;
         const start = options.serving();
         if (options.now() >= deadline) return refuse(sink, Verdict.notRun, "the deadline has passed");
         sink.send({ $case: "admitted", admitted: { loadGeneration: start.generation, queueLength: 0 } });
@@ -144,7 +148,7 @@
 }
 
 function refuse(sink: AnswerSink, verdict: Verdict, reason: string): void {
-    sink.send({ $case: "refused", refused: { verdict, reason, retryAfterMs: RETRY_AFTER_MS } });
+    sink.send({ $case: "refused", refused: { verdict, reason, retryAfterMs: RETRY_AFTER_MS, status: 0 } });
     sink.end();
 }
 
--- a/src/lib/core/index.ts
+++ b/src/lib/core/index.ts
@@ -1,3 +1,4 @@
+export * from "./claim.js";
 export * from "./configuration.js";
 export * from "./hybridClock.js";
 export * from "./manifest.js";
--- a/src/lib/entry/answer.ts
+++ b/src/lib/entry/answer.ts
@@ -34,7 +34,7 @@
         }
         const { verdict, reason, retryAfterMs } = result;
         if (!response.headersSent) {
-            const status = verdict === "notRun" ? 503 : 502;
+            const status = result.status || (verdict === "notRun" ? 503 : 502);
             sendProblem(response, { status, title: "the request failed", detail: reason, verdict, retryAfterMs });
         }
         else if (eventStream) {
--- a/src/lib/entry/dispatcher.ts
+++ b/src/lib/entry/dispatcher.ts
@@ -38,9 +38,18 @@
     readonly signal: AbortSignal;
 }
 
+export interface DispatchFailure {
+    readonly kind: "failed";
+    readonly verdict: Verdict;
+    readonly reason: string;
+    readonly retryAfterMs: number;
+    /** HTTP status from an agent if no other agent can answer differently; otherwise 0. */
+    readonly status: number;
+}
+
 export type DispatchResult =
     | { readonly kind: "complete"; }
-    | { readonly kind: "failed"; readonly verdict: Verdict; readonly reason: string; readonly retryAfterMs: number; };
+    | DispatchFailure;
 
 type AttemptResult = DispatchResult & { readonly delivered: boolean; };
 
@@ -86,7 +95,10 @@
             last = result;
             log.info("request %s: %s (%s)", work.requestId, result.reason, result.verdict);
             const repeatable = work.idempotent || work.idempotencyKey !== "";
-            if (result.delivered || receiver.signal.aborted || !canRetry(result.verdict, repeatable)) break;
+            if (
+                result.status !== 0 || result.delivered || receiver.signal.aborted ||
+                !canRetry(result.verdict, repeatable)
+            ) break;
         }
         return { ...last, verdict: combineVerdicts(verdicts) };
     }
@@ -142,8 +154,8 @@
         for await (const { attemptId: answered, frame } of frames) {
             if (answered !== attemptId || frame === undefined) continue;
             if (frame.$case === "refused") {
-                const { verdict, reason, retryAfterMs } = frame.refused;
-                return { kind: "failed", verdict: parseVerdict(verdict), reason, retryAfterMs, delivered };
+                const { verdict, reason, retryAfterMs, status } = frame.refused;
+                return { kind: "failed", verdict: parseVerdict(verdict), reason, retryAfterMs, status, delivered };
             }
             if (frame.$case === "head") {
                 delivered = true;
@@ -164,7 +176,7 @@
 }
 
 function failure(verdict: Verdict, reason: string) {
-    return { kind: "failed" as const, verdict, reason, retryAfterMs: RETRY_AFTER_MS };
+    return { kind: "failed" as const, verdict, reason, retryAfterMs: RETRY_AFTER_MS, status: 0 };
 }
 
 function shuffled<T>(items: readonly T[], random: () => number): T[] {
--- a/src/lib/entry/servicesApi.ts
+++ b/src/lib/entry/servicesApi.ts
@@ -51,8 +51,11 @@
         headers,
         body: read.body,
         idempotent,
-        // Keys are scoped by client, so that two clients can't collide.
-        idempotencyKey: idempotent || key === "" ? "" : `${service}/${account.client}/${key}`,
+        // Keys are scoped by client. The parts are encoded, so that a slash in a name can't make the keys
+        // of two clients equal.
+        idempotencyKey: idempotent || key === "" ?
+            "" :
+            [service, account.client, key].map(encodeURIComponent).join("/"),
         deadline: parts.now() + parts.settings.limits.answerMs,
         estimatedTokens: 1,
     }, answer);
--- /dev/null
+++ b/src/test/agent/claims.test.ts
@@ -0,0 +1,239 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createClaims, MAX_RECORDED_BYTES, REPLAYED_HEADER } from "../../lib/agent/claims.js";
+import type { AnswerSink } from "../../lib/agent/gate.js";
+import { Verdict } from "../../lib/core/index.js";
+import type { TableService, TableWrite } from "../../lib/platform/index.js";
+import type { DispatchRequest } from "../../lib/rpc/index.js";
+import { longTestParameters } from "../longTest.js";
+
+type Frame = Parameters<AnswerSink["send"]>[0];
+type TableFault = "none" | "lostBefore" | "lostAfter" | "late" | "unavailable";
+type Fate = "answers" | "neverSent" | "breaksOff" | "diesBeforeDispatch" | "diesAfterDispatch" | "cancelled";
+
+const TABLE_FAULTS: TableFault[] = ["none", "lostBefore", "lostAfter", "late", "unavailable"];
+const FATES: Fate[] = ["answers", "neverSent", "breaksOff", "diesBeforeDispatch", "diesAfterDispatch", "cancelled"];
+
+/** Runs a step at a moment that the test's scheduler chooses. */
+type Yield = (label: string) => Promise<void>;
+
+/** A table service in memory. Each operation takes the next fault of the list, then none. */
+function createFakeTable(faults: TableFault[], step: Yield): TableService {
+    const rows = new Map<string, { value: unknown; etag: string; }>();
+    let writes = 0;
+
+    function apply(key: string, value: unknown, etag: string | undefined): TableWrite {
+        if (rows.get(key)?.etag !== etag) return { kind: "conflict" };
+        const written = `"${++writes}"`;
+        rows.set(key, { value, etag: written });
+        return { kind: "written", etag: written };
+    }
+
+    async function write(key: string, value: unknown, etag: string | undefined): Promise<TableWrite> {
+        const fault = faults.shift() ?? "none";
+        const unclear = { kind: "unclear", cause: new Error(fault) } as const;
+        await step("write arrives");
+        if (fault === "late") void step("late write").then(() => apply(key, value, etag));
+        if (fault === "none" || fault === "lostAfter") {
+            const result = apply(key, value, etag);
+            await step("write answered");
+            if (fault === "none") return result;
+        }
+        return unclear;
+    }
+
+    return {
+        read: async (_table, key) => {
+            const unavailable = ![undefined, "none"].includes(faults.shift());
+            await step("read");
+            if (unavailable) return { kind: "unavailable", cause: new Error("outage") };
+            const row = rows.get(key);
+            return row === undefined ? { kind: "missing" } : { kind: "found", ...row };
+        },
+        write: (_table, key, value, condition) => {
+            return write(key, value, condition.kind === "absent" ? undefined : condition.etag);
+        },
+        remove: () => Promise.reject(new Error("claims are never removed")),
+    };
+}
+
+function requestOf(body: string): DispatchRequest {
+    return { idempotencyKey: "k", method: "POST", path: "/b", body: Buffer.from(body) } as DispatchRequest;
+}
+
+interface Attempt {
+    readonly body: string;
+    readonly fate: Fate;
+    readonly remainingMs: number;
+}
+
+interface Outcome {
+    readonly frames: Frame[];
+    ran: boolean;
+}
+
+function verdictOf({ frames }: Outcome): string {
+    const last = frames.at(-1);
+    if (last?.$case === "refused") return last.refused.verdict;
+    return last?.$case === "end" ? last.end.verdict : "none";
+}
+
+/** One simulated fleet of agents over one table; every agent has its own claims and its own fate. */
+function createSimulation(table: TableService, step: Yield) {
+    let clock = 0;
+    let tokens = 0;
+    const runs: string[] = [];
+
+    async function attempt({ body, fate, remainingMs }: Attempt): Promise<Outcome> {
+        const outcome: Outcome = { frames: [], ran: false };
+        let dead = false;
+        const alive = <T>(value: T): T | Promise<T> => dead ? new Promise<T>(() => undefined) : value;
+        const mortal: TableService = {
+            ...table,
+            read: async (...args) => alive(await table.read(...args)),
+            write: async (...args) => alive(await table.write(...args)),
+        };
+        const claims = createClaims({
+            table: mortal,
+            now: () => clock,
+            sleep: async ms => {
+                await step("sleep");
+                clock += ms;
+            },
+            createToken: () => `token-${tokens++}`,
+        });
+        const cancellation = new AbortController();
+        if (fate === "cancelled") void step("cancel").then(() => cancellation.abort());
+        const caller: AnswerSink = {
+            send: frame => void outcome.frames.push(frame),
+            end: () => undefined,
+            signal: cancellation.signal,
+        };
+        const deadline = clock + remainingMs;
+        const sink = await claims.claim(requestOf(body), deadline, caller);
+        if (sink === undefined) {
+            await claims.settled();
+            return outcome;
+        }
+        const refuse = (verdict: Verdict) => {
+            sink.send({ $case: "refused", refused: { verdict, reason: "", retryAfterMs: 0, status: 0 } });
+        };
+        await step("dispatch");
+        if (fate === "diesBeforeDispatch") dead = true;
+        else if (clock >= deadline || fate === "neverSent") refuse(Verdict.notRun);
+        else {
+            outcome.ran = true;
+            runs.push(body);
+            await step("answer");
+            if (fate === "diesAfterDispatch") dead = true;
+            else if (fate === "breaksOff") refuse(Verdict.mayHaveRun);
+            else answer(sink, body);
+        }
+        if (!dead) await claims.settled();
+        return outcome;
+    }
+
+    return { attempt, runs };
+}
+
+function answer(sink: AnswerSink, text: string): void {
+    sink.send({ $case: "head", head: { status: 201, headers: [] } });
+    sink.send({ $case: "data", data: Buffer.from(`ran ${text}`) });
+    sink.send({ $case: "end", end: { verdict: Verdict.ran, error: "", outputTokens: 0 } });
+    sink.end();
+}
+
+const attempts = fc.array(
+    fc.record({
+        body: fc.constantFrom("a", "a", "a", "b"),
+        fate: fc.constantFrom(...FATES),
+        remainingMs: fc.constantFrom(150, 10_000),
+    }),
+    { minLength: 1, maxLength: 4 },
+);
+
+// Guards against a keyed call that runs twice, a `notRun` for a call that runs, a replayed answer of
+// another call, and a key that stays blocked although nothing was dispatched.
+test("claims under lost, late and refused writes, paused and dying holders", async () => {
+    await fc.assert(
+        fc.asyncProperty(
+            attempts,
+            fc.array(fc.constantFrom(...TABLE_FAULTS), { maxLength: 30 }),
+            fc.scheduler(),
+            async (plan, faults, scheduler) => {
+                const step = async (label: string) => {
+                    await scheduler.schedule(Promise.resolve(), label);
+                };
+                const { attempt, runs } = createSimulation(createFakeTable(faults, step), step);
+                const outcomes = plan.map(item => attempt(item));
+                await scheduler.waitIdle();
+                const finished = await Promise.all(outcomes.map(outcome => Promise.race([outcome, undefined])));
+                for (const outcome of finished) {
+                    assert.ok(outcome, "an attempt hangs");
+                    if (verdictOf(outcome) === Verdict.notRun) assert.equal(outcome.ran, false, "notRun, but ran");
+                }
+                assert.ok(runs.length <= 1, `ran ${runs.length} times`);
+                faults.length = 0;
+                const repeated = attempt({ body: "a", fate: "answers", remainingMs: 10_000 });
+                await scheduler.waitIdle();
+                const last = await repeated;
+                assert.ok(runs.length <= 1, `ran ${runs.length} times after a repeat`);
+                const data = last.frames.find(frame => frame.$case === "data");
+                if (data?.$case === "data") assert.equal(data.data.toString(), "ran a");
+                const mayBlock = runs[0] === "b" || plan.some(({ fate }) => /dies|breaksOff/.test(fate));
+                if (!mayBlock) assert.equal(verdictOf(last), Verdict.ran, "the key stays blocked");
+            },
+        ),
+        longTestParameters({ seed: 4, numRuns: 400 }),
+    );
+});
+
+/** Runs attempts one after the other without faults in the table service. */
+async function runInTurn(...plan: Attempt[]): Promise<{ outcomes: Outcome[]; runs: string[]; }> {
+    const step = () => Promise.resolve();
+    const { attempt, runs } = createSimulation(createFakeTable([], step), step);
+    const outcomes: Outcome[] = [];
+    for (const item of plan) outcomes.push(await attempt(item));
+    return { outcomes, runs };
+}
+
+// Guards against a repeated call that gets another answer than the first one, or none.
+test("a repeated call gets the recorded answer", async () => {
+    const call = { body: "a", fate: "answers", remainingMs: 10_000 } as const;
+    const { outcomes: [first, second], runs } = await runInTurn(call, call);
+    assert.deepEqual(runs, ["a"]);
+    assert.deepEqual(second?.frames[1], first?.frames[1]);
+    const head = second?.frames[0];
+    assert.ok(head?.$case === "head" && head.head.headers.some(({ name }) => name === REPLAYED_HEADER));
+});
+
+// Guards against an answer of one booking for another one that reuses the key by mistake.
+test("the same key with another body is refused with 422", async () => {
+    const { outcomes, runs } = await runInTurn(
+        { body: "a", fate: "answers", remainingMs: 10_000 },
+        { body: "b", fate: "answers", remainingMs: 10_000 },
+    );
+    const [frame] = outcomes[1]?.frames ?? [];
+    assert.ok(frame?.$case === "refused");
+    assert.deepEqual([frame.refused.status, frame.refused.verdict, runs.length], [422, "notRun", 1]);
+});
+
+// Guards against a second run of a call whose holder died, and against an unbounded wait for its result.
+test("a row of a dead holder answers 409 with mayHaveRun", async () => {
+    const { outcomes } = await runInTurn(
+        { body: "a", fate: "diesAfterDispatch", remainingMs: 10_000 },
+        { body: "a", fate: "answers", remainingMs: 10_000 },
+    );
+    const [frame] = outcomes[1]?.frames ?? [];
+    assert.ok(frame?.$case === "refused");
+    assert.deepEqual([frame.refused.status, frame.refused.verdict], [409, "mayHaveRun"]);
+});
+
+// Guards against a second run of a call whose answer exceeds the limit of a row.
+test("an answer that is too large to record is reported as run", async () => {
+    const large = "x".repeat(MAX_RECORDED_BYTES + 1);
+    const call = { body: large, fate: "answers", remainingMs: 10_000 } as const;
+    const { outcomes, runs } = await runInTurn(call, call);
+    assert.deepEqual([verdictOf(outcomes[1] as Outcome), runs.length], [Verdict.ran, 1]);
+});
