--- a/src/lib/core/claim.ts
+++ b/src/lib/core/claim.ts
@@ -130,8 +130,8 @@
     | { readonly kind: "retryLater"; };
 
 /**
- * Decides how to settle an own claim after its row was read. A missing row is also overwritten by a
- * release, because the insert may still take effect.
+ * Decides how to settle an own claim after its row was read. A release also overwrites a missing row and
+ * another attempt's released row, because an unclear insert or takeover may still take effect.
  */
 export function afterSettleRead(
     attempt: Pick<ClaimAttempt, "token" | "fingerprint">,
@@ -144,8 +144,11 @@
         return settlement.kind === "release" ? { kind: "insert", row } : { kind: "settled" };
     }
     const found = parseClaimRow(read.value);
-    const open = found?.token === attempt.token && found.state === "claimed";
-    return open ? { kind: "replace", row, etag: read.etag } : { kind: "settled" };
+    const own = found?.token === attempt.token;
+    // A takeover of a released row may still take effect while the row keeps its tag.
+    const mayBeTaken = settlement.kind === "release" && !own && found?.state === "released";
+    const open = own && found.state === "claimed";
+    return open || mayBeTaken ? { kind: "replace", row, etag: read.etag } : { kind: "settled" };
 }
 
 function settledRow({ token, fingerprint }: Pick<ClaimAttempt, "token" | "fingerprint">, s: Settlement): ClaimRow {
--- /dev/null
+++ b/src/test/core/claim.test.ts
@@ -0,0 +1,16 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { afterSettleRead } from "../../lib/core/claim.js";
+
+// Guards against a key that stays blocked: the takeover of a released row was given up, and it takes
+// effect after the settlement has read the row. specs/claim.pml found this fault.
+test("a release replaces another attempt's released row, so that a late takeover fails", () => {
+    const value = { token: "other", fingerprint: "f", state: "released" };
+    const step = afterSettleRead({ token: "own", fingerprint: "f" }, { kind: "release" }, {
+        kind: "found",
+        value,
+        etag: "7",
+    });
+    const row = { token: "own", fingerprint: "f", state: "released" } as const;
+    assert.deepEqual(step, { kind: "replace", row, etag: "7" });
+});
