Add the bench faults

Change: calls with and without keys, streamed and whole completions through several entries while processes are killed, paused, stopped and restarted, versions are switched, and the table service has outages and loses answers. The counts come from the stand-ins and from what callers were told.

--- a/src/bench/bench.ts
+++ b/src/bench/bench.ts
@@ -11,7 +11,9 @@
 /** A bench takes its options as text, as given on the command line. */
 export type Bench = (options: Readonly<Record<string, string>>) => Promise<Figures>;
 
-const benches: Readonly<Record<string, () => Promise<Bench>>> = {};
+const benches: Readonly<Record<string, () => Promise<Bench>>> = {
+    faults: async () => (await import("./faults.js")).run,
+};
 
 const { positionals, tokens } = parseArgs({ allowPositionals: true, strict: false, tokens: true });
 const name = positionals[0] ?? "";
