Announce a planned stop before the servers close

An entry that closed at once reset keep-alive connections on which a request was arriving, and an entry that dispatched to an agent whose gRPC server had just closed could not prove notRun.

Change: an entry fails readiness 2 s before it closes, and an agent announces leaving at least 1 s before its gRPC server closes.

Conclusion: a planned stop takes 2 s longer at an entry and up to 1 s longer at an agent.

--- /dev/null
+++ b/scripts/guarantees.mjs
@@ -0,0 +1,33 @@
+// Names the tests that check each guarantee of docs/design.md, section 1.2, and sums up their results.
+const FLEET = /failing processes keep every guarantee/;
+const CLAIMS = [/^claims under/, /^claim\.pml/, /^a release replaces/];
+const GUARANTEES = {
+    G1: ["no answer from partial or mixed weights", [/^activation\.pml/, /separate processes serve/, FLEET]],
+    G2: ["the whole answer to the own request", [/^a repeated call gets/, /separate processes serve/, FLEET]],
+    G3: ["notRun is true", [...CLAIMS, /combined verdict/, /unknown verdict/, FLEET]],
+    G4: ["keyed and non-idempotent calls run at most once", [
+        ...CLAIMS,
+        /^the same key/,
+        /^a row of a dead/,
+        /^an answer that is too large/,
+        /retried only after notRun/,
+        FLEET,
+    ]],
+    G5: ["a leaving VM gets no new work", []],
+    G6: ["a planned stop cuts off no request", [FLEET]],
+    G7: ["an accepted configuration stays in force", [/^configuration\.pml/]],
+};
+
+/** Returns one line for each guarantee from the TAP output of a test run. */
+export function summarizeGuarantees(tap) {
+    const results = [...tap.matchAll(/^\s*(not )?ok \d+ - (.*?)( # SKIP.*)?$/gm)].map(([, failed, name, skipped]) => {
+        return { name: name.replaceAll("\\", ""), state: skipped ? "skipped" : failed ? "failed" : "passed" };
+    });
+    return Object.entries(GUARANTEES).map(([id, [title, patterns]]) => {
+        const own = results.filter(({ name }) => patterns.some(pattern => pattern.test(name)));
+        const counts = ["passed", "failed", "skipped"].map(state => {
+            return `${own.filter(result => result.state === state).length} ${state}`;
+        });
+        return `${id} ${title}: ${patterns.length === 0 ? "no test" : counts.join(", ")}`;
+    });
+}
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,7 +1,8 @@
 // Compiles the sources and runs every test with Node's test runner. Arguments filter by file name.
 import { spawnSync } from "node:child_process";
-import { readdirSync, rmSync } from "node:fs";
+import { readdirSync, readFileSync, rmSync } from "node:fs";
 import { join } from "node:path";
+import { summarizeGuarantees } from "./guarantees.mjs";
 
 function findTests(directory) {
     return readdirSync(directory, { withFileTypes: true }).flatMap(entry => {
@@ -24,4 +25,14 @@
     console.error(`no test file matches ${filters.join(" ")}`);
     process.exit(2);
 }
-run(process.execPath, ["--enable-source-maps", "--test", "--test-concurrency=4", ...tests]);
+const results = "build/test-results.tap";
+const reporters = [
+    `--test-reporter=${process.stdout.isTTY ? "spec" : "tap"}`,
+    "--test-reporter-destination=stdout",
+    "--test-reporter=tap",
+    `--test-reporter-destination=${results}`,
+];
+const nodeArgs = ["--enable-source-maps", "--test", "--test-concurrency=4", ...reporters, ...tests];
+const { status } = spawnSync(process.execPath, nodeArgs, { stdio: "inherit" });
+console.log(summarizeGuarantees(readFileSync(results, "utf8")).join("\n"));
+process.exit(status ?? 1);
--- /dev/null
+++ b/scripts/testLong.mjs
@@ -0,0 +1,14 @@
+// Runs every property test with fresh seeds for a time: `npm run test:long -- SECONDS` (60 by default).
+// fast-check prints the seed and the path of a failure.
+import { spawnSync } from "node:child_process";
+
+const seconds = Number(process.argv[2] ?? 60);
+if (!(seconds > 0)) {
+    console.error("usage: npm run test:long -- SECONDS");
+    process.exit(2);
+}
+spawnSync("node_modules/.bin/tsc", [], { stdio: "inherit" });
+const tests = ["build/test/agent/claims.test.js", "build/test/fuzz.test.js"];
+const env = { ...process.env, ENDIVEWELL_LONG_TEST_MS: String(seconds * 1000) };
+const result = spawnSync(process.execPath, ["--enable-source-maps", "--test", ...tests], { stdio: "inherit", env });
+process.exit(result.status ?? 1);
--- a/src/bench/faults.ts
+++ b/src/bench/faults.ts
@@ -19,7 +19,7 @@
     waitUntil,
     waitUntilServing,
 } from "../harness/index.js";
-import { createObjectStore, sendRequest, wasNeverSent } from "../lib/platform/index.js";
+import { createObjectStore, type HttpAnswer, sendRequest, wasNeverSent } from "../lib/platform/index.js";
 import { publishDirectory } from "../lib/publish/index.js";
 import { expectedToken } from "../lib/standIn/index.js";
 import type { Bench } from "./bench.js";
@@ -51,6 +51,9 @@
 const TOKENS = 8;
 const MAX_TRIES = 12;
 
+/** Time that the callers' load balancer takes to notice that an entry fails `/readyz`. */
+const LOAD_BALANCER_LAG_MS = 1000;
+
 /** A fault still shows for this time after it has ended, for example in connections that are renewed. */
 const AFTEREFFECT_MS = 1500;
 
@@ -71,16 +74,21 @@
         const digests = await publishVersions(fleet);
         const intervals: FaultInterval[] = [];
         const calls: Call[] = [];
-        const cuts = { cutByDrain: 0, failedWithoutFault: 0 };
+        const cuts = { byDrain: [] as string[], withoutFault: [] as string[] };
+        /** Process identifiers of the entries that the load balancer has taken out. */
+        const leaving = new Set<number>();
         let done = false;
 
         async function callOnce(call: Call, entry: FleetProcess): Promise<Told> {
             const start = Date.now();
             const { told, cut } = await send(call, entry, digests);
-            if (cut) {
+            if (cut !== "") {
+                const text = `${call.kind} through ${entry.name}: ${cut}`;
                 const overlapping = intervals.filter(fault => fault.end >= start);
-                if (overlapping.length === 0) cuts.failedWithoutFault++;
-                else if (overlapping.every(({ kind }) => kind.startsWith("stop"))) cuts.cutByDrain++;
+                if (overlapping.length === 0) cuts.withoutFault.push(text);
+                else if (overlapping.every(({ kind }) => kind.startsWith("stop"))) {
+                    cuts.byDrain.push(text);
+                }
             }
             return told;
         }
@@ -89,7 +97,8 @@
             const call: Call = { kind: drawKind(random()), reference: randomUUID(), told: "notRun", wrong: "" };
             calls.push(call);
             for (let tries = 0; tries < MAX_TRIES; tries++) {
-                const entry = fleet.entries[Math.floor(random() * fleet.entries.length)] as FleetProcess;
+                const ready = fleet.entries.filter(({ pid }) => !leaving.has(pid));
+                const entry = ready[Math.floor(random() * ready.length)] as FleetProcess;
                 const told = await callOnce(call, entry);
                 // A caller combines its tries: one that may have run makes the whole call unclear.
                 if (told === "success") call.told = "success";
@@ -104,7 +113,15 @@
         }
 
         const started = Date.now();
-        const injected = injectFaults(fleet, digests, random, intervals, () => done);
+        const injected = injectFaults({
+            fleet,
+            digests,
+            random,
+            intervals,
+            leaving,
+            done: () => done,
+            only: options.only,
+        });
         await Promise.all(Array.from({ length: Number(options.workers ?? 40) }, worker));
         const seconds = (Date.now() - started) / 1000;
         done = true;
@@ -155,8 +172,8 @@
 
 interface Sent {
     readonly told: Told;
-    /** Whether the call was cut off after it had been sent. */
-    readonly cut: boolean;
+    /** How the call was cut off after it had been sent; empty if it was not. */
+    readonly cut: string;
 }
 
 async function send(call: Call, entry: FleetProcess, digests: readonly string[]): Promise<Sent> {
@@ -166,10 +183,10 @@
         if (kind === "keyed" || kind === "keyless") {
             const headers: Record<string, string> = kind === "keyed" ? { "idempotency-key": reference } : {};
             const answer = await sendToEntry(entry, "POST", "/services/bookings/b", client, { reference }, headers);
-            if (answer.status !== 201) return toldBy(answer.status, answer.headers["endivewell-verdict"]);
+            if (answer.status !== 201) return toldBy(answer);
             const body = JSON.parse(answer.body.toString()) as { reference: string; };
             if (body.reference !== reference) call.wrong = "foreign";
-            return { told: "success", cut: false };
+            return { told: "success", cut: "" };
         }
         const body = {
             model: "desk",
@@ -178,21 +195,22 @@
             messages: [{ role: "user", content: reference }],
         };
         const answer = await sendToEntry(entry, "POST", "/v1/chat/completions", client, body);
-        if (answer.status !== 200) return toldBy(answer.status, answer.headers["endivewell-verdict"]);
+        if (answer.status !== 200) return toldBy(answer);
         const text = answer.body.toString();
         const complete = kind === "whole" || text.endsWith("data: [DONE]\n\n");
-        if (!complete || text.includes("\"error\"")) return { told: "unclear", cut: true };
+        if (!complete || text.includes("\"error\"")) return { told: "unclear", cut: "the stream ended with an error" };
         call.wrong = classify(text, reference, digests);
-        return { told: "success", cut: false };
+        return { told: "success", cut: "" };
     }
     catch (error) {
-        return wasNeverSent(error) ? { told: "notRun", cut: false } : { told: "unclear", cut: true };
+        return wasNeverSent(error) ? { told: "notRun", cut: "" } : { told: "unclear", cut: String(error) };
     }
 }
 
-function toldBy(status: number, verdict: unknown): Sent {
-    if (verdict === "notRun") return { told: "notRun", cut: false };
-    return { told: "unclear", cut: status !== 409 };
+function toldBy({ status, headers, body }: HttpAnswer): Sent {
+    const verdict = headers["endivewell-verdict"];
+    if (verdict === "notRun") return { told: "notRun", cut: "" };
+    return { told: "unclear", cut: status === 409 ? "" : `${status} ${body.toString()}` };
 }
 
 /** An answer must consist of exactly the tokens of one version for this prompt. */
@@ -205,18 +223,24 @@
     return matching.every(count => count === 0) ? "foreign" : "mixed";
 }
 
+interface Injection {
+    readonly fleet: Fleet;
+    readonly digests: readonly string[];
+    readonly random: () => number;
+    readonly intervals: FaultInterval[];
+    readonly leaving: Set<number>;
+    readonly done: () => boolean;
+    /** Injects only process faults of this kind. */
+    readonly only: string | undefined;
+}
+
 /** Injects one process fault after the other, each together with a platform fault in half of the cases. */
-async function injectFaults(
-    fleet: Fleet,
-    digests: readonly string[],
-    random: () => number,
-    intervals: FaultInterval[],
-    done: () => boolean,
-): Promise<void> {
+async function injectFaults(injection: Injection): Promise<void> {
+    const { fleet, digests, random, intervals, done, only } = injection;
     let version = 0;
     for (let round = 0; !done(); round++) {
-        const first = processFault(fleet, random, round);
-        const second = random() < 0.5 ? platformFault(fleet, random) : undefined;
+        const first = processFault(injection, round);
+        const second = only === undefined && random() < 0.5 ? platformFault(fleet, random) : undefined;
         const running = [first, ...(second === undefined ? [] : [second])];
         const noted = running.map(({ kind }) => ({ kind, start: Date.now(), end: Infinity }));
         intervals.push(...noted);
@@ -235,11 +259,11 @@
 
 const PROCESS_FAULTS = ["kill", "pause", "stop", "longPause"] as const;
 
-function processFault(fleet: Fleet, random: () => number, round: number): Fault {
+function processFault({ fleet, random, leaving, only }: Injection, round: number): Fault {
     const groups = [fleet.bookings, fleet.entries, fleet.runners];
     const group = groups[round % groups.length] as FleetProcess[];
     const target = group[Math.floor(random() * group.length)] as FleetProcess;
-    const kind = PROCESS_FAULTS[Math.floor(random() * PROCESS_FAULTS.length)] ?? "kill";
+    const kind = only ?? PROCESS_FAULTS[Math.floor(random() * PROCESS_FAULTS.length)] ?? "kill";
     const name = `${kind} ${target.vm.role}`;
     if (kind === "kill") {
         const begin = async () => target.signal("SIGKILL");
@@ -249,6 +273,7 @@
         let exited: Promise<unknown> | undefined;
         const begin = async () => {
             exited = target.stop(40_000);
+            setTimeout(() => leaving.add(target.pid), LOAD_BALANCER_LAG_MS);
         };
         const end = async () => {
             await exited;
@@ -284,7 +309,7 @@
 function summarize(
     calls: readonly Call[],
     runs: ReadonlyMap<string, number>,
-    { cutByDrain, failedWithoutFault }: { cutByDrain: number; failedWithoutFault: number; },
+    cuts: { readonly byDrain: readonly string[]; readonly withoutFault: readonly string[]; },
     intervals: readonly FaultInterval[],
     setting: Readonly<Record<string, number>>,
 ) {
@@ -301,14 +326,14 @@
         callsByKind: byKind(calls.map(({ kind }) => kind)),
         told: byKind(calls.map(({ kind, told }) => `${kind} ${told}`)),
         faults: byKind(intervals.map(({ kind }) => kind)),
-        failedWithoutFault,
+        cuts,
         violations: {
             doubled: count(bookings, (_call, ran) => ran > 1),
             lost: count(bookings, ({ told }, ran) => told === "success" && ran === 0),
             mixed: count(calls, ({ wrong }) => wrong === "mixed"),
             foreign: count(calls, ({ wrong }) => wrong === "foreign"),
             notRunButRan: count(bookings, ({ told }, ran) => told === "notRun" && ran > 0),
-            cutByDrain,
+            cutByDrain: cuts.byDrain.length,
         },
     };
 }
--- a/src/lib/agent/agent.ts
+++ b/src/lib/agent/agent.ts
@@ -1,4 +1,5 @@
 /** Starts the agent beside a backend server: configuration, transfer, activation, gate and its gRPC server. */
+import { setTimeout as sleep } from "node:timers/promises";
 import { createEventRecorder, createNodeService, startConfigurationSync, startMembershipTask } from "../node/index.js";
 import { createLog } from "../observability/index.js";
 import { createEngine, createObjectStore, createTableService, createVmList } from "../platform/index.js";
@@ -21,6 +22,12 @@
     stop(): Promise<void>;
 }
 
+/**
+ * Shortest time between announcing `leaving` and closing the gRPC server. Requests that entries have sent
+ * meanwhile are refused with `notRun`; a closed server can't prove that to them.
+ */
+const LEAVING_NOTICE_MS = 1000;
+
 const NOTHING_LOADED = { digest: "", generation: 0, fence: 0 };
 
 export async function startAgent(settings: AgentSettings): Promise<RunningAgent> {
@@ -107,7 +114,8 @@
     async function stop(): Promise<void> {
         const drained = gate.drain().then(() => claims.settled());
         announce();
-        await Promise.race([drained, new Promise(resolve => setTimeout(resolve, settings.drainMs).unref())]);
+        const notice = sleep(Math.min(LEAVING_NOTICE_MS, settings.drainMs));
+        await Promise.race([Promise.all([drained, notice]), sleep(settings.drainMs, undefined, { ref: false })]);
         activation?.stop();
         await Promise.all([membership.stop(), configuration.stop()]);
         await rpc.stop(1000);
--- a/src/lib/entry/server.ts
+++ b/src/lib/entry/server.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from "node:crypto";
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import VError from "verror";
 import { createLog } from "../observability/index.js";
 import { type AdminParts, serveAdmin } from "./adminApi.js";
@@ -12,11 +13,17 @@
 
 const log = createLog("entry:server");
 
+/**
+ * Time between failing readiness and closing the server. Requests that arrive before the load balancer
+ * notices are answered; a server that closes at once resets connections on which a request is arriving.
+ */
+const READINESS_NOTICE_MS = 2000;
+
 export const REQUEST_ID_HEADER = "endivewell-request-id";
 
 export interface EntryServer {
     readonly port: number;
-    /** Fails readiness at once, and resolves when all requests have ended or after the timeout. */
+    /** Fails readiness at once, takes requests for a short time, and resolves when all have ended or after the timeout. */
     stop(timeoutMs: number): Promise<void>;
 }
 
@@ -64,9 +71,10 @@
         server.listen(listen.port, listen.host, resolve);
     });
 
-    function stop(timeoutMs: number): Promise<void> {
+    async function stop(timeoutMs: number): Promise<void> {
         leaving = true;
-        return new Promise(resolve => {
+        await sleep(Math.min(READINESS_NOTICE_MS, timeoutMs));
+        await new Promise<void>(resolve => {
             const timer = setTimeout(() => server.closeAllConnections(), timeoutMs);
             server.close(() => {
                 clearTimeout(timer);
