--- a/src/bench/bench.ts
+++ b/src/bench/bench.ts
@@ -19,6 +19,7 @@
     fairness: async () => (await import("./fairness.js")).run,
     flood: async () => (await import("./flood.js")).run,
     overhead: async () => (await import("./overhead.js")).run,
+    faults: async () => (await import("./faults.js")).run,
 };
 
 const { positionals, tokens } = parseArgs({ allowPositionals: true, strict: false, tokens: true });
--- a/src/lib/agent/agent.ts
+++ b/src/lib/agent/agent.ts
@@ -1,5 +1,6 @@
 /** Starts the agent beside a backend server: configuration, transfer, activation, gate and its gRPC server. */
 import { randomUUID } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
 import { DEFAULT_QUEUE_POLICY, type ProfileEntry, profilesOf } from "../core/index.js";
 import { createProfileStore } from "../entry/profileStore.js";
 import { createEventRecorder, createNodeService, startConfigurationSync, startMembershipTask } from "../node/index.js";
@@ -11,6 +12,7 @@
 import { createAgentService } from "./agentService.js";
 import { createChunkSources } from "./chunkSources.js";
 import { createChunkStore } from "./chunkStore.js";
+import { createClaims } from "./claims.js";
 import { createGate } from "./gate.js";
 import { createHeldVersions } from "./heldVersions.js";
 import { createElapsedClock, createLease, type Lease } from "./lease.js";
@@ -36,6 +38,12 @@
 /** With queues at the entries, the agent passes on whatever the entries' shares let through. */
 const UNLIMITED = 10_000;
 
+/**
+ * Shortest time between announcing `leaving` and closing the gRPC server. Requests that entries have sent
+ * meanwhile are refused with `notRun`; a closed server can't prove that to them.
+ */
+const LEAVING_NOTICE_MS = 1000;
+
 const NOTHING_LOADED = { digest: "", generation: 0, fence: 0 };
 
 export async function startAgent(settings: AgentSettings): Promise<RunningAgent> {
@@ -105,6 +113,7 @@
         }, LOAD_INTERVAL_MS);
     };
 
+    const claims = createClaims({ table, now });
     const gate = createGate({
         backendUrl: backendServer.url,
         kind: backendServer.kind,
@@ -114,6 +123,7 @@
         policy: () => profilesOf(configuration.current(), settings.service)[0]?.profile ?? DEFAULT_QUEUE_POLICY,
         ranked: settings.scheduling === "agentQueues",
         onChange: announceLoad,
+        claims,
         now,
     });
 
@@ -203,9 +213,10 @@
     log.info("agent %s listens on port %d", settings.process, rpc.port);
 
     async function stop(): Promise<void> {
-        const drained = gate.drain();
+        const drained = gate.drain().then(() => claims.settled());
         announce();
-        await Promise.race([drained, new Promise(resolve => setTimeout(resolve, settings.drainMs).unref())]);
+        const notice = sleep(Math.min(LEAVING_NOTICE_MS, settings.drainMs));
+        await Promise.race([Promise.all([drained, notice]), sleep(settings.drainMs, undefined, { ref: false })]);
         // An order in progress can take minutes; its lease then expires.
         await Promise.race([activation?.stop(), new Promise(resolve => setTimeout(resolve, 1000).unref())]);
         await Promise.all([membership.stop(), configuration.stop()]);
--- a/src/lib/agent/gate.ts
+++ b/src/lib/agent/gate.ts
@@ -20,6 +20,7 @@
 import { createLog } from "../observability/index.js";
 import { type Engine, type EngineState, openRequest, wasNeverSent } from "../platform/index.js";
 import type { AnswerFrame, DispatchRequest } from "../rpc/index.js";
+import type { Claims } from "./claims.js";
 
 const log = createLog("agent:gate");
 
@@ -71,6 +72,7 @@
     readonly ranked: boolean;
     /** Called after each change of the load. */
     readonly onChange: () => void;
+    readonly claims: Claims;
     readonly now: () => number;
 }
 
@@ -280,7 +282,9 @@
         return slotTokensPerSecond === undefined ? Infinity : slotTokensPerSecond * limit.current();
     }
 
-    async function forward(request: DispatchRequest, deadline: number, sink: AnswerSink): Promise<void> {
+    async function forward(request: DispatchRequest, deadline: number, caller: AnswerSink): Promise<void> {
+        const sink = await options.claims.claim(request, deadline, caller);
+        if (sink === undefined) return;
         const start = options.serving();
         const refusal = refusalOf(request);
         if (refusal !== undefined) return refuse(sink, Verdict.notRun, refusal);
@@ -389,7 +393,7 @@
 function refuse(sink: AnswerSink, verdict: Verdict, reason: string, retryAfterMs = RETRY_AFTER_MS): void {
     sink.send({
         $case: "refused",
-        refused: { verdict, reason, retryAfterMs: Math.min(retryAfterMs, MAX_REPORTED_WAIT_MS) },
+        refused: { verdict, reason, retryAfterMs: Math.min(retryAfterMs, MAX_REPORTED_WAIT_MS), status: 0 },
     });
     sink.end();
 }
--- a/src/lib/core/index.ts
+++ b/src/lib/core/index.ts
@@ -1,6 +1,7 @@
 export * from "./attempt.js";
 export * from "./binding.js";
 export * from "./chunkAssignment.js";
+export * from "./claim.js";
 export * from "./concurrencyLimit.js";
 export * from "./configuration.js";
 export * from "./eventStream.js";
--- a/src/lib/entry/dispatcher.ts
+++ b/src/lib/entry/dispatcher.ts
@@ -58,9 +58,18 @@
     readonly signal: AbortSignal;
 }
 
+export interface DispatchFailure {
+    readonly kind: "failed";
+    readonly verdict: Verdict;
+    readonly reason: string;
+    readonly retryAfterMs: number;
+    /** HTTP status from an agent if no other agent can answer differently; otherwise 0. */
+    readonly status: number;
+}
+
 export type DispatchResult =
     | { readonly kind: "complete"; }
-    | { readonly kind: "failed"; readonly verdict: Verdict; readonly reason: string; readonly retryAfterMs: number; };
+    | DispatchFailure;
 
 export interface Dispatcher {
     dispatch(work: Work, receiver: AnswerReceiver): Promise<DispatchResult>;
@@ -156,7 +165,10 @@
             last = result;
             log.info("request %s: %s (%s)", work.requestId, result.reason, result.verdict);
             const resumable = !delivery.started || (work.resumedBody !== undefined && delivery.outputs > 0);
-            if (!resumable || receiver.signal.aborted || !canRetry(result.verdict, isRepeatable(work))) break;
+            if (
+                result.status !== 0 || !resumable || receiver.signal.aborted ||
+                !canRetry(result.verdict, isRepeatable(work))
+            ) break;
         }
         return { ...last, verdict: verdicts.length === 0 ? last.verdict : combineVerdicts(verdicts) };
     }
@@ -248,8 +260,8 @@
                 if (frame === undefined || !own.accept(attemptId, frame.$case)) continue;
                 current.lastFrameAt = now();
                 if (frame.$case === "refused") {
-                    const { verdict, reason, retryAfterMs } = frame.refused;
-                    return { kind: "failed", verdict: parseVerdict(verdict), reason, retryAfterMs };
+                    const { verdict, reason, retryAfterMs, status } = frame.refused;
+                    return { kind: "failed", verdict: parseVerdict(verdict), reason, retryAfterMs, status };
                 }
                 if (frame.$case === "head") {
                     head = frame.head;
@@ -317,9 +329,7 @@
 /** Where an attempt runs; `release` must be called when it has ended. */
 export type Slot =
     | { readonly kind: "chosen"; readonly address: string; readonly release: () => void; }
-    | { readonly kind: "refused"; readonly failure: Failure; };
-
-export type Failure = Extract<DispatchResult, { kind: "failed"; }>;
+    | { readonly kind: "refused"; readonly failure: DispatchFailure; };
 
 function toCandidate({ address, state, sentSinceReport }: KnownAgent, rank: Rank) {
     return {
@@ -341,6 +351,6 @@
     return head.headers.find(({ name }) => name === "x-engine-digest")?.value !== work.rootDigest;
 }
 
-function failure(verdict: Verdict, reason: string): Failure {
-    return { kind: "failed", verdict, reason, retryAfterMs: RETRY_AFTER_MS };
+function failure(verdict: Verdict, reason: string): DispatchFailure {
+    return { kind: "failed", verdict, reason, retryAfterMs: RETRY_AFTER_MS, status: 0 };
 }
--- a/src/lib/entry/entryQueue.ts
+++ b/src/lib/entry/entryQueue.ts
@@ -130,5 +130,5 @@
 }
 
 function refusal(reason: string, retryAfterMs: number): Slot {
-    return { kind: "refused", failure: { kind: "failed", verdict: Verdict.notRun, reason, retryAfterMs } };
+    return { kind: "refused", failure: { kind: "failed", verdict: Verdict.notRun, reason, retryAfterMs, status: 0 } };
 }
--- a/src/lib/entry/servicesApi.ts
+++ b/src/lib/entry/servicesApi.ts
@@ -72,8 +72,11 @@
         headers,
         body: read.body,
         idempotent,
-        // Keys are scoped by client, so that two clients can't collide.
-        idempotencyKey: idempotent || key === "" ? "" : `${service}/${account.client}/${key}`,
+        // Keys are scoped by client. The parts are encoded, so that a slash in a name can't make the keys
+        // of two clients equal.
+        idempotencyKey: idempotent || key === "" ?
+            "" :
+            [service, account.client, key].map(encodeURIComponent).join("/"),
         deadline: parts.now() + parts.settings.limits.answerMs,
         estimatedTokens: 1,
     }, answer);
--- a/src/lib/platform/tableService.ts
+++ b/src/lib/platform/tableService.ts
@@ -8,10 +8,11 @@
 export type TableRead =
     | { readonly kind: "found"; readonly value: unknown; readonly etag: string; }
     | { readonly kind: "missing"; }
-    /** The row still has the entity tag that the caller knows. */
-    | { readonly kind: "unchanged"; }
     | { readonly kind: "unavailable"; readonly cause: Error; };
 
+/** The row still has the entity tag that the caller knows. */
+export type UnchangedRow = { readonly kind: "unchanged"; };
+
 export type TableWrite =
     | { readonly kind: "written"; readonly etag: string; }
     | { readonly kind: "conflict"; }
@@ -22,8 +23,9 @@
 export type WriteCondition = { readonly kind: "absent"; } | { readonly kind: "unchanged"; readonly etag: string; };
 
 export interface TableService {
+    read(table: string, key: string): Promise<TableRead>;
     /** With `knownEtag`, a row that still has this tag is answered without its content. */
-    read(table: string, key: string, knownEtag?: string): Promise<TableRead>;
+    read(table: string, key: string, knownEtag: string | undefined): Promise<TableRead | UnchangedRow>;
     write(table: string, key: string, value: unknown, condition: WriteCondition): Promise<TableWrite>;
     remove(table: string, key: string, etag: string): Promise<TableWrite>;
 }
@@ -37,7 +39,13 @@
     const rowUrl = (table: string, key: string) =>
         `${options.url}/tables/${encodeURIComponent(table)}/${encodeURIComponent(key)}`;
 
-    async function read(table: string, key: string, knownEtag?: string): Promise<TableRead> {
+    async function read(table: string, key: string): Promise<TableRead>;
+    async function read(
+        table: string,
+        key: string,
+        knownEtag: string | undefined,
+    ): Promise<TableRead | UnchangedRow>;
+    async function read(table: string, key: string, knownEtag?: string): Promise<TableRead | UnchangedRow> {
         try {
             const answer = await sendRequest({
                 method: "GET",
--- a/src/test/agent/gate.test.ts
+++ b/src/test/agent/gate.test.ts
@@ -37,6 +37,8 @@
         policy: () => DEFAULT_QUEUE_POLICY,
         ranked: true,
         onChange: () => undefined,
+        // These tests send no keyed calls, which alone are claimed.
+        claims: { claim: async (_request, _deadline, sink) => sink, settled: async () => undefined },
         now: () => Date.now(),
     });
     try {
