--- a/src/bench/distribution.ts
+++ b/src/bench/distribution.ts
@@ -51,11 +51,12 @@
         bytesPerSecond: number("rate", 2) * MEGABYTE,
         chunkBytes: number("chunk-kb", 128) * 1024,
     };
-    const strategies = (options.strategies ?? `${PEERS},chain,originOnly`).split(",");
+    const list = (text: string) => text.split(",").filter(item => item !== "");
+    const strategies = list(options.strategies ?? `${PEERS},chain,originOnly`);
     const runs: Record<string, Measured> = {};
     for (const strategy of strategies) runs[strategy] = await measure({ ...base, strategy, replicas });
     const scale: Record<string, Measured> = {};
-    for (const count of (options.scale ?? "").split(",").filter(text => text !== "")) {
+    for (const count of list(options.scale ?? "")) {
         scale[count] = await measure({ ...base, strategy: PEERS, replicas: Number(count) });
     }
     return summarize(base.bytes / base.bytesPerSecond, replicas, runs, scale, base);
