Pace the reads from the origin

Cause: all VMs of a region shared the origin's link at once, so that with 48 replicas the first chunk was complete only after one for each VM had been sent. Change: each chunk has a turn in an order that all VMs compute; the region reads at twice a VM's rate.

--- a/src/lib/agent/peerStrategy.ts
+++ b/src/lib/agent/peerStrategy.ts
@@ -38,6 +38,12 @@
 /** Corrupted chunks from one peer that are reported to the operator. */
 const REPORTED_CORRUPTIONS = 3;
 
+/**
+ * The region reads from the origin at this multiple of a VM's inbound rate. Without a pace, all VMs share
+ * the origin's link at once, and the first chunk is complete only when one for each VM has been sent.
+ */
+const ORIGIN_PACE = 2;
+
 /** A takeover waits for several times the time of one chunk on this VM's link. */
 const TAKEOVER_CHUNK_TIMES = 8;
 
@@ -64,6 +70,13 @@
     const largest = chunks.reduce((size, chunk) => Math.max(size, chunk.size), 0);
     const chunkMs = largest / settings.links.inBytesPerSecond * 1000;
     const takeoverStepMs = Math.max(TAKEOVER_DELAY_MS, TAKEOVER_CHUNK_TIMES * chunkMs);
+    const startedAt = now();
+    // Every VM that starts afresh computes the same turns.
+    const turns = new Map(
+        chunks.filter(({ index }) => !version.has(index))
+            .sort((a, b) => a.digest < b.digest ? -1 : 1)
+            .map(({ index }, turn) => [index, turn]),
+    );
     const regionSize = 1 + environment.peers().filter(vm => vm.region === settings.region).length;
     const share = Math.ceil(REGION_UPSTREAM_REQUESTS / regionSize);
 
@@ -73,7 +86,10 @@
         maxRequestsPerPeer: MAX_REQUESTS_PER_PEER,
         maxUpstreamRequests: Math.min(MAX_UPSTREAM_REQUESTS, share),
         maxDuplicates: MAX_DUPLICATES,
-        upstreamDueAt: chunk => lastArrivalAt + (upstream[chunk]?.delayMs ?? 0),
+        upstreamDueAt: chunk => {
+            const delayMs = upstream[chunk]?.delayMs ?? 0;
+            return delayMs > 0 ? lastArrivalAt + delayMs : startedAt + (turns.get(chunk) ?? 0) * chunkMs / ORIGIN_PACE;
+        },
         random,
     });
     const known = new Set<number>();
