--- a/src/bench/fairness.ts
+++ b/src/bench/fairness.ts
@@ -39,7 +39,11 @@
     const { fleet } = await startPool({ entries: ENTRIES, runners: RUNNERS, clients, engine }, design);
     const agent = new http.Agent({ keepAlive: true });
     try {
-        const capacity = await measureCapacity(fleet.runners.map(({ url }) => url), SLOTS, 2 * TOKENS);
+        const { tokensPerSecond: capacity } = await measureCapacity(
+            fleet.runners.map(({ url }) => url),
+            SLOTS,
+            2 * TOKENS,
+        );
         const stream = (index: number, ofCapacity: number): Stream => ({
             urls: [fleet.entries[index % ENTRIES]?.url ?? ""],
             clients: [`client-${index}`],
@@ -83,7 +87,7 @@
 
     async function part(streams: readonly Stream[]): Promise<Part> {
         const startedAt = performance.now();
-        const outcomes = await openLoop(streams, PART_MS, agent);
+        const outcomes = await openLoop(streams, "random", PART_MS, agent);
         return { outcomes, from: startedAt + SETTLE_MS, to: startedAt + PART_MS };
     }
 }
--- a/src/bench/flood.ts
+++ b/src/bench/flood.ts
@@ -33,7 +33,11 @@
     const { fleet } = await startPool({ entries: 2, runners: RUNNERS, clients: CLIENTS, engine }, design);
     const agent = new http.Agent({ keepAlive: true });
     try {
-        const capacity = await measureCapacity(fleet.runners.map(({ url }) => url), SLOTS, TOKENS);
+        const { tokensPerSecond: capacity, outcomes: direct } = await measureCapacity(
+            fleet.runners.map(({ url }) => url),
+            SLOTS,
+            TOKENS,
+        );
         const urls = fleet.entries.map(({ url }) => url);
         const clients = Array.from({ length: CLIENTS }, (_, index) => `client-${index}`);
         const stream = (rank: Rank, ofCapacity: number) => {
@@ -66,6 +70,11 @@
             overnightKept: round(rateOf("overnight", second) / (FLOORS.overnight * capacity)),
             throughputOverCapacity: round(Math.min(rateOf(undefined, first), rateOf(undefined, second)) / capacity),
             capacityTokensPerSecond: round(capacity, 1),
+            directGapsInTime: round(direct.filter(areGapsInTime).length / direct.length),
+            urgentGapsInTime: round(urgent.filter(areGapsInTime).length / urgent.length),
+            urgentFirstTokenInTime: round(
+                urgent.filter(outcome => firstTokenMs(outcome) <= FIRST_TOKEN_TARGET_MS).length / urgent.length,
+            ),
             urgentFirstTokenP95Ms: round(percentile(urgent.map(firstTokenMs), 0.95), 0),
             urgentSent: urgent.length,
             requests: all.length,
@@ -80,7 +89,7 @@
 
     async function phase(durationMs: number, streams: Parameters<typeof openLoop>[0]): Promise<Phase> {
         const startedAt = performance.now();
-        const outcomes = await openLoop(streams, durationMs, agent);
+        const outcomes = await openLoop(streams, "even", durationMs, agent);
         return { outcomes, from: startedAt + SETTLE_MS, to: startedAt + durationMs };
     }
 }
@@ -101,10 +110,12 @@
     return (tokenTimes[0] ?? Infinity) - sentAt;
 }
 
-/** The first token in time, and 95 of 100 gaps between tokens in time. */
 function isWithinTarget(outcome: Outcome): boolean {
-    const { tokenTimes } = outcome;
+    return outcome.status === 200 && firstTokenMs(outcome) <= FIRST_TOKEN_TARGET_MS && areGapsInTime(outcome);
+}
+
+/** 95 of 100 gaps between tokens are in time. */
+function areGapsInTime({ tokenTimes }: Outcome): boolean {
     const gaps = tokenTimes.slice(1).map((at, index) => at - (tokenTimes[index] ?? at));
-    return outcome.status === 200 && firstTokenMs(outcome) <= FIRST_TOKEN_TARGET_MS &&
-        percentile(gaps, 0.95) <= INTER_TOKEN_TARGET_MS;
+    return percentile(gaps, 0.95) <= INTER_TOKEN_TARGET_MS;
 }
--- a/src/lib/agent/gate.ts
+++ b/src/lib/agent/gate.ts
@@ -19,7 +19,7 @@
 } from "../core/index.js";
 import { createLog } from "../observability/index.js";
 import { type Engine, type EngineState, openRequest, wasNeverSent } from "../platform/index.js";
-import type { AnswerFrame, DispatchRequest } from "../rpc/index.js";
+import type { AnswerEnd, AnswerFrame, DispatchRequest } from "../rpc/index.js";
 
 const log = createLog("agent:gate");
 
@@ -89,7 +89,7 @@
  * Requests that start together also end together, and other ranks and clients then wait for a whole answer.
  * Paced requests start at least this fraction of a slot's mean turnover apart, so that slots become free evenly.
  */
-const START_PACE = 0.9;
+const START_PACE = 0.8;
 
 /** Weight of a new sample in the mean rate of a slot. */
 const RATE_SMOOTHING = 0.1;
@@ -254,12 +254,14 @@
     }
 
     /** Corrects the estimated cost and adapts the limit and the rate. */
-    function learn(item: Item, startedAt: number, { firstDataAt, lastDataAt, outputTokens }: Measured): void {
-        const ended = outputTokens();
-        if (ended === undefined) return;
+    function learn(item: Item, startedAt: number, { firstDataAt, lastDataAt, end }: Measured): void {
+        const ended = end();
+        // A client doesn't pay for a request that was refused after it had left the queue.
+        if (ended === undefined) return queue.correct(item, 0, now());
         const prompt = Math.ceil(item.value.request.body.length / CHARACTERS_PER_TOKEN);
-        const cost = options.kind === "plain" ? 1 : Math.max(1, prompt + ended);
+        const cost = options.kind === "plain" ? 1 : Math.max(1, prompt + ended.outputTokens);
         queue.correct(item, cost, now());
+        if (ended.error !== "") return;
         meanCost += RATE_SMOOTHING * (cost - meanCost);
         const duration = Math.max(1, now() - startedAt);
         const rate = 1000 * cost / duration;
@@ -272,7 +274,8 @@
         const [first, last] = [firstDataAt(), lastDataAt()];
         if (options.kind === "plain" || first === undefined || last === undefined || last === first) return;
         limit.firstToken(first - startedAt, running, now());
-        if (ended > 1) limit.betweenTokens((last - first) / (ended - 1), running, now());
+        const gaps = ended.outputTokens - 1;
+        if (gaps > 0) limit.betweenTokens((last - first) / gaps, running, now());
     }
 
     /** Infinite until the first answer has ended, so that nothing is refused on a guess. */
@@ -403,22 +406,22 @@
     readonly sink: AnswerSink;
     readonly firstDataAt: () => number | undefined;
     readonly lastDataAt: () => number | undefined;
-    /** `undefined` unless the answer ended without an error. */
-    readonly outputTokens: () => number | undefined;
+    /** `undefined` if the attempt was refused. */
+    readonly end: () => AnswerEnd | undefined;
 }
 
 /** Observes the frames of an attempt for the limit and the correction of its cost. */
 function measure(sink: AnswerSink, now: () => number): Measured {
     let firstDataAt: number | undefined;
     let lastDataAt: number | undefined;
-    let outputTokens: number | undefined;
+    let end: AnswerEnd | undefined;
 
     function send(frame: Frame): boolean {
         if (frame.$case === "data") {
             lastDataAt = now();
             firstDataAt ??= lastDataAt;
         }
-        if (frame.$case === "end" && frame.end.error === "") outputTokens = frame.end.outputTokens;
+        if (frame.$case === "end") end = frame.end;
         return sink.send(frame);
     }
 
@@ -426,7 +429,7 @@
         sink: { ...sink, send },
         firstDataAt: () => firstDataAt,
         lastDataAt: () => lastDataAt,
-        outputTokens: () => outputTokens,
+        end: () => end,
     };
 }
 
--- a/src/lib/entry/dispatcher.ts
+++ b/src/lib/entry/dispatcher.ts
@@ -93,6 +93,7 @@
     readonly address: string;
     readonly call: ClientReadableStream<AnswerFrame>;
     readonly repeatable: boolean;
+    readonly deadline: number;
     lastFrameAt: number;
     callerIsSlow: boolean;
     abandonedBecause: string | undefined;
@@ -109,6 +110,9 @@
 /** Longer than an agent waits for its backend server, so that the agent's own verdict comes first. */
 const PROGRESS_TIMEOUT_MS = 35_000;
 
+/** The agent refuses queued requests at the deadline itself, with a better verdict. */
+const DEADLINE_GRACE_MS = 1000;
+
 const AFFINITY_CAPACITY = 4096;
 const RETRY_BUDGET = { ratio: 0.1, burst: 20 };
 
@@ -135,7 +139,7 @@
         const tried = new Set<string>();
         const delivery: Delivery = { started: false, outputs: 0 };
         let last = failure(Verdict.notRun, `no agent of ${work.service} can take the request`);
-        while (verdicts.length < MAX_ATTEMPTS) {
+        while (verdicts.length < MAX_ATTEMPTS && now() < work.deadline) {
             const slot = await chooseSlot(work, tried, receiver.signal);
             if (slot.kind === "refused") {
                 if (verdicts.length === 0) last = slot.failure;
@@ -217,6 +221,7 @@
             address,
             call,
             repeatable: isRepeatable(work),
+            deadline: work.deadline,
             lastFrameAt: now(),
             callerIsSlow: false,
             abandonedBecause: undefined,
@@ -296,7 +301,9 @@
         }
     }
 
-    function problemOf({ attempt: own, address, repeatable, lastFrameAt, callerIsSlow }: ActiveAttempt, at: number) {
+    function problemOf(current: ActiveAttempt, at: number): string | undefined {
+        const { attempt: own, address, repeatable, deadline, lastFrameAt, callerIsSlow } = current;
+        if (at > deadline + DEADLINE_GRACE_MS) return "the deadline has passed";
         if (callerIsSlow) return undefined;
         const health = directory.health(address, at);
         const quietMs = at - lastFrameAt;
--- a/src/test/entry/limits.test.ts
+++ b/src/test/entry/limits.test.ts
@@ -65,3 +65,25 @@
         await fleet.stop();
     }
 });
+
+// Guards against answers that hold a slot beyond the longest time that the settings allow.
+test("an answer that exceeds the longest time ends with an explicit error and frees its slot", async () => {
+    const engine = { slots: 8, tokensPerSecond: 50 };
+    const { fleet } = await startPool(
+        { entries: 1, runners: 1, engine, entrySettings: { limits: { answerMs: 1000 } } },
+        "agentQueues",
+    );
+    try {
+        const [entry] = fleet.entries;
+        const [runner] = fleet.runners;
+        assert.ok(entry && runner);
+        const body = { model: PROFILE, stream: true, max_tokens: 500, prompt: "long" };
+        const answer = await sendToEntry(entry, "POST", "/v1/completions", "client-0", body);
+        assert.match(answer.body.toString(), /the deadline has passed/);
+        await sleep(300);
+        assert.equal((await fleet.readState(runner)).running, 0);
+    }
+    finally {
+        await fleet.stop();
+    }
+});
