Collect events and status from all processes; record audit and request events

Cause: the administration API showed the events of one entry only, and no event named an operator or a request. Change: an entry asks the other processes through the Node service, with a time limit and a bounded number of calls, and names those that do not answer. A badly encoded profile name is answered with 400 instead of 500. Conclusion: /admin/v1/timeline returns { events, unreachable }, /admin/v1/status also lists entries.

--- a/src/lib/agent/agent.ts
+++ b/src/lib/agent/agent.ts
@@ -85,7 +85,7 @@
         ...settings.rpc,
         credentials: createCredentials(settings.tls),
         node: createNodeService({ configuration, events, status: state }),
-        agent: createAgentService(gate, store, { current: state, subscribe }),
+        agent: createAgentService(gate, store, { current: state, subscribe }, events),
     });
     if (backendServer.kind === "model") {
         activation = startActivation({
--- a/src/lib/agent/agentService.ts
+++ b/src/lib/agent/agentService.ts
@@ -1,6 +1,7 @@
 /** Handlers of the Agent service: dispatch of requests, state, manifests and chunks. */
 import type { ServerWritableStream } from "@grpc/grpc-js";
 import { placeChunks } from "../core/index.js";
+import type { EventRecorder } from "../node/index.js";
 import type {
     AgentServer,
     AgentState,
@@ -22,9 +23,14 @@
     subscribe(listener: () => void): () => void;
 }
 
-export function createAgentService(gate: Gate, store: ChunkStore, state: StateFeed): AgentServer {
+export function createAgentService(
+    gate: Gate,
+    store: ChunkStore,
+    state: StateFeed,
+    events: EventRecorder,
+): AgentServer {
     return {
-        dispatch: call => dispatch(call, gate),
+        dispatch: call => dispatch(call, gate, events),
         watchState: call => watchState(call, state),
         watchChunks: call => call.end(),
         readChunk: call => void readChunk(call, store),
@@ -37,17 +43,29 @@
     };
 }
 
-function dispatch(call: ServerWritableStream<DispatchRequest, AnswerFrame>, gate: Gate): void {
-    const { attemptId } = call.request;
+function dispatch(
+    call: ServerWritableStream<DispatchRequest, AnswerFrame>,
+    gate: Gate,
+    events: EventRecorder,
+): void {
+    const { attemptId, requestId } = call.request;
+    let verdict = "none";
     const cancellation = new AbortController();
     call.on("cancelled", () => cancellation.abort());
     call.on("error", () => cancellation.abort());
     const sink = {
-        send: (frame: NonNullable<AnswerFrame["frame"]>) => void call.write({ attemptId, frame }),
+        send: (frame: NonNullable<AnswerFrame["frame"]>) => {
+            if (frame.$case === "refused") verdict = frame.refused.verdict;
+            if (frame.$case === "end") verdict = frame.end.verdict;
+            call.write({ attemptId, frame });
+        },
         end: () => call.end(),
         signal: cancellation.signal,
     };
-    gate.dispatch(call.request, sink).catch((error: Error) => call.destroy(error));
+    events.record("attempt.started", requestId, { attemptId, client: call.request.client, rank: call.request.rank });
+    gate.dispatch(call.request, sink)
+        .catch((error: Error) => call.destroy(error))
+        .finally(() => events.record("attempt.ended", requestId, { attemptId, verdict }));
 }
 
 function watchState(call: ServerWritableStream<WatchStateRequest, AgentState>, state: StateFeed): void {
--- a/src/lib/entry/adminApi.ts
+++ b/src/lib/entry/adminApi.ts
@@ -1,10 +1,12 @@
 /** The administration API under `/admin/v1`. Viewers read; operators also change profiles. */
 import { randomUUID } from "node:crypto";
 import { match } from "ts-pattern";
-import { type ProfileChange, type ProfileEntry, Verdict } from "../core/index.js";
+import { type Profile, type ProfileChange, type ProfileEntry, Verdict } from "../core/index.js";
 import type { TableService } from "../platform/index.js";
+import type { Operator } from "./accounts.js";
 import { rejection, sendProblem } from "./problem.js";
-import { applyChange } from "./profileStore.js";
+import type { ProcessSurvey } from "./processSurvey.js";
+import { applyChange, type ChangeResult } from "./profileStore.js";
 import { parseJsonObject, readLimitedBody } from "./requestBody.js";
 import type { EntryParts, RequestContext } from "./requestContext.js";
 
@@ -14,7 +16,8 @@
 export interface AdminParts extends EntryParts {
     readonly table: TableService;
     /** Returns the status document of the system as this entry sees it. */
-    readonly status: () => unknown;
+    readonly status: () => object;
+    readonly survey: ProcessSurvey;
     /** Tells whether the entry knows the agents and the configuration that it needs. */
     readonly ready: () => boolean;
 }
@@ -27,9 +30,9 @@
     if (!reading && operator.role !== "operator") {
         return sendProblem(response, rejection(403, "not allowed", "the token's role is viewer"));
     }
-    if (reading && url.pathname === "/admin/v1/status") return answerJson(context, parts.status());
+    if (reading && url.pathname === "/admin/v1/status") return answerStatus(parts, context);
     if (reading && url.pathname === "/admin/v1/timeline") {
-        return answerJson(context, parts.events.read(url.searchParams.get("subject") ?? ""));
+        return answerJson(context, await parts.survey.readEvents(url.searchParams.get("subject") ?? ""));
     }
     if (reading && url.pathname === PROFILES_PATH) {
         return answerJson(context, Object.values(parts.configuration.current().profiles));
@@ -37,9 +40,14 @@
     if (!url.pathname.startsWith(`${PROFILES_PATH}/`)) {
         return sendProblem(response, rejection(404, "no such resource", "see docs/operator/"));
     }
-    const name = decodeURIComponent(url.pathname.slice(PROFILES_PATH.length + 1));
+    const name = decodeName(url.pathname.slice(PROFILES_PATH.length + 1));
+    if (name === undefined) {
+        return sendProblem(response, rejection(400, "invalid address", "encode the profile's name for a URL"));
+    }
     if (reading) return showProfile(parts, context, name);
-    if (request.method === "PUT" || request.method === "DELETE") return changeProfile(parts, context, name);
+    if (request.method === "PUT" || request.method === "DELETE") {
+        return changeProfile(parts, context, name, operator);
+    }
     sendProblem(response, rejection(405, "the method isn't allowed", "use GET, PUT or DELETE"));
 }
 
@@ -52,7 +60,16 @@
     answerJson(context, entry.profile, entry);
 }
 
-async function changeProfile(parts: AdminParts, context: RequestContext, name: string): Promise<void> {
+async function answerStatus(parts: AdminParts, context: RequestContext): Promise<void> {
+    answerJson(context, { ...parts.status(), ...await parts.survey.readEntries() });
+}
+
+async function changeProfile(
+    parts: AdminParts,
+    context: RequestContext,
+    name: string,
+    operator: Operator,
+): Promise<void> {
     const { request, response } = context;
     const read = await readLimitedBody(request, parts.settings.limits.bodyBytes);
     if (read.kind === "aborted") return;
@@ -68,10 +85,10 @@
         expectedRevision: parseEtag(request.headers["if-match"]),
     };
     const result = await applyChange(parts.table, change);
+    recordAudit(parts, change, operator, result);
     match(result)
         .with({ kind: "accepted" }, ({ configuration, revision }) => {
             parts.configuration.offer(configuration);
-            parts.events.record("profile.accepted", name, { revision, changeId: change.changeId });
             answerJson(context, { name, revision }, { revision });
         })
         .with({ kind: "conflict" }, ({ current }) =>
@@ -95,6 +112,32 @@
         .exhaustive();
 }
 
+/** Audit events state who changed what. An accepted version also starts the timeline of its rollout. */
+function recordAudit(parts: AdminParts, change: ProfileChange, operator: Operator, result: ChangeResult): void {
+    const { changeId, name, profile } = change;
+    const action = profile === undefined ? "retire" : change.expectedRevision === undefined ? "create" : "change";
+    const attributes = { operator: operator.name, action, changeId };
+    if (result.kind !== "accepted") {
+        parts.events.record("profile.refused", name, { ...attributes, reason: result.kind });
+        return;
+    }
+    const { revision } = result;
+    const { rootDigest = "" } = (profile ?? {}) as Partial<Profile>;
+    parts.events.record("profile.accepted", name, { ...attributes, revision, rootDigest });
+    if (rootDigest !== "") {
+        parts.events.record("rollout.accepted", rootDigest, { operator: operator.name, profile: name, revision });
+    }
+}
+
+function decodeName(text: string): string | undefined {
+    try {
+        return decodeURIComponent(text);
+    }
+    catch {
+        return undefined;
+    }
+}
+
 function answerJson({ response }: RequestContext, body: unknown, entry?: Pick<ProfileEntry, "revision">): void {
     const etag = entry === undefined ? {} : { etag: `"${entry.revision}"` };
     response.writeHead(200, { "content-type": "application/json", ...etag });
--- a/src/lib/entry/entry.ts
+++ b/src/lib/entry/entry.ts
@@ -7,6 +7,7 @@
 import { createAccounts } from "./accounts.js";
 import { startAgentDirectory } from "./agentDirectory.js";
 import { createDispatcher } from "./dispatcher.js";
+import { createProcessSurvey } from "./processSurvey.js";
 import { startEntryServer } from "./server.js";
 
 const log = createLog("entry");
@@ -40,6 +41,7 @@
         requestsInProgress: dispatcher.inProgress(),
         agents: directory.all(now()),
     });
+    const survey = createProcessSurvey({ process: settings.process, membership, connections, events });
     const node = createNodeService({ configuration, events, status });
     const rpc = await startRpcServer({ ...settings.rpc, credentials, node });
     const server = await startEntryServer({
@@ -51,6 +53,7 @@
         now,
         table,
         status,
+        survey,
         ready: () => directory.ready(now()),
     });
     log.info("entry %s listens on port %d", settings.process, server.port);
--- a/src/lib/entry/openaiApi.ts
+++ b/src/lib/entry/openaiApi.ts
@@ -3,6 +3,7 @@
 import type { Account } from "./accounts.js";
 import { createCallerAnswer } from "./answer.js";
 import { rejection, sendProblem } from "./problem.js";
+import { dispatchRecorded } from "./recordedDispatch.js";
 import { parseJsonObject, readLimitedBody } from "./requestBody.js";
 import type { EntryParts, RequestContext } from "./requestContext.js";
 
@@ -35,7 +36,7 @@
     }
     const answer = createCallerAnswer(response);
     const engineBody = Buffer.from(JSON.stringify({ ...body, priority: RANKS.indexOf(rank) }));
-    const result = await parts.dispatcher.dispatch({
+    const result = await dispatchRecorded(parts, {
         requestId,
         client: account.client,
         rank,
--- /dev/null
+++ b/src/lib/entry/recordedDispatch.ts
@@ -0,0 +1,16 @@
+/** Dispatches a request and records its start and its end for the timeline. */
+import type { AnswerReceiver, DispatchResult, Work } from "./dispatcher.js";
+import type { EntryParts } from "./requestContext.js";
+
+export async function dispatchRecorded(
+    parts: EntryParts,
+    work: Work,
+    receiver: AnswerReceiver,
+): Promise<DispatchResult> {
+    const { client, rank, requestId, service } = work;
+    parts.events.record("request.started", requestId, { client, rank, service });
+    const result = await parts.dispatcher.dispatch(work, receiver);
+    if (result.kind === "complete") parts.events.record("request.ended", requestId, { verdict: "ran" });
+    else parts.events.record("request.ended", requestId, { verdict: result.verdict, reason: result.reason });
+    return result;
+}
--- a/src/lib/entry/servicesApi.ts
+++ b/src/lib/entry/servicesApi.ts
@@ -5,6 +5,7 @@
 import { createCallerAnswer } from "./answer.js";
 import { rankOf } from "./openaiApi.js";
 import { rejection, sendProblem } from "./problem.js";
+import { dispatchRecorded } from "./recordedDispatch.js";
 import { readLimitedBody } from "./requestBody.js";
 import type { EntryParts, RequestContext } from "./requestContext.js";
 
@@ -38,7 +39,7 @@
         .map(([name, value]) => ({ name, value: String(value) }));
     const answer = createCallerAnswer(response);
     const idempotent = IDEMPOTENT_METHODS.has(method);
-    const result = await parts.dispatcher.dispatch({
+    const result = await dispatchRecorded(parts, {
         requestId,
         client: account.client,
         rank,
--- a/src/lib/node/eventRecorder.ts
+++ b/src/lib/node/eventRecorder.ts
@@ -1,4 +1,4 @@
-/** Records events of this process for the time line. */
+/** Records events of this process for the timeline. */
 import { createEventRing, createHybridClock, type TimelineEvent } from "../core/index.js";
 
 /** About 2 MB of memory at most. */
