Add the operator commands

Cause: operators had no commands besides publish. Change: profile create, change, retire, show and list, status, watch, timeline and settings check, with JSON output and exit codes. A weight store that publish cannot reach gives exit code 4. The rollout timeout of local gave exit code 2 and now gives 1.

--- a/src/lib/cli/adminConnection.ts
+++ b/src/lib/cli/adminConnection.ts
@@ -36,12 +36,15 @@
             return {
                 status: answer.status,
                 etag: answer.headers.etag ?? "",
-                body: text === "" ? {} : JSON.parse(text),
+                body: parseAnswer(text),
             };
         }
         catch (error) {
             const info = { exitCode: ExitCode.unreachable };
-            throw new VError({ name: "AdminError", cause: error as Error, info }, "the entry can't be reached");
+            const advice = method === "GET" ?
+                "the entry can't be reached; check --entry" :
+                "the entry did not answer, so the change may be in force; check with 'profile list'";
+            throw new VError({ name: "AdminError", cause: error as Error, info }, advice);
         }
     }
 
@@ -57,3 +60,13 @@
 
     return { get: path => send("GET", path, {}), change };
 }
+
+/** A server other than an entry may answer with anything. */
+function parseAnswer(text: string): unknown {
+    try {
+        return text === "" ? {} : JSON.parse(text);
+    }
+    catch {
+        return { title: "the answer isn't JSON", detail: "check that --entry names an entry" };
+    }
+}
--- a/src/lib/cli/localCommand.ts
+++ b/src/lib/cli/localCommand.ts
@@ -5,6 +5,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
+import VError from "verror";
 import { transferSize } from "../core/index.js";
 import { placeChunks } from "../core/index.js";
 import { DEMO_CLIENT_KEY, DEMO_OPERATOR_TOKEN, DEMO_POOL, type LocalFleet, startLocalFleet } from "../local/index.js";
@@ -77,7 +78,7 @@
         const replicas = fleet.agents.filter(agent => agent.state().kind === "model");
         const shown = new Map<string, string>();
         while (replicas.some(agent => agent.state().servingDigest !== digest)) {
-            if (Date.now() > deadline) this.error("the rollout did not end in time; run with DEBUG=endivewell:*");
+            if (Date.now() > deadline) throw new VError("the rollout did not end in time; run with DEBUG=endivewell:*");
             for (const agent of replicas) this.showProgress(agent.state(), shown);
             await sleep(100);
         }
--- a/src/lib/cli/publishCommand.ts
+++ b/src/lib/cli/publishCommand.ts
@@ -1,15 +1,21 @@
 /** `endivewell publish`: makes a version of a directory and stores it in the weight store. */
-import { Args, Command, Flags } from "@oclif/core";
+import { Args, Flags } from "@oclif/core";
+import VError from "verror";
 import { createObjectStore } from "../platform/index.js";
-import { DEFAULT_CHUNK_BYTES, publishDirectory } from "../publish/index.js";
+import { DEFAULT_CHUNK_BYTES, publishDirectory, type PublishedVersion, type PublishOptions } from "../publish/index.js";
+import { ExitCode } from "./exitCode.js";
+import { OperatorCommand } from "./operatorCommand.js";
 
 const STORE_TIMEOUT_MS = 30_000;
 const MB = 1_000_000;
 
-export class PublishCommand extends Command {
+export class PublishCommand extends OperatorCommand {
     static override readonly summary = "Publish a directory of weights as a version and print its root digest.";
+    static override readonly description =
+        "Chunks that the weight store has already aren't sent again, so a second run continues an interrupted one.";
     static override readonly examples = [
         "<%= config.bin %> publish ./weights --model repair-desk --store http://192.0.2.10:9000",
+        "<%= config.bin %> publish ./weights --model repair-desk --store http://192.0.2.10:9000 --json",
     ];
     static override readonly args = {
         directory: Args.string({ description: "Directory to publish.", required: true }),
@@ -19,11 +25,10 @@
         store: Flags.string({ summary: "Address of the weight store.", required: true }),
         "chunk-bytes": Flags.integer({ summary: "Size of a chunk.", default: DEFAULT_CHUNK_BYTES, min: 4096 }),
     };
-    static override readonly enableJsonFlag = true;
 
     async run() {
         const { args, flags } = await this.parse(PublishCommand);
-        const version = await publishDirectory({
+        const version = await this.publish({
             directory: args.directory,
             model: flags.model,
             chunkBytes: flags["chunk-bytes"],
@@ -33,7 +38,20 @@
                 process.stderr.write(`\r${(bytesRead / MB).toFixed(1)} of ${(bytesTotal / MB).toFixed(1)} MB`);
             },
         });
+        if (process.stderr.isTTY) process.stderr.write("\n");
         this.log(version.rootDigest);
         return { rootDigest: version.rootDigest, bytesSent: version.bytesSent };
     }
+
+    private async publish(options: PublishOptions): Promise<PublishedVersion> {
+        try {
+            return await publishDirectory(options);
+        }
+        catch (error) {
+            if (!VError.hasCauseWithName(error as Error, "HttpError")) throw error;
+            const info = { exitCode: ExitCode.unreachable };
+            const advice = "the weight store doesn't answer; check --store and run the same command again to continue";
+            throw new VError({ name: "PublishError", cause: error as Error, info }, advice);
+        }
+    }
 }
--- a/src/lib/cli/run.ts
+++ b/src/lib/cli/run.ts
@@ -17,13 +17,27 @@
     agent: async () => (await import("./agentCommand.js")).AgentCommand,
     entry: async () => (await import("./entryCommand.js")).EntryCommand,
     local: async () => (await import("./localCommand.js")).LocalCommand,
+    "profile:create": async () => (await import("./profileCommands.js")).ProfileCreateCommand,
+    "profile:change": async () => (await import("./profileCommands.js")).ProfileChangeCommand,
+    "profile:retire": async () => (await import("./profileCommands.js")).ProfileRetireCommand,
+    "profile:show": async () => (await import("./profileCommands.js")).ProfileShowCommand,
+    "profile:list": async () => (await import("./profileCommands.js")).ProfileListCommand,
     publish: async () => (await import("./publishCommand.js")).PublishCommand,
+    "settings:check": async () => (await import("./settingsCheckCommand.js")).SettingsCheckCommand,
+    status: async () => (await import("./statusCommand.js")).StatusCommand,
+    timeline: async () => (await import("./timelineCommand.js")).TimelineCommand,
+    watch: async () => (await import("./watchCommand.js")).WatchCommand,
+};
+
+const TOPICS = {
+    profile: { description: "Create, change, retire, show and list profiles." },
+    settings: { description: "Check settings files." },
 };
 
 const packageDescription = {
     name: "endivewell",
     version: VERSION,
-    oclif: { bin: "endivewell", topicSeparator: " " as const, topics: {} },
+    oclif: { bin: "endivewell", topicSeparator: " " as const, topics: TOPICS },
 };
 
 /** Runs the command and returns the exit code. */
@@ -65,7 +79,7 @@
         options: { root: process.cwd() },
         pjson: packageDescription as Interfaces.PJSON,
         root: process.cwd(),
-        topics: [],
+        topics: Object.entries(TOPICS).map(([name, topic]) => ({ name, ...topic })),
         type: "core",
         valid: true,
         version: VERSION,
--- /dev/null
+++ b/src/lib/cli/watchCommand.ts
@@ -0,0 +1,138 @@
+/** `endivewell watch`: follows the rollout of a profile's version until every replica serves it. */
+import { Args, Flags } from "@oclif/core";
+import { setTimeout as sleep } from "node:timers/promises";
+import VError from "verror";
+import type { Profile } from "../core/index.js";
+import type { AgentState, TransferState } from "../rpc/index.js";
+import { ExitCode } from "./exitCode.js";
+import { entryFlags, expectSuccess, OperatorCommand } from "./operatorCommand.js";
+import { bytesReceived, replicaPhase, type SystemStatus } from "./systemStatus.js";
+
+const POLL_MS = 500;
+const MB = 1_000_000;
+
+/** Progress of one replica. Rates and estimates are 0 until two reports differ. */
+export interface ReplicaProgress {
+    readonly process: string;
+    readonly phase: string;
+    readonly chunksHeld: number;
+    readonly chunksTotal: number;
+    readonly bytesFromOrigin: number;
+    readonly bytesFromDomain: number;
+    readonly bytesFromRegion: number;
+    readonly bytesFromOtherRegions: number;
+    readonly bytesPerSecond: number;
+    readonly remainingSeconds: number;
+    readonly error: string;
+}
+
+interface FirstReport {
+    readonly at: number;
+    readonly bytes: number;
+    readonly chunks: number;
+}
+
+export class WatchCommand extends OperatorCommand {
+    static override readonly summary = "Follow a rollout until every replica serves the profile's version.";
+    static override readonly description =
+        "Prints a line per replica whenever its progress changes. Bytes are counted by source: origin, same failure" +
+        " domain, same region, other regions. Ends with exit code 1 if the rollout takes longer than --timeout.";
+    static override readonly examples = [
+        "<%= config.bin %> watch repair",
+        "<%= config.bin %> watch repair --timeout 120 --json",
+    ];
+    static override readonly args = { profile: Args.string({ description: "Name of the profile.", required: true }) };
+    static override readonly flags = {
+        ...entryFlags,
+        timeout: Flags.integer({ summary: "Seconds until the command gives up.", default: 3600, min: 1 }),
+    };
+
+    async run() {
+        const { args, flags } = await this.parse(WatchCommand);
+        const connection = this.connect(flags);
+        const started = Date.now();
+        const firstReports = new Map<string, FirstReport>();
+        const shown = new Map<string, string>();
+        for (;;) {
+            const path = `/profiles/${encodeURIComponent(args.profile)}`;
+            const profile = expectSuccess(await connection.get(path)) as Profile;
+            const status = expectSuccess(await connection.get("/status")) as SystemStatus;
+            const states = status.agents.flatMap(({ state }) => state ?? [])
+                .filter(state => state.service === profile.service && state.kind === "model");
+            const replicas = states.map(state => progressOf(state, profile.rootDigest, firstReports, Date.now()));
+            for (const replica of replicas) this.show(replica, shown);
+            const seconds = (Date.now() - started) / 1000;
+            const serving = replicas.filter(replica => replica.phase === "serving").length;
+            if (replicas.length > 0 && serving === replicas.length) {
+                this.log(`${serving} replicas serve ${profile.rootDigest} after ${seconds.toFixed(1)} s`);
+                return { rootDigest: profile.rootDigest, seconds, replicas };
+            }
+            if (seconds > flags.timeout) throw timeoutError(serving, replicas);
+            await sleep(POLL_MS);
+        }
+    }
+
+    private show(replica: ReplicaProgress, shown: Map<string, string>): void {
+        const line = formatReplica(replica);
+        if (shown.get(replica.process) === line) return;
+        shown.set(replica.process, line);
+        this.log(line);
+    }
+}
+
+function progressOf(
+    state: AgentState,
+    rootDigest: string,
+    firstReports: Map<string, FirstReport>,
+    now: number,
+): ReplicaProgress {
+    const transfer = state.transfers.find(candidate => candidate.rootDigest === rootDigest);
+    const bytes = transfer === undefined ? 0 : bytesReceived(transfer);
+    const chunks = transfer?.chunksHeld ?? 0;
+    const key = `${state.process} ${rootDigest}`;
+    const first = firstReports.get(key) ?? { at: now, bytes, chunks };
+    firstReports.set(key, first);
+    const seconds = (now - first.at) / 1000;
+    const chunksPerSecond = seconds === 0 ? 0 : (chunks - first.chunks) / seconds;
+    const missing = (transfer?.chunksTotal ?? 0) - chunks;
+    return {
+        process: state.process,
+        phase: state.servingDigest === rootDigest ? "serving" : phaseBeforeServing(state, transfer),
+        chunksHeld: chunks,
+        chunksTotal: transfer?.chunksTotal ?? 0,
+        bytesFromOrigin: transfer?.bytesFromOrigin ?? 0,
+        bytesFromDomain: transfer?.bytesFromDomain ?? 0,
+        bytesFromRegion: transfer?.bytesFromRegion ?? 0,
+        bytesFromOtherRegions: transfer?.bytesFromOtherRegions ?? 0,
+        bytesPerSecond: seconds === 0 ? 0 : (bytes - first.bytes) / seconds,
+        remainingSeconds: chunksPerSecond === 0 ? 0 : missing / chunksPerSecond,
+        error: transfer?.error ?? "",
+    };
+}
+
+/** An agent that still serves an earlier version has not begun with this one. */
+function phaseBeforeServing(state: AgentState, transfer: TransferState | undefined): string {
+    const phase = transfer === undefined ? "waiting" : replicaPhase(state);
+    return phase === "serving" ? "waiting" : phase;
+}
+
+function formatReplica(replica: ReplicaProgress): string {
+    const { process, phase, chunksHeld, chunksTotal, bytesPerSecond, remainingSeconds, error } = replica;
+    const megabytes = (bytes: number) => (bytes / MB).toFixed(1);
+    const sources = `origin ${megabytes(replica.bytesFromOrigin)}, domain ${megabytes(replica.bytesFromDomain)},` +
+        ` region ${megabytes(replica.bytesFromRegion)}, other regions ${megabytes(replica.bytesFromOtherRegions)} MB`;
+    const fetching = phase === "fetching" && remainingSeconds > 0;
+    const rate = fetching ? `, ${megabytes(bytesPerSecond)} MB/s, about ${remainingSeconds.toFixed(0)} s left` : "";
+    const suffix = error === "" ? "" : `, error: ${error}`;
+    return `${process}: ${phase}, ${chunksHeld}/${chunksTotal} chunks, ${sources}${rate}${suffix}`;
+}
+
+function timeoutError(serving: number, replicas: readonly ReplicaProgress[]): VError {
+    const info = { exitCode: ExitCode.failed, replicas };
+    return new VError(
+        { name: "RolloutError", info },
+        "the rollout did not end in time: %d of %d replicas serve the version; 'timeline --subject ROOT_DIGEST' shows why",
+        serving,
+        replicas.length,
+    );
+}
