--- a/src/lib/settings/schema.ts
+++ b/src/lib/settings/schema.ts
@@ -59,6 +59,29 @@
     drainMs: milliseconds.default(30_000),
 };
 
+type Addresses = Readonly<Pick<z.infer<z.ZodObject<typeof processFields>>, "rpc" | "platform" | "tls">>;
+
+/** Refuses settings without TLS in which any address is not on loopback. */
+function requireTls(settings: Addresses, context: z.RefinementCtx): void {
+    if (settings.tls !== undefined) return;
+    const { tableUrl, weightStoreUrl, vmListUrl } = settings.platform;
+    const addresses: [string[], string][] = [
+        [["rpc", "host"], settings.rpc.host],
+        [["platform", "tableUrl"], new URL(tableUrl).hostname],
+        [["platform", "weightStoreUrl"], new URL(weightStoreUrl).hostname],
+        [["platform", "vmListUrl"], new URL(vmListUrl).hostname],
+    ];
+    for (const [path, host] of addresses) {
+        if (!isLoopback(host)) context.addIssue({ code: "custom", path, message: TLS_REQUIRED });
+    }
+}
+
+const TLS_REQUIRED = "expected an address on loopback, or the section tls with certificate, key and authority";
+
+function isLoopback(host: string): boolean {
+    return host === "localhost" || host === "::1" || host === "[::1]" || /^127(\.\d{1,3}){3}$/.test(host);
+}
+
 export const entrySchema = z.strictObject({
     ...processFields,
     /** HTTP server for callers and for the administration API. */
@@ -84,6 +107,11 @@
         /** Longest time until an answer ends. */
         answerMs: milliseconds.default(120_000),
     }).prefault({}),
+}).superRefine((settings, context) => {
+    requireTls(settings, context);
+    if (settings.tls === undefined && !isLoopback(settings.http.host)) {
+        context.addIssue({ code: "custom", path: ["http", "host"], message: TLS_REQUIRED });
+    }
 });
 
 export const agentSchema = z.strictObject({
@@ -105,6 +133,11 @@
         /** Share of the links to other regions that this VM's weights may use, each way. */
         regionBytesPerSecond: bytesPerSecond.default(1_500_000),
     }).prefault({}),
+}).superRefine((settings, context) => {
+    requireTls(settings, context);
+    if (settings.tls === undefined && !isLoopback(new URL(settings.backendServer.url).hostname)) {
+        context.addIssue({ code: "custom", path: ["backendServer", "url"], message: TLS_REQUIRED });
+    }
 });
 
 export type EntrySettings = Readonly<z.infer<typeof entrySchema>>;
