Answer every refused HTTP request with a problem document

Cause: errors found by Node's HTTP parser, unknown expectations and a missing Host header were answered without a verdict. Reading a body up to its limit destroyed the request, which closes the connection. Change: clientError is answered with 400, 408 or 431, after an answer in progress where there is one. The body of a request over the limit is left to the HTTP server. Slow requests are looked for every second. Agents check weightsPath at start and end with exit code 2. Conclusion: each case has a test, and the entry answers /healthz afterwards.

--- a/src/lib/agent/agent.ts
+++ b/src/lib/agent/agent.ts
@@ -1,4 +1,6 @@
 /** Starts the agent beside a backend server: configuration, transfer, activation, gate and its gRPC server. */
+import { accessSync, constants, mkdirSync } from "node:fs";
+import VError from "verror";
 import { createEventRecorder, createNodeService, startConfigurationSync, startMembershipTask } from "../node/index.js";
 import { createLog } from "../observability/index.js";
 import { createEngine, createObjectStore, createTableService, createVmList } from "../platform/index.js";
@@ -25,6 +27,7 @@
 export async function startAgent(settings: AgentSettings): Promise<RunningAgent> {
     const { platform, backendServer } = settings;
     const { timeoutMs } = platform;
+    if (backendServer.kind === "model") prepareDirectory(settings.weightsPath);
     const now = () => Date.now();
     const events = createEventRecorder(settings.process, now);
     const table = createTableService({ url: platform.tableUrl, timeoutMs });
@@ -112,3 +115,14 @@
 
     return { port: rpc.port, state, stop };
 }
+
+/** Finds an unusable directory at start instead of at the first rollout. */
+function prepareDirectory(path: string): void {
+    try {
+        mkdirSync(path, { recursive: true });
+        accessSync(path, constants.R_OK | constants.W_OK);
+    }
+    catch (error) {
+        throw new VError({ name: "SettingsError", cause: error as Error }, "weightsPath %s can't be used", path);
+    }
+}
--- a/src/lib/entry/problem.ts
+++ b/src/lib/entry/problem.ts
@@ -23,8 +23,13 @@
     }
     const { status, title, detail, verdict, retryAfterMs, extra } = problem;
     if (retryAfterMs !== undefined) response.setHeader("retry-after", Math.ceil(retryAfterMs / 1000));
-    response.writeHead(status, { "content-type": "application/problem+json", [VERDICT_HEADER]: verdict });
-    response.end(JSON.stringify({ type: "about:blank", title, status, detail, verdict, ...extra }));
+    const body = JSON.stringify({ type: "about:blank", title, status, detail, verdict, ...extra });
+    response.writeHead(status, {
+        "content-type": "application/problem+json",
+        "content-length": Buffer.byteLength(body),
+        [VERDICT_HEADER]: verdict,
+    });
+    response.end(body);
 }
 
 /** A problem that is found before anything is dispatched. */
--- a/src/lib/entry/requestBody.ts
+++ b/src/lib/entry/requestBody.ts
@@ -11,7 +11,8 @@
     const pieces: Buffer[] = [];
     let size = 0;
     try {
-        for await (const piece of request as AsyncIterable<Buffer>) {
+        // Destroying the request would close the connection before the caller reads the answer.
+        for await (const piece of request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
             size += piece.length;
             if (size > maxBytes) return { kind: "tooLarge" };
             pieces.push(piece);
--- a/src/lib/entry/server.ts
+++ b/src/lib/entry/server.ts
@@ -6,6 +6,7 @@
 import { createLog } from "../observability/index.js";
 import { type AdminParts, serveAdmin } from "./adminApi.js";
 import { serveCompletion, serveModels } from "./openaiApi.js";
+import { createParserErrors } from "./parserError.js";
 import { rejection, sendProblem } from "./problem.js";
 import type { RequestContext } from "./requestContext.js";
 import { serveService } from "./servicesApi.js";
@@ -14,6 +15,9 @@
 
 export const REQUEST_ID_HEADER = "endivewell-request-id";
 
+/** Interval at which slow requests are looked for; Node's default of 30 s exceeds the time limit. */
+const MAX_CHECK_INTERVAL_MS = 1000;
+
 export interface EntryServer {
     readonly port: number;
     /** Fails readiness at once, and resolves when all requests have ended or after the timeout. */
@@ -41,11 +45,19 @@
         maxHeaderSize: limits.headerBytes,
         requestTimeout: limits.requestMs,
         headersTimeout: limits.requestMs,
+        connectionsCheckingInterval: Math.min(limits.requestMs, MAX_CHECK_INTERVAL_MS),
+        // The server answers a missing Host header itself, with a problem document.
+        requireHostHeader: false,
     };
+    const parserErrors = createParserErrors();
     const server = http.createServer(options, (request, response) => {
         const requestId = randomUUID();
         response.setHeader(REQUEST_ID_HEADER, requestId);
+        parserErrors.track(request, response);
         if (leaving) response.setHeader("connection", "close");
+        if (request.httpVersion === "1.1" && request.headers.host === undefined) {
+            return sendProblem(response, rejection(400, "no Host header", "name the entry in the Host header"));
+        }
         const url = parseUrl(request.url ?? "/");
         if (url === undefined) return sendProblem(response, rejection(400, "invalid address", "send a valid path"));
         route({ requestId, request, response, url }).catch((error: Error) => {
@@ -54,11 +66,20 @@
             sendProblem(response, { status: 500, title: "internal error", detail, verdict: "mayHaveRun" });
         });
     });
+    server.on("clientError", parserErrors.answer);
+    server.on("checkExpectation", (_request, response: http.ServerResponse) => {
+        sendProblem(response, rejection(417, "unknown expectation", "send Expect: 100-continue or no Expect header"));
+    });
     server.maxConnections = limits.connections;
     await new Promise<void>((resolve, reject) => {
         server.once("error", error => {
             reject(
-                new VError({ name: "ListenError", cause: error }, "can't listen on %s:%d", listen.host, listen.port),
+                new VError(
+                    { name: "ListenError", cause: error },
+                    "can't listen on %s:%d; choose a free port in http.port",
+                    listen.host,
+                    listen.port,
+                ),
             );
         });
         server.listen(listen.port, listen.host, resolve);
--- /dev/null
+++ b/src/test/entry/server.test.ts
@@ -0,0 +1,175 @@
+import assert from "node:assert/strict";
+import { execFile } from "node:child_process";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import * as http from "node:http";
+import { connect } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, before, test } from "node:test";
+import { fileURLToPath } from "node:url";
+import { type RunningEntry, startEntry } from "../../lib/entry/index.js";
+import { sendRequest } from "../../lib/platform/index.js";
+import { entrySchema } from "../../lib/settings/index.js";
+import { type PlatformStandIn, startPlatformStandIn } from "../../lib/standIn/index.js";
+
+const MAIN = fileURLToPath(new URL("../../main.js", import.meta.url));
+const BODY_BYTES = 4096;
+
+let directory: string;
+let platform: PlatformStandIn;
+let entry: RunningEntry;
+
+function settings(port: number) {
+    const urls = { tableUrl: platform.url, weightStoreUrl: platform.url, vmListUrl: platform.url };
+    return {
+        process: "entry-0",
+        failureDomain: "d",
+        region: "r",
+        rpc: { port: 0 },
+        http: { port },
+        platform: { ...urls, weightStoreRegion: "r" },
+        accounts: [{ client: "c", keyFile: join(directory, "client") }],
+        operators: [{ name: "v", tokenFile: join(directory, "viewer"), role: "viewer" }],
+        limits: { bodyBytes: BODY_BYTES, headerBytes: 2048, requestMs: 1000 },
+    };
+}
+
+before(async () => {
+    directory = await mkdtemp(join(tmpdir(), "endivewell-entry-"));
+    platform = await startPlatformStandIn({ directory, originBytesPerSecond: 1 << 28, seed: 1 });
+    await writeFile(join(directory, "client"), "client");
+    await writeFile(join(directory, "viewer"), "viewer");
+    entry = await startEntry(entrySchema.parse(settings(0)));
+});
+
+after(async () => {
+    await entry.stop();
+    await platform.stop();
+    await rm(directory, { recursive: true, force: true });
+});
+
+function send(method: string, path: string, key: string, body?: string, headers: http.OutgoingHttpHeaders = {}) {
+    const authorization = `Bearer ${key}`;
+    return sendRequest({
+        method,
+        url: `http://127.0.0.1:${entry.port}${path}`,
+        headers: { authorization, ...headers },
+        body,
+    });
+}
+
+/** Sends bytes as they are and resolves with everything that the entry answers. */
+function sendRaw(...pieces: string[]): Promise<string> {
+    return new Promise((resolve, reject) => {
+        const socket = connect(entry.port, "127.0.0.1");
+        socket.setTimeout(5000, () => socket.destroy(new Error("no answer")));
+        let answer = "";
+        socket.on("data", data => answer += data.toString());
+        socket.on("close", () => resolve(answer));
+        socket.on("error", reject);
+        for (const piece of pieces) socket.write(piece);
+    });
+}
+
+function expectProblem(status: number, contentType: string | undefined, body: string): void {
+    assert.equal(contentType, "application/problem+json");
+    const problem = JSON.parse(body);
+    assert.equal(problem.status, status);
+    assert.equal(problem.verdict, "notRun");
+    assert.doesNotMatch(body, / at |node:/);
+}
+
+// Guards against a wrong status, a missing verdict and a process that ends because of a caller's mistake.
+test("each mistake of a caller gets its status and a verdict", async () => {
+    const chat = "/v1/chat/completions";
+    const profile = "/admin/v1/profiles/p";
+    const cases: [number, Awaited<ReturnType<typeof send>>][] = [
+        [401, await send("POST", chat, "wrong", "{}")],
+        [401, await send("GET", "/v1/models", "wrong")],
+        [401, await send("POST", "/services/bookings/b", "wrong")],
+        [401, await send("GET", "/admin/v1/status", "client")],
+        [403, await send("PUT", profile, "viewer", "{}")],
+        [403, await send("DELETE", profile, "viewer")],
+        [400, await send("POST", chat, "client", "{broken")],
+        [400, await send("POST", chat, "client", "[1]")],
+        [404, await send("POST", chat, "client", "{\"model\":\"none\"}")],
+        [404, await send("POST", chat, "client", "{\"model\":\"__proto__\"}")],
+        [413, await send("POST", chat, "client", "x".repeat(BODY_BYTES + 1))],
+        [413, await send("POST", chat, "client", "x".repeat(BODY_BYTES + 1), { "transfer-encoding": "chunked" })],
+        [431, await send("GET", "/v1/models", "client", undefined, { padding: "x".repeat(4096) })],
+        [417, await send("POST", chat, "client", "{}", { expect: "unknown" })],
+        [404, await send("GET", "/nothing", "client")],
+        [400, await send("GET", "/admin/v1/profiles/%zz", "viewer")],
+        [503, await send("GET", "/services/none/x", "client")],
+    ];
+    for (const [status, answer] of cases) {
+        assert.equal(answer.status, status, answer.body.toString());
+        expectProblem(status, answer.headers["content-type"], answer.body.toString());
+    }
+    assert.equal((await send("GET", "/healthz", "")).status, 200);
+});
+
+// Guards against bare or missing answers to errors that Node's HTTP parser finds.
+test("requests that the parser refuses get a problem document", async () => {
+    const cases: [number, string[]][] = [
+        [400, ["nonsense\r\n\r\n"]],
+        [400, ["GET /healthz HTTP/1.1\r\nconnection: close\r\n\r\n"]],
+        [400, [
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: e\r\nauthorization: Bearer client\r\n" +
+            "transfer-encoding: chunked\r\n\r\nnot-a-size\r\n",
+        ]],
+        [408, ["POST /v1/chat/completions HTTP/1.1\r\nhost: e\r\n"]],
+    ];
+    await Promise.all(cases.map(async ([status, pieces]) => {
+        const answer = await sendRaw(...pieces);
+        const [head = "", body = ""] = answer.split("\r\n\r\n");
+        assert.match(head, new RegExp(`^HTTP/1.1 ${status} `), `${pieces.join("")}: ${answer}`);
+        assert.match(head, /endivewell-verdict: notRun/);
+        expectProblem(status, /content-type: (\S+)/.exec(head)?.[1], body);
+    }));
+    assert.equal((await send("GET", "/healthz", "")).status, 200);
+});
+
+// Guards against an answer in progress that is corrupted or cut off by bytes that follow its request.
+test("a broken request behind a complete one does not disturb the first answer", async () => {
+    const first = "GET /services/none/x HTTP/1.1\r\nhost: e\r\nauthorization: Bearer client\r\n\r\n";
+    const answer = await sendRaw(`${first}nonsense\r\n\r\n`);
+    assert.match(answer, /^HTTP\/1.1 503 /);
+    assert.equal(answer.split("HTTP/1.1").length, 2);
+});
+
+function runMain(role: string, file: string): Promise<{ code: number | null; err: string; }> {
+    return new Promise(resolve => {
+        const child = execFile(
+            process.execPath,
+            [MAIN, role, "--settings", file],
+            { timeout: 10_000 },
+            (_error, _out, err) => {
+                resolve({ code: child.exitCode, err });
+            },
+        );
+    });
+}
+
+// Guards against a start that fails with a stack trace or that goes on without its port or directory.
+test("a port in use and an unusable directory end the start with a clear error", async () => {
+    const file = join(directory, "entry.json");
+    await writeFile(file, JSON.stringify(settings(entry.port)));
+    const inUse = await runMain("entry", file);
+    assert.equal(inUse.code, 1, inUse.err);
+    assert.match(inUse.err, /can't listen on 127\.0\.0\.1:\d+; choose .*EADDRINUSE/);
+    assert.doesNotMatch(inUse.err, /^ {4}at /m);
+
+    const { accounts: _accounts, operators: _operators, http: _http, limits: _limits, ...common } = settings(0);
+    const agent = {
+        ...common,
+        service: "s",
+        backendServer: { kind: "model", url: "http://127.0.0.1:9" },
+        weightsPath: join(directory, "client", "weights"),
+    };
+    await writeFile(file, JSON.stringify(agent));
+    const unusable = await runMain("agent", file);
+    assert.equal(unusable.code, 2, unusable.err);
+    assert.match(unusable.err, /weightsPath .*client\/weights/);
+    assert.doesNotMatch(unusable.err, /^ {4}at /m);
+});
