Pick up renewed certificates without a restart

Cause: a server kept the certificate and the authority that it read at start. Change: the credentials watch their files (tls.refreshMs, 10 s).

--- a/src/lib/rpc/credentials.ts
+++ b/src/lib/rpc/credentials.ts
@@ -1,10 +1,11 @@
 /**
  * Credentials between own processes: mutual TLS from the files named in the settings, or none on
- * loopback. Files are read again for each new server or connection, so that renewed certificates are
- * picked up without a restart.
+ * loopback. The files are watched, so that renewed certificates are used for new connections without a
+ * restart. Connections that exist keep the certificate they began with.
  */
-import { ChannelCredentials, ServerCredentials } from "@grpc/grpc-js";
+import { ChannelCredentials, experimental, ServerCredentials } from "@grpc/grpc-js";
 import { readFileSync } from "node:fs";
+import VError from "verror";
 import type { TlsSettings } from "../settings/index.js";
 
 export interface Credentials {
@@ -12,6 +13,7 @@
     forConnection(): ChannelCredentials;
 }
 
+/** Throws a VError named `SettingsError` if one of the files can't be read. */
 export function createCredentials(tls: TlsSettings | undefined): Credentials {
     if (tls === undefined) {
         return {
@@ -19,21 +21,24 @@
             forConnection: () => ChannelCredentials.createInsecure(),
         };
     }
-    const read = () => ({
-        authority: readFileSync(tls.authorityFile),
-        key: readFileSync(tls.keyFile),
-        certificate: readFileSync(tls.certificateFile),
+    [tls.authorityFile, tls.keyFile, tls.certificateFile].forEach(requireReadable);
+    const files = new experimental.FileWatcherCertificateProvider({
+        certificateFile: tls.certificateFile,
+        privateKeyFile: tls.keyFile,
+        caCertificateFile: tls.authorityFile,
+        refreshIntervalMs: tls.refreshMs,
     });
+    return {
+        forServer: () => experimental.createCertificateProviderServerCredentials(files, files, true),
+        forConnection: () => experimental.createCertificateProviderChannelCredentials(files, files),
+    };
+}
 
-    function forServer(): ServerCredentials {
-        const { authority, key, certificate } = read();
-        return ServerCredentials.createSsl(authority, [{ private_key: key, cert_chain: certificate }], true);
+function requireReadable(file: string): void {
+    try {
+        readFileSync(file);
     }
-
-    function forConnection(): ChannelCredentials {
-        const { authority, key, certificate } = read();
-        return ChannelCredentials.createSsl(authority, key, certificate);
+    catch (error) {
+        throw new VError({ name: "SettingsError", cause: error as Error }, "can't read %s, named in tls", file);
     }
-
-    return { forServer, forConnection };
 }
--- a/src/lib/settings/schema.ts
+++ b/src/lib/settings/schema.ts
@@ -33,6 +33,8 @@
     keyFile: z.string(),
     /** Certificate authority that signs all processes of the system. */
     authorityFile: z.string(),
+    /** Interval at which the files are looked at for renewed content. */
+    refreshMs: milliseconds.default(10_000),
 });
 
 const metricsSchema = z.strictObject({
