Start the single executable without a warning; run a system in the smoke test

Cause: @oclif/core checks the Node.js version when it is loaded and requires package.json from disk, which the single executable answers with a warning on standard error.

--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -1,6 +1,15 @@
 #!/usr/bin/env bash
-# Checks that the built binary starts and finds its commands.
+# Checks that the built binary starts without a warning, finds its commands and runs a whole system.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-./dist/endivewell --help >/dev/null
+
+warnings=$(./dist/endivewell --help 2>&1 >/dev/null)
+if [[ -n "$warnings" ]]; then
+    echo "the binary writes to standard error at start: $warnings" >&2
+    exit 1
+fi
+for role in entry agent; do
+    ./dist/endivewell settings check --role "$role" "examples/$role.jsonc" >/dev/null
+done
+./dist/endivewell local --replicas 2 --once >/dev/null
 echo "smoke run passed"
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,4 +1,6 @@
 /** Entry point of the `endivewell` binary. */
+// Takes effect only before oclif is loaded.
+import "./lib/cli/engineCheck.js";
 import { run } from "./lib/cli/index.js";
 
 run(process.argv.slice(2)).then(code => process.exit(code));
