Stop a fleet in order on Ctrl-C

Cause: Ctrl-C reached every process of the terminal's group at once, so the stand-ins could end before the entries had drained; a Ctrl-C during the start ended the script before its processes. Change: the processes run in their own groups, and the script takes signals from its start on. It prints the flags that operator commands need.

--- a/src/harness/childProcess.ts
+++ b/src/harness/childProcess.ts
@@ -20,13 +20,16 @@
     /** Script and arguments for this Node.js executable. */
     readonly args: readonly string[];
     readonly env?: Readonly<Record<string, string>>;
+    /** Keeps Ctrl-C of the terminal from the process, so that the parent can stop processes in order. */
+    readonly ownProcessGroup?: boolean;
 }
 
 const READY_TIMEOUT_MS = 30_000;
 
-export async function startChild({ name, args, env }: ChildOptions): Promise<Child> {
+export async function startChild({ name, args, env, ownProcessGroup }: ChildOptions): Promise<Child> {
     const child = spawn(process.execPath, ["--enable-source-maps", ...args], {
         env: { ...process.env, ...env },
+        detached: ownProcessGroup ?? false,
         stdio: ["ignore", "pipe", "inherit"],
     });
     const exited = new Promise<number | undefined>(resolve => {
--- a/src/harness/fleet.ts
+++ b/src/harness/fleet.ts
@@ -30,6 +30,8 @@
     readonly agentSettings?: Readonly<Record<string, unknown>>;
     readonly entrySettings?: Readonly<Record<string, unknown>>;
     readonly seed?: number;
+    /** Stops processes in order on Ctrl-C, for a fleet that runs in a terminal. */
+    readonly ownProcessGroups?: boolean;
 }
 
 export interface FleetProcess extends Child {
@@ -138,7 +140,11 @@
         settingsFile: string,
         backendUrl: string,
     ): Promise<FleetProcess> {
-        const child = await startChild({ name: base.name, args: [MAIN, base.role, "--settings", settingsFile] });
+        const child = await startChild({
+            name: base.name,
+            args: [MAIN, base.role, "--settings", settingsFile],
+            ownProcessGroup: options.ownProcessGroups,
+        });
         const ports = child.ready as { rpc: number; http?: number; };
         const vm: Vm = { ...base, address: `127.0.0.1:${ports.rpc}` };
         await sendRequest({
@@ -277,7 +283,11 @@
         engines: Array.from({ length: options.runners }, (_, index) => ({ seed: seed + index, ...engine })),
         services: options.bookings > 0 ? [{ workMs: options.bookingMs ?? 5, seed }] : [],
     };
-    return startChild({ name: "stand-ins", args: [STAND_IN_HOST, JSON.stringify(hostOptions)] });
+    return startChild({
+        name: "stand-ins",
+        args: [STAND_IN_HOST, JSON.stringify(hostOptions)],
+        ownProcessGroup: options.ownProcessGroups,
+    });
 }
 
 async function writeAccounts(directory: string, clients: number) {
--- a/src/harness/fleetScript.ts
+++ b/src/harness/fleetScript.ts
@@ -11,16 +11,21 @@
     },
 });
 
+// Installed before the start, so that Ctrl-C during the start also stops every process.
+const stopRequested = untilSignal();
 const fleet = await startFleet({
     entries: Number(values.entries),
     runners: Number(values.agents),
     bookings: Number(values.bookings),
+    ownProcessGroups: true,
 });
 const print = (line: string) => process.stdout.write(`${line}\n`);
 print(`platform   ${fleet.platformUrl}`);
 for (const entry of fleet.entries) print(`${entry.name}    ${entry.url}`);
 for (const agent of [...fleet.runners, ...fleet.bookings]) print(`${agent.name}   ${agent.vm.address}`);
 print(`client key ${fleet.directory}/keys/client-0, operator token ${OPERATOR_TOKEN}`);
+print(`operator commands take --entry ${fleet.entries[0]?.url} --token-file ${fleet.directory}/operator.token`);
 print("Ctrl-C stops the fleet.");
-await untilSignal();
+await stopRequested;
 await fleet.stop();
+print("all processes have stopped");
