--- a/src/lib/cli/localCommand.ts
+++ b/src/lib/cli/localCommand.ts
@@ -43,7 +43,7 @@
         try {
             await this.demonstrate(fleet, flags.weights ?? await makeWeights(directory));
             if (!flags.once) {
-                this.printCommands(fleet);
+                this.printCommands(fleet, join(directory, "operator.token"));
                 await untilSignal();
             }
         }
@@ -114,13 +114,18 @@
         this.log(`booking: ${booking.body.toString("utf8")} in ${bookingMs} ms`);
     }
 
-    private printCommands(fleet: LocalFleet): void {
+    private printCommands(fleet: LocalFleet, tokenFile: string): void {
+        const program = process.argv[1]?.endsWith(".cjs") ? `node ${process.argv[1]}` : process.execPath;
+        const flags = `--entry ${fleet.url} --token-file ${tokenFile}`;
         this.log(`
 The system keeps running at ${fleet.url}. Try:
   curl -H 'Authorization: Bearer ${DEMO_CLIENT_KEY}' ${fleet.url}/v1/models
   curl -N -H 'Authorization: Bearer ${DEMO_CLIENT_KEY}' ${fleet.url}/v1/chat/completions \\
     -d '{"model":"${PROFILE}","stream":true,"messages":[{"role":"user","content":"Hello"}]}'
-  curl -H 'Authorization: Bearer ${DEMO_OPERATOR_TOKEN}' ${fleet.url}/admin/v1/profiles
+  ${program} status ${flags}
+  ${program} watch ${PROFILE} ${flags}
+  ${program} profile show ${PROFILE} ${flags}
+  ${program} timeline --subject ${PROFILE} ${flags}
 Ctrl-C stops it.`);
     }
 }
