--- a/src/lib/agent/agent.ts
+++ b/src/lib/agent/agent.ts
@@ -2,7 +2,7 @@
 import { accessSync, constants, mkdirSync } from "node:fs";
 import VError from "verror";
 import { createEventRecorder, createNodeService, startConfigurationSync, startMembershipTask } from "../node/index.js";
-import { createLog } from "../observability/index.js";
+import { createLog, createMetrics } from "../observability/index.js";
 import { createEngine, createObjectStore, createTableService, createVmList } from "../platform/index.js";
 import { type AgentState, createCredentials, startRpcServer } from "../rpc/index.js";
 import type { AgentSettings } from "../settings/index.js";
@@ -29,6 +29,7 @@
     const { timeoutMs } = platform;
     if (backendServer.kind === "model") prepareDirectory(settings.weightsPath);
     const now = () => Date.now();
+    const metrics = await createMetrics(settings.metrics, settings.process);
     const events = createEventRecorder(settings.process, now);
     const table = createTableService({ url: platform.tableUrl, timeoutMs });
     const weightStore = createObjectStore({ url: platform.weightStoreUrl, timeoutMs });
@@ -88,7 +89,7 @@
         ...settings.rpc,
         credentials: createCredentials(settings.tls),
         node: createNodeService({ configuration, events, status: state }),
-        agent: createAgentService(gate, store, { current: state, subscribe }, events),
+        agent: createAgentService(gate, store, { current: state, subscribe }, { events, metrics }),
     });
     if (backendServer.kind === "model") {
         activation = startActivation({
@@ -111,6 +112,7 @@
         activation?.stop();
         await Promise.all([membership.stop(), configuration.stop()]);
         await rpc.stop(1000);
+        await metrics.close();
     }
 
     return { port: rpc.port, state, stop };
--- a/src/lib/agent/agentService.ts
+++ b/src/lib/agent/agentService.ts
@@ -2,6 +2,7 @@
 import type { ServerWritableStream } from "@grpc/grpc-js";
 import { placeChunks } from "../core/index.js";
 import type { EventRecorder } from "../node/index.js";
+import type { Metrics } from "../observability/index.js";
 import type {
     AgentServer,
     AgentState,
@@ -23,14 +24,20 @@
     subscribe(listener: () => void): () => void;
 }
 
+/** Where attempts are recorded. */
+export interface AttemptRecords {
+    readonly events: EventRecorder;
+    readonly metrics: Metrics;
+}
+
 export function createAgentService(
     gate: Gate,
     store: ChunkStore,
     state: StateFeed,
-    events: EventRecorder,
+    records: AttemptRecords,
 ): AgentServer {
     return {
-        dispatch: call => dispatch(call, gate, events),
+        dispatch: call => dispatch(call, gate, records),
         watchState: call => watchState(call, state),
         watchChunks: call => call.end(),
         readChunk: call => void readChunk(call, store),
@@ -46,9 +53,10 @@
 function dispatch(
     call: ServerWritableStream<DispatchRequest, AnswerFrame>,
     gate: Gate,
-    events: EventRecorder,
+    { events, metrics }: AttemptRecords,
 ): void {
-    const { attemptId, requestId } = call.request;
+    const { attemptId, requestId, rank } = call.request;
+    const started = performance.now();
     let verdict = "none";
     const cancellation = new AbortController();
     call.on("cancelled", () => cancellation.abort());
@@ -62,10 +70,15 @@
         end: () => call.end(),
         signal: cancellation.signal,
     };
-    events.record("attempt.started", requestId, { attemptId, client: call.request.client, rank: call.request.rank });
+    events.record("attempt.started", requestId, { attemptId, client: call.request.client, rank });
     gate.dispatch(call.request, sink)
         .catch((error: Error) => call.destroy(error))
-        .finally(() => events.record("attempt.ended", requestId, { attemptId, verdict }));
+        .finally(() => {
+            events.record("attempt.ended", requestId, { attemptId, verdict });
+            metrics.count("agent.attempts", { rank, verdict });
+            metrics.timing("agent.attempt_duration", performance.now() - started, { rank });
+            metrics.gauge("agent.running", gate.running());
+        });
 }
 
 function watchState(call: ServerWritableStream<WatchStateRequest, AgentState>, state: StateFeed): void {
--- a/src/lib/entry/entry.ts
+++ b/src/lib/entry/entry.ts
@@ -1,6 +1,6 @@
 /** Starts an entry: configuration, membership, directory of agents, dispatcher and HTTP server. */
 import { createEventRecorder, createNodeService, startConfigurationSync, startMembershipTask } from "../node/index.js";
-import { createLog } from "../observability/index.js";
+import { createLog, createMetrics } from "../observability/index.js";
 import { createTableService, createVmList } from "../platform/index.js";
 import { createConnections, createCredentials, startRpcServer } from "../rpc/index.js";
 import type { EntrySettings } from "../settings/index.js";
@@ -26,6 +26,7 @@
     const { timeoutMs } = platform;
     const now = () => Date.now();
     const accounts = createAccounts(settings);
+    const metrics = await createMetrics(settings.metrics, settings.process);
     const events = createEventRecorder(settings.process, now);
     const credentials = createCredentials(settings.tls);
     const connections = createConnections(credentials);
@@ -50,6 +51,7 @@
         configuration,
         dispatcher,
         events,
+        metrics,
         now,
         table,
         status,
@@ -64,6 +66,7 @@
         await Promise.all([membership.stop(), configuration.stop()]);
         connections.close();
         await rpc.stop(1000);
+        await metrics.close();
     }
 
     return { port: server.port, rpcPort: rpc.port, stop };
--- a/src/lib/entry/recordedDispatch.ts
+++ b/src/lib/entry/recordedDispatch.ts
@@ -1,4 +1,4 @@
-/** Dispatches a request and records its start and its end for the timeline. */
+/** Dispatches a request and records its start and its end for the timeline and the metrics. */
 import type { AnswerReceiver, DispatchResult, Work } from "./dispatcher.js";
 import type { EntryParts } from "./requestContext.js";
 
@@ -9,8 +9,13 @@
 ): Promise<DispatchResult> {
     const { client, rank, requestId, service } = work;
     parts.events.record("request.started", requestId, { client, rank, service });
+    const started = parts.now();
     const result = await parts.dispatcher.dispatch(work, receiver);
     if (result.kind === "complete") parts.events.record("request.ended", requestId, { verdict: "ran" });
     else parts.events.record("request.ended", requestId, { verdict: result.verdict, reason: result.reason });
+    const outcome = result.kind === "complete" ? "complete" : result.verdict;
+    parts.metrics.count("entry.requests", { rank, outcome });
+    parts.metrics.timing("entry.request_duration", parts.now() - started, { rank });
+    parts.metrics.gauge("entry.requests_in_progress", parts.dispatcher.inProgress());
     return result;
 }
--- a/src/lib/entry/requestContext.ts
+++ b/src/lib/entry/requestContext.ts
@@ -1,6 +1,7 @@
 /** What every API of the entry needs: the parts of the process and the request at hand. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { ConfigurationSync, EventRecorder } from "../node/index.js";
+import type { Metrics } from "../observability/index.js";
 import type { EntrySettings } from "../settings/index.js";
 import type { Accounts } from "./accounts.js";
 import type { Dispatcher } from "./dispatcher.js";
@@ -11,6 +12,7 @@
     readonly configuration: ConfigurationSync;
     readonly dispatcher: Dispatcher;
     readonly events: EventRecorder;
+    readonly metrics: Metrics;
     readonly now: () => number;
 }
 
--- a/src/lib/local/localFleet.ts
+++ b/src/lib/local/localFleet.ts
@@ -23,6 +23,8 @@
     readonly originBytesPerSecond: number;
     /** Port of the entry; 0 takes a free one. */
     readonly port: number;
+    /** StatsD server of all processes; none if absent. */
+    readonly metrics?: { readonly host: string; readonly port: number; };
 }
 
 export interface LocalFleet {
@@ -55,6 +57,7 @@
         failureDomain: FAILURE_DOMAIN,
         region: REGION,
         rpc: { port: 0 },
+        metrics: options.metrics,
         pollMs: 200,
         platform: {
             tableUrl: platform.url,
--- a/src/lib/observability/index.ts
+++ b/src/lib/observability/index.ts
@@ -1,1 +1,2 @@
 export * from "./log.js";
+export * from "./metrics.js";
