--- a/src/harness/fleet.ts
+++ b/src/harness/fleet.ts
@@ -35,6 +35,8 @@
     readonly seed?: number;
     /** Counts network bytes in every entry and agent, for `readUsage`. */
     readonly metered?: boolean;
+    /** Stops processes in order on Ctrl-C, for a fleet that runs in a terminal. */
+    readonly ownProcessGroups?: boolean;
 }
 
 export interface FleetProcess extends Child {
@@ -153,6 +155,7 @@
             name: base.name,
             args: [MAIN, base.role, "--settings", settingsFile],
             env: options.metered === true ? meterEnvironment(meterFileOf(settingsFile)) : {},
+            ownProcessGroup: options.ownProcessGroups,
         });
         const ports = child.ready as { rpc: number; http?: number; };
         const vm: Vm = { ...base, address: `127.0.0.1:${ports.rpc}` };
@@ -298,7 +301,11 @@
         engines: Array.from({ length: options.runners }, (_, index) => ({ seed: seed + index, ...engine })),
         services: options.bookings > 0 ? [{ workMs: options.bookingMs ?? 5, seed }] : [],
     };
-    return startChild({ name: "stand-ins", args: [STAND_IN_HOST, JSON.stringify(hostOptions)] });
+    return startChild({
+        name: "stand-ins",
+        args: [STAND_IN_HOST, JSON.stringify(hostOptions)],
+        ownProcessGroup: options.ownProcessGroups,
+    });
 }
 
 function regionsOf({ regions = [], regionLinks }: FleetOptions): RegionsOptions | undefined {
--- a/src/lib/agent/agent.ts
+++ b/src/lib/agent/agent.ts
@@ -1,10 +1,12 @@
 /** Starts the agent beside a backend server: configuration, transfer, activation, gate and its gRPC server. */
 import { randomUUID } from "node:crypto";
+import { accessSync, constants, mkdirSync } from "node:fs";
 import { setTimeout as sleep } from "node:timers/promises";
+import VError from "verror";
 import { DEFAULT_QUEUE_POLICY, type ProfileEntry, profilesOf } from "../core/index.js";
 import { createProfileStore } from "../entry/profileStore.js";
 import { createEventRecorder, createNodeService, startConfigurationSync, startMembershipTask } from "../node/index.js";
-import { createLog } from "../observability/index.js";
+import { createLog, createMetrics } from "../observability/index.js";
 import { createEngine, createObjectStore, createTableService, createVmList } from "../platform/index.js";
 import { type AgentState, createConnections, createCredentials, startRpcServer } from "../rpc/index.js";
 import type { AgentSettings } from "../settings/index.js";
@@ -49,7 +51,9 @@
 export async function startAgent(settings: AgentSettings): Promise<RunningAgent> {
     const { platform, backendServer } = settings;
     const { timeoutMs } = platform;
+    if (backendServer.kind === "model") prepareDirectory(settings.weightsPath);
     const now = () => Date.now();
+    const metrics = await createMetrics(settings.metrics, settings.process);
     const events = createEventRecorder(settings.process, now);
     const table = createTableService({ url: platform.tableUrl, timeoutMs });
     const weightStore = createObjectStore({ url: platform.weightStoreUrl, timeoutMs });
@@ -193,6 +197,7 @@
             held,
             uploads,
             { current: state, subscribe },
+            { events, metrics },
         ),
     });
     if (backendServer.kind === "model") {
@@ -222,7 +227,19 @@
         await Promise.all([membership.stop(), configuration.stop()]);
         connections.close();
         await rpc.stop(1000);
+        await metrics.close();
     }
 
     return { port: rpc.port, state, stop };
 }
+
+/** Finds an unusable directory at start instead of at the first rollout. */
+function prepareDirectory(path: string): void {
+    try {
+        mkdirSync(path, { recursive: true });
+        accessSync(path, constants.R_OK | constants.W_OK);
+    }
+    catch (error) {
+        throw new VError({ name: "SettingsError", cause: error as Error }, "weightsPath %s can't be used", path);
+    }
+}
--- a/src/lib/agent/agentService.ts
+++ b/src/lib/agent/agentService.ts
@@ -1,6 +1,8 @@
 /** Handlers of the Agent service: dispatch of requests, state, manifests and chunks. */
 import type { ServerWritableStream } from "@grpc/grpc-js";
 import { once } from "node:events";
+import type { EventRecorder } from "../node/index.js";
+import type { Metrics } from "../observability/index.js";
 import type {
     AgentServer,
     AgentState,
@@ -32,14 +34,21 @@
     subscribe(listener: () => void): () => void;
 }
 
+/** Where attempts are recorded. */
+export interface AttemptRecords {
+    readonly events: EventRecorder;
+    readonly metrics: Metrics;
+}
+
 export function createAgentService(
     gate: Gate,
     held: HeldVersions,
     uploads: Uploads,
     state: StateFeed,
+    records: AttemptRecords,
 ): AgentServer {
     return {
-        dispatch: call => dispatch(call, gate),
+        dispatch: call => dispatch(call, gate, records),
         watchState: call => watchState(call, state),
         watchChunks: call => void watchChunks(call, held),
         readChunk: call => void readChunk(call, uploads),
@@ -52,18 +61,36 @@
     };
 }
 
-function dispatch(call: ServerWritableStream<DispatchRequest, AnswerFrame>, gate: Gate): void {
-    const { attemptId } = call.request;
+function dispatch(
+    call: ServerWritableStream<DispatchRequest, AnswerFrame>,
+    gate: Gate,
+    { events, metrics }: AttemptRecords,
+): void {
+    const { attemptId, requestId, rank } = call.request;
+    const started = performance.now();
+    let verdict = "none";
     const cancellation = new AbortController();
     call.on("cancelled", () => cancellation.abort());
     call.on("error", () => cancellation.abort());
     const sink = {
-        send: (frame: NonNullable<AnswerFrame["frame"]>) => call.write({ attemptId, frame }),
+        send: (frame: NonNullable<AnswerFrame["frame"]>) => {
+            if (frame.$case === "refused") verdict = frame.refused.verdict;
+            if (frame.$case === "end") verdict = frame.end.verdict;
+            return call.write({ attemptId, frame });
+        },
         drained: () => drained(call, cancellation.signal),
         end: () => call.end(),
         signal: cancellation.signal,
     };
-    gate.dispatch(call.request, sink).catch((error: Error) => call.destroy(error));
+    events.record("attempt.started", requestId, { attemptId, client: call.request.client, rank });
+    gate.dispatch(call.request, sink)
+        .catch((error: Error) => call.destroy(error))
+        .finally(() => {
+            events.record("attempt.ended", requestId, { attemptId, verdict });
+            metrics.count("agent.attempts", { rank, verdict });
+            metrics.timing("agent.attempt_duration", performance.now() - started, { rank });
+            metrics.gauge("agent.running", gate.load().running);
+        });
 }
 
 /** Waits until an entry that reads slowly has caught up; gives up after a time, which frees the engine. */
--- a/src/lib/cli/localCommand.ts
+++ b/src/lib/cli/localCommand.ts
@@ -5,6 +5,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
+import VError from "verror";
 import { transferSize } from "../core/index.js";
 import { placeChunks } from "../core/index.js";
 import { DEMO_CLIENT_KEY, DEMO_OPERATOR_TOKEN, DEMO_POOL, type LocalFleet, startLocalFleet } from "../local/index.js";
@@ -42,7 +43,7 @@
         try {
             await this.demonstrate(fleet, flags.weights ?? await makeWeights(directory));
             if (!flags.once) {
-                this.printCommands(fleet);
+                this.printCommands(fleet, join(directory, "operator.token"));
                 await untilSignal();
             }
         }
@@ -77,7 +78,7 @@
         const replicas = fleet.agents.filter(agent => agent.state().kind === "model");
         const shown = new Map<string, string>();
         while (replicas.some(agent => agent.state().servingDigest !== digest)) {
-            if (Date.now() > deadline) this.error("the rollout did not end in time; run with DEBUG=endivewell:*");
+            if (Date.now() > deadline) throw new VError("the rollout did not end in time; run with DEBUG=endivewell:*");
             for (const agent of replicas) this.showProgress(agent.state(), shown);
             await sleep(100);
         }
@@ -113,13 +114,18 @@
         this.log(`booking: ${booking.body.toString("utf8")} in ${bookingMs} ms`);
     }
 
-    private printCommands(fleet: LocalFleet): void {
+    private printCommands(fleet: LocalFleet, tokenFile: string): void {
+        const program = process.argv[1]?.endsWith(".cjs") ? `node ${process.argv[1]}` : process.execPath;
+        const flags = `--entry ${fleet.url} --token-file ${tokenFile}`;
         this.log(`
 The system keeps running at ${fleet.url}. Try:
   curl -H 'Authorization: Bearer ${DEMO_CLIENT_KEY}' ${fleet.url}/v1/models
   curl -N -H 'Authorization: Bearer ${DEMO_CLIENT_KEY}' ${fleet.url}/v1/chat/completions \\
     -d '{"model":"${PROFILE}","stream":true,"messages":[{"role":"user","content":"Hello"}]}'
-  curl -H 'Authorization: Bearer ${DEMO_OPERATOR_TOKEN}' ${fleet.url}/admin/v1/profiles
+  ${program} status ${flags}
+  ${program} watch ${PROFILE} ${flags}
+  ${program} profile show ${PROFILE} ${flags}
+  ${program} timeline --subject ${PROFILE} ${flags}
 Ctrl-C stops it.`);
     }
 }
--- a/src/lib/entry/adminApi.ts
+++ b/src/lib/entry/adminApi.ts
@@ -1,9 +1,18 @@
 /** The administration API under `/admin/v1`. Viewers read; operators also change profiles. */
 import { randomUUID } from "node:crypto";
 import { match } from "ts-pattern";
-import { entryOf, type ProfileAction, type ProfileChange, type ProfileEntry, Verdict } from "../core/index.js";
+import {
+    entryOf,
+    type Profile,
+    type ProfileAction,
+    type ProfileChange,
+    type ProfileEntry,
+    Verdict,
+} from "../core/index.js";
+import type { Operator } from "./accounts.js";
 import type { AgentDirectory } from "./agentDirectory.js";
 import { type Problem, rejection, sendProblem } from "./problem.js";
+import type { ProcessSurvey } from "./processSurvey.js";
 import type { ChangeResult, ProfileStore } from "./profileStore.js";
 import type { ProfileUse } from "./profileUse.js";
 import { parseJsonObject, readLimitedBody } from "./requestBody.js";
@@ -22,7 +31,8 @@
     readonly profileUse: ProfileUse;
     readonly directory: AgentDirectory;
     /** Returns the status document of the system as this entry sees it. */
-    readonly status: () => unknown;
+    readonly status: () => object;
+    readonly survey: ProcessSurvey;
     /** Tells whether the entry knows the agents and the configuration that it needs. */
     readonly ready: () => boolean;
 }
@@ -35,9 +45,9 @@
     if (!reading && operator.role !== "operator") {
         return sendProblem(response, rejection(403, "not allowed", "the token's role is viewer"));
     }
-    if (reading && url.pathname === "/admin/v1/status") return answerJson(context, parts.status());
+    if (reading && url.pathname === "/admin/v1/status") return answerStatus(parts, context);
     if (reading && url.pathname === "/admin/v1/timeline") {
-        return answerJson(context, parts.events.read(url.searchParams.get("subject") ?? ""));
+        return answerJson(context, await parts.survey.readEvents(url.searchParams.get("subject") ?? ""));
     }
     if (reading && url.pathname === PROFILES_PATH) {
         return answerJson(context, Object.values(parts.configuration.current().profiles));
@@ -45,24 +55,27 @@
     if (!url.pathname.startsWith(`${PROFILES_PATH}/`)) {
         return sendProblem(response, rejection(404, "no such resource", "see docs/operator/"));
     }
-    return serveProfile(parts, context);
+    return serveProfile(parts, context, operator);
 }
 
-async function serveProfile(parts: AdminParts, context: RequestContext): Promise<void> {
+async function serveProfile(parts: AdminParts, context: RequestContext, operator: Operator): Promise<void> {
     const { request, response, url } = context;
     const [rawName = "", verb = "", ...rest] = url.pathname.slice(PROFILES_PATH.length + 1).split("/");
     const name = decodeName(rawName);
-    const route = rest.length > 0 || name === undefined ? "" : `${request.method} ${verb}`;
+    if (name === undefined) {
+        return sendProblem(response, rejection(400, "invalid address", "encode the profile's name for a URL"));
+    }
+    const route = rest.length > 0 ? "" : `${request.method} ${verb}`;
     return match(route)
-        .with("GET ", () => showProfile(parts, context, name ?? ""))
-        .with("GET history", () => showHistory(parts, context, name ?? ""))
+        .with("GET ", () => showProfile(parts, context, name))
+        .with("GET history", () => showHistory(parts, context, name))
         .with(
             "PUT ",
             "DELETE ",
             "POST rollback",
             "POST pause",
             "POST resume",
-            () => changeProfile(parts, context, name ?? "", verb),
+            () => changeProfile(parts, context, name, verb, operator),
         )
         .otherwise(() => {
             const detail = "use GET, PUT or DELETE, GET history, or POST rollback, pause or resume";
@@ -85,7 +98,17 @@
     answerJson(context, { current: current ?? null, earlier: values.filter(v => v.revision !== current?.revision) });
 }
 
-async function changeProfile(parts: AdminParts, context: RequestContext, name: string, verb: string): Promise<void> {
+async function answerStatus(parts: AdminParts, context: RequestContext): Promise<void> {
+    answerJson(context, { ...parts.status(), ...await parts.survey.readEntries() });
+}
+
+async function changeProfile(
+    parts: AdminParts,
+    context: RequestContext,
+    name: string,
+    verb: string,
+    operator: Operator,
+): Promise<void> {
     const { request, response, url } = context;
     const read = await readLimitedBody(request, parts.settings.limits.bodyBytes);
     if (read.kind === "aborted") return;
@@ -109,6 +132,7 @@
         dryRun: url.searchParams.get("dryRun") === "true",
         refuseRetire: force ? undefined : entry => useOf(parts, entry),
     });
+    recordAudit(parts, change, operator, result);
     answerChange(parts, context, change, result);
 }
 
@@ -146,7 +170,6 @@
     match(result)
         .with({ kind: "accepted" }, ({ configuration, revision }) => {
             parts.configuration.offer({ ...configuration, changes: [] });
-            parts.events.record("profile.accepted", name, { revision, changeId });
             answerJson(context, { name, revision }, { revision });
         })
         .with(
@@ -181,6 +204,23 @@
     return { ...rejection(503, "changes are refused", detail), retryAfterMs: RETRY_AFTER_MS };
 }
 
+/** Audit events state who changed what. An accepted version also starts the timeline of its rollout. */
+function recordAudit(parts: AdminParts, change: ProfileChange, operator: Operator, result: ChangeResult): void {
+    const { action, changeId, name } = change;
+    const attributes = { operator: operator.name, action: action.kind, changeId };
+    if (result.kind === "wouldApply") return;
+    if (result.kind !== "accepted") {
+        parts.events.record("profile.refused", name, { ...attributes, reason: result.kind });
+        return;
+    }
+    const { revision } = result;
+    const { rootDigest = "" } = (action.kind === "put" ? action.profile : {}) as Partial<Profile>;
+    parts.events.record("profile.accepted", name, { ...attributes, revision, rootDigest });
+    if (rootDigest !== "") {
+        parts.events.record("rollout.accepted", rootDigest, { operator: operator.name, profile: name, revision });
+    }
+}
+
 function answerJson({ response }: RequestContext, body: unknown, entry?: Pick<ProfileEntry, "revision">): void {
     const etag = entry === undefined ? {} : { etag: `"${entry.revision}"` };
     response.writeHead(200, { "content-type": "application/json", ...etag });
--- a/src/lib/entry/entry.ts
+++ b/src/lib/entry/entry.ts
@@ -1,7 +1,7 @@
 /** Starts an entry: configuration, membership, directory of agents, dispatcher and HTTP server. */
 import { DEFAULT_QUEUE_POLICY, profilesOf } from "../core/index.js";
 import { createEventRecorder, createNodeService, startConfigurationSync, startMembershipTask } from "../node/index.js";
-import { createLog } from "../observability/index.js";
+import { createLog, createMetrics } from "../observability/index.js";
 import { createObjectStore, createTableService, createVmList } from "../platform/index.js";
 import { createConnections, createCredentials, startRpcServer } from "../rpc/index.js";
 import type { EntrySettings } from "../settings/index.js";
@@ -9,6 +9,7 @@
 import { startAgentDirectory } from "./agentDirectory.js";
 import { createDispatcher } from "./dispatcher.js";
 import { createEntryQueue } from "./entryQueue.js";
+import { createProcessSurvey } from "./processSurvey.js";
 import { createProfileStore } from "./profileStore.js";
 import { createProfileUse } from "./profileUse.js";
 import { createRequestLimit } from "./requestLimit.js";
@@ -30,6 +31,7 @@
     const { timeoutMs } = platform;
     const now = () => Date.now();
     const accounts = createAccounts(settings);
+    const metrics = await createMetrics(settings.metrics, settings.process);
     const events = createEventRecorder(settings.process, now);
     const credentials = createCredentials(settings.tls);
     const connections = createConnections(credentials);
@@ -79,6 +81,7 @@
         requestsInProgress: dispatcher.inProgress(),
         agents: directory.all(now()),
     });
+    const survey = createProcessSurvey({ process: settings.process, membership, connections, events });
     const node = createNodeService({ configuration, events, status });
     const rpc = await startRpcServer({ ...settings.rpc, credentials, node });
     const server = await startEntryServer({
@@ -88,11 +91,13 @@
         dispatcher,
         requestLimit: createRequestLimit(settings.limits),
         events,
+        metrics,
         now,
         profileStore,
         profileUse,
         directory,
         status,
+        survey,
         ready: () => directory.ready(now()),
     });
     log.info("entry %s listens on port %d", settings.process, server.port);
@@ -104,6 +109,7 @@
         await Promise.all([membership.stop(), configuration.stop()]);
         connections.close();
         await rpc.stop(1000);
+        await metrics.close();
     }
 
     return { port: server.port, rpcPort: rpc.port, stop };
--- a/src/lib/entry/openaiApi.ts
+++ b/src/lib/entry/openaiApi.ts
@@ -4,6 +4,7 @@
 import type { Account } from "./accounts.js";
 import { createCallerAnswer } from "./answer.js";
 import { rejection, sendProblem, TOO_MANY_BYTES, TOO_MANY_REQUESTS } from "./problem.js";
+import { dispatchRecorded } from "./recordedDispatch.js";
 import { parseJsonObject, readLimitedBody } from "./requestBody.js";
 import type { EntryParts, RequestContext } from "./requestContext.js";
 import type { Permit } from "./requestLimit.js";
@@ -59,7 +60,7 @@
     const answer = createCallerAnswer(response);
     const engineFields = { ...body, priority: RANKS.indexOf(rank), resume_from: undefined };
     const resumedBody = (position: number) => bodyOf({ ...engineFields, resume_from: position });
-    const result = await parts.dispatcher.dispatch({
+    const result = await dispatchRecorded(parts, {
         requestId,
         client: account.client,
         rank,
--- a/src/lib/entry/server.ts
+++ b/src/lib/entry/server.ts
@@ -7,6 +7,7 @@
 import { createLog } from "../observability/index.js";
 import { type AdminParts, serveAdmin } from "./adminApi.js";
 import { serveCompletion, serveModels } from "./openaiApi.js";
+import { createParserErrors } from "./parserError.js";
 import { rejection, sendProblem } from "./problem.js";
 import type { RequestContext } from "./requestContext.js";
 import { serveService } from "./servicesApi.js";
@@ -55,11 +56,18 @@
         requestTimeout: limits.requestMs,
         headersTimeout: limits.requestMs,
         connectionsCheckingInterval: CONNECTION_CHECK_MS,
+        // The server answers a missing Host header itself, with a problem document.
+        requireHostHeader: false,
     };
+    const parserErrors = createParserErrors();
     const server = http.createServer(options, (request, response) => {
         const requestId = randomUUID();
         response.setHeader(REQUEST_ID_HEADER, requestId);
+        parserErrors.track(request, response);
         if (leaving) response.setHeader("connection", "close");
+        if (request.httpVersion === "1.1" && request.headers.host === undefined) {
+            return sendProblem(response, rejection(400, "no Host header", "name the entry in the Host header"));
+        }
         const url = parseUrl(request.url ?? "/");
         if (url === undefined) return sendProblem(response, rejection(400, "invalid address", "send a valid path"));
         route({ requestId, request, response, url }).catch((error: Error) => {
@@ -68,12 +76,21 @@
             sendProblem(response, { status: 500, title: "internal error", detail, verdict: "mayHaveRun" });
         });
     });
+    server.on("clientError", parserErrors.answer);
+    server.on("checkExpectation", (_request, response: http.ServerResponse) => {
+        sendProblem(response, rejection(417, "unknown expectation", "send Expect: 100-continue or no Expect header"));
+    });
     server.maxConnections = limits.connections;
     closeIdleWhenFull(server, limits.connections);
     await new Promise<void>((resolve, reject) => {
         server.once("error", error => {
             reject(
-                new VError({ name: "ListenError", cause: error }, "can't listen on %s:%d", listen.host, listen.port),
+                new VError(
+                    { name: "ListenError", cause: error },
+                    "can't listen on %s:%d; choose a free port in http.port",
+                    listen.host,
+                    listen.port,
+                ),
             );
         });
         server.listen(listen.port, listen.host, resolve);
--- a/src/lib/entry/servicesApi.ts
+++ b/src/lib/entry/servicesApi.ts
@@ -6,6 +6,7 @@
 import { createCallerAnswer } from "./answer.js";
 import { rankOf } from "./openaiApi.js";
 import { rejection, sendProblem, TOO_MANY_BYTES, TOO_MANY_REQUESTS } from "./problem.js";
+import { dispatchRecorded } from "./recordedDispatch.js";
 import { readLimitedBody } from "./requestBody.js";
 import type { EntryParts, RequestContext } from "./requestContext.js";
 import type { Permit } from "./requestLimit.js";
@@ -58,7 +59,7 @@
         .map(([name, value]) => ({ name, value: String(value) }));
     const answer = createCallerAnswer(response);
     const idempotent = IDEMPOTENT_METHODS.has(method);
-    const result = await parts.dispatcher.dispatch({
+    const result = await dispatchRecorded(parts, {
         requestId,
         client: account.client,
         rank,
