Add commands for pausing, resuming, rolling back and checking changes

Cause: the administration API had these routes, but the operator had no command for them. Conclusion: the test of the commands runs each of them.

--- a/src/lib/cli/adminConnection.ts
+++ b/src/lib/cli/adminConnection.ts
@@ -11,10 +11,12 @@
     readonly body: unknown;
 }
 
+export type ChangeMethod = "PUT" | "DELETE" | "POST";
+
 export interface AdminConnection {
     get(path: string): Promise<AdminAnswer>;
     /** Sends a change. The same `changeId` may be sent again after an unclear answer. */
-    change(method: "PUT" | "DELETE", path: string, etag: string, body?: unknown): Promise<AdminAnswer>;
+    change(method: ChangeMethod, path: string, etag: string, body?: unknown): Promise<AdminAnswer>;
 }
 
 const TIMEOUT_MS = 10_000;
@@ -48,7 +50,7 @@
         }
     }
 
-    async function change(method: "PUT" | "DELETE", path: string, etag: string, body?: unknown) {
+    async function change(method: ChangeMethod, path: string, etag: string, body?: unknown) {
         const changeId = randomUUID();
         const headers: Record<string, string> = { "endivewell-change-id": changeId };
         if (etag !== "") headers["if-match"] = etag;
--- a/src/lib/cli/profileCommands.ts
+++ b/src/lib/cli/profileCommands.ts
@@ -1,4 +1,4 @@
-/** `endivewell profile`: create, change, retire, show and list profiles. */
+/** `endivewell profile`: changes of profiles, control of their rollouts, and what is in force. */
 import { Args, Flags } from "@oclif/core";
 import VError from "verror";
 import type { ProfileEntry } from "../core/index.js";
@@ -12,7 +12,11 @@
     summary: "Revision of the profile that the change is based on; the present one if absent.",
 });
 
+const dryRun = Flags.boolean({ summary: "Check the change and show the result without making it." });
+
 interface Accepted {
+    /** True if the change was only checked. */
+    readonly dryRun?: boolean;
     readonly name: string;
     readonly revision: number;
 }
@@ -25,7 +29,7 @@
         " --floor standard=0.2 --floor overnight=0.1",
     ];
     static override readonly args = { name };
-    static override readonly flags = { ...entryFlags, ...profileFlags };
+    static override readonly flags = { ...entryFlags, ...profileFlags, "dry-run": dryRun };
 
     async run(): Promise<Accepted> {
         const { args, flags } = await this.parse(ProfileCreateCommand);
@@ -33,11 +37,11 @@
             if (flags[flag] === undefined) throw new VError({ name: "UsageError" }, "add --%s", flag);
         }
         const profile = applyProfileFlags({ name: args.name }, flags);
-        const answer = await this.connect(flags).change("PUT", pathOf(args.name), "", profile);
+        const path = pathOf(args.name) + dryRunQuery(flags["dry-run"]);
+        const answer = await this.connect(flags).change("PUT", path, "", profile);
         const accepted = expectSuccess(answer) as Accepted;
-        this.log(
-            `created ${accepted.name} at revision ${accepted.revision}; 'watch ${accepted.name}' shows the rollout`,
-        );
+        this.log(describe("created", accepted));
+        if (accepted.dryRun !== true) this.log(`'watch ${accepted.name}' shows the rollout`);
         return accepted;
     }
 }
@@ -52,37 +56,121 @@
         "<%= config.bin %> profile change repair --paused --revision 7",
     ];
     static override readonly args = { name };
-    static override readonly flags = { ...entryFlags, ...profileFlags, revision: revision };
+    static override readonly flags = { ...entryFlags, ...profileFlags, revision: revision, "dry-run": dryRun };
 
     async run(): Promise<Accepted> {
         const { args, flags } = await this.parse(ProfileChangeCommand);
         const connection = this.connect(flags);
         const seen = await readProfile(connection, args.name);
         const profile = applyProfileFlags(seen.profile, flags);
-        const answer = await connection.change("PUT", pathOf(args.name), etagOf(flags.revision, seen.etag), profile);
+        const path = pathOf(args.name) + dryRunQuery(flags["dry-run"]);
+        const answer = await connection.change("PUT", path, etagOf(flags.revision, seen.etag), profile);
         const accepted = expectSuccess(answer) as Accepted;
-        this.log(`changed ${accepted.name} at revision ${accepted.revision}`);
+        this.log(describe("changed", accepted));
         return accepted;
     }
 }
 
 export class ProfileRetireCommand extends OperatorCommand {
     static override readonly summary = "Retire a profile.";
+    static override readonly description = "A profile that was used in the last minute is retired only with --force.";
     static override readonly examples = ["<%= config.bin %> profile retire repair"];
     static override readonly args = { name };
-    static override readonly flags = { ...entryFlags, revision: revision };
+    static override readonly flags = {
+        ...entryFlags,
+        revision: revision,
+        force: Flags.boolean({ summary: "Retire the profile although it is in use." }),
+    };
 
     async run(): Promise<Accepted> {
         const { args, flags } = await this.parse(ProfileRetireCommand);
         const connection = this.connect(flags);
         const { etag } = await readProfile(connection, args.name);
-        const answer = await connection.change("DELETE", pathOf(args.name), etagOf(flags.revision, etag));
+        const path = pathOf(args.name) + (flags.force ? "?force=true" : "");
+        const answer = await connection.change("DELETE", path, etagOf(flags.revision, etag));
         const accepted = expectSuccess(answer) as Accepted;
-        this.log(`retired ${accepted.name} at revision ${accepted.revision}`);
+        this.log(describe("retired", accepted));
         return accepted;
     }
 }
 
+export class ProfilePauseCommand extends OperatorCommand {
+    static override readonly summary = "Pause the rollout of a profile: no further replica switches versions.";
+    static override readonly examples = ["<%= config.bin %> profile pause repair --reason 'answers look wrong'"];
+    static override readonly args = { name };
+    static override readonly flags = {
+        ...entryFlags,
+        reason: Flags.string({ summary: "Reason, shown by 'profile show'." }),
+    };
+
+    async run(): Promise<Accepted> {
+        const { args, flags } = await this.parse(ProfilePauseCommand);
+        const body = flags.reason === undefined ? {} : { reason: flags.reason };
+        const answer = await this.connect(flags).change("POST", `${pathOf(args.name)}/pause`, "", body);
+        const accepted = expectSuccess(answer) as Accepted;
+        this.log(describe("paused", accepted));
+        return accepted;
+    }
+}
+
+export class ProfileResumeCommand extends OperatorCommand {
+    static override readonly summary = "Resume the rollout of a profile.";
+    static override readonly examples = ["<%= config.bin %> profile resume repair"];
+    static override readonly args = { name };
+    static override readonly flags = entryFlags;
+
+    async run(): Promise<Accepted> {
+        const { args, flags } = await this.parse(ProfileResumeCommand);
+        const answer = await this.connect(flags).change("POST", `${pathOf(args.name)}/resume`, "");
+        const accepted = expectSuccess(answer) as Accepted;
+        this.log(describe("resumed", accepted));
+        return accepted;
+    }
+}
+
+export class ProfileRollbackCommand extends OperatorCommand {
+    static override readonly summary = "Put an earlier value of a profile in force as a new revision.";
+    static override readonly examples = ["<%= config.bin %> profile rollback repair --to 7"];
+    static override readonly args = { name };
+    static override readonly flags = {
+        ...entryFlags,
+        to: Flags.integer({ summary: "Revision to return to; 'profile history' lists them.", required: true }),
+    };
+
+    async run(): Promise<Accepted> {
+        const { args, flags } = await this.parse(ProfileRollbackCommand);
+        const connection = this.connect(flags);
+        const { etag } = await readProfile(connection, args.name);
+        const body = { revision: flags.to };
+        const answer = await connection.change("POST", `${pathOf(args.name)}/rollback`, etag, body);
+        const accepted = expectSuccess(answer) as Accepted;
+        this.log(describe("rolled back", accepted));
+        return accepted;
+    }
+}
+
+interface History {
+    readonly earlier: readonly ProfileEntry[];
+}
+
+export class ProfileHistoryCommand extends OperatorCommand {
+    static override readonly summary = "List earlier values of a profile, for a rollback.";
+    static override readonly examples = ["<%= config.bin %> profile history repair"];
+    static override readonly args = { name };
+    static override readonly flags = entryFlags;
+
+    async run(): Promise<History> {
+        const { args, flags } = await this.parse(ProfileHistoryCommand);
+        const answer = await this.connect(flags).get(`${pathOf(args.name)}/history`);
+        const history = expectSuccess(answer) as History;
+        for (const { profile, revision: earlier } of history.earlier) {
+            this.log(`revision ${earlier}: ${profile.rootDigest} on ${profile.service}`);
+        }
+        if (history.earlier.length === 0) this.log("no earlier values");
+        return history;
+    }
+}
+
 export class ProfileShowCommand extends OperatorCommand {
     static override readonly summary = "Show a profile as the entry knows it.";
     static override readonly examples = ["<%= config.bin %> profile show repair --json"];
@@ -130,6 +218,14 @@
     return `/profiles/${encodeURIComponent(profileName)}`;
 }
 
+function dryRunQuery(isDryRun: boolean): string {
+    return isDryRun ? "?dryRun=true" : "";
+}
+
+function describe(done: string, { name: changed, revision: reached, dryRun: checked }: Accepted): string {
+    return checked === true ? `${changed} would get revision ${reached}` : `${done} ${changed} at revision ${reached}`;
+}
+
 function etagOf(expected: number | undefined, seen: string): string {
     return expected === undefined ? seen : `"${expected}"`;
 }
--- a/src/lib/cli/run.ts
+++ b/src/lib/cli/run.ts
@@ -20,6 +20,10 @@
     "profile:create": async () => (await import("./profileCommands.js")).ProfileCreateCommand,
     "profile:change": async () => (await import("./profileCommands.js")).ProfileChangeCommand,
     "profile:retire": async () => (await import("./profileCommands.js")).ProfileRetireCommand,
+    "profile:pause": async () => (await import("./profileCommands.js")).ProfilePauseCommand,
+    "profile:resume": async () => (await import("./profileCommands.js")).ProfileResumeCommand,
+    "profile:rollback": async () => (await import("./profileCommands.js")).ProfileRollbackCommand,
+    "profile:history": async () => (await import("./profileCommands.js")).ProfileHistoryCommand,
     "profile:show": async () => (await import("./profileCommands.js")).ProfileShowCommand,
     "profile:list": async () => (await import("./profileCommands.js")).ProfileListCommand,
     publish: async () => (await import("./publishCommand.js")).PublishCommand,
@@ -30,7 +34,7 @@
 };
 
 const TOPICS = {
-    profile: { description: "Create, change, retire, show and list profiles." },
+    profile: { description: "Change profiles, control their rollouts and show what is in force." },
     settings: { description: "Check settings files." },
 };
 
--- a/src/test/cli/commands.test.ts
+++ b/src/test/cli/commands.test.ts
@@ -107,6 +107,18 @@
     assert.equal(invalid.code, 2);
     assert.match(invalid.err, /floors/);
     assert.match((await runCommand("profile", "list")).out, /^repair: /);
+    const checked = await runCommand("profile", "change", "repair", "--client-weight", "workshop=9", "--dry-run");
+    assert.match(checked.out, /would get revision/);
+    assert.equal((await runCommand("profile", "pause", "repair", "--reason", "wrong answers")).code, 0);
+    const paused = JSON.parse((await runCommand("profile", "show", "repair", "--json")).out);
+    assert.equal(paused.profile.pauseReason, "wrong answers");
+    assert.deepEqual(paused.profile.clientWeights, { workshop: 2 });
+    assert.equal((await runCommand("profile", "resume", "repair")).code, 0);
+    assert.match((await runCommand("profile", "history", "repair")).out, new RegExp(`revision ${revision}: `));
+    const rolledBack = await runCommand("profile", "rollback", "repair", "--to", String(revision));
+    assert.equal(rolledBack.code, 0, rolledBack.err);
+    const restored = JSON.parse((await runCommand("profile", "show", "repair", "--json")).out);
+    assert.deepEqual(restored.profile.clientWeights, {});
     assert.equal((await runCommand("profile", "create", "spare", ...create.slice(3))).code, 0);
     assert.equal((await runCommand("profile", "retire", "spare")).code, 0);
     assert.equal((await runCommand("profile", "show", "spare")).code, 1);
