Resolve latest to a root digest when a change is accepted

Cause: an operator had to copy the digest of the newest version by hand. Change: publish stores the newest digest of each model; a profile that names latest gets that digest. Conclusion: what was accepted can't change later; the test of the commands covers it.

--- a/src/lib/cli/profileFlags.ts
+++ b/src/lib/cli/profileFlags.ts
@@ -4,7 +4,9 @@
 
 export const profileFlags = {
     model: Flags.string({ summary: "Model name shown to callers in addition to the profile's name." }),
-    "root-digest": Flags.string({ summary: "Version to serve, as printed by publish." }),
+    "root-digest": Flags.string({
+        summary: "Version to serve, as printed by publish, or latest for the one published last.",
+    }),
     service: Flags.string({ summary: "Pool of agents that serves the profile." }),
     floor: Flags.string({
         summary: "Fraction of the pool's capacity that a rank keeps, for example urgent=0.5.",
--- a/src/lib/entry/profileStore.ts
+++ b/src/lib/entry/profileStore.ts
@@ -18,6 +18,7 @@
 } from "../core/index.js";
 import { CONFIGURATION_KEY, CONFIGURATION_TABLE } from "../node/index.js";
 import {
+    latestKey,
     manifestKey,
     type ObjectStore,
     type TableRead,
@@ -65,6 +66,9 @@
     readonly random: () => number;
 }
 
+/** In place of a root digest, names the version of the model that was published last. */
+export const LATEST = "latest";
+
 export const HISTORY_TABLE = "configurationHistory";
 
 /** Values that a history row keeps. */
@@ -97,7 +101,9 @@
         if (read.kind !== "found" && read.kind !== "missing") return again("the table service is unavailable");
         const current = read.kind === "found" ? parseConfiguration(read.value) : EMPTY_CONFIGURATION;
         if (current === undefined) return again("the configuration row is invalid");
-        const decision = decideChange(current, change);
+        const resolved = await resolveLatest(change);
+        if (resolved === undefined) return again("the weight store is unavailable");
+        const decision = decideChange(current, resolved);
         if (decision.kind === "alreadyApplied") {
             return { kind: "accepted", configuration: current, revision: decision.revision, retries };
         }
@@ -119,6 +125,21 @@
         return { kind: "again", mayHaveRun: write.kind === "unclear", reason: "the outcome of the write is unknown" };
     }
 
+    /** Replaces `latest` by the newest digest of the model, so that what was accepted can't change later. */
+    async function resolveLatest(change: ProfileChange): Promise<ProfileChange | undefined> {
+        const { action } = change;
+        if (action.kind !== "put") return change;
+        const { model, rootDigest } = action.profile as { model?: unknown; rootDigest?: unknown; };
+        if (rootDigest !== LATEST || typeof model !== "string") return change;
+        try {
+            const digest = (await weightStore.get(latestKey(model)))?.toString("utf8") ?? LATEST;
+            return { ...change, action: { ...action, profile: { ...action.profile as object, rootDigest: digest } } };
+        }
+        catch {
+            return undefined;
+        }
+    }
+
     async function versionProblem(
         before: ProfileEntry | undefined,
         after: ProfileEntry | undefined,
--- a/src/lib/platform/objectStore.ts
+++ b/src/lib/platform/objectStore.ts
@@ -61,6 +61,11 @@
     return `manifests/${rootDigest}`;
 }
 
+/** Holds the root digest of the model's version that was published last. */
+export function latestKey(model: string): string {
+    return `models/${encodeURIComponent(model)}/latest`;
+}
+
 export function chunkKey(digest: Digest): string {
     return `chunks/${digest}`;
 }
--- a/src/lib/publish/publish.ts
+++ b/src/lib/publish/publish.ts
@@ -15,7 +15,7 @@
     type ManifestFile,
     MAX_CHUNK_BYTES,
 } from "../core/index.js";
-import { chunkKey, manifestKey, type ObjectStore } from "../platform/index.js";
+import { chunkKey, latestKey, manifestKey, type ObjectStore } from "../platform/index.js";
 
 export const DEFAULT_CHUNK_BYTES = 256 * 1024;
 
@@ -84,6 +84,7 @@
     const bytes = encodeManifest(manifest);
     const rootDigest = digestOf(bytes);
     await store.put(manifestKey(rootDigest), bytes);
+    await store.put(latestKey(options.model), Buffer.from(rootDigest));
     return { rootDigest, manifest, bytesSent };
 }
 
--- a/src/test/cli/commands.test.ts
+++ b/src/test/cli/commands.test.ts
@@ -120,6 +120,10 @@
     const restored = JSON.parse((await runCommand("profile", "show", "repair", "--json")).out);
     assert.deepEqual(restored.profile.clientWeights, {});
     assert.equal((await runCommand("profile", "create", "spare", ...create.slice(3))).code, 0);
+    const latest = await runCommand("profile", "change", "spare", "--root-digest", "latest");
+    assert.equal(latest.code, 0, latest.err);
+    const resolved = JSON.parse((await runCommand("profile", "show", "spare", "--json")).out);
+    assert.equal(resolved.profile.rootDigest, rootDigest);
     assert.equal((await runCommand("profile", "retire", "spare")).code, 0);
     assert.equal((await runCommand("profile", "show", "spare")).code, 1);
 });
