Drain at least as long as the longest answer

Cause: the default drain of 30 s was shorter than the default limit of 120 s for an answer, so that a planned stop cut off long answers. Change: drainMs is 150 s by default, and an entry's settings are refused if it is shorter than the limits on a request and its answer together. Conclusion: a test of the settings holds the rule; a planned stop during a long answer is not measured.

--- a/src/lib/settings/schema.ts
+++ b/src/lib/settings/schema.ts
@@ -64,7 +64,7 @@
      */
     scheduling: z.enum(["agentQueues", "entryQueues", "fifo"]).default("agentQueues"),
     /** How long a planned stop waits for requests in progress. */
-    drainMs: milliseconds.default(30_000),
+    drainMs: milliseconds.default(150_000),
 };
 
 type Addresses = Readonly<Pick<z.infer<z.ZodObject<typeof processFields>>, "rpc" | "platform" | "tls">>;
@@ -90,6 +90,8 @@
     return host === "localhost" || host === "::1" || host === "[::1]" || /^127(\.\d{1,3}){3}$/.test(host);
 }
 
+const SHORT_DRAIN = "must be at least limits.requestMs + limits.answerMs, or a planned stop cuts off requests";
+
 export const entrySchema = z.strictObject({
     ...processFields,
     /** HTTP server for callers and for the administration API. */
@@ -124,6 +126,9 @@
     if (settings.tls === undefined && !isLoopback(settings.http.host)) {
         context.addIssue({ code: "custom", path: ["http", "host"], message: TLS_REQUIRED });
     }
+    if (settings.drainMs < settings.limits.requestMs + settings.limits.answerMs) {
+        context.addIssue({ code: "custom", path: ["drainMs"], message: SHORT_DRAIN });
+    }
 });
 
 export const agentSchema = z.strictObject({
--- a/src/test/settings/settings.test.ts
+++ b/src/test/settings/settings.test.ts
@@ -38,3 +38,10 @@
     ]);
     assert.deepEqual(problemsOf(withoutTls.replaceAll(/192\.0\.2\.\d+/g, "127.0.0.1")), []);
 });
+
+// Guards against a planned stop that ends before the longest answer and cuts it off.
+test("an entry drains at least as long as a request can take", () => {
+    const shortDrain = entryText.replace("\"process\"", "\"drainMs\": 30000, \"process\"");
+    const result = checkSettings("entry.jsonc", shortDrain, entrySchema);
+    assert.deepEqual(result.kind === "invalid" && result.problems.map(({ path }) => path), ["drainMs"]);
+});
