--- a/src/harness/childProcess.ts
+++ b/src/harness/childProcess.ts
@@ -28,7 +28,7 @@
 
 export async function startChild({ name, args, env, ownProcessGroup }: ChildOptions): Promise<Child> {
     const child = spawn(process.execPath, ["--enable-source-maps", ...args], {
-        env: { ...process.env, ...env },
+        env: { ...process.env, NODE_ENV: "production", ...env },
         detached: ownProcessGroup ?? false,
         stdio: ["ignore", "pipe", "inherit"],
     });
--- a/src/lib/agent/agent.ts
+++ b/src/lib/agent/agent.ts
@@ -6,7 +6,7 @@
 import { DEFAULT_QUEUE_POLICY, type ProfileEntry, profilesOf } from "../core/index.js";
 import { createProfileStore } from "../entry/profileStore.js";
 import { createEventRecorder, createNodeService, startConfigurationSync, startMembershipTask } from "../node/index.js";
-import { createLog, createMetrics } from "../observability/index.js";
+import { createLog, createMetrics, DevWarning, issueDevWarning } from "../observability/index.js";
 import { createEngine, createObjectStore, createTableService, createVmList } from "../platform/index.js";
 import { type AgentState, createConnections, createCredentials, startRpcServer } from "../rpc/index.js";
 import type { AgentSettings } from "../settings/index.js";
@@ -51,6 +51,7 @@
 export async function startAgent(settings: AgentSettings): Promise<RunningAgent> {
     const { platform, backendServer } = settings;
     const { timeoutMs } = platform;
+    warnAboutBaselines(settings);
     if (backendServer.kind === "model") prepareDirectory(settings.weightsPath);
     const now = () => Date.now();
     const metrics = await createMetrics(settings.metrics, settings.process);
@@ -243,3 +244,12 @@
         throw new VError({ name: "SettingsError", cause: error as Error }, "weightsPath %s can't be used", path);
     }
 }
+
+function warnAboutBaselines({ scheduling, transferStrategy }: AgentSettings): void {
+    if (scheduling !== "agentQueues") {
+        issueDevWarning(DevWarning.baselineScheduling, `scheduling ${scheduling} is a baseline; use agentQueues`);
+    }
+    if (transferStrategy !== "peers") {
+        issueDevWarning(DevWarning.baselineTransfer, `transferStrategy ${transferStrategy} is a baseline; use peers`);
+    }
+}
--- a/src/lib/observability/index.ts
+++ b/src/lib/observability/index.ts
@@ -1,2 +1,3 @@
+export * from "./devWarning.js";
 export * from "./log.js";
 export * from "./metrics.js";
