--- a/src/lib/standIn/engine.ts
+++ b/src/lib/standIn/engine.ts
@@ -28,6 +28,8 @@
     readonly loads: readonly { readonly digest: string; readonly fence: number; }[];
     /** Orders whose directory didn't hold exactly the named version. */
     readonly wrongLoads: number;
+    /** Requests that arrived while a version was loaded. */
+    readonly started: number;
     readonly completed: number;
     readonly cancelled: number;
 }
@@ -75,6 +77,7 @@
     let state = { digest: "", generation: 1, fence: 0 };
     let running = 0;
     let wrongLoads = 0;
+    let started = 0;
     let completed = 0;
     let cancelled = 0;
 
@@ -117,6 +120,7 @@
         const prompt = body.prompt ?? body.messages?.map(message => message.content).join("\n") ?? "";
         const start = state;
         if (start.digest === "") return answerJson(response, 503, { error: "no version is loaded" });
+        started++;
         const isBroken = start.digest === faults.current().failVersion;
         if (isBroken) return answerJson(response, 500, { error: "broken" });
         await takeSlot(body.priority ?? 0);
@@ -184,7 +188,7 @@
     }
 
     function evidence(): EngineEvidence {
-        return { loads, wrongLoads, completed, cancelled };
+        return { loads, wrongLoads, started, completed, cancelled };
     }
 
     function restart(): void {
--- a/src/test/entry/dispatcher.test.ts
+++ b/src/test/entry/dispatcher.test.ts
@@ -26,7 +26,7 @@
     return Array.from({ length: tokens }, (_, position) => expectedToken(digest, prompt, position)).join("");
 }
 
-async function evidence({ url }: FleetProcess): Promise<{ completed: number; cancelled: number; }> {
+async function evidence({ url }: FleetProcess): Promise<{ started: number; completed: number; cancelled: number; }> {
     return JSON.parse((await sendRequest({ method: "GET", url: `${url}/evidence` })).body.toString());
 }
 
@@ -168,3 +168,42 @@
         assert.equal((await evidence(leaving)).completed, before);
     });
 });
+
+// Guards against new work at a leaving VM after the limit of 3 s: one whose agent knows it while the list calls
+// the VM live for the whole test, and one that only the list calls leaving.
+test("leaving VMs get no new work after 3 s, counted at their engines", async () => {
+    await withPool({ entries: 2, runners: 3 }, async (fleet, digest) => {
+        const [stopped, listed] = fleet.runners;
+        assert.ok(stopped && listed);
+        let done = false;
+        const callers = Array.from({ length: 12 }, async (_, caller) => {
+            for (let i = 0; !done; i++) {
+                const prompt = `${caller} ${i}`;
+                const answer = await complete(fleet.entries[caller % 2], prompt, 4);
+                assert.equal(outputOf(answer.body), expectedOutput(digest, prompt, 4));
+            }
+        });
+        // Long requests keep the leaving agent running, so that it isn't unreachable when the counts are taken.
+        const long = Array.from({ length: 12 }, (_, i) => complete(fleet.entries[i % 2], `long ${i}`, 350));
+        const startedAt = async () => (await Promise.all([evidence(stopped), evidence(listed)])).map(e => e.started);
+        await sleep(1000);
+        const atNotice = await startedAt();
+        const exit = stopped.stop(20_000);
+        const url = `${fleet.platformUrl}/vms/${listed.name}`;
+        await sendRequest({ method: "PUT", url, body: JSON.stringify({ ...listed.vm, state: "leaving" }) });
+        await sleep(3000);
+        const atLimit = await startedAt();
+        await sleep(2000);
+        const isUp = stopped.running();
+        const later = await startedAt();
+        done = true;
+        await Promise.all(callers);
+        (await Promise.all(long)).forEach((answer, i) => {
+            assert.equal(outputOf(answer.body), expectedOutput(digest, `long ${i}`, 350));
+        });
+        assert.ok(atNotice.every(count => count > 10), `${atNotice} requests before the VMs left`);
+        assert.ok(isUp, "the agent stopped before the counts were taken");
+        assert.deepEqual(later, atLimit);
+        assert.equal(await exit, 0);
+    });
+});
