End an answer with an error before its closing event when the engine reloads

Cause: the closing event of a streamed answer was relayed before the version was checked at the end, so a void answer looked complete to a caller that stops reading at [DONE]. A part of an event that was delivered before a break was followed by the whole event of the next attempt. Answers went on to their end after the agent had seen the reload. Change: the splitter keeps the closing event back; gate and dispatcher send it only after the check. The dispatcher delivers whole events only, and refuses to continue a stream with another kind of answer or to end one without its closing event. The gate stops an answer when the engine's state as last read shows another generation. One test of the gate now expects the closing event as a frame of its own, which is stricter.

--- a/scripts/guarantees.mjs
+++ b/scripts/guarantees.mjs
@@ -2,8 +2,24 @@
 const FLEET = /failing processes keep every guarantee/;
 const CLAIMS = [/^claims under/, /^claim\.pml/, /^a release replaces/];
 const GUARANTEES = {
-    G1: ["no answer from partial or mixed weights", [/^activation\.pml/, /separate processes serve/, FLEET]],
-    G2: ["the whole answer to the own request", [/^a repeated call gets/, /separate processes serve/, FLEET]],
+    G1: ["no answer from partial or mixed weights", [
+        /^activation\.pml/,
+        /separate processes serve/,
+        /^an answer whose engine reloads/,
+        /^an engine that restarts/,
+        /^checks before an order/,
+        /^an agent that was stopped past/,
+        FLEET,
+    ]],
+    G2: ["the whole answer to the own request", [
+        /^a repeated call gets/,
+        /separate processes serve/,
+        /^a caller gets each token once/,
+        /^the accepted frames of any sequence/,
+        /^events are counted and passed on whole/,
+        /^a broken stream resumes/,
+        FLEET,
+    ]],
     G3: ["notRun is true", [...CLAIMS, /combined verdict/, /unknown verdict/, FLEET]],
     G4: ["keyed and non-idempotent calls run at most once", [
         ...CLAIMS,
--- a/scripts/testLong.mjs
+++ b/scripts/testLong.mjs
@@ -8,7 +8,7 @@
     process.exit(2);
 }
 spawnSync("node_modules/.bin/tsc", [], { stdio: "inherit" });
-const tests = ["build/test/agent/claims.test.js", "build/test/fuzz.test.js"];
+const tests = ["agent/claims", "entry/resumption", "fuzz"].map(name => `build/test/${name}.test.js`);
 const env = { ...process.env, ENDIVEWELL_LONG_TEST_MS: String(seconds * 1000) };
 const result = spawnSync(process.execPath, ["--enable-source-maps", "--test", ...tests], { stdio: "inherit", env });
 process.exit(result.status ?? 1);
--- a/src/lib/agent/gate.ts
+++ b/src/lib/agent/gate.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage } from "node:http";
 import {
     bindRequest,
+    CLOSING_EVENT,
     createConcurrencyLimit,
     createEventSplitter,
     createRankedQueue,
@@ -78,6 +79,8 @@
 
 const RETRY_AFTER_MS = 500;
 
+const VERSION_CHANGED = "the engine changed its version during the answer";
+
 /** Time without any byte from the backend server after which an attempt fails. */
 const BACKEND_TIMEOUT_MS = 30_000;
 
@@ -331,10 +334,15 @@
         try {
             for await (const piece of response as AsyncIterable<Buffer>) {
                 const whole = counter.push(piece);
+                if (hasReloaded(start)) {
+                    response.destroy();
+                    return finish(sink, Verdict.ran, VERSION_CHANGED, counter.outputs());
+                }
                 if (whole.length > 0 && !sink.send({ $case: "data", data: whole })) await sink.drained();
             }
             if (!counter.complete()) throw new Error("the stream ended early");
             const error = await endProblem(start);
+            if (error === "" && counter.closing.length > 0) sink.send({ $case: "data", data: counter.closing });
             // A void answer did run, and its beginning must not be continued by another attempt.
             finish(sink, Verdict.ran, error, counter.outputs());
         }
@@ -345,12 +353,18 @@
         }
     }
 
+    /** Tells whether the engine's state as last read shows another load; an unreadable state shows none. */
+    function hasReloaded(start: EngineState): boolean {
+        const { generation } = options.serving();
+        return options.kind === "model" && generation > 0 && generation !== start.generation;
+    }
+
     /** Returns why the answer is void, or an empty string. */
     async function endProblem(start: EngineState): Promise<string> {
         if (options.kind === "plain") return "";
         const end = await options.engine.readState();
         const binding = { rootDigest: start.digest, generation: start.generation };
-        return isBindingKept(binding, end) ? "" : "the engine changed its version during the answer";
+        return isBindingKept(binding, end) ? "" : VERSION_CHANGED;
     }
 
     async function pause(): Promise<{ resume(): void; }> {
@@ -442,12 +456,14 @@
     push(piece: Buffer): Buffer;
     readonly outputs: () => number;
     readonly complete: () => boolean;
+    /** Bytes that end a valid answer. */
+    readonly closing: Buffer;
 }
 
 function createOutputCounter(response: IncomingMessage): OutputCounter {
     if ((response.headers["content-type"] ?? "").startsWith("text/event-stream")) {
         const splitter = createEventSplitter();
-        return { push: splitter.push, outputs: splitter.outputs, complete: splitter.done };
+        return { push: splitter.push, outputs: splitter.outputs, complete: splitter.done, closing: CLOSING_EVENT };
     }
     let tail = "";
     return {
@@ -457,6 +473,7 @@
         },
         outputs: () => Number(/"completion_tokens":\s*(\d{1,9})/.exec(tail)?.[1] ?? 0),
         complete: () => true,
+        closing: Buffer.alloc(0),
     };
 }
 
--- a/src/lib/core/eventStream.ts
+++ b/src/lib/core/eventStream.ts
@@ -4,7 +4,11 @@
  */
 
 export interface EventSplitter {
-    /** Returns the bytes of the events that are complete now. Throws if an event is too long or malformed. */
+    /**
+     * Returns the bytes of the events that are complete now. The closing event is kept back: whoever passes the
+     * stream on sends `CLOSING_EVENT` once it knows that the answer is valid. Throws if an event is too long, is
+     * malformed or follows the closing event.
+     */
     push(piece: Buffer): Buffer;
     /** Number of output events returned so far, without the closing `[DONE]`. */
     readonly outputs: () => number;
@@ -12,6 +16,11 @@
 }
 
 const EVENT_END = "\n\n";
+const CLOSING_TEXT = "data: [DONE]";
+
+/** The last event of a complete answer. */
+export const CLOSING_EVENT = Buffer.from(CLOSING_TEXT + EVENT_END);
+
 const MAX_EVENT_BYTES = 256 * 1024;
 
 export function createEventSplitter(maxEventBytes = MAX_EVENT_BYTES): EventSplitter {
@@ -28,14 +37,16 @@
         if (pending.length > maxEventBytes) throw new Error(`an event exceeds ${maxEventBytes} bytes`);
         const complete = all.subarray(0, end);
         for (const event of complete.toString("latin1").split(EVENT_END)) {
-            if (event === "data: [DONE]") done = true;
+            if (event === "") continue;
+            if (done) throw new Error("an event follows the end of the stream");
+            if (event === CLOSING_TEXT) done = true;
             else if (event.startsWith("data:")) {
                 checkJson(event);
                 outputs++;
             }
-            else if (event !== "" && !event.startsWith(":")) throw new Error("an event has no data");
+            else if (!event.startsWith(":")) throw new Error("an event has no data");
         }
-        return complete;
+        return done ? complete.subarray(0, Math.max(0, complete.length - CLOSING_EVENT.length)) : complete;
     }
 
     return { push, outputs: () => outputs, done: () => done };
--- a/src/lib/entry/dispatcher.ts
+++ b/src/lib/entry/dispatcher.ts
@@ -8,11 +8,13 @@
     type Attempt,
     canRetry,
     chooseAgent,
+    CLOSING_EVENT,
     combineVerdicts,
     createAffinityTable,
     createAttempt,
     createEventSplitter,
     createRetryBudget,
+    type EventSplitter,
     parseVerdict,
     type Rank,
     RANKS,
@@ -259,7 +261,7 @@
     ): Promise<DispatchResult> {
         const { attempt: own, call } = current;
         let head: AnswerHead | undefined;
-        const splitter = createEventSplitter();
+        let splitter: EventSplitter | undefined;
         try {
             for await (const { attemptId, frame } of call as AsyncIterable<AnswerFrame>) {
                 if (frame === undefined || !own.accept(attemptId, frame.$case)) continue;
@@ -271,25 +273,31 @@
                 if (frame.$case === "head") {
                     head = frame.head;
                     if (hasWrongDigest(head, work)) return failure(Verdict.mayHaveRun, "another version answered");
+                    if (work.resumedBody !== undefined && isEventStream(head)) splitter = createEventSplitter();
+                    if (delivery.started && splitter === undefined) {
+                        return failure(Verdict.mayHaveRun, "the answer can't be continued");
+                    }
                 }
                 if (frame.$case === "data") {
+                    const before = splitter?.outputs() ?? 0;
+                    // A part of an event isn't delivered: another attempt would begin with the whole event.
+                    const piece = splitter === undefined ? frame.data : splitter.push(frame.data);
+                    if (piece.length === 0) continue;
                     // The head waits for the first byte, because until then the request can run elsewhere.
                     if (!delivery.started && head !== undefined) receiver.head(head);
                     delivery.started = true;
-                    if (work.resumedBody !== undefined) {
-                        const before = splitter.outputs();
-                        splitter.push(frame.data);
-                        delivery.outputs += splitter.outputs() - before;
-                    }
+                    if (splitter !== undefined) delivery.outputs += splitter.outputs() - before;
                     current.callerIsSlow = true;
-                    await receiver.data(frame.data);
+                    await receiver.data(piece);
                     current.callerIsSlow = false;
                     current.lastFrameAt = now();
                 }
                 if (frame.$case === "end") {
                     const { error, verdict } = frame.end;
                     if (error !== "") return failure(parseVerdict(verdict), error);
+                    if (splitter?.done() === false) return failure(Verdict.mayHaveRun, "the answer is incomplete");
                     if (!delivery.started && head !== undefined) receiver.head(head);
+                    if (splitter !== undefined) await receiver.data(CLOSING_EVENT);
                     return { kind: "complete" };
                 }
             }
@@ -353,6 +361,11 @@
     return work.idempotent || work.idempotencyKey !== "";
 }
 
+function isEventStream({ status, headers }: AnswerHead): boolean {
+    const type = headers.find(({ name }) => name === "content-type")?.value ?? "";
+    return status === 200 && type.startsWith("text/event-stream");
+}
+
 function hasWrongDigest(head: AnswerHead, work: Work): boolean {
     if (work.rootDigest === "" || head.status !== 200) return false;
     return head.headers.find(({ name }) => name === "x-engine-digest")?.value !== work.rootDigest;
--- a/src/lib/standIn/engine.ts
+++ b/src/lib/standIn/engine.ts
@@ -91,6 +91,10 @@
         if (route === "GET /engine/state") return answerJson(response, 200, state);
         if (route === "GET /metrics.json") return answerJson(response, 200, { running, waiting: waiting.length });
         if (route === "GET /evidence") return answerJson(response, 200, evidence());
+        if (route === "POST /restart") {
+            restart();
+            return answerJson(response, 200, state);
+        }
         if (route === "POST /engine/load") return load(await readJson(request) as LoadBody, response);
         if (route === "POST /v1/chat/completions" || route === "POST /v1/completions") {
             return complete(await readJson(request) as CompletionBody, response);
--- a/src/test/agent/gate.test.ts
+++ b/src/test/agent/gate.test.ts
@@ -4,7 +4,7 @@
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type AnswerSink, createGate, type Gate } from "../../lib/agent/gate.js";
-import { DEFAULT_QUEUE_POLICY } from "../../lib/core/index.js";
+import { CLOSING_EVENT, DEFAULT_QUEUE_POLICY } from "../../lib/core/index.js";
 import type { AnswerFrame, DispatchRequest } from "../../lib/rpc/index.js";
 
 type Frame = NonNullable<AnswerFrame["frame"]>;
@@ -13,6 +13,8 @@
 
 interface Harness {
     readonly gate: Gate;
+    /** Changes the state as the agent last read it and, if it differs from that, the engine's own state. */
+    readonly setServing: (state: typeof STATE, atEngine?: typeof STATE) => void;
     readonly setDigest: (digest: string) => void;
 }
 
@@ -28,11 +30,12 @@
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     let serving = STATE;
+    let atEngine: typeof STATE | undefined;
     const gate = createGate({
         backendUrl: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
         kind: "model",
         serving: () => serving,
-        engine: { readState: async () => serving, load: async () => undefined },
+        engine: { readState: async () => atEngine ?? serving, load: async () => undefined },
         concurrency,
         policy: () => DEFAULT_QUEUE_POLICY,
         ranked: true,
@@ -42,7 +45,11 @@
         now: () => Date.now(),
     });
     try {
-        await run({ gate, setDigest: digest => void (serving = { ...STATE, digest }) });
+        await run({
+            gate,
+            setServing: (state, own) => void ([serving, atEngine] = [state, own]),
+            setDigest: digest => void (serving = { ...STATE, digest }),
+        });
     }
     finally {
         server.closeAllConnections();
@@ -169,6 +176,41 @@
         assert.deepEqual(queued.kinds(), ["refused"]);
         answers[0]?.end("data: {}\n\ndata: [DONE]\n\n");
         await drained;
-        assert.deepEqual(running.kinds(), ["admitted", "head", "data", "end"]);
+        assert.deepEqual(running.kinds(), ["admitted", "head", "data", "data", "end"]);
+        assert.deepEqual(running.frames[3], { $case: "data", data: CLOSING_EVENT });
+    });
+});
+
+// Guards against an answer of mixed weights that ends like a valid one, and against one that goes on after the
+// agent has seen the reload.
+test("an answer whose engine reloads ends with an error and without the closing event", async () => {
+    const event = "data: {}\n\n";
+    const answers: ServerResponse[] = [];
+    await withGate(response => void answers.push(response), 2, async ({ gate, setServing }) => {
+        const [seenAtEnd, seenAtOnce] = [createSink(), createSink()];
+        const first = gate.dispatch(request("end"), seenAtEnd.sink);
+        while (answers.length < 1) await sleep(5);
+        answers[0]?.write(event);
+        await sleep(30);
+        setServing(STATE, { ...STATE, generation: 2 });
+        answers[0]?.end("data: [DONE]\n\n");
+        await first;
+        setServing(STATE);
+        const second = gate.dispatch(request("once"), seenAtOnce.sink);
+        while (answers.length < 2) await sleep(5);
+        answers[1]?.write(event);
+        await sleep(30);
+        setServing({ digest: "", generation: 0, fence: 0 });
+        answers[1]?.write(event);
+        await sleep(30);
+        assert.deepEqual(seenAtOnce.kinds(), ["admitted", "head", "data", "data"], "an unreadable state is no reload");
+        setServing({ digest: "", generation: 2, fence: 0 });
+        answers[1]?.write(event);
+        await second;
+        assert.deepEqual(seenAtEnd.kinds(), ["admitted", "head", "data", "end"]);
+        assert.deepEqual(seenAtOnce.kinds(), ["admitted", "head", "data", "data", "end"]);
+        for (const { frames } of [seenAtEnd, seenAtOnce]) {
+            assert.match(JSON.stringify(frames.at(-1)), /"ran".*changed its version during the answer/);
+        }
     });
 });
--- a/src/test/core/attempt.test.ts
+++ b/src/test/core/attempt.test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import {
     bindRequest,
+    CLOSING_EVENT,
     createAttempt,
     createEventSplitter,
     type FrameKind,
@@ -44,9 +45,10 @@
                 output += whole;
                 at += size;
             }
-            assert.equal(output, text);
+            assert.equal(output + CLOSING_EVENT.toString(), text);
             assert.equal(splitter.outputs(), 9);
             assert.ok(splitter.done());
+            assert.throws(() => splitter.push(Buffer.from("data: {}\n\n")), /follows the end/);
         }),
         { seed: SEED },
     );
--- a/src/test/entry/dispatcher.test.ts
+++ b/src/test/entry/dispatcher.test.ts
@@ -207,3 +207,28 @@
         assert.equal(await exit, 0);
     });
 });
+
+// Guards against a normal end of an answer that an engine made with two loads of its weights, and against one that
+// goes on to its end although the agent has seen the restart.
+test("an engine that restarts in the middle of answers ends each with an explicit error at once", async () => {
+    await withPool({ entries: 1, runners: 1, engine: { ...ENGINE, ignoresFence: true } }, async (fleet, digest) => {
+        const [entry] = fleet.entries;
+        const [runner] = fleet.runners;
+        assert.ok(entry && runner);
+        const body = { model: PROFILE, max_tokens: 300, prompt: "whole" };
+        const whole = sendToEntry(entry, "POST", "/v1/completions", "client-1", body).catch(() => undefined);
+        const streamed = Array.from({ length: 4 }, (_, i) => complete(entry, `r${i}`, 300));
+        await sleep(1000);
+        const restartedAt = performance.now();
+        await sendRequest({ method: "POST", url: `${runner.url}/restart` });
+        for (const answer of await Promise.all(streamed)) {
+            const text = answer.body.toString();
+            assert.match(text, /"error":\{"message":"the engine changed its version during the answer".*"ran"/);
+            assert.ok(!text.includes("[DONE]"), text.slice(-200));
+        }
+        assert.ok(performance.now() - restartedAt < 3000, "the answers went on");
+        assert.notEqual((await whole)?.status, 200);
+        const next = await complete(entry, "next", 3);
+        if (next.status === 200) assert.equal(outputOf(next.body), expectedOutput(digest, "next", 3));
+    });
+});
--- /dev/null
+++ b/src/test/entry/resumption.test.ts
@@ -0,0 +1,167 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { CLOSING_EVENT, type FrameKind, Rank, Verdict } from "../../lib/core/index.js";
+import type { AgentDirectory, KnownAgent } from "../../lib/entry/agentDirectory.js";
+import { createDispatcher, type Work } from "../../lib/entry/dispatcher.js";
+import type { AnswerFrame, Connections, DispatchRequest } from "../../lib/rpc/index.js";
+import { longTestParameters } from "../longTest.js";
+
+const DIGEST = "d";
+const TOKENS = 6;
+const AGENTS = ["a", "b", "c", "d", "e"];
+
+/** What one agent does with one attempt. */
+interface Behaviour {
+    /** Bytes of the answer after which the stream ends; the rest isn't sent. */
+    readonly bytes: number;
+    readonly ending: "end" | "break" | "void" | "silent";
+    /** Sizes of the pieces of the answer, used in turn. */
+    readonly sizes: readonly number[];
+    /** Frames that don't belong to the answer, each sent before the frame with this index. */
+    readonly strays: readonly { readonly at: number; readonly kind: FrameKind; readonly foreign: boolean; }[];
+    readonly refuses: boolean;
+    readonly digest: string;
+}
+
+const event = (position: number) => `data: {"token":${position}}\n\n`;
+
+function framesOf(request: DispatchRequest, behaviour: Behaviour): AnswerFrame[] {
+    const { attemptId, resumePosition } = request;
+    const own = (frame: AnswerFrame["frame"]) => ({ attemptId, frame });
+    if (behaviour.refuses) return [own(refused)];
+    const positions = Array.from({ length: TOKENS - resumePosition }, (_, i) => resumePosition + i);
+    const text = positions.map(event).join("") + CLOSING_EVENT.toString();
+    const sent = behaviour.ending === "end" ? text : text.slice(0, behaviour.bytes);
+    const headers = [
+        { name: "content-type", value: "text/event-stream" },
+        { name: "x-engine-digest", value: behaviour.digest },
+    ];
+    const frames = [own({ $case: "admitted", admitted: { loadGeneration: 1, queueLength: 0 } })];
+    frames.push(own({ $case: "head", head: { status: 200, headers } }));
+    for (let at = 0, i = 0; at < sent.length; i++) {
+        const size = behaviour.sizes[i % behaviour.sizes.length] ?? 1;
+        frames.push(own({ $case: "data", data: Buffer.from(sent.slice(at, at + size)) }));
+        at += size;
+    }
+    const error = behaviour.ending === "void" ? "the engine changed its version during the answer" : "";
+    const verdict = Verdict.ran;
+    if (behaviour.ending === "end" || behaviour.ending === "void") {
+        frames.push(own({ $case: "end", end: { error, verdict, outputTokens: 0 } }));
+    }
+    const [admitted, head] = frames.map(({ frame }) => frame);
+    // Foreign frames come last, because they move the own ones.
+    for (const { at, kind, foreign } of behaviour.strays.toSorted((a, b) => Number(a.foreign) - Number(b.foreign))) {
+        const frame = { data, end, refused, head, admitted }[kind];
+        // Own frames are strays only where their kind can't come: a second admission or head, or after the end.
+        if (foreign) frames.splice(at % (frames.length + 1), 0, { attemptId: "another", frame });
+        else if (kind === "admitted" || kind === "head") frames.splice(2 + at % (frames.length - 1), 0, own(frame));
+        else if (frames.at(-1)?.frame?.$case === "end") frames.push(own(frame));
+    }
+    return frames;
+}
+
+const data = { $case: "data", data: Buffer.from(event(99)) } as const;
+const end = { $case: "end", end: { error: "", verdict: Verdict.ran, outputTokens: 0 } } as const;
+const refused = {
+    $case: "refused",
+    refused: { verdict: Verdict.notRun, reason: "busy", retryAfterMs: 1, status: 0 },
+} as const;
+
+function fakeConnections(behaviours: readonly Behaviour[]): Connections {
+    let attempts = 0;
+    const dispatch = (request: DispatchRequest) => {
+        const behaviour = behaviours[attempts++ % behaviours.length] as Behaviour;
+        async function* stream() {
+            yield* framesOf(request, behaviour);
+            if (behaviour.ending === "break") throw new Error("connection reset");
+        }
+        return Object.assign(stream(), { cancel: () => undefined });
+    };
+    return { connect: async () => true, agent: () => ({ dispatch }) } as unknown as Connections;
+}
+
+const directory = {
+    usable: () => AGENTS.map(address => ({ address, state, sentSinceReport: 0 })),
+    health: () => "usable",
+    recordSent: () => undefined,
+} as unknown as AgentDirectory;
+
+const state = { servingDigest: DIGEST, running: 0, queued: 0, concurrencyLimit: 8, predictedWaitMs: [0, 0, 0] } as
+    & Partial<KnownAgent["state"]>
+    & object;
+
+const work: Work = {
+    requestId: "r",
+    client: "c",
+    rank: Rank.standard,
+    service: "models",
+    profile: "p",
+    profileRevision: 1,
+    rootDigest: DIGEST,
+    method: "POST",
+    path: "/v1/completions",
+    headers: [],
+    body: Buffer.from("{}"),
+    resumedBody: () => ({ body: Buffer.from("{}"), headers: [] }),
+    prefix: "",
+    idempotent: true,
+    idempotencyKey: "",
+    deadline: Number.MAX_SAFE_INTEGER,
+    estimatedTokens: TOKENS,
+};
+
+const behaviour: fc.Arbitrary<Behaviour> = fc.record({
+    bytes: fc.nat(150),
+    ending: fc.constantFrom("end", "break", "void", "silent"),
+    sizes: fc.array(fc.integer({ min: 1, max: 60 }), { minLength: 1, maxLength: 5 }),
+    strays: fc.array(
+        fc.record({
+            at: fc.nat(40),
+            kind: fc.constantFrom<FrameKind>("admitted", "refused", "head", "data", "end"),
+            foreign: fc.boolean(),
+        }),
+        { maxLength: 4 },
+    ),
+    refuses: fc.boolean(),
+    digest: fc.constantFrom(DIGEST, DIGEST, DIGEST, "another"),
+});
+
+// Guards against output that a caller gets twice, not at all, out of order or cut inside an event when attempts
+// break off anywhere and their frames are mixed with late, repeated and foreign ones, and against the normal end
+// of an answer that an agent voids after its last token.
+test("a caller gets each token once and in order, or an explicit error without the closing event", async () => {
+    let resumed = 0;
+    await fc.assert(
+        fc.asyncProperty(fc.array(behaviour, { minLength: 1, maxLength: 4 }), async behaviours => {
+            const dispatcher = createDispatcher({
+                directory,
+                connections: fakeConnections(behaviours),
+                queue: undefined,
+                routing: "predictedWork",
+                now: () => 0,
+                random: () => 0,
+            });
+            let output = "";
+            let heads = 0;
+            try {
+                const result = await dispatcher.dispatch(work, {
+                    head: () => void heads++,
+                    data: async piece => void (output += piece.toString()),
+                    signal: new AbortController().signal,
+                });
+                const tokens = Array.from({ length: TOKENS }, (_, i) => event(i)).join("");
+                if (result.kind === "complete") assert.equal(output, tokens + CLOSING_EVENT.toString());
+                else assert.ok(tokens.startsWith(output) && (output === "" || output.endsWith("\n\n")), output);
+                assert.equal(heads, output === "" ? 0 : 1);
+                const breaks = behaviours[0]?.ending === "break" && behaviours[0].bytes > event(0).length;
+                if (result.kind === "complete" && breaks) resumed++;
+            }
+            finally {
+                dispatcher.stop();
+            }
+        }),
+        longTestParameters({ seed: 12, numRuns: 2000 }),
+    );
+    assert.ok(resumed > 20, `only ${resumed} answers were resumed`);
+});
