Make the tests of activation and resumption see every removed check

Cause: of 15 checks removed one at a time from the activation, two removals passed: waiting for a version that is no longer wanted, and keeping requests out without a slot. In the dispatcher the checks of the digest and of the closing event could be removed. Change: the scenarios run past the next step and count pauses; the fake agents send tokens of their version and streams that end early without an error.

--- a/src/test/agent/activationChecks.test.ts
+++ b/src/test/agent/activationChecks.test.ts
@@ -8,8 +8,8 @@
 
 const SERVICE = "models";
 
-/** Long enough for two tries of an order, and too short for the next step of the activation. */
-const RUN_MS = 700;
+/** Long enough for several tries of an order and the next step, too short for the step after a failed one. */
+const RUN_MS = 1700;
 
 interface FakeLease extends Lease {
     result: LeaseResult;
@@ -45,6 +45,7 @@
         wanted: "b",
         tableAnswers: true,
         paused: false,
+        pauses: 0,
         engineLease: createFakeLease(),
         slot: createFakeLease(),
         atPause: () => undefined as void,
@@ -95,6 +96,7 @@
         startTransfer: digest => transfer(digest) as unknown as Transfer,
         pause: async () => {
             world.paused = true;
+            world.pauses++;
             world.atPause();
             return { resume: () => void (world.paused = false) };
         },
@@ -131,10 +133,12 @@
     {
         name: "a version that is no longer wanted after the wait for running requests isn't ordered",
         change: world => world.atPause = () => void ([world.revision, world.wanted] = [3, "c"]),
+        loads: ["c"],
     },
     {
         name: "a revision that only the table knows is read before the order",
         change: world => world.atRefresh = () => void ([world.revision, world.wanted] = [3, "c"]),
+        loads: ["c"],
     },
     {
         name: "an engine that has seen a newer revision gets no order",
@@ -147,6 +151,7 @@
     {
         name: "no switch is ordered without a slot",
         change: world => world.slot.result = "busy",
+        check: ({ pauses }) => assert.equal(pauses, 0, "requests were kept out for nothing"),
     },
     {
         name: "no switch is ordered without the engine's lease",
--- a/src/test/entry/resumption.test.ts
+++ b/src/test/entry/resumption.test.ts
@@ -15,7 +15,7 @@
 interface Behaviour {
     /** Bytes of the answer after which the stream ends; the rest isn't sent. */
     readonly bytes: number;
-    readonly ending: "end" | "break" | "void" | "silent";
+    readonly ending: "end" | "early" | "break" | "void" | "silent";
     /** Sizes of the pieces of the answer, used in turn. */
     readonly sizes: readonly number[];
     /** Frames that don't belong to the answer, each sent before the frame with this index. */
@@ -24,14 +24,14 @@
     readonly digest: string;
 }
 
-const event = (position: number) => `data: {"token":${position}}\n\n`;
+const event = (position: number, digest = DIGEST) => `data: {"token":"${digest}.${position}"}\n\n`;
 
 function framesOf(request: DispatchRequest, behaviour: Behaviour): AnswerFrame[] {
     const { attemptId, resumePosition } = request;
     const own = (frame: AnswerFrame["frame"]) => ({ attemptId, frame });
     if (behaviour.refuses) return [own(refused)];
     const positions = Array.from({ length: TOKENS - resumePosition }, (_, i) => resumePosition + i);
-    const text = positions.map(event).join("") + CLOSING_EVENT.toString();
+    const text = positions.map(position => event(position, behaviour.digest)).join("") + CLOSING_EVENT.toString();
     const sent = behaviour.ending === "end" ? text : text.slice(0, behaviour.bytes);
     const headers = [
         { name: "content-type", value: "text/event-stream" },
@@ -46,7 +46,7 @@
     }
     const error = behaviour.ending === "void" ? "the engine changed its version during the answer" : "";
     const verdict = Verdict.ran;
-    if (behaviour.ending === "end" || behaviour.ending === "void") {
+    if (behaviour.ending !== "break" && behaviour.ending !== "silent") {
         frames.push(own({ $case: "end", end: { error, verdict, outputTokens: 0 } }));
     }
     const [admitted, head] = frames.map(({ frame }) => frame);
@@ -112,8 +112,8 @@
 };
 
 const behaviour: fc.Arbitrary<Behaviour> = fc.record({
-    bytes: fc.nat(150),
-    ending: fc.constantFrom("end", "break", "void", "silent"),
+    bytes: fc.nat(190),
+    ending: fc.constantFrom("end", "early", "break", "void", "silent"),
     sizes: fc.array(fc.integer({ min: 1, max: 60 }), { minLength: 1, maxLength: 5 }),
     strays: fc.array(
         fc.record({
