Run the property tests of configuration and queue with fresh seeds in test:long

Cause: test:long ran only the claims and the fuzz tests. Change: the model-based test of racing operators, the updates, the queue and the resume path run too.

--- a/scripts/testLong.mjs
+++ b/scripts/testLong.mjs
@@ -8,7 +8,15 @@
     process.exit(2);
 }
 spawnSync("node_modules/.bin/tsc", [], { stdio: "inherit" });
-const tests = ["agent/claims", "entry/resumption", "fuzz"].map(name => `build/test/${name}.test.js`);
+const names = [
+    "agent/claims",
+    "core/configuration",
+    "core/rankedQueue",
+    "entry/profileStore",
+    "entry/resumption",
+    "fuzz",
+];
+const tests = names.map(name => `build/test/${name}.test.js`);
 const env = { ...process.env, ENDIVEWELL_LONG_TEST_MS: String(seconds * 1000) };
 const result = spawnSync(process.execPath, ["--enable-source-maps", "--test", ...tests], { stdio: "inherit", env });
 process.exit(result.status ?? 1);
--- a/src/test/core/configuration.test.ts
+++ b/src/test/core/configuration.test.ts
@@ -8,6 +8,7 @@
     EMPTY_CONFIGURATION,
     updateSince,
 } from "../../lib/core/configuration.js";
+import { longTestParameters } from "../longTest.js";
 
 const NAMES = ["a", "b", "c", "d"];
 
@@ -40,7 +41,7 @@
             assert.ok(result.kind === "adopted");
             assert.deepEqual(result.configuration, { ...latest, changes: [] });
         }),
-        { seed: 11, numRuns: 300 },
+        longTestParameters({ seed: 11, numRuns: 300 }),
     );
 });
 
--- a/src/test/core/rankedQueue.test.ts
+++ b/src/test/core/rankedQueue.test.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createRankedQueue, type QueueItem, type QueuePolicy, type Rank, RANKS } from "../../lib/core/index.js";
+import { longTestParameters } from "../longTest.js";
 
 const SEED = 6;
 const policy: QueuePolicy = { floors: { urgent: 0.5, standard: 0.2, overnight: 0.05 }, clientWeights: { heavy: 3 } };
@@ -49,7 +50,7 @@
             for (const rank of RANKS) assert.ok((served.get(rank) ?? 0) / total >= 0.95 * policy.floors[rank]);
             assert.ok((served.get("urgent") ?? 0) / total >= 0.7);
         }),
-        { seed: SEED, numRuns: 20 },
+        longTestParameters({ seed: SEED, numRuns: 20 }),
     );
 });
 
@@ -66,7 +67,7 @@
             const ratio = (served.get("heavy") ?? 0) / (served.get("small") ?? 1);
             assert.ok(Math.abs(ratio - 3) < 0.3, `ratio ${ratio}`);
         }),
-        { seed: SEED, numRuns: 20 },
+        longTestParameters({ seed: SEED, numRuns: 20 }),
     );
 });
 
@@ -95,7 +96,7 @@
             assert.deepEqual(left.sort(), queued.sort());
             assert.equal(queue.length(), 0);
         }),
-        { seed: SEED },
+        longTestParameters({ seed: SEED, numRuns: 100 }),
     );
 });
 
--- a/src/test/entry/profileStore.test.ts
+++ b/src/test/entry/profileStore.test.ts
@@ -4,6 +4,7 @@
 import { type Configuration, EMPTY_CONFIGURATION, type ProfileChange } from "../../lib/core/index.js";
 import { type ChangeResult, createProfileStore, type ProfileStore } from "../../lib/entry/profileStore.js";
 import type { ObjectStore, TableService, TableWrite, WriteCondition } from "../../lib/platform/index.js";
+import { longTestParameters } from "../longTest.js";
 
 const KNOWN_DIGEST = "a".repeat(64);
 const OTHER_DIGEST = "b".repeat(64);
@@ -145,7 +146,7 @@
             });
             await fc.asyncModelRun(setup, sequence);
         }),
-        { seed: 7, numRuns: 200 },
+        longTestParameters({ seed: 7, numRuns: 200 }),
     );
 });
 
