Add two process faults at once, cut links and faults of backends to the faults bench

Cause: docs/guarantees.md named two process faults at once and stalled links as not proved. A relay ends a connection that lost bytes, because TCP never delivers a stream with a hole. waitUntilServing compares names, because entries of other regions see other addresses.

--- a/src/bench/faults.ts
+++ b/src/bench/faults.ts
@@ -1,7 +1,10 @@
 /**
- * Bench `faults`: calls through several entries while processes are killed, paused, stopped and restarted,
- * versions are switched, and the table service has outages and loses answers. It compares what callers
- * were told with what the stand-in services and engines did. Every count under `violations` must be 0.
+ * Bench `faults`: calls through several entries in three regions while processes are killed, paused, stopped
+ * and restarted, two of them at once in half of the rounds, versions are switched, links between regions are
+ * cut, the platform has outages, and the platform, services and engines lose answers. It compares what
+ * callers were told with what the stand-in services and engines did. Every count under `violations` must be 0.
+ *
+ * `--runs N` makes N runs with consecutive seeds. Without `--seed` the first seed is fresh.
  */
 import { randomBytes, randomUUID } from "node:crypto";
 import { mkdir, writeFile } from "node:fs/promises";
@@ -57,9 +60,30 @@
 /** A fault still shows for this time after it has ended, for example in connections that are renewed. */
 const AFTEREFFECT_MS = 1500;
 
+const REGIONS = ["etela", "lansi", "pohjoinen"] as const;
+
+/** 15 Mbit/s in each direction and 3 ms one way, as in docs/design.md, section 1.5. */
+const REGION_LINKS = { bytesPerSecond: 15_000_000 / 8, latencyMs: 3 };
+
+const FRESH_SEEDS = 2 ** 31;
+
 export const run: Bench = async options => {
+    const first = Number(options.seed ?? Date.now() % FRESH_SEEDS);
+    const runs: Awaited<ReturnType<typeof runOnce>>[] = [];
+    for (let seed = first; seed < first + Number(options.runs ?? 1); seed++) {
+        const figures = await runOnce(options, seed);
+        process.stderr.write(`seed ${seed}: ${JSON.stringify(figures.violations)}\n`);
+        runs.push(figures);
+    }
+    const total = { ...runs[0]?.violations } as Record<string, number>;
+    for (const { violations } of runs.slice(1)) {
+        for (const [kind, count] of Object.entries(violations)) total[kind] = (total[kind] ?? 0) + count;
+    }
+    return { calls: runs.reduce((sum, { calls }) => sum + calls, 0), violations: total, runs };
+};
+
+async function runOnce(options: Parameters<Bench>[0], seed: number) {
     const total = Number(options.calls ?? 20_000);
-    const seed = Number(options.seed ?? 1);
     const entries = Number(options.entries ?? 3);
     const generator = xoroshiro128plus(seed);
     const random = () => uniformFloat64(generator);
@@ -68,6 +92,8 @@
         runners: 3,
         bookings: 3,
         seed,
+        regions: REGIONS,
+        regionLinks: REGION_LINKS,
         engine: { slots: 64, tokensPerSecond: 200 },
     });
     try {
@@ -83,8 +109,9 @@
             const start = Date.now();
             const { told, cut } = await send(call, entry, digests);
             if (cut !== "") {
-                const text = `${call.kind} through ${entry.name}: ${cut}`;
                 const overlapping = intervals.filter(fault => fault.end >= start);
+                const during = overlapping.map(({ kind }) => kind).join(", ");
+                const text = `${call.kind} through ${entry.name} during ${during}: ${cut}`;
                 if (overlapping.length === 0) cuts.withoutFault.push(text);
                 else if (overlapping.every(({ kind }) => kind.startsWith("stop"))) {
                     cuts.byDrain.push(text);
@@ -134,7 +161,7 @@
     finally {
         await fleet.stop();
     }
-};
+}
 
 function drawKind(draw: number): CallKind {
     if (draw < 0.5) return "keyed";
@@ -234,14 +261,18 @@
     readonly only: string | undefined;
 }
 
-/** Injects one process fault after the other, each together with a platform fault in half of the cases. */
+/** Injects process faults, each with a second one and with a fault of the surroundings in half of the cases. */
 async function injectFaults(injection: Injection): Promise<void> {
     const { fleet, digests, random, intervals, done, only } = injection;
     let version = 0;
     for (let round = 0; !done(); round++) {
-        const first = processFault(injection, round);
-        const second = only === undefined && random() < 0.5 ? platformFault(fleet, random) : undefined;
-        const running = [first, ...(second === undefined ? [] : [second])];
+        const target = drawTarget(injection, round);
+        const running = [processFault(injection, target)];
+        if (only === undefined && random() < 0.5) {
+            const second = drawTarget(injection, Math.floor(random() * 3));
+            if (second !== target) running.push(processFault(injection, second));
+        }
+        if (only === undefined && random() < 0.5) running.push(surroundingFault(fleet, random));
         const noted = running.map(({ kind }) => ({ kind, start: Date.now(), end: Infinity }));
         intervals.push(...noted);
         for (const fault of running) await fault.begin();
@@ -259,10 +290,13 @@
 
 const PROCESS_FAULTS = ["kill", "pause", "stop", "longPause"] as const;
 
-function processFault({ fleet, random, leaving, only }: Injection, round: number): Fault {
+function drawTarget({ fleet, random }: Injection, round: number): FleetProcess {
     const groups = [fleet.bookings, fleet.entries, fleet.runners];
     const group = groups[round % groups.length] as FleetProcess[];
-    const target = group[Math.floor(random() * group.length)] as FleetProcess;
+    return group[Math.floor(random() * group.length)] as FleetProcess;
+}
+
+function processFault({ fleet, random, leaving, only }: Injection, target: FleetProcess): Fault {
     const kind = only ?? PROCESS_FAULTS[Math.floor(random() * PROCESS_FAULTS.length)] ?? "kill";
     const name = `${kind} ${target.vm.role}`;
     if (kind === "kill") {
@@ -289,15 +323,33 @@
     return { kind: name, begin: async () => target.signal("SIGSTOP"), end };
 }
 
-function platformFault(fleet: Fleet, random: () => number): Fault {
-    const outage = random() < 0.5;
-    const on = outage ? { outage: true } : { loseAnswers: 0.3 };
-    const off = outage ? { outage: false } : { loseAnswers: 0 };
-    return {
-        kind: outage ? "outage of the table service" : "lost answers of the table service",
-        begin: () => fleet.setFaults(fleet.platformUrl, on),
-        end: () => fleet.setFaults(fleet.platformUrl, off),
+function surroundingFault(fleet: Fleet, random: () => number): Fault {
+    const draw = random();
+    if (draw < 0.2) return switched("outage of the platform", fleet, fleet.platformUrl, { outage: true });
+    if (draw < 0.4) return switched("lost answers of the platform", fleet, fleet.platformUrl, { loseAnswers: 0.3 });
+    if (draw < 0.6) {
+        return switched("lost answers of a service", fleet, fleet.bookings[0]?.url ?? "", { loseAnswers: 0.3 });
+    }
+    if (draw < 0.75) {
+        const runner = fleet.runners[Math.floor(random() * fleet.runners.length)];
+        return switched("broken answers of an engine", fleet, runner?.url ?? "", { breakAfterTokens: 3 });
+    }
+    const [a, b] = [REGIONS[Math.floor(random() * 3)], REGIONS[Math.floor(random() * 3)]];
+    const cut = random() < 0.5 ? "refuses" : "drops";
+    const links = a === b ? REGIONS.filter(region => region !== a).map(region => [a, region]) : [[a, b]];
+    const setLinks = async (state: string) => {
+        for (const [from, to] of links) {
+            const body = JSON.stringify({ a: from, b: to, state });
+            await sendRequest({ method: "PUT", url: `${fleet.platformUrl}/links`, body });
+        }
     };
+    const kind = a === b ? `isolated region (${cut})` : `cut link (${cut})`;
+    return { kind, begin: () => setLinks(cut), end: () => setLinks("open") };
+}
+
+function switched(kind: string, fleet: Fleet, url: string, faults: Readonly<Record<string, number | true>>): Fault {
+    const off = Object.fromEntries(Object.entries(faults).map(([name, value]) => [name, value === true ? false : 0]));
+    return { kind, begin: () => fleet.setFaults(url, faults), end: () => fleet.setFaults(url, off) };
 }
 
 async function readRuns(fleet: Fleet): Promise<ReadonlyMap<string, number>> {
--- a/src/harness/fleet.ts
+++ b/src/harness/fleet.ts
@@ -264,16 +264,17 @@
 
 /** Waits until every given agent serves the version and every entry knows it. */
 export function waitUntilServing(fleet: Fleet, agents: readonly FleetProcess[], digest: string, timeoutMs: number) {
-    const addresses = new Set(agents.map(agent => agent.vm.address));
+    // By name, because entries of other regions see other addresses.
+    const names = new Set(agents.map(agent => agent.name));
     return waitUntil(`${agents.length} agents serve ${digest}`, async () => {
         const states = await Promise.all(agents.map(agent => fleet.readState(agent)));
         if (states.some(state => state.servingDigest !== digest)) return false;
         const views = await Promise.all(fleet.entries.map(readView));
-        return views.every(view => view.filter(isServing).length === addresses.size);
+        return views.every(view => view.filter(isServing).length === names.size);
     }, timeoutMs);
 
-    function isServing({ address, state }: AgentView): boolean {
-        return addresses.has(address) && state?.servingDigest === digest;
+    function isServing({ state }: AgentView): boolean {
+        return state !== undefined && names.has(state.process) && state.servingDigest === digest;
     }
 }
 
--- a/src/lib/standIn/link.ts
+++ b/src/lib/standIn/link.ts
@@ -77,9 +77,18 @@
     function pipe(source: Socket, target: Socket, from: string, to: string): void {
         const direction = `${from}>${to}`;
         let delivered = Promise.resolve();
+        let hasLost = false;
         sockets.add(source);
         source.on("data", (piece: Buffer) => {
-            if (stateOf(from, to) !== LinkState.open) return;
+            if (stateOf(from, to) !== LinkState.open) {
+                hasLost = true;
+                return;
+            }
+            // TCP never delivers a stream with a hole: a connection that lost bytes ends.
+            if (hasLost) {
+                source.destroy();
+                return;
+            }
             const now = options.now();
             const wait = bucketOf(direction).take(piece.length, now);
             carried[direction] = (carried[direction] ?? 0) + piece.length;
