Split the gate and the dispatcher into modules with one job each

Change: the gate keeps admission and the start of queued attempts; attemptQueue, startPace, slotStatistics, backendCall, outputCounter, measuredSink and answerSink take the rest. The dispatcher keeps the sequence of attempts; slotChoice, attemptRun, attemptWatch, frameRelay and work take the rest. profileStore moves to node/. The disconnect test gives each of its 16 requests an own abort signal, which removes the MaxListenersExceededWarning.

--- a/src/lib/agent/agent.ts
+++ b/src/lib/agent/agent.ts
@@ -4,8 +4,13 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import VError from "verror";
 import { DEFAULT_QUEUE_POLICY, type ProfileEntry, profilesOf } from "../core/index.js";
-import { createProfileStore } from "../entry/profileStore.js";
-import { createEventRecorder, createNodeService, startConfigurationSync, startMembershipTask } from "../node/index.js";
+import {
+    createEventRecorder,
+    createNodeService,
+    createProfileStore,
+    startConfigurationSync,
+    startMembershipTask,
+} from "../node/index.js";
 import { createLog, createMetrics } from "../observability/index.js";
 import { createEngine, createObjectStore, createTableService, createVmList } from "../platform/index.js";
 import { type AgentState, createConnections, createCredentials, startRpcServer } from "../rpc/index.js";
--- /dev/null
+++ b/src/lib/agent/attemptQueue.ts
@@ -0,0 +1,131 @@
+/**
+ * The attempts that wait at the agent. Each leaves the queue once: it is taken to run, refused with `notRun`
+ * because of its deadline or the bounds, or cancelled by its entry.
+ */
+import {
+    createRankedQueue,
+    isRank,
+    MAX_QUEUE_WAIT_MS,
+    type QueueItem,
+    type QueuePolicy,
+    Rank,
+    type StartRule,
+    Verdict,
+} from "../core/index.js";
+import type { DispatchRequest } from "../rpc/index.js";
+import { type AnswerSink, refuse } from "./answerSink.js";
+
+export interface WaitingAttempt {
+    readonly request: DispatchRequest;
+    readonly sink: AnswerSink;
+    /** Called when the attempt has ended. */
+    readonly settle: () => void;
+}
+
+export type AttemptItem = QueueItem<WaitingAttempt>;
+
+export interface AttemptQueue {
+    /** Returns whether the attempt was queued; otherwise it has been refused and settled. */
+    add(attempt: WaitingAttempt): boolean;
+    take(mayStart: StartRule): AttemptItem | undefined;
+    /** Replaces the estimated cost of a taken attempt by the actual one. */
+    correct(item: AttemptItem, actualCost: number): void;
+    /** Refuses every queued attempt. */
+    clear(reason: string): void;
+    readonly length: () => number;
+    /** Predicted wait of a new request of the rank. */
+    predictWaitMs(rank: Rank, cost: number): number;
+}
+
+export interface AttemptQueueOptions {
+    readonly policy: () => QueuePolicy;
+    /** `false` queues attempts first in, first out without early refusal. */
+    readonly ranked: boolean;
+    /** Rate of the backend server; infinite while it is unknown, so that nothing is refused on a guess. */
+    readonly tokensPerSecond: () => number;
+    /** Called when a queued attempt was cancelled. */
+    readonly onCancel: () => void;
+    readonly now: () => number;
+}
+
+const MAX_QUEUED_PER_CLIENT = 64;
+const MAX_QUEUED_PER_RANK = 256;
+const NO_WAIT_LIMIT = { urgent: Infinity, standard: Infinity, overnight: Infinity };
+
+/** Interval at which queued attempts whose deadline has passed are refused. */
+const EXPIRY_INTERVAL_MS = 250;
+
+export function createAttemptQueue(options: AttemptQueueOptions): AttemptQueue {
+    const { now, ranked, tokensPerSecond } = options;
+    const queue = createRankedQueue<WaitingAttempt>({
+        policy: options.policy,
+        maxPerClient: ranked ? MAX_QUEUED_PER_CLIENT : Infinity,
+        maxPerRank: MAX_QUEUED_PER_RANK,
+        maxWaitMs: ranked ? MAX_QUEUE_WAIT_MS : NO_WAIT_LIMIT,
+    });
+    let expiry: NodeJS.Timeout | undefined;
+
+    function add(attempt: WaitingAttempt): boolean {
+        const { sink, settle } = attempt;
+        const item = itemOf(attempt);
+        const offer = queue.offer(item, now(), tokensPerSecond());
+        if (offer.kind === "refused") {
+            refuse(sink, Verdict.notRun, offer.reason, offer.retryAfterMs);
+            settle();
+            return false;
+        }
+        if (offer.displaced !== undefined) dismiss(offer.displaced, "the queue of the rank is full");
+        sink.signal.addEventListener("abort", () => cancel(item), { once: true });
+        expiry ??= setInterval(dismissExpired, EXPIRY_INTERVAL_MS);
+        return true;
+    }
+
+    function itemOf(value: WaitingAttempt): AttemptItem {
+        const { attemptId, rank, client, estimatedTokens, remainingMs } = value.request;
+        return {
+            id: attemptId,
+            rank: ranked && isRank(rank) ? rank : Rank.standard,
+            client: ranked ? client : "",
+            cost: Math.max(1, estimatedTokens),
+            deadline: now() + remainingMs,
+            value,
+        };
+    }
+
+    function cancel({ id, value }: AttemptItem): void {
+        if (!queue.remove(id)) return;
+        value.sink.end();
+        value.settle();
+        options.onCancel();
+    }
+
+    /** Refuses an attempt that was removed from the queue, so it has certainly not run. */
+    function dismiss({ value }: AttemptItem, reason: string): void {
+        refuse(value.sink, Verdict.notRun, reason);
+        value.settle();
+    }
+
+    function dismissExpired(): void {
+        for (const item of queue.expire(now())) dismiss(item, "the deadline has passed");
+        if (queue.length() === 0) stopExpiry();
+    }
+
+    function stopExpiry(): void {
+        clearInterval(expiry);
+        expiry = undefined;
+    }
+
+    function clear(reason: string): void {
+        for (const item of queue.clear()) dismiss(item, reason);
+        stopExpiry();
+    }
+
+    return {
+        add,
+        take: mayStart => queue.take(now(), mayStart),
+        correct: (item, actualCost) => queue.correct(item, actualCost, now()),
+        clear,
+        length: queue.length,
+        predictWaitMs: (rank, cost) => queue.predictWaitMs(rank, now(), tokensPerSecond(), "", cost),
+    };
+}
--- /dev/null
+++ b/src/lib/agent/backendCall.ts
@@ -0,0 +1,103 @@
+/**
+ * Forwards an attempt to the backend server and relays the answer. The answer is void if the engine's
+ * version changed between dispatch and end.
+ */
+import type { IncomingMessage } from "node:http";
+import { isBindingKept, Verdict } from "../core/index.js";
+import { createLog } from "../observability/index.js";
+import { type Engine, type EngineState, openRequest, wasNeverSent } from "../platform/index.js";
+import type { DispatchRequest } from "../rpc/index.js";
+import { type AnswerSink, finish, refuse } from "./answerSink.js";
+import { createOutputCounter } from "./outputCounter.js";
+
+const log = createLog("agent:backendCall");
+
+export interface BackendCallOptions {
+    readonly backendUrl: string;
+    readonly kind: "model" | "plain";
+    readonly engine: Engine;
+}
+
+/** Time without any byte from the backend server after which an attempt fails. */
+const BACKEND_TIMEOUT_MS = 30_000;
+
+const HOP_HEADERS = new Set(["connection", "keep-alive", "transfer-encoding", "content-length", "date"]);
+
+/** Resolves when the answer has ended; `start` is the engine's state at dispatch. */
+export type BackendCall = (request: DispatchRequest, start: EngineState, sink: AnswerSink) => Promise<void>;
+
+export function createBackendCall(options: BackendCallOptions): BackendCall {
+    async function forward(request: DispatchRequest, start: EngineState, sink: AnswerSink): Promise<void> {
+        let response: IncomingMessage;
+        try {
+            response = await openRequest({
+                method: request.method,
+                url: options.backendUrl + request.path,
+                headers: Object.fromEntries(request.headers.map(({ name, value }) => [name, value])),
+                body: request.body,
+                timeoutMs: BACKEND_TIMEOUT_MS,
+                signal: sink.signal,
+            });
+        }
+        catch (error) {
+            log.info("attempt %s failed: %s", request.attemptId, (error as Error).message);
+            const verdict = wasNeverSent(error) ? Verdict.notRun : Verdict.mayHaveRun;
+            return refuse(sink, verdict, "the backend server is unavailable");
+        }
+        await relay(request, start, response, sink);
+    }
+
+    async function relay(
+        request: DispatchRequest,
+        start: EngineState,
+        response: IncomingMessage,
+        sink: AnswerSink,
+    ): Promise<void> {
+        if (options.kind === "model" && response.statusCode === 200 && !answeredBy(response, start)) {
+            response.destroy();
+            return refuse(sink, Verdict.mayHaveRun, "the engine changed its version");
+        }
+        if (request.resumePosition > 0 && response.headers["x-engine-resumed"] !== String(request.resumePosition)) {
+            response.destroy();
+            return refuse(sink, Verdict.ran, "the engine can't resume the answer");
+        }
+        sink.send({ $case: "head", head: { status: response.statusCode ?? 502, headers: headersOf(response) } });
+        const counter = createOutputCounter(response);
+        try {
+            for await (const piece of response as AsyncIterable<Buffer>) {
+                const whole = counter.push(piece);
+                if (whole.length > 0 && !sink.send({ $case: "data", data: whole })) await sink.drained();
+            }
+            if (!counter.complete()) throw new Error("the stream ended early");
+            const error = await endProblem(start);
+            // A void answer did run, and its beginning must not be continued by another attempt.
+            finish(sink, Verdict.ran, error, counter.outputs());
+        }
+        catch (error) {
+            response.destroy();
+            log.info("attempt %s broke off: %s", request.attemptId, (error as Error).message);
+            finish(sink, Verdict.mayHaveRun, "the backend server broke off its answer", counter.outputs());
+        }
+    }
+
+    /** Returns why the answer is void, or an empty string. */
+    async function endProblem(start: EngineState): Promise<string> {
+        if (options.kind === "plain") return "";
+        const end = await options.engine.readState();
+        const binding = { rootDigest: start.digest, generation: start.generation };
+        return isBindingKept(binding, end) ? "" : "the engine changed its version during the answer";
+    }
+
+    return forward;
+}
+
+function answeredBy(response: IncomingMessage, state: EngineState): boolean {
+    return response.headers["x-engine-digest"] === state.digest &&
+        response.headers["x-engine-generation"] === String(state.generation);
+}
+
+function headersOf(response: IncomingMessage): { name: string; value: string; }[] {
+    return Object.entries(response.headers)
+        .filter(([name]) => !HOP_HEADERS.has(name))
+        .map(([name, value]) => ({ name, value: Array.isArray(value) ? value.join(", ") : value ?? "" }));
+}
--- a/src/lib/agent/claims.ts
+++ b/src/lib/agent/claims.ts
@@ -21,7 +21,7 @@
 import { createLog } from "../observability/index.js";
 import { type TableService, type TableWrite, wasNeverSent, type WriteCondition } from "../platform/index.js";
 import type { AnswerHead, DispatchRequest } from "../rpc/index.js";
-import type { AnswerSink } from "./gate.js";
+import type { AnswerSink } from "./answerSink.js";
 
 const log = createLog("agent:claims");
 
--- /dev/null
+++ b/src/lib/agent/measuredSink.ts
@@ -0,0 +1,33 @@
+/** Observes the frames of an attempt for the concurrency limit and the correction of its cost. */
+import type { AnswerEnd } from "../rpc/index.js";
+import type { AnswerSink, Frame } from "./answerSink.js";
+
+export interface MeasuredSink {
+    readonly sink: AnswerSink;
+    readonly firstDataAt: () => number | undefined;
+    readonly lastDataAt: () => number | undefined;
+    /** `undefined` if the attempt was refused. */
+    readonly end: () => AnswerEnd | undefined;
+}
+
+export function measure(sink: AnswerSink, now: () => number): MeasuredSink {
+    let firstDataAt: number | undefined;
+    let lastDataAt: number | undefined;
+    let end: AnswerEnd | undefined;
+
+    function send(frame: Frame): boolean {
+        if (frame.$case === "data") {
+            lastDataAt = now();
+            firstDataAt ??= lastDataAt;
+        }
+        if (frame.$case === "end") end = frame.end;
+        return sink.send(frame);
+    }
+
+    return {
+        sink: { ...sink, send },
+        firstDataAt: () => firstDataAt,
+        lastDataAt: () => lastDataAt,
+        end: () => end,
+    };
+}
--- a/src/lib/agent/outcomes.ts
+++ b/src/lib/agent/outcomes.ts
@@ -1,6 +1,7 @@
 /** Wraps a gate so that the outcome of each admitted request is reported, for the judgement of a rollout. */
 import type { AnswerFrame } from "../rpc/index.js";
-import type { AnswerSink, Gate } from "./gate.js";
+import type { AnswerSink } from "./answerSink.js";
+import type { Gate } from "./gate.js";
 
 /** Statuses of the backend server from here on are failures; a smaller one is the caller's own. */
 const FIRST_FAILURE_STATUS = 500;
--- /dev/null
+++ b/src/lib/agent/slotStatistics.ts
@@ -0,0 +1,37 @@
+/** Learns from finished attempts how long and how fast a slot of the backend server works. */
+
+export interface SlotStatistics {
+    add(cost: number, durationMs: number): void;
+    /** `undefined` until the first answer has ended. */
+    readonly tokensPerSecond: () => number | undefined;
+    /** `undefined` until the first answer has ended. */
+    readonly meanDurationMs: () => number | undefined;
+    readonly meanCost: () => number;
+}
+
+/** Weight of a new sample in the means. */
+const SMOOTHING = 0.1;
+
+export function createSlotStatistics(): SlotStatistics {
+    let tokensPerSecond: number | undefined;
+    let meanDurationMs: number | undefined;
+    let meanCost = 1;
+
+    function add(cost: number, elapsedMs: number): void {
+        const durationMs = Math.max(1, elapsedMs);
+        meanCost = smooth(meanCost, cost);
+        meanDurationMs = smooth(meanDurationMs, durationMs);
+        tokensPerSecond = smooth(tokensPerSecond, 1000 * cost / durationMs);
+    }
+
+    return {
+        add,
+        tokensPerSecond: () => tokensPerSecond,
+        meanDurationMs: () => meanDurationMs,
+        meanCost: () => meanCost,
+    };
+}
+
+function smooth(mean: number | undefined, sample: number): number {
+    return mean === undefined ? sample : mean + SMOOTHING * (sample - mean);
+}
--- a/src/lib/entry/adminApi.ts
+++ b/src/lib/entry/adminApi.ts
@@ -9,11 +9,11 @@
     type ProfileEntry,
     Verdict,
 } from "../core/index.js";
+import type { ChangeResult, ProfileStore } from "../node/index.js";
 import type { Operator } from "./accounts.js";
 import type { AgentDirectory } from "./agentDirectory.js";
 import { type Problem, rejection, sendProblem } from "./problem.js";
 import type { ProcessSurvey } from "./processSurvey.js";
-import type { ChangeResult, ProfileStore } from "./profileStore.js";
 import type { ProfileUse } from "./profileUse.js";
 import { parseJsonObject, readLimitedBody } from "./requestBody.js";
 import type { EntryParts, RequestContext } from "./requestContext.js";
--- a/src/lib/entry/answer.ts
+++ b/src/lib/entry/answer.ts
@@ -2,8 +2,8 @@
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import type { AnswerHead } from "../rpc/index.js";
-import type { AnswerReceiver, DispatchResult } from "./dispatcher.js";
 import { sendProblem } from "./problem.js";
+import type { AnswerReceiver, DispatchResult } from "./work.js";
 
 /** A caller that reads nothing for this long is disconnected, which frees its slot at the engine. */
 const SLOW_CALLER_TIMEOUT_MS = 15_000;
--- a/src/lib/entry/entry.ts
+++ b/src/lib/entry/entry.ts
@@ -1,6 +1,12 @@
 /** Starts an entry: configuration, membership, directory of agents, dispatcher and HTTP server. */
 import { DEFAULT_QUEUE_POLICY, profilesOf } from "../core/index.js";
-import { createEventRecorder, createNodeService, startConfigurationSync, startMembershipTask } from "../node/index.js";
+import {
+    createEventRecorder,
+    createNodeService,
+    createProfileStore,
+    startConfigurationSync,
+    startMembershipTask,
+} from "../node/index.js";
 import { createLog, createMetrics } from "../observability/index.js";
 import { createObjectStore, createTableService, createVmList } from "../platform/index.js";
 import { createConnections, createCredentials, startRpcServer } from "../rpc/index.js";
@@ -10,7 +16,6 @@
 import { createDispatcher } from "./dispatcher.js";
 import { createEntryQueue } from "./entryQueue.js";
 import { createProcessSurvey } from "./processSurvey.js";
-import { createProfileStore } from "./profileStore.js";
 import { createProfileUse } from "./profileUse.js";
 import { createRequestLimit } from "./requestLimit.js";
 import { startEntryServer } from "./server.js";
--- a/src/lib/entry/entryQueue.ts
+++ b/src/lib/entry/entryQueue.ts
@@ -4,7 +4,8 @@
  */
 import { createRankedQueue, MAX_QUEUE_WAIT_MS, type QueueItem, type QueuePolicy, Verdict } from "../core/index.js";
 import type { KnownAgent } from "./agentDirectory.js";
-import type { Slot, Work } from "./dispatcher.js";
+import type { Slot } from "./slotChoice.js";
+import type { Work } from "./work.js";
 
 export interface EntryQueue {
     /** Waits for a free slot of this entry's share at one of the candidates. */
--- a/src/lib/entry/recordedDispatch.ts
+++ b/src/lib/entry/recordedDispatch.ts
@@ -1,6 +1,6 @@
 /** Dispatches a request and records its start and its end for the timeline and the metrics. */
-import type { AnswerReceiver, DispatchResult, Work } from "./dispatcher.js";
 import type { EntryParts } from "./requestContext.js";
+import type { AnswerReceiver, DispatchResult, Work } from "./work.js";
 
 export async function dispatchRecorded(
     parts: EntryParts,
--- a/src/lib/node/index.ts
+++ b/src/lib/node/index.ts
@@ -2,4 +2,5 @@
 export * from "./eventRecorder.js";
 export * from "./membershipTask.js";
 export * from "./nodeService.js";
+export * from "./profileStore.js";
 export * from "./repeat.js";
--- a/src/lib/entry/profileStore.ts
+++ b/src/lib/node/profileStore.ts
@@ -16,7 +16,6 @@
     type ProfileEntry,
     type ProfileProblem,
 } from "../core/index.js";
-import { CONFIGURATION_KEY, CONFIGURATION_TABLE } from "../node/index.js";
 import {
     manifestKey,
     type ObjectStore,
@@ -24,6 +23,7 @@
     type TableService,
     type WriteCondition,
 } from "../platform/index.js";
+import { CONFIGURATION_KEY, CONFIGURATION_TABLE } from "./configurationSync.js";
 
 export type ChangeResult =
     | {
--- a/src/test/agent/claims.test.ts
+++ b/src/test/agent/claims.test.ts
@@ -1,8 +1,8 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { AnswerSink } from "../../lib/agent/answerSink.js";
 import { createClaims, MAX_RECORDED_BYTES, REPLAYED_HEADER } from "../../lib/agent/claims.js";
-import type { AnswerSink } from "../../lib/agent/gate.js";
 import { Verdict } from "../../lib/core/index.js";
 import type { TableService, TableWrite } from "../../lib/platform/index.js";
 import type { DispatchRequest } from "../../lib/rpc/index.js";
--- a/src/test/agent/gate.test.ts
+++ b/src/test/agent/gate.test.ts
@@ -3,7 +3,8 @@
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { type AnswerSink, createGate, type Gate } from "../../lib/agent/gate.js";
+import type { AnswerSink } from "../../lib/agent/answerSink.js";
+import { createGate, type Gate } from "../../lib/agent/gate.js";
 import { DEFAULT_QUEUE_POLICY } from "../../lib/core/index.js";
 import type { AnswerFrame, DispatchRequest } from "../../lib/rpc/index.js";
 
--- a/src/test/entry/dispatcher.test.ts
+++ b/src/test/entry/dispatcher.test.ts
@@ -115,17 +115,18 @@
         const [entry] = fleet.entries;
         const [runner] = fleet.runners;
         assert.ok(entry && runner);
-        const cancellation = new AbortController();
+        const cancellations = Array.from({ length: 16 }, () => new AbortController());
         const body = JSON.stringify({ model: PROFILE, stream: true, max_tokens: 1000, prompt: "left" });
         const headers = { authorization: "Bearer client-0", "content-type": "application/json" };
-        const requests = Array.from({ length: 16 }, () => {
+        // One signal each, because Node.js warns about a leak when more than 10 requests listen to the same one.
+        const requests = cancellations.map(({ signal }) => {
             const request = { method: "POST", url: `${entry.url}/v1/completions`, headers, body };
-            return sendRequest({ ...request, signal: cancellation.signal }).catch(() => undefined);
+            return sendRequest({ ...request, signal }).catch(() => undefined);
         });
         await sleep(500);
         const busy = await fleet.readState(runner);
         assert.deepEqual([busy.running, busy.queued], [8, 8]);
-        cancellation.abort();
+        cancellations.forEach(cancellation => cancellation.abort());
         await Promise.all(requests);
         await sleep(500);
         const idle = await fleet.readState(runner);
