--- a/src/test/entry/resumption.test.ts
+++ b/src/test/entry/resumption.test.ts
@@ -3,7 +3,8 @@
 import { test } from "node:test";
 import { CLOSING_EVENT, type FrameKind, Rank, Verdict } from "../../lib/core/index.js";
 import type { AgentDirectory, KnownAgent } from "../../lib/entry/agentDirectory.js";
-import { createDispatcher, type Work } from "../../lib/entry/dispatcher.js";
+import { createDispatcher } from "../../lib/entry/dispatcher.js";
+import type { Work } from "../../lib/entry/work.js";
 import type { AnswerFrame, Connections, DispatchRequest } from "../../lib/rpc/index.js";
 import { longTestParameters } from "../longTest.js";
 
