Measure the bundle in the footprint bench

Cause: the bench ran the compiled sources with source maps, which operators do not run, and reported resident memory only, most of which a bare Node.js process shares with others. Change: FleetOptions.bundled starts entries and agents from dist/endivewell.cjs without source maps, and the bench reports anonymous memory beside resident memory.

--- a/src/bench/footprint.ts
+++ b/src/bench/footprint.ts
@@ -1,6 +1,7 @@
 /**
  * Bench `footprint`: memory, processor time and network bytes that each role spends on control, at
- * several fleet sizes, idle and under a small load, with the slopes over the number of agents.
+ * several fleet sizes, idle and under a small load, with the slopes over the number of agents. Entries and
+ * agents run from the bundle, because source maps and separate modules change their memory.
  */
 import { randomBytes } from "node:crypto";
 import { mkdir, writeFile } from "node:fs/promises";
@@ -31,6 +32,7 @@
 
 interface RoleUsage {
     readonly rssMb: number;
+    readonly anonymousMb: number;
     readonly cpuPercentOfCore: number;
     readonly bytesPerSecond: number;
     readonly openSockets: number;
@@ -51,7 +53,7 @@
 };
 
 async function measureSize(agents: number): Promise<SizeFigures> {
-    const fleet = await startFleet({ entries: ENTRIES, runners: agents, bookings: 0, metered: true });
+    const fleet = await startFleet({ entries: ENTRIES, runners: agents, bookings: 0, metered: true, bundled: true });
     try {
         await rollOut(fleet);
         await sleep(SETTLE_MS);
@@ -104,6 +106,7 @@
     const bytes = after.bytesRead + after.bytesWritten - before.bytesRead - before.bytesWritten;
     return {
         rssMb: after.rssMb,
+        anonymousMb: after.anonymousMb,
         cpuPercentOfCore: 100 * (after.cpuSeconds - before.cpuSeconds) / seconds,
         bytesPerSecond: bytes / seconds,
         openSockets: after.openSockets,
@@ -132,6 +135,7 @@
     };
     return {
         rssMb: average(usage => usage.rssMb),
+        anonymousMb: average(usage => usage.anonymousMb),
         cpuPercentOfCore: average(usage => usage.cpuPercentOfCore),
         bytesPerSecond: average(usage => usage.bytesPerSecond),
         openSockets: average(usage => usage.openSockets),
--- a/src/harness/childProcess.ts
+++ b/src/harness/childProcess.ts
@@ -22,12 +22,15 @@
     readonly env?: Readonly<Record<string, string>>;
     /** Keeps Ctrl-C of the terminal from the process, so that the parent can stop processes in order. */
     readonly ownProcessGroup?: boolean;
+    /** Resolves stack traces to the sources, which costs memory. True by default. */
+    readonly sourceMaps?: boolean;
 }
 
 const READY_TIMEOUT_MS = 30_000;
 
-export async function startChild({ name, args, env, ownProcessGroup }: ChildOptions): Promise<Child> {
-    const child = spawn(process.execPath, ["--enable-source-maps", ...args], {
+export async function startChild(options: ChildOptions): Promise<Child> {
+    const { name, args, env, ownProcessGroup, sourceMaps = true } = options;
+    const child = spawn(process.execPath, [...sourceMaps ? ["--enable-source-maps"] : [], ...args], {
         env: { ...process.env, ...env },
         detached: ownProcessGroup ?? false,
         stdio: ["ignore", "pipe", "inherit"],
--- a/src/harness/fleet.ts
+++ b/src/harness/fleet.ts
@@ -35,6 +35,8 @@
     readonly seed?: number;
     /** Counts network bytes in every entry and agent, for `readUsage`. */
     readonly metered?: boolean;
+    /** Runs entries and agents from dist/endivewell.cjs, as operators do, instead of the compiled sources. */
+    readonly bundled?: boolean;
     /** Stops processes in order on Ctrl-C, for a fleet that runs in a terminal. */
     readonly ownProcessGroups?: boolean;
 }
@@ -68,6 +70,7 @@
 export const OPERATOR_TOKEN = "operator";
 
 const MAIN = fileURLToPath(new URL("../main.js", import.meta.url));
+const BUNDLE = fileURLToPath(new URL("../../dist/endivewell.cjs", import.meta.url));
 const STAND_IN_HOST = fileURLToPath(new URL("standInHost.js", import.meta.url));
 const STOP_TIMEOUT_MS = 35_000;
 const DEFAULT_REGIONS = ["etela"];
@@ -153,7 +156,8 @@
     ): Promise<FleetProcess> {
         const child = await startChild({
             name: base.name,
-            args: [MAIN, base.role, "--settings", settingsFile],
+            args: [options.bundled === true ? BUNDLE : MAIN, base.role, "--settings", settingsFile],
+            sourceMaps: options.bundled !== true,
             env: options.metered === true ? meterEnvironment(meterFileOf(settingsFile)) : {},
             ownProcessGroup: options.ownProcessGroups,
         });
--- a/src/harness/processUsage.ts
+++ b/src/harness/processUsage.ts
@@ -6,6 +6,8 @@
 
 export interface ProcessUsage extends SocketTotals {
     readonly rssMb: number;
+    /** Part of the resident memory that belongs to this process alone: heap, stacks and compiled code. */
+    readonly anonymousMb: number;
     /** Processor time used since the start of the process. */
     readonly cpuSeconds: number;
 }
@@ -23,11 +25,16 @@
 export async function readUsage(process: Child, meterFile: string): Promise<ProcessUsage> {
     const status = await readFile(`/proc/${process.pid}/status`, "utf8");
     const stat = await readFile(`/proc/${process.pid}/stat`, "utf8");
-    const rssKb = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0);
+    const megabytes = (field: string) => Number(new RegExp(`${field}:\\s+(\\d+)`).exec(status)?.[1] ?? 0) / 1024;
     // The name in parentheses may hold spaces; the fields after it don't.
     const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
     const ticks = Number(fields[11]) + Number(fields[12]);
-    return { rssMb: rssKb / 1024, cpuSeconds: ticks / TICKS_PER_SECOND, ...await readTotals(process, meterFile) };
+    return {
+        rssMb: megabytes("VmRSS"),
+        anonymousMb: megabytes("RssAnon"),
+        cpuSeconds: ticks / TICKS_PER_SECOND,
+        ...await readTotals(process, meterFile),
+    };
 }
 
 async function readTotals(process: Child, file: string): Promise<SocketTotals> {
