Start the two roles without oclif

Cause: every entry and agent loaded oclif to parse one flag. Change: a complete and correct command line of entry or agent is recognised by node:util parseArgs; any other goes to oclif, so that help, error messages and exit codes stay the same.

--- a/src/lib/cli/agentCommand.ts
+++ b/src/lib/cli/agentCommand.ts
@@ -1,8 +1,6 @@
 /** `endivewell agent`: runs the agent beside a backend server until it is told to stop. */
 import { Command, Flags } from "@oclif/core";
-import { startAgent } from "../agent/index.js";
-import { agentSchema, loadSettings } from "../settings/index.js";
-import { untilSignal } from "./untilSignal.js";
+import { runRole } from "./roles.js";
 
 export class AgentCommand extends Command {
     static override readonly summary = "Run the agent beside a backend server.";
@@ -13,9 +11,6 @@
 
     async run(): Promise<void> {
         const { flags } = await this.parse(AgentCommand);
-        const agent = await startAgent(loadSettings(flags.settings, agentSchema));
-        this.log(JSON.stringify({ rpc: agent.port }));
-        await untilSignal();
-        await agent.stop();
+        await runRole({ role: "agent", settingsFile: flags.settings });
     }
 }
--- a/src/lib/cli/commands.ts
+++ b/src/lib/cli/commands.ts
@@ -1,11 +1,12 @@
 /**
- * Runs a command line. Commands are registered explicitly, because the single executable has no files
+ * Runs the commands of oclif. Commands are registered explicitly, because the single executable has no files
  * from which oclif could discover them. Each command's module is loaded only when it runs, so that an
  * agent doesn't hold the operator's commands in memory.
  */
 import { type Command, Config, Errors, Flags, Interfaces, run as runOclif } from "@oclif/core";
 import VError from "verror";
 import { ExitCode } from "./exitCode.js";
+import { reportError } from "./reportError.js";
 
 export const VERSION = "0.1.0";
 
@@ -41,7 +42,7 @@
 };
 
 /** Runs the command and returns the exit code. */
-export async function run(argv: readonly string[]): Promise<number> {
+export async function runCommand(argv: readonly string[]): Promise<number> {
     try {
         const config = new Config({
             root: process.cwd(),
@@ -53,7 +54,7 @@
         return ExitCode.success;
     }
     catch (error) {
-        return reportError(error as Error);
+        return reportOclifError(error as Error);
     }
 }
 
@@ -116,11 +117,8 @@
     return Object.fromEntries(Object.entries(items).map(([name, item]) => [name, { ...item, name }]));
 }
 
-function reportError(error: Error): number {
+function reportOclifError(error: Error): number {
     if (error instanceof Errors.ExitError) return error.oclif.exit ?? ExitCode.failed;
-    process.stderr.write(`${error.message}\n`);
-    if (error instanceof Errors.CLIError) return ExitCode.usage;
-    if (error.name === "SettingsError" || error.name === "UsageError") return ExitCode.usage;
-    const { exitCode } = VError.info(error) as { exitCode?: number; };
-    return exitCode ?? ExitCode.failed;
+    const code = reportError(error);
+    return error instanceof Errors.CLIError ? ExitCode.usage : code;
 }
--- a/src/lib/cli/entryCommand.ts
+++ b/src/lib/cli/entryCommand.ts
@@ -1,8 +1,6 @@
 /** `endivewell entry`: runs an entry until it is told to stop. */
 import { Command, Flags } from "@oclif/core";
-import { startEntry } from "../entry/index.js";
-import { entrySchema, loadSettings } from "../settings/index.js";
-import { untilSignal } from "./untilSignal.js";
+import { runRole } from "./roles.js";
 
 export class EntryCommand extends Command {
     static override readonly summary = "Run an entry: the server for callers and operators.";
@@ -13,9 +11,6 @@
 
     async run(): Promise<void> {
         const { flags } = await this.parse(EntryCommand);
-        const entry = await startEntry(loadSettings(flags.settings, entrySchema));
-        this.log(JSON.stringify({ http: entry.port, rpc: entry.rpcPort }));
-        await untilSignal();
-        await entry.stop();
+        await runRole({ role: "entry", settingsFile: flags.settings });
     }
 }
--- /dev/null
+++ b/src/lib/cli/reportError.ts
@@ -0,0 +1,10 @@
+/** Prints an error of a command without its stack and returns the exit code. */
+import VError from "verror";
+import { ExitCode } from "./exitCode.js";
+
+export function reportError(error: Error): number {
+    process.stderr.write(`${error.message}\n`);
+    if (error.name === "SettingsError" || error.name === "UsageError") return ExitCode.usage;
+    const { exitCode } = VError.info(error) as { exitCode?: number; };
+    return exitCode ?? ExitCode.failed;
+}
--- /dev/null
+++ b/src/lib/cli/roles.ts
@@ -0,0 +1,55 @@
+/**
+ * Starts the two long-running roles. `startedRole` recognises their command lines with Node's own parser,
+ * so that these processes don't load oclif, which holds about 15 MB. A command line that it doesn't accept
+ * goes to oclif, which prints the help or the error.
+ */
+import { parseArgs } from "node:util";
+import { untilSignal } from "./untilSignal.js";
+
+export const ROLES = ["agent", "entry"] as const;
+
+export type Role = (typeof ROLES)[number];
+
+export interface RoleStart {
+    readonly role: Role;
+    readonly settingsFile: string;
+}
+
+/** Returns the role that a complete and correct command line starts, otherwise `undefined`. */
+export function startedRole([command, ...args]: readonly string[]): RoleStart | undefined {
+    const role = ROLES.find(known => known === command);
+    if (role === undefined) return undefined;
+    const settingsFile = parseSettingsFlag(args);
+    return settingsFile === undefined ? undefined : { role, settingsFile };
+}
+
+/** Runs the role until SIGTERM or SIGINT, then stops it in order. */
+export async function runRole({ role, settingsFile }: RoleStart): Promise<void> {
+    const running = await (role === "agent" ? startAgentRole(settingsFile) : startEntryRole(settingsFile));
+    process.stdout.write(`${JSON.stringify(running.ports)}\n`);
+    await untilSignal();
+    await running.stop();
+}
+
+function parseSettingsFlag(args: readonly string[]): string | undefined {
+    try {
+        return parseArgs({ args: [...args], options: { settings: { type: "string" } } }).values.settings;
+    }
+    catch {
+        return undefined;
+    }
+}
+
+async function startAgentRole(settingsFile: string) {
+    const { agentSchema, loadSettings } = await import("../settings/index.js");
+    const { startAgent } = await import("../agent/index.js");
+    const agent = await startAgent(loadSettings(settingsFile, agentSchema));
+    return { ports: { rpc: agent.port }, stop: agent.stop };
+}
+
+async function startEntryRole(settingsFile: string) {
+    const { entrySchema, loadSettings } = await import("../settings/index.js");
+    const { startEntry } = await import("../entry/index.js");
+    const entry = await startEntry(loadSettings(settingsFile, entrySchema));
+    return { ports: { http: entry.port, rpc: entry.rpcPort }, stop: entry.stop };
+}
--- a/src/test/cli/commands.test.ts
+++ b/src/test/cli/commands.test.ts
@@ -173,3 +173,27 @@
         if (code !== 0) assert.notEqual(result.err.trim(), "");
     }));
 });
+
+// Guards against a role whose own argument parsing accepts, hides or misreports what oclif refuses.
+test("the roles refuse wrong arguments and settings with exit code 2 and print help", async () => {
+    const settings = join(directory, "wrong.jsonc");
+    await writeFile(settings, "{}");
+    for (const role of ["agent", "entry"]) {
+        const help = await runCommand(role, "--help");
+        assert.equal(help.code, 0, help.err);
+        assert.match(help.out, /--settings/);
+        const cases: [string[], RegExp][] = [
+            [[], /settings/],
+            [["--settings"], /--settings/],
+            [["--settings", settings, "--colour"], /--colour/],
+            [["--settings", settings, "extra"], /extra/],
+            [[`--settings=${settings}`], /wrong\.jsonc:1: process/],
+            [["--settings", join(directory, "missing")], /can't read/],
+        ];
+        for (const [args, message] of cases) {
+            const result = await runCommand(role, ...args);
+            assert.equal(result.code, 2, `${role} ${args.join(" ")}: ${result.err}`);
+            assert.match(result.err, message);
+        }
+    }
+});
