Import zod as a namespace, which the bundler can reduce

Cause: the export z keeps all of zod in the bundle, with every locale, and evaluates it at start. Change: zod is imported as a namespace, as its documentation shows.

--- a/src/lib/agent/lease.ts
+++ b/src/lib/agent/lease.ts
@@ -1,5 +1,5 @@
 /** A lease in the table service, held by this process. `core/lease` decides; this module reads and writes. */
-import { z } from "zod";
+import * as z from "zod";
 import { decideLease, isLeaseValid, type LeaseObservation, type LeaseRow } from "../core/index.js";
 import type { TableService, WriteCondition } from "../platform/index.js";
 
--- a/src/lib/core/claim.ts
+++ b/src/lib/core/claim.ts
@@ -6,7 +6,7 @@
  * A claim that was certainly not dispatched is overwritten with the state `released` instead of being
  * deleted: an insert whose answer was lost may take effect later, and it can't while a row exists.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Verdict } from "./verdict.js";
 
 const resultSchema = z.strictObject({
--- a/src/lib/core/configuration.ts
+++ b/src/lib/core/configuration.ts
@@ -4,7 +4,7 @@
  * another operator's change came first. Processes exchange updates, which hold only the profiles that
  * changed after a revision that the receiver has.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { checkProfile, type Profile, type ProfileProblem } from "./profile.js";
 
 /** A profile with the revision of its last change, which is its entity tag in the administration API. */
--- a/src/lib/core/profile.ts
+++ b/src/lib/core/profile.ts
@@ -2,7 +2,7 @@
  * A profile states which version a pool of agents serves and how work is ranked and shared there.
  * `checkProfile` validates what an operator sends and returns every problem with its path.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { isDigest } from "./manifest.js";
 import { RANKS } from "./rank.js";
 
--- a/src/lib/platform/engine.ts
+++ b/src/lib/platform/engine.ts
@@ -3,7 +3,7 @@
  * with an old fencing number and others ignore it, so an order's effect is always read back.
  */
 import VError from "verror";
-import { z } from "zod";
+import * as z from "zod";
 import type { Digest } from "../core/index.js";
 import { sendRequest } from "./http.js";
 
--- a/src/lib/platform/vmList.ts
+++ b/src/lib/platform/vmList.ts
@@ -1,6 +1,6 @@
 /** Adapter of the platform's list of VMs. The list lags; combine it with direct evidence before trusting it. */
 import VError from "verror";
-import { z } from "zod";
+import * as z from "zod";
 import { sendRequest } from "./http.js";
 
 const vmSchema = z.object({
--- a/src/lib/settings/load.ts
+++ b/src/lib/settings/load.ts
@@ -5,7 +5,7 @@
 import { findNodeAtLocation, parse, type ParseError, parseTree, printParseErrorCode } from "jsonc-parser";
 import { readFileSync } from "node:fs";
 import VError from "verror";
-import type { z } from "zod";
+import type * as z from "zod";
 
 export interface SettingsProblem {
     readonly file: string;
--- a/src/lib/settings/schema.ts
+++ b/src/lib/settings/schema.ts
@@ -2,7 +2,7 @@
  * Schemas of the settings files. Unknown keys are refused, so that a misspelt key is found at start.
  * Secrets never stand in settings; they are named by file.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { RANKS } from "../core/index.js";
 
 const port = z.int().min(0).max(65535);
--- a/src/lib/standIn/faults.ts
+++ b/src/lib/standIn/faults.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { z } from "zod";
+import * as z from "zod";
 import { answerJson, readJson } from "./httpServer.js";
 
 const faultsSchema = z.strictObject({
