Minify white space and syntax of the bundle

Cause: Node.js holds the text of the bundle in memory, a third of which is indentation and comments. Change: esbuild removes both; names stay for stack traces, licence comments move to the end.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -18,6 +18,9 @@
     outfile: "dist/endivewell.cjs",
     // Optional native add-on of hot-shots, used for Unix sockets only.
     external: ["unix-dgram"],
+    // Node.js holds the text of the bundle in memory. Names stay, because stack traces need them.
+    minifyWhitespace: true,
+    minifySyntax: true,
     logLevel: "warning",
 });
 
