--- a/src/harness/processUsage.ts
+++ b/src/harness/processUsage.ts
@@ -1,8 +1,9 @@
 /** Reads memory, processor time and network bytes of a process of a fleet. */
 import { readFile, rm } from "node:fs/promises";
 import { setTimeout as sleep } from "node:timers/promises";
+import { fileURLToPath } from "node:url";
 import type { Child } from "./childProcess.js";
-import type { SocketTotals } from "./socketMeter.js";
+import type { SocketTotals } from "./socketMeter.cjs";
 
 export interface ProcessUsage extends SocketTotals {
     readonly rssMb: number;
@@ -18,8 +19,8 @@
 
 /** Returns the environment that makes a process write its socket totals to the file. */
 export function meterEnvironment(file: string): Record<string, string> {
-    const meter = new URL("socketMeter.js", import.meta.url).href;
-    return { NODE_OPTIONS: `--import ${meter}`, ENDIVEWELL_SOCKET_METER: file };
+    const meter = fileURLToPath(new URL("socketMeter.cjs", import.meta.url));
+    return { NODE_OPTIONS: `--require ${meter}`, ENDIVEWELL_SOCKET_METER: file };
 }
 
 export async function readUsage(process: Child, meterFile: string): Promise<ProcessUsage> {
--- a/src/harness/socketMeter.ts
+++ b/src/harness/socketMeter.cts
@@ -1,5 +1,5 @@
 /**
- * Loaded into a measured process with `--import`. Counts the bytes of all its TCP connections and writes
+ * Loaded into a measured process with `--require`. Counts the bytes of all its TCP connections and writes
  * the totals to the file named by `ENDIVEWELL_SOCKET_METER` on SIGUSR2.
  */
 import { subscribe } from "node:diagnostics_channel";
