Report only the load between changes of an agent's state, at a bounded rate

Cause: each second, each agent sent its whole state of about 200 bytes to each watching entry; under load it did so up to ten times a second. Change: WatchState sends the whole state at once and after a change of more than the load; otherwise only the load. The entry names the shortest pause between two reports of the load, 20 ms per watch and at most 1 s, so that the reports of its whole subset are bounded to 50 a second while the subset is small. Silence is still detected by SILENT_AFTER_MS, because an idle agent reports its load once a second. Conclusion: the entry's traffic per watch no longer contains names and digests.

--- a/src/harness/fleet.ts
+++ b/src/harness/fleet.ts
@@ -187,7 +187,7 @@
 
     function readState(process: FleetProcess): Promise<AgentState> {
         return new Promise((resolve, reject) => {
-            const call = connections.agent(process.vm.address).watchState({ process: "harness" });
+            const call = connections.agent(process.vm.address).watchState({ process: "harness", loadIntervalMs: 0 });
             call.once("data", (state: AgentState) => {
                 resolve(state);
                 call.cancel();
--- a/src/lib/agent/agent.ts
+++ b/src/lib/agent/agent.ts
@@ -11,7 +11,7 @@
 import { type AgentState, createConnections, createCredentials, startRpcServer } from "../rpc/index.js";
 import type { AgentSettings } from "../settings/index.js";
 import { type Activation, startActivation } from "./activation.js";
-import { createAgentService } from "./agentService.js";
+import { createAgentService, type StateListener } from "./agentService.js";
 import { createChunkSources } from "./chunkSources.js";
 import { createChunkStore } from "./chunkStore.js";
 import { createClaims } from "./claims.js";
@@ -34,9 +34,6 @@
     stop(): Promise<void>;
 }
 
-/** Changes of the load are reported together, so that their number doesn't grow with the requests. */
-const LOAD_INTERVAL_MS = 100;
-
 /** With queues at the entries, the agent passes on whatever the entries' shares let through. */
 const UNLIMITED = 10_000;
 
@@ -106,16 +103,10 @@
     const profileStore = createProfileStore({ table, weightStore, now: elapsed, random: Math.random });
     const token = `${settings.process}/${randomUUID()}`;
     const leases = new Map<string, Lease>();
-    const listeners = new Set<() => void>();
-    const announce = () => listeners.forEach(listener => listener());
+    const listeners = new Set<StateListener>();
+    const announce = () => listeners.forEach(listener => listener("other"));
+    const announceLoad = () => listeners.forEach(listener => listener("load"));
     let activation: Activation | undefined;
-    let loadTimer: NodeJS.Timeout | undefined;
-    const announceLoad = () => {
-        loadTimer ??= setTimeout(() => {
-            loadTimer = undefined;
-            announce();
-        }, LOAD_INTERVAL_MS);
-    };
 
     const claims = createClaims({ table, now });
     const gate = createGate({
@@ -184,7 +175,7 @@
     }
 
     const status = () => ({ ...state(), configurationAgeMs: now() - configuration.confirmedAt() });
-    const subscribe = (listener: () => void) => {
+    const subscribe = (listener: StateListener) => {
         listeners.add(listener);
         return () => void listeners.delete(listener);
     };
--- a/src/lib/agent/agentService.ts
+++ b/src/lib/agent/agentService.ts
@@ -14,6 +14,7 @@
     WatchChunksRequest,
     WatchStateRequest,
 } from "../rpc/index.js";
+import { differsBesidesLoad, loadReport } from "../rpc/index.js";
 import type { Gate } from "./gate.js";
 import type { HeldVersions } from "./heldVersions.js";
 import { writeBitmap } from "./neighbours.js";
@@ -22,16 +23,22 @@
 /** Longest pause between two state messages. */
 const STATE_INTERVAL_MS = 1000;
 
+/** Shortest pause between two reports of the load, so that their number doesn't grow with the requests. */
+const LOAD_INTERVAL_MS = 100;
+
 /** Additions are collected for this long, which is short against the time of one chunk on a link. */
 const CHUNK_BATCH_MS = 20;
 
 /** An entry that reads nothing for this long has stalled or its caller has. */
 const SLOW_READER_TIMEOUT_MS = 20_000;
 
+/** `load` is a change of the load alone, which needn't be reported at once. */
+export type StateListener = (change: "load" | "other") => void;
+
 export interface StateFeed {
     readonly current: () => AgentState;
     /** Calls the listener after each change; returns a function that removes it. */
-    subscribe(listener: () => void): () => void;
+    subscribe(listener: StateListener): () => void;
 }
 
 /** Where attempts are recorded. */
@@ -100,15 +107,37 @@
 }
 
 function watchState(call: ServerWritableStream<WatchStateRequest, AgentState>, state: StateFeed): void {
-    const send = () => void call.write(state.current());
-    const timer = setInterval(send, STATE_INTERVAL_MS);
-    const unsubscribe = state.subscribe(send);
+    const loadIntervalMs = Math.min(Math.max(call.request.loadIntervalMs, LOAD_INTERVAL_MS), STATE_INTERVAL_MS);
+    let sent: AgentState | undefined;
+    let sentAt = 0;
+    let loadPending = false;
+    let timer: NodeJS.Timeout | undefined;
+
+    function send(): void {
+        clearTimeout(timer);
+        loadPending = false;
+        const current = state.current();
+        call.write(sent === undefined || differsBesidesLoad(sent, current) ? current : loadReport(current));
+        sent = current;
+        sentAt = performance.now();
+        timer = setTimeout(send, STATE_INTERVAL_MS);
+    }
+
+    function onLoad(): void {
+        if (loadPending) return;
+        loadPending = true;
+        clearTimeout(timer);
+        timer = setTimeout(send, Math.max(0, sentAt + loadIntervalMs - performance.now()));
+    }
+
+    const unsubscribe = state.subscribe(change => change === "load" ? onLoad() : send());
     const stop = () => {
-        clearInterval(timer);
+        clearTimeout(timer);
         unsubscribe();
     };
     call.on("cancelled", stop);
     call.on("error", stop);
+    call.on("close", stop);
     send();
 }
 
--- a/src/lib/entry/agentDirectory.ts
+++ b/src/lib/entry/agentDirectory.ts
@@ -19,13 +19,19 @@
 import type { MembershipTask } from "../node/index.js";
 import { createLog } from "../observability/index.js";
 import type { Vm } from "../platform/index.js";
-import type { AgentState, Connections } from "../rpc/index.js";
+import { type AgentState, applyReport, type Connections } from "../rpc/index.js";
 
 const log = createLog("entry:directory");
 
 /** Pause between two comparisons of the watches with the list of VMs. */
 const RECONCILE_MS = 250;
 
+/** Reports of the load that an entry receives are at most 50 a second in total, 1.3 KB/s, until the subset is large. */
+const LOAD_INTERVAL_PER_WATCH_MS = 20;
+
+/** An agent reports at least once a second anyway. */
+const LONGEST_LOAD_INTERVAL_MS = 1000;
+
 /** Versions whose last use is remembered; the oldest is forgotten first. */
 const REMEMBERED_VERSIONS = 256;
 
@@ -166,9 +172,12 @@
     }
 
     function open(watch: Watch): void {
-        const call = connections.agent(watch.address).watchState({ process: options.process });
+        const loadIntervalMs = Math.min(chosen.size * LOAD_INTERVAL_PER_WATCH_MS, LONGEST_LOAD_INTERVAL_MS);
+        const call = connections.agent(watch.address).watchState({ process: options.process, loadIntervalMs });
         watch.call = call;
-        call.on("data", (state: AgentState) => {
+        call.on("data", (report: AgentState) => {
+            const state = applyReport(watch.state, report);
+            if (state === undefined) return;
             watch.state = state;
             const heardAt = now();
             watch.evidence = { heardAt, leaving: state.leaving, lostAt: undefined };
--- a/src/lib/rpc/index.ts
+++ b/src/lib/rpc/index.ts
@@ -2,3 +2,4 @@
 export * from "./credentials.js";
 export * from "./generated/endivewell.js";
 export * from "./server.js";
+export * from "./stateReport.js";
