Assign subsets of agents in steps

Cause: the assignment for 420 entries and 2,400 agents kept an entry from other work in one step. Change: assignInSteps pauses after each failure domain, whose pairs don't compete with those of others, and the directory runs other work between the steps. The assignment itself is unchanged.

--- a/src/bench/subsets.ts
+++ b/src/bench/subsets.ts
@@ -4,7 +4,7 @@
  */
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { assignSubsets, SUBSET_SIZE, type SubsetMember } from "../lib/core/index.js";
+import { assignInSteps, assignSubsets, SUBSET_SIZE, type SubsetMember } from "../lib/core/index.js";
 import type { Figures } from "./bench.js";
 
 const DOMAINS = 9;
@@ -20,6 +20,7 @@
     const startedAt = performance.now();
     const whole = assignSubsets(entries, agents, size);
     const milliseconds = performance.now() - startedAt;
+    const longestStep = longestStepMs(entries, agents, size);
     const agentLosses: number[] = [];
     const entryLosses: number[] = [];
     let worstRatio = ratioOf(whole, agents);
@@ -44,9 +45,22 @@
         newConnectionsPerLostRunner: { mean: mean(agentLosses), most: Math.max(...agentLosses) },
         newConnectionsPerLostEntry: { mean: mean(entryLosses), most: Math.max(...entryLosses) },
         assignMilliseconds: Math.round(milliseconds),
+        longestStepMilliseconds: Math.round(longestStep),
     };
 }
 
+/** Longest time for which the assignment in steps keeps a process from other work, on warm code. */
+function longestStepMs(entries: readonly SubsetMember[], agents: readonly SubsetMember[], size: number): number {
+    const steps = assignInSteps(entries, agents, size);
+    let longest = 0;
+    for (let isDone = false; !isDone;) {
+        const startedAt = performance.now();
+        isDone = steps.next().done === true;
+        longest = Math.max(longest, performance.now() - startedAt);
+    }
+    return longest;
+}
+
 function members(prefix: string, count: number): SubsetMember[] {
     return Array.from({ length: count }, (_, index) => {
         return { name: `${prefix}-${index}`, failureDomain: `domain-${index % DOMAINS}` };
--- a/src/lib/core/subset.ts
+++ b/src/lib/core/subset.ts
@@ -33,12 +33,28 @@
     readonly agent: Node;
 }
 
-/** Returns the names of each entry's agents, by the entry's name. `size` bounds each subset. */
+/** Names of each entry's agents, by the entry's name. */
+export type Subsets = Map<string, Set<string>>;
+
+/** Returns the subsets. `size` bounds each. Use `assignInSteps` where a long computation delays other work. */
 export function assignSubsets(
     entries: readonly SubsetMember[],
     agents: readonly SubsetMember[],
     size: number,
-): Map<string, Set<string>> {
+): Subsets {
+    const steps = assignInSteps(entries, agents, size);
+    for (;;) {
+        const step = steps.next();
+        if (step.done === true) return step.value;
+    }
+}
+
+/** Computes the same as `assignSubsets` and pauses after each failure domain, so that the caller can do other work. */
+export function assignInSteps(
+    entries: readonly SubsetMember[],
+    agents: readonly SubsetMember[],
+    size: number,
+): Generator<undefined, Subsets> {
     // Pairs of equal weight are taken in the order of the members, which must not depend on that of the list.
     return assign(sortedByName(entries), sortedByName(agents), size);
 }
@@ -47,22 +63,26 @@
     return [...members].sort((a, b) => (a.name < b.name ? -1 : 1));
 }
 
-function assign(
+function* assign(
     entries: readonly SubsetMember[],
     agents: readonly SubsetMember[],
     size: number,
-): Map<string, Set<string>> {
+): Generator<undefined, Subsets> {
     const bounded = Math.min(size, agents.length);
     const agentRooms = shareRoom(agents.map(({ name }) => name), entries.length * bounded);
     const entryNodes = entries.map(member => createNode(member, bounded));
     const agentNodes = agents.map(member => createNode(member, agentRooms.get(member.name) ?? 0));
     const agentsByDomain = byDomain(agentNodes);
-    takePairs(entryNodes.flatMap(entry => {
-        return (agentsByDomain.get(entry.failureDomain) ?? []).map(agent => ({ entry, agent }));
-    }));
+    for (const [domain, entriesOfDomain] of byDomain(entryNodes)) {
+        // Pairs of different failure domains don't compete for room here.
+        yield;
+        takePairs(pairsOf(entriesOfDomain, agentsByDomain.get(domain) ?? []));
+    }
+    yield;
     const openAgents = agentNodes.filter(({ room }) => room > 0);
     const openEntries = entryNodes.filter(({ room }) => room > 0);
-    takePairs(openEntries.flatMap(entry => openAgents.map(agent => ({ entry, agent }))));
+    takePairs(pairsOf(openEntries, openAgents));
+    yield;
     fillBySwaps(entryNodes, agentNodes);
     return new Map(entryNodes.map(({ linked, name }) => [name, new Set([...linked].map(agent => agent.name))]));
 }
@@ -104,6 +124,10 @@
     return groups;
 }
 
+function pairsOf(entries: readonly Node[], agents: readonly Node[]): Pair[] {
+    return entries.flatMap(entry => agents.map(agent => ({ entry, agent })));
+}
+
 /** Links pairs in the order of their weight while both have room. */
 function takePairs(pairs: readonly Pair[]): void {
     // A number holds a pair's weight and its index, so that a million pairs sort without comparator calls.
--- a/src/lib/entry/agentDirectory.ts
+++ b/src/lib/entry/agentDirectory.ts
@@ -3,8 +3,9 @@
  * only while its own state messages arrive; the list alone adds no trust.
  */
 import type { ClientReadableStream } from "@grpc/grpc-js";
+import { setImmediate } from "node:timers/promises";
 import {
-    assignSubsets,
+    assignInSteps,
     type Evidence,
     isWorthWatching,
     type ListedState,
@@ -35,7 +36,7 @@
 /** Versions whose last use is remembered; the oldest is forgotten first. */
 const REMEMBERED_VERSIONS = 256;
 
-/** Pause between two assignments of a large system, because one takes a few hundred milliseconds of a core. */
+/** Pause between two assignments of a large system, because one takes up to a few hundred milliseconds of a core. */
 const CHOOSE_INTERVAL_MS = 5000;
 
 /** Agents of each pool that an entry watches at least, so that one can fail. */
@@ -102,6 +103,7 @@
     const busyAt = new Map<string, number>();
     let listed: ReadonlyMap<string, Vm> = new Map();
     let chosen: ReadonlySet<string> = new Set();
+    let isChoosing = false;
     let chosenFrom = "";
     let chosenAt = Number.NEGATIVE_INFINITY;
 
@@ -123,13 +125,22 @@
     }
 
     function choose(vms: readonly Vm[], at: number): void {
-        if (at - chosenAt < CHOOSE_INTERVAL_MS && vms.length > SUBSET_SIZE) return;
+        if (isChoosing || at - chosenAt < CHOOSE_INTERVAL_MS && vms.length > SUBSET_SIZE) return;
         const live = vms.filter(vm => vm.state === "live");
         const from = live.map(vm => `${vm.name} ${vm.address} ${vm.service} ${vm.failureDomain}`).join("\n");
         if (from === chosenFrom) return;
         chosenFrom = from;
         chosenAt = at;
-        chosen = chooseAgents(vms, options);
+        const agents = liveAgents(vms);
+        if (agents.length <= SUBSET_SIZE) {
+            chosen = new Set(agents.map(({ address }) => address));
+            return;
+        }
+        isChoosing = true;
+        void chooseAgents(vms, agents, options).then(addresses => {
+            chosen = addresses;
+            isChoosing = false;
+        });
     }
 
     /** Agents in place of those of the subset that are lost or silent, at most as many as half of the subset. */
@@ -243,7 +254,7 @@
     }
 
     function ready(at: number): boolean {
-        if (membership.current().length === 0) return false;
+        if (membership.current().length === 0 || (isChoosing && chosen.size === 0)) return false;
         return [...watches.values()].every(({ state, startedAt }) => {
             return state !== undefined || at - startedAt > SILENT_AFTER_MS;
         });
@@ -259,19 +270,30 @@
     return { usable, health, recordSent, all, lastBusy, ready, stop };
 }
 
-/** Returns the addresses of an entry's agents. A pool's part of the subset follows its size. */
-function chooseAgents(vms: readonly Vm[], own: { process: string; failureDomain: string; }): Set<string> {
-    const agents = liveAgents(vms);
-    if (agents.length <= SUBSET_SIZE) return new Set(agents.map(({ address }) => address));
+/**
+ * Returns the addresses of an entry's agents. A pool's part of the subset follows its size. Other work runs
+ * between the steps of the assignment, which together take a few hundred milliseconds in a large system.
+ */
+async function chooseAgents(
+    vms: readonly Vm[],
+    agents: readonly Vm[],
+    own: { process: string; failureDomain: string; },
+): Promise<Set<string>> {
     const others = vms.filter(vm => vm.role === "entry" && vm.state === "live" && vm.name !== own.process);
     const entries = [...others, { name: own.process, failureDomain: own.failureDomain }];
-    const services = [...new Set(agents.map(({ service }) => service))];
-    const addresses = services.flatMap(service => {
+    const addresses = new Set<string>();
+    for (const service of new Set(agents.map(agent => agent.service))) {
         const pool = agents.filter(vm => vm.service === service);
         const size = Math.max(SMALLEST_POOL_SUBSET, Math.ceil(SUBSET_SIZE * pool.length / agents.length));
-        return [...assignSubsets(entries, pool.map(byAddress), size).get(own.process) ?? []];
-    });
-    return new Set(addresses);
+        const steps = assignInSteps(entries, pool.map(byAddress), size);
+        let step = steps.next();
+        while (step.done !== true) {
+            await setImmediate();
+            step = steps.next();
+        }
+        for (const address of step.value.get(own.process) ?? []) addresses.add(address);
+    }
+    return addresses;
 }
 
 function liveAgents(vms: readonly Vm[]): Vm[] {
