--- a/src/lib/platform/vmList.ts
+++ b/src/lib/platform/vmList.ts
@@ -1,6 +1,6 @@
 /** Adapter of the platform's list of VMs. The list lags; combine it with direct evidence before trusting it. */
 import VError from "verror";
-import { z } from "zod";
+import * as z from "zod";
 import { sendRequest } from "./http.js";
 
 const vmSchema = z.object({
@@ -32,6 +32,7 @@
             method: "GET",
             url: `${options.url}/vms`,
             headers: etag === "" ? {} : { "if-none-match": etag },
+            compressed: true,
             timeoutMs: options.timeoutMs,
         });
         if (answer.status === 304) return known;
