--- a/src/bench/distribution.ts
+++ b/src/bench/distribution.ts
@@ -3,7 +3,8 @@
  * how many copies cross the links, for the transfer between agents and for the two baselines.
  *
  * Options: `--replicas N` (24), `--seed N`, `--megabytes N` of weights, `--rate N` MB/s of a VM's link each
- * way, `--chunk-kb N`, `--strategies LIST`, `--scale LIST` of replica counts for the ratio.
+ * way, `--chunk-kb N`, `--strategies LIST`, `--scale LIST` of replica counts for the ratio, `--regions N` (1),
+ * `--region-rate N` MB/s of the link between two regions in each direction.
  */
 import { mkdir, readFile, writeFile } from "node:fs/promises";
 import { join } from "node:path";
@@ -23,11 +24,15 @@
     readonly bytes: number;
     readonly bytesPerSecond: number;
     readonly chunkBytes: number;
+    readonly regions: number;
+    readonly regionBytesPerSecond: number;
 }
 
 interface Measured {
     readonly seconds: number;
     readonly originCopies: number;
+    /** Largest number of copies that crossed into one region, with all control traffic. */
+    readonly regionLinkCopies: number;
     readonly maxVmCopies: number;
     readonly meanVmCopies: number;
     readonly peakAgentRssMb: number;
@@ -36,6 +41,8 @@
 
 const MEGABYTE = 1_000_000;
 const PEERS = "peers";
+const REGIONS = ["etela", "lansi", "pohjoinen"];
+const REGION_LATENCY_MS = 3;
 const SERVE_TIMEOUT_MS = 300_000;
 const POLL_MS = 100;
 
@@ -50,6 +57,9 @@
         bytes: number("megabytes", 24) * MEGABYTE,
         bytesPerSecond: number("rate", 2) * MEGABYTE,
         chunkBytes: number("chunk-kb", 128) * 1024,
+        regions: Math.min(number("regions", 1), REGIONS.length),
+        // A third of a VM's rate, so that the links between three regions are the bound.
+        regionBytesPerSecond: Math.round(number("region-rate", number("rate", 2) / 3) * MEGABYTE),
     };
     const list = (text: string) => text.split(",").filter(item => item !== "");
     const strategies = list(options.strategies ?? `${PEERS},chain,originOnly`);
@@ -59,9 +69,16 @@
     for (const count of list(options.scale ?? "")) {
         scale[count] = await measure({ ...base, strategy: PEERS, replicas: Number(count) });
     }
-    return summarize(base.bytes / base.bytesPerSecond, replicas, runs, scale, base);
+    return summarize(boundSecondsOf(base), replicas, runs, scale, base);
 };
 
+/** The origin's region sends each byte once, over all its links together. */
+function boundSecondsOf(base: Omit<Parameters, "strategy" | "replicas">): number {
+    const { bytes, bytesPerSecond, regions, regionBytesPerSecond } = base;
+    const crossing = regions > 1 ? bytes / ((regions - 1) * regionBytesPerSecond) : 0;
+    return Math.max(bytes / bytesPerSecond, crossing);
+}
+
 function summarize(
     boundSeconds: number,
     replicas: number,
@@ -79,6 +96,7 @@
         ...base,
         boundSeconds: round(boundSeconds),
         originCopies: own?.originCopies,
+        regionLinkCopies: own?.regionLinkCopies,
         maxVmCopies: own?.maxVmCopies,
         meanVmCopies: own?.meanVmCopies,
         secondsOverBound: own && round(own.seconds / boundSeconds),
@@ -93,29 +111,38 @@
 }
 
 async function measure(parameters: Parameters): Promise<Measured> {
-    const { strategy, replicas, bytes, bytesPerSecond, seed } = parameters;
+    const { strategy, replicas, bytes, bytesPerSecond, seed, regions, regionBytesPerSecond } = parameters;
+    const severalRegions = regions > 1 ?
+        {
+            regions: REGIONS.slice(0, regions),
+            regionLinks: { bytesPerSecond: regionBytesPerSecond, latencyMs: REGION_LATENCY_MS },
+        } :
+        {};
     const fleet = await startFleet({
         entries: 1,
         runners: replicas,
         bookings: 0,
         seed,
         originBytesPerSecond: 2 * bytesPerSecond,
+        ...severalRegions,
         agentSettings: {
             transferStrategy: strategy,
-            links: { inBytesPerSecond: bytesPerSecond, outBytesPerSecond: bytesPerSecond },
+            links: { inBytesPerSecond: bytesPerSecond, outBytesPerSecond: bytesPerSecond, regionBytesPerSecond },
         },
     });
     try {
         const rootDigest = await publishRandom(fleet, parameters);
         await sleep(SETTLE_MS);
         const idleAgentRssMb = await rssMb(fleet, "VmRSS");
-        const originBefore = await originBytes(fleet);
+        const before = await readEvidence(fleet);
         const seconds = await rollOut(fleet, rootDigest);
         const states = await Promise.all(fleet.runners.map(fleet.readState));
         const copies = states.map(state => vmBytes(state.transfers[0]) / bytes);
+        const after = await readEvidence(fleet);
         return {
             seconds: round(seconds),
-            originCopies: round((await originBytes(fleet) - originBefore) / bytes),
+            originCopies: round((after.originBytes - before.originBytes) / bytes),
+            regionLinkCopies: round(largestInflow(before.linkBytes, after.linkBytes) / bytes),
             maxVmCopies: round(Math.max(...copies)),
             meanVmCopies: round(copies.reduce((sum, value) => sum + value, 0) / copies.length),
             peakAgentRssMb: await rssMb(fleet, "VmHWM"),
@@ -157,9 +184,24 @@
     return (performance.now() - started) / 1000;
 }
 
-async function originBytes(fleet: Fleet): Promise<number> {
+interface Evidence {
+    readonly originBytes: number;
+    /** Bytes by direction, under keys such as `etela>lansi`. */
+    readonly linkBytes: Readonly<Record<string, number>>;
+}
+
+async function readEvidence(fleet: Fleet): Promise<Evidence> {
     const answer = await sendRequest({ method: "GET", url: `${fleet.platformUrl}/evidence` });
-    return (JSON.parse(answer.body.toString()) as { originBytes: number; }).originBytes;
+    return JSON.parse(answer.body.toString()) as Evidence;
+}
+
+function largestInflow(before: Evidence["linkBytes"], after: Evidence["linkBytes"]): number {
+    const inflow = new Map<string, number>();
+    for (const [direction, bytes] of Object.entries(after)) {
+        const region = direction.split(">")[1] ?? "";
+        inflow.set(region, (inflow.get(region) ?? 0) + bytes - (before[direction] ?? 0));
+    }
+    return Math.max(0, ...inflow.values());
 }
 
 function vmBytes(state: TransferState | undefined): number {
