Take turns on the links between regions

Cause: all VMs of a region read over the same slow link at once, each at its own pace. Change: the VMs of a region fetch their chunks in the common order, at regionBytesPerSecond for all of them together; due chunks go upstream in that order, and bursts on these links are one piece.

--- a/src/bench/distribution.ts
+++ b/src/bench/distribution.ts
@@ -43,6 +43,9 @@
 const PEERS = "peers";
 const REGIONS = ["etela", "lansi", "pohjoinen"];
 const REGION_LATENCY_MS = 3;
+
+/** Share of a link between regions that weights may use; control and live traffic have the rest. */
+const REGION_SHARE = 0.9;
 const SERVE_TIMEOUT_MS = 300_000;
 const POLL_MS = 100;
 
@@ -127,7 +130,11 @@
         ...severalRegions,
         agentSettings: {
             transferStrategy: strategy,
-            links: { inBytesPerSecond: bytesPerSecond, outBytesPerSecond: bytesPerSecond, regionBytesPerSecond },
+            links: {
+                inBytesPerSecond: bytesPerSecond,
+                outBytesPerSecond: bytesPerSecond,
+                regionBytesPerSecond: Math.round(REGION_SHARE * regionBytesPerSecond),
+            },
         },
     });
     try {
--- a/src/lib/agent/links.ts
+++ b/src/lib/agent/links.ts
@@ -20,7 +20,8 @@
 const MIN_SLEEP_MS = 1;
 
 export function createLinks(settings: AgentSettings["links"], ownRegion: string, now: () => number): Links {
-    const bucket = (ratePerSecond: number) => createTokenBucket({ ratePerSecond, burst: BURST_BYTES });
+    // Bursts on the slow link between regions would hold up control and live traffic.
+    const bucket = (ratePerSecond: number, burst = BURST_BYTES) => createTokenBucket({ ratePerSecond, burst });
     const inbound = bucket(settings.inBytesPerSecond);
     const outbound = bucket(settings.outBytesPerSecond);
     const fromRegions = new Map<string, TokenBucket>();
@@ -29,7 +30,7 @@
     async function pass(direction: TokenBucket, regions: Map<string, TokenBucket>, bytes: number, region: string) {
         let wait = direction.take(bytes, now());
         if (region !== ownRegion) {
-            const link = regions.get(region) ?? bucket(settings.regionBytesPerSecond);
+            const link = regions.get(region) ?? bucket(settings.regionBytesPerSecond, PIECE_BYTES);
             regions.set(region, link);
             wait = Math.max(wait, link.take(bytes, now()));
         }
--- a/src/lib/agent/peerStrategy.ts
+++ b/src/lib/agent/peerStrategy.ts
@@ -61,6 +61,7 @@
     const wrongFromOrigin = new Map<number, number>();
     const unreachable = new Set<string>();
     let upstream: Upstream[] = [];
+    let turnMs: ReadonlyMap<number, number> = new Map();
     let assignedTo = "";
     let failure: Error | undefined;
     let lastArrivalAt = now();
@@ -71,12 +72,8 @@
     const chunkMs = largest / settings.links.inBytesPerSecond * 1000;
     const takeoverStepMs = Math.max(TAKEOVER_DELAY_MS, TAKEOVER_CHUNK_TIMES * chunkMs);
     const startedAt = now();
-    // Every VM that starts afresh computes the same turns.
-    const turns = new Map(
-        chunks.filter(({ index }) => !version.has(index))
-            .sort((a, b) => a.digest < b.digest ? -1 : 1)
-            .map(({ index }, turn) => [index, turn]),
-    );
+    // Every VM that starts afresh computes the same order.
+    const inTurn = chunks.filter(({ index }) => !version.has(index)).sort((a, b) => a.digest < b.digest ? -1 : 1);
     const regionSize = 1 + environment.peers().filter(vm => vm.region === settings.region).length;
     const share = Math.ceil(REGION_UPSTREAM_REQUESTS / regionSize);
 
@@ -88,7 +85,7 @@
         maxDuplicates: MAX_DUPLICATES,
         upstreamDueAt: chunk => {
             const delayMs = upstream[chunk]?.delayMs ?? 0;
-            return delayMs > 0 ? lastArrivalAt + delayMs : startedAt + (turns.get(chunk) ?? 0) * chunkMs / ORIGIN_PACE;
+            return delayMs > 0 ? lastArrivalAt + delayMs : startedAt + (turnMs.get(chunk) ?? 0);
         },
         random,
     });
@@ -136,6 +133,26 @@
             const assignment = assignChunk(digest, self, members, weightStoreRegion);
             return { ...assignment, delayMs: takeoverDelayMs(assignment.rank, random(), takeoverStepMs) };
         });
+        turnMs = planTurns(new Map(peers.map(vm => [vm.name, vm.region])));
+    }
+
+    /**
+     * Returns when the first VM of the region fetches each chunk, in milliseconds after the start. The VMs take
+     * turns on the link from each source region, so that all of them together keep to its rate.
+     */
+    function planTurns(regionOf: ReadonlyMap<string, string>): Map<number, number> {
+        const freeAt = new Map<string, number>();
+        const planned = new Map<number, number>();
+        for (const { index, size } of inTurn) {
+            const region = regionOf.get(upstream[index]?.sources[0] ?? "") ?? "";
+            const rate = region === "" ?
+                settings.links.inBytesPerSecond * ORIGIN_PACE :
+                settings.links.regionBytesPerSecond;
+            const at = freeAt.get(region) ?? 0;
+            planned.set(index, at);
+            freeAt.set(region, at + size / rate * 1000);
+        }
+        return planned;
     }
 
     function startRequests(): void {
--- a/src/lib/core/transferPlan.ts
+++ b/src/lib/core/transferPlan.ts
@@ -173,9 +173,12 @@
 
     function nextUpstream(now: number): PlannedRequest | undefined {
         if (upstreamRequests >= options.maxUpstreamRequests) return undefined;
-        const due = [...unseen].filter(chunk => !inProgress.has(chunk) && canGoUpstream(chunk, now));
-        const chunk = due[Math.floor(random() * due.length)];
-        return chunk === undefined ? undefined : start(chunk, UPSTREAM, now);
+        let first: number | undefined;
+        for (const chunk of unseen) {
+            if (inProgress.has(chunk) || !canGoUpstream(chunk, now)) continue;
+            if (first === undefined || options.upstreamDueAt(chunk) < options.upstreamDueAt(first)) first = chunk;
+        }
+        return first === undefined ? undefined : start(first, UPSTREAM, now);
     }
 
     function canGoUpstream(chunk: number, now: number): boolean {
--- a/src/lib/settings/schema.ts
+++ b/src/lib/settings/schema.ts
@@ -114,7 +114,10 @@
         /** Share of the VM's link that weights may use, each way. */
         inBytesPerSecond: bytesPerSecond.default(125_000_000),
         outBytesPerSecond: bytesPerSecond.default(125_000_000),
-        /** Share of the links to other regions that this VM's weights may use, each way. */
+        /**
+         * Rate at which the weights of all VMs of a region together may use the link to each other region, each
+         * way. The rest of the link's rate is left to control and live traffic.
+         */
         regionBytesPerSecond: bytesPerSecond.default(1_500_000),
     }).prefault({}),
 });
