Avoid VMs and regions behind a cut link, and test cuts between failure domains

Cause: each chunk waited for the timeout of each of its sources behind a cut link, and a VM without a link to the origin's region had no other source. Change: a source that stalls or fails is avoided for all chunks, after two VMs its region; regions that come later in a chunk's order are asked after the origin. The stand-in's links can be cut for the traffic between VMs alone. Process-level tests cut a region off from the others and from the origin's region. Conclusion: no engine loaded wrong bytes and every reachable replica served; a dropping link still costs time.

--- a/src/lib/agent/peerStrategy.ts
+++ b/src/lib/agent/peerStrategy.ts
@@ -47,6 +47,15 @@
 /** A takeover waits for several times the time of one chunk on this VM's link. */
 const TAKEOVER_CHUNK_TIMES = 8;
 
+/**
+ * A VM of another region that stalled or failed is not asked for this long. Without it, each chunk would wait
+ * for the timeout of each of its sources behind a cut link.
+ */
+const AVOID_SOURCE_MS = 15_000;
+
+/** VMs of one region that fail with none in between that delivers, after which the whole region is avoided. */
+const AVOID_REGION_FAILURES = 2;
+
 interface Upstream extends ChunkAssignment {
     readonly delayMs: number;
 }
@@ -60,6 +69,8 @@
     const upstreamFailures = new Map<number, number>();
     const wrongFromOrigin = new Map<number, number>();
     const unreachable = new Set<string>();
+    const avoidedUntil = new Map<string, number>();
+    const failedInRegion = new Map<string, Set<string>>();
     let upstream: Upstream[] = [];
     let turnMs: ReadonlyMap<number, number> = new Map();
     let assignedTo = "";
@@ -195,14 +206,41 @@
         return result.outcome;
     }
 
-    /** Each failure moves on to the next source; the origin is the last. */
+    /**
+     * Each failure moves on to the next source: regions before the own one, the origin, regions after it. Returns
+     * `undefined` for the origin.
+     */
     function upstreamVm(chunk: number): Vm | undefined {
-        const name = upstream[chunk]?.sources[upstreamFailures.get(chunk) ?? 0];
-        return environment.peers().find(vm => vm.name === name);
+        const { sources = [], lateSources = [] } = upstream[chunk] ?? {};
+        const order = [...sources, "", ...lateSources];
+        const failures = upstreamFailures.get(chunk) ?? 0;
+        const peers = environment.peers();
+        for (let step = 0; step < order.length; step++) {
+            const name = order[(failures + step) % order.length];
+            if (name === "") return undefined;
+            const vm = peers.find(peer => peer.name === name);
+            if (vm !== undefined && !isAvoided(vm)) return vm;
+        }
+        return undefined;
+    }
+
+    function isAvoided({ name, region }: Vm): boolean {
+        return Math.max(avoidedUntil.get(name) ?? 0, avoidedUntil.get(regionKey(region)) ?? 0) > now();
+    }
+
+    function noteSource({ name, region }: Vm, outcome: RequestOutcome): void {
+        const key = regionKey(region);
+        if (outcome === RequestOutcome.held) failedInRegion.delete(key);
+        if (outcome !== RequestOutcome.stalled && outcome !== RequestOutcome.failed) return;
+        const failed = (failedInRegion.get(key) ?? new Set()).add(name);
+        failedInRegion.set(key, failed);
+        avoidedUntil.set(name, now() + AVOID_SOURCE_MS);
+        if (failed.size >= AVOID_REGION_FAILURES) avoidedUntil.set(key, now() + AVOID_SOURCE_MS);
     }
 
     function report({ chunk, source }: PlannedRequest, { outcome }: ChunkResult, vm: Vm | undefined): void {
         const name = vm?.name ?? "origin";
+        if (source === UPSTREAM && vm !== undefined) noteSource(vm, outcome);
         if (source === UPSTREAM && isFailure(outcome)) {
             upstreamFailures.set(chunk, (upstreamFailures.get(chunk) ?? 0) + 1);
         }
@@ -269,3 +307,8 @@
     }
     if (failure !== undefined) throw failure;
 }
+
+/** Key of a region beside the names of VMs. */
+function regionKey(region: string): string {
+    return `region ${region}`;
+}
--- a/src/lib/core/chunkAssignment.ts
+++ b/src/lib/core/chunkAssignment.ts
@@ -17,6 +17,11 @@
     readonly rank: number;
     /** VMs in other regions to ask in this order. The origin comes after all of them. */
     readonly sources: readonly string[];
+    /**
+     * VMs in regions that get the chunk later. They help a VM that reaches neither the regions before its own nor
+     * the origin, and come after it.
+     */
+    readonly lateSources: readonly string[];
 }
 
 /** Pause after which the next VM in the order takes over: several times the usual time of one chunk. */
@@ -45,9 +50,10 @@
     const namesOf = (region: string) => vms.filter(vm => vm.region === region).map(vm => vm.name);
     const rank = Math.max(0, rankMembers(chunk, namesOf(self.region)).indexOf(self.name));
     const regions = orderRegions(chunk, originRegion, vms.map(vm => vm.region));
-    const before = regions.slice(0, Math.max(0, regions.indexOf(self.region))).reverse();
-    const sources = before.flatMap(region => rankMembers(chunk, namesOf(region)).slice(0, 1));
-    return { rank, sources };
+    const own = Math.max(0, regions.indexOf(self.region));
+    const firstsOf = (list: readonly string[]) =>
+        list.flatMap(region => rankMembers(chunk, namesOf(region)).slice(0, 1));
+    return { rank, sources: firstsOf(regions.slice(0, own).reverse()), lateSources: firstsOf(regions.slice(own + 1)) };
 }
 
 /**
--- a/src/lib/standIn/link.ts
+++ b/src/lib/standIn/link.ts
@@ -15,6 +15,11 @@
 
 export type LinkState = (typeof LinkState)[keyof typeof LinkState];
 
+/** Traffic between VMs, or from a VM to the platform. */
+export type RelayTraffic = "vms" | "platform";
+
+const ALL_TRAFFIC: readonly RelayTraffic[] = ["vms", "platform"];
+
 export interface RegionLinksOptions {
     /** Rate of each link in each direction. */
     readonly bytesPerSecond: number;
@@ -24,10 +29,13 @@
 }
 
 export interface RegionLinks {
-    /** Opens a relay from a region to an address in another region and returns the relay's port. */
-    relay(from: string, to: string, host: string, port: number): Promise<number>;
-    /** Sets the state of the link between two regions, in both directions. */
-    set(a: string, b: string, state: LinkState): void;
+    /**
+     * Opens a relay from a region to an address in another region and returns the relay's port. `traffic` names
+     * what it carries, so that a fault can spare it.
+     */
+    relay(from: string, to: string, host: string, port: number, traffic?: RelayTraffic): Promise<number>;
+    /** Sets the state of the link between two regions for one kind of traffic or all, in both directions. */
+    set(a: string, b: string, state: LinkState, traffic?: RelayTraffic): void;
     /** Bytes carried so far by direction, under keys such as `etela>lansi`. */
     readonly bytes: () => Readonly<Record<string, number>>;
     stop(): void;
@@ -54,17 +62,25 @@
         return created;
     }
 
-    const stateOf = (a: string, b: string) => states.get(pairOf(a, b)) ?? LinkState.open;
+    const stateOf = (a: string, b: string, traffic: RelayTraffic) => {
+        return states.get(`${traffic} ${pairOf(a, b)}`) ?? LinkState.open;
+    };
 
-    async function relay(from: string, to: string, host: string, port: number): Promise<number> {
+    async function relay(
+        from: string,
+        to: string,
+        host: string,
+        port: number,
+        traffic: RelayTraffic = "vms",
+    ): Promise<number> {
         const server = createServer(near => {
-            if (stateOf(from, to) === LinkState.refuses) {
+            if (stateOf(from, to, traffic) === LinkState.refuses) {
                 near.resetAndDestroy();
                 return;
             }
             const far = connect(port, host);
-            pipe(near, far, from, to);
-            pipe(far, near, to, from);
+            pipe(near, far, from, to, traffic);
+            pipe(far, near, to, from, traffic);
         });
         servers.push(server);
         await new Promise<void>((resolve, reject) => {
@@ -74,12 +90,12 @@
         return (server.address() as AddressInfo).port;
     }
 
-    function pipe(source: Socket, target: Socket, from: string, to: string): void {
+    function pipe(source: Socket, target: Socket, from: string, to: string, traffic: RelayTraffic): void {
         const direction = `${from}>${to}`;
         let delivered = Promise.resolve();
         sockets.add(source);
         source.on("data", (piece: Buffer) => {
-            if (stateOf(from, to) !== LinkState.open) return;
+            if (stateOf(from, to, traffic) !== LinkState.open) return;
             const now = options.now();
             const wait = bucketOf(direction).take(piece.length, now);
             carried[direction] = (carried[direction] ?? 0) + piece.length;
@@ -103,8 +119,10 @@
         });
     }
 
-    function set(a: string, b: string, state: LinkState): void {
-        states.set(pairOf(a, b), state);
+    function set(a: string, b: string, state: LinkState, traffic?: RelayTraffic): void {
+        for (const kind of traffic === undefined ? ALL_TRAFFIC : [traffic]) {
+            states.set(`${kind} ${pairOf(a, b)}`, state);
+        }
     }
 
     function stop(): void {
--- a/src/lib/standIn/platform.ts
+++ b/src/lib/standIn/platform.ts
@@ -4,7 +4,7 @@
  *
  * With `regions`, each region other than the platform's reaches the platform and the VMs of other regions
  * through relays that share the rate of the link; `GET /regions` returns the platform's address for each
- * region, and `PUT /links` cuts a link.
+ * region, and `PUT /links` cuts a link for all traffic or for one kind.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -12,7 +12,7 @@
 import type { Vm } from "../platform/index.js";
 import { createFaultSwitches, type FaultSwitches } from "./faults.js";
 import { answerJson, readJson, type RunningServer, startHttpServer } from "./httpServer.js";
-import { createRegionLinks, type LinkState, type RegionLinks } from "./link.js";
+import { createRegionLinks, type LinkState, type RegionLinks, type RelayTraffic } from "./link.js";
 import { createObjectsStandIn } from "./objects.js";
 import { createTablesStandIn } from "./tables.js";
 
@@ -23,6 +23,14 @@
     readonly latencyMs: number;
 }
 
+/** Body of `PUT /links`. Without `traffic` it applies to all traffic of the link. */
+interface LinkChange {
+    readonly a: string;
+    readonly b: string;
+    readonly state: LinkState;
+    readonly traffic?: RelayTraffic;
+}
+
 export interface PlatformOptions {
     /** Directory for objects. */
     readonly directory: string;
@@ -72,8 +80,8 @@
         }
         if (url === "/regions") return answerJson(response, 200, Object.fromEntries(platformUrls));
         if (url === "/links") {
-            const { a, b, state } = await readJson(request) as { a: string; b: string; state: LinkState; };
-            links?.set(a, b, state);
+            const { a, b, state, traffic } = await readJson(request) as LinkChange;
+            links?.set(a, b, state, traffic);
             return answerJson(response, 200, {});
         }
         const { outage, objectsOutage, delayMs } = faults.current();
@@ -128,7 +136,7 @@
         const urls = new Map<string, string>();
         const [home = "", ...others] = regionNames;
         for (const region of others) {
-            const relayPort = await links?.relay(region, home, "127.0.0.1", port);
+            const relayPort = await links?.relay(region, home, "127.0.0.1", port, "platform");
             urls.set(region, `http://127.0.0.1:${relayPort}`);
         }
         return urls;
--- a/src/test/agent/transfer.test.ts
+++ b/src/test/agent/transfer.test.ts
@@ -7,6 +7,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import {
     type Fleet,
+    type FleetOptions,
     type FleetProcess,
     OPERATOR_TOKEN,
     POOL,
@@ -26,13 +27,20 @@
 // The list of VMs is read every 200 ms.
 const SETTLE_MS = 600;
 
-async function withFleet(runners: number, use: (fleet: Fleet) => Promise<void>): Promise<void> {
+const REGIONS = ["etela", "lansi", "pohjoinen"];
+
+async function withFleet(
+    runners: number,
+    use: (fleet: Fleet) => Promise<void>,
+    options: Partial<FleetOptions> = {},
+): Promise<void> {
     const fleet = await startFleet({
         entries: 1,
         runners,
         bookings: 0,
         originBytesPerSecond: 2 * RATE,
         agentSettings: { pollMs: 200, links: { inBytesPerSecond: RATE, outBytesPerSecond: RATE } },
+        ...options,
     });
     try {
         await use(fleet);
@@ -89,6 +97,20 @@
     }
 }
 
+/** Cuts or opens the link between two regions for all traffic or for one kind. */
+async function setLink(fleet: Fleet, a: string, b: string, state: string, traffic?: string): Promise<void> {
+    const body = JSON.stringify({ a, b, state, traffic });
+    await sendRequest({ method: "PUT", url: `${fleet.platformUrl}/links`, body });
+}
+
+function withRegions(use: (fleet: Fleet) => Promise<void>): Promise<void> {
+    return withFleet(6, use, { regions: REGIONS, regionLinks: { bytesPerSecond: RATE, latencyMs: 3 } });
+}
+
+function runnersIn(fleet: Fleet, regions: readonly string[]): FleetProcess[] {
+    return fleet.runners.filter(({ vm }) => regions.includes(vm.region));
+}
+
 /** Starts a peer that announces every chunk and sends each with a wrong byte. */
 async function startCorruptPeer(fleet: Fleet, name: string, digests: readonly string[], read: (key: string) => Buffer) {
     const agent = {
@@ -224,3 +246,37 @@
         await checkLoads(fleet.runners);
     });
 });
+
+// Guards against a region that waits for VMs which it can't reach, and against every VM of it going to the
+// origin. The region reaches the platform, but no VM of another region, for the whole rollout.
+for (const state of ["drops", "refuses"]) {
+    test(`a region that is cut off from the others fetches its own copy from the origin (link ${state})`, async () => {
+        await withRegions(async fleet => {
+            const { rootDigest } = await publish(fleet);
+            await setLink(fleet, "pohjoinen", "etela", state, "vms");
+            await setLink(fleet, "pohjoinen", "lansi", state);
+            await rollOut(fleet, rootDigest);
+            await waitUntilServed(fleet, fleet.runners, rootDigest);
+            await checkLoads(fleet.runners);
+            assert.ok(await originBytes(fleet) <= 2.4 * BYTES);
+        });
+    });
+}
+
+// Guards against a cut between failure domains that stops the rollout elsewhere, that makes an engine load
+// partial weights, or that the region doesn't recover from.
+test("a region without the origin's region serves nothing else, and completes after the cut", async () => {
+    await withRegions(async fleet => {
+        const { rootDigest } = await publish(fleet);
+        await sleep(SETTLE_MS);
+        await setLink(fleet, "lansi", "etela", "drops");
+        await rollOut(fleet, rootDigest);
+        await waitUntilServed(fleet, runnersIn(fleet, ["etela", "pohjoinen"]), rootDigest);
+        const cutOff = await Promise.all(runnersIn(fleet, ["lansi"]).map(fleet.readState));
+        for (const { servingDigest } of cutOff) assert.ok(["", rootDigest].includes(servingDigest));
+        await checkLoads(fleet.runners);
+        await setLink(fleet, "lansi", "etela", "open");
+        await waitUntilServed(fleet, fleet.runners, rootDigest);
+        await checkLoads(fleet.runners);
+    });
+});
