Deliver the recorded answer of a repeated keyed call

Cause: the entry drops the head of an attempt that wasn't admitted, and the agent replayed a result without an admission. Every repeated call that had run ended with 502, "the agent ended the attempt without a result", instead of its recorded answer. The test of the replay looked at the agent's frames only, and its expectation lacked the admission too. Change: a replay begins with an admission; the process-level test repeats a keyed call through an entry.

--- a/src/lib/agent/claims.ts
+++ b/src/lib/agent/claims.ts
@@ -189,6 +189,8 @@
 }
 
 function replay(sink: AnswerSink, { status, headers, body }: ClaimResult): undefined {
+    // An entry drops the head of an attempt that wasn't admitted.
+    sink.send({ $case: "admitted", admitted: { loadGeneration: 0, queueLength: 0 } });
     sink.send({ $case: "head", head: { status, headers: [...headers, { name: REPLAYED_HEADER, value: "true" }] } });
     sink.send({ $case: "data", data: Buffer.from(body ?? "", "base64") });
     sink.send({ $case: "end", end: { verdict: Verdict.ran, error: "", outputTokens: 0 } });
--- a/src/test/agent/claims.test.ts
+++ b/src/test/agent/claims.test.ts
@@ -204,8 +204,10 @@
     const call = { body: "a", fate: "answers", remainingMs: 10_000 } as const;
     const { outcomes: [first, second], runs } = await runInTurn(call, call);
     assert.deepEqual(runs, ["a"]);
-    assert.deepEqual(second?.frames[1], first?.frames[1]);
-    const head = second?.frames[0];
+    // An entry accepts a head only from an admitted attempt; the simulated backend leaves the admission out.
+    assert.deepEqual(second?.frames.map(({ $case }) => $case), ["admitted", "head", "data", "end"]);
+    assert.deepEqual(second?.frames[2], first?.frames[1]);
+    const head = second?.frames[1];
     assert.ok(head?.$case === "head" && head.head.headers.some(({ name }) => name === REPLAYED_HEADER));
 });
 
--- a/src/test/harness/fleet.test.ts
+++ b/src/test/harness/fleet.test.ts
@@ -8,7 +8,8 @@
 import { publishDirectory } from "../../lib/publish/index.js";
 import { expectedToken } from "../../lib/standIn/index.js";
 
-// Guards against a break anywhere on the whole path: publish, profile, rollout, streamed answer, booking.
+// Guards against a break anywhere on the whole path: publish, profile, rollout, streamed answer, booking and its
+// repetition with the same key, which replays the recorded result.
 test("separate processes serve a request and a booking from published weights", async () => {
     const fleet = await startFleet({ entries: 1, runners: 2, bookings: 1 });
     try {
@@ -40,6 +41,21 @@
         const booking = await sendToEntry(entry, "POST", "/services/bookings/b", "client-0", { reference: "r1" });
         assert.equal(booking.status, 201, booking.body.toString());
         assert.deepEqual(JSON.parse(booking.body.toString()), { reference: "r1", state: "booked", run: 1 });
+
+        const key = { "idempotency-key": "k1" };
+        for (const replayed of [undefined, "true"]) {
+            const keyed = await sendToEntry(
+                entry,
+                "POST",
+                "/services/bookings/b",
+                "client-0",
+                { reference: "r2" },
+                key,
+            );
+            assert.equal(keyed.status, 201, keyed.body.toString());
+            assert.equal(keyed.headers["endivewell-replayed"], replayed);
+            assert.deepEqual(JSON.parse(keyed.body.toString()), { reference: "r2", state: "booked", run: 1 });
+        }
     }
     finally {
         await fleet.stop();
