Separate the machine's delays from the system's in the scheduling benches

Change: the stand-in engine writes its send time into each event. flood counts a gap between tokens against the system only if the engine did not already send late, and also prints the figure by arrival; fairness prints the engine's own time. Both print load average and the bench's timer delay, and fairness also the throughput beside one large client. The stand-in engine gets a prompt phase, a limited prefix cache, filler bytes and a switchable rate for tests.

--- a/src/bench/fairness.ts
+++ b/src/bench/fairness.ts
@@ -7,6 +7,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Bench, Figures } from "./bench.js";
 import { measureCapacity, openLoop, type Outcome, percentile, round, type Stream, tokensBetween } from "./load.js";
+import { watchMachine } from "./machine.js";
 import { DESIGNS, type Scheduling, startPool } from "./pool.js";
 
 const RUNNERS = 3;
@@ -38,6 +39,7 @@
     const clients = 1 + SMALL_CLIENTS;
     const { fleet } = await startPool({ entries: ENTRIES, runners: RUNNERS, clients, engine }, design);
     const agent = new http.Agent({ keepAlive: true });
+    const endWatch = watchMachine();
     try {
         const { tokensPerSecond: capacity } = await measureCapacity(
             fleet.runners.map(({ url }) => url),
@@ -68,16 +70,20 @@
             return tokensBetween(all.filter(outcome => outcome.client === client), contended.from, contended.to);
         };
         const shares = [...backlogged, large].map(({ clients: [client = ""] }) => tokensOf(client));
-        const total = tokensBetween(all, contended.from, contended.to);
+        const throughputOf = ({ from, to }: Part) => 1000 * tokensBetween(all, from, to) / (to - from) / capacity;
         return {
             smallP95Ratio: round(p95During / p95Before),
             jain: round(jainIndex(shares)),
             smallP95BeforeMs: round(p95Before, 0),
             smallP95DuringMs: round(p95During, 0),
+            engineP95BeforeMs: round(engineP95Ms(before), 0),
+            engineP95DuringMs: round(engineP95Ms(during), 0),
             smallCompleted: round(completedFraction(during)),
-            throughputOverCapacity: round(1000 * total / (contended.to - contended.from) / capacity),
+            throughputOverCapacity: round(Math.min(throughputOf(during), throughputOf(contended))),
+            throughputDuring: round(throughputOf(during)),
             tokensOfBackloggedClients: shares,
             requests: all.length,
+            machine: endWatch(),
         };
     }
     finally {
@@ -108,6 +114,12 @@
     return percentile(times, 0.95);
 }
 
+/** Time between the engine's first and last token, which the machine alone determines. */
+function engineP95Ms(part: Part): number {
+    const complete = smallRequests(part).filter(outcome => outcome.complete);
+    return percentile(complete.map(({ engineTimes }) => (engineTimes.at(-1) ?? 0) - (engineTimes[0] ?? 0)), 0.95);
+}
+
 function completedFraction(part: Part): number {
     const requests = smallRequests(part);
     return requests.filter(({ complete }) => complete).length / requests.length;
--- a/src/bench/flood.ts
+++ b/src/bench/flood.ts
@@ -6,6 +6,7 @@
 import { FIRST_TOKEN_TARGET_MS, INTER_TOKEN_TARGET_MS, type Rank } from "../lib/core/index.js";
 import type { Bench, Figures } from "./bench.js";
 import { measureCapacity, openLoop, type Outcome, percentile, round, tokensBetween } from "./load.js";
+import { watchMachine } from "./machine.js";
 import { DESIGNS, type Scheduling, startPool } from "./pool.js";
 
 const RUNNERS = 3;
@@ -32,6 +33,7 @@
     const engine = { slots: SLOTS, tokensPerSecond: TOKENS_PER_SECOND };
     const { fleet } = await startPool({ entries: 2, runners: RUNNERS, clients: CLIENTS, engine }, design);
     const agent = new http.Agent({ keepAlive: true });
+    const endWatch = watchMachine();
     try {
         const { tokensPerSecond: capacity, outcomes: direct } = await measureCapacity(
             fleet.runners.map(({ url }) => url),
@@ -66,18 +68,21 @@
         const standardSecond = rateOf("standard", second) / (FLOORS.standard * capacity);
         return {
             urgentWithinTarget: round(within),
+            urgentWithinTargetByArrival: round(urgent.filter(isWithinTargetByArrival).length / urgent.length),
             standardKept: round(Math.min(standardFirst, standardSecond)),
             overnightKept: round(rateOf("overnight", second) / (FLOORS.overnight * capacity)),
             throughputOverCapacity: round(Math.min(rateOf(undefined, first), rateOf(undefined, second)) / capacity),
             capacityTokensPerSecond: round(capacity, 1),
             directGapsInTime: round(direct.filter(areGapsInTime).length / direct.length),
             urgentGapsInTime: round(urgent.filter(areGapsInTime).length / urgent.length),
+            engineGapsInTime: round(urgent.filter(areEngineGapsInTime).length / urgent.length),
             urgentFirstTokenInTime: round(
                 urgent.filter(outcome => firstTokenMs(outcome) <= FIRST_TOKEN_TARGET_MS).length / urgent.length,
             ),
             urgentFirstTokenP95Ms: round(percentile(urgent.map(firstTokenMs), 0.95), 0),
             urgentSent: urgent.length,
             requests: all.length,
+            machine: endWatch(),
             sharesFirst: sharesOf(first, capacity, rateOf),
             sharesSecond: sharesOf(second, capacity, rateOf),
         };
@@ -110,12 +115,30 @@
     return (tokenTimes[0] ?? Infinity) - sentAt;
 }
 
+/** A gap that the engine made itself by sending late isn't counted against the system. */
 function isWithinTarget(outcome: Outcome): boolean {
+    return outcome.status === 200 && firstTokenMs(outcome) <= FIRST_TOKEN_TARGET_MS && areOwnGapsInTime(outcome);
+}
+
+function isWithinTargetByArrival(outcome: Outcome): boolean {
     return outcome.status === 200 && firstTokenMs(outcome) <= FIRST_TOKEN_TARGET_MS && areGapsInTime(outcome);
 }
 
 /** 95 of 100 gaps between tokens are in time. */
 function areGapsInTime({ tokenTimes }: Outcome): boolean {
-    const gaps = tokenTimes.slice(1).map((at, index) => at - (tokenTimes[index] ?? at));
-    return percentile(gaps, 0.95) <= INTER_TOKEN_TARGET_MS;
+    return percentile(gapsOf(tokenTimes), 0.95) <= INTER_TOKEN_TARGET_MS;
+}
+
+function areEngineGapsInTime({ engineTimes }: Outcome): boolean {
+    return percentile(gapsOf(engineTimes), 0.95) <= INTER_TOKEN_TARGET_MS;
+}
+
+function areOwnGapsInTime({ tokenTimes, engineTimes }: Outcome): boolean {
+    const engineGaps = gapsOf(engineTimes);
+    const ownGaps = gapsOf(tokenTimes).map((gap, index) => (engineGaps[index] ?? 0) > INTER_TOKEN_TARGET_MS ? 0 : gap);
+    return percentile(ownGaps, 0.95) <= INTER_TOKEN_TARGET_MS;
+}
+
+function gapsOf(times: readonly number[]): number[] {
+    return times.slice(1).map((at, index) => at - (times[index] ?? at));
 }
--- a/src/bench/load.ts
+++ b/src/bench/load.ts
@@ -13,6 +13,8 @@
     /** 0 if there was no answer. */
     status: number;
     readonly tokenTimes: number[];
+    /** When the engine sent each token, on its own clock; NaN if the event did not arrive in one piece. */
+    readonly engineTimes: number[];
     endedAt: number;
     complete: boolean;
 }
@@ -36,6 +38,7 @@
         sentAt: performance.now(),
         status: 0,
         tokenTimes: [],
+        engineTimes: [],
         endedAt: 0,
         complete: false,
     };
@@ -61,7 +64,9 @@
                 const at = performance.now();
                 for (const event of text.split("\n\n")) {
                     if (event.startsWith("data: [DONE]")) outcome.complete = true;
-                    else if (event.startsWith("data: {\"object\"")) outcome.tokenTimes.push(at);
+                    if (!event.startsWith("data: {\"object\"")) continue;
+                    outcome.tokenTimes.push(at);
+                    outcome.engineTimes.push(Number(/"sentAt":([\d.]+),/.exec(event)?.[1] ?? Number.NaN));
                 }
             });
             response.on("close", end);
--- a/src/lib/standIn/engine.ts
+++ b/src/lib/standIn/engine.ts
@@ -11,6 +11,7 @@
 import { digestOf, parseManifest } from "../core/index.js";
 import { createFaultSwitches, type FaultSwitches } from "./faults.js";
 import { answerJson, readJson, type RunningServer, startHttpServer } from "./httpServer.js";
+import { createPrefixCache } from "./prefixCache.js";
 
 export interface EngineOptions {
     /** Requests that generate at the same time; others wait. */
@@ -19,6 +20,12 @@
     /** Engines that don't check fencing numbers execute every order. */
     readonly ignoresFence: boolean;
     readonly seed: number;
+    /** Speed of the prompt phase before the first token; without it that phase takes no time. */
+    readonly promptTokensPerSecond?: number;
+    /** Size of the prefix cache, in blocks of 64 characters; 0 or absent for none. */
+    readonly prefixCacheBlocks?: number;
+    /** Bytes of filler in each event, so that a test can fill the buffers on the way to a caller. */
+    readonly fillerBytes?: number;
     readonly port?: number;
     readonly host?: string;
 }
@@ -28,6 +35,9 @@
     readonly loads: readonly { readonly digest: string; readonly fence: number; }[];
     /** Orders whose directory didn't hold exactly the named version. */
     readonly wrongLoads: number;
+    /** Tokens of all prompts, and those among them that were cached. */
+    readonly promptTokens: number;
+    readonly cachedPromptTokens: number;
     readonly completed: number;
     readonly cancelled: number;
 }
@@ -61,6 +71,7 @@
 }
 
 const DEFAULT_TOKENS = 16;
+const CHARACTERS_PER_TOKEN = 4;
 
 /** Returns the text that an engine which serves `digest` generates at a position for a prompt. */
 export function expectedToken(digest: string, prompt: string, position: number): string {
@@ -74,6 +85,10 @@
     const waiting: Waiter[] = [];
     let state = { digest: "", generation: 1, fence: 0 };
     let running = 0;
+    const prefixCache = createPrefixCache(options.prefixCacheBlocks ?? 0);
+    const filler = "x".repeat(options.fillerBytes ?? 0);
+    let promptTokens = 0;
+    let cachedPromptTokens = 0;
     let wrongLoads = 0;
     let completed = 0;
     let cancelled = 0;
@@ -147,8 +162,9 @@
         };
         let text = "";
         if (body.stream === true) response.writeHead(200, { "content-type": "text/event-stream", ...headers });
+        await readPrompt(prompt);
         for (let position = first; position < tokens; position++) {
-            await sleep(1000 / options.tokensPerSecond);
+            await sleep(1000 / (faults.current().tokensPerSecond || options.tokensPerSecond));
             const { breakAfterTokens, malformed } = faults.current();
             if (breakAfterTokens > 0 && position - first >= breakAfterTokens) response.destroy();
             if (malformed) response.write("data: {\"choices\": [\n\n");
@@ -159,13 +175,24 @@
             // Uses the version that is loaded now, as an engine that is switched in mid-answer would.
             const token = expectedToken(state.digest, prompt, position);
             text += token;
-            if (body.stream === true) response.write(`data: ${JSON.stringify(streamEvent(token))}\n\n`);
+            if (body.stream === true) response.write(`data: ${JSON.stringify(streamEvent(token, filler))}\n\n`);
         }
         completed++;
         if (body.stream === true) response.end("data: [DONE]\n\n");
         else answerJson(response, 200, completion(text, tokens), headers);
     }
 
+    /** The prompt phase, which a cached prefix shortens. */
+    async function readPrompt(prompt: string): Promise<void> {
+        const cached = Math.floor(prefixCache.use(prompt) / CHARACTERS_PER_TOKEN);
+        const whole = Math.ceil(prompt.length / CHARACTERS_PER_TOKEN);
+        promptTokens += whole;
+        cachedPromptTokens += cached;
+        if (options.promptTokensPerSecond !== undefined) {
+            await sleep(1000 * (whole - cached) / options.promptTokensPerSecond);
+        }
+    }
+
     function takeSlot(priority: number): Promise<void> {
         if (running < options.slots) {
             running++;
@@ -184,7 +211,7 @@
     }
 
     function evidence(): EngineEvidence {
-        return { loads, wrongLoads, completed, cancelled };
+        return { loads, wrongLoads, promptTokens, cachedPromptTokens, completed, cancelled };
     }
 
     function restart(): void {
@@ -195,8 +222,15 @@
     return { ...server, faults, evidence, restart };
 }
 
-function streamEvent(content: string) {
-    return { object: "chat.completion.chunk", choices: [{ index: 0, delta: { content } }] };
+/** `sentAt` lets a bench tell a token that the engine itself made late from one that was delayed on its way. */
+function streamEvent(content: string, filler: string) {
+    const sentAt = performance.timeOrigin + performance.now();
+    return {
+        object: "chat.completion.chunk",
+        sentAt,
+        choices: [{ index: 0, delta: { content } }],
+        ...filler === "" ? {} : { filler },
+    };
 }
 
 function completion(content: string, tokens: number) {
--- a/src/lib/standIn/faults.ts
+++ b/src/lib/standIn/faults.ts
@@ -27,6 +27,8 @@
     stall: z.boolean().default(false),
     /** Tokens after which an engine breaks off each answer; 0 for never. */
     breakAfterTokens: z.int().min(0).default(0),
+    /** Rate of an engine in place of its own one; 0 for its own. */
+    tokensPerSecond: z.number().min(0).default(0),
     /** An engine sends events that aren't valid JSON. */
     malformed: z.boolean().default(false),
 });
