Test slow callers, resident size under abuse, prefix affinity and the concurrency limit as processes

Cause: these were tested only in single modules or not at all. Change: entry/load.test.ts runs them through entry, agent and stand-in engine; limits.test.ts also bounds the entry's resident size, and its endless bodies now send up to 1 MB every 50 ms each.

--- a/src/test/entry/limits.test.ts
+++ b/src/test/entry/limits.test.ts
@@ -1,9 +1,10 @@
 import assert from "node:assert/strict";
+import { readFile } from "node:fs/promises";
 import { connect, type Socket } from "node:net";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { PROFILE, startPool } from "../../bench/pool.js";
-import { sendToEntry } from "../../harness/index.js";
+import { type FleetProcess, sendToEntry } from "../../harness/index.js";
 
 const LIMITS = { connections: 100, requestMs: 1500, requestsPerClient: 10, bodyBytes: 8192, bufferedBodyBytes: 65536 };
 
@@ -14,9 +15,15 @@
     return socket;
 }
 
+/** Largest resident size that the process has had so far. */
+async function peakResidentBytes({ pid }: FleetProcess): Promise<number> {
+    const status = await readFile(`/proc/${pid}/status`, "utf8");
+    return 1024 * Number(/^VmHWM:\s+(\d+) kB/m.exec(status)?.[1]);
+}
+
 // Guards against callers that hold the entry's connections, memory or slots to the harm of others: idle
 // connections, slow senders, endless bodies, and one account with unlimited parallel calls.
-test("abuse by some callers is bounded and others are served", async () => {
+test("abuse by some callers is bounded and others are served", async context => {
     const engine = { slots: 8, tokensPerSecond: 50 };
     const { fleet } = await startPool(
         { entries: 1, runners: 1, engine, entrySettings: { limits: LIMITS } },
@@ -35,22 +42,25 @@
             return `POST /v1/completions HTTP/1.1\r\nhost: e\r\nauthorization: Bearer client-0\r\n${length}\r\n\r\n`;
         };
 
+        await serveOther("no abuse");
+        const before = await peakResidentBytes(entry);
         for (let i = 0; i < 200; i++) sockets.push(openSocket(entry.url, ""));
         await sleep(300);
         await serveOther("idle connections");
 
         const slow = Array.from({ length: 20 }, () => openSocket(entry.url, head("content-length: 100")));
-        const endless = openSocket(entry.url, head("transfer-encoding: chunked"));
-        sockets.push(...slow, endless);
+        const endless = Array.from({ length: 4 }, () => openSocket(entry.url, head("transfer-encoding: chunked")));
+        const megabyte = `100000\r\n${"x".repeat(0x100000)}\r\n`;
+        sockets.push(...slow, ...endless);
         const timer = setInterval(() => {
             for (const socket of slow) if (!socket.destroyed) socket.write("x");
-            if (!endless.destroyed) endless.write(`1000\r\n${"x".repeat(4096)}\r\n`);
+            for (const socket of endless) if (!socket.destroyed) socket.write(megabyte);
         }, 50);
         await serveOther("slow senders");
         await sleep(4000);
         clearInterval(timer);
         assert.ok(slow.every(socket => socket.closed), "slow senders are disconnected");
-        assert.ok(endless.closed, "an endless body is cut off");
+        assert.ok(endless.every(socket => socket.closed), "an endless body is cut off");
 
         const greedy = await Promise.all(Array.from({ length: 30 }, () => {
             return sendToEntry(entry, "POST", "/v1/completions", "client-0", { ...body, max_tokens: 40 });
@@ -59,6 +69,9 @@
         assert.equal(refused.length, 20);
         assert.ok(refused.every(({ headers }) => headers["endivewell-verdict"] === "notRun" && headers["retry-after"]));
         await serveOther("parallel calls");
+        const grown = Math.round((await peakResidentBytes(entry) - before) / 1e6);
+        context.diagnostic(`the entry grew by ${grown} MB`);
+        assert.ok(grown < 48, `the entry grew by ${grown} MB`);
     }
     finally {
         for (const socket of sockets) socket.destroy();
--- /dev/null
+++ b/src/test/entry/load.test.ts
@@ -0,0 +1,136 @@
+import assert from "node:assert/strict";
+import { readFile } from "node:fs/promises";
+import { connect } from "node:net";
+import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { PROFILE, startPool } from "../../bench/pool.js";
+import { type Fleet, type FleetProcess, sendToEntry, waitUntil } from "../../harness/index.js";
+import { sendRequest } from "../../lib/platform/index.js";
+import type { EngineEvidence } from "../../lib/standIn/index.js";
+
+interface Parts {
+    readonly fleet: Fleet;
+    readonly entry: FleetProcess;
+    readonly runner: FleetProcess;
+}
+
+async function withPool(options: Parameters<typeof startPool>[0], run: (parts: Parts) => Promise<void>) {
+    const { fleet } = await startPool({ entries: 1, ...options }, "agentQueues");
+    try {
+        const [[entry], [runner]] = [fleet.entries, fleet.runners];
+        assert.ok(entry && runner);
+        await run({ fleet, entry, runner });
+    }
+    finally {
+        await fleet.stop();
+    }
+}
+
+function complete(entry: FleetProcess, client: string, prompt: string, tokens: number) {
+    const body = { model: PROFILE, stream: true, max_tokens: tokens, prompt };
+    return sendToEntry(entry, "POST", "/v1/completions", client, body);
+}
+
+async function evidence({ url }: FleetProcess): Promise<EngineEvidence> {
+    return JSON.parse((await sendRequest({ method: "GET", url: `${url}/evidence` })).body.toString());
+}
+
+async function residentBytes({ pid }: FleetProcess): Promise<number> {
+    const status = await readFile(`/proc/${pid}/status`, "utf8");
+    return 1024 * Number(/^VmRSS:\s+(\d+) kB/m.exec(status)?.[1]);
+}
+
+// Guards against memory that grows with a caller that doesn't read, against its slot at the engine that is
+// never freed, and against other callers that wait for it.
+test("a caller that reads nothing costs bounded memory, loses its slot, and harms no other", async context => {
+    const engine = { slots: 2, tokensPerSecond: 500, fillerBytes: 32 * 1024 };
+    await withPool({ runners: 1, engine }, async ({ fleet, entry, runner }) => {
+        await complete(entry, "client-1", "warm-up", 20);
+        const before = [await residentBytes(entry), await residentBytes(runner)];
+        const body = JSON.stringify({ model: PROFILE, stream: true, max_tokens: 20_000, prompt: "unread" });
+        const socket = connect(Number(new URL(entry.url).port), "127.0.0.1");
+        socket.on("error", () => undefined);
+        socket.pause();
+        socket.write(
+            "POST /v1/completions HTTP/1.1\r\nhost: e\r\nauthorization: Bearer client-0\r\n" +
+                `content-length: ${body.length}\r\n\r\n${body}`,
+        );
+        const startedAt = performance.now();
+        let others = 0;
+        let peaks = before;
+        for (let freed = false; !freed; freed = (await fleet.readState(runner)).running === 0) {
+            assert.ok(performance.now() - startedAt < 45_000, "the slot is not freed");
+            assert.equal((await complete(entry, "client-1", "other", 2)).status, 200);
+            others++;
+            const sizes = [await residentBytes(entry), await residentBytes(runner)];
+            peaks = peaks.map((peak, index) => Math.max(peak, sizes[index] ?? 0));
+            await sleep(250);
+        }
+        const grown = peaks.map((peak, index) => Math.round((peak - (before[index] ?? 0)) / 1e6));
+        context.diagnostic(`freed after ${Math.round(performance.now() - startedAt)} ms; grown ${grown.join(", ")} MB`);
+        assert.ok(performance.now() - startedAt > 5000, "the caller was not behind");
+        assert.ok(others >= 10, `${others} others were served`);
+        assert.ok(grown.every(megabytes => megabytes < 64), `entry and agent grew by ${grown.join(", ")} MB`);
+        assert.equal((await evidence(runner)).cancelled, 1);
+        socket.destroy();
+    });
+});
+
+// Guards against routing that spreads a conversation over engines, each of which then reads its whole prompt.
+test("requests with the same prefix find it in the cache of one engine", async () => {
+    const CONVERSATIONS = 6;
+    const ROUNDS = 5;
+    const BLOCKS_PER_CONVERSATION = 32;
+    const engine = {
+        slots: 8,
+        tokensPerSecond: 500,
+        promptTokensPerSecond: 10_000,
+        prefixCacheBlocks: (CONVERSATIONS - 1) * BLOCKS_PER_CONVERSATION,
+    };
+    await withPool({ runners: 3, engine }, async ({ fleet, entry }) => {
+        const totals = async () => {
+            const all = await Promise.all(fleet.runners.map(evidence));
+            return {
+                whole: all.reduce((sum, { promptTokens }) => sum + promptTokens, 0),
+                cached: all.reduce((sum, { cachedPromptTokens }) => sum + cachedPromptTokens, 0),
+            };
+        };
+        const round = async () => {
+            for (let i = 0; i < CONVERSATIONS; i++) {
+                const prompt = `conversation ${i} `.repeat(200).slice(0, 64 * BLOCKS_PER_CONVERSATION);
+                assert.equal((await complete(entry, "client-0", prompt, 2)).status, 200);
+            }
+        };
+        await round();
+        const first = await totals();
+        assert.equal(first.cached, 0);
+        for (let i = 1; i < ROUNDS; i++) await round();
+        const last = await totals();
+        // Three engines chosen at random would find about 0.6 of the prompts cached.
+        const fraction = (last.cached - first.cached) / (last.whole - first.whole);
+        assert.ok(fraction >= 0.9, `${fraction.toFixed(2)} of the prompt tokens were cached`);
+    });
+});
+
+// Guards against a limit that stays while the engine misses the target between tokens, and against one that
+// never rises again.
+test("the concurrency limit falls while tokens come too slowly, and recovers", async () => {
+    await withPool({ runners: 1, engine: { slots: 8, tokensPerSecond: 50 } }, async ({ fleet, entry, runner }) => {
+        let active = true;
+        const limit = async () => (await fleet.readState(runner)).concurrencyLimit;
+        const callers = Array.from({ length: 16 }, async (_, index) => {
+            while (active) await complete(entry, `client-${index % 4}`, `limit ${index}`, 8);
+        });
+        try {
+            assert.equal(await limit(), 8);
+            await fleet.setFaults(runner.url, { tokensPerSecond: 10 });
+            await waitUntil("the limit has fallen", async () => await limit() <= 6, 15_000);
+            await fleet.setFaults(runner.url, { tokensPerSecond: 0 });
+            await waitUntil("the limit has recovered", async () => await limit() === 8, 15_000);
+        }
+        finally {
+            active = false;
+            await Promise.all(callers);
+        }
+    });
+});
