--- a/src/lib/agent/gate.ts
+++ b/src/lib/agent/gate.ts
@@ -96,10 +96,14 @@
     /** Starts queued requests while there are free slots. */
     function pump(): void {
         while (!paused && running < limit.current()) {
-            const delay = options.ranked ? pace.delayMs(statistics.meanDurationMs(), limit.current()) : 0;
-            const item = queue.take((rank, client) => delay === 0 || !isPaced(rank, client));
+            let shortestDelay = Infinity;
+            const item = queue.take((rank, client) => {
+                const delay = startDelayMs(rank, client);
+                if (delay > 0) shortestDelay = Math.min(shortestDelay, delay);
+                return delay === 0;
+            });
             if (item === undefined) {
-                if (delay > 0 && queue.length() > 0) paceTimer ??= setTimeout(pumpPaced, delay);
+                if (shortestDelay < Infinity) paceTimer ??= setTimeout(pumpPaced, shortestDelay);
                 break;
             }
             pace.recordStart();
@@ -113,8 +117,9 @@
         pump();
     }
 
-    function isPaced(rank: Rank, client: string): boolean {
-        return pace.isPaced(rank, runningByClient.get(client) ?? 0, limit.current());
+    function startDelayMs(rank: Rank, client: string): number {
+        if (!options.ranked) return 0;
+        return pace.delayMs(rank, runningByClient.get(client) ?? 0, limit.current(), statistics.meanDurationMs());
     }
 
     function countRunning(client: string, change: 1 | -1): void {
--- a/src/lib/agent/startPace.ts
+++ b/src/lib/agent/startPace.ts
@@ -5,27 +5,36 @@
 import { Rank } from "../core/index.js";
 
 export interface StartPace {
-    /** Time until the next paced request may start; 0 while the duration of requests is unknown. */
-    delayMs(meanDurationMs: number | undefined, slots: number): number;
-    /** Tells whether a request waits for the pace; `own` is the number of running requests of its client. */
-    isPaced(rank: Rank, own: number, slots: number): boolean;
+    /**
+     * Time until a request may start; 0 while the mean duration of requests is unknown.
+     *
+     * @param own number of running requests of the same client.
+     */
+    delayMs(rank: Rank, own: number, slots: number, meanDurationMs: number | undefined): number;
     recordStart(): void;
 }
 
-/** Paced requests start at least this fraction of a slot's mean turnover apart, so that slots become free evenly. */
-const PACE = 0.8;
+/**
+ * Paced requests start at least this fraction of a slot's mean turnover apart, so that slots become free evenly.
+ * Overnight work must be able to fill the slots beside even arrivals of other ranks. A large client's starts
+ * are further apart, because a small client then seldom waits for more than one turnover.
+ */
+const OVERNIGHT_PACE = 0.8;
+const LARGE_CLIENT_PACE = 1;
 
 export function createStartPace(now: () => number): StartPace {
     let lastStartAt = Number.NEGATIVE_INFINITY;
 
-    function delayMs(meanDurationMs: number | undefined, slots: number): number {
-        if (meanDurationMs === undefined) return 0;
-        return Math.max(0, lastStartAt + PACE * meanDurationMs / slots - now());
+    function delayMs(rank: Rank, own: number, slots: number, meanDurationMs: number | undefined): number {
+        const pace = paceOf(rank, own, slots);
+        if (pace === 0 || meanDurationMs === undefined) return 0;
+        return Math.max(0, lastStartAt + pace * meanDurationMs / slots - now());
     }
 
-    return {
-        delayMs,
-        isPaced: (rank, own, slots) => rank === Rank.overnight || 2 * own >= slots,
-        recordStart: () => void (lastStartAt = now()),
-    };
+    return { delayMs, recordStart: () => void (lastStartAt = now()) };
+}
+
+function paceOf(rank: Rank, own: number, slots: number): number {
+    if (2 * own >= slots) return LARGE_CLIENT_PACE;
+    return rank === Rank.overnight ? OVERNIGHT_PACE : 0;
 }
--- /dev/null
+++ b/src/test/agent/startPace.test.ts
@@ -0,0 +1,24 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createStartPace } from "../../lib/agent/startPace.js";
+import { Rank } from "../../lib/core/index.js";
+
+const SLOTS = 8;
+const DURATION_MS = 1600;
+
+// Guards against starts in a burst, after which a small client waits for a whole answer, and against pacing
+// that delays the work that it should protect.
+test("only overnight work and large clients wait for the pace", () => {
+    let now = 0;
+    const pace = createStartPace(() => now);
+    const delay = (rank: Rank, own: number) => pace.delayMs(rank, own, SLOTS, DURATION_MS);
+    assert.equal(delay(Rank.overnight, 0), 0);
+    pace.recordStart();
+    now = 100;
+    assert.equal(delay(Rank.urgent, 3), 0);
+    assert.equal(delay(Rank.standard, 3), 0);
+    assert.equal(delay(Rank.overnight, 3), 60);
+    assert.equal(delay(Rank.urgent, 4), 100);
+    assert.equal(delay(Rank.overnight, 4), 100);
+    assert.equal(pace.delayMs(Rank.overnight, 4, SLOTS, undefined), 0);
+});
