Weigh VMs for chunks with a fast hash

Cause: each agent weighs every VM for every chunk at the start of a transfer and after each change of the list.

--- a/src/lib/agent/peerStrategy.ts
+++ b/src/lib/agent/peerStrategy.ts
@@ -1,7 +1,7 @@
 /** The transfer between agents: carries out the requests that the transfer plan chooses. */
 import {
-    assignChunk,
     type ChunkAssignment,
+    createChunkAssigner,
     createTransferPlan,
     type PlannedRequest,
     RequestOutcome,
@@ -140,8 +140,9 @@
         if (key === assignedTo) return;
         assignedTo = key;
         const { weightStoreRegion } = settings.platform;
+        const assign = createChunkAssigner(self, members, weightStoreRegion);
         upstream = chunks.map(({ digest }) => {
-            const assignment = assignChunk(digest, self, members, weightStoreRegion);
+            const assignment = assign(digest);
             return { ...assignment, delayMs: takeoverDelayMs(assignment.rank, random(), takeoverStepMs) };
         });
         turnMs = planTurns(new Map(peers.map(vm => [vm.name, vm.region])));
--- a/src/lib/core/chunkAssignment.ts
+++ b/src/lib/core/chunkAssignment.ts
@@ -4,7 +4,7 @@
  * twice, which costs bandwidth but never affects correctness.
  */
 import type { Digest } from "./manifest.js";
-import { rankMembers } from "./rendezvous.js";
+import { firstMember, rankMembers, rankOf } from "./rendezvous.js";
 
 /** A VM that wants the version. */
 export interface Participant {
@@ -40,20 +40,36 @@
     return distinct.includes(originRegion) ? [originRegion, ...others] : others;
 }
 
-/** Returns the part of `self` in fetching a chunk. `vms` includes `self`. */
-export function assignChunk(
-    chunk: Digest,
+/**
+ * Returns a function that gives the part of `self` in fetching a chunk. `vms` includes `self`. The function
+ * weighs every VM once, so it is called once for each chunk and list of VMs.
+ */
+export function createChunkAssigner(
     self: Participant,
     vms: readonly Participant[],
     originRegion: string,
-): ChunkAssignment {
-    const namesOf = (region: string) => vms.filter(vm => vm.region === region).map(vm => vm.name);
-    const rank = Math.max(0, rankMembers(chunk, namesOf(self.region)).indexOf(self.name));
-    const regions = orderRegions(chunk, originRegion, vms.map(vm => vm.region));
-    const own = Math.max(0, regions.indexOf(self.region));
-    const firstsOf = (list: readonly string[]) =>
-        list.flatMap(region => rankMembers(chunk, namesOf(region)).slice(0, 1));
-    return { rank, sources: firstsOf(regions.slice(0, own).reverse()), lateSources: firstsOf(regions.slice(own + 1)) };
+): (chunk: Digest) => ChunkAssignment {
+    const names = new Map<string, string[]>();
+    for (const { name, region } of vms) {
+        const known = names.get(region);
+        if (known === undefined) names.set(region, [name]);
+        else known.push(name);
+    }
+    const all = [...names.keys()];
+
+    return chunk => {
+        const rank = Math.max(0, rankOf(chunk, self.name, names.get(self.region) ?? []));
+        const regions = orderRegions(chunk, originRegion, all);
+        const own = Math.max(0, regions.indexOf(self.region));
+        const firstsOf = (list: readonly string[]) => {
+            return list.flatMap(region => firstMember(chunk, names.get(region) ?? []) ?? []);
+        };
+        return {
+            rank,
+            sources: firstsOf(regions.slice(0, own).reverse()),
+            lateSources: firstsOf(regions.slice(own + 1)),
+        };
+    };
 }
 
 /**
--- a/src/lib/core/rendezvous.ts
+++ b/src/lib/core/rendezvous.ts
@@ -1,29 +1,56 @@
 /**
  * Rendezvous hashing: every process that knows the same members computes the same order of members for
  * a key, and losing a member moves only the keys that it was first for.
+ *
+ * The hash is fast rather than cryptographic: an agent weighs every VM for every chunk of a version, which
+ * is millions of hashes for a large rollout, and a chosen name could at worst attract load.
  */
-import { createHash } from "node:crypto";
-
-const WEIGHT_BYTES = 6;
+import MurmurHash3 from "imurmurhash";
 
 /** Returns the members in order of preference for the key. Equal inputs give equal orders everywhere. */
 export function rankMembers(key: string, members: readonly string[]): string[] {
+    const seed = seedOf(key);
     return members
-        .map(member => ({ member, weight: weightOf(key, member) }))
-        .sort((a, b) => b.weight - a.weight || (a.member < b.member ? -1 : 1))
+        .map(member => ({ member, weight: weightOf(seed, member) }))
+        .sort((a, b) => isBefore(a.weight, a.member, b.weight, b.member) ? -1 : 1)
         .map(({ member }) => member);
 }
 
+/** Returns the first member in the order for the key, or `undefined` if there are none. */
+export function firstMember(key: string, members: readonly string[]): string | undefined {
+    const seed = seedOf(key);
+    let first: string | undefined;
+    let firstWeight = 0;
+    for (const member of members) {
+        const weight = weightOf(seed, member);
+        if (first !== undefined && !isBefore(weight, member, firstWeight, first)) continue;
+        first = member;
+        firstWeight = weight;
+    }
+    return first;
+}
+
 /** Returns the position of a member in the order for the key, or -1 if it isn't a member. */
 export function rankOf(key: string, member: string, members: readonly string[]): number {
-    if (!members.includes(member)) return -1;
-    const own = weightOf(key, member);
-    return members.filter(other => {
-        const weight = weightOf(key, other);
-        return weight > own || (weight === own && other < member);
-    }).length;
+    const seed = seedOf(key);
+    const own = weightOf(seed, member);
+    let rank = 0;
+    let isMember = false;
+    for (const other of members) {
+        if (other === member) isMember = true;
+        else if (isBefore(weightOf(seed, other), other, own, member)) rank++;
+    }
+    return isMember ? rank : -1;
+}
+
+function isBefore(weight: number, member: string, otherWeight: number, other: string): boolean {
+    return weight > otherWeight || (weight === otherWeight && member < other);
+}
+
+function seedOf(key: string): number {
+    return MurmurHash3(key, 0).result();
 }
 
-function weightOf(key: string, member: string): number {
-    return createHash("sha256").update(key).update("\0").update(member).digest().readUIntBE(0, WEIGHT_BYTES);
+function weightOf(seed: number, member: string): number {
+    return MurmurHash3(member, seed).result();
 }
--- a/src/test/core/chunkAssignment.test.ts
+++ b/src/test/core/chunkAssignment.test.ts
@@ -1,7 +1,13 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { assignChunk, MAX_TAKEOVER_STEPS, orderRegions, takeoverDelayMs } from "../../lib/core/chunkAssignment.js";
+import {
+    createChunkAssigner,
+    MAX_TAKEOVER_STEPS,
+    orderRegions,
+    type Participant,
+    takeoverDelayMs,
+} from "../../lib/core/chunkAssignment.js";
 
 const SEED = 1;
 const REGIONS = ["etela", "lansi", "pohjoinen"];
@@ -11,6 +17,10 @@
 );
 const digests = fc.stringMatching(/^[0-9a-f]{64}$/);
 
+function assignChunk(digest: string, self: Participant, vms: readonly Participant[], originRegion: string) {
+    return createChunkAssigner(self, vms, originRegion)(digest);
+}
+
 // Guards against a chunk that no VM of a region fetches, or that several fetch at once.
 test("the ranks of a region's VMs are 0, 1, 2 and so on", () => {
     fc.assert(
