Read a manifest from two VMs of the region

Cause: every VM read the manifest from the weight store. At 8,192 chunks it is about 0.7 MB, so 155 VMs of a region would send more than 100 MB over a link of 15 Mbit/s (estimate). Change: two VMs of a region, by rendezvous order, read it from the store; the others ask them first. Conclusion: 2 reads for 8 VMs in a test, and all 8 when the readers don't answer.

--- a/src/lib/agent/agent.ts
+++ b/src/lib/agent/agent.ts
@@ -4,16 +4,10 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import VError from "verror";
 import { DEFAULT_QUEUE_POLICY, type ProfileEntry, profilesOf } from "../core/index.js";
-import {
-    createEventRecorder,
-    createNodeService,
-    createProfileStore,
-    startConfigurationSync,
-    startMembershipTask,
-} from "../node/index.js";
-import { createLog, createMetrics, DevWarning, issueDevWarning } from "../observability/index.js";
-import { createEngine, createObjectStore, createTableService, createVmList } from "../platform/index.js";
-import { type AgentState, createConnections, createCredentials, startRpcServer } from "../rpc/index.js";
+import { createNodeService, createProfileStore, startNodeParts } from "../node/index.js";
+import { createLog, DevWarning, issueDevWarning } from "../observability/index.js";
+import { createEngine } from "../platform/index.js";
+import { type AgentState, startRpcServer } from "../rpc/index.js";
 import type { AgentSettings } from "../settings/index.js";
 import { type Activation, startActivation } from "./activation.js";
 import { createAgentService, type StateListener } from "./agentService.js";
@@ -52,29 +46,11 @@
 
 export async function startAgent(settings: AgentSettings): Promise<RunningAgent> {
     const { platform, backendServer } = settings;
-    const { timeoutMs } = platform;
     warnAboutBaselines(settings);
     if (backendServer.kind === "model") prepareDirectory(settings.weightsPath);
-    const now = () => Date.now();
-    const metrics = await createMetrics(settings.metrics, settings.process);
-    const events = createEventRecorder(settings.process, now);
-    const table = createTableService({ url: platform.tableUrl, timeoutMs });
-    const weightStore = createObjectStore({ url: platform.weightStoreUrl, timeoutMs });
-    const engine = createEngine({ url: backendServer.url, timeoutMs });
-    const membership = startMembershipTask(createVmList({ url: platform.vmListUrl, timeoutMs }), settings.pollMs);
-    const credentials = createCredentials(settings.tls);
-    const connections = createConnections(credentials);
-    const configuration = startConfigurationSync({
-        process: settings.process,
-        failureDomain: settings.failureDomain,
-        table,
-        vms: membership.current,
-        connections,
-        events,
-        pollMs: settings.pollMs,
-        now,
-        random: Math.random,
-    });
+    const parts = await startNodeParts(settings);
+    const { now, metrics, events, table, weightStore, membership, credentials, connections, configuration } = parts;
+    const engine = createEngine({ url: backendServer.url, timeoutMs: platform.timeoutMs });
     const store = createChunkStore(settings.weightsPath);
     const held = createHeldVersions(store);
     const links = createLinks(settings.links, settings.region, () => performance.now());
@@ -221,8 +197,7 @@
         await Promise.race([Promise.all([drained, notice]), sleep(settings.drainMs, undefined, { ref: false })]);
         // An order in progress can take minutes; its lease then expires.
         await Promise.race([activation?.stop(), new Promise(resolve => setTimeout(resolve, 1000).unref())]);
-        await Promise.all([membership.stop(), configuration.stop()]);
-        connections.close();
+        await parts.stop();
         await rpc.stop(1000);
         await metrics.close();
     }
--- a/src/lib/agent/claims.ts
+++ b/src/lib/agent/claims.ts
@@ -5,6 +5,7 @@
  */
 import { createHash, randomUUID } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
+import { match } from "ts-pattern";
 import {
     afterClaimRead,
     afterClaimWrite,
@@ -15,6 +16,8 @@
     type ClaimResult,
     type ClaimRow,
     type ClaimStep,
+    type ClaimWriteStep,
+    isClaimEnd,
     type Settlement,
     Verdict,
 } from "../core/index.js";
@@ -95,23 +98,33 @@
             unclearWrites: 0,
             mayTakeEffect: false,
         };
-        let step: ClaimStep = { kind: "insert" };
-        for (;;) {
-            if (step.kind === "run") return begin({ key, attempt, etag: step.etag }, sink);
-            if (step.kind === "replay") return replay(sink, step.result);
-            if (step.kind === "refuse") {
-                if (attempt.mayTakeEffect) settle({ key, attempt }, { kind: "release" });
-                return refuse(sink, step.refusal);
-            }
-            if (step.kind === "insert" || step.kind === "takeOver") {
-                const write = await put(key, { ...ownRow(attempt), state: "claimed" }, conditionOf(step));
-                if (write.kind === "unclear") attempt = afterUnclearWrite(attempt, write.cause);
-                step = afterClaimWrite(write);
-                continue;
-            }
-            if (step.kind === "wait") await pause(POLL_MS);
-            step = afterClaimRead(attempt, await table.read(CLAIMS_TABLE, key), now());
+
+        async function write(step: ClaimWriteStep): Promise<ClaimStep> {
+            const result = await put(key, { ...ownRow(attempt), state: "claimed" }, conditionOf(step));
+            if (result.kind === "unclear") attempt = afterUnclearWrite(attempt, result.cause);
+            return afterClaimWrite(result);
         }
+
+        async function read(): Promise<ClaimStep> {
+            return afterClaimRead(attempt, await table.read(CLAIMS_TABLE, key), now());
+        }
+
+        let step = { kind: "insert" } as ClaimStep;
+        while (!isClaimEnd(step)) {
+            step = await match(step)
+                .with({ kind: "insert" }, { kind: "takeOver" }, write)
+                .with({ kind: "read" }, read)
+                .with({ kind: "wait" }, () => pause(POLL_MS).then(read))
+                .exhaustive();
+        }
+        return match(step)
+            .with({ kind: "run" }, ({ etag }) => begin({ key, attempt, etag }, sink))
+            .with({ kind: "replay" }, ({ result }) => replay(sink, result))
+            .with({ kind: "refuse" }, ({ refusal }) => {
+                if (attempt.mayTakeEffect) settle({ key, attempt }, { kind: "release" });
+                return refuse(sink, refusal);
+            })
+            .exhaustive();
     }
 
     /** Returns a sink that settles the claim by the answer. */
--- a/src/lib/agent/lease.ts
+++ b/src/lib/agent/lease.ts
@@ -1,4 +1,5 @@
 /** A lease in the table service, held by this process. `core/lease` decides; this module reads and writes. */
+import { match } from "ts-pattern";
 import * as z from "zod";
 import { decideLease, isLeaseValid, type LeaseObservation, type LeaseRow } from "../core/index.js";
 import type { TableService, WriteCondition } from "../platform/index.js";
@@ -54,13 +55,14 @@
         const read = await table.read(tableName, key);
         if (read.kind !== "found" && read.kind !== "missing") return "unavailable";
         const found = read.kind === "found" ? { row: rowSchema.parse(read.value), etag: read.etag } : undefined;
-        const decision = decideLease(found, token, observation, now());
-        if (decision.kind === "wait") {
-            observation = decision.observation;
-            return "busy";
-        }
-        if (decision.kind === "held") return renew({ row: decision.row, etag: found?.etag ?? "" });
-        return write(decision.next, found && { kind: "unchanged", etag: found.etag });
+        return match(decideLease(found, token, observation, now()))
+            .with({ kind: "wait" }, decision => {
+                observation = decision.observation;
+                return "busy" as const;
+            })
+            .with({ kind: "held" }, ({ row }) => renew({ row, etag: found?.etag ?? "" }))
+            .with({ kind: "take" }, ({ next }) => write(next, found && { kind: "unchanged", etag: found.etag }))
+            .exhaustive();
     }
 
     /** A renewal is a write too, so that waiting processes see another entity tag. */
--- a/src/lib/agent/transfer.ts
+++ b/src/lib/agent/transfer.ts
@@ -3,16 +3,14 @@
  * the check of files that are there already and the final check are common to all strategies. Chunks are
  * verified before they are written, and the files are hashed again at the end.
  */
-import { Metadata } from "@grpc/grpc-js";
-import { setTimeout as sleep } from "node:timers/promises";
 import { type Digest, type Manifest, parseManifest, placeChunks, type PlacedChunk } from "../core/index.js";
 import { createLog } from "../observability/index.js";
-import { manifestKey, type Vm } from "../platform/index.js";
-import type { Connections } from "../rpc/index.js";
+import type { Vm } from "../platform/index.js";
 import type { AgentSettings } from "../settings/index.js";
 import { fetchAlongChain, fetchFromOrigin } from "./baselineStrategies.js";
 import type { ChunkResult } from "./chunkSources.js";
 import type { HeldVersion } from "./heldVersions.js";
+import { fetchManifest, isManifest } from "./manifestSource.js";
 import { fetchFromPeers } from "./peerStrategy.js";
 import { type TransferEnvironment, transferError, type TransferStrategy } from "./transferTask.js";
 
@@ -54,12 +52,6 @@
     chain: fetchAlongChain,
 };
 
-/** Peers asked for the manifest in one round. */
-const MANIFEST_PEERS = 4;
-const MANIFEST_ROUNDS = 20;
-const MANIFEST_PAUSE_MS = 500;
-const MANIFEST_TIMEOUT_MS = 2000;
-
 /** Times that chunks which turn out wrong on disk are fetched again before the transfer ends. */
 const REPAIR_ROUNDS = 2;
 
@@ -82,7 +74,7 @@
     async function run(): Promise<Manifest> {
         const started = environment.now();
         const stored = await store.readManifest(rootDigest);
-        const bytes = await fetchManifest(rootDigest, stored, environment, signal);
+        const bytes = isManifest(stored, rootDigest) ? stored : await fetchManifest(rootDigest, environment, signal);
         const opened = held.open(rootDigest, bytes);
         version = opened;
         progress.chunksTotal = opened.chunks.length;
@@ -188,43 +180,3 @@
         return [];
     }
 }
-
-/** Reads the manifest from the origin or, while the origin is out, from a few peers. */
-async function fetchManifest(
-    rootDigest: Digest,
-    stored: Buffer | undefined,
-    environment: TransferEnvironment,
-    signal: AbortSignal,
-): Promise<Buffer> {
-    const { weightStore, peers, random } = environment;
-    const isRight = (bytes: Buffer | undefined): bytes is Buffer => {
-        if (bytes === undefined || bytes.length === 0) return false;
-        try {
-            return parseManifest(bytes, rootDigest) !== undefined;
-        }
-        catch {
-            return false;
-        }
-    };
-    if (isRight(stored)) return stored;
-    for (let round = 0; round < MANIFEST_ROUNDS && !signal.aborted; round++) {
-        const fromOrigin = await weightStore.get(manifestKey(rootDigest)).catch(() => undefined);
-        if (isRight(fromOrigin)) return fromOrigin;
-        const asked = peers().map(vm => ({ vm, order: random() })).sort((a, b) => a.order - b.order);
-        for (const { vm } of asked.slice(0, MANIFEST_PEERS)) {
-            const fromPeer = await readManifest(environment.connections, vm, rootDigest);
-            if (isRight(fromPeer)) return fromPeer;
-        }
-        await sleep(MANIFEST_PAUSE_MS);
-    }
-    throw transferError("neither the weight store nor a peer sent a correct manifest of version %s", rootDigest);
-}
-
-function readManifest(connections: Connections, vm: Vm, rootDigest: Digest): Promise<Buffer | undefined> {
-    return new Promise(resolve => {
-        const deadline = Date.now() + MANIFEST_TIMEOUT_MS;
-        connections.agent(vm.address).readManifest({ rootDigest }, new Metadata(), { deadline }, (error, answer) => {
-            resolve(error === null ? answer.manifest : undefined);
-        });
-    });
-}
--- a/src/lib/core/claim.ts
+++ b/src/lib/core/claim.ts
@@ -51,18 +51,25 @@
     readonly mayTakeEffect: boolean;
 }
 
-export type ClaimStep =
+export type ClaimWriteStep =
     | { readonly kind: "insert"; }
     /** Replaces a released row, provided that it still has the tag. */
-    | { readonly kind: "takeOver"; readonly etag: string; }
-    | { readonly kind: "read"; }
-    /** Reads again after a pause. */
-    | { readonly kind: "wait"; }
+    | { readonly kind: "takeOver"; readonly etag: string; };
+
+/** The last step of an attempt to claim. */
+export type ClaimEnd =
     /** The row holds the own token: the call may be dispatched. */
     | { readonly kind: "run"; readonly etag: string; }
     | { readonly kind: "replay"; readonly result: ClaimResult; }
     | { readonly kind: "refuse"; readonly refusal: ClaimRefusal; };
 
+export type ClaimStep =
+    | ClaimWriteStep
+    | ClaimEnd
+    | { readonly kind: "read"; }
+    /** Reads again after a pause. */
+    | { readonly kind: "wait"; };
+
 export interface ClaimRefusal {
     readonly verdict: Verdict;
     readonly reason: string;
@@ -79,6 +86,10 @@
     status: 0,
 };
 
+export function isClaimEnd(step: ClaimStep): step is ClaimEnd {
+    return step.kind === "run" || step.kind === "replay" || step.kind === "refuse";
+}
+
 /** Decides the step after an insert or a takeover. An unclear write is settled by reading back. */
 export function afterClaimWrite(write: ClaimWrite): ClaimStep {
     return write.kind === "written" ? { kind: "run", etag: write.etag } : { kind: "read" };
--- a/src/lib/entry/entry.ts
+++ b/src/lib/entry/entry.ts
@@ -1,15 +1,8 @@
 /** Starts an entry: configuration, membership, directory of agents, dispatcher and HTTP server. */
 import { DEFAULT_QUEUE_POLICY, profilesOf } from "../core/index.js";
-import {
-    createEventRecorder,
-    createNodeService,
-    createProfileStore,
-    startConfigurationSync,
-    startMembershipTask,
-} from "../node/index.js";
-import { createLog, createMetrics } from "../observability/index.js";
-import { createObjectStore, createTableService, createVmList } from "../platform/index.js";
-import { createConnections, createCredentials, startRpcServer } from "../rpc/index.js";
+import { createNodeService, createProfileStore, startNodeParts } from "../node/index.js";
+import { createLog } from "../observability/index.js";
+import { startRpcServer } from "../rpc/index.js";
 import type { EntrySettings } from "../settings/index.js";
 import { createAccounts } from "./accounts.js";
 import { startAgentDirectory } from "./agentDirectory.js";
@@ -32,29 +25,10 @@
 }
 
 export async function startEntry(settings: EntrySettings): Promise<RunningEntry> {
-    const { platform } = settings;
-    const { timeoutMs } = platform;
-    const now = () => Date.now();
     const accounts = createAccounts(settings);
-    const metrics = await createMetrics(settings.metrics, settings.process);
-    const events = createEventRecorder(settings.process, now);
-    const credentials = createCredentials(settings.tls);
-    const connections = createConnections(credentials);
-    const table = createTableService({ url: platform.tableUrl, timeoutMs });
-    const weightStore = createObjectStore({ url: platform.weightStoreUrl, timeoutMs });
+    const parts = await startNodeParts(settings);
+    const { now, metrics, events, table, weightStore, membership, credentials, connections, configuration } = parts;
     const profileStore = createProfileStore({ table, weightStore, now: () => performance.now(), random: Math.random });
-    const membership = startMembershipTask(createVmList({ url: platform.vmListUrl, timeoutMs }), settings.pollMs);
-    const configuration = startConfigurationSync({
-        process: settings.process,
-        failureDomain: settings.failureDomain,
-        table,
-        vms: membership.current,
-        connections,
-        events,
-        pollMs: settings.pollMs,
-        now,
-        random: Math.random,
-    });
     const directory = startAgentDirectory({
         process: settings.process,
         failureDomain: settings.failureDomain,
@@ -111,8 +85,7 @@
         await server.stop(settings.drainMs);
         dispatcher.stop();
         directory.stop();
-        await Promise.all([membership.stop(), configuration.stop()]);
-        connections.close();
+        await parts.stop();
         await rpc.stop(1000);
         await metrics.close();
     }
--- a/src/lib/entry/openaiApi.ts
+++ b/src/lib/entry/openaiApi.ts
@@ -1,15 +1,12 @@
 /** The OpenAI-compatible API for model work: completions, chat completions and the list of models. */
 import { createHash } from "node:crypto";
-import { capRank, isRank, type ProfileEntry, type Rank, RANKS } from "../core/index.js";
-import type { Account } from "./accounts.js";
+import { type ProfileEntry, RANKS } from "../core/index.js";
 import { createCallerAnswer } from "./answer.js";
-import { rejection, sendProblem, TOO_MANY_BYTES, TOO_MANY_REQUESTS } from "./problem.js";
+import { type ClientRequest, serveClient } from "./clientRequest.js";
+import { rejection, sendProblem } from "./problem.js";
 import { dispatchRecorded } from "./recordedDispatch.js";
-import { parseJsonObject, readLimitedBody } from "./requestBody.js";
+import { parseJsonObject } from "./requestBody.js";
 import type { EntryParts, RequestContext } from "./requestContext.js";
-import type { Permit } from "./requestLimit.js";
-
-export const RANK_HEADER = "endivewell-rank";
 
 /** Characters of a prompt that make about one token. */
 const CHARACTERS_PER_TOKEN = 4;
@@ -19,44 +16,23 @@
 /** Prompts that agree in this many characters count as having the same prefix. */
 const PREFIX_CHARACTERS = 512;
 
-export async function serveCompletion(parts: EntryParts, context: RequestContext): Promise<void> {
-    const { response } = context;
-    const account = parts.accounts.client(context.request);
-    if (account === undefined) return sendProblem(response, rejection(401, "unknown account", "send a bearer key"));
-    const permit = parts.requestLimit.enter(account.client);
-    if (permit === undefined) return sendProblem(response, TOO_MANY_REQUESTS);
-    try {
-        await servePermitted(parts, context, account, permit);
-    }
-    finally {
-        permit.release();
-    }
+export function serveCompletion(parts: EntryParts, context: RequestContext): Promise<void> {
+    return serveClient(parts, context, client => serveKnownClient(parts, context, client));
 }
 
-async function servePermitted(
+async function serveKnownClient(
     parts: EntryParts,
-    context: RequestContext,
-    account: Account,
-    permit: Permit,
+    { response, url, requestId }: RequestContext,
+    { account, rank, readBody }: ClientRequest,
 ): Promise<void> {
-    const { response, request, requestId } = context;
-    const read = await readLimitedBody(request, parts.settings.limits.bodyBytes, permit.reserve);
-    if (read.kind === "aborted") return;
-    if (read.kind === "tooLarge") {
-        if (read.overloaded === true) return sendProblem(response, TOO_MANY_BYTES);
-        return sendProblem(response, rejection(413, "the body is too large", "shorten the request"));
-    }
-    const body = parseJsonObject(read.body);
+    const content = await readBody();
+    if (content === undefined) return;
+    const body = parseJsonObject(content);
     if (body === undefined) return sendProblem(response, rejection(400, "invalid JSON", "send a JSON object"));
     const entry = findProfile(parts, String(body.model ?? ""));
     if (entry === undefined) {
         return sendProblem(response, rejection(404, "unknown model", "GET /v1/models lists the models"));
     }
-    const rank = rankOf(request.headers[RANK_HEADER], account);
-    if (rank === undefined) {
-        const detail = `${RANK_HEADER} takes one of ${RANKS.join(", ")}`;
-        return sendProblem(response, rejection(400, "unknown rank", detail));
-    }
     const answer = createCallerAnswer(response);
     const engineFields = { ...body, priority: RANKS.indexOf(rank), resume_from: undefined };
     const resumedBody = (position: number) => bodyOf({ ...engineFields, resume_from: position });
@@ -69,14 +45,14 @@
         profileRevision: entry.revision,
         rootDigest: entry.profile.rootDigest,
         method: "POST",
-        path: context.url.pathname,
+        path: url.pathname,
         ...bodyOf(engineFields),
         resumedBody: body.stream === true ? resumedBody : undefined,
         prefix: prefixOf(entry.profile.rootDigest, body),
         idempotent: true,
         idempotencyKey: "",
         deadline: parts.now() + parts.settings.limits.answerMs,
-        estimatedTokens: estimateTokens(body, read.body.length),
+        estimatedTokens: estimateTokens(body, content.length),
     }, answer);
     answer.finish(result);
 }
@@ -99,12 +75,6 @@
     return matching.length === 1 ? matching[0] : undefined;
 }
 
-export function rankOf(header: string | string[] | undefined, account: Account): Rank | undefined {
-    if (header === undefined) return account.defaultRank;
-    if (typeof header !== "string" || !isRank(header)) return undefined;
-    return capRank(header, account.highestRank);
-}
-
 /** The engine's body with the headers that describe it. */
 function bodyOf(fields: Record<string, unknown>) {
     const body = Buffer.from(JSON.stringify(fields));
