--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,12 +2,24 @@
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
 import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
 import { inject } from "postject";
 
 const SENTINEL_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 
 mkdirSync("dist", { recursive: true });
+// In Node.js the package reads its WebAssembly from a file; the single executable needs the embedded one.
+const embedRabin = {
+    name: "embed-rabin",
+    setup(builder) {
+        builder.onResolve({ filter: /rabin-wasm\.node\.js$/ }, ({ path, resolveDir }) => {
+            return { path: join(resolveDir, path.replace(".node.js", ".js")) };
+        });
+    },
+};
+
 await build({
+    plugins: [embedRabin],
     entryPoints: ["src/main.ts"],
     bundle: true,
     platform: "node",
--- a/src/lib/cli/publishCommand.ts
+++ b/src/lib/cli/publishCommand.ts
@@ -24,6 +24,9 @@
         model: Flags.string({ summary: "Name of the model.", required: true }),
         store: Flags.string({ summary: "Address of the weight store.", required: true }),
         "chunk-bytes": Flags.integer({ summary: "Size of a chunk.", default: DEFAULT_CHUNK_BYTES, min: 4096 }),
+        "content-defined": Flags.boolean({
+            summary: "Share chunks with earlier versions also where bytes were inserted or removed; reads more slowly.",
+        }),
     };
 
     async run() {
@@ -32,6 +35,7 @@
             directory: args.directory,
             model: flags.model,
             chunkBytes: flags["chunk-bytes"],
+            contentDefined: flags["content-defined"],
             store: createObjectStore({ url: flags.store, timeoutMs: STORE_TIMEOUT_MS }),
             onProgress: ({ bytesRead, bytesTotal }) => {
                 if (!process.stderr.isTTY) return;
--- a/src/lib/publish/index.ts
+++ b/src/lib/publish/index.ts
@@ -1,1 +1,2 @@
+export * from "./chunker.js";
 export * from "./publish.js";
--- a/src/lib/publish/publish.ts
+++ b/src/lib/publish/publish.ts
@@ -16,13 +16,20 @@
     MAX_CHUNK_BYTES,
 } from "../core/index.js";
 import { chunkKey, latestKey, manifestKey, type ObjectStore } from "../platform/index.js";
+import { type ChunkerFactory, contentDefinedChunks, fixedChunks, MAX_FRACTION } from "./chunker.js";
 
 export const DEFAULT_CHUNK_BYTES = 256 * 1024;
 
+/** Bytes read from a file at a time. */
+const BLOCK_BYTES = 1024 * 1024;
+
 export interface PublishOptions {
     readonly directory: string;
     readonly model: string;
+    /** Size of a chunk, or the mean size with content-defined borders. */
     readonly chunkBytes?: number;
+    /** Chooses borders by content, which also shares what follows inserted or removed bytes. */
+    readonly contentDefined?: boolean;
     readonly store: ObjectStore;
     readonly onProgress?: (progress: PublishProgress) => void;
 }
@@ -42,7 +49,7 @@
 /** Throws a VError named `PublishError` if the directory can't be read or is empty. */
 export async function publishDirectory(options: PublishOptions): Promise<PublishedVersion> {
     const { directory, store } = options;
-    const chunkBytes = Math.min(options.chunkBytes ?? DEFAULT_CHUNK_BYTES, MAX_CHUNK_BYTES);
+    const createChunker = chooseChunker(options);
     const paths = await listFiles(directory);
     if (paths.length === 0) throw new VError({ name: "PublishError" }, "%s holds no files", directory);
     const sizes = await Promise.all(paths.map(async path => (await stat(join(directory, path))).size));
@@ -52,14 +59,21 @@
 
     async function publishFile(path: string): Promise<ManifestFile> {
         const chunks: Chunk[] = [];
+        const chunker = await createChunker();
         const handle = await open(join(directory, path), "r");
-        const buffer = Buffer.allocUnsafe(chunkBytes);
+        let pending = Buffer.alloc(0);
         try {
             for (;;) {
-                const { bytesRead: size } = await handle.read(buffer, 0, chunkBytes);
+                const { bytesRead: size, buffer } = await handle.read(Buffer.allocUnsafe(BLOCK_BYTES), 0, BLOCK_BYTES);
                 if (size === 0) break;
-                chunks.push(await publishChunk(buffer.subarray(0, size)));
+                const block = buffer.subarray(0, size);
+                pending = Buffer.concat([pending, block]);
+                for (const chunkBytes of chunker.push(block)) {
+                    chunks.push(await publishChunk(pending.subarray(0, chunkBytes)));
+                    pending = pending.subarray(chunkBytes);
+                }
             }
+            if (pending.length > 0) chunks.push(await publishChunk(pending));
         }
         finally {
             await handle.close();
@@ -88,6 +102,12 @@
     return { rootDigest, manifest, bytesSent };
 }
 
+function chooseChunker({ chunkBytes = DEFAULT_CHUNK_BYTES, contentDefined = false }: PublishOptions): ChunkerFactory {
+    return contentDefined ?
+        contentDefinedChunks(Math.min(chunkBytes, MAX_CHUNK_BYTES / MAX_FRACTION)) :
+        fixedChunks(Math.min(chunkBytes, MAX_CHUNK_BYTES));
+}
+
 async function listFiles(directory: string): Promise<string[]> {
     try {
         const entries = await readdir(directory, { withFileTypes: true, recursive: true });
--- /dev/null
+++ b/src/test/publish/publish.test.ts
@@ -0,0 +1,62 @@
+import assert from "node:assert/strict";
+import { createHash } from "node:crypto";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, test } from "node:test";
+import { placeChunks } from "../../lib/core/index.js";
+import type { ObjectStore } from "../../lib/platform/index.js";
+import { publishDirectory } from "../../lib/publish/index.js";
+
+const SIZE = 4 * 1024 * 1024;
+const directory = await mkdtemp(join(tmpdir(), "endivewell-publish-"));
+after(() => rm(directory, { recursive: true }));
+
+/** Content that looks random and is the same in each run. */
+function content(): Buffer {
+    const blocks = Array.from({ length: SIZE / 32 }, (_, index) => createHash("sha256").update(`${index}`).digest());
+    return Buffer.concat(blocks);
+}
+
+function createMemoryStore() {
+    const objects = new Map<string, Buffer>();
+    const store = {
+        has: async (key: string) => objects.has(key),
+        put: async (key: string, bytes: Uint8Array) => void objects.set(key, Buffer.from(bytes)),
+    } as unknown as ObjectStore;
+    return { objects, store };
+}
+
+/** Publishes a file and the file with bytes inserted near its start; returns the bytes sent for the second. */
+async function bytesSentAfterInsertion(contentDefined: boolean): Promise<number> {
+    const { objects, store } = createMemoryStore();
+    const options = { directory, model: "m", chunkBytes: 64 * 1024, contentDefined, store };
+    const original = content();
+    const changed = Buffer.concat([original.subarray(0, 1000), Buffer.from("inserted"), original.subarray(1000)]);
+    await writeFile(join(directory, "model.bin"), original);
+    await publishDirectory(options);
+    await writeFile(join(directory, "model.bin"), changed);
+    const version = await publishDirectory(options);
+    const chunks = version.manifest.files.flatMap(file => file.chunks);
+    const restored = Buffer.concat(chunks.map(({ digest }) => objects.get(`chunks/${digest}`) ?? Buffer.alloc(0)));
+    assert.ok(restored.equals(changed), "the chunks make up the file");
+    assert.ok(placeChunks(version.manifest).length > 1);
+    return version.bytesSent;
+}
+
+// Guards against content-defined borders that move with an insertion, so that nothing is shared.
+test("content-defined chunks are shared after an insertion, fixed ones are not", async () => {
+    assert.ok(await bytesSentAfterInsertion(true) <= 0.15 * SIZE);
+    assert.ok(await bytesSentAfterInsertion(false) > 0.9 * SIZE);
+});
+
+// Guards against a second publish of the same directory that sends everything again.
+test("an unchanged directory is not sent again", async () => {
+    const { store } = createMemoryStore();
+    await writeFile(join(directory, "model.bin"), content());
+    const first = await publishDirectory({ directory, model: "m", store });
+    const second = await publishDirectory({ directory, model: "m", store });
+    assert.equal(first.bytesSent, SIZE);
+    assert.equal(second.bytesSent, 0);
+    assert.equal(second.rootDigest, first.rootDigest);
+});
