--- a/src/bench/bench.ts
+++ b/src/bench/bench.ts
@@ -12,6 +12,7 @@
 export type Bench = (options: Readonly<Record<string, string>>) => Promise<Figures>;
 
 const benches: Readonly<Record<string, () => Promise<Bench>>> = {
+    interference: async () => (await import("./interference.js")).run,
     footprint: async () => (await import("./footprint.js")).run,
     distribution: async () => (await import("./distribution.js")).run,
     config: async () => (await import("./config.js")).run,
--- /dev/null
+++ b/src/bench/interference.ts
@@ -0,0 +1,99 @@
+/**
+ * Bench `interference`: time between tokens of live streams while a rollout runs against without one, in one
+ * run. On loopback the streams and the weights share processors but no link.
+ */
+import { randomBytes } from "node:crypto";
+import { mkdir, writeFile } from "node:fs/promises";
+import * as http from "node:http";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { type Fleet, OPERATOR_TOKEN, POOL, sendToEntry, waitUntilServing } from "../harness/index.js";
+import { createObjectStore } from "../lib/platform/index.js";
+import { publishDirectory } from "../lib/publish/index.js";
+import type { Bench } from "./bench.js";
+import { type Outcome, percentile, round, sendStream } from "./load.js";
+import { watchMachine } from "./machine.js";
+import { PROFILE, startPool } from "./pool.js";
+
+const RUNNERS = 8;
+const ENTRIES = 2;
+const STREAMS = 16;
+const TOKENS = 40;
+const QUIET_MS = 12_000;
+const VM_BYTES_PER_SECOND = 2_000_000;
+const WEIGHTS_BYTES = 24_000_000;
+const ROLLOUT_TIMEOUT_MS = 120_000;
+
+export const run: Bench = async () => {
+    const links = { inBytesPerSecond: VM_BYTES_PER_SECOND, outBytesPerSecond: VM_BYTES_PER_SECOND };
+    const { fleet } = await startPool({
+        entries: ENTRIES,
+        runners: RUNNERS,
+        originBytesPerSecond: 2 * VM_BYTES_PER_SECOND,
+        agentSettings: { links },
+    }, "agentQueues");
+    try {
+        const stopWatching = watchMachine();
+        const quiet = await streamWhile(fleet, () => sleep(QUIET_MS));
+        const startedAt = performance.now();
+        const busy = await streamWhile(fleet, () => rollOut(fleet));
+        const rolloutSeconds = (performance.now() - startedAt) / 1000;
+        const [without, during] = [gapsOf(quiet), gapsOf(busy)].map(gaps => percentile(gaps, 0.95)) as [number, number];
+        return {
+            interTokenP95Ratio: round(during / without),
+            interTokenP95WithoutMs: round(without),
+            interTokenP95DuringMs: round(during),
+            rolloutSeconds: round(rolloutSeconds),
+            streams: { without: quiet.length, during: busy.length },
+            incomplete: [...quiet, ...busy].filter(({ complete }) => !complete).length,
+            machine: stopWatching(),
+        };
+    }
+    finally {
+        await fleet.stop();
+    }
+};
+
+/** Keeps a fixed number of streams open until the action has ended; returns all of them. */
+async function streamWhile(fleet: Fleet, action: () => Promise<unknown>): Promise<Outcome[]> {
+    const agent = new http.Agent({ keepAlive: true });
+    const outcomes: Outcome[] = [];
+    let active = true;
+
+    async function keepStreaming(stream: number): Promise<void> {
+        const url = fleet.entries[stream % fleet.entries.length]?.url ?? "";
+        for (let sent = 0; active; sent++) {
+            const prompt = `stream ${stream} request ${sent}`;
+            const client = `client-${stream % 4}`;
+            outcomes.push(await sendStream({ url, client, rank: "standard", tokens: TOKENS, prompt, agent }).done);
+        }
+    }
+
+    const streams = Array.from({ length: STREAMS }, (_, stream) => keepStreaming(stream));
+    await action();
+    active = false;
+    await Promise.all(streams);
+    agent.destroy();
+    return outcomes;
+}
+
+async function rollOut(fleet: Fleet): Promise<void> {
+    const [entry] = fleet.entries;
+    if (entry === undefined) throw new Error("the fleet has no entry");
+    const directory = join(fleet.directory, "next");
+    await mkdir(directory);
+    await writeFile(join(directory, "model.bin"), randomBytes(WEIGHTS_BYTES));
+    const store = createObjectStore({ url: fleet.platformUrl, timeoutMs: 30_000 });
+    const { rootDigest } = await publishDirectory({ directory, model: "m", store });
+    const path = `/admin/v1/profiles/${PROFILE}`;
+    const { headers } = await sendToEntry(entry, "GET", path, OPERATOR_TOKEN);
+    const profile = { name: PROFILE, model: "m", rootDigest, service: POOL, maxUnavailable: 2 };
+    const ifMatch = { "if-match": headers.etag ?? "" };
+    const answer = await sendToEntry(entry, "PUT", path, OPERATOR_TOKEN, profile, ifMatch);
+    if (answer.status !== 200) throw new Error(answer.body.toString());
+    await waitUntilServing(fleet, fleet.runners, rootDigest, ROLLOUT_TIMEOUT_MS);
+}
+
+function gapsOf(outcomes: readonly Outcome[]): number[] {
+    return outcomes.flatMap(({ tokenTimes }) => tokenTimes.slice(1).map((at, index) => at - (tokenTimes[index] ?? at)));
+}
