Refuse work at an agent that the list of VMs calls leaving

Cause: a request in the queue of an agent which only the list called leaving still ran there; entries stop sending to it, but the agent itself didn't know. Change: an agent reads its own entry in the list and refuses queued and new requests as notRun while it says leaving. An entry of the list with another address belongs to an earlier VM of the same name. Conclusion: a test of the gate covers both directions.

--- a/scripts/guarantees.mjs
+++ b/scripts/guarantees.mjs
@@ -30,7 +30,11 @@
         /retried only after notRun/,
         FLEET,
     ]],
-    G5: ["a leaving VM gets no new work", [/^leaving VMs get no new work/, /^the list alone adds no trust/]],
+    G5: ["a leaving VM gets no new work", [
+        /^leaving VMs get no new work/,
+        /^a VM that the list calls leaving/,
+        /^the list alone adds no trust/,
+    ]],
     G6: ["a planned stop cuts off no request", [FLEET]],
     G7: ["an accepted configuration stays in force", [/^configuration\.pml/]],
 };
--- a/src/lib/agent/agent.ts
+++ b/src/lib/agent/agent.ts
@@ -173,6 +173,14 @@
             { events, metrics },
         ),
     });
+    const listCheck = setInterval(() => {
+        // A VM that was replaced under the same name has another address.
+        const own = membership.current().find(vm => vm.name === settings.process);
+        const isOwnEntry = own?.address.endsWith(`:${rpc.port}`) === true;
+        const before = gate.leaving();
+        gate.setListedLeaving(isOwnEntry && own.state === "leaving");
+        if (gate.leaving() !== before) announce();
+    }, settings.pollMs);
     if (backendServer.kind === "model") {
         activation = startActivation({
             service: settings.service,
@@ -191,6 +199,7 @@
     log.info("agent %s listens on port %d", settings.process, rpc.port);
 
     async function stop(): Promise<void> {
+        clearInterval(listCheck);
         const drained = gate.drain().then(() => claims.settled());
         announce();
         const notice = sleep(Math.min(LEAVING_NOTICE_MS, settings.drainMs));
--- a/src/lib/agent/gate.ts
+++ b/src/lib/agent/gate.ts
@@ -34,10 +34,14 @@
     pause(): Promise<{ resume(): void; }>;
     /** Refuses all further and all queued requests and resolves when those in progress have ended. */
     drain(): Promise<void>;
+    /** Refuses all further and all queued requests while the platform's list calls this VM leaving. */
+    setListedLeaving(listed: boolean): void;
     readonly load: () => GateLoad;
     readonly leaving: () => boolean;
 }
 
+const LEAVING = "the VM is leaving";
+
 export interface GateOptions {
     readonly backendUrl: string;
     readonly kind: "model" | "plain";
@@ -69,7 +73,8 @@
     const runningByClient = new Map<string, number>();
     let running = 0;
     let paused = false;
-    let leaving = false;
+    let draining = false;
+    let listedLeaving = false;
     let paceTimer: NodeJS.Timeout | undefined;
 
     function dispatch(request: DispatchRequest, sink: AnswerSink): Promise<void> {
@@ -84,7 +89,7 @@
     }
 
     function refusalOf(request: DispatchRequest): string | undefined {
-        if (leaving) return "the VM is leaving";
+        if (isLeaving()) return LEAVING;
         if (options.kind === "plain") return undefined;
         if (paused) return "the engine is switching versions";
         if (bindRequest(request.rootDigest, options.serving()) === undefined) {
@@ -195,11 +200,20 @@
     }
 
     function drain(): Promise<void> {
-        leaving = true;
-        queue.clear("the VM is leaving");
+        draining = true;
+        queue.clear(LEAVING);
         return idle();
     }
 
+    function setListedLeaving(listed: boolean): void {
+        if (listed && !listedLeaving) queue.clear(LEAVING);
+        listedLeaving = listed;
+    }
+
+    function isLeaving(): boolean {
+        return draining || listedLeaving;
+    }
+
     function load(): GateLoad {
         const predict = (rank: Rank) => queue.predictWaitMs(rank, statistics.meanCost());
         return {
@@ -215,5 +229,5 @@
         return new Promise(resolve => idleWaiters.push(resolve));
     }
 
-    return { dispatch, pause, drain, load, leaving: () => leaving };
+    return { dispatch, pause, drain, setListedLeaving, load, leaving: isLeaving };
 }
--- a/src/test/agent/gate.test.ts
+++ b/src/test/agent/gate.test.ts
@@ -182,6 +182,28 @@
     });
 });
 
+// Guards against queued requests that start on a VM which only the platform's list calls leaving.
+test("a VM that the list calls leaving refuses queued and new requests until the list takes it back", async () => {
+    const answers: ServerResponse[] = [];
+    await withGate(response => void answers.push(response), 1, async ({ gate }) => {
+        const [running, queued, late, later] = [createSink(), createSink(), createSink(), createSink()];
+        const done = [gate.dispatch(request("r"), running.sink), gate.dispatch(request("q"), queued.sink)];
+        while (answers.length < 1) await sleep(5);
+        gate.setListedLeaving(true);
+        await Promise.all([done[1], gate.dispatch(request("late"), late.sink)]);
+        assert.deepEqual([queued.kinds(), late.kinds()], [["refused"], ["refused"]]);
+        answers[0]?.end("data: {}\n\ndata: [DONE]\n\n");
+        await done[0];
+        assert.equal(running.kinds().at(-1), "end");
+        gate.setListedLeaving(false);
+        const last = gate.dispatch(request("later"), later.sink);
+        while (answers.length < 2) await sleep(5);
+        answers[1]?.end("data: {}\n\ndata: [DONE]\n\n");
+        await last;
+        assert.equal(later.kinds().at(-1), "end");
+    });
+});
+
 // Guards against an answer of mixed weights that ends like a valid one, and against one that goes on after the
 // agent has seen the reload.
 test("an answer whose engine reloads ends with an error and without the closing event", async () => {
