--- a/scripts/guarantees.mjs
+++ b/scripts/guarantees.mjs
@@ -35,8 +35,13 @@
         /^a VM that the list calls leaving/,
         /^the list alone adds no trust/,
     ]],
-    G6: ["a planned stop cuts off no request", [FLEET]],
-    G7: ["an accepted configuration stays in force", [/^configuration\.pml/]],
+    G6: ["a planned stop cuts off no request", [/^SIGTERM on an/, /^a drain refuses queued/, /^an entry drains/, FLEET]],
+    G7: ["an accepted configuration stays in force", [
+        /^configuration\.pml/,
+        /^restarting every process in turn/,
+        /^every accepted change is committed/,
+        /^an outage before the write/,
+    ]],
 };
 
 /** Returns one line for each guarantee from the TAP output of a test run. */
