Run every property test with fresh seeds in test:long

Cause: test:long listed its files by hand, named one that had moved and left out seven. Change: it runs every test file that takes its parameters from longTest, and all property tests do.

--- a/scripts/guarantees.mjs
+++ b/scripts/guarantees.mjs
@@ -35,7 +35,12 @@
         /^a VM that the list calls leaving/,
         /^the list alone adds no trust/,
     ]],
-    G6: ["a planned stop cuts off no request", [/^SIGTERM on an/, /^a drain refuses queued/, /^an entry drains/, FLEET]],
+    G6: ["a planned stop cuts off no request", [
+        /^SIGTERM on an/,
+        /^a drain refuses queued/,
+        /^an entry drains/,
+        FLEET,
+    ]],
     G7: ["an accepted configuration stays in force", [
         /^configuration\.pml/,
         /^restarting every process in turn/,
--- a/src/test/agent/lease.test.ts
+++ b/src/test/agent/lease.test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import { createElapsedClock, createLease, type Lease } from "../../lib/agent/lease.js";
 import type { TableService } from "../../lib/platform/index.js";
+import { longTestParameters } from "../longTest.js";
 
 interface Row {
     readonly value: unknown;
@@ -108,7 +109,7 @@
         fc.asyncProperty(fc.commands(commands, { maxCommands: 60, size: "max" }), async sequence => {
             await fc.asyncModelRun(() => ({ model: {}, real: createSystem() }), sequence);
         }),
-        { seed: 5, numRuns: 1000 },
+        longTestParameters({ seed: 5, numRuns: 1000 }),
     );
 });
 
--- a/src/test/core/attempt.test.ts
+++ b/src/test/core/attempt.test.ts
@@ -9,6 +9,7 @@
     type FrameKind,
     isBindingKept,
 } from "../../lib/core/index.js";
+import { longTestParameters } from "../longTest.js";
 
 const SEED = 6;
 
@@ -27,7 +28,7 @@
             attempt.abandon();
             assert.ok(!attempt.accept("own", "end"));
         }),
-        { seed: SEED },
+        longTestParameters({ seed: SEED, numRuns: 100 }),
     );
 });
 
@@ -50,7 +51,7 @@
             assert.ok(splitter.done());
             assert.throws(() => splitter.push(Buffer.from("data: {}\n\n")), /follows the end/);
         }),
-        { seed: SEED },
+        longTestParameters({ seed: SEED, numRuns: 100 }),
     );
 });
 
--- a/src/test/core/chunkAssignment.test.ts
+++ b/src/test/core/chunkAssignment.test.ts
@@ -8,6 +8,7 @@
     type Participant,
     takeoverDelayMs,
 } from "../../lib/core/chunkAssignment.js";
+import { longTestParameters } from "../longTest.js";
 
 const SEED = 1;
 const REGIONS = ["etela", "lansi", "pohjoinen"];
@@ -31,7 +32,7 @@
                 assert.deepEqual(ranks, members.map((_, index) => index));
             }
         }),
-        { seed: SEED },
+        longTestParameters({ seed: SEED, numRuns: 100 }),
     );
 });
 
@@ -51,7 +52,7 @@
                 }
             }
         }),
-        { seed: SEED },
+        longTestParameters({ seed: SEED, numRuns: 100 }),
     );
 });
 
@@ -68,7 +69,7 @@
                 for (const source of named) assert.equal(assignChunk(digest, source, vms, "etela").rank, 0);
             }
         }),
-        { seed: SEED },
+        longTestParameters({ seed: SEED, numRuns: 100 }),
     );
 });
 
@@ -80,6 +81,6 @@
             assert.ok(takeoverDelayMs(rank, a) <= takeoverDelayMs(MAX_TAKEOVER_STEPS, 1));
             if (rank < MAX_TAKEOVER_STEPS) assert.ok(takeoverDelayMs(rank, a) < takeoverDelayMs(rank + 1, b));
         }),
-        { seed: SEED },
+        longTestParameters({ seed: SEED, numRuns: 100 }),
     );
 });
--- a/src/test/core/membership.test.ts
+++ b/src/test/core/membership.test.ts
@@ -9,6 +9,7 @@
     trustIn,
     UNLISTED_KEPT_MS,
 } from "../../lib/core/index.js";
+import { longTestParameters } from "../longTest.js";
 
 const SEED = 8;
 const NOW = 100_000;
@@ -29,7 +30,7 @@
             // However long the list stays stale, trust ends with the silence and a lost VM stays lost.
             assert.notEqual(trustIn(listed, evidence, heardAt + SILENT_AFTER_MS + 1), "usable");
         }),
-        { seed: SEED, numRuns: 5000 },
+        longTestParameters({ seed: SEED, numRuns: 5000 }),
     );
 });
 
@@ -40,6 +41,6 @@
             const quietMs = evidence.heardAt === undefined ? Infinity : NOW - evidence.heardAt;
             assert.equal(isWorthWatching(listed, evidence, NOW), listed === "live" || quietMs <= UNLISTED_KEPT_MS);
         }),
-        { seed: SEED },
+        longTestParameters({ seed: SEED, numRuns: 100 }),
     );
 });
--- a/src/test/core/routing.test.ts
+++ b/src/test/core/routing.test.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { type Candidate, chooseAgent, createRetryBudget } from "../../lib/core/index.js";
+import { longTestParameters } from "../longTest.js";
 
 const SEED = 6;
 const idle = { running: 0, queued: 0, limit: 8, predictedWaitMs: 0, sentSinceReport: 0 };
@@ -35,7 +36,7 @@
                 candidates.includes(chooseAgent(candidates, undefined, sequence(a, b)) ?? { ...idle, address: "" }),
             );
         }),
-        { seed: SEED },
+        longTestParameters({ seed: SEED, numRuns: 100 }),
     );
     assert.equal(chooseAgent([], undefined, Math.random), undefined);
 });
--- a/src/test/core/subset.test.ts
+++ b/src/test/core/subset.test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import { NO_EVIDENCE, SILENT_AFTER_MS, trustIn } from "../../lib/core/membership.js";
 import { assignSubsets, type SubsetMember, substitutesFor } from "../../lib/core/subset.js";
+import { longTestParameters } from "../longTest.js";
 
 function members(prefix: string, count: number, domains: number): SubsetMember[] {
     return Array.from({ length: count }, (_, index) => {
@@ -30,7 +31,7 @@
             }
             assert.ok(Math.max(...loads.values()) - Math.min(...loads.values()) <= 1);
         }),
-        { seed: 3, numRuns: 300 },
+        longTestParameters({ seed: 3, numRuns: 300 }),
     );
 });
 
--- a/src/test/core/transferPlan.test.ts
+++ b/src/test/core/transferPlan.test.ts
@@ -4,6 +4,7 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { createTransferPlan, type PlannedRequest, RequestOutcome, UPSTREAM } from "../../lib/core/transferPlan.js";
+import { longTestParameters } from "../longTest.js";
 
 const SEED = 1;
 const LIMITS = { maxRequests: 5, maxRequestsPerPeer: 2, maxUpstreamRequests: 2, maxDuplicates: 2 };
@@ -53,7 +54,7 @@
                 assert.equal(plan.missing(), 0);
             },
         ),
-        { seed: SEED, numRuns: 60 },
+        longTestParameters({ seed: SEED, numRuns: 60 }),
     );
 });
 
@@ -83,7 +84,7 @@
             assert.equal(copies(request.chunk), Math.min(...peers.flat().map(copies)));
             assert.equal(Number(request.source), peers.findIndex(chunks => chunks.includes(request.chunk)));
         }),
-        { seed: SEED },
+        longTestParameters({ seed: SEED, numRuns: 100 }),
     );
 });
 
