--- a/src/bench/distribution.ts
+++ b/src/bench/distribution.ts
@@ -4,14 +4,15 @@
  *
  * Options: `--replicas N` (24), `--seed N`, `--megabytes N` of weights, `--rate N` MB/s of a VM's link each
  * way, `--chunk-kb N`, `--strategies LIST`, `--scale LIST` of replica counts for the ratio, `--regions N` (1),
- * `--second` for a second version, `--region-rate N` MB/s of the link between two regions in each direction.
+ * `--second` for a second version, `--region-rate N` MB/s of the link between two regions in each direction,
+ * `--failed FRACTION` of the VMs killed or stopped during the rollout.
  */
 import { mkdir, readFile, writeFile } from "node:fs/promises";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { type Fleet, OPERATOR_TOKEN, POOL, sendToEntry, startFleet } from "../harness/index.js";
+import { type Fleet, type FleetProcess, OPERATOR_TOKEN, POOL, sendToEntry, startFleet } from "../harness/index.js";
 import { createObjectStore, sendRequest } from "../lib/platform/index.js";
 import { publishDirectory } from "../lib/publish/index.js";
 import type { TransferState } from "../lib/rpc/index.js";
@@ -27,6 +28,8 @@
     readonly regions: number;
     readonly regionBytesPerSecond: number;
     readonly second: boolean;
+    /** Fraction of the VMs that fail during the rollout. */
+    readonly failed: number;
 }
 
 interface Measured {
@@ -55,6 +58,9 @@
 const SERVE_TIMEOUT_MS = 300_000;
 const POLL_MS = 100;
 
+/** VMs fail at this fraction of the bound. */
+const FAIL_AT = 0.3;
+
 /** Time for the agents to read the list of VMs after the last VM has been added to it. */
 const SETTLE_MS = 1500;
 
@@ -68,6 +74,7 @@
         chunkBytes: number("chunk-kb", 128) * 1024,
         second: options.second !== undefined,
         regions: Math.min(number("regions", 1), REGIONS.length),
+        failed: number("failed", 0),
         // A third of a VM's rate, so that the links between three regions are the bound.
         regionBytesPerSecond: Math.round(number("region-rate", number("rate", 2) / 3) * MEGABYTE),
     };
@@ -148,10 +155,14 @@
     try {
         const rootDigest = await publishRandom(fleet, parameters);
         await sleep(SETTLE_MS);
-        const idleAgentRssMb = await rssMb(fleet, "VmRSS");
+        const idleAgentRssMb = await rssMb(fleet.runners, "VmRSS");
         const before = await readEvidence(fleet);
-        const { seconds, etag } = await rollOut(fleet, rootDigest);
-        const states = await Promise.all(fleet.runners.map(fleet.readState));
+        const victims = fleet.runners.slice(0, Math.round(parameters.failed * replicas));
+        const survivors = fleet.runners.slice(victims.length);
+        const failing = failVictims(victims, FAIL_AT * boundSecondsOf(parameters));
+        const { seconds, etag } = await rollOut(fleet, survivors, rootDigest);
+        await failing;
+        const states = await Promise.all(survivors.map(fleet.readState));
         const copies = states.map(state => vmBytes(state.transfers[0]) / bytes);
         const after = await readEvidence(fleet);
         const sharedChunkBytes = parameters.second ? await measureSecond(fleet, parameters, etag) : undefined;
@@ -162,7 +173,7 @@
             regionLinkCopies: round(largestInflow(before.linkBytes, after.linkBytes) / bytes),
             maxVmCopies: round(Math.max(...copies)),
             meanVmCopies: round(copies.reduce((sum, value) => sum + value, 0) / copies.length),
-            peakAgentRssMb: await rssMb(fleet, "VmHWM"),
+            peakAgentRssMb: await rssMb(survivors, "VmHWM"),
             idleAgentRssMb,
         };
     }
@@ -181,8 +192,19 @@
     return (await publishDirectory({ directory, model: "m", chunkBytes, store })).rootDigest;
 }
 
+/** Kills half of the VMs and stops the others, which keep their connections and send nothing. */
+async function failVictims(victims: readonly FleetProcess[], afterSeconds: number): Promise<void> {
+    await sleep(afterSeconds * 1000);
+    victims.forEach((victim, index) => victim.signal(index % 2 === 0 ? "SIGKILL" : "SIGSTOP"));
+}
+
 /** Returns the seconds from the accepted change until every replica reports that it serves the version. */
-async function rollOut(fleet: Fleet, rootDigest: string, etag?: string): Promise<{ seconds: number; etag: string; }> {
+async function rollOut(
+    fleet: Fleet,
+    replicas: readonly FleetProcess[],
+    rootDigest: string,
+    etag?: string,
+): Promise<{ seconds: number; etag: string; }> {
     const [entry] = fleet.entries;
     if (entry === undefined) throw new Error("the fleet has no entry");
     const profile = { name: "desk", model: "m", rootDigest, service: POOL };
@@ -190,7 +212,7 @@
     const answer = await sendToEntry(entry, "PUT", "/admin/v1/profiles/desk", OPERATOR_TOKEN, profile, headers);
     if (answer.status !== 200) throw new Error(`the profile was refused: ${answer.body.toString()}`);
     const started = performance.now();
-    let waiting = fleet.runners;
+    let waiting = replicas;
     while (waiting.length > 0) {
         if (performance.now() - started > SERVE_TIMEOUT_MS) {
             throw new Error(`${waiting.length} replicas do not serve the version in time`);
@@ -213,7 +235,7 @@
     await writeFile(path, content);
     const store = createObjectStore({ url: fleet.platformUrl, timeoutMs: 5000 });
     const { rootDigest } = await publishDirectory({ directory, model: "m", chunkBytes, store });
-    await rollOut(fleet, rootDigest, etag);
+    await rollOut(fleet, fleet.runners, rootDigest, etag);
     const states = await Promise.all(fleet.runners.map(fleet.readState));
     const received = states.map(({ transfers: [state] }) => vmBytes(state) - (state?.bytesSent ?? 0));
     return round(received.reduce((sum, value) => sum + value, 0) / received.length / bytes);
@@ -246,8 +268,8 @@
 }
 
 /** Largest resident set of an agent. Weights are in files and do not count. */
-async function rssMb(fleet: Fleet, field: "VmRSS" | "VmHWM"): Promise<number> {
-    const sizes = await Promise.all(fleet.runners.map(async ({ pid }) => {
+async function rssMb(agents: readonly FleetProcess[], field: "VmRSS" | "VmHWM"): Promise<number> {
+    const sizes = await Promise.all(agents.map(async ({ pid }) => {
         const text = await readFile(`/proc/${pid}/status`, "utf8");
         return Number(new RegExp(`${field}:\\s+(\\d+)`).exec(text)?.[1] ?? 0) * 1024 / MEGABYTE;
     }));
