Serve earlier versions of a profile until replicas have switched

Cause: an entry bound each request to the version that the profile names now. From the accepted change until the first replica had switched, no agent served that version and every request was refused. Tests had watched the states of the replicas and not the callers. Change: a profile keeps the versions of the same model and pool that it named before; a request may be bound to any of them, is bound to the version that the chosen agent serves, and is continued only on that one.

--- a/src/lib/core/configuration.ts
+++ b/src/lib/core/configuration.ts
@@ -5,12 +5,18 @@
  * changed after a revision that the receiver has.
  */
 import * as z from "zod";
+import { type Digest, isDigest } from "./manifest.js";
 import { checkProfile, type Profile, type ProfileProblem } from "./profile.js";
 
 /** A profile with the revision of its last change, which is its entity tag in the administration API. */
 export interface ProfileEntry {
     readonly profile: Profile;
     readonly revision: number;
+    /**
+     * Versions of the same model and pool that the profile named before, newest first. Replicas that haven't
+     * switched yet go on serving them, so that a rollout leaves no gap.
+     */
+    readonly earlierDigests: readonly Digest[];
 }
 
 export interface Configuration {
@@ -52,6 +58,9 @@
 // A command is repeated within minutes; 12,000 changes a day are about 8 a minute, so 256 cover half an hour.
 const REMEMBERED_CHANGES = 256;
 
+/** Several versions can follow each other before every replica has switched. */
+const EARLIER_DIGESTS = 4;
+
 /** Decides one change against the snapshot that the table holds. */
 export function decideChange(current: Configuration, change: ProfileChange): ChangeDecision {
     const earlier = current.changes.find(({ changeId }) => changeId === change.changeId);
@@ -73,10 +82,23 @@
     if (check.kind === "invalid") return check;
     const problems = problemsIn(current, change.name, check.profile);
     if (problems.length > 0) return { kind: "invalid", problems };
-    const profiles = { ...current.profiles, [change.name]: { profile: check.profile, revision } };
+    const next = { profile: check.profile, revision, earlierDigests: earlierDigestsOf(entry, check.profile) };
+    const profiles = { ...current.profiles, [change.name]: next };
     return { kind: "apply", next: { revision, profiles, changes } };
 }
 
+function earlierDigestsOf(before: ProfileEntry | undefined, { model, rootDigest, service }: Profile): Digest[] {
+    if (before === undefined || before.profile.model !== model || before.profile.service !== service) return [];
+    const digests = new Set([before.profile.rootDigest, ...before.earlierDigests]);
+    digests.delete(rootDigest);
+    return [...digests].slice(0, EARLIER_DIGESTS);
+}
+
+/** Returns the versions that may answer a profile's requests. */
+export function servedDigestsOf({ profile, earlierDigests }: ProfileEntry): Digest[] {
+    return [profile.rootDigest, ...earlierDigests];
+}
+
 /** Returns a profile by its name, or `undefined` if there is none. */
 export function entryOf(configuration: Configuration, name: string): ProfileEntry | undefined {
     return Object.hasOwn(configuration.profiles, name) ? configuration.profiles[name] : undefined;
@@ -121,6 +143,8 @@
 
 const revisionSchema = z.int().min(0);
 
+const earlierSchema = z.array(z.string().refine(isDigest)).max(EARLIER_DIGESTS).default([]);
+
 const updateSchema = z.strictObject({
     revision: revisionSchema,
     /** The update applies to every snapshot whose revision is at least this one. */
@@ -128,7 +152,11 @@
     /** Names of all profiles at `revision`, so that a receiver drops the retired ones. */
     names: z.array(z.string()).max(10_000),
     /** Profiles whose last change is later than `since`. */
-    changed: z.array(z.strictObject({ profile: z.unknown(), revision: revisionSchema })).max(10_000),
+    changed: z.array(z.strictObject({
+        profile: z.unknown(),
+        revision: revisionSchema,
+        earlierDigests: earlierSchema,
+    })).max(10_000),
 });
 
 /** What one process tells another about the configuration. An update since 0 is the whole snapshot. */
@@ -149,7 +177,9 @@
         revision: configuration.revision,
         since,
         names: entries.map(({ profile }) => profile.name),
-        changed: entries.filter(({ revision }) => revision > since),
+        changed: entries
+            .filter(({ revision }) => revision > since)
+            .map(entry => ({ ...entry, earlierDigests: [...entry.earlierDigests] })),
     };
 }
 
@@ -165,7 +195,7 @@
         const check = checkProfile(entry.profile);
         if (check.kind === "invalid") return { kind: "invalid", reason: check.problems[0]?.reason ?? "" };
         if (entry.revision > revision) return { kind: "invalid", reason: "a profile is newer than the update" };
-        known.set(check.profile.name, { profile: check.profile, revision: entry.revision });
+        known.set(check.profile.name, { ...entry, profile: check.profile });
     }
     const profiles: [string, ProfileEntry][] = [];
     for (const name of names) {
@@ -178,7 +208,10 @@
 
 const rowSchema = z.object({
     revision: revisionSchema,
-    profiles: z.record(z.string(), z.object({ profile: z.unknown(), revision: revisionSchema })),
+    profiles: z.record(
+        z.string(),
+        z.object({ profile: z.unknown(), revision: revisionSchema, earlierDigests: earlierSchema }),
+    ),
     changes: z.array(z.object({ changeId: z.string(), revision: revisionSchema })),
 });
 
@@ -187,10 +220,10 @@
     const parsed = rowSchema.safeParse(input);
     if (!parsed.success) return undefined;
     const profiles: [string, ProfileEntry][] = [];
-    for (const [name, { profile, revision }] of Object.entries(parsed.data.profiles)) {
-        const check = checkProfile(profile);
+    for (const [name, entry] of Object.entries(parsed.data.profiles)) {
+        const check = checkProfile(entry.profile);
         if (check.kind === "invalid" || check.profile.name !== name) return undefined;
-        profiles.push([name, { profile: check.profile, revision }]);
+        profiles.push([name, { ...entry, profile: check.profile }]);
     }
     return { ...parsed.data, profiles: Object.fromEntries(profiles) };
 }
--- a/src/lib/entry/dispatcher.ts
+++ b/src/lib/entry/dispatcher.ts
@@ -50,8 +50,10 @@
         const tried = new Set<string>();
         const delivery: Delivery = { started: false, outputs: 0 };
         let last = failure(Verdict.notRun, `no agent of ${work.service} can take the request`);
+        // Once a part of the answer was delivered, only the version that made it may continue it.
+        let open = work;
         while (verdicts.length < MAX_ATTEMPTS && now() < work.deadline) {
-            const slot = await slots.choose(work, tried, receiver.signal);
+            const slot = await slots.choose(open, tried, receiver.signal);
             if (slot.kind === "refused") {
                 if (verdicts.length === 0) last = slot.failure;
                 break;
@@ -61,7 +63,9 @@
                 break;
             }
             tried.add(slot.address);
-            const result = await run(work, slot.address, delivery, receiver).finally(slot.release);
+            const bound = { ...open, rootDigest: slots.digestAt(open, slot.address) };
+            const result = await run(bound, slot.address, delivery, receiver).finally(slot.release);
+            if (delivery.started && bound.rootDigest !== "") open = { ...bound, servedDigests: [bound.rootDigest] };
             if (result.kind === "complete") {
                 budgets.get(work.rank)?.success();
                 slots.recordUse(work, slot.address);
--- a/src/lib/entry/openaiApi.ts
+++ b/src/lib/entry/openaiApi.ts
@@ -1,6 +1,6 @@
 /** The OpenAI-compatible API for model work: completions, chat completions and the list of models. */
 import { createHash } from "node:crypto";
-import { type ProfileEntry, RANKS } from "../core/index.js";
+import { type ProfileEntry, RANKS, servedDigestsOf } from "../core/index.js";
 import { createCallerAnswer } from "./answer.js";
 import { type ClientRequest, serveClient } from "./clientRequest.js";
 import { rejection, sendProblem } from "./problem.js";
@@ -44,6 +44,7 @@
         profile: entry.profile.name,
         profileRevision: entry.revision,
         rootDigest: entry.profile.rootDigest,
+        servedDigests: servedDigestsOf(entry),
         method: "POST",
         path: url.pathname,
         ...bodyOf(engineFields),
--- a/src/lib/entry/servicesApi.ts
+++ b/src/lib/entry/servicesApi.ts
@@ -46,6 +46,7 @@
         profile: "",
         profileRevision: 0,
         rootDigest: "",
+        servedDigests: [],
         prefix: "",
         method,
         path: (rest ?? "/") + url.search,
--- a/src/lib/entry/slotChoice.ts
+++ b/src/lib/entry/slotChoice.ts
@@ -13,8 +13,10 @@
     | { readonly kind: "refused"; readonly failure: DispatchFailure; };
 
 export interface SlotChoice {
-    /** Chooses among the agents that serve the work's version, without those that were tried before. */
+    /** Chooses among the agents that serve a version which may answer, without those that were tried before. */
     choose(work: Work, tried: ReadonlySet<string>, signal: AbortSignal): Promise<Slot>;
+    /** Returns the version that the agent serves. */
+    digestAt(work: Work, address: string): string;
     /** Remembers that the agent's engine probably holds the work's prefix in its cache. */
     recordUse(work: Work, address: string): void;
 }
@@ -48,7 +50,16 @@
     }
 
     function candidatesFor(work: Work): KnownAgent[] {
-        return directory.usable(work.service, now()).filter(({ state }) => state.servingDigest === work.rootDigest);
+        const { servedDigests } = work;
+        return directory.usable(work.service, now()).filter(({ state }) => {
+            return servedDigests.length === 0 || servedDigests.includes(state.servingDigest);
+        });
+    }
+
+    function digestAt(work: Work, address: string): string {
+        if (work.servedDigests.length === 0) return "";
+        const agent = directory.usable(work.service, now()).find(known => known.address === address);
+        return agent?.state.servingDigest ?? work.rootDigest;
     }
 
     function chooseAddress(work: Work, found: readonly KnownAgent[]): string | undefined {
@@ -61,7 +72,7 @@
         if (work.prefix !== "") affinities.record(work.prefix, address, now());
     }
 
-    return { choose, recordUse };
+    return { choose, digestAt, recordUse };
 }
 
 function toCandidate({ address, state, sentSinceReport }: KnownAgent, rank: Rank) {
--- a/src/lib/entry/work.ts
+++ b/src/lib/entry/work.ts
@@ -9,8 +9,10 @@
     readonly service: string;
     readonly profile: string;
     readonly profileRevision: number;
-    /** Empty for plain services. */
+    /** Version that answers, chosen for each attempt; empty for plain services. */
     readonly rootDigest: string;
+    /** Versions that may answer; empty for plain services. */
+    readonly servedDigests: readonly string[];
     readonly method: string;
     readonly path: string;
     readonly headers: readonly Header[];
--- a/src/test/agent/activationChecks.test.ts
+++ b/src/test/agent/activationChecks.test.ts
@@ -62,7 +62,7 @@
 async function runActivation(world: World) {
     const profile = () => ({ name: "p", service: SERVICE, rootDigest: world.wanted, paused: false, maxUnavailable: 1 });
     const current = () => {
-        const entry = { profile: profile() as unknown as Profile, revision: world.revision };
+        const entry = { profile: profile() as unknown as Profile, revision: world.revision, earlierDigests: [] };
         return { revision: world.revision, profiles: { p: entry }, changes: [] } satisfies Configuration;
     };
     const transfer = (rootDigest: string) => ({ rootDigest, done: Promise.resolve(), cancel: () => undefined });
--- a/src/test/entry/resumption.test.ts
+++ b/src/test/entry/resumption.test.ts
@@ -104,6 +104,7 @@
     profile: "p",
     profileRevision: 1,
     rootDigest: DIGEST,
+    servedDigests: [DIGEST],
     method: "POST",
     path: "/v1/completions",
     headers: [],
