Switch the link rate, fencing and cache events of the stand-ins while they run

Cause: the rate of the weight store's link and the handling of fencing numbers were fixed at start, and the stand-in engine published no cache events. Change: three fault switches over HTTP and late cache events with gaps. Conclusion: tests show that each switch has its effect. Routing doesn't read the events.

--- a/src/lib/standIn/engine.ts
+++ b/src/lib/standIn/engine.ts
@@ -9,6 +9,7 @@
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { digestOf, parseManifest } from "../core/index.js";
+import { createCacheEvents } from "./cacheEvents.js";
 import { createFaultSwitches, type FaultSwitches } from "./faults.js";
 import { answerJson, readJson, type RunningServer, startHttpServer } from "./httpServer.js";
 import { createPrefixCache } from "./prefixCache.js";
@@ -87,7 +88,10 @@
     const waiting: Waiter[] = [];
     let state = { digest: "", generation: 1, fence: 0 };
     let running = 0;
-    const prefixCache = createPrefixCache(options.prefixCacheBlocks ?? 0);
+    const cacheEvents = createCacheEvents(() => faults.strikes(faults.current().loseCacheEvents));
+    const prefixCache = createPrefixCache(options.prefixCacheBlocks ?? 0, (kind, block) => {
+        cacheEvents.add(kind, block, performance.now());
+    });
     const filler = "x".repeat(options.fillerBytes ?? 0);
     let promptTokens = 0;
     let cachedPromptTokens = 0;
@@ -110,6 +114,11 @@
             restart();
             return answerJson(response, 200, state);
         }
+        if (route.startsWith("GET /engine/cache-events")) {
+            const after = Number(new URL(request.url ?? "", "http://engine").searchParams.get("after") ?? 0);
+            const events = cacheEvents.read(after, faults.current().cacheEventDelayMs, performance.now());
+            return answerJson(response, 200, events);
+        }
         if (route === "POST /engine/load") return load(await readJson(request) as LoadBody, response);
         if (route === "POST /v1/chat/completions" || route === "POST /v1/completions") {
             return complete(await readJson(request) as CompletionBody, response);
@@ -118,7 +127,8 @@
     }
 
     async function load(order: LoadBody, response: ServerResponse): Promise<void> {
-        if (!options.ignoresFence && order.fence < state.fence) {
+        const ignoresFence = options.ignoresFence || faults.current().ignoreFence;
+        if (!ignoresFence && order.fence < state.fence) {
             return answerJson(response, 409, { error: "old fencing number" });
         }
         loads.push({ digest: order.digest, fence: order.fence });
@@ -130,7 +140,7 @@
         state = {
             digest: order.digest,
             generation: state.generation + 1,
-            fence: options.ignoresFence ? 0 : order.fence,
+            fence: ignoresFence ? 0 : order.fence,
         };
         answerJson(response, 200, state);
     }
--- a/src/lib/standIn/faults.ts
+++ b/src/lib/standIn/faults.ts
@@ -29,6 +29,14 @@
     breakAfterTokens: z.int().min(0).default(0),
     /** Rate of an engine in place of its own one; 0 for its own. */
     tokensPerSecond: z.number().min(0).default(0),
+    /** Rate of the weight store's link in place of its own one; 0 for its own. */
+    linkBytesPerSecond: z.number().min(0).default(0),
+    /** An engine executes orders with an old fencing number. */
+    ignoreFence: z.boolean().default(false),
+    /** How late an engine publishes the events of its prefix cache. */
+    cacheEventDelayMs: z.number().min(0).default(0),
+    /** Fraction of the events of an engine's prefix cache that it never publishes. */
+    loseCacheEvents: z.number().min(0).max(1).default(0),
     /** An engine sends events that aren't valid JSON. */
     malformed: z.boolean().default(false),
 });
--- a/src/lib/standIn/objects.ts
+++ b/src/lib/standIn/objects.ts
@@ -7,7 +7,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { dirname, join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
-import { createTokenBucket } from "../core/index.js";
+import { createTokenBucket, type TokenBucket } from "../core/index.js";
 import type { FaultSwitches } from "./faults.js";
 import { answerJson, readBody } from "./httpServer.js";
 
@@ -29,9 +29,17 @@
 
 export function createObjectsStandIn(options: ObjectsOptions): ObjectsStandIn {
     const { directory, faults, now } = options;
-    const link = createTokenBucket({ ratePerSecond: options.bytesPerSecond, burst: 2 * PIECE_BYTES });
+    let link = createLink(options.bytesPerSecond);
+    let linkRate = options.bytesPerSecond;
     let chunkBytesSent = 0;
 
+    function currentLink(): TokenBucket {
+        const rate = faults.current().linkBytesPerSecond || options.bytesPerSecond;
+        if (rate !== linkRate) link = createLink(rate);
+        linkRate = rate;
+        return link;
+    }
+
     async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const key = decodeURIComponent((request.url ?? "").replace(/^\/objects\//, ""));
         if (key.split("/").includes("..")) return answerJson(response, 400, { error: "invalid key" });
@@ -56,7 +64,7 @@
         if (faults.strikes(faults.current().corrupt)) content[0] = (content[0] ?? 0) ^ 0xff;
         for (let offset = 0; offset < content.length; offset += PIECE_BYTES) {
             const piece = content.subarray(offset, offset + PIECE_BYTES);
-            const wait = link.take(piece.length, now());
+            const wait = currentLink().take(piece.length, now());
             if (wait > 1) await sleep(wait);
             if (response.destroyed) return;
             if (faults.current().stall) return;
@@ -69,6 +77,10 @@
     return { serve, chunkBytesSent: () => chunkBytesSent };
 }
 
+function createLink(bytesPerSecond: number): TokenBucket {
+    return createTokenBucket({ ratePerSecond: bytesPerSecond, burst: 2 * PIECE_BYTES });
+}
+
 function drained(response: ServerResponse): Promise<void> {
     return new Promise(resolve => {
         const done = () => {
--- a/src/lib/standIn/prefixCache.ts
+++ b/src/lib/standIn/prefixCache.ts
@@ -8,7 +8,9 @@
 
 const BLOCK_CHARACTERS = 64;
 
-export function createPrefixCache(maxBlocks: number): PrefixCache {
+export type BlockListener = (kind: "stored" | "removed", block: string) => void;
+
+export function createPrefixCache(maxBlocks: number, onBlock: BlockListener): PrefixCache {
     // A Set keeps the order of insertion, so its first key was used longest ago.
     const blocks = new Set<string>();
 
@@ -26,10 +28,12 @@
     }
 
     function remember(key: string): void {
-        blocks.delete(key);
+        if (!blocks.delete(key)) onBlock("stored", key);
         blocks.add(key);
         const [oldest] = blocks;
-        if (blocks.size > maxBlocks && oldest !== undefined) blocks.delete(oldest);
+        if (blocks.size <= maxBlocks || oldest === undefined) return;
+        blocks.delete(oldest);
+        onBlock("removed", oldest);
     }
 
     return { use };
--- /dev/null
+++ b/src/test/standIn/switches.test.ts
@@ -0,0 +1,65 @@
+import assert from "node:assert/strict";
+import { mkdir, mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { digestOf, encodeManifest } from "../../lib/core/index.js";
+import { createEngine, createObjectStore, sendRequest } from "../../lib/platform/index.js";
+import { startEngineStandIn, startPlatformStandIn } from "../../lib/standIn/index.js";
+
+async function withDirectory(run: (directory: string) => Promise<void>): Promise<void> {
+    const directory = await mkdtemp(join(tmpdir(), "endivewell-switches-"));
+    await run(directory).finally(() => rm(directory, { recursive: true, force: true }));
+}
+
+// Guards against a bench that slows the weight store's link down without an effect.
+test("the rate of the weight store's link can be switched while it runs", async () => {
+    await withDirectory(async directory => {
+        const platform = await startPlatformStandIn({ directory, originBytesPerSecond: 1e9, seed: 1 });
+        const store = createObjectStore({ url: platform.url, timeoutMs: 5000 });
+        await store.put("chunks/x", Buffer.alloc(400_000));
+        const secondsOf = async () => {
+            const started = performance.now();
+            await store.get("chunks/x");
+            return (performance.now() - started) / 1000;
+        };
+        assert.ok(await secondsOf() < 0.2);
+        platform.faults.set({ linkBytesPerSecond: 500_000 });
+        assert.ok(await secondsOf() > 0.3);
+        await platform.stop();
+    });
+});
+
+// Guards against tests of fencing that run against an engine which checks it anyway, and against cache events
+// that arrive at once.
+test("an engine's fence and its cache events can be switched while it runs", async () => {
+    await withDirectory(async directory => {
+        const path = join(directory, "version");
+        await mkdir(path);
+        const manifest = encodeManifest({ format: 1, model: "m", files: [] });
+        await writeFile(`${path}.manifest.json`, manifest);
+        const digest = digestOf(manifest);
+        const options = { slots: 1, tokensPerSecond: 1000, ignoresFence: false, seed: 1, prefixCacheBlocks: 8 };
+        const standIn = await startEngineStandIn(options);
+        const engine = createEngine({ url: standIn.url, timeoutMs: 1000 });
+        await engine.load({ digest, path, fence: 2 });
+        await assert.rejects(engine.load({ digest, path, fence: 1 }), /old fencing number/);
+        standIn.faults.set({ ignoreFence: true, cacheEventDelayMs: 300 });
+        await engine.load({ digest, path, fence: 1 });
+
+        const readEvents = async () => {
+            const answer = await sendRequest({ method: "GET", url: `${standIn.url}/engine/cache-events?after=0` });
+            return JSON.parse(answer.body.toString()) as { sequence: number; kind: string; }[];
+        };
+        const body = JSON.stringify({ prompt: "x".repeat(128), max_tokens: 1 });
+        await sendRequest({ method: "POST", url: `${standIn.url}/v1/completions`, body });
+        assert.deepEqual(await readEvents(), []);
+        await sleep(350);
+        assert.deepEqual((await readEvents()).map(({ sequence, kind }) => [sequence, kind]), [
+            [1, "stored"],
+            [2, "stored"],
+        ]);
+        await standIn.stop();
+    });
+});
