--- a/src/lib/rpc/connections.ts
+++ b/src/lib/rpc/connections.ts
@@ -2,7 +2,7 @@
  * Connections to other processes of the system, one per address, kept until `close`. Use `agent` for the
  * Agent service and `node` for the Node service; both share the connection.
  */
-import { Client, type ServiceError, status } from "@grpc/grpc-js";
+import type { Client } from "@grpc/grpc-js";
 import type { Credentials } from "./credentials.js";
 import { AgentClient, NodeClient } from "./generated/endivewell.js";
 
@@ -66,11 +66,6 @@
     return { agent, node, connect, drop, close };
 }
 
-/** Tells whether a failed call was cancelled by this process. */
-export function isCancelled(error: unknown): boolean {
-    return (error as Partial<ServiceError>).code === status.CANCELLED;
-}
-
 function remembered<T extends Client>(known: Map<string, T>, address: string, create: () => T): T {
     const existing = known.get(address);
     if (existing !== undefined) return existing;
