--- a/src/bench/config.ts
+++ b/src/bench/config.ts
@@ -12,7 +12,7 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { type Fleet, type FleetProcess, OPERATOR_TOKEN, sendToEntry, startFleet, waitUntil } from "../harness/index.js";
-import { createObjectStore } from "../lib/platform/index.js";
+import { createObjectStore } from "../lib/clients/index.js";
 import { publishDirectory } from "../lib/publish/index.js";
 import { type Connections, createConnections, createCredentials, type Event } from "../lib/rpc/index.js";
 import type { Figures } from "./bench.js";
--- a/src/bench/distribution.ts
+++ b/src/bench/distribution.ts
@@ -13,7 +13,7 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { type Fleet, type FleetProcess, OPERATOR_TOKEN, POOL, sendToEntry, startFleet } from "../harness/index.js";
-import { createObjectStore, sendRequest } from "../lib/platform/index.js";
+import { createObjectStore, sendRequest } from "../lib/clients/index.js";
 import { publishDirectory } from "../lib/publish/index.js";
 import type { TransferState } from "../lib/rpc/index.js";
 import type { Bench, Figures } from "./bench.js";
--- a/src/bench/faults.ts
+++ b/src/bench/faults.ts
@@ -22,7 +22,7 @@
     waitUntil,
     waitUntilServing,
 } from "../harness/index.js";
-import { createObjectStore, type HttpAnswer, sendRequest, wasNeverSent } from "../lib/platform/index.js";
+import { createObjectStore, type HttpAnswer, sendRequest, wasNeverSent } from "../lib/clients/index.js";
 import { publishDirectory } from "../lib/publish/index.js";
 import { expectedToken } from "../lib/standIn/index.js";
 import type { Bench } from "./bench.js";
--- a/src/bench/footprint.ts
+++ b/src/bench/footprint.ts
@@ -19,7 +19,7 @@
     startFleet,
     waitUntilServing,
 } from "../harness/index.js";
-import { createObjectStore } from "../lib/platform/index.js";
+import { createObjectStore } from "../lib/clients/index.js";
 import { publishDirectory } from "../lib/publish/index.js";
 import type { Bench } from "./bench.js";
 
--- a/src/bench/interference.ts
+++ b/src/bench/interference.ts
@@ -8,7 +8,7 @@
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type Fleet, OPERATOR_TOKEN, POOL, sendToEntry, waitUntilServing } from "../harness/index.js";
-import { createObjectStore } from "../lib/platform/index.js";
+import { createObjectStore } from "../lib/clients/index.js";
 import { publishDirectory } from "../lib/publish/index.js";
 import type { Bench } from "./bench.js";
 import { type Outcome, percentile, round, sendStream } from "./load.js";
--- a/src/bench/pool.ts
+++ b/src/bench/pool.ts
@@ -12,7 +12,7 @@
     waitUntilServing,
 } from "../harness/index.js";
 import type { FleetOptions } from "../harness/index.js";
-import { createObjectStore } from "../lib/platform/index.js";
+import { createObjectStore } from "../lib/clients/index.js";
 import { publishDirectory } from "../lib/publish/index.js";
 
 export type Scheduling = "agentQueues" | "entryQueues" | "fifo";
--- a/src/harness/fleet.ts
+++ b/src/harness/fleet.ts
@@ -7,7 +7,7 @@
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
-import { sendRequest, type Vm } from "../lib/platform/index.js";
+import { sendRequest, type Vm } from "../lib/clients/index.js";
 import { type AgentState, createConnections, createCredentials } from "../lib/rpc/index.js";
 import type { EngineOptions, RegionsOptions } from "../lib/standIn/index.js";
 import { type Child, startChild } from "./childProcess.js";
--- a/src/lib/agent/activation.ts
+++ b/src/lib/agent/activation.ts
@@ -7,10 +7,10 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import VError from "verror";
+import type { Engine, EngineState } from "../clients/index.js";
 import { type Configuration, type Digest, judgeRollout, type ProfileEntry, profilesOf } from "../core/index.js";
 import type { ConfigurationSync, EventRecorder } from "../node/index.js";
 import { createLog } from "../observability/index.js";
-import type { Engine, EngineState } from "../platform/index.js";
 import type { ChunkStore } from "./chunkStore.js";
 import type { Lease, LeaseResult } from "./lease.js";
 import type { Transfer } from "./transfer.js";
--- a/src/lib/agent/backendCall.ts
+++ b/src/lib/agent/backendCall.ts
@@ -3,9 +3,9 @@
  * version changed between dispatch and end.
  */
 import type { IncomingMessage } from "node:http";
+import { type Engine, type EngineState, openRequest, wasNeverSent } from "../clients/index.js";
 import { isBindingKept, Verdict } from "../core/index.js";
 import { createLog } from "../observability/index.js";
-import { type Engine, type EngineState, openRequest, wasNeverSent } from "../platform/index.js";
 import type { DispatchRequest } from "../rpc/index.js";
 import { type AnswerSink, finish, refuse } from "./answerSink.js";
 import { createOutputCounter } from "./outputCounter.js";
--- a/src/lib/agent/baselineStrategies.ts
+++ b/src/lib/agent/baselineStrategies.ts
@@ -1,7 +1,7 @@
 /** Baselines for the distribution bench. Use `fetchFromPeers` in operation. */
 import { setTimeout as sleep } from "node:timers/promises";
+import type { Vm } from "../clients/index.js";
 import type { PlacedChunk } from "../core/index.js";
-import type { Vm } from "../platform/index.js";
 import { transferError, type TransferTask } from "./transferTask.js";
 
 const PARALLEL_ORIGIN_REQUESTS = 4;
--- a/src/lib/agent/chunkSources.ts
+++ b/src/lib/agent/chunkSources.ts
@@ -1,7 +1,7 @@
 /** Reads one chunk from another agent or from the origin, at the rate of the links, and verifies it. */
 import type { ClientReadableStream } from "@grpc/grpc-js";
+import { chunkKey, type ObjectStore, type Vm } from "../clients/index.js";
 import { type Digest, digestOf, type PlacedChunk, RequestOutcome } from "../core/index.js";
-import { chunkKey, type ObjectStore, type Vm } from "../platform/index.js";
 import type { ChunkPiece, Connections } from "../rpc/index.js";
 import type { Links } from "./links.js";
 
--- a/src/lib/agent/claims.ts
+++ b/src/lib/agent/claims.ts
@@ -6,6 +6,7 @@
 import { createHash, randomUUID } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
 import { match } from "ts-pattern";
+import { type TableService, type TableWrite, wasNeverSent, type WriteCondition } from "../clients/index.js";
 import {
     afterClaimRead,
     afterClaimWrite,
@@ -22,7 +23,6 @@
     Verdict,
 } from "../core/index.js";
 import { createLog } from "../observability/index.js";
-import { type TableService, type TableWrite, wasNeverSent, type WriteCondition } from "../platform/index.js";
 import type { AnswerHead, DispatchRequest } from "../rpc/index.js";
 import type { AnswerSink } from "./answerSink.js";
 
--- a/src/lib/agent/gate.ts
+++ b/src/lib/agent/gate.ts
@@ -2,9 +2,9 @@
  * The last check before the backend server. It refuses what it must not run, queues the rest, and starts
  * queued attempts while there are free slots.
  */
+import type { Engine, EngineState } from "../clients/index.js";
 import { bindRequest, createConcurrencyLimit, type QueuePolicy, type Rank, RANKS, Verdict } from "../core/index.js";
 import { createLog } from "../observability/index.js";
-import type { Engine, EngineState } from "../platform/index.js";
 import type { DispatchRequest } from "../rpc/index.js";
 import { type AnswerSink, finish, MAX_REPORTED_WAIT_MS, refuse } from "./answerSink.js";
 import { type AttemptItem, createAttemptQueue } from "./attemptQueue.js";
--- a/src/lib/agent/lease.ts
+++ b/src/lib/agent/lease.ts
@@ -1,8 +1,8 @@
 /** A lease in the table service, held by this process. `core/lease` decides; this module reads and writes. */
 import { match } from "ts-pattern";
 import * as z from "zod";
+import type { TableService, WriteCondition } from "../clients/index.js";
 import { decideLease, isLeaseValid, type LeaseObservation, type LeaseRow } from "../core/index.js";
-import type { TableService, WriteCondition } from "../platform/index.js";
 
 export type LeaseResult = "held" | "busy" | "unavailable";
 
--- a/src/lib/agent/manifestSource.ts
+++ b/src/lib/agent/manifestSource.ts
@@ -5,8 +5,8 @@
  */
 import { Metadata } from "@grpc/grpc-js";
 import { setTimeout as sleep } from "node:timers/promises";
+import { manifestKey, type Vm } from "../clients/index.js";
 import { type Digest, parseManifest, rankMembers } from "../core/index.js";
-import { manifestKey, type Vm } from "../platform/index.js";
 import type { Connections } from "../rpc/index.js";
 import { type TransferEnvironment, transferError } from "./transferTask.js";
 
--- a/src/lib/agent/neighbours.ts
+++ b/src/lib/agent/neighbours.ts
@@ -2,8 +2,8 @@
  * Watches which chunks of a version a bounded set of VMs of the region hold. VMs of the same failure domain
  * come first; a quarter of the places stays with other domains, so that chunks cross between domains.
  */
+import type { Vm } from "../clients/index.js";
 import { type Digest, rankMembers } from "../core/index.js";
-import type { Vm } from "../platform/index.js";
 import type { ChunkAvailability, Connections } from "../rpc/index.js";
 
 export interface Neighbours {
--- a/src/lib/agent/peerStrategy.ts
+++ b/src/lib/agent/peerStrategy.ts
@@ -1,4 +1,5 @@
 /** The transfer between agents: carries out the requests that the transfer plan chooses. */
+import type { Vm } from "../clients/index.js";
 import {
     type ChunkAssignment,
     createChunkAssigner,
@@ -10,7 +11,6 @@
     UPSTREAM,
 } from "../core/index.js";
 import { createLog } from "../observability/index.js";
-import type { Vm } from "../platform/index.js";
 import type { ChunkResult } from "./chunkSources.js";
 import { createNeighbours } from "./neighbours.js";
 import { transferError, type TransferTask } from "./transferTask.js";
--- a/src/lib/agent/transfer.ts
+++ b/src/lib/agent/transfer.ts
@@ -3,9 +3,9 @@
  * the check of files that are there already and the final check are common to all strategies. Chunks are
  * verified before they are written, and the files are hashed again at the end.
  */
+import type { Vm } from "../clients/index.js";
 import { type Digest, type Manifest, parseManifest, placeChunks, type PlacedChunk } from "../core/index.js";
 import { createLog } from "../observability/index.js";
-import type { Vm } from "../platform/index.js";
 import type { AgentSettings } from "../settings/index.js";
 import { fetchAlongChain, fetchFromOrigin } from "./baselineStrategies.js";
 import type { ChunkResult } from "./chunkSources.js";
--- a/src/lib/agent/transferTask.ts
+++ b/src/lib/agent/transferTask.ts
@@ -1,8 +1,8 @@
 /** What a transfer's strategy works with. */
 import VError from "verror";
+import type { ObjectStore, Vm } from "../clients/index.js";
 import type { PlacedChunk } from "../core/index.js";
 import type { EventRecorder } from "../node/index.js";
-import type { ObjectStore, Vm } from "../platform/index.js";
 import type { Connections } from "../rpc/index.js";
 import type { AgentSettings } from "../settings/index.js";
 import type { ChunkResult, ChunkSources } from "./chunkSources.js";
--- a/src/lib/cli/adminConnection.ts
+++ b/src/lib/cli/adminConnection.ts
@@ -1,7 +1,7 @@
 /** The operator commands' connection to the administration API of an entry. */
 import { randomUUID } from "node:crypto";
 import VError from "verror";
-import { sendRequest } from "../platform/index.js";
+import { sendRequest } from "../clients/index.js";
 import { readSecret } from "../settings/index.js";
 import { ExitCode } from "./exitCode.js";
 
--- a/src/lib/cli/localCommand.ts
+++ b/src/lib/cli/localCommand.ts
@@ -6,9 +6,9 @@
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import VError from "verror";
+import { createObjectStore, sendRequest } from "../clients/index.js";
 import { placeChunks, transferSize } from "../core/index.js";
 import { DEMO_CLIENT_KEY, DEMO_OPERATOR_TOKEN, DEMO_POOL, type LocalFleet, startLocalFleet } from "../local/index.js";
-import { createObjectStore, sendRequest } from "../platform/index.js";
 import { publishDirectory } from "../publish/index.js";
 import { untilSignal } from "./untilSignal.js";
 
--- a/src/lib/cli/publishCommand.ts
+++ b/src/lib/cli/publishCommand.ts
@@ -1,7 +1,7 @@
 /** `endivewell publish`: makes a version of a directory and stores it in the weight store. */
 import { Args, Flags } from "@oclif/core";
 import VError from "verror";
-import { createObjectStore } from "../platform/index.js";
+import { createObjectStore } from "../clients/index.js";
 import { DEFAULT_CHUNK_BYTES, publishDirectory, type PublishedVersion, type PublishOptions } from "../publish/index.js";
 import { ExitCode } from "./exitCode.js";
 import { OperatorCommand } from "./operatorCommand.js";
--- a/src/lib/core/claim.ts
+++ b/src/lib/core/claim.ts
@@ -28,7 +28,7 @@
 export type ClaimRow = Readonly<z.infer<typeof rowSchema>>;
 export type ClaimResult = Readonly<z.infer<typeof resultSchema>>;
 
-/** What the table service answered, as `platform/tableService` reports it. */
+/** What the table service answered, as `clients/tableService` reports it. */
 export type ClaimRead =
     | { readonly kind: "found"; readonly value: unknown; readonly etag: string; }
     | { readonly kind: "missing"; }
--- a/src/lib/entry/agentDirectory.ts
+++ b/src/lib/entry/agentDirectory.ts
@@ -4,6 +4,7 @@
  */
 import type { ClientReadableStream } from "@grpc/grpc-js";
 import { setImmediate } from "node:timers/promises";
+import type { Vm } from "../clients/index.js";
 import {
     assignInSteps,
     type Evidence,
@@ -19,7 +20,6 @@
 } from "../core/index.js";
 import type { MembershipTask } from "../node/index.js";
 import { createLog } from "../observability/index.js";
-import type { Vm } from "../platform/index.js";
 import { type AgentState, applyReport, type Connections } from "../rpc/index.js";
 
 const log = createLog("entry:directory");
--- a/src/lib/entry/processSurvey.ts
+++ b/src/lib/entry/processSurvey.ts
@@ -3,9 +3,9 @@
  * that doesn't answer in time is named in the result and never fails the whole survey.
  */
 import { Metadata, type ServiceError } from "@grpc/grpc-js";
+import type { Vm } from "../clients/index.js";
 import { mergeEvents, type TimelineEvent } from "../core/index.js";
 import type { EventRecorder, MembershipTask } from "../node/index.js";
-import type { Vm } from "../platform/index.js";
 import type { Connections, NodeClient } from "../rpc/index.js";
 
 export interface UnreachableProcess {
--- a/src/lib/node/configurationSync.ts
+++ b/src/lib/node/configurationSync.ts
@@ -14,6 +14,7 @@
  * exchange without news has no content and runs once a second. Headers of HTTP and gRPC come on top.
  */
 import { Metadata } from "@grpc/grpc-js";
+import type { TableService, Vm } from "../clients/index.js";
 import {
     applyUpdate,
     type Configuration,
@@ -25,7 +26,6 @@
     updateSince,
 } from "../core/index.js";
 import { createLog } from "../observability/index.js";
-import type { TableService, Vm } from "../platform/index.js";
 import type { Connections, SyncConfigurationRequest, SyncConfigurationResponse } from "../rpc/index.js";
 import type { EventRecorder } from "./eventRecorder.js";
 import { type RepeatedTask, startRepeating } from "./repeat.js";
--- a/src/lib/node/membershipTask.ts
+++ b/src/lib/node/membershipTask.ts
@@ -2,8 +2,8 @@
  * Keeps the latest list of VMs that the platform returned. The list survives an outage of the platform. It
  * lags by up to a minute anyway and nothing depends on its speed, so it is read slowly once it is steady.
  */
+import type { Vm, VmList } from "../clients/index.js";
 import { createLog } from "../observability/index.js";
-import type { Vm, VmList } from "../platform/index.js";
 import { type RepeatedTask, startRepeating } from "./repeat.js";
 
 const log = createLog("node:membership");
--- a/src/lib/node/nodeParts.ts
+++ b/src/lib/node/nodeParts.ts
@@ -1,12 +1,12 @@
 /** The parts that every process has: platform adapters, connections, VM list, configuration and events. */
-import { createMetrics, type Metrics } from "../observability/index.js";
 import {
     createObjectStore,
     createTableService,
     createVmList,
     type ObjectStore,
     type TableService,
-} from "../platform/index.js";
+} from "../clients/index.js";
+import { createMetrics, type Metrics } from "../observability/index.js";
 import { type Connections, createConnections, createCredentials, type Credentials } from "../rpc/index.js";
 import type { ProcessSettings } from "../settings/index.js";
 import { type ConfigurationSync, startConfigurationSync } from "./configurationSync.js";
--- a/src/lib/node/profileStore.ts
+++ b/src/lib/node/profileStore.ts
@@ -5,6 +5,14 @@
  * holds one that was not.
  */
 import { setTimeout as sleep } from "node:timers/promises";
+import {
+    latestKey,
+    manifestKey,
+    type ObjectStore,
+    type TableRead,
+    type TableService,
+    type WriteCondition,
+} from "../clients/index.js";
 import {
     type ChangeDecision,
     type Configuration,
@@ -16,14 +24,6 @@
     type ProfileEntry,
     type ProfileProblem,
 } from "../core/index.js";
-import {
-    latestKey,
-    manifestKey,
-    type ObjectStore,
-    type TableRead,
-    type TableService,
-    type WriteCondition,
-} from "../platform/index.js";
 import { CONFIGURATION_KEY, CONFIGURATION_TABLE } from "./configurationSync.js";
 
 export type ChangeResult =
--- a/src/lib/publish/publish.ts
+++ b/src/lib/publish/publish.ts
@@ -6,6 +6,7 @@
 import { open, readdir, stat } from "node:fs/promises";
 import { join, relative, sep } from "node:path";
 import VError from "verror";
+import { chunkKey, latestKey, manifestKey, type ObjectStore } from "../clients/index.js";
 import {
     type Chunk,
     type Digest,
@@ -15,7 +16,6 @@
     type ManifestFile,
     MAX_CHUNK_BYTES,
 } from "../core/index.js";
-import { chunkKey, latestKey, manifestKey, type ObjectStore } from "../platform/index.js";
 import { type ChunkerFactory, contentDefinedChunks, fixedChunks, MAX_FRACTION } from "./chunker.js";
 
 export const DEFAULT_CHUNK_BYTES = 256 * 1024;
--- a/src/lib/standIn/platform.ts
+++ b/src/lib/standIn/platform.ts
@@ -8,8 +8,8 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import type { Vm } from "../clients/index.js";
 import { digestOf } from "../core/index.js";
-import type { Vm } from "../platform/index.js";
 import { createFaultSwitches, type FaultSwitches } from "./faults.js";
 import { answerCompressible, answerJson, readJson, type RunningServer, startHttpServer } from "./httpServer.js";
 import { createRegionLinks, type LinkState, type RegionLinks, type RelayTraffic } from "./link.js";
--- a/src/test/agent/activation.test.ts
+++ b/src/test/agent/activation.test.ts
@@ -5,7 +5,7 @@
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type Fleet, OPERATOR_TOKEN, POOL, sendToEntry, startFleet, waitUntil } from "../../harness/index.js";
-import { createObjectStore } from "../../lib/platform/index.js";
+import { createObjectStore } from "../../lib/clients/index.js";
 import { publishDirectory } from "../../lib/publish/index.js";
 
 async function publish(fleet: Fleet, name: string): Promise<string> {
--- a/src/test/agent/claims.test.ts
+++ b/src/test/agent/claims.test.ts
@@ -3,8 +3,8 @@
 import { test } from "node:test";
 import type { AnswerSink } from "../../lib/agent/answerSink.js";
 import { createClaims, MAX_RECORDED_BYTES, REPLAYED_HEADER } from "../../lib/agent/claims.js";
+import type { TableService, TableWrite } from "../../lib/clients/index.js";
 import { Verdict } from "../../lib/core/index.js";
-import type { TableService, TableWrite } from "../../lib/platform/index.js";
 import type { DispatchRequest } from "../../lib/rpc/index.js";
 import { longTestParameters } from "../longTest.js";
 
--- a/src/test/agent/lease.test.ts
+++ b/src/test/agent/lease.test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createElapsedClock, createLease, type Lease } from "../../lib/agent/lease.js";
-import type { TableService } from "../../lib/platform/index.js";
+import type { TableService } from "../../lib/clients/index.js";
 import { longTestParameters } from "../longTest.js";
 
 interface Row {
--- a/src/test/agent/transfer.test.ts
+++ b/src/test/agent/transfer.test.ts
@@ -15,7 +15,7 @@
     startFleet,
     waitUntil,
 } from "../../harness/index.js";
-import { createObjectStore, sendRequest } from "../../lib/platform/index.js";
+import { createObjectStore, sendRequest } from "../../lib/clients/index.js";
 import { publishDirectory } from "../../lib/publish/index.js";
 import { type AgentServer, createCredentials, type NodeServer, startRpcServer } from "../../lib/rpc/index.js";
 
--- a/src/test/cli/commands.test.ts
+++ b/src/test/cli/commands.test.ts
@@ -6,8 +6,8 @@
 import { join } from "node:path";
 import { after, before, test } from "node:test";
 import { fileURLToPath } from "node:url";
+import { sendRequest } from "../../lib/clients/index.js";
 import { DEMO_CLIENT_KEY, DEMO_POOL, type LocalFleet, startLocalFleet } from "../../lib/local/index.js";
-import { sendRequest } from "../../lib/platform/index.js";
 
 const MAIN = fileURLToPath(new URL("../../main.js", import.meta.url));
 
--- a/src/test/platform/vmList.test.ts
+++ b/src/test/clients/vmList.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createVmList, type Vm } from "../../lib/platform/index.js";
+import { createVmList, type Vm } from "../../lib/clients/index.js";
 import { answerCompressible, answerJson, startHttpServer } from "../../lib/standIn/httpServer.js";
 
 const VM: Vm = {
--- a/src/test/entry/adminApi.test.ts
+++ b/src/test/entry/adminApi.test.ts
@@ -3,8 +3,8 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
+import { createObjectStore, sendRequest } from "../../lib/clients/index.js";
 import { DEMO_OPERATOR_TOKEN, startLocalFleet } from "../../lib/local/index.js";
-import { createObjectStore, sendRequest } from "../../lib/platform/index.js";
 import { publishDirectory } from "../../lib/publish/index.js";
 
 // Guards against operator routes that accept what they shouldn't, or answer without what the operator needs next.
--- a/src/test/entry/dispatcher.test.ts
+++ b/src/test/entry/dispatcher.test.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { PROFILE, startPool } from "../../bench/pool.js";
 import { type Fleet, type FleetProcess, sendToEntry } from "../../harness/index.js";
-import { sendRequest } from "../../lib/platform/index.js";
+import { sendRequest } from "../../lib/clients/index.js";
 import { expectedToken } from "../../lib/standIn/index.js";
 
 const ENGINE = { slots: 8, tokensPerSecond: 50 };
--- a/src/test/entry/load.test.ts
+++ b/src/test/entry/load.test.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { PROFILE, startPool } from "../../bench/pool.js";
 import { type Fleet, type FleetProcess, sendToEntry, waitUntil } from "../../harness/index.js";
-import { sendRequest } from "../../lib/platform/index.js";
+import { sendRequest } from "../../lib/clients/index.js";
 import type { EngineEvidence } from "../../lib/standIn/index.js";
 
 interface Parts {
--- a/src/test/entry/rollout.test.ts
+++ b/src/test/entry/rollout.test.ts
@@ -5,7 +5,7 @@
 import { test } from "node:test";
 import { PROFILE, startPool } from "../../bench/pool.js";
 import { OPERATOR_TOKEN, POOL, sendToEntry, waitUntilServing } from "../../harness/index.js";
-import { createObjectStore } from "../../lib/platform/index.js";
+import { createObjectStore } from "../../lib/clients/index.js";
 import { publishDirectory } from "../../lib/publish/index.js";
 import { expectedToken } from "../../lib/standIn/index.js";
 
--- a/src/test/entry/server.test.ts
+++ b/src/test/entry/server.test.ts
@@ -7,8 +7,8 @@
 import { join } from "node:path";
 import { after, before, test } from "node:test";
 import { fileURLToPath } from "node:url";
+import { sendRequest } from "../../lib/clients/index.js";
 import { type RunningEntry, startEntry } from "../../lib/entry/index.js";
-import { sendRequest } from "../../lib/platform/index.js";
 import { entrySchema } from "../../lib/settings/index.js";
 import { type PlatformStandIn, startPlatformStandIn } from "../../lib/standIn/index.js";
 
--- a/src/test/harness/fleet.test.ts
+++ b/src/test/harness/fleet.test.ts
@@ -4,7 +4,7 @@
 import { join } from "node:path";
 import { test } from "node:test";
 import { OPERATOR_TOKEN, POOL, sendToEntry, startFleet, waitUntil, waitUntilServing } from "../../harness/index.js";
-import { createObjectStore } from "../../lib/platform/index.js";
+import { createObjectStore } from "../../lib/clients/index.js";
 import { publishDirectory } from "../../lib/publish/index.js";
 import { expectedToken } from "../../lib/standIn/index.js";
 
--- a/src/test/node/configurationSync.test.ts
+++ b/src/test/node/configurationSync.test.ts
@@ -10,8 +10,8 @@
     startFleet,
     waitUntil,
 } from "../../harness/index.js";
+import { createObjectStore } from "../../lib/clients/index.js";
 import { mustPoll } from "../../lib/node/index.js";
-import { createObjectStore } from "../../lib/platform/index.js";
 import { publishDirectory } from "../../lib/publish/index.js";
 import { type Connections, createConnections, createCredentials } from "../../lib/rpc/index.js";
 
--- a/src/test/node/profileStore.test.ts
+++ b/src/test/node/profileStore.test.ts
@@ -1,9 +1,9 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { ObjectStore, TableService, TableWrite, WriteCondition } from "../../lib/clients/index.js";
 import { type Configuration, EMPTY_CONFIGURATION, type ProfileChange } from "../../lib/core/index.js";
 import { type ChangeResult, createProfileStore, type ProfileStore } from "../../lib/node/profileStore.js";
-import type { ObjectStore, TableService, TableWrite, WriteCondition } from "../../lib/platform/index.js";
 import { longTestParameters } from "../longTest.js";
 
 const KNOWN_DIGEST = "a".repeat(64);
--- a/src/test/observability/metrics.test.ts
+++ b/src/test/observability/metrics.test.ts
@@ -6,8 +6,8 @@
 import { join } from "node:path";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
+import { sendRequest } from "../../lib/clients/index.js";
 import { DEMO_CLIENT_KEY, startLocalFleet } from "../../lib/local/index.js";
-import { sendRequest } from "../../lib/platform/index.js";
 
 // Guards against metrics that are named in docs/metrics.md and never arrive at the StatsD server.
 test("a request sends the documented metrics of entry and agent", { timeout: 20_000 }, async () => {
--- a/src/test/publish/publish.test.ts
+++ b/src/test/publish/publish.test.ts
@@ -4,8 +4,8 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { after, test } from "node:test";
+import type { ObjectStore } from "../../lib/clients/index.js";
 import { placeChunks } from "../../lib/core/index.js";
-import type { ObjectStore } from "../../lib/platform/index.js";
 import { publishDirectory } from "../../lib/publish/index.js";
 
 const SIZE = 4 * 1024 * 1024;
--- a/src/test/standIn/link.test.ts
+++ b/src/test/standIn/link.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { sendRequest } from "../../lib/platform/index.js";
+import { sendRequest } from "../../lib/clients/index.js";
 import { startHttpServer } from "../../lib/standIn/httpServer.js";
 import { createRegionLinks, LinkState } from "../../lib/standIn/index.js";
 
--- a/src/test/standIn/switches.test.ts
+++ b/src/test/standIn/switches.test.ts
@@ -4,8 +4,8 @@
 import { join } from "node:path";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
+import { createEngine, createObjectStore, sendRequest } from "../../lib/clients/index.js";
 import { digestOf, encodeManifest } from "../../lib/core/index.js";
-import { createEngine, createObjectStore, sendRequest } from "../../lib/platform/index.js";
 import { startEngineStandIn, startPlatformStandIn } from "../../lib/standIn/index.js";
 
 async function withDirectory(run: (directory: string) => Promise<void>): Promise<void> {
