--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,4 +1,5 @@
-// Bundles the program into one file and, with --binary, makes the single-executable dist/endivewell.
+// Bundles the program into one file and, with --binary, makes the single-executable dist/endivewell. With
+// --target the bundle goes to the folder target, from which the platform runs it.
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
 import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from "node:fs";
@@ -7,7 +8,9 @@
 
 const SENTINEL_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 
-mkdirSync("dist", { recursive: true });
+const directory = process.argv.includes("--target") ? "target" : "dist";
+
+mkdirSync(directory, { recursive: true });
 // In Node.js the package reads its WebAssembly from a file; the single executable needs the embedded one.
 const embedRabin = {
     name: "embed-rabin",
@@ -27,7 +30,7 @@
     format: "cjs",
     // Some packages ship a CommonJS build that loads its parts dynamically, which a bundle can't follow.
     mainFields: ["module", "main"],
-    outfile: "dist/endivewell.cjs",
+    outfile: `${directory}/endivewell.cjs`,
     // Optional native add-on of hot-shots, used for Unix sockets only.
     external: ["unix-dgram"],
     // Node.js holds the text of the bundle in memory. Names stay, because stack traces need them.
--- a/src/lib/cli/agentCommand.ts
+++ b/src/lib/cli/agentCommand.ts
@@ -11,6 +11,6 @@
 
     async run(): Promise<void> {
         const { flags } = await this.parse(AgentCommand);
-        await runRole({ role: "agent", settingsFile: flags.settings });
+        await runRole({ role: "agent", settingsFile: flags.settings, isOnPlatform: false });
     }
 }
--- a/src/lib/cli/entryCommand.ts
+++ b/src/lib/cli/entryCommand.ts
@@ -11,6 +11,6 @@
 
     async run(): Promise<void> {
         const { flags } = await this.parse(EntryCommand);
-        await runRole({ role: "entry", settingsFile: flags.settings });
+        await runRole({ role: "entry", settingsFile: flags.settings, isOnPlatform: false });
     }
 }
--- a/src/lib/cli/roles.ts
+++ b/src/lib/cli/roles.ts
@@ -14,14 +14,21 @@
 export interface RoleStart {
     readonly role: Role;
     readonly settingsFile: string;
+    /** The settings file is the platform's: the process runs there instead of beside the project's own services. */
+    readonly isOnPlatform: boolean;
 }
 
+/** Variable that holds the path of the platform's settings file. */
+const PLATFORM_SETTINGS_VARIABLE = "ENDIVEWELL_SETTINGS";
+
 /** Returns the role that a complete and correct command line starts, otherwise `undefined`. */
 export function startedRole([command, ...args]: readonly string[]): RoleStart | undefined {
     const role = ROLES.find(known => known === command);
     if (role === undefined) return undefined;
     const settingsFile = parseSettingsFlag(args);
-    return settingsFile === undefined ? undefined : { role, settingsFile };
+    if (settingsFile !== undefined) return { role, settingsFile, isOnPlatform: false };
+    const platformFile = args.length === 0 ? process.env[PLATFORM_SETTINGS_VARIABLE] : undefined;
+    return platformFile === undefined ? undefined : { role, settingsFile: platformFile, isOnPlatform: true };
 }
 
 /**
@@ -35,7 +42,11 @@
 const THREAD_POOL_SIZE = "1";
 
 /** Runs the role until SIGTERM or SIGINT, then stops it in order. */
-export async function runRole({ role, settingsFile }: RoleStart): Promise<void> {
+export async function runRole({ role, settingsFile, isOnPlatform }: RoleStart): Promise<void> {
+    if (isOnPlatform) {
+        await runOnPlatform(role, settingsFile);
+        return;
+    }
     setFlagsFromString(MEMORY_FLAGS);
     // Takes effect because nothing has used the pool yet; an operator's own setting wins.
     process.env.UV_THREADPOOL_SIZE ??= THREAD_POOL_SIZE;
@@ -45,6 +56,17 @@
     await running.stop();
 }
 
+async function runOnPlatform(role: Role, settingsFile: string): Promise<void> {
+    const { createPlatformStore, loadVmSettings } = await import("../platform/index.js");
+    const settings = loadVmSettings(settingsFile);
+    const store = createPlatformStore(settings.storeAddress);
+    const running = role === "agent" ?
+        await (await import("../stager/index.js")).startStager(settings, store) :
+        await (await import("../router/index.js")).startRouter(settings, store);
+    await untilSignal();
+    await running.stop();
+}
+
 function parseSettingsFlag(args: readonly string[]): string | undefined {
     try {
         return parseArgs({ args: [...args], options: { settings: { type: "string" } } }).values.settings;
--- a/src/lib/clients/http.ts
+++ b/src/lib/clients/http.ts
@@ -56,6 +56,8 @@
             headers: request.headers,
             signal: request.signal,
             agent: request.agent,
+            // Covers the time until the connection stands; `setTimeout` below counts only from then on.
+            timeout: request.timeoutMs ?? DEFAULT_TIMEOUT_MS,
         });
         outgoing.on("socket", socket => {
             if (!socket.connecting) connected = true;
--- /dev/null
+++ b/src/lib/core/serving/dispatcher.ts
@@ -0,0 +1,248 @@
+/**
+ * Brings requests and backend servers together. It holds the requests that wait, the load of each server and the
+ * results so far, and says for each request when it goes where, or that it is refused and when to come back. It
+ * performs no I/O; the caller tells it of arrivals, first events, ends and the passing of time.
+ */
+import { createFlights, type Flights } from "./flights.js";
+import { type Candidate, type Placement, placeOnEngine, placeOnService } from "./placement.js";
+import { type BackendService, type EngineFigures, RequestKind } from "./routeTable.js";
+import type { ServerHealth } from "./serverHealth.js";
+import type { BackendServer, ServerRegistry } from "./serverRegistry.js";
+import { type Decision, judgeWaiting, orderWaiting, type PoolState, type Waiting } from "./waitingRoom.js";
+import type { WeightsPolicy } from "./weightsPolicy.js";
+
+export interface DispatchRequest extends Waiting {
+    readonly kind: RequestKind;
+    readonly promptTokens: number;
+    readonly maxPauseMs: number;
+    /** Servers that this request was sent to before. */
+    readonly tried: ReadonlySet<string>;
+    /** The only version that may continue a stream; `undefined` for a new answer. */
+    readonly boundWeights: number | undefined;
+}
+
+export interface Assignment {
+    readonly server: BackendServer;
+    readonly predictedMs: number;
+    /** The version that must answer; `undefined` if any that the server holds may. */
+    readonly weights: number | undefined;
+}
+
+export type Settlement =
+    | { readonly kind: "assigned"; readonly assignment: Assignment; }
+    | { readonly kind: "refused"; readonly decision: Decision<DispatchRequest>; };
+
+export interface DispatcherOptions {
+    readonly registry: ServerRegistry;
+    readonly health: ServerHealth;
+    readonly weights: WeightsPolicy;
+    readonly findService: (name: string) => BackendService | undefined;
+    readonly failureDomain: string;
+    /** Network delay to a failure domain and back. */
+    readonly delayMs: (failureDomain: string) => number;
+    /** Entries that share the servers, this one included. */
+    readonly entries: () => number;
+    readonly random: () => number;
+}
+
+export interface Dispatcher {
+    /** Adds a request. `settle` is called once, maybe at once, unless the request is withdrawn before. */
+    submit(request: DispatchRequest, settle: (verdict: Settlement) => void, now: number): void;
+    /** Takes back a request that waits, because its caller left. */
+    withdraw(id: string): void;
+    /** The first event of a request has arrived. */
+    started(id: string, now: number): void;
+    /** A request has ended at its server, in whatever way. */
+    ended(id: string, now: number): void;
+    /** Notes that an engine loads weights and takes no new work until the time. */
+    pauseServer(address: string, until: number): void;
+    /** Notes the weights that an agent reports, which is earlier than the registry. */
+    learnWeights(address: string, startedAt: number, model: string, version: number): void;
+    /** Places and refuses whatever is due. */
+    tick(now: number): void;
+    waiting(): number;
+    readonly flights: Flights;
+}
+
+/** Part of the slots that a rank may fill; the rest is kept for more urgent work. */
+const SLOT_SHARES = [1, 0.95, 0.85] as const;
+const LOWEST_SLOT_SHARE = 0.85;
+
+/** Mean time of a request at an engine before any was seen. */
+const INITIAL_DURATION_MS = 1000;
+const DURATION_WEIGHT = 0.05;
+
+/** Part of a server's connections that the entries use together; others may connect too. */
+const CONNECTION_SHARE = 0.8;
+
+interface Entry {
+    readonly request: DispatchRequest;
+    readonly settle: (verdict: Settlement) => void;
+}
+
+export function createDispatcher(options: DispatcherOptions): Dispatcher {
+    const { registry, health, weights } = options;
+    const flights = createFlights();
+    const queue = new Map<string, Entry>();
+    const paused = new Map<string, number>();
+    const learned = new Map<string, { startedAt: number; model: string; version: number; }>();
+    const sentAt = new Map<string, { service: string; at: number; }>();
+    const durations = new Map<string, number>();
+
+    function submit(request: DispatchRequest, settle: (verdict: Settlement) => void, now: number): void {
+        queue.set(request.id, { request, settle });
+        serve(now);
+    }
+
+    function serve(now: number): void {
+        if (queue.size === 0) return;
+        const requests = orderWaiting([...queue.values()].map(({ request }) => request), flights.countOfAccount, now);
+        const ahead = new Map<string, number>();
+        for (const request of requests) {
+            if (tryPlace(request, now)) continue;
+            const inFront = ahead.get(request.service) ?? 0;
+            const decision = judgeWaiting(request, inFront, poolState(request.service, now), options.random(), now);
+            if (decision === undefined) ahead.set(request.service, inFront + 1);
+            else settle(request.id, { kind: "refused", decision });
+        }
+    }
+
+    function tryPlace(request: DispatchRequest, now: number): boolean {
+        const service = options.findService(request.service);
+        if (service === undefined) return false;
+        const servers = eligibleServers(request, service, now);
+        const placement = place(request, service, servers, now);
+        const server = servers.find(({ id }) => id === placement?.id);
+        if (placement === undefined || server === undefined) return false;
+        flights.begin({
+            id: request.id,
+            serverId: server.id,
+            account: request.account,
+            promptTokens: request.promptTokens,
+            sentAt: now,
+            hasStarted: false,
+        });
+        sentAt.set(request.id, { service: request.service, at: now });
+        health.sent(server.id, now);
+        const assignment = { server, predictedMs: placement.firstEventMs, weights: weightsFor(request, service, now) };
+        settle(request.id, { kind: "assigned", assignment });
+        return true;
+    }
+
+    function place(
+        request: DispatchRequest,
+        service: BackendService,
+        servers: readonly BackendServer[],
+        now: number,
+    ): Placement | undefined {
+        const candidates = servers.map(server => candidateOf(server, service, now));
+        const dueInMs = request.dueAt - now;
+        if (service.engine === undefined) return placeOnService(candidates, dueInMs);
+        return placeOnEngine(service.engine, candidates, {
+            promptTokens: request.promptTokens,
+            dueInMs,
+            maxPauseMs: request.maxPauseMs,
+            slotShare: SLOT_SHARES[request.rank] ?? LOWEST_SLOT_SHARE,
+        });
+    }
+
+    /** Servers that are known, healthy, hold acceptable weights and weren't tried. */
+    function eligibleServers(request: DispatchRequest, service: BackendService, now: number): BackendServer[] {
+        return registry.usable(service.name, now).filter(server => {
+            if (request.tried.has(server.id) || !health.admits(server.id, now)) return false;
+            if ((paused.get(server.address) ?? 0) > now) return false;
+            return service.engine === undefined || holdsWeights(server, service.engine, request, now);
+        });
+    }
+
+    function holdsWeights(server: BackendServer, engine: EngineFigures, request: DispatchRequest, now: number): boolean {
+        const version = versionAt(server, engine.model);
+        if (version === undefined || version < weights.lowest(engine.model, now)) return false;
+        return request.boundWeights === undefined || request.boundWeights === version;
+    }
+
+    /** The agent's word goes before the registry's, as long as it speaks of the same start of the server. */
+    function versionAt(server: BackendServer, model: string): number | undefined {
+        const word = learned.get(server.address);
+        const registered = server.weights?.model === model ? server.weights.version : undefined;
+        if (word === undefined || word.model !== model || word.startedAt !== server.startedAt) return registered;
+        return Math.max(word.version, registered ?? 0);
+    }
+
+    /** Names the version only where another one would be wrong, so that a switch in between refuses nothing. */
+    function weightsFor(request: DispatchRequest, service: BackendService, now: number): number | undefined {
+        if (request.boundWeights !== undefined || service.engine === undefined) return request.boundWeights;
+        const lowest = weights.lowest(service.engine.model, now);
+        return lowest > 1 && lowest === weights.newest(service.engine.model) ? lowest : undefined;
+    }
+
+    function candidateOf(server: BackendServer, service: BackendService, now: number): Candidate {
+        const connections = Math.floor(service.maxConnections * CONNECTION_SHARE / Math.max(1, options.entries()));
+        return {
+            id: server.id,
+            delayMs: options.delayMs(server.failureDomain),
+            isLocal: server.failureDomain === options.failureDomain,
+            slots: server.slots,
+            load: flights.loadOf(server.id, now),
+            pace: health.pace(server.id),
+            failureShare: health.failureShare(server.id),
+            freeConnections: connections - flights.countAt(server.id),
+        };
+    }
+
+    function poolState(service: string, now: number): PoolState {
+        const servers = registry.usable(service, now).filter(server => health.admits(server.id, now));
+        const figures = options.findService(service)?.engine;
+        const ready = figures === undefined ? servers : servers.filter(server => {
+            const version = versionAt(server, figures.model);
+            return version !== undefined && version >= weights.lowest(figures.model, now);
+        });
+        const busy = ready.reduce((sum, server) => sum + occupied(server, now), 0);
+        const slots = ready.reduce((sum, server) => sum + server.slots, 0);
+        const durationMs = durations.get(service) ?? INITIAL_DURATION_MS;
+        return {
+            servers: ready.length,
+            completionsPerSecond: busy * 1000 / durationMs / Math.max(1, options.entries()),
+            freeSlots: Math.max(0, slots - busy) / Math.max(1, options.entries()),
+        };
+    }
+
+    function occupied(server: BackendServer, now: number): number {
+        const { writing, reading } = flights.loadOf(server.id, now);
+        return writing + reading;
+    }
+
+    function settle(id: string, verdict: Settlement): void {
+        const entry = queue.get(id);
+        queue.delete(id);
+        entry?.settle(verdict);
+    }
+
+    function ended(id: string, now: number): void {
+        const sent = sentAt.get(id);
+        if (sent !== undefined) {
+            const known = durations.get(sent.service) ?? INITIAL_DURATION_MS;
+            durations.set(sent.service, known + DURATION_WEIGHT * (now - sent.at - known));
+            sentAt.delete(id);
+        }
+        flights.end(id);
+        serve(now);
+    }
+
+    return {
+        submit,
+        withdraw: id => void queue.delete(id),
+        started: (id, now) => {
+            flights.start(id);
+            serve(now);
+        },
+        ended,
+        pauseServer: (address, until) => void paused.set(address, until),
+        learnWeights: (address, startedAt, model, version) => {
+            learned.set(address, { startedAt, model, version });
+        },
+        tick: serve,
+        waiting: () => queue.size,
+        flights,
+    };
+}
--- /dev/null
+++ b/src/lib/node/beats.ts
@@ -0,0 +1,134 @@
+/**
+ * Beats between own processes over UDP, and the small HTTP server from which a process that is behind reads the
+ * changes of a table. A lost beat is followed by another; nothing depends on a single one.
+ */
+import { createSocket } from "node:dgram";
+import * as http from "node:http";
+import * as z from "zod";
+import { sendRequest } from "../clients/index.js";
+import type { Row, RowReplica } from "../core/serving/index.js";
+
+const entryBeatSchema = z.object({
+    kind: z.literal("entry"),
+    name: z.string(),
+    ip: z.string(),
+    failureDomain: z.string(),
+    /** Newest revision held of each table. */
+    newest: z.record(z.string(), z.number()),
+    /** Writing, reading, unread tokens and context tokens of the sender's requests, by server. */
+    load: z.record(z.string(), z.tuple([z.number(), z.number(), z.number(), z.number()])),
+});
+
+const agentBeatSchema = z.object({
+    kind: z.literal("agent"),
+    /** Address of the engine on the agent's VM. */
+    backendAddress: z.string(),
+    /** Start of the engine, Unix time in milliseconds. */
+    startedAt: z.number(),
+    /** Weights that the engine holds. */
+    model: z.string(),
+    version: z.number(),
+    /** The engine takes no new work because it loads weights now. */
+    isLoading: z.boolean(),
+});
+
+const beatSchema = z.discriminatedUnion("kind", [entryBeatSchema, agentBeatSchema]);
+
+export type EntryBeat = Readonly<z.infer<typeof entryBeatSchema>>;
+export type AgentBeat = Readonly<z.infer<typeof agentBeatSchema>>;
+export type Beat = EntryBeat | AgentBeat;
+
+export interface BeatSocket {
+    send(beat: Beat, ips: readonly string[]): void;
+    close(): void;
+}
+
+/** Sends and receives beats at the port; all entries use the same one. */
+export function openBeatSocket(
+    ip: string,
+    port: number,
+    entryPort: number,
+    onBeat: (beat: Beat) => void,
+): BeatSocket {
+    const socket = createSocket("udp4");
+    let closed = false;
+    socket.on("message", message => {
+        const beat = parseBeat(message);
+        if (beat !== undefined) onBeat(beat);
+    });
+    // Sending to a VM that is gone reports an error; its silence is what counts.
+    socket.on("error", () => undefined);
+    socket.bind(port, ip);
+    socket.unref();
+    return {
+        send: (beat, ips) => {
+            if (closed || ips.length === 0) return;
+            const text = Buffer.from(JSON.stringify(beat));
+            for (const recipient of ips) socket.send(text, entryPort, recipient, () => undefined);
+        },
+        close: () => {
+            if (closed) return;
+            closed = true;
+            socket.close();
+        },
+    };
+}
+
+function parseBeat(message: Buffer): Beat | undefined {
+    try {
+        const result = beatSchema.safeParse(JSON.parse(message.toString()));
+        return result.success ? result.data : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
+
+const changesSchema = z.object({
+    complete: z.boolean(),
+    rows: z.array(z.object({ key: z.string(), revision: z.number(), value: z.string().optional() })),
+});
+
+export interface TableChanges {
+    /** The neighbour has read the whole table once, so its changes from revision 0 are the whole table. */
+    readonly isComplete: boolean;
+    readonly rows: readonly Row[];
+}
+
+/** A neighbour answers from memory. */
+const STATE_TIMEOUT_MS = 1000;
+
+const CHANGES_PATH = "/changes";
+
+/** Reads the changes of a table after a revision from a neighbour. Throws if it can't be reached. */
+export async function readNeighbourChanges(
+    ip: string,
+    port: number,
+    table: string,
+    after: number,
+): Promise<TableChanges> {
+    const query = new URLSearchParams({ table, after: String(after) });
+    const answer = await sendRequest({
+        method: "GET",
+        url: `http://${ip}:${port}${CHANGES_PATH}?${query}`,
+        timeoutMs: STATE_TIMEOUT_MS,
+    });
+    const { complete, rows } = changesSchema.parse(JSON.parse(answer.body.toString()));
+    return { isComplete: complete, rows: rows.map(row => ({ ...row, value: row.value })) };
+}
+
+/** Answers a request for changes; returns false if the request asks for something else. */
+export function answerChanges(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    replicas: ReadonlyMap<string, RowReplica>,
+): boolean {
+    const url = new URL(request.url ?? "/", "http://peer");
+    if (url.pathname !== CHANGES_PATH) return false;
+    const replica = replicas.get(url.searchParams.get("table") ?? "");
+    const after = Number(url.searchParams.get("after"));
+    const complete = replica?.isComplete() ?? false;
+    const body = JSON.stringify({ complete, rows: replica?.since(after) ?? [] });
+    response.writeHead(200, { "content-type": "application/json" }).end(body);
+    return true;
+}
--- /dev/null
+++ b/src/lib/node/tableFeed.ts
@@ -0,0 +1,100 @@
+/**
+ * Keeps a replica of one of the store's tables up to date: a complete read, then the feed. While the store can't be
+ * reached the replica keeps what it has, and neighbours add what they know.
+ */
+import type { Row, RowReplica } from "../core/serving/index.js";
+import type { EventLog, ServingMetrics } from "../observability/index.js";
+import type { MetadataStore } from "./metadataStore.js";
+
+export interface TableFeedOptions {
+    readonly store: MetadataStore;
+    readonly table: string;
+    readonly replica: RowReplica;
+    readonly waitMs: number;
+    /** Called with the changes that were new, in the order of their revisions. */
+    readonly onChange: (rows: readonly Row[]) => void;
+    readonly log: EventLog;
+    readonly metrics: ServingMetrics;
+    readonly now: () => number;
+    readonly random: () => number;
+}
+
+export interface TableFeed {
+    /** Last time at which the store was seen not to answer as it should. */
+    disturbedAt(): number | undefined;
+    /** Tells whether the last call succeeded. */
+    isConnected(): boolean;
+    stop(): void;
+}
+
+/** Pauses after failed calls are spread, so that processes that fail together don't return together. */
+const MIN_PAUSE_MS = 150;
+const MAX_PAUSE_MS = 1200;
+
+export function startTableFeed(options: TableFeedOptions): TableFeed {
+    const { store, table, replica, log, metrics } = options;
+    let stopped = false;
+    let disturbedAt: number | undefined;
+    let failures = 0;
+    let cursor: number | undefined;
+
+    async function run(): Promise<void> {
+        while (!stopped) {
+            try {
+                await step();
+                recover();
+            }
+            catch (error) {
+                if (stopped) return;
+                await pauseAfter(error as Error);
+            }
+        }
+    }
+
+    async function step(): Promise<void> {
+        if (cursor === undefined) {
+            const { rows, revision } = await store.readTable(table);
+            metrics.storeCalls.inc({ result: "read" });
+            options.onChange(replica.reset(rows, revision));
+            cursor = revision;
+            log.info("table read", { table, revision, rows: rows.length });
+            return;
+        }
+        const answer = await store.readFeed(table, cursor, options.waitMs);
+        metrics.storeCalls.inc({ result: "feed" });
+        if (answer.kind === "historyLost") {
+            log.info("feed history lost", { table, after: cursor });
+            cursor = undefined;
+            return;
+        }
+        cursor = Math.max(cursor, answer.revision);
+        const fresh = replica.apply(answer.rows);
+        if (fresh.length > 0) options.onChange(fresh);
+    }
+
+    function recover(): void {
+        if (failures === 0) return;
+        log.info("store regained", { table, failures, revision: cursor });
+        failures = 0;
+        disturbedAt = options.now();
+    }
+
+    async function pauseAfter(error: Error): Promise<void> {
+        metrics.storeCalls.inc({ result: "failed" });
+        disturbedAt = options.now();
+        if (failures === 0) log.warn("store lost", { table, error: error.message, revision: cursor });
+        failures++;
+        const longest = Math.min(MAX_PAUSE_MS, MIN_PAUSE_MS * 2 ** failures);
+        const pause = MIN_PAUSE_MS + options.random() * (longest - MIN_PAUSE_MS);
+        await new Promise(resolve => setTimeout(resolve, pause));
+    }
+
+    void run();
+    return {
+        disturbedAt: () => disturbedAt,
+        isConnected: () => failures === 0,
+        stop: () => {
+            stopped = true;
+        },
+    };
+}
--- /dev/null
+++ b/src/lib/observability/exposition.ts
@@ -0,0 +1,42 @@
+/** Counters and latency histograms in the Prometheus text format. docs/metrics.md lists them. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+export interface ServingMetrics {
+    readonly requests: Counter<"kind" | "outcome">;
+    readonly refusals: Counter<"reason">;
+    readonly sends: Counter<"result">;
+    readonly firstEventMs: Histogram<"kind">;
+    readonly waitMs: Histogram<"kind">;
+    readonly waiting: Gauge;
+    readonly storeCalls: Counter<"result">;
+    readonly pieces: Counter<"source">;
+    readonly orders: Counter<"result">;
+    /** Returns all values as text. */
+    expose(): Promise<string>;
+    readonly contentType: string;
+}
+
+/** Bounds around the targets of the services, which lie between 100 ms and a few seconds. */
+const LATENCY_BUCKETS_MS = [10, 25, 50, 100, 150, 200, 250, 300, 400, 600, 800, 1200, 2000, 4000, 8000];
+
+export function createServingMetrics(): ServingMetrics {
+    const registry = new Registry();
+    const registers = [registry];
+    const counter = <T extends string>(name: string, help: string, labelNames: readonly T[]) =>
+        new Counter<T>({ name, help, labelNames: [...labelNames], registers });
+    const histogram = <T extends string>(name: string, help: string, labelNames: readonly T[]) =>
+        new Histogram<T>({ name, help, labelNames: [...labelNames], buckets: LATENCY_BUCKETS_MS, registers });
+    return {
+        requests: counter("endivewell_requests_total", "Requests by kind and outcome.", ["kind", "outcome"]),
+        refusals: counter("endivewell_refusals_total", "Refused requests by reason.", ["reason"]),
+        sends: counter("endivewell_sends_total", "Requests sent to backend servers by result.", ["result"]),
+        firstEventMs: histogram("endivewell_first_event_ms", "Time to the answer or the first event.", ["kind"]),
+        waitMs: histogram("endivewell_wait_ms", "Time until a request was sent to a backend server.", ["kind"]),
+        waiting: new Gauge({ name: "endivewell_waiting", help: "Requests that wait for a server.", registers }),
+        storeCalls: counter("endivewell_store_calls_total", "Calls to the store by result.", ["result"]),
+        pieces: counter("endivewell_pieces_total", "Pieces of weights received by source.", ["source"]),
+        orders: counter("endivewell_orders_total", "Orders to the engine by result.", ["result"]),
+        expose: () => registry.metrics(),
+        contentType: registry.contentType,
+    };
+}
--- /dev/null
+++ b/src/lib/platform/index.ts
@@ -0,0 +1,6 @@
+export * from "./engineApi.js";
+export * from "./headers.js";
+export * from "./operatorRows.js";
+export * from "./serverRows.js";
+export * from "./settings.js";
+export * from "./store.js";
--- /dev/null
+++ b/src/lib/platform/operatorRows.ts
@@ -0,0 +1,159 @@
+/** Translates the rows that the operator writes: the configuration and the named weights. */
+import * as z from "zod";
+import { type EngineFigures, RequestKind, type Route, type RoutingConfiguration } from "../core/serving/index.js";
+import { parseJson } from "./json.js";
+
+/** Key of the row that holds the newest configuration in full. */
+export const CONFIGURATION_KEY = "config";
+
+const WEIGHTS_KEY_PREFIX = "version/";
+
+const KINDS = {
+    idempotent: RequestKind.idempotent,
+    non_idempotent: RequestKind.nonIdempotent,
+    streaming: RequestKind.stream,
+} as const;
+
+const routeSchema = z.object({
+    name: z.string(),
+    host: z.string(),
+    prefix: z.string(),
+    kind: z.enum(["idempotent", "non_idempotent", "streaming"]),
+    "timeout-ms": z.number(),
+    "target-latency-ms": z.number(),
+    priority: z.number().default(0),
+    service: z.string().optional(),
+    "traffic-split": z.array(z.object({ service: z.string(), weight: z.number() })).optional(),
+    "max-attempts": z.number().default(1),
+    public: z.boolean().default(false),
+    resumable: z.boolean().default(false),
+    "target-gap-ms": z.number().default(Number.POSITIVE_INFINITY),
+});
+
+const engineSchema = z.object({
+    slots: z.number(),
+    stride: z.number().default(1),
+    step_ms: z.number(),
+    per_seq_ms: z.number(),
+    /** Milliseconds for each 1,000 tokens of context. */
+    context_per_k: z.number(),
+    /** Prompt tokens that are read in a second. */
+    read_per_s: z.number(),
+    /** Milliseconds for each million pairs of tokens. */
+    pairs_per_m: z.number(),
+    usual: z.object({ prompt: z.number(), answer: z.number() }),
+    layers: z.number().default(1),
+    models: z.array(z.object({ name: z.string() })),
+    chunks: z.number().default(0),
+    "chunk-bytes": z.number().default(0),
+});
+
+const serviceSchema = z.object({
+    name: z.string(),
+    "health-path": z.string().default("/"),
+    "max-connections": z.number().default(Number.POSITIVE_INFINITY),
+    zone: z.string().optional(),
+    engine: engineSchema.optional(),
+    /** Address of the origin of weights. */
+    origin: z.string().optional(),
+});
+
+const configurationSchema = z.object({
+    version: z.number(),
+    routes: z.array(routeSchema),
+    services: z.array(serviceSchema),
+    limits: z.object({
+        "max-header-bytes": z.number(),
+        "max-body-bytes": z.number(),
+        "header-timeout-ms": z.number(),
+        "idle-timeout-ms": z.number(),
+    }),
+    tenants: z.array(z.object({
+        name: z.string(),
+        "api-keys": z.array(z.string()),
+        priority: z.number().optional(),
+    })).optional(),
+});
+
+const weightsSchema = z.object({ model: z.string(), version: z.int() });
+
+/** Weights that the operator has named for a model. */
+export interface NamedWeights {
+    readonly model: string;
+    readonly version: number;
+}
+
+/** Returns `undefined` for a value that isn't a valid configuration. */
+export function parseConfiguration(text: string): RoutingConfiguration | undefined {
+    const result = configurationSchema.safeParse(parseJson(text));
+    if (!result.success) return undefined;
+    const wire = result.data;
+    return {
+        version: wire.version,
+        routes: wire.routes.map(translateRoute),
+        services: wire.services.map(service => ({
+            name: service.name,
+            healthPath: service["health-path"],
+            maxConnections: service["max-connections"],
+            engine: service.engine === undefined ? undefined : translateEngine(service.engine),
+            origin: service.origin === undefined ? undefined : {
+                address: service.origin,
+                failureDomain: service.zone ?? "",
+                maxConnections: service["max-connections"],
+            },
+        })),
+        limits: {
+            maxHeaderBytes: wire.limits["max-header-bytes"],
+            maxBodyBytes: wire.limits["max-body-bytes"],
+            headerTimeoutMs: wire.limits["header-timeout-ms"],
+            idleTimeoutMs: wire.limits["idle-timeout-ms"],
+        },
+        accounts: wire.tenants?.map(tenant => ({
+            name: tenant.name,
+            keys: tenant["api-keys"],
+            rank: tenant.priority,
+        })),
+    };
+}
+
+/** Returns `undefined` for a row that doesn't name weights. */
+export function parseNamedWeights(key: string, text: string): NamedWeights | undefined {
+    if (!key.startsWith(WEIGHTS_KEY_PREFIX)) return undefined;
+    const result = weightsSchema.safeParse(parseJson(text));
+    return result.success ? result.data : undefined;
+}
+
+function translateRoute(route: z.infer<typeof routeSchema>): Route {
+    const single = route.service === undefined ? [] : [{ service: route.service, weight: 1 }];
+    return {
+        name: route.name,
+        host: route.host,
+        prefix: route.prefix,
+        kind: KINDS[route.kind],
+        timeoutMs: route["timeout-ms"],
+        targetMs: route["target-latency-ms"],
+        rank: route.priority,
+        services: route["traffic-split"] ?? single,
+        maxAttempts: route["max-attempts"],
+        isPublic: route.public,
+        isResumable: route.resumable,
+        maxPauseMs: route["target-gap-ms"],
+    };
+}
+
+function translateEngine(engine: z.infer<typeof engineSchema>): EngineFigures {
+    return {
+        slots: engine.slots,
+        stepMs: engine.step_ms,
+        stepMsPerRequest: engine.per_seq_ms,
+        stepMsPerKiloToken: engine.context_per_k,
+        readTokensPerMs: engine.read_per_s / 1000,
+        readMsPerMillionPairs: engine.pairs_per_m,
+        stride: engine.stride,
+        usualAnswerTokens: engine.usual.answer,
+        layers: engine.layers,
+        model: engine.models[0]?.name ?? "",
+        chunkCount: engine.chunks,
+        chunkBytes: engine["chunk-bytes"],
+    };
+}
--- /dev/null
+++ b/src/lib/router/backendConnections.ts
@@ -0,0 +1,129 @@
+/**
+ * Connections to backend servers over Node's `http`. Kept connections are reused most recent first. One on which
+ * bytes arrive while no request is in progress is closed: they belong to no request, and what follows them can't
+ * be told from an answer.
+ */
+import * as http from "node:http";
+import type { Duplex } from "node:stream";
+import VError from "verror";
+import { Verdict } from "../core/verdict.js";
+
+export interface BackendRequest {
+    readonly serverId: string;
+    readonly address: string;
+    readonly method: string;
+    readonly path: string;
+    /** Alternating names and values. */
+    readonly headers: readonly string[];
+    readonly body: Buffer;
+    /** Time until the head of the answer must be there. */
+    readonly answerTimeoutMs: number;
+    /** Closes the connection and so cancels the request. */
+    readonly signal: AbortSignal;
+    /** A request that must not run twice gets a connection of its own, as a kept one may be closing. */
+    readonly isRepeatable: boolean;
+}
+
+export interface BackendConnections {
+    /**
+     * Sends a request and resolves with the answer once its head is there.
+     *
+     * @throws VError named `SendError` with the info `verdict`: `notRun` if nothing was written.
+     */
+    send(request: BackendRequest): Promise<http.IncomingMessage>;
+    /** Closes the connections to a server that is gone. */
+    forget(serverId: string): void;
+    close(): void;
+}
+
+/** A VM in the farthest region answers a connection within 10 ms; a lost packet takes 200 ms more. */
+const CONNECT_TIMEOUT_MS = 500;
+
+/** Idle connections are closed after this time, well before a server's own timeout makes them unsafe. */
+const IDLE_TIMEOUT_MS = 4000;
+
+export function createBackendConnections(): BackendConnections {
+    const agents = new Map<string, http.Agent>();
+
+    function agentOf(serverId: string): http.Agent {
+        let agent = agents.get(serverId);
+        if (agent === undefined) agents.set(serverId, agent = createAgent());
+        return agent;
+    }
+
+    function send(request: BackendRequest): Promise<http.IncomingMessage> {
+        return new Promise((resolve, reject) => {
+            const [host, port] = request.address.split(":");
+            let isWritten = false;
+            let reason: string | undefined;
+            const outgoing = http.request({
+                host,
+                port,
+                method: request.method,
+                path: request.path,
+                // A flat list is sent as it is, without headers of Node's own.
+                headers: [...request.headers, "Connection", request.isRepeatable ? "keep-alive" : "close"],
+                agent: request.isRepeatable ? agentOf(request.serverId) : new http.Agent({ keepAlive: false }),
+                signal: request.signal,
+            });
+            const abandon = (why: string) => {
+                reason = why;
+                outgoing.destroy(new Error(why));
+            };
+            let timer = setTimeout(() => abandon("connecting timed out"), CONNECT_TIMEOUT_MS);
+            const connected = () => {
+                isWritten = true;
+                clearTimeout(timer);
+                timer = setTimeout(() => abandon("the answer timed out"), request.answerTimeoutMs);
+            };
+            outgoing.on("socket", socket => {
+                socket.setNoDelay(true);
+                if (socket.connecting) socket.once("connect", connected);
+                else connected();
+            });
+            outgoing.on("error", cause => {
+                clearTimeout(timer);
+                const verdict = isWritten ? Verdict.mayHaveRun : Verdict.notRun;
+                reject(new VError({ name: "SendError", info: { verdict } }, "%s", reason ?? cause.message));
+            });
+            outgoing.on("response", response => {
+                clearTimeout(timer);
+                resolve(response);
+            });
+            outgoing.end(request.body);
+        });
+    }
+
+    return {
+        send,
+        forget: serverId => {
+            agents.get(serverId)?.destroy();
+            agents.delete(serverId);
+        },
+        close: () => {
+            for (const agent of agents.values()) agent.destroy();
+            agents.clear();
+        },
+    };
+}
+
+function createAgent(): http.Agent {
+    const agent = new http.Agent({ keepAlive: true, timeout: IDLE_TIMEOUT_MS, scheduling: "lifo" });
+    const closeOnBytes = function(this: Duplex) {
+        this.destroy();
+    };
+    // Node calls these when a connection becomes idle and when it is used again.
+    const keepSocketAlive = agent.keepSocketAlive.bind(agent) as (socket: Duplex) => boolean;
+    Object.assign(agent, {
+        keepSocketAlive: (socket: Duplex) => {
+            if (!keepSocketAlive(socket)) return false;
+            socket.on("data", closeOnBytes);
+            return true;
+        },
+        reuseSocket: (socket: Duplex, request: http.ClientRequest) => {
+            socket.off("data", closeOnBytes);
+            http.Agent.prototype.reuseSocket.call(agent, socket, request);
+        },
+    });
+    return agent;
+}
--- /dev/null
+++ b/src/lib/router/index.ts
@@ -0,0 +1,1 @@
+export * from "./router.js";
--- /dev/null
+++ b/src/lib/router/router.ts
@@ -0,0 +1,272 @@
+/**
+ * The entry on the platform: joins the store's feeds, the neighbours, the dispatcher and the servers for callers
+ * into one process.
+ */
+import * as http from "node:http";
+import {
+    createDispatcher,
+    createNeighbourhood,
+    createRowReplica,
+    createSendBudget,
+    createServerHealth,
+    createServerRegistry,
+    createWeightsPolicy,
+    type Neighbour,
+} from "../core/serving/index.js";
+import { answerChanges, type Beat, openBeatSocket, readNeighbourChanges } from "../node/beats.js";
+import { ENTRIES_TABLE, formatEntryRow, parseEntryRow } from "../node/entryRows.js";
+import { listen } from "../node/listen.js";
+import type { MetadataStore } from "../node/metadataStore.js";
+import { startTableFeed } from "../node/tableFeed.js";
+import { createEventLog, createServingMetrics, type EventLog } from "../observability/index.js";
+import { PlatformTable } from "../platform/index.js";
+import type { VmSettings } from "../settings/vmSettings.js";
+import { createBackendConnections } from "./backendConnections.js";
+import { startCallerServer, startReadyServer } from "./callerServer.js";
+import { type ExchangeContext, serveExchange } from "./exchange.js";
+import { createOperatorState } from "./operatorState.js";
+
+export interface Router {
+    /** Stops being ready, finishes requests in progress and closes everything within the grace period. */
+    stop(): Promise<void>;
+}
+
+/** An answer of the feed without changes; neighbours tell of changes in between if the store is silent. */
+const FEED_WAIT_MS = 5000;
+
+/** Time between two beats: a tenth of the time after which a silent entry stops counting. */
+const BEAT_INTERVAL_MS = 100;
+
+/** Waiting requests are looked at this often besides at every arrival and end. */
+const TICK_MS = 20;
+
+/** A neighbour that stays ahead for this long has seen a change that the own feed doesn't deliver. */
+const BEHIND_MS = 150;
+
+/** The load balancer notices within two questions, one second apart, that a process isn't ready. */
+const UNREADY_NOTICE_MS = 2200;
+
+/** Kept of the grace period for closing. */
+const CLOSE_MARGIN_MS = 600;
+
+/** Network delays there and back, between failure domains of one region and between regions. */
+const LOCAL_DELAY_MS = 1;
+const DOMAIN_DELAY_MS = 3;
+const REGION_DELAY_MS = 7;
+
+/** A beat that a load is in progress holds for this long; agents repeat it. */
+const LOADING_BEAT_LIFETIME_MS = 1200;
+
+export async function startRouter(settings: VmSettings, store: MetadataStore): Promise<Router> {
+    const now = () => performance.now();
+    const random = Math.random;
+    const log = createEventLog({ process: settings.name, role: "entry", now });
+    const metrics = createServingMetrics();
+    const self = { name: settings.name, ip: settings.ip, failureDomain: settings.failureDomain };
+    const neighbourhood = createNeighbourhood(self);
+    const registry = createServerRegistry();
+    const health = createServerHealth();
+    const weights = createWeightsPolicy(settings.bounds.weightsMs);
+    const connections = createBackendConnections();
+    const entries = () => neighbourhood.living(now()).length + 1;
+    const dispatcher = createDispatcher({
+        registry,
+        health,
+        weights,
+        findService: name => state.table()?.findService(name),
+        failureDomain: settings.failureDomain,
+        delayMs: domain => delayTo(settings, domain),
+        entries,
+        random,
+    });
+    const budget = createSendBudget({ ...settings.bounds.retries, entries });
+    let stopping = false;
+    let callerServer: Awaited<ReturnType<typeof startCallerServer>> | undefined;
+    const state = createOperatorState({
+        registry,
+        weights,
+        log,
+        onConfiguration: table => callerServer?.applyLimits(table.configuration.limits),
+        onServerGone: id => {
+            connections.forget(id);
+            health.forget(id);
+        },
+    });
+    const context: ExchangeContext = {
+        table: state.table,
+        dispatcher,
+        connections,
+        budget,
+        health,
+        log,
+        metrics,
+        now,
+        random,
+        isStopping: () => stopping,
+    };
+    log.info("process started", { ip: settings.ip, failureDomain: settings.failureDomain, store: settings.storeAddress });
+
+    const replicas = new Map([
+        [PlatformTable.operator as string, createRowReplica()],
+        [PlatformTable.servers as string, createRowReplica()],
+    ]);
+    const onChange = {
+        [PlatformTable.operator]: (rows: Parameters<typeof state.applyOperatorRows>[0]) => {
+            state.applyOperatorRows(rows, now());
+            dispatcher.tick(now());
+        },
+        [PlatformTable.servers]: (rows: Parameters<typeof state.applyServerRows>[0]) => {
+            state.applyServerRows(rows, feeds[1]?.disturbedAt(), now());
+            dispatcher.tick(now());
+        },
+    };
+    const feeds = [PlatformTable.operator, PlatformTable.servers].map(table =>
+        startTableFeed({
+            store,
+            table,
+            replica: replicas.get(table) ?? createRowReplica(),
+            waitMs: FEED_WAIT_MS,
+            onChange: onChange[table],
+            log,
+            metrics,
+            now,
+            random,
+        })
+    );
+
+    const [peerPort] = settings.peerPorts;
+    const behind = new Map<string, number>();
+
+    function onBeat(beat: Beat): void {
+        const at = now();
+        if (beat.kind === "agent") {
+            dispatcher.learnWeights(beat.backendAddress, beat.startedAt, beat.model, beat.version);
+            dispatcher.pauseServer(beat.backendAddress, beat.isLoading ? at + LOADING_BEAT_LIFETIME_MS : 0);
+            return;
+        }
+        neighbourhood.hear(beat, at);
+        dispatcher.flights.hear(beat.name, beat.load, at);
+        for (const table of [PlatformTable.operator, PlatformTable.servers]) {
+            if ((beat.newest[table] ?? 0) > (replicas.get(table)?.newest() ?? 0)) void catchUp(table, beat.ip, at);
+            else behind.delete(table);
+        }
+    }
+
+    /** Reads from a neighbour what the own feed hasn't delivered in time. */
+    async function catchUp(table: typeof PlatformTable[keyof typeof PlatformTable], ip: string, at: number): Promise<void> {
+        const replica = replicas.get(table);
+        const since = behind.get(table);
+        if (since === undefined) behind.set(table, at);
+        if (replica === undefined || (since === undefined || at - since < BEHIND_MS) && replica.isComplete()) return;
+        behind.set(table, at + BEHIND_MS);
+        try {
+            const { rows, isComplete } = await readNeighbourChanges(ip, peerPort, table, replica.newest());
+            if (!replica.isComplete() && !isComplete) return;
+            const fresh = replica.isComplete() ? replica.apply(rows) : replica.reset(rows, rows.at(-1)?.revision ?? 0);
+            if (fresh.length === 0) return;
+            log.info("changes taken from a neighbour", { table, neighbour: ip, rows: fresh.length });
+            onChange[table](fresh);
+        }
+        catch (error) {
+            log.info("neighbour not reached", { table, neighbour: ip, error: (error as Error).message });
+        }
+    }
+
+    const beats = openBeatSocket(settings.ip, peerPort, peerPort, onBeat);
+    const peerServer = http.createServer((request, response) => {
+        if (answerChanges(request, response, replicas)) return;
+        void metrics.expose().then(text => response.writeHead(200, { "content-type": metrics.contentType }).end(text));
+    });
+    await listen(peerServer, `${settings.ip}:${peerPort}`);
+    for (const ip of settings.seeds) neighbourhood.mention({ name: `seed ${ip}`, ip, failureDomain: "" });
+
+    let tick = 0;
+    const beatTimer = setInterval(() => {
+        tick++;
+        const recipients = neighbourhood.recipients(tick, now()).map(({ ip }) => ip);
+        beats.send({
+            kind: "entry",
+            ...self,
+            newest: Object.fromEntries([...replicas].map(([table, replica]) => [table, replica.newest()])),
+            load: Object.fromEntries(
+                Object.entries(dispatcher.flights.report()).map(([id, load]) => [id, [...load] as [number, number, number, number]]),
+            ),
+        }, [...new Set(recipients)]);
+        for (const id of registry.expire(now())) {
+            log.info("server gone", { server: id, reason: "its entry didn't come back" });
+            connections.forget(id);
+        }
+    }, BEAT_INTERVAL_MS);
+    const tickTimer = setInterval(() => {
+        if (dispatcher.waiting() > 0) dispatcher.tick(now());
+        metrics.waiting.set(dispatcher.waiting());
+    }, TICK_MS);
+    void joinEntries(store, self, neighbourhood.mention, log.warn);
+
+    const isReady = () => {
+        return !stopping && state.table() !== undefined && (replicas.get(PlatformTable.servers)?.isComplete() ?? false);
+    };
+    const { callerAddress, readyAddress } = settings;
+    if (callerAddress !== undefined) {
+        callerServer = await startCallerServer(callerAddress, (request, response) => {
+            return serveExchange(context, request, response);
+        });
+        const table = state.table();
+        if (table !== undefined) callerServer.applyLimits(table.configuration.limits);
+    }
+    const readyServer = readyAddress === undefined ? undefined : await startReadyServer(readyAddress, isReady);
+
+    async function stop(): Promise<void> {
+        stopping = true;
+        log.info("process stopping", { active: callerServer?.active() ?? 0 });
+        const deadline = now() + settings.bounds.graceMs - CLOSE_MARGIN_MS;
+        await sleep(UNREADY_NOTICE_MS);
+        callerServer?.stopListening();
+        while ((callerServer?.active() ?? 0) > 0 && now() < deadline) await sleep(50);
+        clearInterval(beatTimer);
+        clearInterval(tickTimer);
+        for (const feed of feeds) feed.stop();
+        store.close();
+        beats.close();
+        callerServer?.close();
+        readyServer?.close();
+        peerServer.close();
+        connections.close();
+        log.info("process stopped", {});
+        log.flush();
+    }
+
+    return { stop };
+}
+
+function delayTo(settings: VmSettings, failureDomain: string): number {
+    if (failureDomain === settings.failureDomain) return LOCAL_DELAY_MS;
+    return settings.regions.get(failureDomain) === settings.region ? DOMAIN_DELAY_MS : REGION_DELAY_MS;
+}
+
+/** Writes the entry's own row and reads the others', until both have succeeded. */
+async function joinEntries(
+    store: MetadataStore,
+    self: Neighbour,
+    mention: (neighbour: Neighbour) => void,
+    warn: EventLog["warn"],
+): Promise<void> {
+    for (let failures = 0;; failures++) {
+        try {
+            await store.putRow(ENTRIES_TABLE, self.name, formatEntryRow(self));
+            for (const row of (await store.readTable(ENTRIES_TABLE)).rows) {
+                const entry = parseEntryRow(row);
+                if (entry !== undefined && entry.name !== self.name) mention(entry);
+            }
+            return;
+        }
+        catch (error) {
+            if (failures === 0) warn("entries not joined", { error: (error as Error).message });
+            await sleep(500 + Math.random() * 1500);
+        }
+    }
+}
+
+function sleep(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/src/lib/stager/index.ts
@@ -0,0 +1,1 @@
+export * from "./stager.js";
--- /dev/null
+++ b/src/lib/stager/rollout.ts
@@ -0,0 +1,153 @@
+/**
+ * Fetches named versions into memory, one at a time: the newest, or an older one first that is nearly complete. What
+ * is complete stays available for the engine and for other agents.
+ */
+import * as http from "node:http";
+import { shouldFinishFirst, usualTransferMs, USUAL_SWITCH_MS } from "../core/serving/index.js";
+import { createOrigin, type WeightManifest } from "../platform/index.js";
+import type { AgentContext } from "./agentContext.js";
+import type { FleetView } from "./fleetView.js";
+import { countHeld, type HeldVersion, type PieceStore } from "./pieceStore.js";
+import { type TransferPeer, transferPieces } from "./pieceTransfer.js";
+
+export interface WeightsSource {
+    readonly address: string;
+    readonly failureDomain: string;
+}
+
+export interface Rollout {
+    /** Sees to it that the version is fetched. `bytes` is its size. */
+    want(model: string, version: number, bytes: number, source: WeightsSource): void;
+    /** Predicted time until a version is complete; 0 if it is, infinite if it isn't being fetched. */
+    missingMs(version: number): number;
+    stop(): void;
+}
+
+export interface RolloutOptions {
+    readonly context: AgentContext;
+    readonly fleet: FleetView;
+    readonly pieces: PieceStore;
+    readonly connections: http.Agent;
+    /** Reads a piece that the engine may already have, for versions that it has held. */
+    readonly readStaged: (model: string, piece: number) => Promise<Buffer | undefined>;
+    /** Tells whether pieces of the version may be staged already. */
+    readonly mayBeStaged: (version: number) => boolean;
+    readonly onComplete: () => void;
+}
+
+interface Transfer {
+    readonly version: number;
+    readonly cancellation: AbortController;
+    readonly startedAt: number;
+    readonly usualMs: number;
+    /** Whether it goes before a newer version; `undefined` until one is named. */
+    finishFirst: boolean | undefined;
+}
+
+export function createRollout(options: RolloutOptions): Rollout {
+    const { context, fleet, pieces } = options;
+    const { settings, log, now, random } = context;
+    let transfer: Transfer | undefined;
+
+    function want(model: string, version: number, bytes: number, source: WeightsSource): void {
+        if (isComplete(pieces.find(version))) return;
+        if (transfer !== undefined) {
+            if (transfer.version >= version || mustFinishFirst(transfer, version)) return;
+            transfer.cancellation.abort();
+        }
+        const current: Transfer = {
+            version,
+            cancellation: new AbortController(),
+            startedAt: now(),
+            usualMs: usualTransferMs(bytes, settings.linkMbps),
+            finishFirst: undefined,
+        };
+        transfer = current;
+        run(model, current, source)
+            .catch(error => log.warn("transfer failed", { version, error: (error as Error).message }))
+            .finally(() => {
+                if (transfer === current) transfer = undefined;
+                options.onComplete();
+            });
+    }
+
+    function mustFinishFirst(current: Transfer, newest: number): boolean {
+        if (current.finishFirst === undefined) {
+            const times = {
+                elapsedMs: now() - current.startedAt,
+                usualMs: current.usualMs,
+                allowedMs: settings.bounds.weightsMs,
+                loadMs: USUAL_SWITCH_MS,
+            };
+            current.finishFirst = shouldFinishFirst(times);
+            const { version, finishFirst } = current;
+            log.info("newer weights named during a transfer", { newest, version, finishFirst, ...times });
+        }
+        return current.finishFirst;
+    }
+
+    async function run(model: string, { version, cancellation }: Transfer, source: WeightsSource): Promise<void> {
+        const since = now();
+        await fleet.refresh();
+        const origin = createOrigin(source.address, options.connections);
+        const peers = fleet.peers();
+        const held = pieces.open(model, await readManifest(version, peers, () => origin.readManifest(model, version)));
+        if (options.mayBeStaged(version)) await readOwnStage(held);
+        const fromStage = countHeld(held);
+        await transferPieces({
+            self: { name: settings.ip, region: settings.region, failureDomain: settings.failureDomain },
+            peers,
+            origin,
+            originRegion: settings.regions.get(source.failureDomain) ?? settings.region,
+            pieces,
+            held,
+            signal: cancellation.signal,
+            log,
+            metrics: context.metrics,
+            now,
+            random,
+        });
+        const tookMs = Math.round(now() - since);
+        log.info("transfer ended", { version, held: countHeld(held), fromStage, tookMs, peers: peers.length });
+    }
+
+    async function readOwnStage(held: HeldVersion): Promise<void> {
+        for (const index of held.pieces.keys()) {
+            const staged = await options.readStaged(held.model, index);
+            if (staged !== undefined) pieces.put(held, index, staged);
+        }
+    }
+
+    function missingMs(version: number): number {
+        const held = pieces.find(version);
+        if (isComplete(held)) return 0;
+        if (held === undefined || transfer?.version !== version) return Number.POSITIVE_INFINITY;
+        const share = countHeld(held) / Math.max(1, held.pieces.length);
+        const elapsed = now() - transfer.startedAt;
+        return share === 0 ? Number.POSITIVE_INFINITY : elapsed / share - elapsed;
+    }
+
+    return { want, missingMs, stop: () => transfer?.cancellation.abort() };
+}
+
+export function isComplete(held: HeldVersion | undefined): boolean {
+    return held !== undefined && countHeld(held) === held.pieces.length;
+}
+
+/** Any agent's copy will do if the origin can't be reached, because all of them come from there. */
+async function readManifest(
+    version: number,
+    peers: readonly TransferPeer[],
+    readOrigin: () => Promise<WeightManifest>,
+): Promise<WeightManifest> {
+    try {
+        return await readOrigin();
+    }
+    catch (cause) {
+        for (const peer of peers) {
+            const manifest = await peer.client.readManifest(version).catch(() => undefined);
+            if (manifest !== undefined) return manifest;
+        }
+        throw cause;
+    }
+}
--- /dev/null
+++ b/src/lib/stager/stager.ts
@@ -0,0 +1,147 @@
+/**
+ * The agent on the platform: it learns which weights are named, fetches their pieces and has the engine on its own VM
+ * load them.
+ */
+import * as http from "node:http";
+import {
+    createRowReplica,
+    createWeightsPolicy,
+    FIRST_WEIGHTS,
+    type Row,
+    type RoutingConfiguration,
+} from "../core/serving/index.js";
+import { openBeatSocket } from "../node/beats.js";
+import { listen } from "../node/listen.js";
+import type { MetadataStore } from "../node/metadataStore.js";
+import { startTableFeed } from "../node/tableFeed.js";
+import { createEventLog, createServingMetrics } from "../observability/index.js";
+import {
+    CONFIGURATION_KEY,
+    createOwnEngine,
+    parseConfiguration,
+    parseNamedWeights,
+    PlatformTable,
+} from "../platform/index.js";
+import type { VmSettings } from "../settings/vmSettings.js";
+import type { AgentContext } from "./agentContext.js";
+import { createEngineTask } from "./engineTask.js";
+import { createFleetView } from "./fleetView.js";
+import { createPeerServer } from "./peerApi.js";
+import { createPieceStore } from "./pieceStore.js";
+import { createRollout } from "./rollout.js";
+import { createUploadPace } from "./uploadPace.js";
+
+export interface Stager {
+    stop(): void;
+}
+
+/** Agents need configurations seldom; a change is delivered at once all the same. */
+const FEED_WAIT_MS = 15_000;
+
+/** Time between two looks at the engine: the report costs nothing on its own VM. */
+const WATCH_INTERVAL_MS = 200;
+
+/** An agent that has started lately may find pieces that an earlier process has staged. */
+const FIRST_LOOK_MS = 5000;
+
+export async function startStager(settings: VmSettings, store: MetadataStore): Promise<Stager> {
+    const now = () => performance.now();
+    const log = createEventLog({ process: settings.name, role: "agent", now });
+    const metrics = createServingMetrics();
+    const context: AgentContext = { settings, log, metrics, now, random: Math.random };
+    const startedAt = now();
+    const weights = createWeightsPolicy(settings.bounds.weightsMs);
+    const namedAt = new Map<number, number>();
+    const pieces = createPieceStore();
+    const engine = createOwnEngine(settings.backendAddress ?? "");
+    const [entryPort] = settings.peerPorts;
+    // Entries use the first port; an agent may run on the same VM.
+    const agentPort = entryPort + 1;
+    const connections = new http.Agent({ keepAlive: true });
+    const fleet = createFleetView(context, store, agentPort, connections);
+    let configuration: RoutingConfiguration | undefined;
+    log.info("process started", { ip: settings.ip, backend: settings.backendAddress, store: settings.storeAddress });
+
+    const beats = openBeatSocket(settings.ip, agentPort, entryPort, () => undefined);
+    const rollout = createRollout({
+        context,
+        fleet,
+        pieces,
+        connections,
+        readStaged: engine.readStaged,
+        mayBeStaged: version => version === engineTask.loaded() || now() - startedAt < FIRST_LOOK_MS,
+        onComplete: () => void look(),
+    });
+    const engineTask = createEngineTask({
+        context,
+        engine,
+        fleet,
+        pieces,
+        rollout,
+        weights,
+        beats,
+        namedAt: version => namedAt.get(version) ?? Number.NEGATIVE_INFINITY,
+    });
+    const server = createPeerServer(pieces, createUploadPace(settings.linkMbps), engineTask.loaded);
+    await listen(server, `${settings.ip}:${agentPort}`);
+
+    let hasRead = false;
+    const feed = startTableFeed({
+        store,
+        table: PlatformTable.operator,
+        replica: createRowReplica(),
+        waitMs: FEED_WAIT_MS,
+        onChange: applyRows,
+        log,
+        metrics,
+        now,
+        random: context.random,
+    });
+
+    function applyRows(rows: readonly Row[]): void {
+        for (const { key, value, revision } of rows) {
+            if (value === undefined) continue;
+            if (key === CONFIGURATION_KEY) applyConfiguration(value, revision);
+            const named = parseNamedWeights(key, value);
+            if (named === undefined) continue;
+            weights.name(named.model, named.version, hasRead, now());
+            if (hasRead) namedAt.set(named.version, now());
+            log.info("weights named", { revision, ...named });
+        }
+        hasRead = true;
+        void look();
+    }
+
+    function applyConfiguration(text: string, revision: number): void {
+        const parsed = parseConfiguration(text);
+        if (parsed === undefined) log.warn("configuration rejected", { revision, kept: configuration?.version });
+        else if (parsed.version > (configuration?.version ?? -1)) configuration = parsed;
+    }
+
+    async function look(): Promise<void> {
+        const figures = configuration?.services.find(({ name }) => name === settings.backendService)?.engine;
+        const source = configuration?.services.find(({ origin }) => origin !== undefined)?.origin;
+        if (figures !== undefined && source !== undefined) {
+            const version = Math.max(FIRST_WEIGHTS, weights.newest(figures.model));
+            rollout.want(figures.model, version, figures.chunkCount * figures.chunkBytes, source);
+        }
+        await engineTask.look(figures?.model);
+    }
+
+    const timer = setInterval(() => void look(), WATCH_INTERVAL_MS);
+
+    function stop(): void {
+        log.info("process stopping", {});
+        clearInterval(timer);
+        rollout.stop();
+        feed.stop();
+        store.close();
+        beats.close();
+        server.close();
+        server.closeAllConnections();
+        connections.destroy();
+        log.flush();
+    }
+
+    return { stop };
+}
