--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -155,7 +155,12 @@
         });
     }
 
-    function holdsWeights(server: BackendServer, engine: EngineFigures, request: DispatchRequest, now: number): boolean {
+    function holdsWeights(
+        server: BackendServer,
+        engine: EngineFigures,
+        request: DispatchRequest,
+        now: number,
+    ): boolean {
         const version = versionAt(server, engine.model);
         if (version === undefined || version < weights.lowest(engine.model, now)) return false;
         return request.boundWeights === undefined || request.boundWeights === version;
--- a/src/lib/core/serving/engineModel.ts
+++ b/src/lib/core/serving/engineModel.ts
@@ -54,13 +54,13 @@
 
 /** Duration of a pass of `running` requests that reads nothing. */
 export function passDurationMs(figures: EngineFigures, running: number, contextTokens: number): number {
-    const perStep = figures.stepMs + figures.stepMsPerRequest * running
-        + figures.stepMsPerKiloToken * contextTokens / TOKENS_PER_KILO_TOKEN;
+    const perStep = figures.stepMs + figures.stepMsPerRequest * running +
+        figures.stepMsPerKiloToken * contextTokens / TOKENS_PER_KILO_TOKEN;
     return figures.stride * perStep;
 }
 
 function readDurationMs(figures: EngineFigures, unreadTokens: number, promptTokens: number): number {
     const pairs = promptTokens * promptTokens / 2;
-    return (unreadTokens + promptTokens) / figures.readTokensPerMs
-        + figures.readMsPerMillionPairs * pairs / PAIRS_PER_MILLION;
+    return (unreadTokens + promptTokens) / figures.readTokensPerMs +
+        figures.readMsPerMillionPairs * pairs / PAIRS_PER_MILLION;
 }
--- a/src/lib/core/serving/neighbourhood.ts
+++ b/src/lib/core/serving/neighbourhood.ts
@@ -42,7 +42,8 @@
         known.set(neighbour.name, { neighbour, heardAt: heardAt ?? (isSame ? previous.heardAt : undefined) });
     }
 
-    const isLiving = (heardAt: number | undefined, now: number) => heardAt !== undefined && now - heardAt < SILENT_AFTER_MS;
+    const isLiving = (heardAt: number | undefined, now: number) =>
+        heardAt !== undefined && now - heardAt < SILENT_AFTER_MS;
 
     return {
         mention: neighbour => {
@@ -50,7 +51,9 @@
         },
         hear: (neighbour, now) => add(neighbour, now),
         living: now => {
-            return [...known.values()].filter(({ heardAt }) => isLiving(heardAt, now)).map(({ neighbour }) => neighbour);
+            return [...known.values()].filter(({ heardAt }) => isLiving(heardAt, now)).map(({ neighbour }) =>
+                neighbour
+            );
         },
         recipients: (tick, now) => {
             let remote = 0;
--- a/src/lib/core/serving/placement.ts
+++ b/src/lib/core/serving/placement.ts
@@ -73,9 +73,9 @@
 const REMOTE_PENALTY_MS = 10_000;
 
 function scoreOf(candidate: Candidate, firstEventMs: number, isOnTime: boolean, canBeOnTime: boolean): number {
-    return firstEventMs + candidate.failureShare * FAILURE_PENALTY_MS
-        + (candidate.isLocal ? 0 : REMOTE_PENALTY_MS)
-        + (isOnTime || !canBeOnTime ? 0 : LATE_PENALTY_MS);
+    return firstEventMs + candidate.failureShare * FAILURE_PENALTY_MS +
+        (candidate.isLocal ? 0 : REMOTE_PENALTY_MS) +
+        (isOnTime || !canBeOnTime ? 0 : LATE_PENALTY_MS);
 }
 
 /** A plain service: the server with the most free slots, local ones first while they have any. */
--- a/src/lib/core/serving/serverHealth.ts
+++ b/src/lib/core/serving/serverHealth.ts
@@ -71,7 +71,14 @@
     function stateOf(id: string): State {
         let state = states.get(id);
         if (state === undefined) {
-            state = { failureShare: 0, brokenInRow: 0, ejectedUntil: undefined, pauses: 0, probeAt: undefined, pace: 1 };
+            state = {
+                failureShare: 0,
+                brokenInRow: 0,
+                ejectedUntil: undefined,
+                pauses: 0,
+                probeAt: undefined,
+                pace: 1,
+            };
             states.set(id, state);
         }
         return state;
@@ -90,8 +97,8 @@
             return;
         }
         if (outcome !== Outcome.error) state.brokenInRow++;
-        const mustEject = outcome === Outcome.unreachable || state.brokenInRow >= EJECT_AFTER_BROKEN
-            || state.failureShare > EJECT_SHARE;
+        const mustEject = outcome === Outcome.unreachable || state.brokenInRow >= EJECT_AFTER_BROKEN ||
+            state.failureShare > EJECT_SHARE;
         if (mustEject) eject(state, now);
     }
 
--- a/src/lib/core/serving/waitingRoom.ts
+++ b/src/lib/core/serving/waitingRoom.ts
@@ -57,11 +57,11 @@
 ): T[] {
     const isLate = (request: T) => request.dueAt <= now ? 1 : 0;
     return waiting.toSorted((a, b) => {
-        return isLate(a) - isLate(b)
-            || a.rank - b.rank
-            || Number(b.hasReturned) - Number(a.hasReturned)
-            || activeOf(a.account) - activeOf(b.account)
-            || a.arrivedAt - b.arrivedAt;
+        return isLate(a) - isLate(b) ||
+            a.rank - b.rank ||
+            Number(b.hasReturned) - Number(a.hasReturned) ||
+            activeOf(a.account) - activeOf(b.account) ||
+            a.arrivedAt - b.arrivedAt;
     });
 }
 
--- a/src/lib/core/transferPlan.ts
+++ b/src/lib/core/transferPlan.ts
@@ -42,6 +42,11 @@
     readonly upstreamDueAt: (chunk: number) => number;
     /** Returns a number in [0, 1). */
     readonly random: () => number;
+    /**
+     * Tells whether chunks are requested in their order instead of rarest first. This suits a source that fetches
+     * each chunk once for many VMs, which then all ask for the same one; rarest first suits VMs that exchange chunks.
+     */
+    readonly inOrder?: () => boolean;
 }
 
 export interface TransferPlan {
@@ -194,6 +199,7 @@
             if (copiesOf(chunk) === 0 || inProgress.has(chunk)) continue;
             if (best !== undefined && copiesOf(chunk) > copiesOf(best)) continue;
             if (!free.some(peer => peer.chunks.has(chunk))) continue;
+            if (options.inOrder?.() === true) return startFromPeer(chunk, free, now);
             ties = best === undefined || copiesOf(chunk) < copiesOf(best) ? 1 : ties + 1;
             if (random() * ties < 1) best = chunk;
         }
--- a/src/lib/platform/engineApi.ts
+++ b/src/lib/platform/engineApi.ts
@@ -6,8 +6,8 @@
 import * as z from "zod";
 import { type HttpAnswer, sendRequest } from "../clients/index.js";
 import type { HeldWeights } from "../core/serving/index.js";
-import { heldWeights, layersSchema, modelsSchema } from "./serverRows.js";
 import { parseJson } from "./json.js";
+import { heldWeights, layersSchema, modelsSchema } from "./serverRows.js";
 
 /** A runner on the same VM answers within milliseconds; a frozen VM stops both. */
 const LOCAL_TIMEOUT_MS = 2000;
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -4,10 +4,11 @@
  * request did not run only if no attempt can have run.
  */
 import type * as http from "node:http";
-import VError from "verror";
 import { match } from "ts-pattern";
+import VError from "verror";
 import {
     type Assignment,
+    chooseService,
     type ClientAccount,
     type Decision,
     type Dispatcher,
@@ -19,7 +20,6 @@
     type SendBudget,
     type ServerHealth,
     type Settlement,
-    chooseService,
 } from "../core/serving/index.js";
 import { canRetry, combineVerdicts, Verdict } from "../core/verdict.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
@@ -439,7 +439,11 @@
 }
 
 function brokenStream(hasStarted: boolean, text: string): AttemptResult {
-    return { kind: "failed", verdict: Verdict.mayHaveRun, text: `${text}${hasStarted ? " after its first event" : ""}` };
+    return {
+        kind: "failed",
+        verdict: Verdict.mayHaveRun,
+        text: `${text}${hasStarted ? " after its first event" : ""}`,
+    };
 }
 
 function noteFirstEvent(exchange: Exchange, { server, predictedMs }: Assignment, sentAt: number): void {
@@ -574,7 +578,9 @@
         reason,
         attempts: exchange.attempts,
         waitedMs: Math.round(exchange.waitedMs),
-        firstEventMs: exchange.firstEventAt === undefined ? undefined : Math.round(exchange.firstEventAt - exchange.arrivedAt),
+        firstEventMs: exchange.firstEventAt === undefined ?
+            undefined :
+            Math.round(exchange.firstEventAt - exchange.arrivedAt),
         targetMs: route.targetMs,
         tookMs: Math.round(now - exchange.arrivedAt),
         promptTokens: caller.promptTokens,
--- a/src/lib/router/operatorState.ts
+++ b/src/lib/router/operatorState.ts
@@ -4,8 +4,8 @@
  */
 import {
     createRouteTable,
-    type Row,
     type RouteTable,
+    type Row,
     type ServerRegistry,
     type WeightsPolicy,
 } from "../core/serving/index.js";
@@ -72,7 +72,8 @@
             const server = row.value === undefined ? undefined : parseServer(row.key, row.value);
             const known = registry.get(row.key);
             if (server === undefined) {
-                if (row.value !== undefined) log.warn("server entry rejected", { server: row.key, revision: row.revision });
+                if (row.value !== undefined)
+                    log.warn("server entry rejected", { server: row.key, revision: row.revision });
                 registry.remove(row.key, now, disturbedAt);
                 if (registry.get(row.key) === undefined) options.onServerGone(row.key);
             }
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -12,6 +12,7 @@
     createServerRegistry,
     createWeightsPolicy,
     type Neighbour,
+    type RouteTable,
 } from "../core/serving/index.js";
 import { answerChanges, type Beat, openBeatSocket, readNeighbourChanges } from "../node/beats.js";
 import { ENTRIES_TABLE, formatEntryRow, parseEntryRow } from "../node/entryRows.js";
@@ -21,6 +22,9 @@
 import { createEventLog, createServingMetrics, type EventLog } from "../observability/index.js";
 import { PlatformTable } from "../platform/index.js";
 import type { VmSettings } from "../settings/vmSettings.js";
+import { answerPieces } from "../stager/peerApi.js";
+import { createPieceRelay, type WeightsOrigin } from "../stager/pieceRelay.js";
+import { createReceiverPaces } from "../stager/uploadPace.js";
 import { createBackendConnections } from "./backendConnections.js";
 import { startCallerServer, startReadyServer } from "./callerServer.js";
 import { type ExchangeContext, serveExchange } from "./exchange.js";
@@ -104,7 +108,11 @@
         random,
         isStopping: () => stopping,
     };
-    log.info("process started", { ip: settings.ip, failureDomain: settings.failureDomain, store: settings.storeAddress });
+    log.info("process started", {
+        ip: settings.ip,
+        failureDomain: settings.failureDomain,
+        store: settings.storeAddress,
+    });
 
     const replicas = new Map([
         [PlatformTable.operator as string, createRowReplica()],
@@ -153,7 +161,11 @@
     }
 
     /** Reads from a neighbour what the own feed hasn't delivered in time. */
-    async function catchUp(table: typeof PlatformTable[keyof typeof PlatformTable], ip: string, at: number): Promise<void> {
+    async function catchUp(
+        table: typeof PlatformTable[keyof typeof PlatformTable],
+        ip: string,
+        at: number,
+    ): Promise<void> {
         const replica = replicas.get(table);
         const since = behind.get(table);
         if (since === undefined) behind.set(table, at);
@@ -173,9 +185,32 @@
     }
 
     const beats = openBeatSocket(settings.ip, peerPort, peerPort, onBeat);
+    const relay = createPieceRelay({
+        self: settings,
+        entries: () =>
+            neighbourhood.living(now()).map(({ ip, failureDomain }) => ({
+                ip,
+                region: settings.regions.get(failureDomain) ?? "",
+            })),
+        source: () => weightsOrigin(state.table(), settings),
+        entryPort: peerPort,
+        log,
+        metrics,
+    });
+    const paceFor = createReceiverPaces();
     const peerServer = http.createServer((request, response) => {
         if (answerChanges(request, response, replicas)) return;
-        void metrics.expose().then(text => response.writeHead(200, { "content-type": metrics.contentType }).end(text));
+        answerPieces(relay, paceFor, request, response)
+            .then(async isAnswered => {
+                if (isAnswered) return;
+                const text = await metrics.expose();
+                response.writeHead(200, { "content-type": metrics.contentType }).end(text);
+            })
+            .catch(error => {
+                log.info("piece not relayed", { error: (error as Error).message });
+                if (response.headersSent) response.destroy();
+                else response.writeHead(503).end();
+            });
     });
     await listen(peerServer, `${settings.ip}:${peerPort}`);
     for (const ip of settings.seeds) neighbourhood.mention({ name: `seed ${ip}`, ip, failureDomain: "" });
@@ -189,7 +224,9 @@
             ...self,
             newest: Object.fromEntries([...replicas].map(([table, replica]) => [table, replica.newest()])),
             load: Object.fromEntries(
-                Object.entries(dispatcher.flights.report()).map(([id, load]) => [id, [...load] as [number, number, number, number]]),
+                Object.entries(dispatcher.flights.report()).map((
+                    [id, load],
+                ) => [id, [...load] as [number, number, number, number]]),
             ),
         }, [...new Set(recipients)]);
         for (const id of registry.expire(now())) {
@@ -239,6 +276,15 @@
     return { stop };
 }
 
+/** The origin of weights and the model of the engines that load from it. */
+function weightsOrigin(table: RouteTable | undefined, settings: VmSettings): WeightsOrigin | undefined {
+    const services = table?.configuration.services ?? [];
+    const origin = services.find(service => service.origin !== undefined)?.origin;
+    const model = services.find(({ engine }) => engine !== undefined)?.engine?.model;
+    if (origin === undefined || model === undefined) return undefined;
+    return { address: origin.address, region: settings.regions.get(origin.failureDomain) ?? "", model };
+}
+
 function delayTo(settings: VmSettings, failureDomain: string): number {
     if (failureDomain === settings.failureDomain) return LOCAL_DELAY_MS;
     return settings.regions.get(failureDomain) === settings.region ? DOMAIN_DELAY_MS : REGION_DELAY_MS;
--- a/src/lib/stager/engineTask.ts
+++ b/src/lib/stager/engineTask.ts
@@ -2,11 +2,7 @@
  * Watches the engine on the own VM and brings it to the newest complete version: stages the pieces, reads them back
  * and orders the load. An engine that restarts holds nothing and is loaded again. Entries hear of every change.
  */
-import {
-    createWeightsPolicy,
-    shouldDrain,
-    USUAL_SWITCH_MS,
-} from "../core/serving/index.js";
+import { createWeightsPolicy, shouldDrain, USUAL_SWITCH_MS } from "../core/serving/index.js";
 import type { BeatSocket } from "../node/beats.js";
 import type { EngineReport, OwnEngine } from "../platform/index.js";
 import type { AgentContext } from "./agentContext.js";
@@ -86,8 +82,8 @@
     function targetVersion(model: string, loaded: number): number | undefined {
         const newest = weights.newest(model);
         const near = [newest, newest - 1, newest - 2].filter(version => version > loaded);
-        return near.find(version => rollout.missingMs(version) === 0)
-            ?? near.find(version => rollout.missingMs(version) < USUAL_SWITCH_MS);
+        return near.find(version => rollout.missingMs(version) === 0) ??
+            near.find(version => rollout.missingMs(version) < USUAL_SWITCH_MS);
     }
 
     function mustDrain(version: number): boolean {
--- a/src/lib/stager/peerApi.ts
+++ b/src/lib/stager/peerApi.ts
@@ -28,72 +28,99 @@
 /** Longest wait for a change of the state; the asker's watch of other things doesn't depend on it. */
 const STATE_WAIT_MS = 1000;
 
+/** Longest wait for a piece that the asked process doesn't hold yet. */
+const MAX_PIECE_WAIT_MS = 2000;
+
 /** Time without a byte after which a peer counts as stalled; a piece takes 50 ms on an idle link. */
 const STALL_TIMEOUT_MS = 1500;
 
-export function createPeerClient(ip: string, port: number, agent: http.Agent): PeerClient {
+/** `rateMbps` is the rate at which pieces should arrive. */
+export function createPeerClient(ip: string, port: number, agent: http.Agent, rateMbps: number): PeerClient {
     async function get(path: string, timeoutMs: number): Promise<Buffer> {
         const answer = await sendRequest({ method: "GET", url: `http://${ip}:${port}${path}`, timeoutMs, agent });
         if (answer.status !== 200) {
-            throw new VError({ name: "PeerError", info: { status: answer.status } }, "the peer answered %d", answer.status);
+            throw new VError(
+                { name: "PeerError", info: { status: answer.status } },
+                "the peer answered %d",
+                answer.status,
+            );
         }
         return answer.body;
     }
     return {
         readManifest: async version => {
-            return manifestSchema.parse(JSON.parse(String(await get(`/manifest?version=${version}`, STALL_TIMEOUT_MS))));
+            return manifestSchema.parse(
+                JSON.parse(String(await get(`/manifest?version=${version}`, STALL_TIMEOUT_MS))),
+            );
         },
         readState: async (version, known) => {
             const path = `/state?version=${version}&known=${known}`;
             return stateSchema.parse(JSON.parse(String(await get(path, STATE_WAIT_MS + STALL_TIMEOUT_MS))));
         },
         readPiece: (version, piece, waitMs) => {
-            return get(`/piece?version=${version}&piece=${piece}&wait=${waitMs}`, waitMs + STALL_TIMEOUT_MS);
+            const path = `/piece?version=${version}&piece=${piece}&wait=${waitMs}&rate=${rateMbps}`;
+            return get(path, waitMs + STALL_TIMEOUT_MS);
         },
     };
 }
 
-/** Answers the requests of other agents. `loaded` returns the version that the own engine holds. */
-export function createPeerServer(pieces: PieceStore, uploads: UploadPace, loaded: () => number): http.Server {
-    return http.createServer((request, response) => {
-        void answerPeer(pieces, uploads, loaded, request, response).catch(() => {
-            // Only a peer that has gone makes writing fail; it asks again.
-            response.destroy();
-        });
-    });
+/** What a process that serves pieces holds or fetches. */
+export interface PieceSupply {
+    manifest(version: number): Promise<WeightManifest | undefined>;
+    /** Waits up to `waitMs` for the piece. */
+    piece(version: number, piece: number, waitMs: number): Promise<Buffer | undefined>;
+    /** Waits until more than `known` pieces are held, but not for long. */
+    state(version: number, known: number): Promise<PeerState>;
 }
 
-async function answerPeer(
-    pieces: PieceStore,
-    uploads: UploadPace,
-    loaded: () => number,
+/** Answers a request for pieces; returns false if it asks for something else. */
+export async function answerPieces(
+    supply: PieceSupply,
+    paceFor: (request: http.IncomingMessage) => UploadPace,
     request: http.IncomingMessage,
     response: http.ServerResponse,
-): Promise<void> {
+): Promise<boolean> {
     const url = new URL(request.url ?? "/", "http://peer");
     const number = (name: string) => Number(url.searchParams.get(name) ?? Number.NaN);
     const version = number("version");
-    if (url.pathname === "/manifest") {
-        sendJson(response, pieces.find(version)?.manifest);
-        return;
-    }
-    if (url.pathname === "/state") {
-        await pieces.untilMore(version, number("known"), STATE_WAIT_MS);
-        const held = pieces.find(version)?.pieces.flatMap((piece, index) => piece === undefined ? [] : [index]);
-        sendJson(response, { held: held ?? [], loaded: loaded() });
-        return;
-    }
-    if (url.pathname === "/piece") {
-        const bytes = await waitForPiece(pieces, version, number("piece"), Math.min(number("wait"), STATE_WAIT_MS * 2));
-        if (bytes === undefined) {
-            response.writeHead(404).end();
-            return;
+    if (url.pathname === "/manifest") sendJson(response, await supply.manifest(version));
+    else if (url.pathname === "/state") sendJson(response, await supply.state(version, number("known")));
+    else if (url.pathname === "/piece") {
+        const bytes = await supply.piece(version, number("piece"), Math.min(number("wait"), MAX_PIECE_WAIT_MS));
+        if (bytes === undefined) response.writeHead(404).end();
+        else {
+            response.writeHead(200, { "content-length": bytes.length });
+            await paceFor(request).send(bytes, response);
         }
-        response.writeHead(200, { "content-length": bytes.length });
-        await uploads.send(bytes, response);
-        return;
     }
-    response.writeHead(404).end();
+    else return false;
+    return true;
+}
+
+export function createPieceServer(
+    supply: PieceSupply,
+    paceFor: (request: http.IncomingMessage) => UploadPace,
+): http.Server {
+    return http.createServer((request, response) => {
+        answerPieces(supply, paceFor, request, response).then(
+            isAnswered => isAnswered ? undefined : response.writeHead(404).end(),
+            // Only a process that has gone makes writing fail; it asks again.
+            () => response.destroy(),
+        );
+    });
+}
+
+/** The pieces that an agent holds, for other agents. `loaded` returns the version that its engine holds. */
+export function createHeldSupply(pieces: PieceStore, loaded: () => number): PieceSupply {
+    return {
+        manifest: async version => pieces.find(version)?.manifest,
+        piece: (version, piece, waitMs) => waitForPiece(pieces, version, piece, waitMs),
+        state: async (version, known) => {
+            await pieces.untilMore(version, known, STATE_WAIT_MS);
+            const held = pieces.find(version)?.pieces.flatMap((piece, index) => piece === undefined ? [] : [index]);
+            return { held: held ?? [], loaded: loaded() };
+        },
+    };
 }
 
 async function waitForPiece(
--- a/src/lib/stager/pieceTransfer.ts
+++ b/src/lib/stager/pieceTransfer.ts
@@ -21,9 +21,17 @@
     readonly failureDomain: string;
 }
 
+/** A process that delivers every piece of a version, though it may not hold it yet. */
+export interface Relay {
+    readonly name: string;
+    readonly client: PeerClient;
+}
+
 export interface PieceTransferOptions {
     readonly self: Participant & { readonly failureDomain: string; };
     readonly peers: readonly TransferPeer[];
+    /** Entries of the region, which fetch each piece once for all agents of the region. */
+    readonly relays: readonly Relay[];
     readonly origin: Origin;
     readonly originRegion: string;
     readonly pieces: PieceStore;
@@ -37,7 +45,13 @@
 }
 
 /** Requests in progress: two for each source keep a link busy during a round trip. */
-const LIMITS = { maxRequests: 4, maxRequestsPerPeer: 2, maxUpstreamRequests: 2, maxDuplicates: 2 };
+const LIMITS = { maxRequests: 3, maxRequestsPerPeer: 3, maxUpstreamRequests: 2, maxDuplicates: 2 };
+
+/** Relays go before agents, whose links carry the streams of their engines. */
+const RELAY_DISTANCE = 0;
+
+/** After a failed request to a relay, agents exchange pieces for this long. */
+const RELAY_PAUSE_MS = 1500;
 
 /** Wait at a VM of another region that fetches the piece at this moment. */
 const SOURCE_WAIT_MS = 1200;
@@ -62,17 +76,25 @@
     const assign = createChunkAssigner(self, [self, ...options.peers], options.originRegion);
     const assignments = digests.map(assign);
     const dueAt = assignments.map(({ rank }) => startedAt + takeoverDelayMs(rank, random(), TAKEOVER_STEP_MS));
+    const relays = new Map(options.relays.map(relay => [relay.name, relay]));
+    /** Without a working relay agents exchange pieces, which is faster in another order. */
+    let relayTrustedAt = relays.size > 0 ? startedAt : Number.POSITIVE_INFINITY;
     const plan = createTransferPlan({
         chunkCount: digests.length,
         ...LIMITS,
         upstreamDueAt: chunk => dueAt[chunk] ?? startedAt,
         random,
+        inOrder: () => now() >= relayTrustedAt,
     });
     held.pieces.forEach((piece, index) => piece === undefined ? undefined : plan.hold(index));
     const byName = new Map(options.peers.map(peer => [peer.name, peer]));
     const neighbours = options.peers.filter(peer => peer.region === self.region).slice(0, MAX_WATCHED_PEERS);
+    for (const name of relays.keys()) {
+        plan.addPeer(name, RELAY_DISTANCE);
+        digests.forEach((_, piece) => plan.peerHas(name, piece));
+    }
     for (const peer of neighbours) {
-        plan.addPeer(peer.name, peer.failureDomain === self.failureDomain ? 0 : 1);
+        plan.addPeer(peer.name, peer.failureDomain === self.failureDomain ? 1 : 2);
         void watchPeer(options, peer, piece => plan.peerHas(peer.name, piece));
     }
 
@@ -96,6 +118,13 @@
     }
 
     async function fetchPiece({ chunk, source }: PlannedRequest): Promise<RequestOutcome> {
+        const relay = relays.get(source);
+        if (relay !== undefined) {
+            const read = () => relay.client.readPiece(held.manifest.version, chunk, SOURCE_WAIT_MS);
+            const outcome = await fetchFrom(chunk, "relay", read);
+            if (outcome !== RequestOutcome.held) relayTrustedAt = now() + RELAY_PAUSE_MS;
+            return outcome;
+        }
         if (source !== UPSTREAM) {
             return fetchFrom(chunk, "peer", () => peerPiece(source, chunk, 0));
         }
--- a/src/lib/stager/rollout.ts
+++ b/src/lib/stager/rollout.ts
@@ -3,12 +3,12 @@
  * is complete stays available for the engine and for other agents.
  */
 import * as http from "node:http";
-import { shouldFinishFirst, usualTransferMs, USUAL_SWITCH_MS } from "../core/serving/index.js";
+import { shouldFinishFirst, usualTransferMs } from "../core/serving/index.js";
 import { createOrigin, type WeightManifest } from "../platform/index.js";
 import type { AgentContext } from "./agentContext.js";
 import type { FleetView } from "./fleetView.js";
 import { countHeld, type HeldVersion, type PieceStore } from "./pieceStore.js";
-import { type TransferPeer, transferPieces } from "./pieceTransfer.js";
+import { type Relay, transferPieces } from "./pieceTransfer.js";
 
 export interface WeightsSource {
     readonly address: string;
@@ -44,6 +44,15 @@
     finishFirst: boolean | undefined;
 }
 
+/** Processes that are asked for a manifest before the origin. */
+const MANIFEST_SOURCES = 2;
+
+/** Pause before a transfer that could not start is tried again. */
+const RETRY_PAUSE_MS = 700;
+
+/** Time that a transfer with a load of the weights before it needs beside the transfer itself. */
+const LOAD_MS = 1500;
+
 export function createRollout(options: RolloutOptions): Rollout {
     const { context, fleet, pieces } = options;
     const { settings, log, now, random } = context;
@@ -64,7 +73,10 @@
         };
         transfer = current;
         run(model, current, source)
-            .catch(error => log.warn("transfer failed", { version, error: (error as Error).message }))
+            .catch(async error => {
+                log.warn("transfer failed", { version, error: (error as Error).message });
+                await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
+            })
             .finally(() => {
                 if (transfer === current) transfer = undefined;
                 options.onComplete();
@@ -77,7 +89,7 @@
                 elapsedMs: now() - current.startedAt,
                 usualMs: current.usualMs,
                 allowedMs: settings.bounds.weightsMs,
-                loadMs: USUAL_SWITCH_MS,
+                loadMs: LOAD_MS,
             };
             current.finishFirst = shouldFinishFirst(times);
             const { version, finishFirst } = current;
@@ -91,12 +103,15 @@
         await fleet.refresh();
         const origin = createOrigin(source.address, options.connections);
         const peers = fleet.peers();
-        const held = pieces.open(model, await readManifest(version, peers, () => origin.readManifest(model, version)));
+        const relays = fleet.relays();
+        const manifest = await readManifest(version, [...relays, ...peers], () => origin.readManifest(model, version));
+        const held = pieces.open(model, manifest);
         if (options.mayBeStaged(version)) await readOwnStage(held);
         const fromStage = countHeld(held);
         await transferPieces({
             self: { name: settings.ip, region: settings.region, failureDomain: settings.failureDomain },
             peers,
+            relays,
             origin,
             originRegion: settings.regions.get(source.failureDomain) ?? settings.region,
             pieces,
@@ -112,9 +127,14 @@
     }
 
     async function readOwnStage(held: HeldVersion): Promise<void> {
-        for (const index of held.pieces.keys()) {
-            const staged = await options.readStaged(held.model, index);
-            if (staged !== undefined) pieces.put(held, index, staged);
+        try {
+            for (const index of held.pieces.keys()) {
+                const staged = await options.readStaged(held.model, index);
+                if (staged !== undefined) pieces.put(held, index, staged);
+            }
+        }
+        catch (error) {
+            log.info("staged pieces not read", { version: held.manifest.version, error: (error as Error).message });
         }
     }
 
@@ -134,20 +154,15 @@
     return held !== undefined && countHeld(held) === held.pieces.length;
 }
 
-/** Any agent's copy will do if the origin can't be reached, because all of them come from there. */
+/** Relays and agents have it from the origin; asking them first spares its link. */
 async function readManifest(
     version: number,
-    peers: readonly TransferPeer[],
+    sources: readonly Relay[],
     readOrigin: () => Promise<WeightManifest>,
 ): Promise<WeightManifest> {
-    try {
-        return await readOrigin();
-    }
-    catch (cause) {
-        for (const peer of peers) {
-            const manifest = await peer.client.readManifest(version).catch(() => undefined);
-            if (manifest !== undefined) return manifest;
-        }
-        throw cause;
+    for (const { client } of sources.slice(0, MANIFEST_SOURCES)) {
+        const manifest = await client.readManifest(version).catch(() => undefined);
+        if (manifest !== undefined) return manifest;
     }
+    return readOrigin();
 }
--- a/src/lib/stager/stager.ts
+++ b/src/lib/stager/stager.ts
@@ -7,8 +7,8 @@
     createRowReplica,
     createWeightsPolicy,
     FIRST_WEIGHTS,
-    type Row,
     type RoutingConfiguration,
+    type Row,
 } from "../core/serving/index.js";
 import { openBeatSocket } from "../node/beats.js";
 import { listen } from "../node/listen.js";
@@ -26,10 +26,10 @@
 import type { AgentContext } from "./agentContext.js";
 import { createEngineTask } from "./engineTask.js";
 import { createFleetView } from "./fleetView.js";
-import { createPeerServer } from "./peerApi.js";
+import { createHeldSupply, createPieceServer } from "./peerApi.js";
 import { createPieceStore } from "./pieceStore.js";
 import { createRollout } from "./rollout.js";
-import { createUploadPace } from "./uploadPace.js";
+import { createUploadPace, UPLINK_SHARE } from "./uploadPace.js";
 
 export interface Stager {
     stop(): void;
@@ -58,7 +58,7 @@
     // Entries use the first port; an agent may run on the same VM.
     const agentPort = entryPort + 1;
     const connections = new http.Agent({ keepAlive: true });
-    const fleet = createFleetView(context, store, agentPort, connections);
+    const fleet = createFleetView(context, store, { entry: entryPort, agent: agentPort }, connections);
     let configuration: RoutingConfiguration | undefined;
     log.info("process started", { ip: settings.ip, backend: settings.backendAddress, store: settings.storeAddress });
 
@@ -82,7 +82,9 @@
         beats,
         namedAt: version => namedAt.get(version) ?? Number.NEGATIVE_INFINITY,
     });
-    const server = createPeerServer(pieces, createUploadPace(settings.linkMbps), engineTask.loaded);
+    const supply = createHeldSupply(pieces, engineTask.loaded);
+    const pace = createUploadPace(settings.linkMbps * UPLINK_SHARE);
+    const server = createPieceServer(supply, () => pace);
     await listen(server, `${settings.ip}:${agentPort}`);
 
     let hasRead = false;
--- a/src/lib/stager/uploadPace.ts
+++ b/src/lib/stager/uploadPace.ts
@@ -3,6 +3,7 @@
  * events that wait behind pieces reach their callers late. Pieces go nearly one after the other, so that the first
  * receiver can pass its piece on while the next one is being sent.
  */
+import type { IncomingMessage } from "node:http";
 import type { Writable } from "node:stream";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createTokenBucket } from "../core/index.js";
@@ -12,19 +13,26 @@
     send(bytes: Buffer, sink: Writable): Promise<void>;
 }
 
-/** Part of the link for pieces; streams of a busy engine take about a sixth, and bursts need room. */
-const LINK_SHARE = 0.72;
+/** Part of a VM's uplink for pieces; streams of a busy engine take about a sixth, and bursts need room. */
+export const UPLINK_SHARE = 0.72;
+
+/** Part of a VM's downlink for pieces; only prompts share it. */
+export const DOWNLINK_SHARE = 0.85;
 
 /** Bytes written at once: about 6 ms of the narrowest link, well below the time by which an event may be late. */
 const SLICE_BYTES = 4096;
 
 const MAX_SENDING = 2;
 
+/** Rate of a receiver that names none. */
+const MIN_RATE_MBPS = 1;
+
 /** A receiver that takes nothing for this long gives its place to another. */
 const DRAIN_TIMEOUT_MS = 1500;
 
-export function createUploadPace(linkMbps: number): UploadPace {
-    const bytesPerSecond = linkMbps * 1e6 / 8 * LINK_SHARE;
+/** `rateMbps` is the rate at which pieces may leave. */
+export function createUploadPace(rateMbps: number): UploadPace {
+    const bytesPerSecond = rateMbps * 1e6 / 8;
     const bucket = createTokenBucket({ ratePerSecond: bytesPerSecond, burst: SLICE_BYTES });
     const queue: (() => void)[] = [];
     let sending = 0;
@@ -52,6 +60,21 @@
     return { send };
 }
 
+/** Returns the pace of a receiver, which names its rate in the request's query; each address has its own. */
+export function createReceiverPaces(): (request: IncomingMessage) => UploadPace {
+    const paces = new Map<string, UploadPace>();
+    return ({ url, socket }) => {
+        const receiver = socket.remoteAddress ?? "";
+        let pace = paces.get(receiver);
+        if (pace === undefined) {
+            const rate = Number(new URL(url ?? "/", "http://peer").searchParams.get("rate"));
+            pace = createUploadPace(rate > 0 ? rate : MIN_RATE_MBPS);
+            paces.set(receiver, pace);
+        }
+        return pace;
+    };
+}
+
 async function untilDrained(sink: Writable): Promise<void> {
     await new Promise<void>(resolve => {
         const done = () => {
