--- a/src/lib/router/operatorState.ts
+++ b/src/lib/router/operatorState.ts
@@ -72,8 +72,9 @@
             const server = row.value === undefined ? undefined : parseServer(row.key, row.value);
             const known = registry.get(row.key);
             if (server === undefined) {
-                if (row.value !== undefined)
+                if (row.value !== undefined) {
                     log.warn("server entry rejected", { server: row.key, revision: row.revision });
+                }
                 registry.remove(row.key, now, disturbedAt);
                 if (registry.get(row.key) === undefined) options.onServerGone(row.key);
             }
