Recognize the first events of streams in the dispatcher

Cause: the identifier of an attempt was computed anew after the server had been added to the tried ones, so a first event never matched its attempt. Every stream counted as unread until its end, predictions were two to four times too long and servers with room were passed over. The identifier is now kept with the exchange. Also: pieces are prefetched from the origin, an answer that is reset is never complete, refusals without a server ask for a longer pause.

--- a/src/lib/core/serving/transferOrder.ts
+++ b/src/lib/core/serving/transferOrder.ts
@@ -24,8 +24,8 @@
     return remainingMs + usualMs + loadMs <= allowedMs;
 }
 
-/** Part of the links' rate that a transfer reaches while pieces pass from VM to VM. */
-const TRANSFER_EFFICIENCY = 0.65;
+/** Part of an agent's link that a transfer from a relay reaches. */
+const TRANSFER_EFFICIENCY = 0.82;
 
 /** Returns the usual time of a transfer of `bytes` over links of `linkMbps`. */
 export function usualTransferMs(bytes: number, linkMbps: number): number {
--- a/src/lib/core/serving/waitingRoom.ts
+++ b/src/lib/core/serving/waitingRoom.ts
@@ -12,6 +12,8 @@
     readonly id: string;
     readonly service: string;
     readonly rank: number;
+    /** Rank of the route alone; `rank` is that of the account where it has one. */
+    readonly routeRank: number;
     readonly account: string;
     /** The caller was refused before and has come back. */
     readonly hasReturned: boolean;
@@ -49,6 +51,9 @@
 
 const MIN_RETRY_AFTER_MS = 100;
 
+/** Servers that were lost come back after a restart and a load of their weights, which take seconds. */
+const NO_SERVER_PAUSE_MS = 3000;
+
 /** Returns the order in which waiting requests are placed. `activeOf` counts an account's requests in progress. */
 export function orderWaiting<T extends Waiting>(
     waiting: readonly T[],
@@ -73,7 +78,7 @@
     random: number,
     now: number,
 ): Decision<T> | undefined {
-    if (pool.servers === 0) return refuse(request, "no server", MAX_WAIT_MS, random, now);
+    if (pool.servers === 0) return refuse(request, "no server", NO_SERVER_PAUSE_MS, random, now);
     if (now >= request.expiresAt) return refuse(request, "expired", MAX_WAIT_MS, random, now);
     const waitMs = predictWaitMs(ahead, pool);
     // A caller that has come back has no further try, so it may wait as long as it has time.
--- a/src/lib/router/backendConnections.ts
+++ b/src/lib/router/backendConnections.ts
@@ -31,6 +31,11 @@
      * @throws VError named `SendError` with the info `verdict`: `notRun` if nothing was written.
      */
     send(request: BackendRequest): Promise<http.IncomingMessage>;
+    /**
+     * Tells whether the connection of an answer was reset. Node reports an answer that ends with its connection as
+     * complete even then.
+     */
+    wasReset(response: http.IncomingMessage): boolean;
     /** Closes the connections to a server that is gone. */
     forget(serverId: string): void;
     close(): void;
@@ -44,6 +49,7 @@
 
 export function createBackendConnections(): BackendConnections {
     const agents = new Map<string, http.Agent>();
+    const resetAnswers = new WeakSet<http.IncomingMessage>();
 
     function agentOf(serverId: string): http.Agent {
         let agent = agents.get(serverId);
@@ -88,6 +94,7 @@
             });
             outgoing.on("response", response => {
                 clearTimeout(timer);
+                outgoing.on("error", () => resetAnswers.add(response));
                 resolve(response);
             });
             outgoing.end(request.body);
@@ -96,6 +103,7 @@
 
     return {
         send,
+        wasReset: response => resetAnswers.has(response),
         forget: serverId => {
             agents.get(serverId)?.destroy();
             agents.delete(serverId);
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -97,9 +97,13 @@
     stream: StreamEvents | undefined;
     /** Weights that answered the delivered part of a stream. */
     weights: number | undefined;
+    /** Identifies the present attempt to the dispatcher. */
+    flightId: string;
     /** Text for the log of every attempt. */
     readonly attempts: string[];
     waitedMs: number;
+    /** What the last placement predicted and what it took until the first event. */
+    prediction: { readonly predictedMs: number; readonly actualMs: number; } | undefined;
     firstEventAt: number | undefined;
 }
 
@@ -152,8 +156,10 @@
         verdicts: [],
         stream: undefined,
         weights: undefined,
+        flightId: "",
         attempts: [],
         waitedMs: 0,
+        prediction: undefined,
         firstEventAt: undefined,
     };
     const expiry = setTimeout(() => cancellation.abort("expired"), deadlineMs);
@@ -231,11 +237,13 @@
     const { dispatcher } = context;
     const since = context.now();
     const isReturned = caller.deadlineMs !== undefined && caller.deadlineMs < route.timeoutMs * RETURNED_DEADLINE_SHARE;
-    const id = flightId(exchange);
+    const id = `${caller.id}/${exchange.attempts.length}`;
+    exchange.flightId = id;
     const request: DispatchRequest = {
         id,
         service,
         rank: account?.rank ?? route.rank,
+        routeRank: route.rank,
         account: account?.name ?? "",
         kind: route.kind,
         hasReturned: isReturned,
@@ -265,10 +273,6 @@
     });
 }
 
-function flightId(exchange: Exchange): string {
-    return `${exchange.caller.id}/${exchange.tried.size}`;
-}
-
 type AttemptResult =
     | { readonly kind: "answered"; readonly text: string; }
     | {
@@ -288,7 +292,7 @@
 async function attempt(exchange: Exchange, assignment: Assignment): Promise<AttemptResult> {
     const { context, route, caller } = exchange;
     const { server } = assignment;
-    const id = flightId(exchange);
+    const id = exchange.flightId;
     const cancellation = new AbortController();
     const onAbort = () => cancellation.abort();
     exchange.cancellation.signal.addEventListener("abort", onAbort, { once: true });
@@ -378,7 +382,7 @@
         return relayStream(exchange, assignment, response, facts, sentAt);
     }
     const body = await readAll(response);
-    if (body === undefined || !facts.isSigned) {
+    if (body === undefined || exchange.context.connections.wasReset(response) || !facts.isSigned) {
         response.destroy();
         return { kind: "failed", verdict: Verdict.mayHaveRun, text: "the answer is incomplete" };
     }
@@ -423,7 +427,8 @@
             exchange.weights = events.weights() ?? exchange.weights;
             if (!response.write(whole)) await drained(response);
         }
-        const isComplete = upstream.complete && events.pendingBytes() === 0 && facts.isSigned;
+        const isComplete = upstream.complete && !context.connections.wasReset(upstream)
+            && events.pendingBytes() === 0 && facts.isSigned;
         if (!isComplete) return brokenStream(hasStarted, "the stream ended early");
     }
     catch (error) {
@@ -449,8 +454,9 @@
 function noteFirstEvent(exchange: Exchange, { server, predictedMs }: Assignment, sentAt: number): void {
     const { context, route } = exchange;
     const now = context.now();
-    context.dispatcher.started(flightId(exchange), now);
+    context.dispatcher.started(exchange.flightId, now);
     if (predictedMs > 0) context.health.recordPace(server.id, (now - sentAt) / predictedMs);
+    exchange.prediction = { predictedMs: Math.round(predictedMs), actualMs: Math.round(now - sentAt) };
     if (exchange.firstEventAt !== undefined) return;
     exchange.firstEventAt = now;
     context.metrics.firstEventMs.observe({ kind: route.kind }, now - exchange.arrivedAt);
@@ -583,6 +589,7 @@
             Math.round(exchange.firstEventAt - exchange.arrivedAt),
         targetMs: route.targetMs,
         tookMs: Math.round(now - exchange.arrivedAt),
+        ...exchange.prediction,
         promptTokens: caller.promptTokens,
         version: versionOf(context),
         ...more,
--- a/src/lib/router/operatorState.ts
+++ b/src/lib/router/operatorState.ts
@@ -27,6 +27,7 @@
     readonly log: EventLog;
     readonly onConfiguration: (table: RouteTable) => void;
     readonly onServerGone: (id: string) => void;
+    readonly onWeightsNamed: (version: number) => void;
 }
 
 export function createOperatorState(options: OperatorStateOptions): OperatorState {
@@ -65,6 +66,7 @@
         if (named === undefined) return;
         weights.name(named.model, named.version, hasReadWeights, now);
         log.info("weights named", { revision, ...named });
+        options.onWeightsNamed(named.version);
     }
 
     function applyServerRows(rows: readonly Row[], disturbedAt: number | undefined, now: number): void {
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -95,6 +95,7 @@
             connections.forget(id);
             health.forget(id);
         },
+        onWeightsNamed: version => void relay.prefetch(version),
     });
     const context: ExchangeContext = {
         table: state.table,
--- a/src/lib/stager/pieceRelay.ts
+++ b/src/lib/stager/pieceRelay.ts
@@ -37,12 +37,24 @@
 /** Entries send to each other without a pace: their links are wide. */
 const ENTRY_RATE_MBPS = 1000;
 
-export function createPieceRelay(options: PieceRelayOptions): PieceSupply {
+export interface PieceRelay extends PieceSupply {
+    /** Fetches a named version before anybody asks, so that an origin that fails later isn't missed. */
+    prefetch(version: number): Promise<void>;
+}
+
+/** Pieces fetched at once ahead of the agents; two keep the origin's link busy. */
+const PREFETCHES = 2;
+
+/** Pause after which a prefetch that failed is tried again. */
+const PREFETCH_PAUSE_MS = 300;
+
+export function createPieceRelay(options: PieceRelayOptions): PieceRelay {
     const { self, log } = options;
     const pieces = createPieceStore();
     const connections = new http.Agent({ keepAlive: true, maxSockets: 8 });
     const manifests = new Map<number, Promise<HeldVersion>>();
     const fetches = new Map<string, Promise<Buffer>>();
+    let newest = 0;
 
     function open(version: number): Promise<HeldVersion> {
         let opening = manifests.get(version);
@@ -114,7 +126,42 @@
         throw new VError({ cause }, "piece %d of version %d can't be fetched", piece, version);
     }
 
+    /** Entries of the origin's region share the pieces; the others fetch what their agents ask for. */
+    async function prefetch(version: number): Promise<void> {
+        newest = Math.max(newest, version);
+        const source = options.source();
+        if (source === undefined || source.region !== self.region) return;
+        while (newest === version && !await tryPrefetch(source, version)) {
+            await new Promise(resolve => setTimeout(resolve, PREFETCH_PAUSE_MS));
+        }
+    }
+
+    async function tryPrefetch(source: WeightsOrigin, version: number): Promise<boolean> {
+        try {
+            const held = await open(version);
+            const own = [...held.pieces.keys()].filter(piece => isDrawnHere(source, version, piece));
+            const next = own.values();
+            const fetchRest = async () => {
+                for (const piece of next) {
+                    if (held.pieces[piece] === undefined) await fetch(held, piece);
+                }
+            };
+            await Promise.all(Array.from({ length: PREFETCHES }, fetchRest));
+            log.info("pieces prefetched", { version, pieces: own.length });
+            return true;
+        }
+        catch (error) {
+            log.info("pieces not prefetched", { version, error: (error as Error).message });
+            return false;
+        }
+    }
+
+    function isDrawnHere(source: WeightsOrigin, version: number, piece: number): boolean {
+        return upstreamEntry(source, version, piece) === undefined;
+    }
+
     return {
+        prefetch,
         manifest: async version => (await open(version)).manifest,
         piece: async (version, piece) => {
             const held = await open(version);
--- a/src/lib/stager/rollout.ts
+++ b/src/lib/stager/rollout.ts
@@ -48,7 +48,7 @@
 const MANIFEST_SOURCES = 2;
 
 /** Pause before a transfer that could not start is tried again. */
-const RETRY_PAUSE_MS = 700;
+const RETRY_PAUSE_MS = 300;
 
 /** Time that a transfer with a load of the weights before it needs beside the transfer itself. */
 const LOAD_MS = 1500;
