Place requests that can be on time first and refuse early what can't be served

Cause: under a burst every request was placed at the next free slot, also when it could only be late, so that nobody behind it was on time; predicted waits ignored that late requests get only what is left. Requests now have a standing (on time, returned, late), on-time requests wait for a server that is in time, late ones fill at most 0.8 of the slots, and the wait of late ones is predicted from the rate at which late ones were started.

--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -3,12 +3,21 @@
  * results so far, and says for each request when it goes where, or that it is refused and when to come back. It
  * performs no I/O; the caller tells it of arrivals, first events, ends and the passing of time.
  */
+import { usualFirstEventMs } from "./engineModel.js";
 import { createFlights, type Flights } from "./flights.js";
 import { type Candidate, type Placement, placeOnEngine, placeOnService } from "./placement.js";
-import { type BackendService, type EngineFigures, RequestKind } from "./routeTable.js";
+import type { BackendService, EngineFigures, RequestKind } from "./routeTable.js";
 import type { ServerHealth } from "./serverHealth.js";
 import type { BackendServer, ServerRegistry } from "./serverRegistry.js";
-import { type Decision, judgeWaiting, orderWaiting, type PoolState, type Waiting } from "./waitingRoom.js";
+import {
+    type Decision,
+    judgeWaiting,
+    orderWaiting,
+    type PoolState,
+    Standing,
+    standingOf,
+    type Waiting,
+} from "./waitingRoom.js";
 import type { WeightsPolicy } from "./weightsPolicy.js";
 
 export interface DispatchRequest extends Waiting {
@@ -65,8 +74,14 @@
 }
 
 /** Part of the slots that a rank may fill; the rest is kept for more urgent work. */
-const SLOT_SHARES = [1, 0.95, 0.85] as const;
-const LOWEST_SLOT_SHARE = 0.85;
+const SLOT_SHARES = [1, 1, 0.9] as const;
+const LOWEST_SLOT_SHARE = 0.9;
+
+/** Part of the slots for requests that are late: full batches would make the next ones late as well. */
+const LATE_SLOT_SHARE = 0.8;
+
+/** Time over which the rate of late starts is observed. */
+const LATE_RATE_WINDOW_MS = 2000;
 
 /** Mean time of a request at an engine before any was seen. */
 const INITIAL_DURATION_MS = 1000;
@@ -88,6 +103,7 @@
     const learned = new Map<string, { startedAt: number; model: string; version: number; }>();
     const sentAt = new Map<string, { service: string; at: number; }>();
     const durations = new Map<string, number>();
+    const lateStarts: { service: string; at: number; }[] = [];
 
     function submit(request: DispatchRequest, settle: (verdict: Settlement) => void, now: number): void {
         queue.set(request.id, { request, settle });
@@ -96,22 +112,35 @@
 
     function serve(now: number): void {
         if (queue.size === 0) return;
-        const requests = orderWaiting([...queue.values()].map(({ request }) => request), flights.countOfAccount, now);
+        const waiting = [...queue.values()].map(({ request }) => request);
+        const standings = new Map(waiting.map(request => [request.id, standingAt(request, now)]));
+        const standing = (request: DispatchRequest) => standings.get(request.id) ?? Standing.late;
         const ahead = new Map<string, number>();
-        for (const request of requests) {
-            if (tryPlace(request, now)) continue;
-            const inFront = ahead.get(request.service) ?? 0;
-            const decision = judgeWaiting(request, inFront, poolState(request.service, now), options.random(), now);
-            if (decision === undefined) ahead.set(request.service, inFront + 1);
+        for (const request of orderWaiting(waiting, standing, flights.countOfAccount)) {
+            if (tryPlace(request, standing(request), now)) continue;
+            const line = `${request.service} ${standing(request)}`;
+            const inFront = ahead.get(line) ?? 0;
+            const pool = poolState(request, now);
+            const decision = judgeWaiting(request, standing(request), inFront, pool, options.random(), now);
+            if (decision === undefined) ahead.set(line, inFront + 1);
             else settle(request.id, { kind: "refused", decision });
         }
     }
 
-    function tryPlace(request: DispatchRequest, now: number): boolean {
+    function standingAt(request: DispatchRequest, now: number): Standing {
+        return standingOf(request, idleFirstEventMs(request), now);
+    }
+
+    function idleFirstEventMs(request: DispatchRequest): number {
+        const figures = options.findService(request.service)?.engine;
+        return figures === undefined ? 0 : usualFirstEventMs(figures, request.promptTokens);
+    }
+
+    function tryPlace(request: DispatchRequest, standing: Standing, now: number): boolean {
         const service = options.findService(request.service);
         if (service === undefined) return false;
         const servers = eligibleServers(request, service, now);
-        const placement = place(request, service, servers, now);
+        const placement = place(request, standing, service, servers, now);
         const server = servers.find(({ id }) => id === placement?.id);
         if (placement === undefined || server === undefined) return false;
         flights.begin({
@@ -123,6 +152,7 @@
             hasStarted: false,
         });
         sentAt.set(request.id, { service: request.service, at: now });
+        if (standing === Standing.late) lateStarts.push({ service: request.service, at: now });
         health.sent(server.id, now);
         const assignment = { server, predictedMs: placement.firstEventMs, weights: weightsFor(request, service, now) };
         settle(request.id, { kind: "assigned", assignment });
@@ -131,6 +161,7 @@
 
     function place(
         request: DispatchRequest,
+        standing: Standing,
         service: BackendService,
         servers: readonly BackendServer[],
         now: number,
@@ -142,7 +173,10 @@
             promptTokens: request.promptTokens,
             dueInMs,
             maxPauseMs: request.maxPauseMs,
-            slotShare: SLOT_SHARES[request.rank] ?? LOWEST_SLOT_SHARE,
+            slotShare: standing === Standing.late ?
+                LATE_SLOT_SHARE :
+                SLOT_SHARES[request.routeRank] ?? LOWEST_SLOT_SHARE,
+            mustBeOnTime: standing === Standing.onTime,
         });
     }
 
@@ -195,7 +229,8 @@
         };
     }
 
-    function poolState(service: string, now: number): PoolState {
+    function poolState(request: DispatchRequest, now: number): PoolState {
+        const { service } = request;
         const servers = registry.usable(service, now).filter(server => health.admits(server.id, now));
         const figures = options.findService(service)?.engine;
         const ready = figures === undefined ? servers : servers.filter(server => {
@@ -205,10 +240,14 @@
         const busy = ready.reduce((sum, server) => sum + occupied(server, now), 0);
         const slots = ready.reduce((sum, server) => sum + server.slots, 0);
         const durationMs = durations.get(service) ?? INITIAL_DURATION_MS;
+        while (lateStarts[0] !== undefined && now - lateStarts[0].at > LATE_RATE_WINDOW_MS) lateStarts.shift();
+        const recentlyLate = lateStarts.filter(start => start.service === service).length;
         return {
             servers: ready.length,
             completionsPerSecond: busy * 1000 / durationMs / Math.max(1, options.entries()),
+            lateStartsPerSecond: recentlyLate * 1000 / LATE_RATE_WINDOW_MS,
             freeSlots: Math.max(0, slots - busy) / Math.max(1, options.entries()),
+            idleFirstEventMs: idleFirstEventMs(request),
         };
     }
 
--- a/src/lib/core/serving/engineModel.ts
+++ b/src/lib/core/serving/engineModel.ts
@@ -64,3 +64,9 @@
     return (unreadTokens + promptTokens) / figures.readTokensPerMs +
         figures.readMsPerMillionPairs * pairs / PAIRS_PER_MILLION;
 }
+
+/** Time to the first event of a usual prompt at an engine with half of its slots in use. */
+export function usualFirstEventMs(figures: EngineFigures, promptTokens: number): number {
+    const load = { writing: figures.slots / 2, reading: 0, unreadTokens: 0, contextTokens: 0 };
+    return predictEngine(figures, load, promptTokens, 1).firstEventMs;
+}
--- a/src/lib/core/serving/placement.ts
+++ b/src/lib/core/serving/placement.ts
@@ -31,6 +31,8 @@
     readonly maxPauseMs: number;
     /** Part of the slots that requests of this rank may fill, 0 to 1. */
     readonly slotShare: number;
+    /** A server that would be late doesn't do, because another one may get free in time. */
+    readonly mustBeOnTime: boolean;
 }
 
 export interface Placement {
@@ -45,7 +47,7 @@
 /** A server that fails counts as this much later at a failure share of 1. */
 const FAILURE_PENALTY_MS = 2000;
 
-/** A remote server is chosen only if it is earlier than a local one that would be late. */
+/** Returns `undefined` if no server has room. */
 export function placeOnEngine(
     figures: EngineFigures,
     candidates: readonly Candidate[],
@@ -61,7 +63,8 @@
         if (load.writing > 0 && prediction.pauseMs > request.maxPauseMs * TARGET_MARGIN && load.reading > 0) continue;
         const firstEventMs = prediction.firstEventMs + candidate.delayMs;
         const isOnTime = firstEventMs <= request.dueInMs * TARGET_MARGIN;
-        const score = scoreOf(candidate, firstEventMs, isOnTime, request.dueInMs > 0);
+        if (request.mustBeOnTime && !isOnTime) continue;
+        const score = scoreOf(candidate, firstEventMs);
         if (score >= bestScore) continue;
         best = { id: candidate.id, firstEventMs, isOnTime };
         bestScore = score;
@@ -69,13 +72,11 @@
     return best;
 }
 
-const LATE_PENALTY_MS = 100_000;
+/** A remote server is chosen only if no local one does. */
 const REMOTE_PENALTY_MS = 10_000;
 
-function scoreOf(candidate: Candidate, firstEventMs: number, isOnTime: boolean, canBeOnTime: boolean): number {
-    return firstEventMs + candidate.failureShare * FAILURE_PENALTY_MS +
-        (candidate.isLocal ? 0 : REMOTE_PENALTY_MS) +
-        (isOnTime || !canBeOnTime ? 0 : LATE_PENALTY_MS);
+function scoreOf(candidate: Candidate, firstEventMs: number): number {
+    return firstEventMs + candidate.failureShare * FAILURE_PENALTY_MS + (candidate.isLocal ? 0 : REMOTE_PENALTY_MS);
 }
 
 /** A plain service: the server with the most free slots, local ones first while they have any. */
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -427,8 +427,8 @@
             exchange.weights = events.weights() ?? exchange.weights;
             if (!response.write(whole)) await drained(response);
         }
-        const isComplete = upstream.complete && !context.connections.wasReset(upstream)
-            && events.pendingBytes() === 0 && facts.isSigned;
+        const isComplete = upstream.complete && !context.connections.wasReset(upstream) &&
+            events.pendingBytes() === 0 && facts.isSigned;
         if (!isComplete) return brokenStream(hasStarted, "the stream ended early");
     }
     catch (error) {
