--- a/src/lib/core/serving/serverHealth.ts
+++ b/src/lib/core/serving/serverHealth.ts
@@ -53,6 +53,10 @@
 /** A probe without a result counts as lost after this time. */
 const PROBE_TIMEOUT_MS = 2000;
 
+/** Pause after a refusal; doubled with each further one, because a server that lost its weights refuses everything. */
+const REFUSAL_PAUSE_MS = 100;
+const MAX_REFUSAL_PAUSE_MS = 1600;
+
 const PACE_WEIGHT = 0.1;
 const MAX_PACE = 10;
 
@@ -62,6 +66,8 @@
     ejectedUntil: number | undefined;
     pauses: number;
     probeAt: number | undefined;
+    refusalsInRow: number;
+    refusedUntil: number;
     pace: number;
 }
 
@@ -87,8 +93,14 @@
     function record(id: string, outcome: Outcome, now: number): void {
         const state = stateOf(id);
         state.probeAt = undefined;
-        // A refusal tells of load, not of health.
-        if (outcome === Outcome.refused) return;
+        // A refusal tells of load or missing weights, not of health.
+        if (outcome === Outcome.refused) {
+            const pause = Math.min(MAX_REFUSAL_PAUSE_MS, REFUSAL_PAUSE_MS * 2 ** state.refusalsInRow);
+            state.refusalsInRow++;
+            state.refusedUntil = Math.max(state.refusedUntil, now + pause);
+            return;
+        }
+        state.refusalsInRow = 0;
         const failed = outcome === Outcome.success ? 0 : 1;
         state.failureShare += RESULT_WEIGHT * (failed - state.failureShare);
         if (outcome === Outcome.success) {
@@ -124,7 +136,9 @@
         },
         admits: (id, now) => {
             const state = states.get(id);
-            if (state?.ejectedUntil === undefined) return true;
+            if (state === undefined) return true;
+            if (state.refusedUntil > now) return false;
+            if (state.ejectedUntil === undefined) return true;
             if (state.ejectedUntil > now) return false;
             return state.probeAt === undefined || now - state.probeAt > PROBE_TIMEOUT_MS;
         },
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -414,9 +414,10 @@
     try {
         for await (const piece of upstream as AsyncIterable<Buffer>) {
             const whole = events.push(piece);
+            // Bytes that never make a whole event are no progress.
+            if (whole.length === 0) continue;
             clearTimeout(timer);
             timer = setTimeout(() => upstream.destroy(new Error("the stream paused too long")), pauseMs);
-            if (whole.length === 0) continue;
             if (!hasStarted) {
                 hasStarted = true;
                 noteFirstEvent(exchange, assignment, sentAt);
