--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -231,7 +231,9 @@
 
     function poolState(request: DispatchRequest, now: number): PoolState {
         const { service } = request;
-        const servers = registry.usable(service, now).filter(server => health.admits(server.id, now));
+        const servers = registry.usable(service, now).filter(({ id }) => {
+            return !request.tried.has(id) && health.admits(id, now);
+        });
         const figures = options.findService(service)?.engine;
         const ready = figures === undefined ? servers : servers.filter(server => {
             const version = versionAt(server, figures.model);
--- a/src/lib/core/serving/neighbourhood.ts
+++ b/src/lib/core/serving/neighbourhood.ts
@@ -22,7 +22,7 @@
 }
 
 /** Ten beats within a failure domain, several between regions. */
-export const SILENT_AFTER_MS = 1500;
+export const ENTRY_SILENT_AFTER_MS = 1500;
 
 /** A beat goes to other failure domains at every n-th tick, to silent entries at every m-th. */
 const REMOTE_TICKS = 3;
@@ -43,7 +43,7 @@
     }
 
     const isLiving = (heardAt: number | undefined, now: number) =>
-        heardAt !== undefined && now - heardAt < SILENT_AFTER_MS;
+        heardAt !== undefined && now - heardAt < ENTRY_SILENT_AFTER_MS;
 
     return {
         mention: neighbour => {
--- a/src/lib/core/serving/serverHealth.ts
+++ b/src/lib/core/serving/serverHealth.ts
@@ -75,18 +75,19 @@
     const states = new Map<string, State>();
 
     function stateOf(id: string): State {
-        let state = states.get(id);
-        if (state === undefined) {
-            state = {
-                failureShare: 0,
-                brokenInRow: 0,
-                ejectedUntil: undefined,
-                pauses: 0,
-                probeAt: undefined,
-                pace: 1,
-            };
-            states.set(id, state);
-        }
+        const known = states.get(id);
+        if (known !== undefined) return known;
+        const state: State = {
+            failureShare: 0,
+            brokenInRow: 0,
+            ejectedUntil: undefined,
+            pauses: 0,
+            probeAt: undefined,
+            refusalsInRow: 0,
+            refusedUntil: 0,
+            pace: 1,
+        };
+        states.set(id, state);
         return state;
     }
 
--- a/src/lib/router/callerServer.ts
+++ b/src/lib/router/callerServer.ts
@@ -48,11 +48,20 @@
     };
 }
 
-/** Answers whether the process is ready, and everything else as `others` says. */
-export async function startReadyServer(address: Address, isReady: () => boolean): Promise<http.Server> {
+/** Answers every request with whether the process is ready. */
+export async function startReadyServer(
+    address: Address,
+    isReady: () => boolean,
+): Promise<{ readonly port: number; close(): void; }> {
     const server = http.createServer((_, response) => {
         response.writeHead(isReady() ? 200 : 503, { "content-length": 0 }).end();
     });
-    await listen(server, address);
-    return server;
+    const port = await listen(server, address);
+    return {
+        port,
+        close: () => {
+            server.close();
+            server.closeAllConnections();
+        },
+    };
 }
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -31,6 +31,9 @@
 import { createOperatorState } from "./operatorState.js";
 
 export interface Router {
+    /** Ports for callers and for the question whether the process is ready; 0 where the VM serves none. */
+    readonly callerPort: number;
+    readonly readyPort: number;
     /** Stops being ready, finishes requests in progress and closes everything within the grace period. */
     stop(): Promise<void>;
 }
@@ -274,7 +277,7 @@
         log.flush();
     }
 
-    return { stop };
+    return { callerPort: callerServer?.port ?? 0, readyPort: readyServer?.port ?? 0, stop };
 }
 
 /** The origin of weights and the model of the engines that load from it. */
--- /dev/null
+++ b/src/test/core/serving/rollout.test.ts
@@ -0,0 +1,69 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+    createWeightsPolicy,
+    drainDelayMs,
+    shouldDrain,
+    shouldFinishFirst,
+    USUAL_SWITCH_MS,
+    usualTransferMs,
+} from "../../../lib/core/serving/index.js";
+
+const ALLOWED_MS = 8000;
+
+// Guards against requests that begin on outdated weights after the time for a version, and against a pool that is
+// unusable from the moment a version is named.
+test("older weights may answer until shortly before the time for the new ones is over", () => {
+    const policy = createWeightsPolicy(ALLOWED_MS);
+    assert.equal(policy.lowest("m", 0), 1);
+    policy.name("m", 2, true, 1000);
+    assert.equal(policy.newest("m"), 2);
+    assert.equal(policy.lowest("m", 1000 + ALLOWED_MS / 2), 1);
+    assert.equal(policy.lowest("m", 1000 + ALLOWED_MS - 500), 2);
+    policy.name("m", 3, true, 5000);
+    assert.equal(policy.lowest("m", 1000 + ALLOWED_MS), 2);
+    assert.equal(policy.lowest("m", 5000 + ALLOWED_MS), 3);
+});
+
+// Guards against a restarted entry that counts the time for a version anew from its own start.
+test("a version that may have been named long ago is due at once", () => {
+    const policy = createWeightsPolicy(ALLOWED_MS);
+    policy.name("m", 4, false, 0);
+    assert.equal(policy.lowest("m", 0), 4);
+});
+
+// Guards against a rollout that takes all replicas of a failure domain away at the same moment, and against a last
+// replica that begins too late.
+test("the replicas of a failure domain switch one after the other and in time", () => {
+    fc.assert(
+        fc.property(fc.integer({ min: 2, max: 12 }), fc.integer({ min: 2, max: 50 }), (count, version) => {
+            const replicas = Array.from({ length: count }, (_, index) => `10.0.0.${index}`);
+            const delays = replicas
+                .map(self => drainDelayMs({ self, replicas, version, namedAt: 0, allowedMs: ALLOWED_MS, missingMs: 0 }))
+                .sort((a, b) => a - b);
+            assert.ok((delays.at(-1) ?? 0) + USUAL_SWITCH_MS <= ALLOWED_MS);
+            assert.equal(new Set(delays).size, count);
+            // A switch takes 2.3 s; with even turns at most three quarters are away at once.
+            const away = delays.map(start => delays.filter(other => Math.abs(other - start) < 100).length);
+            assert.ok(Math.max(...away) <= Math.ceil(count / 4));
+        }),
+        { seed: 1 },
+    );
+});
+
+// Guards against replicas that stop taking work while their weights are far from complete.
+test("a replica serves on while its transfer is stuck", () => {
+    const situation = { self: "a", replicas: ["a", "b"], version: 2, namedAt: 0, allowedMs: ALLOWED_MS };
+    assert.equal(shouldDrain({ ...situation, missingMs: Number.POSITIVE_INFINITY }, ALLOWED_MS), false);
+    assert.equal(shouldDrain({ ...situation, missingMs: 0 }, ALLOWED_MS), true);
+});
+
+// Guards against a nearly complete version that is given up for a newer one, which left no replica with acceptable
+// weights between the two deadlines, and against a young transfer that delays the newer version.
+test("a transfer is finished first only if both versions stay in time", () => {
+    const usualMs = usualTransferMs(64 * 32_768, 5.32);
+    const times = { usualMs, allowedMs: ALLOWED_MS, loadMs: 1500 };
+    assert.equal(shouldFinishFirst({ ...times, elapsedMs: 3000 }), true);
+    assert.equal(shouldFinishFirst({ ...times, elapsedMs: 500 }), false);
+});
--- /dev/null
+++ b/src/test/core/serving/routeTable.test.ts
@@ -0,0 +1,48 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { chooseService, createRouteTable, RequestKind, type Route } from "../../../lib/core/serving/index.js";
+
+const LIMITS = { maxHeaderBytes: 1024, maxBodyBytes: 1024, headerTimeoutMs: 1000, idleTimeoutMs: 1000 };
+
+function routeOf(prefix: string, host = "a.example"): Route {
+    return {
+        name: prefix,
+        host,
+        prefix,
+        kind: RequestKind.idempotent,
+        timeoutMs: 1000,
+        targetMs: 100,
+        rank: 0,
+        services: [{ service: "s", weight: 1 }],
+        maxAttempts: 2,
+        isPublic: false,
+        isResumable: false,
+        maxPauseMs: 100,
+    };
+}
+
+// Guards against requests that go to the route of a shorter prefix or of another host.
+test("the route with the longest prefix of the host serves a path", () => {
+    const routes = [routeOf("/a/"), routeOf("/a/b/"), routeOf("/a/b/c/"), routeOf("/", "b.example")];
+    const table = createRouteTable({ version: 1, routes, services: [], limits: LIMITS, accounts: undefined });
+    assert.equal(table.findRoute("a.example", "/a/b/x")?.prefix, "/a/b/");
+    assert.equal(table.findRoute("A.EXAMPLE", "/a/b/c/")?.prefix, "/a/b/c/");
+    assert.equal(table.findRoute("a.example", "/a"), undefined);
+    assert.equal(table.findRoute("b.example", "/a/b/c/")?.prefix, "/");
+    assert.equal(table.findRoute("c.example", "/a/"), undefined);
+});
+
+// Guards against a service without weight that gets requests, and against a choice outside the list.
+test("a service is chosen by weight", () => {
+    const weights = fc.array(fc.nat(10), { minLength: 1, maxLength: 5 });
+    fc.assert(
+        fc.property(weights, fc.double({ min: 0, max: 0.999999, noNaN: true }), (list, random) => {
+            const services = list.map((weight, index) => ({ service: String(index), weight }));
+            const chosen = chooseService(services, random);
+            const total = list.reduce((sum, weight) => sum + weight, 0);
+            if (total > 0) assert.ok((list[Number(chosen)] ?? 0) > 0);
+        }),
+        { seed: 1 },
+    );
+});
--- /dev/null
+++ b/src/test/core/serving/sendBudget.test.ts
@@ -0,0 +1,52 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createSendBudget } from "../../../lib/core/serving/index.js";
+
+const RATIO = 0.2;
+const SLACK = 100;
+const WINDOW_MS = 10_000;
+
+// Guards against entries that together send a pool in trouble more repeats than the operator allows: in every sliding
+// window the sum over all entries stays within the ratio of the requests plus the slack.
+test("all entries together keep the budget in every window", () => {
+    const events = fc.array(
+        fc.record({ entry: fc.nat(3), isRequest: fc.boolean(), afterMs: fc.nat(200) }),
+        { minLength: 100, maxLength: 600 },
+    );
+    fc.assert(
+        fc.property(events, list => {
+            const options = { ratio: RATIO, slack: SLACK, windowMs: WINDOW_MS, entries: () => 4 };
+            const budgets = [0, 1, 2, 3].map(() => createSendBudget(options));
+            const requests: number[] = [];
+            const sends: number[] = [];
+            let now = 0;
+            for (const { entry, isRequest, afterMs } of list) {
+                now += afterMs;
+                const budget = budgets[entry];
+                if (isRequest) {
+                    budget?.recordRequest("s", now);
+                    requests.push(now);
+                }
+                else if (budget?.take("s", now) === true) sends.push(now);
+                const since = (times: number[]) => times.filter(time => time > now - WINDOW_MS).length;
+                assert.ok(since(sends) <= RATIO * since(requests) + SLACK);
+            }
+        }),
+        { seed: 1, numRuns: 50 },
+    );
+});
+
+// Guards against a lone entry that may not repeat anything while the others are away.
+test("the slack is shared by the entries that live", () => {
+    let entries = 4;
+    const budget = createSendBudget({ ratio: 0, slack: SLACK, windowMs: WINDOW_MS, entries: () => entries });
+    const takeAll = () => {
+        let taken = 0;
+        while (budget.take("s", 0)) taken++;
+        return taken;
+    };
+    const shared = takeAll();
+    entries = 1;
+    assert.ok(shared > 0 && takeAll() > shared);
+});
--- /dev/null
+++ b/src/test/platform/standInRunner.ts
@@ -0,0 +1,147 @@
+/**
+ * A stand-in of a runner that answers with raw bytes, so that a test decides about every byte, and rows as the
+ * operator and the runners write them.
+ */
+import { type AddressInfo, createServer, type Socket } from "node:net";
+
+export interface ReceivedRequest {
+    readonly head: string;
+    readonly body: string;
+    readonly socket: Socket;
+    readonly attemptId: string;
+    /** Value of a header; empty if it is missing. */
+    header(name: string): string;
+}
+
+export interface StandInRunner {
+    readonly address: string;
+    readonly requests: ReceivedRequest[];
+    /** Number of connections that were closed by the caller. */
+    closed(): number;
+    close(): void;
+}
+
+export async function startStandInRunner(answer: (request: ReceivedRequest) => void): Promise<StandInRunner> {
+    const requests: ReceivedRequest[] = [];
+    const sockets = new Set<Socket>();
+    let closed = 0;
+    const server = createServer(socket => {
+        sockets.add(socket);
+        let pending = "";
+        socket.on("error", () => undefined);
+        socket.on("close", () => {
+            closed++;
+            sockets.delete(socket);
+        });
+        socket.on("data", data => {
+            pending += data.toString("latin1");
+            for (;;) {
+                const end = pending.indexOf("\r\n\r\n");
+                if (end < 0) return;
+                const head = pending.slice(0, end);
+                const header = (name: string) => new RegExp(`^${name}: ?(.*)$`, "im").exec(head)?.[1]?.trim() ?? "";
+                const length = Number(header("content-length") || "0");
+                if (pending.length < end + 4 + length) return;
+                const body = pending.slice(end + 4, end + 4 + length);
+                pending = pending.slice(end + 4 + length);
+                const request = { head, body, socket, attemptId: header("attempt-id"), header };
+                requests.push(request);
+                answer(request);
+            }
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return {
+        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        requests,
+        closed: () => closed,
+        close: () => {
+            server.close();
+            for (const socket of sockets) socket.destroy();
+        },
+    };
+}
+
+/** A whole answer with a signature. */
+export function wholeAnswer(request: ReceivedRequest, body: string, status = "200 OK", more = ""): string {
+    return `HTTP/1.1 ${status}\r\nAttempt-Id: ${request.attemptId}\r\nResponse-Seal: seal\r\n${more}` +
+        `Content-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+export function notRunAnswer(): string {
+    return "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+export function streamHead(request: ReceivedRequest): string {
+    return `HTTP/1.1 200 OK\r\nAttempt-Id: ${request.attemptId}\r\nResponse-Seal: seal of ${
+        request.header("expect-instance")
+    }\r\n` +
+        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+/** Bytes of a stream as one chunk. */
+export function chunkOf(text: string): string {
+    return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+export function eventsOf(first: number, last: number): string {
+    let text = "";
+    for (let id = first; id <= last; id++) text += `id: ${id}\ndata: word${id}\n\n`;
+    return text;
+}
+
+export function serverRow(address: string, changes: object = {}): object {
+    return {
+        service: "plain",
+        address,
+        zone: "a",
+        version: "v1",
+        slots: 8,
+        state: "ready",
+        "cold-remaining-ms": 0,
+        born: 1,
+        sequence: 1,
+        ...changes,
+    };
+}
+
+const ROUTE = {
+    host: "site.example",
+    "timeout-ms": 3000,
+    "target-latency-ms": 300,
+    priority: 0,
+    service: "plain",
+    public: false,
+    sticky: false,
+    resumable: false,
+};
+
+/** A configuration with a route of each kind to the service `plain`. */
+export function configurationRow(version: number, changes: object = {}): object {
+    return {
+        version,
+        routes: [
+            { ...ROUTE, name: "read", prefix: "/read/", kind: "idempotent", "max-attempts": 2 },
+            { ...ROUTE, name: "book", prefix: "/book/", kind: "non_idempotent", "max-attempts": 1 },
+            {
+                ...ROUTE,
+                name: "talk",
+                prefix: "/talk/",
+                kind: "streaming",
+                "max-attempts": 2,
+                resumable: true,
+                "target-gap-ms": 100,
+            },
+            { ...ROUTE, name: "open", prefix: "/open/", kind: "idempotent", "max-attempts": 2, public: true },
+        ],
+        services: [{ name: "plain", "health-path": "/healthz", "max-connections": 100, protocol: "h1", tls: false }],
+        limits: {
+            "max-header-bytes": 16_384,
+            "max-body-bytes": 100_000,
+            "header-timeout-ms": 3000,
+            "idle-timeout-ms": 15_000,
+        },
+        tenants: [{ name: "tenant-a", "api-keys": ["key-a"] }],
+        ...changes,
+    };
+}
