Let requests in progress go on when their server leaves the registry

Cause: a removed entry closed all connections to its server, also those with streams, though a leaving server works on for some seconds. Only idle connections are closed now. The new test fails with the earlier code.

--- a/src/lib/router/backendConnections.ts
+++ b/src/lib/router/backendConnections.ts
@@ -36,7 +36,7 @@
      * complete even then.
      */
     wasReset(response: http.IncomingMessage): boolean;
-    /** Closes the connections to a server that is gone. */
+    /** Closes the idle connections to a server that is gone; requests in progress go on. */
     forget(serverId: string): void;
     close(): void;
 }
@@ -105,8 +105,12 @@
         send,
         wasReset: response => resetAnswers.has(response),
         forget: serverId => {
-            agents.get(serverId)?.destroy();
+            const agent = agents.get(serverId);
             agents.delete(serverId);
+            if (agent === undefined) return;
+            // Connections in use are closed when they become idle.
+            agent.maxFreeSockets = 0;
+            for (const sockets of Object.values(agent.freeSockets)) sockets?.forEach(socket => socket.destroy());
         },
         close: () => {
             for (const agent of agents.values()) agent.destroy();
--- a/src/test/platform/standInStore.ts
+++ b/src/test/platform/standInStore.ts
@@ -95,8 +95,9 @@
         }
         void answer(request).then(([status, body]) => {
             // A call that waited when the trouble began gets no answer either.
-            if (trouble === "none")
+            if (trouble === "none") {
                 response.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(body));
+            }
         });
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
--- a/src/test/router/exchange.test.ts
+++ b/src/test/router/exchange.test.ts
@@ -257,6 +257,17 @@
     assert.equal((await sendCall(router.callerPort, { path: "/read/" })).status, 503);
 });
 
+// Guards against streams and bookings that are cut because the entry of their server is removed while it still works.
+test("a request in progress goes on when its server leaves the registry", async () => {
+    const runner = await addRunner("i-1", request => {
+        setTimeout(() => request.socket.write(wholeAnswer(request, "late")), 400);
+    });
+    const call = sendCall(router.callerPort, { path: "/read/" });
+    await until(() => runner.requests.length === 1);
+    store.remove("servers", "i-1");
+    assert.deepEqual([(await call).status, runner.requests.length], [200, 1]);
+});
+
 // Guards against callers that lose a request on a kept connection when the process is stopped.
 test("a stop finishes requests on open connections and tells callers to close them", async () => {
     const runner = await addRunner("i-1", request => {
