Detect a reset that arrives together with the last bytes of an answer without a length

The end of such an answer is now checked by writing an empty line before the connection is closed. The new case of the test fails with the earlier code.

--- a/src/lib/router/backendConnections.ts
+++ b/src/lib/router/backendConnections.ts
@@ -4,6 +4,7 @@
  * be told from an answer.
  */
 import * as http from "node:http";
+import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import VError from "verror";
 import { Verdict } from "../core/verdict.js";
@@ -32,10 +33,10 @@
      */
     send(request: BackendRequest): Promise<http.IncomingMessage>;
     /**
-     * Tells whether the connection of an answer was reset. Node reports an answer that ends with its connection as
-     * complete even then.
+     * Tells whether an answer that has ended is whole. An answer without a length is whole if its connection was
+     * closed in order; Node reports it as complete also after a reset.
      */
-    wasReset(response: http.IncomingMessage): boolean;
+    isWhole(response: http.IncomingMessage): Promise<boolean>;
     /** Closes the idle connections to a server that is gone; requests in progress go on. */
     forget(serverId: string): void;
     close(): void;
@@ -47,9 +48,12 @@
 /** Idle connections are closed after this time, well before a server's own timeout makes them unsafe. */
 const IDLE_TIMEOUT_MS = 4000;
 
+/** A connection stays writable after its end, so that the end can be checked. Agents pass this on to the socket. */
+const SOCKET_OPTIONS = { allowHalfOpen: true } as http.AgentOptions;
+
 export function createBackendConnections(): BackendConnections {
     const agents = new Map<string, http.Agent>();
-    const resetAnswers = new WeakSet<http.IncomingMessage>();
+    const orderlyEnds = new WeakMap<http.IncomingMessage, Promise<boolean>>();
 
     function agentOf(serverId: string): http.Agent {
         let agent = agents.get(serverId);
@@ -69,7 +73,7 @@
                 path: request.path,
                 // A flat list is sent as it is, without headers of Node's own.
                 headers: [...request.headers, "Connection", request.isRepeatable ? "keep-alive" : "close"],
-                agent: request.isRepeatable ? agentOf(request.serverId) : new http.Agent({ keepAlive: false }),
+                agent: request.isRepeatable ? agentOf(request.serverId) : new http.Agent(SOCKET_OPTIONS),
                 signal: request.signal,
             });
             const abandon = (why: string) => {
@@ -94,7 +98,7 @@
             });
             outgoing.on("response", response => {
                 clearTimeout(timer);
-                outgoing.on("error", () => resetAnswers.add(response));
+                if (isUnframed(response)) orderlyEnds.set(response, watchEnd(response.socket, outgoing));
                 resolve(response);
             });
             outgoing.end(request.body);
@@ -103,7 +107,7 @@
 
     return {
         send,
-        wasReset: response => resetAnswers.has(response),
+        isWhole: async response => response.complete && (await orderlyEnds.get(response) ?? true),
         forget: serverId => {
             const agent = agents.get(serverId);
             agents.delete(serverId);
@@ -119,8 +123,28 @@
     };
 }
 
+function isUnframed({ headers }: http.IncomingMessage): boolean {
+    return headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
+}
+
+/**
+ * Resolves with whether a connection was closed in order. libuv reports the end of the stream, not the reset, if both
+ * the last bytes and the reset are there when it reads. Only a write then shows the reset, so an empty line is sent,
+ * which a server ignores between requests.
+ */
+function watchEnd(socket: Socket, outgoing: http.ClientRequest): Promise<boolean> {
+    return new Promise(resolve => {
+        outgoing.once("error", () => resolve(false));
+        socket.once("close", () => resolve(false));
+        // Before Node's own listener, which closes the connection for writing.
+        socket.prependOnceListener("end", () => {
+            socket.write("\r\n", error => resolve(error === undefined || error === null));
+        });
+    });
+}
+
 function createAgent(): http.Agent {
-    const agent = new http.Agent({ keepAlive: true, timeout: IDLE_TIMEOUT_MS, scheduling: "lifo" });
+    const agent = new http.Agent({ ...SOCKET_OPTIONS, keepAlive: true, timeout: IDLE_TIMEOUT_MS, scheduling: "lifo" });
     const closeOnBytes = function(this: Duplex) {
         this.destroy();
     };
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -382,7 +382,7 @@
         return relayStream(exchange, assignment, response, facts, sentAt);
     }
     const body = await readAll(response);
-    if (body === undefined || exchange.context.connections.wasReset(response) || !facts.isSigned) {
+    if (body === undefined || !facts.isSigned || !await exchange.context.connections.isWhole(response)) {
         response.destroy();
         return { kind: "failed", verdict: Verdict.mayHaveRun, text: "the answer is incomplete" };
     }
@@ -428,8 +428,7 @@
             exchange.weights = events.weights() ?? exchange.weights;
             if (!response.write(whole)) await drained(response);
         }
-        const isComplete = upstream.complete && !context.connections.wasReset(upstream) &&
-            events.pendingBytes() === 0 && facts.isSigned;
+        const isComplete = events.pendingBytes() === 0 && facts.isSigned && await context.connections.isWhole(upstream);
         if (!isComplete) return brokenStream(hasStarted, "the stream ended early");
     }
     catch (error) {
--- a/src/test/router/exchange.test.ts
+++ b/src/test/router/exchange.test.ts
@@ -105,15 +105,24 @@
     assert.equal(lost.requests.length + other.requests.length, 3);
 });
 
-// Guards against an answer without a length that is cut by a reset and passed on as complete.
+// Guards against an answer without a length that is cut by a reset and passed on as complete, also if the reset is
+// there together with the last bytes.
 test("an answer that ends with a reset is not complete", async () => {
-    await addRunner("i-1", request => {
-        request.socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${request.attemptId}\r\nResponse-Seal: s\r\n\r\nhalf`);
-        setTimeout(() => request.socket.resetAndDestroy(), 30);
-    });
-    const answer = await sendCall(router.callerPort, { path: "/book/", method: "POST", body: "x" });
-    assert.equal(answer.status, 502);
-    assert.equal(answer.headers["response-seal"], undefined);
+    for (const delayMs of [0, 30]) {
+        const runner = await addRunner(`i-${delayMs}`, ({ socket, attemptId }) => {
+            const half = `HTTP/1.1 200 OK\r\nAttempt-Id: ${attemptId}\r\nResponse-Seal: s\r\n\r\nhalf`;
+            socket.write(half, () => {
+                if (delayMs === 0) socket.resetAndDestroy();
+                else setTimeout(() => socket.resetAndDestroy(), delayMs);
+            });
+        });
+        const answer = await sendCall(router.callerPort, { path: "/book/", method: "POST", body: "x" });
+        assert.equal(answer.status, 502);
+        assert.equal(answer.headers["response-seal"], undefined);
+        store.remove("servers", `i-${delayMs}`);
+        runner.close();
+        await new Promise(resolve => setTimeout(resolve, 50));
+    }
 });
 
 // Guards against an answer without a length that is complete and isn't passed on.
