--- a/src/lib/cli/roles.ts
+++ b/src/lib/cli/roles.ts
@@ -3,8 +3,10 @@
  * so that these processes don't load oclif, which holds about 15 MB. A command line that it doesn't accept
  * goes to oclif, which prints the help or the error.
  */
+import { unwatchFile, watchFile } from "node:fs";
 import { parseArgs } from "node:util";
 import { setFlagsFromString } from "node:v8";
+import type { EventLog } from "../observability/index.js";
 import { untilSignal } from "./untilSignal.js";
 
 export const ROLES = ["agent", "entry"] as const;
@@ -58,13 +60,50 @@
 
 async function runOnPlatform(role: Role, settingsFile: string): Promise<void> {
     const { createPlatformStore, loadVmSettings } = await import("../platform/index.js");
+    const { createEventLog } = await import("../observability/index.js");
     const settings = loadVmSettings(settingsFile);
+    const log = createEventLog({ process: settings.name, role, now: () => performance.now() });
+    keepRunning(log);
     const store = createPlatformStore(settings.storeAddress);
     const running = role === "agent" ?
-        await (await import("../stager/index.js")).startStager(settings, store) :
-        await (await import("../router/index.js")).startRouter(settings, store);
+        await (await import("../stager/index.js")).startStager(settings, store, log) :
+        await (await import("../router/index.js")).startRouter(settings, store, log);
+    const stopWatching = watchSettings(settingsFile, () => {
+        try {
+            running.applyBounds(loadVmSettings(settingsFile).bounds);
+            log.info("settings reloaded", {});
+        }
+        catch (error) {
+            log.warn("settings rejected", { error: (error as Error).message });
+        }
+    });
     await untilSignal();
+    stopWatching();
     await running.stop();
+    log.flush();
+}
+
+/** The platform may change the file without a signal. */
+const SETTINGS_CHECK_INTERVAL_MS = 5000;
+
+function watchSettings(file: string, reload: () => void): () => void {
+    process.on("SIGHUP", reload);
+    watchFile(file, { interval: SETTINGS_CHECK_INTERVAL_MS, persistent: false }, (current, previous) => {
+        if (current.mtimeMs !== previous.mtimeMs && current.size > 0) reload();
+    });
+    return () => {
+        process.off("SIGHUP", reload);
+        unwatchFile(file);
+    };
+}
+
+/** A connection that fails at an odd moment must not end the process; errors of the program must. */
+function keepRunning(log: EventLog): void {
+    process.on("uncaughtException", error => {
+        log.warn("unexpected error", { error: error.message, stack: error.stack });
+        log.flush();
+        if ((error as NodeJS.ErrnoException).syscall === undefined) process.exit(1);
+    });
 }
 
 function parseSettingsFlag(args: readonly string[]): string | undefined {
--- a/src/lib/core/serving/sendBudget.ts
+++ b/src/lib/core/serving/sendBudget.ts
@@ -6,12 +6,16 @@
  * Answers the load pattern of a pool in trouble, where every request would otherwise be sent several times.
  */
 
-export interface SendBudgetOptions {
+export interface SendBounds {
     /** Further sends per request. */
     readonly ratio: number;
     /** Further sends in a window that need no requests, for all entries together. */
     readonly slack: number;
     readonly windowMs: number;
+}
+
+export interface SendBudgetOptions {
+    readonly bounds: () => SendBounds;
     /** Entries that share the slack, this one included. */
     readonly entries: () => number;
 }
@@ -40,7 +44,7 @@
     function sliceAt(service: string, now: number): Slice[] {
         let slices = services.get(service);
         if (slices === undefined) services.set(service, slices = []);
-        while (slices[0] !== undefined && slices[0].start + options.windowMs <= now) slices.shift();
+        while (slices[0] !== undefined && slices[0].start + options.bounds().windowMs <= now) slices.shift();
         const last = slices.at(-1);
         if (last === undefined || last.start + SLICE_MS <= now) slices.push({ start: now, requests: 0, sends: 0 });
         return slices;
@@ -55,7 +59,8 @@
         const slices = sliceAt(service, now);
         const requests = slices.reduce((sum, slice) => sum + slice.requests, 0);
         const sends = slices.reduce((sum, slice) => sum + slice.sends, 0);
-        const allowed = USED_SHARE * (options.ratio * requests + options.slack / Math.max(1, options.entries()));
+        const { ratio, slack } = options.bounds();
+        const allowed = USED_SHARE * (ratio * requests + slack / Math.max(1, options.entries()));
         const slice = slices.at(-1);
         if (slice === undefined || sends + 1 > allowed) return false;
         slice.sends++;
--- a/src/lib/core/serving/weightsPolicy.ts
+++ b/src/lib/core/serving/weightsPolicy.ts
@@ -18,14 +18,15 @@
 /** Time between the naming and the last send to an older version; the rest is kept for waiting at the engine. */
 const SWITCH_MARGIN_MS = 900;
 
-export function createWeightsPolicy(allowedMs: number): WeightsPolicy {
+/** `allowedMs` returns the time within which requests must begin on a named version. */
+export function createWeightsPolicy(allowedMs: () => number): WeightsPolicy {
     const models = new Map<string, { version: number; dueAt: number; }[]>();
 
     return {
         name: (model, version, isNew, now) => {
             const named = models.get(model) ?? [];
             if (named.some(known => known.version >= version)) return;
-            const dueAt = isNew ? now + Math.max(0, allowedMs - SWITCH_MARGIN_MS) : now;
+            const dueAt = isNew ? now + Math.max(0, allowedMs() - SWITCH_MARGIN_MS) : now;
             models.set(model, [...named.slice(-3), { version, dueAt }]);
         },
         lowest: (model, now) => {
--- a/src/lib/observability/exposition.ts
+++ b/src/lib/observability/exposition.ts
@@ -1,4 +1,5 @@
 /** Counters and latency histograms in the Prometheus text format. docs/metrics.md lists them. */
+import type { ServerResponse } from "node:http";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 export interface ServingMetrics {
@@ -40,3 +41,9 @@
         contentType: registry.contentType,
     };
 }
+
+/** Answers a request for the metrics. */
+export async function answerMetrics(metrics: ServingMetrics, response: ServerResponse): Promise<void> {
+    const text = await metrics.expose();
+    response.writeHead(200, { "content-type": metrics.contentType }).end(text);
+}
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -19,9 +19,9 @@
 import { listen } from "../node/listen.js";
 import type { MetadataStore } from "../node/metadataStore.js";
 import { startTableFeed } from "../node/tableFeed.js";
-import { createEventLog, createServingMetrics, type EventLog } from "../observability/index.js";
+import { answerMetrics, createServingMetrics, type EventLog } from "../observability/index.js";
 import { PlatformTable } from "../platform/index.js";
-import type { VmSettings } from "../settings/vmSettings.js";
+import type { VmBounds, VmSettings } from "../settings/vmSettings.js";
 import { answerPieces } from "../stager/peerApi.js";
 import { createPieceRelay, type WeightsOrigin } from "../stager/pieceRelay.js";
 import { createReceiverPaces } from "../stager/uploadPace.js";
@@ -34,6 +34,8 @@
     /** Ports for callers and for the question whether the process is ready; 0 where the VM serves none. */
     readonly callerPort: number;
     readonly readyPort: number;
+    /** Takes the bounds of changed settings; everything else needs a new process. */
+    applyBounds(bounds: VmBounds): void;
     /** Stops being ready, finishes requests in progress and closes everything within the grace period. */
     stop(): Promise<void>;
 }
@@ -64,16 +66,16 @@
 /** A beat that a load is in progress holds for this long; agents repeat it. */
 const LOADING_BEAT_LIFETIME_MS = 1200;
 
-export async function startRouter(settings: VmSettings, store: MetadataStore): Promise<Router> {
+export async function startRouter(settings: VmSettings, store: MetadataStore, log: EventLog): Promise<Router> {
     const now = () => performance.now();
     const random = Math.random;
-    const log = createEventLog({ process: settings.name, role: "entry", now });
+    let { bounds } = settings;
     const metrics = createServingMetrics();
     const self = { name: settings.name, ip: settings.ip, failureDomain: settings.failureDomain };
     const neighbourhood = createNeighbourhood(self);
     const registry = createServerRegistry();
     const health = createServerHealth();
-    const weights = createWeightsPolicy(settings.bounds.weightsMs);
+    const weights = createWeightsPolicy(() => bounds.weightsMs);
     const connections = createBackendConnections();
     const entries = () => neighbourhood.living(now()).length + 1;
     const dispatcher = createDispatcher({
@@ -86,7 +88,7 @@
         entries,
         random,
     });
-    const budget = createSendBudget({ ...settings.bounds.retries, entries });
+    const budget = createSendBudget({ bounds: () => bounds.retries, entries });
     let stopping = false;
     let callerServer: Awaited<ReturnType<typeof startCallerServer>> | undefined;
     const state = createOperatorState({
@@ -205,11 +207,7 @@
     const peerServer = http.createServer((request, response) => {
         if (answerChanges(request, response, replicas)) return;
         answerPieces(relay, paceFor, request, response)
-            .then(async isAnswered => {
-                if (isAnswered) return;
-                const text = await metrics.expose();
-                response.writeHead(200, { "content-type": metrics.contentType }).end(text);
-            })
+            .then(isAnswered => isAnswered ? undefined : answerMetrics(metrics, response))
             .catch(error => {
                 log.info("piece not relayed", { error: (error as Error).message });
                 if (response.headersSent) response.destroy();
@@ -260,7 +258,7 @@
     async function stop(): Promise<void> {
         stopping = true;
         log.info("process stopping", { active: callerServer?.active() ?? 0 });
-        const deadline = now() + settings.bounds.graceMs - CLOSE_MARGIN_MS;
+        const deadline = now() + bounds.graceMs - CLOSE_MARGIN_MS;
         await sleep(UNREADY_NOTICE_MS);
         callerServer?.stopListening();
         while ((callerServer?.active() ?? 0) > 0 && now() < deadline) await sleep(50);
@@ -274,10 +272,16 @@
         peerServer.close();
         connections.close();
         log.info("process stopped", {});
-        log.flush();
     }
 
-    return { callerPort: callerServer?.port ?? 0, readyPort: readyServer?.port ?? 0, stop };
+    return {
+        callerPort: callerServer?.port ?? 0,
+        readyPort: readyServer?.port ?? 0,
+        applyBounds: next => {
+            bounds = next;
+        },
+        stop,
+    };
 }
 
 /** The origin of weights and the model of the engines that load from it. */
--- a/src/lib/stager/engineTask.ts
+++ b/src/lib/stager/engineTask.ts
@@ -15,6 +15,8 @@
     look(model: string | undefined): Promise<void>;
     /** Version that the engine holds; 0 for none. */
     loaded(): number;
+    /** Tells whether the engine holds the newest weights and nothing is to be done. */
+    isSettled(): boolean;
 }
 
 export interface EngineTaskOptions {
@@ -43,6 +45,7 @@
     const { settings, log, metrics, now } = context;
     let report: EngineReport | undefined;
     let isAway = false;
+    let isSettled = false;
     let lastBeatAt = Number.NEGATIVE_INFINITY;
     let isLooking = false;
     let isReachable = true;
@@ -56,6 +59,7 @@
             isReachable = true;
         }
         catch (error) {
+            isSettled = false;
             if (isReachable) log.warn("engine lost", { error: (error as Error).message });
             isReachable = false;
         }
@@ -70,6 +74,7 @@
         if (model === undefined) return;
         const loaded = loadedVersion();
         if (loaded !== (previous ?? 0)) log.info("weights loaded", { model, version: loaded, previous: previous ?? 0 });
+        isSettled = loaded === weights.newest(model) && !report.isBusy;
         const target = targetVersion(model, loaded);
         isAway = target !== undefined && (report.isBusy || loaded === 0 || mustDrain(target));
         announce(model, loaded !== (previous ?? 0));
@@ -138,7 +143,7 @@
 
     const loadedVersion = () => report?.weights?.version ?? 0;
 
-    return { look, loaded: loadedVersion };
+    return { look, loaded: loadedVersion, isSettled: () => isSettled };
 }
 
 function sleep(ms: number): Promise<void> {
--- a/src/lib/stager/peerApi.ts
+++ b/src/lib/stager/peerApi.ts
@@ -3,6 +3,7 @@
 import VError from "verror";
 import * as z from "zod";
 import { sendRequest } from "../clients/index.js";
+import { answerMetrics, type ServingMetrics } from "../observability/index.js";
 import type { WeightManifest } from "../platform/index.js";
 import { countHeld, type PieceStore } from "./pieceStore.js";
 import type { UploadPace } from "./uploadPace.js";
@@ -97,13 +98,15 @@
     return true;
 }
 
+/** A server for pieces that answers everything else with the process's metrics. */
 export function createPieceServer(
     supply: PieceSupply,
     paceFor: (request: http.IncomingMessage) => UploadPace,
+    metrics: ServingMetrics,
 ): http.Server {
     return http.createServer((request, response) => {
         answerPieces(supply, paceFor, request, response).then(
-            isAnswered => isAnswered ? undefined : response.writeHead(404).end(),
+            isAnswered => isAnswered ? undefined : answerMetrics(metrics, response),
             // Only a process that has gone makes writing fail; it asks again.
             () => response.destroy(),
         );
--- a/src/lib/stager/stager.ts
+++ b/src/lib/stager/stager.ts
@@ -14,7 +14,7 @@
 import { listen } from "../node/listen.js";
 import type { MetadataStore } from "../node/metadataStore.js";
 import { startTableFeed } from "../node/tableFeed.js";
-import { createEventLog, createServingMetrics } from "../observability/index.js";
+import { createServingMetrics, type EventLog } from "../observability/index.js";
 import {
     CONFIGURATION_KEY,
     createOwnEngine,
@@ -22,7 +22,7 @@
     parseNamedWeights,
     PlatformTable,
 } from "../platform/index.js";
-import type { VmSettings } from "../settings/vmSettings.js";
+import type { VmBounds, VmSettings } from "../settings/vmSettings.js";
 import type { AgentContext } from "./agentContext.js";
 import { createEngineTask } from "./engineTask.js";
 import { createFleetView } from "./fleetView.js";
@@ -32,25 +32,30 @@
 import { createUploadPace, UPLINK_SHARE } from "./uploadPace.js";
 
 export interface Stager {
+    /** Takes the bounds of changed settings; everything else needs a new process. */
+    applyBounds(bounds: VmBounds): void;
     stop(): void;
 }
 
 /** Agents need configurations seldom; a change is delivered at once all the same. */
 const FEED_WAIT_MS = 15_000;
 
-/** Time between two looks at the engine: the report costs nothing on its own VM. */
-const WATCH_INTERVAL_MS = 200;
+/** Time between two looks at an engine that loads or is to load weights. */
+const WATCH_INTERVAL_MS = 150;
+
+/** Time between two looks at an engine that holds the newest weights; it bounds how late a crash is noticed. */
+const IDLE_INTERVAL_MS = 400;
 
 /** An agent that has started lately may find pieces that an earlier process has staged. */
 const FIRST_LOOK_MS = 5000;
 
-export async function startStager(settings: VmSettings, store: MetadataStore): Promise<Stager> {
+export async function startStager(settings: VmSettings, store: MetadataStore, log: EventLog): Promise<Stager> {
     const now = () => performance.now();
-    const log = createEventLog({ process: settings.name, role: "agent", now });
     const metrics = createServingMetrics();
     const context: AgentContext = { settings, log, metrics, now, random: Math.random };
     const startedAt = now();
-    const weights = createWeightsPolicy(settings.bounds.weightsMs);
+    let { bounds } = settings;
+    const weights = createWeightsPolicy(() => bounds.weightsMs);
     const namedAt = new Map<number, number>();
     const pieces = createPieceStore();
     const engine = createOwnEngine(settings.backendAddress ?? "");
@@ -84,7 +89,7 @@
     });
     const supply = createHeldSupply(pieces, engineTask.loaded);
     const pace = createUploadPace(settings.linkMbps * UPLINK_SHARE);
-    const server = createPieceServer(supply, () => pace);
+    const server = createPieceServer(supply, () => pace, metrics);
     await listen(server, `${settings.ip}:${agentPort}`);
 
     let hasRead = false;
@@ -130,11 +135,21 @@
         await engineTask.look(figures?.model);
     }
 
-    const timer = setInterval(() => void look(), WATCH_INTERVAL_MS);
+    let timer: NodeJS.Timeout | undefined;
+    let stopped = false;
+    void watch();
+
+    async function watch(): Promise<void> {
+        await look();
+        if (stopped) return;
+        const interval = engineTask.isSettled() ? IDLE_INTERVAL_MS : WATCH_INTERVAL_MS;
+        timer = setTimeout(() => void watch(), interval);
+    }
 
     function stop(): void {
         log.info("process stopping", {});
-        clearInterval(timer);
+        stopped = true;
+        clearTimeout(timer);
         rollout.stop();
         feed.stop();
         store.close();
@@ -142,8 +157,12 @@
         server.close();
         server.closeAllConnections();
         connections.destroy();
-        log.flush();
     }
 
-    return { stop };
+    return {
+        applyBounds: next => {
+            bounds = next;
+        },
+        stop,
+    };
 }
--- a/src/test/core/serving/rollout.test.ts
+++ b/src/test/core/serving/rollout.test.ts
@@ -15,7 +15,7 @@
 // Guards against requests that begin on outdated weights after the time for a version, and against a pool that is
 // unusable from the moment a version is named.
 test("older weights may answer until shortly before the time for the new ones is over", () => {
-    const policy = createWeightsPolicy(ALLOWED_MS);
+    const policy = createWeightsPolicy(() => ALLOWED_MS);
     assert.equal(policy.lowest("m", 0), 1);
     policy.name("m", 2, true, 1000);
     assert.equal(policy.newest("m"), 2);
@@ -28,7 +28,7 @@
 
 // Guards against a restarted entry that counts the time for a version anew from its own start.
 test("a version that may have been named long ago is due at once", () => {
-    const policy = createWeightsPolicy(ALLOWED_MS);
+    const policy = createWeightsPolicy(() => ALLOWED_MS);
     policy.name("m", 4, false, 0);
     assert.equal(policy.lowest("m", 0), 4);
 });
--- a/src/test/core/serving/sendBudget.test.ts
+++ b/src/test/core/serving/sendBudget.test.ts
@@ -16,7 +16,8 @@
     );
     fc.assert(
         fc.property(events, list => {
-            const options = { ratio: RATIO, slack: SLACK, windowMs: WINDOW_MS, entries: () => 4 };
+            const bounds = () => ({ ratio: RATIO, slack: SLACK, windowMs: WINDOW_MS });
+            const options = { bounds, entries: () => 4 };
             const budgets = [0, 1, 2, 3].map(() => createSendBudget(options));
             const requests: number[] = [];
             const sends: number[] = [];
@@ -40,7 +41,10 @@
 // Guards against a lone entry that may not repeat anything while the others are away.
 test("the slack is shared by the entries that live", () => {
     let entries = 4;
-    const budget = createSendBudget({ ratio: 0, slack: SLACK, windowMs: WINDOW_MS, entries: () => entries });
+    const budget = createSendBudget({
+        bounds: () => ({ ratio: 0, slack: SLACK, windowMs: WINDOW_MS }),
+        entries: () => entries,
+    });
     const takeAll = () => {
         let taken = 0;
         while (budget.take("s", 0)) taken++;
--- a/src/test/router/routerHarness.ts
+++ b/src/test/router/routerHarness.ts
@@ -1,6 +1,7 @@
 /** Starts an entry against the stand-in store for tests, and sends requests to it as callers do. */
 import * as http from "node:http";
 import { createServer } from "node:net";
+import { createEventLog } from "../../lib/observability/index.js";
 import { createPlatformStore } from "../../lib/platform/index.js";
 import { type Router, startRouter } from "../../lib/router/index.js";
 import type { VmSettings } from "../../lib/settings/vmSettings.js";
@@ -41,7 +42,13 @@
 }
 
 export async function startTestRouter(settings: VmSettings): Promise<Router> {
-    const router = await startRouter(settings, createPlatformStore(settings.storeAddress));
+    const log = createEventLog({
+        process: settings.name,
+        role: "entry",
+        now: () => performance.now(),
+        write: () => undefined,
+    });
+    const router = await startRouter(settings, createPlatformStore(settings.storeAddress), log);
     await until(async () => (await ask(router.readyPort, settings.ip)) === 200);
     return router;
 }
