Derive how long a lapsed server is kept from the bound on draining; test the agent against an engine

A deployment with a shorter bound than 1.7 s would otherwise send work to a server that left. The name of the platform's settings variable stands in the platform folder only.

--- a/src/lib/cli/roles.ts
+++ b/src/lib/cli/roles.ts
@@ -7,6 +7,7 @@
 import { parseArgs } from "node:util";
 import { setFlagsFromString } from "node:v8";
 import type { EventLog } from "../observability/index.js";
+import { SETTINGS_VARIABLE } from "../platform/settingsVariable.js";
 import { untilSignal } from "./untilSignal.js";
 
 export const ROLES = ["agent", "entry"] as const;
@@ -20,16 +21,13 @@
     readonly isOnPlatform: boolean;
 }
 
-/** Variable that holds the path of the platform's settings file. */
-const PLATFORM_SETTINGS_VARIABLE = "ENDIVEWELL_SETTINGS";
-
 /** Returns the role that a complete and correct command line starts, otherwise `undefined`. */
 export function startedRole([command, ...args]: readonly string[]): RoleStart | undefined {
     const role = ROLES.find(known => known === command);
     if (role === undefined) return undefined;
     const settingsFile = parseSettingsFlag(args);
     if (settingsFile !== undefined) return { role, settingsFile, isOnPlatform: false };
-    const platformFile = args.length === 0 ? process.env[PLATFORM_SETTINGS_VARIABLE] : undefined;
+    const platformFile = args.length === 0 ? process.env[SETTINGS_VARIABLE] : undefined;
     return platformFile === undefined ? undefined : { role, settingsFile: platformFile, isOnPlatform: true };
 }
 
--- a/src/lib/core/serving/serverRegistry.ts
+++ b/src/lib/core/serving/serverRegistry.ts
@@ -47,16 +47,25 @@
     expire(now: number): string[];
 }
 
+/** Living servers are back in the registry within about 2 s of its return; most are there earlier. */
+const MAX_DOUBTFUL_MS = 1700;
+
+/** Kept of the time in which a server that left may still get work, for the way of a request. */
+const DRAIN_MARGIN_MS = 300;
+
 /**
- * Living servers are back in the registry within about 2 s of its return. The time is a little shorter than the one in
- * which a server that left may still get work, so that a wrong guess sends nothing too late.
+ * Returns how long a server whose entry lapsed is kept. `drainMs` is the time in which a server that left may still get
+ * work, so that a wrong guess sends nothing too late.
  */
-export const DOUBTFUL_KEPT_MS = 1700;
+export function doubtfulTimeMs(drainMs: number): number {
+    return Math.max(0, Math.min(MAX_DOUBTFUL_MS, drainMs - DRAIN_MARGIN_MS));
+}
 
 /** Entries that lapsed during a disturbance are missing in the first reads after it. */
 export const DISTURBANCE_MEMORY_MS = 1000;
 
-export function createServerRegistry(): ServerRegistry {
+/** `drainMs` returns the time in which a server that left may still get work. */
+export function createServerRegistry(drainMs: () => number): ServerRegistry {
     const entries = new Map<string, RegistryEntry>();
 
     function put(server: BackendServer): void {
@@ -78,7 +87,9 @@
 
     function expire(now: number): string[] {
         const gone = [...entries.values()]
-            .filter(({ doubtfulSince }) => doubtfulSince !== undefined && now - doubtfulSince >= DOUBTFUL_KEPT_MS)
+            .filter(({ doubtfulSince }) =>
+                doubtfulSince !== undefined && now - doubtfulSince >= doubtfulTimeMs(drainMs())
+            )
             .map(({ server }) => server.id);
         for (const id of gone) entries.delete(id);
         return gone;
@@ -92,7 +103,7 @@
             return [...entries.values()]
                 .filter(({ server, doubtfulSince }) => {
                     if (server.service !== service || server.isLeaving) return false;
-                    return doubtfulSince === undefined || now - doubtfulSince < DOUBTFUL_KEPT_MS;
+                    return doubtfulSince === undefined || now - doubtfulSince < doubtfulTimeMs(drainMs());
                 })
                 .map(({ server }) => server);
         },
--- a/src/lib/platform/settings.ts
+++ b/src/lib/platform/settings.ts
@@ -5,9 +5,6 @@
 import * as z from "zod";
 import type { VmSettings } from "../settings/vmSettings.js";
 
-/** Variable that holds the path of the settings file on the platform. */
-export const SETTINGS_VARIABLE = "ENDIVEWELL_SETTINGS";
-
 const addressSchema = z.string().regex(/^[0-9.]+:\d+$/, "expected an IP number and a port");
 
 const settingsSchema = z.object({
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -73,7 +73,7 @@
     const metrics = createServingMetrics();
     const self = { name: settings.name, ip: settings.ip, failureDomain: settings.failureDomain };
     const neighbourhood = createNeighbourhood(self);
-    const registry = createServerRegistry();
+    const registry = createServerRegistry(() => bounds.drainMs);
     const health = createServerHealth();
     const weights = createWeightsPolicy(() => bounds.weightsMs);
     const connections = createBackendConnections();
--- a/src/test/core/serving/burst.test.ts
+++ b/src/test/core/serving/burst.test.ts
@@ -175,7 +175,7 @@
 }
 
 function playDispatcher(): Result[] {
-    const registry = createServerRegistry();
+    const registry = createServerRegistry(() => 2000);
     const ids = Array.from({ length: ENGINES }, (_, index) => `engine-${index}`);
     for (const id of ids) {
         registry.put({
--- /dev/null
+++ b/src/test/stager/stager.test.ts
@@ -0,0 +1,161 @@
+import assert from "node:assert/strict";
+import { createHash } from "node:crypto";
+import * as http from "node:http";
+import type { AddressInfo } from "node:net";
+import { afterEach, beforeEach, test } from "node:test";
+import { createEventLog } from "../../lib/observability/index.js";
+import { createPlatformStore } from "../../lib/platform/index.js";
+import { type Stager, startStager } from "../../lib/stager/index.js";
+import { configurationRow, serverRow } from "../platform/standInRunner.js";
+import { type StandInStore, startStandInStore } from "../platform/standInStore.js";
+import { freePort, until, vmSettings } from "../router/routerHarness.js";
+
+const MODEL = "m";
+const PIECES = 8;
+const PIECE_BYTES = 2048;
+
+const pieceOf = (version: number, piece: number) => Buffer.alloc(PIECE_BYTES, `${version}/${piece} `);
+const digestOf = (bytes: Buffer) => createHash("sha256").update(bytes).digest("hex");
+
+/** An engine that loads what is staged when it is ordered to, and an origin, in one server. */
+async function startEngineAndOrigin() {
+    const staged = new Map<number, Buffer>();
+    const state = { version: 1, startedAt: 1, orders: 0, answers: 0, loaded: new Map<number, string>() };
+
+    async function answer(request: http.IncomingMessage): Promise<[number, Buffer | object]> {
+        const url = new URL(request.url ?? "/", "http://engine");
+        const piece = Number(url.searchParams.get("num-items"));
+        const version = Number(url.searchParams.get("version"));
+        const body: Buffer[] = [];
+        for await (const part of request as AsyncIterable<Buffer>) body.push(part);
+        const [, , call] = url.pathname.split("/");
+        if (call === "report") {
+            const layers = state.version === 0 ? null : { from: 0, to: 4, version: state.version };
+            const models = state.version === 0 ? [] : [{ name: MODEL, version: state.version, adapters: [] }];
+            return [200, { models, layers, busy: false, born: state.startedAt }];
+        }
+        if (call === "manifest") {
+            const digests = Array.from({ length: PIECES }, (_, index) => digestOf(pieceOf(version, index)));
+            return [200, { model: MODEL, version, digests }];
+        }
+        if (call === "piece") {
+            const isCorrupt = ++state.answers % 3 === 0;
+            return [200, isCorrupt ? Buffer.alloc(PIECE_BYTES) : pieceOf(version, piece)];
+        }
+        if (call === "stage-put") {
+            staged.set(piece, Buffer.concat(body));
+            return [200, {}];
+        }
+        if (call === "stage-get") {
+            const bytes = staged.get(piece);
+            return bytes === undefined ? [404, {}] : [200, bytes];
+        }
+        state.orders++;
+        state.version = (JSON.parse(Buffer.concat(body).toString()) as { version: number; }).version;
+        state.loaded = new Map([...staged].map(([index, bytes]) => [index, digestOf(bytes)]));
+        return [202, {}];
+    }
+
+    const server = http.createServer((request, response) => {
+        void answer(request).then(([status, body]) => {
+            const bytes = Buffer.isBuffer(body) ? body : Buffer.from(JSON.stringify(body));
+            response.writeHead(status, { "content-length": bytes.length }).end(bytes);
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return {
+        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        staged,
+        state,
+        close: () => {
+            server.close();
+            server.closeAllConnections();
+        },
+    };
+}
+
+let store: StandInStore;
+let engine: Awaited<ReturnType<typeof startEngineAndOrigin>>;
+let stager: Stager;
+
+beforeEach(async () => {
+    store = await startStandInStore();
+    engine = await startEngineAndOrigin();
+    const figures = {
+        slots: 4,
+        step_ms: 1,
+        per_seq_ms: 0,
+        context_per_k: 0,
+        read_per_s: 1000,
+        pairs_per_m: 0,
+        usual: { prompt: 1, answer: 1 },
+        layers: 4,
+        models: [{ name: MODEL }],
+        chunks: PIECES,
+        "chunk-bytes": PIECE_BYTES,
+    };
+    const services = [
+        { name: "llm", "health-path": "/h", "max-connections": 10, engine: figures },
+        { name: "weights", origin: engine.address, zone: "a", "max-connections": 10 },
+    ];
+    store.put("op", "config", configurationRow(1, { services }));
+    store.put("servers", "i-1", serverRow(engine.address, { service: "llm" }));
+    const settings = vmSettings(store.address, await freePort(), {
+        backendAddress: engine.address,
+        backendService: "llm",
+    });
+    const log = createEventLog({
+        process: "agent",
+        role: "agent",
+        now: () => performance.now(),
+        write: () => undefined,
+    });
+    stager = await startStager(settings, createPlatformStore(store.address), log);
+});
+
+afterEach(() => {
+    stager.stop();
+    engine.close();
+    store.close();
+});
+
+function assertLoaded(version: number): void {
+    assert.equal(engine.state.version, version);
+    for (let piece = 0; piece < PIECES; piece++) {
+        assert.equal(engine.state.loaded.get(piece), digestOf(pieceOf(version, piece)), `piece ${piece}`);
+    }
+}
+
+/** The store's feed must have told the agent of the first versions before another one is named. */
+async function nameVersions(...versions: number[]): Promise<void> {
+    await new Promise(resolve => setTimeout(resolve, 200));
+    for (const version of versions) store.put("op", `version/${MODEL}`, { model: MODEL, version });
+}
+
+// Guards against weights that are loaded with pieces that the origin sent corrupt.
+test("a named version is loaded whole though the origin corrupts pieces", async () => {
+    await nameVersions(2);
+    await until(() => engine.state.version === 2);
+    assertLoaded(2);
+});
+
+// Guards against an engine that stays empty after a crash, and against weights that are loaded with pieces that turned
+// bad where they are staged.
+test("an engine that lost its weights is loaded again from repaired pieces", async () => {
+    await nameVersions(2);
+    await until(() => engine.state.version === 2);
+    const { orders } = engine.state;
+    engine.staged.set(3, Buffer.from("bad"));
+    engine.staged.delete(5);
+    engine.state.version = 0;
+    engine.state.startedAt = 2;
+    await until(() => engine.state.orders > orders);
+    assertLoaded(2);
+});
+
+// Guards against an agent that stops at a version that was replaced while it was fetched.
+test("the newest of several versions named in quick succession is loaded", async () => {
+    await nameVersions(2, 3, 4);
+    await until(() => engine.state.version === 4);
+    assertLoaded(4);
+});
