--- a/src/lib/core/serving/engineModel.ts
+++ b/src/lib/core/serving/engineModel.ts
@@ -20,8 +20,6 @@
     readonly contextTokens: number;
 }
 
-export const IDLE_ENGINE: EngineLoad = { writing: 0, reading: 0, unreadTokens: 0, contextTokens: 0 };
-
 export interface EnginePrediction {
     /** Time until the first event leaves the engine. */
     readonly firstEventMs: number;
--- a/src/lib/core/serving/neighbourhood.ts
+++ b/src/lib/core/serving/neighbourhood.ts
@@ -18,7 +18,6 @@
     living(now: number): Neighbour[];
     /** Entries to send a beat now: those of the own failure domain at every tick, others less often. */
     recipients(tick: number, now: number): Neighbour[];
-    byIp(ip: string): Neighbour | undefined;
 }
 
 /** Ten beats within a failure domain, several between regions. */
@@ -65,6 +64,5 @@
                 })
                 .map(({ neighbour }) => neighbour);
         },
-        byIp: ip => [...known.values()].find(({ neighbour }) => neighbour.ip === ip)?.neighbour,
     };
 }
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -4,7 +4,6 @@
  * request did not run only if no attempt can have run.
  */
 import type * as http from "node:http";
-import { match } from "ts-pattern";
 import VError from "verror";
 import {
     type Assignment,
@@ -120,7 +119,7 @@
         refuse(context, response, 503, "no configuration", caller, UNCONFIGURED_RETRY_MS);
         return;
     }
-    const body = await readBody(request, table.configuration.limits.maxBodyBytes);
+    const body = await readWhole(request, table.configuration.limits.maxBodyBytes);
     if (body === undefined) {
         if (!request.destroyed) refuse(context, response, 413, "body too large", caller);
         return;
@@ -381,7 +380,7 @@
     if (exchange.route.kind === RequestKind.stream && status === 200) {
         return relayStream(exchange, assignment, response, facts, sentAt);
     }
-    const body = await readAll(response);
+    const body = await readWhole(response, MAX_ANSWER_BYTES);
     if (body === undefined || !facts.isSigned || !await exchange.context.connections.isWhole(response)) {
         response.destroy();
         return { kind: "failed", verdict: Verdict.mayHaveRun, text: "the answer is incomplete" };
@@ -597,41 +596,23 @@
 }
 
 function versionOf(context: ExchangeContext): number | undefined {
-    return match(context.table())
-        .with(undefined, () => undefined)
-        .otherwise(table => table.configuration.version);
+    return context.table()?.configuration.version;
 }
 
-/** Returns `undefined` if the body is too long or the caller left. */
-async function readBody(request: http.IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+/** Reads a body to its end. Returns `undefined` if it is too long or its sender broke off. */
+async function readWhole(message: http.IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
     const pieces: Buffer[] = [];
     let size = 0;
     try {
-        for await (const piece of request as AsyncIterable<Buffer>) {
+        for await (const piece of message as AsyncIterable<Buffer>) {
             size += piece.length;
             if (size > maxBytes) return undefined;
             pieces.push(piece);
         }
     }
     catch {
+        // The caller of this function answers for a body that broke off.
         return undefined;
     }
     return Buffer.concat(pieces);
 }
-
-/** Returns `undefined` if the answer isn't complete. */
-async function readAll(response: http.IncomingMessage): Promise<Buffer | undefined> {
-    const pieces: Buffer[] = [];
-    let size = 0;
-    try {
-        for await (const piece of response as AsyncIterable<Buffer>) {
-            size += piece.length;
-            if (size > MAX_ANSWER_BYTES) return undefined;
-            pieces.push(piece);
-        }
-    }
-    catch {
-        return undefined;
-    }
-    return response.complete ? Buffer.concat(pieces) : undefined;
-}
