End requests that reach their time at a server with 504

Cause: a request that stays at its server until its time is over was watched by two timers that were due at the same moment, the end of the request and the wait for an answer. Change: only requests that may be looked for elsewhere have a wait for an answer; the others end with their time. A server that takes longer than expected then counts as failing also if the time of the request ended first.

--- a/src/lib/router/backendConnections.ts
+++ b/src/lib/router/backendConnections.ts
@@ -17,8 +17,8 @@
     /** Alternating names and values. */
     readonly headers: readonly string[];
     readonly body: Buffer;
-    /** Time until the head of the answer must be there. */
-    readonly answerTimeoutMs: number;
+    /** Time until the head of the answer must be there; `undefined` if only `signal` ends the wait. */
+    readonly answerTimeoutMs: number | undefined;
     /** Closes the connection and so cancels the request. */
     readonly signal: AbortSignal;
     /** A request that must not run twice gets a connection of its own, as a kept one may be closing. */
@@ -80,11 +80,17 @@
                 reason = why;
                 outgoing.destroy(new Error(why));
             };
-            let timer = setTimeout(() => abandon("connecting timed out"), CONNECT_TIMEOUT_MS);
+            const { answerTimeoutMs } = request;
+            let timer: NodeJS.Timeout | undefined = setTimeout(
+                () => abandon("connecting timed out"),
+                CONNECT_TIMEOUT_MS,
+            );
             const connected = () => {
                 isWritten = true;
                 clearTimeout(timer);
-                timer = setTimeout(() => abandon("the answer timed out"), request.answerTimeoutMs);
+                timer = answerTimeoutMs === undefined ?
+                    undefined :
+                    setTimeout(() => abandon("the answer timed out"), answerTimeoutMs);
             };
             outgoing.on("socket", socket => {
                 socket.setNoDelay(true);
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -324,7 +324,10 @@
     catch (error) {
         const verdict = (VError.info(error as Error).verdict as Verdict | undefined) ?? Verdict.mayHaveRun;
         const outcome = verdict === Verdict.notRun ? Outcome.unreachable : Outcome.broken;
-        if (!exchange.cancellation.signal.aborted) context.health.record(server.id, outcome, context.now());
+        const isOverdue = context.now() - sentAt >= expectedAnswerMs(exchange, assignment);
+        if (!exchange.cancellation.signal.aborted || isOverdue) {
+            context.health.record(server.id, outcome, context.now());
+        }
         if (verdict !== Verdict.notRun) exchange.verdicts.push(verdict);
         context.metrics.sends.inc({ result: outcome });
         return { kind: "failed", verdict, text: (error as Error).message };
@@ -335,13 +338,19 @@
     }
 }
 
-/** Non-idempotent requests wait as long as their caller; others are looked for elsewhere in time. */
-function answerTimeoutMs(exchange: Exchange, { predictedMs }: Assignment, now: number): number {
-    const remaining = exchange.expiresAt - now;
+/**
+ * Returns when an answer is looked for elsewhere; `undefined` if the request stays where it is until its time is over.
+ * The end of that time is watched for the whole request, so that it isn't taken for a failure of the server.
+ */
+function answerTimeoutMs(exchange: Exchange, assignment: Assignment, now: number): number | undefined {
     const { route } = exchange;
-    if (!isRepeatableRoute(route) || exchange.verdicts.length + 1 >= route.maxAttempts) return remaining;
-    const expected = Math.max(MIN_ANSWER_TIMEOUT_MS, ANSWER_TIMEOUT_FACTOR * Math.max(predictedMs, route.targetMs));
-    return Math.min(remaining, Math.max(Math.min(expected, remaining / 2), 1));
+    if (!isRepeatableRoute(route) || exchange.verdicts.length + 1 >= route.maxAttempts) return undefined;
+    return Math.max(Math.min(expectedAnswerMs(exchange, assignment), (exchange.expiresAt - now) / 2), 1);
+}
+
+/** A server that takes longer than this for the beginning of its answer counts as failing. */
+function expectedAnswerMs({ route }: Exchange, { predictedMs }: Assignment): number {
+    return Math.max(MIN_ANSWER_TIMEOUT_MS, ANSWER_TIMEOUT_FACTOR * Math.max(predictedMs, route.targetMs));
 }
 
 function recordResult(exchange: Exchange, assignment: Assignment, result: AttemptResult, facts: ServerFacts): void {
@@ -409,7 +418,9 @@
     const pauseMs = Math.max(MIN_PAUSE_TIMEOUT_MS, PAUSE_TIMEOUT_FACTOR * Math.min(route.maxPauseMs, 10_000));
     const firstEventMs = answerTimeoutMs(exchange, assignment, context.now());
     let hasStarted = false;
-    let timer = setTimeout(() => upstream.destroy(new Error("no event in time")), firstEventMs);
+    let timer = firstEventMs === undefined ?
+        undefined :
+        setTimeout(() => upstream.destroy(new Error("no event in time")), firstEventMs);
     try {
         for await (const piece of upstream as AsyncIterable<Buffer>) {
             const whole = events.push(piece);
--- a/src/test/router/exchange.test.ts
+++ b/src/test/router/exchange.test.ts
@@ -253,6 +253,37 @@
     assert.ok(Date.now() - since < 1200);
 });
 
+// Guards against the end of a request's time that is taken for a failure of its server, when both are due together.
+test("requests that reach their timeout together all end with 504", async () => {
+    await addRunner("i-1", () => undefined, { slots: 40 });
+    const calls = Array.from({ length: 40 }, (_, index) =>
+        sendCall(router.callerPort, {
+            path: "/book/",
+            method: "POST",
+            body: "x",
+            headers: { "deadline-ms": String(400 + index % 5) },
+        }));
+    const statuses = (await Promise.all(calls)).map(({ status }) => status);
+    assert.deepEqual(statuses, calls.map(() => 504));
+});
+
+// Guards against a server that hangs and goes on getting requests that may be sent once only.
+test("a server that doesn't answer in time is passed over", async () => {
+    const hanging = await addRunner("i-1", () => undefined);
+    await addRunner("i-2", answerOk, { zone: "other" });
+    const book = (id: string) =>
+        sendCall(router.callerPort, {
+            path: "/book/",
+            method: "POST",
+            body: "x",
+            headers: { "attempt-id": id, "deadline-ms": "1400" },
+        });
+    const first = await Promise.all(["b1", "b2", "b3"].map(book));
+    assert.deepEqual(first.map(({ status }) => status), [504, 504, 504]);
+    assert.equal((await book("b4")).status, 200);
+    assert.equal(hanging.requests.length, 3);
+});
+
 // Guards against new work for a server that leaves, and for one whose address another service has now.
 test("a draining or removed server gets no new requests", async () => {
     const one = await addRunner("i-1", answerOk);
