Reset the connection to a server when a request is cancelled

Ruled out: work for callers that left while they waited; those are withdrawn from the queue. Change: a cancelled or abandoned request resets its connection, which drops what is not delivered. Result: the new test fails with the orderly close and passes now.

--- a/src/lib/router/backendConnections.ts
+++ b/src/lib/router/backendConnections.ts
@@ -19,7 +19,7 @@
     readonly body: Buffer;
     /** Time until the head of the answer must be there; `undefined` if only `signal` ends the wait. */
     readonly answerTimeoutMs: number | undefined;
-    /** Closes the connection and so cancels the request. */
+    /** Cancels the request. */
     readonly signal: AbortSignal;
     /** A request that must not run twice gets a connection of its own, as a kept one may be closing. */
     readonly isRepeatable: boolean;
@@ -74,12 +74,17 @@
                 // A flat list is sent as it is, without headers of Node's own.
                 headers: [...request.headers, "Connection", request.isRepeatable ? "keep-alive" : "close"],
                 agent: request.isRepeatable ? agentOf(request.serverId) : new http.Agent(SOCKET_OPTIONS),
-                signal: request.signal,
             });
             const abandon = (why: string) => {
                 reason = why;
+                // Bytes that a cut holds up would be delivered after an orderly close, and the request would run late.
+                if (outgoing.socket?.connecting === false) outgoing.socket.resetAndDestroy();
                 outgoing.destroy(new Error(why));
             };
+            const cancel = () => abandon("cancelled");
+            request.signal.addEventListener("abort", cancel, { once: true });
+            outgoing.once("close", () => request.signal.removeEventListener("abort", cancel));
+            if (request.signal.aborted) cancel();
             const { answerTimeoutMs } = request;
             let timer: NodeJS.Timeout | undefined = setTimeout(
                 () => abandon("connecting timed out"),
--- a/src/test/platform/standInRunner.ts
+++ b/src/test/platform/standInRunner.ts
@@ -18,6 +18,8 @@
     readonly requests: ReceivedRequest[];
     /** Number of connections that were closed by the caller. */
     closed(): number;
+    /** Number of connections that were reset by the caller. */
+    resets(): number;
     close(): void;
 }
 
@@ -25,10 +27,13 @@
     const requests: ReceivedRequest[] = [];
     const sockets = new Set<Socket>();
     let closed = 0;
+    let resets = 0;
     const server = createServer(socket => {
         sockets.add(socket);
         let pending = "";
-        socket.on("error", () => undefined);
+        socket.on("error", error => {
+            if ((error as NodeJS.ErrnoException).code === "ECONNRESET") resets++;
+        });
         socket.on("close", () => {
             closed++;
             sockets.delete(socket);
@@ -55,6 +60,7 @@
         address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
         requests,
         closed: () => closed,
+        resets: () => resets,
         close: () => {
             server.close();
             for (const socket of sockets) socket.destroy();
--- a/src/test/router/exchange.test.ts
+++ b/src/test/router/exchange.test.ts
@@ -239,6 +239,23 @@
     assert.ok(Date.now() - since < 500);
 });
 
+// Guards against bytes of a cancelled request that a cut holds up and that run at the server when it is over.
+test("a cancelled request resets the connection to its server, before and after the head of its answer", async () => {
+    const runner = await addRunner("i-1", request => {
+        if (request.head.includes("/talk/")) request.socket.write(streamHead(request) + chunkOf(eventsOf(1, 1)));
+    });
+    for (const [index, path] of ["/book/", "/read/", "/talk/"].entries()) {
+        const leaving = new AbortController();
+        const call = sendCall(router.callerPort, { path, method: "POST", body: "x", signal: leaving.signal });
+        await until(() => runner.requests.length === index + 1);
+        await new Promise(resolve => setTimeout(resolve, 30));
+        leaving.abort();
+        await call;
+        await until(() => runner.closed() === index + 1);
+        assert.equal(runner.resets(), index + 1, path);
+    }
+});
+
 // Guards against requests that are held beyond the operator's timeout, and against an untrue refusal of them.
 test("a request that is still at its server at the timeout ends with 504", async () => {
     await addRunner("i-1", () => undefined);
