Fetch changes in long succession together and log every failed request

Refused and failed requests shared the limit of 60 lines a second with answered ones, so a burst left some unexplained. Change: after four quick calls with changes the feed pauses so that one call is made in 250 ms; neighbours count as ahead only after that. Unsuccessful requests are warnings, of which 400 a second are written.

--- a/src/lib/node/tableFeed.ts
+++ b/src/lib/node/tableFeed.ts
@@ -31,12 +31,23 @@
 const MIN_PAUSE_MS = 150;
 const MAX_PAUSE_MS = 1200;
 
+/**
+ * Changes in long succession, such as those of all servers in a rollout, are fetched together at this interval, so that
+ * they cost a few calls a second. It is an eighth of the 2 s after which a server that leaves may get no more work.
+ */
+export const CHANGE_INTERVAL_MS = 250;
+
+/** Calls with changes that may follow each other at once: a few changes together are usual and cost little. */
+const QUICK_CALLS = 4;
+
 export function startTableFeed(options: TableFeedOptions): TableFeed {
     const { store, table, replica, log, metrics } = options;
     let stopped = false;
     let disturbedAt: number | undefined;
     let failures = 0;
     let cursor: number | undefined;
+    /** Time until which the calls so far would last at one in each interval. */
+    let paidUntil = 0;
 
     async function run(): Promise<void> {
         while (!stopped) {
@@ -70,6 +81,15 @@
         cursor = Math.max(cursor, answer.revision);
         const fresh = replica.apply(answer.rows);
         if (fresh.length > 0) options.onChange(fresh);
+        if (answer.rows.length > 0) await paceCalls();
+    }
+
+    /** Waits as long as more than the quick calls were made of late. */
+    async function paceCalls(): Promise<void> {
+        const now = options.now();
+        paidUntil = Math.max(paidUntil, now) + CHANGE_INTERVAL_MS;
+        const ahead = paidUntil - now - QUICK_CALLS * CHANGE_INTERVAL_MS;
+        if (ahead > 0) await sleep(ahead);
     }
 
     function recover(): void {
@@ -86,7 +106,7 @@
         failures++;
         const longest = Math.min(MAX_PAUSE_MS, MIN_PAUSE_MS * 2 ** failures);
         const pause = MIN_PAUSE_MS + options.random() * (longest - MIN_PAUSE_MS);
-        await new Promise(resolve => setTimeout(resolve, pause));
+        await sleep(pause);
     }
 
     void run();
@@ -98,3 +118,7 @@
         },
     };
 }
+
+function sleep(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
--- a/src/lib/observability/eventLog.ts
+++ b/src/lib/observability/eventLog.ts
@@ -27,6 +27,9 @@
 /** Lines of one kind in a second; more are counted and left out. */
 export const MAX_LINES_PER_SECOND = 60;
 
+/** The same for warnings, so that each request that fails in a burst is explained; a line takes some 20 us. */
+export const MAX_WARNINGS_PER_SECOND = 400;
+
 /** Buffered bytes after which the lines are written; a timer writes them earlier. */
 const BUFFER_BYTES = 4096;
 const FLUSH_INTERVAL_MS = 500;
@@ -61,7 +64,7 @@
             window.start = now;
             window.lines = 0;
         }
-        if (window.lines >= MAX_LINES_PER_SECOND) {
+        if (window.lines >= (level === "warn" ? MAX_WARNINGS_PER_SECOND : MAX_LINES_PER_SECOND)) {
             window.suppressed++;
             return;
         }
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -558,7 +558,7 @@
     retryAfterMs?: number,
 ): void {
     context.metrics.refusals.inc({ reason });
-    context.log.info("request refused", { id: caller.id, status, reason, version: versionOf(context) });
+    context.log.warn("request refused", { id: caller.id, status, reason, version: versionOf(context) });
     sendOwn(context, response, status, reason, caller, retryAfterMs);
 }
 
@@ -586,7 +586,8 @@
     const now = context.now();
     context.metrics.requests.inc({ kind: route.kind, outcome });
     context.metrics.waitMs.observe({ kind: route.kind }, exchange.waitedMs);
-    context.log.info(`request ${outcome}`, {
+    const write = outcome === "answered" ? context.log.info : context.log.warn;
+    write(`request ${outcome}`, {
         id: caller.id,
         route: route.name,
         account: account?.name,
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -18,7 +18,7 @@
 import { ENTRIES_TABLE, formatEntryRow, parseEntryRow } from "../node/entryRows.js";
 import { listen } from "../node/listen.js";
 import type { MetadataStore } from "../node/metadataStore.js";
-import { startTableFeed } from "../node/tableFeed.js";
+import { CHANGE_INTERVAL_MS, startTableFeed } from "../node/tableFeed.js";
 import { answerMetrics, createServingMetrics, type EventLog } from "../observability/index.js";
 import { PlatformTable } from "../platform/index.js";
 import type { VmBounds, VmSettings } from "../settings/vmSettings.js";
@@ -50,7 +50,7 @@
 const TICK_MS = 20;
 
 /** A neighbour that stays ahead for this long has seen a change that the own feed doesn't deliver. */
-const BEHIND_MS = 150;
+const BEHIND_MS = CHANGE_INTERVAL_MS + 150;
 
 /** The load balancer notices within two questions, one second apart, that a process isn't ready. */
 const UNREADY_NOTICE_MS = 2200;
