Explain a request from the logs and check the platform's settings file

Purpose: engineers on call had to put log lines together by hand, and a wrong settings file was noticed at the start only. Change: endivewell explain ID [FILES] prints the lines that speak of a request, its servers and its entry's dependencies and says the cause; settings check takes the platform's file.

--- a/src/lib/cli/commands.ts
+++ b/src/lib/cli/commands.ts
@@ -17,6 +17,7 @@
 const commandLoaders: Readonly<Record<string, () => Promise<CommandClass>>> = {
     agent: async () => (await import("./agentCommand.js")).AgentCommand,
     entry: async () => (await import("./entryCommand.js")).EntryCommand,
+    explain: async () => (await import("./explainCommand.js")).ExplainCommand,
     local: async () => (await import("./localCommand.js")).LocalCommand,
     "profile:create": async () => (await import("./profileCommands.js")).ProfileCreateCommand,
     "profile:change": async () => (await import("./profileCommands.js")).ProfileChangeCommand,
@@ -109,7 +110,7 @@
         aliases: [],
         hiddenAliases: [],
         hidden: false,
-        strict: true,
+        strict: command.strict ?? true,
         pluginName: "endivewell",
         pluginType: "core",
         load: async () => command,
--- a/src/test/platform/translation.test.ts
+++ b/src/test/platform/translation.test.ts
@@ -12,38 +12,12 @@
     readCallerRequest,
     readServerFacts,
 } from "../../lib/platform/index.js";
+import { SETTINGS_FILE } from "./settingsFile.js";
 import { configurationRow, serverRow } from "./standInRunner.js";
 
-const SETTINGS = `
-node = "front-a-1"
-ip = "10.1.0.40"
-zone = "a"
-region = "r"
-internal-ports = [7700,7715]
-seeds = ["10.1.0.41:8000"]
-unknown-field = 1
-[zones]
-a = "r"
-[listen]
-front = "10.1.0.40:8005"
-ready = "10.1.0.40:8002"
-[limits]
-link-mbps = 1000.0
-[bounds]
-drain-ms = 2000
-grace-s = 8
-config-apply-ms = 2000
-retry-budget-ratio = 0.2
-retry-budget-slack = 100
-budget-window-s = 10
-version_ms = 8000
-[platform]
-address = "10.200.1.7:8007"
-`;
-
 // Guards against settings that are read with wrong units or names.
 test("the platform's settings are translated", () => {
-    const settings = parseVmSettings("boot.toml", SETTINGS);
+    const settings = parseVmSettings("boot.toml", SETTINGS_FILE);
     assert.equal(settings.bounds.graceMs, 8000);
     assert.deepEqual(settings.seeds, ["10.1.0.41"]);
     assert.deepEqual(settings.bounds.retries, { ratio: 0.2, slack: 100, windowMs: 10_000 });
@@ -52,7 +26,7 @@
 
 // Guards against a process that starts with half of its settings.
 test("wrong settings name every problem", () => {
-    const text = SETTINGS.replace("grace-s = 8", "grace-s = \"long\"").replace("node =", "name =");
+    const text = SETTINGS_FILE.replace("grace-s = 8", "grace-s = \"long\"").replace("node =", "name =");
     assert.throws(() => parseVmSettings("boot.toml", text), /boot\.toml: node:[\s\S]*boot\.toml: bounds\.grace-s:/);
     assert.throws(() => parseVmSettings("boot.toml", "= 1"), /isn't valid TOML/);
 });
