Add a fault soak of entries on the platform

Real entries run as separate processes between callers and stand-ins of the store and of backend servers. Faults drawn from a seed strike from outside in series that overlap: signals, restarts in turn, kills of all, troubles of the store and of single links, crashes and drains of servers, removed keys.

--- /dev/null
+++ b/src/test/soak/soakScript.ts
@@ -0,0 +1,40 @@
+/** `npm run soak -- [--seeds N] [--first SEED] [--seconds S] [--entries N] [--callers N] [--verbose]` */
+import { randomInt } from "node:crypto";
+import { parseArgs } from "node:util";
+import { runSoak } from "./soak.js";
+
+const { values } = parseArgs({
+    options: {
+        seeds: { type: "string", default: "10" },
+        first: { type: "string" },
+        seconds: { type: "string", default: "10" },
+        entries: { type: "string", default: "3" },
+        servers: { type: "string", default: "6" },
+        callers: { type: "string", default: "12" },
+        verbose: { type: "boolean", default: false },
+    },
+});
+
+const print = (text: string) => void process.stdout.write(`${text}\n`);
+
+const MAX_SEED = 1_000_000;
+const first = values.first === undefined ? randomInt(MAX_SEED) : Number(values.first);
+let failed = 0;
+for (let seed = first; seed < first + Number(values.seeds); seed++) {
+    const lines: string[] = [];
+    const result = await runSoak({
+        seed,
+        seconds: Number(values.seconds),
+        entries: Number(values.entries),
+        servers: Number(values.servers),
+        callers: Number(values.callers),
+        log: line => void (values.verbose ? print(line) : lines.push(line)),
+    });
+    const { violations, calls, answered, runs, faults } = result;
+    print(JSON.stringify({ seed, faults, calls, answered, runs, violations: violations.length }));
+    if (violations.length === 0) continue;
+    failed++;
+    print([...lines, ...violations.slice(0, 20)].join("\n"));
+}
+print(`${Number(values.seeds) - failed} passed, ${failed} failed`);
+process.exit(failed === 0 ? 0 : 1);
