Fetch named weights ahead of the agents in every region

Cause: entries outside the origin's region fetched a piece when the first agent asked for it, at the pace of the agents' links (3.4 s). Change: the entries of each region share the pieces and fetch them when the version is named, each piece once across a link; versions named before the process started are no longer fetched ahead, as they are mostly everywhere.

--- a/src/lib/router/operatorState.ts
+++ b/src/lib/router/operatorState.ts
@@ -27,6 +27,7 @@
     readonly log: EventLog;
     readonly onConfiguration: (table: RouteTable) => void;
     readonly onServerGone: (id: string) => void;
+    /** Called for versions that are named while the process runs; earlier ones may be everywhere already. */
     readonly onWeightsNamed: (version: number) => void;
 }
 
@@ -66,7 +67,7 @@
         if (named === undefined) return;
         weights.name(named.model, named.version, hasReadWeights, now);
         log.info("weights named", { revision, ...named });
-        options.onWeightsNamed(named.version);
+        if (hasReadWeights) options.onWeightsNamed(named.version);
     }
 
     function applyServerRows(rows: readonly Row[], disturbedAt: number | undefined, now: number): void {
--- a/src/lib/stager/pieceRelay.ts
+++ b/src/lib/stager/pieceRelay.ts
@@ -1,14 +1,15 @@
 /**
- * The piece relay of an entry: it fetches each piece once for all agents of its region, from the origin in the
- * origin's region and from an entry there elsewhere, verifies it and keeps it for a while. Entries have wide links,
- * while each agent's link also carries the streams of its engine.
+ * The piece relay of an entry. The entries of a region share the pieces of a version, and each fetches its part as soon
+ * as the version is named: from the origin in the origin's region, and from an entry there elsewhere. A region that is
+ * cut off while its agents still load then has everything they need. Entries have wide links, while each agent's link
+ * also carries the streams of its engine.
  */
 import * as http from "node:http";
 import VError from "verror";
 import { firstMember } from "../core/index.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
 import { createOrigin, type WeightManifest } from "../platform/index.js";
-import { createPeerClient, type PieceSupply } from "./peerApi.js";
+import { createPeerClient, type PeerClient, type PieceSupply } from "./peerApi.js";
 import { countHeld, createPieceStore, type HeldVersion } from "./pieceStore.js";
 
 export interface PieceRelayOptions {
@@ -70,7 +71,7 @@
     async function fetchManifest(version: number): Promise<{ model: string; manifest: WeightManifest; }> {
         const source = options.source();
         if (source === undefined) throw new VError("no origin is known");
-        const upstream = upstreamEntry(source, version, -1);
+        const [upstream] = upstreamEntries(source, version, -1);
         const manifest = await upstream?.readManifest(version).catch(error => {
             log.info("manifest not received", { version, source: "entry", error: (error as Error).message });
             return undefined;
@@ -79,14 +80,20 @@
         return { model: source.model, manifest: manifest ?? await origin.readManifest(source.model, version) };
     }
 
-    /** The entry that fetches a piece for this one: one of the origin's region, or of the own one there. */
-    function upstreamEntry(source: WeightsOrigin, version: number, piece: number) {
-        const ips = options.entries().filter(({ region }) => region === source.region).map(({ ip }) => ip);
-        const members = self.region === source.region ? [self.ip, ...ips] : ips;
-        const ip = firstMember(`${version}/${piece}`, members);
-        return ip === undefined || ip === self.ip ?
-            undefined :
-            createPeerClient(ip, options.entryPort, connections, ENTRY_RATE_MBPS);
+    /** The entry of the own region that fetches a piece for all of it. */
+    function fetcherOf(version: number, piece: number): string {
+        const others = options.entries().filter(({ region }) => region === self.region).map(({ ip }) => ip);
+        return firstMember(`${version}/${piece}`, [self.ip, ...others]) ?? self.ip;
+    }
+
+    /** The entries to ask for a piece, in this order; the origin comes after them. */
+    function upstreamEntries(source: WeightsOrigin, version: number, piece: number): PeerClient[] {
+        const fetcher = fetcherOf(version, piece);
+        const atOrigin = options.entries().filter(({ region }) => region === source.region).map(({ ip }) => ip);
+        const far = self.region === source.region ? undefined : firstMember(`${version}/${piece}`, atOrigin);
+        return [fetcher === self.ip ? undefined : fetcher, far]
+            .filter(ip => ip !== undefined)
+            .map(ip => createPeerClient(ip, options.entryPort, connections, ENTRY_RATE_MBPS));
     }
 
     function fetch(held: HeldVersion, piece: number): Promise<Buffer> {
@@ -106,7 +113,7 @@
         for (let tries = 0; tries < MAX_TRIES; tries++) {
             const source = options.source();
             if (source === undefined) break;
-            const upstream = tries === 0 ? upstreamEntry(source, version, piece) : undefined;
+            const upstream = upstreamEntries(source, version, piece)[tries];
             const name = upstream === undefined ? "origin" : "entry";
             try {
                 const bytes = upstream === undefined ?
@@ -126,20 +133,17 @@
         throw new VError({ cause }, "piece %d of version %d can't be fetched", piece, version);
     }
 
-    /** Entries of the origin's region share the pieces; the others fetch what their agents ask for. */
     async function prefetch(version: number): Promise<void> {
         newest = Math.max(newest, version);
-        const source = options.source();
-        if (source === undefined || source.region !== self.region) return;
-        while (newest === version && !await tryPrefetch(source, version)) {
+        while (newest === version && !await tryPrefetch(version)) {
             await new Promise(resolve => setTimeout(resolve, PREFETCH_PAUSE_MS));
         }
     }
 
-    async function tryPrefetch(source: WeightsOrigin, version: number): Promise<boolean> {
+    async function tryPrefetch(version: number): Promise<boolean> {
         try {
             const held = await open(version);
-            const own = [...held.pieces.keys()].filter(piece => isDrawnHere(source, version, piece));
+            const own = [...held.pieces.keys()].filter(piece => fetcherOf(version, piece) === self.ip);
             const next = own.values();
             const fetchRest = async () => {
                 for (const piece of next) {
@@ -156,10 +160,6 @@
         }
     }
 
-    function isDrawnHere(source: WeightsOrigin, version: number, piece: number): boolean {
-        return upstreamEntry(source, version, piece) === undefined;
-    }
-
     return {
         prefetch,
         manifest: async version => (await open(version)).manifest,
