--- a/src/lib/cli/roles.ts
+++ b/src/lib/cli/roles.ts
@@ -8,12 +8,9 @@
 import { setFlagsFromString } from "node:v8";
 import type { EventLog } from "../observability/index.js";
 import { SETTINGS_VARIABLE } from "../platform/settingsVariable.js";
+import { type Role, ROLES } from "./roleNames.js";
 import { untilSignal } from "./untilSignal.js";
 
-export const ROLES = ["agent", "entry"] as const;
-
-export type Role = (typeof ROLES)[number];
-
 export interface RoleStart {
     readonly role: Role;
     readonly settingsFile: string;
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,4 +1,5 @@
 /** Entry point of the `endivewell` binary. */
+import "./lib/cli/earlyHangup.js";
 // Takes effect only before oclif is loaded.
 import "./lib/cli/engineCheck.js";
 import { run } from "./lib/cli/index.js";
