Have entries name weights to agents, which read configurations less often

Cause: every agent reads every configuration whole. Change: agents fetch changes in succession at most every 1.5 s; entries tell them at once which weights are named, and again whenever a beat shows an older version. Result: an agent whose store is silent loads a version that an entry names (new test).

--- a/src/lib/node/beats.ts
+++ b/src/lib/node/beats.ts
@@ -32,17 +32,27 @@
     isLoading: z.boolean(),
 });
 
-const beatSchema = z.discriminatedUnion("kind", [entryBeatSchema, agentBeatSchema]);
+/** An entry's word to an agent that weights are named, which doesn't wait for the agent's own look at the store. */
+const weightsBeatSchema = z.object({ kind: z.literal("weights"), model: z.string(), version: z.number() });
+
+const beatSchema = z.discriminatedUnion("kind", [entryBeatSchema, agentBeatSchema, weightsBeatSchema]);
 
 export type EntryBeat = Readonly<z.infer<typeof entryBeatSchema>>;
 export type AgentBeat = Readonly<z.infer<typeof agentBeatSchema>>;
-export type Beat = EntryBeat | AgentBeat;
+export type WeightsBeat = Readonly<z.infer<typeof weightsBeatSchema>>;
+export type Beat = EntryBeat | AgentBeat | WeightsBeat;
 
 export interface BeatSocket {
-    send(beat: Beat, ips: readonly string[]): void;
+    /** Sends to the port of the entries or to another one. */
+    send(beat: Beat, ips: readonly string[], port?: number): void;
     close(): void;
 }
 
+/** Agents listen beside the entries' port, because an entry may run on the same VM. */
+export function agentPortOf(entryPort: number): number {
+    return entryPort + 1;
+}
+
 /** Sends and receives beats at the port; all entries use the same one. */
 export function openBeatSocket(
     ip: string,
@@ -61,10 +71,10 @@
     socket.bind(port, ip);
     socket.unref();
     return {
-        send: (beat, ips) => {
+        send: (beat, ips, recipientPort = entryPort) => {
             if (closed || ips.length === 0) return;
             const text = Buffer.from(JSON.stringify(beat));
-            for (const recipient of ips) socket.send(text, entryPort, recipient, () => undefined);
+            for (const recipient of ips) socket.send(text, recipientPort, recipient, () => undefined);
         },
         close: () => {
             if (closed) return;
--- a/src/lib/node/tableFeed.ts
+++ b/src/lib/node/tableFeed.ts
@@ -6,11 +6,20 @@
 import type { EventLog, ServingMetrics } from "../observability/index.js";
 import type { MetadataStore } from "./metadataStore.js";
 
+/** Bounds the calls that bring changes in long succession, which are then fetched together. */
+export interface FeedPace {
+    /** Time between two such calls. */
+    readonly intervalMs: number;
+    /** Calls that may follow each other at once: a few changes together are usual and cost little. */
+    readonly quickCalls: number;
+}
+
 export interface TableFeedOptions {
     readonly store: MetadataStore;
     readonly table: string;
     readonly replica: RowReplica;
     readonly waitMs: number;
+    readonly pace: FeedPace;
     /** Called with the changes that were new, in the order of their revisions. */
     readonly onChange: (rows: readonly Row[]) => void;
     readonly log: EventLog;
@@ -31,15 +40,6 @@
 const MIN_PAUSE_MS = 150;
 const MAX_PAUSE_MS = 1200;
 
-/**
- * Changes in long succession, such as those of all servers in a rollout, are fetched together at this interval, so that
- * they cost a few calls a second. It is an eighth of the 2 s after which a server that leaves may get no more work.
- */
-export const CHANGE_INTERVAL_MS = 250;
-
-/** Calls with changes that may follow each other at once: a few changes together are usual and cost little. */
-const QUICK_CALLS = 4;
-
 export function startTableFeed(options: TableFeedOptions): TableFeed {
     const { store, table, replica, log, metrics } = options;
     let stopped = false;
@@ -86,9 +86,10 @@
 
     /** Waits as long as more than the quick calls were made of late. */
     async function paceCalls(): Promise<void> {
+        const { intervalMs, quickCalls } = options.pace;
         const now = options.now();
-        paidUntil = Math.max(paidUntil, now) + CHANGE_INTERVAL_MS;
-        const ahead = paidUntil - now - QUICK_CALLS * CHANGE_INTERVAL_MS;
+        paidUntil = Math.max(paidUntil, now) + intervalMs;
+        const ahead = paidUntil - now - quickCalls * intervalMs;
         if (ahead > 0) await sleep(ahead);
     }
 
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -14,11 +14,11 @@
     type Neighbour,
     type RouteTable,
 } from "../core/serving/index.js";
-import { answerChanges, type Beat, openBeatSocket, readNeighbourChanges } from "../node/beats.js";
+import { agentPortOf, answerChanges, type Beat, openBeatSocket, readNeighbourChanges } from "../node/beats.js";
 import { ENTRIES_TABLE, formatEntryRow, parseEntryRow } from "../node/entryRows.js";
 import { listen } from "../node/listen.js";
 import type { MetadataStore } from "../node/metadataStore.js";
-import { CHANGE_INTERVAL_MS, startTableFeed } from "../node/tableFeed.js";
+import { type FeedPace, startTableFeed } from "../node/tableFeed.js";
 import { answerMetrics, createServingMetrics, type EventLog } from "../observability/index.js";
 import { PlatformTable } from "../platform/index.js";
 import type { VmBounds, VmSettings } from "../settings/vmSettings.js";
@@ -49,8 +49,14 @@
 /** Waiting requests are looked at this often besides at every arrival and end. */
 const TICK_MS = 20;
 
+/**
+ * Changes of all servers in a rollout cost a few calls a second. The interval is an eighth of the 2 s after which a
+ * server that leaves may get no more work.
+ */
+const FEED_PACE: FeedPace = { intervalMs: 250, quickCalls: 4 };
+
 /** A neighbour that stays ahead for this long has seen a change that the own feed doesn't deliver. */
-const BEHIND_MS = CHANGE_INTERVAL_MS + 150;
+const BEHIND_MS = FEED_PACE.intervalMs + 150;
 
 /** The load balancer notices within two questions, one second apart, that a process isn't ready. */
 const UNREADY_NOTICE_MS = 2200;
@@ -100,7 +106,10 @@
             connections.forget(id);
             health.forget(id);
         },
-        onWeightsNamed: version => void relay.prefetch(version),
+        onWeightsNamed: version => {
+            void relay.prefetch(version);
+            for (const [ip, model] of agentModels) tellAgent(ip, model, 0);
+        },
     });
     const context: ExchangeContext = {
         table: state.table,
@@ -140,6 +149,7 @@
             table,
             replica: replicas.get(table) ?? createRowReplica(),
             waitMs: FEED_WAIT_MS,
+            pace: FEED_PACE,
             onChange: onChange[table],
             log,
             metrics,
@@ -150,14 +160,18 @@
 
     const [peerPort] = settings.peerPorts;
     const behind = new Map<string, number>();
+    /** The agents that have sent beats, with the model of their engine. */
+    const agentModels = new Map<string, string>();
 
     function onBeat(beat: Beat): void {
         const at = now();
         if (beat.kind === "agent") {
             dispatcher.learnWeights(beat.backendAddress, beat.startedAt, beat.model, beat.version);
             dispatcher.pauseServer(beat.backendAddress, beat.isLoading ? at + LOADING_BEAT_LIFETIME_MS : 0);
+            tellAgent(beat.backendAddress.split(":")[0] ?? "", beat.model, beat.version);
             return;
         }
+        if (beat.kind !== "entry") return;
         neighbourhood.hear(beat, at);
         dispatcher.flights.hear(beat.name, beat.load, at);
         for (const table of [PlatformTable.operator, PlatformTable.servers]) {
@@ -166,6 +180,13 @@
         }
     }
 
+    /** Agents look at the store seldom, so entries name the newest weights to them, also when a first word was lost. */
+    function tellAgent(ip: string, model: string, known: number): void {
+        agentModels.set(ip, model);
+        const version = weights.newest(model);
+        if (known < version) beats.send({ kind: "weights", model, version }, [ip], agentPortOf(peerPort));
+    }
+
     /** Reads from a neighbour what the own feed hasn't delivered in time. */
     async function catchUp(
         table: typeof PlatformTable[keyof typeof PlatformTable],
--- a/src/lib/stager/stager.ts
+++ b/src/lib/stager/stager.ts
@@ -10,14 +10,15 @@
     type RoutingConfiguration,
     type Row,
 } from "../core/serving/index.js";
-import { openBeatSocket } from "../node/beats.js";
+import { agentPortOf, openBeatSocket } from "../node/beats.js";
 import { listen } from "../node/listen.js";
 import type { MetadataStore } from "../node/metadataStore.js";
-import { startTableFeed } from "../node/tableFeed.js";
+import { type FeedPace, startTableFeed } from "../node/tableFeed.js";
 import { createServingMetrics, type EventLog } from "../observability/index.js";
 import {
     CONFIGURATION_KEY,
     createOwnEngine,
+    type NamedWeights,
     parseConfiguration,
     parseNamedWeights,
     PlatformTable,
@@ -40,6 +41,12 @@
 /** Agents need configurations seldom; a change is delivered at once all the same. */
 const FEED_WAIT_MS = 15_000;
 
+/**
+ * Agents read each configuration whole, so many changes in succession would fill the links between regions, which the
+ * entries' own reads need. Entries tell them of named weights in the meantime.
+ */
+const FEED_PACE: FeedPace = { intervalMs: 1500, quickCalls: 1 };
+
 /** Time between two looks at an engine that loads or is to load weights. */
 const WATCH_INTERVAL_MS = 150;
 
@@ -60,14 +67,15 @@
     const pieces = createPieceStore();
     const engine = createOwnEngine(settings.backendAddress ?? "");
     const [entryPort] = settings.peerPorts;
-    // Entries use the first port; an agent may run on the same VM.
-    const agentPort = entryPort + 1;
+    const agentPort = agentPortOf(entryPort);
     const connections = new http.Agent({ keepAlive: true });
     const fleet = createFleetView(context, store, { entry: entryPort, agent: agentPort }, connections);
     let configuration: RoutingConfiguration | undefined;
     log.info("process started", { ip: settings.ip, backend: settings.backendAddress, store: settings.storeAddress });
 
-    const beats = openBeatSocket(settings.ip, agentPort, entryPort, () => undefined);
+    const beats = openBeatSocket(settings.ip, agentPort, entryPort, beat => {
+        if (beat.kind === "weights") applyNamedWeights(beat, "an entry");
+    });
     const rollout = createRollout({
         context,
         fleet,
@@ -98,6 +106,7 @@
         table: PlatformTable.operator,
         replica: createRowReplica(),
         waitMs: FEED_WAIT_MS,
+        pace: FEED_PACE,
         onChange: applyRows,
         log,
         metrics,
@@ -111,14 +120,20 @@
             if (key === CONFIGURATION_KEY) applyConfiguration(value, revision);
             const named = parseNamedWeights(key, value);
             if (named === undefined) continue;
-            weights.name(named.model, named.version, hasRead, now());
-            if (hasRead) namedAt.set(named.version, now());
-            log.info("weights named", { revision, ...named });
+            applyNamedWeights(named, `revision ${revision}`);
         }
         hasRead = true;
         void look();
     }
 
+    function applyNamedWeights({ model, version }: NamedWeights, source: string): void {
+        if (version <= weights.newest(model)) return;
+        weights.name(model, version, hasRead, now());
+        if (hasRead) namedAt.set(version, now());
+        log.info("weights named", { model, version, source });
+        void look();
+    }
+
     function applyConfiguration(text: string, revision: number): void {
         const parsed = parseConfiguration(text);
         if (parsed === undefined) log.warn("configuration rejected", { revision, kept: configuration?.version });
--- a/src/test/node/tableFeed.test.ts
+++ b/src/test/node/tableFeed.test.ts
@@ -37,6 +37,7 @@
         table: "servers",
         replica: createRowReplica(),
         waitMs: 300,
+        pace: { intervalMs: 250, quickCalls: 4 },
         onChange: rows => {
             firstAt ||= rows.length === 0 ? 0 : Date.now();
             seen.push(...rows.map(({ key }) => key));
--- a/src/test/platform/store.test.ts
+++ b/src/test/platform/store.test.ts
@@ -25,6 +25,7 @@
         store,
         table: "t",
         replica: createRowReplica(),
+        pace: { intervalMs: 250, quickCalls: 4 },
         waitMs: 500,
         onChange: rows => void seen.push(...rows),
         log: createEventLog({
--- a/src/test/stager/stager.test.ts
+++ b/src/test/stager/stager.test.ts
@@ -3,6 +3,7 @@
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, test } from "node:test";
+import { agentPortOf, openBeatSocket } from "../../lib/node/beats.js";
 import { createEventLog } from "../../lib/observability/index.js";
 import { createPlatformStore } from "../../lib/platform/index.js";
 import { type Stager, startStager } from "../../lib/stager/index.js";
@@ -77,6 +78,7 @@
 let store: StandInStore;
 let engine: Awaited<ReturnType<typeof startEngineAndOrigin>>;
 let stager: Stager;
+let entryPort: number;
 
 beforeEach(async () => {
     store = await startStandInStore();
@@ -100,7 +102,8 @@
     ];
     store.put("op", "config", configurationRow(1, { services }));
     store.put("servers", "i-1", serverRow(engine.address, { service: "llm" }));
-    const settings = vmSettings(store.address, await freePort(), {
+    entryPort = await freePort();
+    const settings = vmSettings(store.address, entryPort, {
         backendAddress: engine.address,
         backendService: "llm",
     });
@@ -159,3 +162,16 @@
     await until(() => engine.state.version === 4);
     assertLoaded(4);
 });
+
+// Guards against a rollout that waits until the agent reads the store again.
+test("an agent that the store keeps waiting learns from an entry which weights are named", async () => {
+    await nameVersions(2);
+    await until(() => engine.state.version === 2);
+    // The answer to its call would tell it too; a silent store doesn't answer.
+    store.setTrouble("silent");
+    const beats = openBeatSocket("127.0.0.1", entryPort, entryPort, () => undefined);
+    beats.send({ kind: "weights", model: MODEL, version: 3 }, ["127.0.0.1"], agentPortOf(entryPort));
+    await until(() => engine.state.version === 3);
+    beats.close();
+    assertLoaded(3);
+});
