--- a/src/test/stager/pieceRelay.test.ts
+++ b/src/test/stager/pieceRelay.test.ts
@@ -12,6 +12,9 @@
 const PIECES = 16;
 const pieceOf = (version: number, piece: number) => Buffer.alloc(512, `${version}/${piece} `);
 
+/** A prefetch is repeated until it succeeds, so a fault would make its test wait for ever. */
+const LIMIT = { timeout: 10_000 };
+
 const servers: http.Server[] = [];
 
 afterEach(() => {
@@ -66,7 +69,7 @@
 
 // Guards against a region that is cut off in the middle of a rollout and lacks the pieces that no agent of it had asked
 // for yet.
-test("a region that is cut off after a version was named has all of its pieces", async () => {
+test("a region that is cut off after a version was named has all of its pieces", LIMIT, async () => {
     const origin = await startOrigin();
     const [near, far] = await startRelays(origin.address, { "127.0.0.2": "near", "127.0.0.3": "far" });
     await Promise.all([near?.prefetch(2), far?.prefetch(2)]);
@@ -81,7 +84,7 @@
 });
 
 // Guards against a link between regions that carries every piece once for each entry behind it.
-test("the entries of a region fetch each piece from another region once", async () => {
+test("the entries of a region fetch each piece from another region once", LIMIT, async () => {
     const origin = await startOrigin();
     const relays = await startRelays(origin.address, { "127.0.0.2": "near", "127.0.0.3": "far", "127.0.0.4": "far" });
     await Promise.all(relays.map(relay => relay.prefetch(2)));
