Cancel requests that have not begun when their server's weights are outdated

Change: an assignment to older weights names the time by which the server must have begun; without a first event until then the request is cancelled and, where that is safe, sent elsewhere. A prefetch without a known origin is not repeated, and relays stop with their process.

--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -35,6 +35,8 @@
     readonly predictedMs: number;
     /** The version that must answer; `undefined` if any that the server holds may. */
     readonly weights: number | undefined;
+    /** Time by which the server must have begun, because its weights are outdated after that; `undefined` for none. */
+    readonly beginBy: number | undefined;
 }
 
 export type Settlement =
@@ -154,7 +156,15 @@
         sentAt.set(request.id, { service: request.service, at: now });
         if (standing === Standing.late) lateStarts.push({ service: request.service, at: now });
         health.sent(server.id, now);
-        const assignment = { server, predictedMs: placement.firstEventMs, weights: weightsFor(request, service, now) };
+        const held = service.engine === undefined ? undefined : versionAt(server, service.engine.model);
+        const assignment = {
+            server,
+            predictedMs: placement.firstEventMs,
+            weights: weightsFor(request, service, now),
+            beginBy: service.engine === undefined || held === undefined ?
+                undefined :
+                weights.beginBy(service.engine.model, held),
+        };
         settle(request.id, { kind: "assigned", assignment });
         return true;
     }
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -325,7 +325,8 @@
         const verdict = (VError.info(error as Error).verdict as Verdict | undefined) ?? Verdict.mayHaveRun;
         const outcome = verdict === Verdict.notRun ? Outcome.unreachable : Outcome.broken;
         const isOverdue = context.now() - sentAt >= expectedAnswerMs(exchange, assignment);
-        if (!exchange.cancellation.signal.aborted || isOverdue) {
+        const isCancelled = exchange.cancellation.signal.aborted || isOutdated(assignment, context.now());
+        if (!isCancelled || isOverdue) {
             context.health.record(server.id, outcome, context.now());
         }
         if (verdict !== Verdict.notRun) exchange.verdicts.push(verdict);
@@ -340,12 +341,24 @@
 
 /**
  * Returns when an answer is looked for elsewhere; `undefined` if the request stays where it is until its time is over.
- * The end of that time is watched for the whole request, so that it isn't taken for a failure of the server.
+ * The end of that time is watched for the whole request, so that it isn't taken for a failure of the server. A request
+ * that has not begun by the time its server's weights are outdated is always cancelled.
  */
 function answerTimeoutMs(exchange: Exchange, assignment: Assignment, now: number): number | undefined {
     const { route } = exchange;
-    if (!isRepeatableRoute(route) || exchange.verdicts.length + 1 >= route.maxAttempts) return undefined;
-    return Math.max(Math.min(expectedAnswerMs(exchange, assignment), (exchange.expiresAt - now) / 2), 1);
+    const untilOutdatedMs = (assignment.beginBy ?? Number.POSITIVE_INFINITY) - now;
+    const isLast = !isRepeatableRoute(route) || exchange.verdicts.length + 1 >= route.maxAttempts;
+    const patienceMs = isLast ?
+        Number.POSITIVE_INFINITY :
+        Math.min(expectedAnswerMs(exchange, assignment), (exchange.expiresAt - now) / 2);
+    const timeoutMs = Math.max(1, Math.min(patienceMs, untilOutdatedMs));
+    // A timer can't be set for longer than the request may last.
+    return timeoutMs < exchange.expiresAt - now ? timeoutMs : undefined;
+}
+
+/** Requests that had not begun were cancelled at their server, which tells nothing of its health. */
+function isOutdated({ beginBy }: Assignment, now: number): boolean {
+    return beginBy !== undefined && now >= beginBy;
 }
 
 /** A server that takes longer than this for the beginning of its answer counts as failing. */
@@ -356,7 +369,8 @@
 function recordResult(exchange: Exchange, assignment: Assignment, result: AttemptResult, facts: ServerFacts): void {
     const { context } = exchange;
     const outcome = outcomeOf(result, facts);
-    if (!exchange.cancellation.signal.aborted || result.kind === "answered") {
+    const isCancelled = exchange.cancellation.signal.aborted || isOutdated(assignment, context.now());
+    if (!isCancelled || result.kind === "answered") {
         context.health.record(assignment.server.id, outcome, context.now());
     }
     context.metrics.sends.inc({ result: outcome });
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -286,6 +286,7 @@
         clearInterval(beatTimer);
         clearInterval(tickTimer);
         for (const feed of feeds) feed.stop();
+        relay.stop();
         store.close();
         beats.close();
         callerServer?.close();
--- a/src/lib/stager/pieceRelay.ts
+++ b/src/lib/stager/pieceRelay.ts
@@ -41,6 +41,8 @@
 export interface PieceRelay extends PieceSupply {
     /** Fetches a named version before anybody asks, so that an origin that fails later isn't missed. */
     prefetch(version: number): Promise<void>;
+    /** Ends a prefetch that still fails. */
+    stop(): void;
 }
 
 /** Pieces fetched at once ahead of the agents; two keep the origin's link busy. */
@@ -135,6 +137,7 @@
 
     async function prefetch(version: number): Promise<void> {
         newest = Math.max(newest, version);
+        if (options.source() === undefined) return;
         while (newest === version && !await tryPrefetch(version)) {
             await new Promise(resolve => setTimeout(resolve, PREFETCH_PAUSE_MS));
         }
@@ -162,6 +165,9 @@
 
     return {
         prefetch,
+        stop: () => {
+            newest = Number.POSITIVE_INFINITY;
+        },
         manifest: async version => (await open(version)).manifest,
         piece: async (version, piece) => {
             const held = await open(version);
--- a/src/test/core/serving/rollout.test.ts
+++ b/src/test/core/serving/rollout.test.ts
@@ -26,6 +26,18 @@
     assert.equal(policy.lowest("m", 5000 + ALLOWED_MS), 3);
 });
 
+// Guards against a request that waits at an engine until after the time for the new weights and begins on the old ones.
+test("a request must have begun on older weights before the time for the new ones is over", () => {
+    const policy = createWeightsPolicy(() => ALLOWED_MS);
+    assert.equal(policy.beginBy("m", 1), undefined);
+    policy.name("m", 2, true, 1000);
+    policy.name("m", 3, true, 5000);
+    const [first, second, newest] = [1, 2, 3].map(version => policy.beginBy("m", version));
+    assert.ok(first !== undefined && first < 1000 + ALLOWED_MS && first > 1000 + ALLOWED_MS - 500);
+    assert.ok(second !== undefined && second < 5000 + ALLOWED_MS && second > 5000 + ALLOWED_MS - 500);
+    assert.equal(newest, undefined);
+});
+
 // Guards against a restarted entry that counts the time for a version anew from its own start.
 test("a version that may have been named long ago is due at once", () => {
     const policy = createWeightsPolicy(() => ALLOWED_MS);
--- /dev/null
+++ b/src/test/router/outdatedWeights.test.ts
@@ -0,0 +1,58 @@
+import assert from "node:assert/strict";
+import { afterEach, test } from "node:test";
+import { configurationRow, serverRow, startStandInRunner } from "../platform/standInRunner.js";
+import { startStandInStore } from "../platform/standInStore.js";
+import { freePort, sendCall, startTestRouter, until, vmSettings } from "./routerHarness.js";
+
+const cleanups: (() => void | Promise<void>)[] = [];
+
+afterEach(async () => {
+    for (const cleanup of cleanups.splice(0).reverse()) await cleanup();
+});
+
+const MODEL = "m";
+const ALLOWED_MS = 2000;
+
+const ENGINE = {
+    slots: 4,
+    step_ms: 1,
+    per_seq_ms: 0,
+    context_per_k: 0,
+    read_per_s: 1000,
+    pairs_per_m: 0,
+    usual: { prompt: 1, answer: 1 },
+    layers: 4,
+    models: [{ name: MODEL }],
+    chunks: 1,
+    "chunk-bytes": 1,
+};
+
+// Guards against a request that waits at an engine with older weights and begins after the time for the new ones.
+test("a request that has not begun when its server's weights are outdated is cancelled there", async () => {
+    const store = await startStandInStore();
+    cleanups.push(store.close);
+    const base = configurationRow(1) as { routes: { name: string; service: string; }[]; };
+    // With so late a target the answer would be looked for elsewhere only after half of the caller's time.
+    const talk = { service: "llm", "target-latency-ms": 2000 };
+    const routes = base.routes.map(route => route.name === "talk" ? { ...route, ...talk } : route);
+    const services = [{ name: "llm", "health-path": "/h", "max-connections": 10, engine: ENGINE }];
+    store.put("op", "config", { ...base, routes, services });
+    const waiting = await startStandInRunner(() => undefined);
+    cleanups.push(waiting.close);
+    const models = [{ name: MODEL, version: 1, adapters: [] }];
+    const row = { service: "llm", models, layers: { from: 0, to: 4, version: 1 } };
+    store.put("servers", "i-1", serverRow(waiting.address, row));
+    const settings = vmSettings(store.address, await freePort());
+    const bounds = { ...settings.bounds, weightsMs: ALLOWED_MS };
+    const router = await startTestRouter({ ...settings, bounds });
+    cleanups.push(router.stop);
+    store.put("op", `version/${MODEL}`, { model: MODEL, version: 2 });
+    const namedAt = Date.now();
+    await new Promise(resolve => setTimeout(resolve, 900));
+    const call = sendCall(router.callerPort, { path: "/talk/", method: "POST", body: "x" });
+    await until(() => waiting.requests.length === 1);
+    await until(() => waiting.resets() === 1);
+    const afterMs = Date.now() - namedAt;
+    assert.ok(afterMs > ALLOWED_MS / 2 && afterMs < ALLOWED_MS, `${afterMs} ms`);
+    assert.equal((await call).status, 502);
+});
--- a/src/test/stager/pieceRelay.test.ts
+++ b/src/test/stager/pieceRelay.test.ts
@@ -16,8 +16,10 @@
 const LIMIT = { timeout: 10_000 };
 
 const servers: http.Server[] = [];
+const started: PieceRelay[] = [];
 
 afterEach(() => {
+    for (const relay of started.splice(0)) relay.stop();
     for (const server of servers.splice(0)) {
         server.close();
         server.closeAllConnections();
@@ -58,6 +60,7 @@
             log: createEventLog({ process: self.ip, role: "entry", now: () => 0, write: () => undefined }),
             metrics,
         });
+        started.push(relay);
         const server = createPieceServer(relay, createReceiverPaces(), metrics);
         servers.push(server);
         await new Promise<void>(resolve => server.listen(entryPort, self.ip, resolve));
