--- a/src/test/soak/soak.test.ts
+++ b/src/test/soak/soak.test.ts
@@ -67,6 +67,8 @@
     3,
     // A SIGHUP ended a process that was still starting.
     22,
+    // A second SIGTERM ended a process that was stopping in order.
+    16,
 ];
 
 // Guards against promises that break when faults of the store, of links, of servers and of processes overlap.
