--- a/src/test/router/routerHarness.ts
+++ b/src/test/router/routerHarness.ts
@@ -1,4 +1,5 @@
 /** Starts an entry against the stand-in store for tests, and sends requests to it as callers do. */
+import { randomInt } from "node:crypto";
 import * as http from "node:http";
 import { createServer } from "node:net";
 import { createEventLog } from "../../lib/observability/index.js";
@@ -6,12 +7,27 @@
 import { type Router, startRouter } from "../../lib/router/index.js";
 import type { VmSettings } from "../../lib/settings/vmSettings.js";
 
+/** Processes use a few ports after the one that they are given. */
+const PORTS_TOGETHER = 16;
+
+/**
+ * Returns a port that is free with those after it. It lies below the ports that the system gives to connections, which
+ * parallel tests would otherwise take in between.
+ */
 export async function freePort(ip = "127.0.0.1"): Promise<number> {
+    for (;;) {
+        const first = randomInt(10_000 / PORTS_TOGETHER, 32_000 / PORTS_TOGETHER) * PORTS_TOGETHER;
+        const ports = Array.from({ length: PORTS_TOGETHER }, (_, index) => first + index);
+        if ((await Promise.all(ports.map(port => isFree(ip, port)))).every(Boolean)) return first;
+    }
+}
+
+function isFree(ip: string, port: number): Promise<boolean> {
     const server = createServer();
-    await new Promise<void>(resolve => server.listen(0, ip, resolve));
-    const address = server.address();
-    await new Promise(resolve => server.close(resolve));
-    return typeof address === "object" && address !== null ? address.port : 0;
+    return new Promise(resolve => {
+        server.once("error", () => resolve(false));
+        server.listen(port, ip, () => server.close(() => resolve(true)));
+    });
 }
 
 export function vmSettings(storeAddress: string, peerPort: number, changes: Partial<VmSettings> = {}): VmSettings {
