Share the reads of configurations among the entries of a region

Cause: every process read each configuration whole (some 80 KB, half a megabyte with many routes), agents included. Catching up from a neighbour did not help: a beat from an entry that was behind as well cleared the note that another one was ahead, so in a region that was behind as a whole nobody asked.

Change: two entries of a region read the operator's table, the others follow these and take over when they stop reaching the store. Neighbours' answers are compressed. Whom to ask and when is a core of its own. A feed call after a failure returns at once.

--- a/src/lib/core/serving/index.ts
+++ b/src/lib/core/serving/index.ts
@@ -8,6 +8,7 @@
 export * from "./sendBudget.js";
 export * from "./serverHealth.js";
 export * from "./serverRegistry.js";
+export * from "./storeReaders.js";
 export * from "./switchTurn.js";
 export * from "./transferOrder.js";
 export * from "./waitingRoom.js";
--- a/src/lib/node/beats.ts
+++ b/src/lib/node/beats.ts
@@ -4,6 +4,7 @@
  */
 import { createSocket } from "node:dgram";
 import * as http from "node:http";
+import { gzip } from "node:zlib";
 import * as z from "zod";
 import { sendRequest } from "../clients/index.js";
 import type { Row, RowReplica } from "../core/serving/index.js";
@@ -15,6 +16,8 @@
     failureDomain: z.string(),
     /** Newest revision held of each table. */
     newest: z.record(z.string(), z.number()),
+    /** The sender reaches the store, so it can read for its neighbours. */
+    reachesStore: z.boolean(),
     /** Writing, reading, unread tokens and context tokens of the sender's requests, by server. */
     load: z.record(z.string(), z.tuple([z.number(), z.number(), z.number(), z.number()])),
 });
@@ -105,8 +108,8 @@
     readonly rows: readonly Row[];
 }
 
-/** A neighbour answers from memory. */
-const STATE_TIMEOUT_MS = 1000;
+/** A neighbour answers from memory, but a link between regions may hold its answer up. */
+const CHANGES_TIMEOUT_MS = 2000;
 
 const CHANGES_PATH = "/changes";
 
@@ -121,7 +124,8 @@
     const answer = await sendRequest({
         method: "GET",
         url: `http://${ip}:${port}${CHANGES_PATH}?${query}`,
-        timeoutMs: STATE_TIMEOUT_MS,
+        timeoutMs: CHANGES_TIMEOUT_MS,
+        compressed: true,
     });
     const { complete, rows } = changesSchema.parse(JSON.parse(answer.body.toString()));
     return { isComplete: complete, rows: rows.map(row => ({ ...row, value: row.value })) };
@@ -139,6 +143,11 @@
     const after = Number(url.searchParams.get("after"));
     const complete = replica?.isComplete() ?? false;
     const body = JSON.stringify({ complete, rows: replica?.since(after) ?? [] });
-    response.writeHead(200, { "content-type": "application/json" }).end(body);
+    gzip(body, (error, compressed) => {
+        if (error === null) {
+            response.writeHead(200, { "content-type": "application/json", "content-encoding": "gzip" }).end(compressed);
+        }
+        else response.writeHead(500).end(error.message);
+    });
     return true;
 }
--- a/src/lib/node/tableFeed.ts
+++ b/src/lib/node/tableFeed.ts
@@ -20,6 +20,11 @@
     readonly replica: RowReplica;
     readonly waitMs: number;
     readonly pace: FeedPace;
+    /**
+     * Tells whether this process reads changes itself at present; otherwise others add them to the replica. Default:
+     * always.
+     */
+    readonly isReader?: () => boolean;
     /** Called with the changes that were new, in the order of their revisions. */
     readonly onChange: (rows: readonly Row[]) => void;
     readonly log: EventLog;
@@ -40,12 +45,20 @@
 const MIN_PAUSE_MS = 150;
 const MAX_PAUSE_MS = 1200;
 
+/** Time between two looks whether a process that doesn't read has to. */
+const REST_MS = 100;
+
 export function startTableFeed(options: TableFeedOptions): TableFeed {
     const { store, table, replica, log, metrics } = options;
     let stopped = false;
     let disturbedAt: number | undefined;
     let failures = 0;
     let cursor: number | undefined;
+    /**
+     * The replica lacks nothing before its newest row. A complete read may show later changes on its later pages, and
+     * the first answer of the feed fills the gap.
+     */
+    let isGapless = false;
     /** Time until which the calls so far would last at one in each interval. */
     let paidUntil = 0;
 
@@ -68,10 +81,20 @@
             metrics.storeCalls.inc({ result: "read" });
             options.onChange(replica.reset(rows, revision));
             cursor = revision;
+            isGapless = false;
             log.info("table read", { table, revision, rows: rows.length });
             return;
         }
-        const answer = await store.readFeed(table, cursor, options.waitMs);
+        if (isGapless) {
+            if (options.isReader?.() === false) {
+                await sleep(REST_MS);
+                return;
+            }
+            // What neighbours have brought isn't read once more.
+            cursor = Math.max(cursor, replica.newest());
+        }
+        // After a failure the answer is wanted for what it tells of the store.
+        const answer = await store.readFeed(table, cursor, failures > 0 ? 0 : options.waitMs);
         metrics.storeCalls.inc({ result: "feed" });
         if (answer.kind === "historyLost") {
             log.info("feed history lost", { table, after: cursor });
@@ -79,6 +102,7 @@
             return;
         }
         cursor = Math.max(cursor, answer.revision);
+        isGapless = true;
         const fresh = replica.apply(answer.rows);
         if (fresh.length > 0) options.onChange(fresh);
         if (answer.rows.length > 0) await paceCalls();
--- a/src/lib/platform/operatorRows.ts
+++ b/src/lib/platform/operatorRows.ts
@@ -6,7 +6,8 @@
 /** Key of the row that holds the newest configuration in full. */
 export const CONFIGURATION_KEY = "config";
 
-const WEIGHTS_KEY_PREFIX = "version/";
+/** The keys of rows that name weights begin with this. */
+export const WEIGHTS_KEY_PREFIX = "version/";
 
 const KINDS = {
     idempotent: RequestKind.idempotent,
--- a/src/lib/platform/store.ts
+++ b/src/lib/platform/store.ts
@@ -62,13 +62,15 @@
         }
     }
 
-    async function readTable(table: string): Promise<TableSnapshot> {
+    async function readRows(table: string, keyPrefix: string): Promise<TableSnapshot> {
         const rows: Row[] = [];
-        let from = "";
+        const range = new URLSearchParams({ table, part: "", limit: String(PAGE_ROWS) });
+        if (keyPrefix !== "") range.set("to", keyAfter(keyPrefix));
+        let from = keyPrefix;
         let revision: number | undefined;
         for (;;) {
-            const query = new URLSearchParams({ table, part: "", from, limit: String(PAGE_ROWS) });
-            const answer = await call("GET", `/-/rows-get?${query}`, CALL_TIMEOUT_MS);
+            range.set("from", from);
+            const answer = await call("GET", `/-/rows-get?${range}`, CALL_TIMEOUT_MS);
             const page = parseRows(answer);
             rows.push(...page.rows);
             // Later pages may show later changes; the feed from the first page's revision repeats these.
@@ -95,7 +97,12 @@
         if (answer.status !== 200) throw refusedBy(answer);
     }
 
-    return { readTable, readFeed, putRow, close: () => closing.abort() };
+    return { readTable: table => readRows(table, ""), readRows, readFeed, putRow, close: () => closing.abort() };
+}
+
+/** Returns the first key after all keys that begin with the prefix, which ends with an ASCII character. */
+function keyAfter(prefix: string): string {
+    return prefix.slice(0, -1) + String.fromCharCode(prefix.charCodeAt(prefix.length - 1) + 1);
 }
 
 function parseRows(answer: HttpAnswer): { rows: Row[]; revision: number; hasMore: boolean; } {
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -4,6 +4,7 @@
  */
 import * as http from "node:http";
 import {
+    createCatchUp,
     createDispatcher,
     createNeighbourhood,
     createRowReplica,
@@ -11,10 +12,18 @@
     createServerHealth,
     createServerRegistry,
     createWeightsPolicy,
+    isStoreReader,
     type Neighbour,
     type RouteTable,
 } from "../core/serving/index.js";
-import { agentPortOf, answerChanges, type Beat, openBeatSocket, readNeighbourChanges } from "../node/beats.js";
+import {
+    agentPortOf,
+    answerChanges,
+    type Beat,
+    type EntryBeat,
+    openBeatSocket,
+    readNeighbourChanges,
+} from "../node/beats.js";
 import { ENTRIES_TABLE, formatEntryRow, parseEntryRow } from "../node/entryRows.js";
 import { listen } from "../node/listen.js";
 import type { MetadataStore } from "../node/metadataStore.js";
@@ -55,9 +64,6 @@
  */
 const FEED_PACE: FeedPace = { intervalMs: 250, quickCalls: 4 };
 
-/** A neighbour that stays ahead for this long has seen a change that the own feed doesn't deliver. */
-const BEHIND_MS = FEED_PACE.intervalMs + 150;
-
 /** The load balancer notices within two questions, one second apart, that a process isn't ready. */
 const UNREADY_NOTICE_MS = 2200;
 
@@ -150,6 +156,7 @@
             replica: replicas.get(table) ?? createRowReplica(),
             waitMs: FEED_WAIT_MS,
             pace: FEED_PACE,
+            isReader: () => readsTable(table),
             onChange: onChange[table],
             log,
             metrics,
@@ -159,7 +166,9 @@
     );
 
     const [peerPort] = settings.peerPorts;
-    const behind = new Map<string, number>();
+    /** Neighbours that said in their last beat that they reach the store. */
+    const storeReached = new Set<string>();
+    const catchUp = createCatchUp();
     /** The agents that have sent beats, with the model of their engine. */
     const agentModels = new Map<string, string>();
 
@@ -174,12 +183,22 @@
         if (beat.kind !== "entry") return;
         neighbourhood.hear(beat, at);
         dispatcher.flights.hear(beat.name, beat.load, at);
-        for (const table of [PlatformTable.operator, PlatformTable.servers]) {
-            if ((beat.newest[table] ?? 0) > (replicas.get(table)?.newest() ?? 0)) void catchUp(table, beat.ip, at);
-            else behind.delete(table);
-        }
+        if (beat.reachesStore) storeReached.add(beat.name);
+        else storeReached.delete(beat.name);
+        for (const table of [PlatformTable.operator, PlatformTable.servers]) void followNeighbour(beat, table, at);
+    }
+
+    /** Entries of a region share the reads of configurations; changes of servers are small. */
+    function readsTable(table: string): boolean {
+        if (table !== PlatformTable.operator) return true;
+        const near = neighbourhood.living(now()).filter(({ name, failureDomain }) => {
+            return isNear(failureDomain) && storeReached.has(name);
+        });
+        return isStoreReader(self.name, near.map(({ name }) => name));
     }
 
+    const isNear = (failureDomain: string) => settings.regions.get(failureDomain) === settings.region;
+
     /** Agents look at the store seldom, so entries name the newest weights to them, also when a first word was lost. */
     function tellAgent(ip: string, model: string, known: number): void {
         agentModels.set(ip, model);
@@ -188,16 +207,20 @@
     }
 
     /** Reads from a neighbour what the own feed hasn't delivered in time. */
-    async function catchUp(
+    async function followNeighbour(
+        { ip, failureDomain, newest }: EntryBeat,
         table: typeof PlatformTable[keyof typeof PlatformTable],
-        ip: string,
         at: number,
     ): Promise<void> {
         const replica = replicas.get(table);
-        const since = behind.get(table);
-        if (since === undefined) behind.set(table, at);
-        if (replica === undefined || (since === undefined || at - since < BEHIND_MS) && replica.isComplete()) return;
-        behind.set(table, at + BEHIND_MS);
+        if (replica === undefined) return;
+        const theirs = { table, revision: newest[table] ?? 0, isNear: isNear(failureDomain) };
+        const own = {
+            revision: replica.newest(),
+            isComplete: replica.isComplete(),
+            isReader: readsTable(table),
+        };
+        if (!catchUp.isDue(theirs, own, at)) return;
         try {
             const { rows, isComplete } = await readNeighbourChanges(ip, peerPort, table, replica.newest());
             if (!replica.isComplete() && !isComplete) return;
@@ -209,6 +232,9 @@
         catch (error) {
             log.info("neighbour not reached", { table, neighbour: ip, error: (error as Error).message });
         }
+        finally {
+            catchUp.finish(table);
+        }
     }
 
     const beats = openBeatSocket(settings.ip, peerPort, peerPort, onBeat);
@@ -245,6 +271,7 @@
         beats.send({
             kind: "entry",
             ...self,
+            reachesStore: feeds.every(feed => feed.isConnected()),
             newest: Object.fromEntries([...replicas].map(([table, replica]) => [table, replica.newest()])),
             load: Object.fromEntries(
                 Object.entries(dispatcher.flights.report()).map((
--- a/src/lib/stager/stager.ts
+++ b/src/lib/stager/stager.ts
@@ -3,17 +3,10 @@
  * load them.
  */
 import * as http from "node:http";
-import {
-    createRowReplica,
-    createWeightsPolicy,
-    FIRST_WEIGHTS,
-    type RoutingConfiguration,
-    type Row,
-} from "../core/serving/index.js";
+import { createWeightsPolicy, FIRST_WEIGHTS, type RoutingConfiguration, type Row } from "../core/serving/index.js";
 import { agentPortOf, openBeatSocket } from "../node/beats.js";
 import { listen } from "../node/listen.js";
 import type { MetadataStore } from "../node/metadataStore.js";
-import { type FeedPace, startTableFeed } from "../node/tableFeed.js";
 import { createServingMetrics, type EventLog } from "../observability/index.js";
 import {
     CONFIGURATION_KEY,
@@ -21,12 +14,12 @@
     type NamedWeights,
     parseConfiguration,
     parseNamedWeights,
-    PlatformTable,
 } from "../platform/index.js";
 import type { VmBounds, VmSettings } from "../settings/vmSettings.js";
 import type { AgentContext } from "./agentContext.js";
 import { createEngineTask } from "./engineTask.js";
 import { createFleetView } from "./fleetView.js";
+import { startOperatorWatch } from "./operatorWatch.js";
 import { createHeldSupply, createPieceServer } from "./peerApi.js";
 import { createPieceStore } from "./pieceStore.js";
 import { createRollout } from "./rollout.js";
@@ -38,15 +31,6 @@
     stop(): void;
 }
 
-/** Agents need configurations seldom; a change is delivered at once all the same. */
-const FEED_WAIT_MS = 15_000;
-
-/**
- * Agents read each configuration whole, so many changes in succession would fill the links between regions, which the
- * entries' own reads need. Entries tell them of named weights in the meantime.
- */
-const FEED_PACE: FeedPace = { intervalMs: 1500, quickCalls: 1 };
-
 /** Time between two looks at an engine that loads or is to load weights. */
 const WATCH_INTERVAL_MS = 150;
 
@@ -101,20 +85,9 @@
     await listen(server, `${settings.ip}:${agentPort}`);
 
     let hasRead = false;
-    const feed = startTableFeed({
-        store,
-        table: PlatformTable.operator,
-        replica: createRowReplica(),
-        waitMs: FEED_WAIT_MS,
-        pace: FEED_PACE,
-        onChange: applyRows,
-        log,
-        metrics,
-        now,
-        random: context.random,
-    });
+    const watch = startOperatorWatch({ store, onRows: applyRows, log, metrics, now, random: context.random });
 
-    function applyRows(rows: readonly Row[]): void {
+    function applyRows(rows: readonly Row[]): boolean {
         for (const { key, value, revision } of rows) {
             if (value === undefined) continue;
             if (key === CONFIGURATION_KEY) applyConfiguration(value, revision);
@@ -124,6 +97,7 @@
         }
         hasRead = true;
         void look();
+        return configuration !== undefined;
     }
 
     function applyNamedWeights({ model, version }: NamedWeights, source: string): void {
@@ -152,13 +126,13 @@
 
     let timer: NodeJS.Timeout | undefined;
     let stopped = false;
-    void watch();
+    void watchEngine();
 
-    async function watch(): Promise<void> {
+    async function watchEngine(): Promise<void> {
         await look();
         if (stopped) return;
         const interval = engineTask.isSettled() ? IDLE_INTERVAL_MS : WATCH_INTERVAL_MS;
-        timer = setTimeout(() => void watch(), interval);
+        timer = setTimeout(() => void watchEngine(), interval);
     }
 
     function stop(): void {
@@ -166,7 +140,7 @@
         stopped = true;
         clearTimeout(timer);
         rollout.stop();
-        feed.stop();
+        watch.stop();
         store.close();
         beats.close();
         server.close();
--- a/src/test/node/tableFeed.test.ts
+++ b/src/test/node/tableFeed.test.ts
@@ -11,19 +11,43 @@
 function createMemoryStore() {
     const rows: Row[] = [];
     let calls = 0;
+    let isDown = false;
+    const delivered: number[] = [];
     const store: MetadataStore = {
         readTable: () => Promise.resolve({ rows, revision: rows.length }),
+        readRows: () => Promise.resolve({ rows, revision: rows.length }),
         readFeed: async (_table, after, waitMs): Promise<FeedAnswer> => {
             calls++;
+            if (isDown) throw new Error("down");
             const end = Date.now() + waitMs;
             while (rows.length <= after && Date.now() < end) await sleep(2);
+            delivered.push(...rows.slice(after).map(({ revision }) => revision));
             return { kind: "changes", rows: rows.slice(after), revision: rows.length };
         },
         putRow: () => Promise.resolve(),
         close: () => undefined,
     };
     const change = (key: string) => void rows.push({ key, revision: rows.length + 1, value: "x" });
-    return { store, change, calls: () => calls };
+    const setDown = (value: boolean) => {
+        isDown = value;
+    };
+    return { store, rows, change, delivered, setDown, calls: () => calls };
+}
+
+function startFeed(store: MetadataStore, changes: Partial<Parameters<typeof startTableFeed>[0]> = {}) {
+    return startTableFeed({
+        store,
+        table: "servers",
+        replica: createRowReplica(),
+        waitMs: 300,
+        pace: { intervalMs: 250, quickCalls: 4 },
+        onChange: () => undefined,
+        log: createEventLog({ process: "p", role: "entry", now: () => 0, write: () => undefined }),
+        metrics: createServingMetrics(),
+        now: () => performance.now(),
+        random: Math.random,
+        ...changes,
+    });
 }
 
 // Guards against a call to the store for every change of every server, which in a rollout grows with the product of
@@ -32,20 +56,11 @@
     const { store, change, calls } = createMemoryStore();
     const seen: string[] = [];
     let firstAt = 0;
-    const feed = startTableFeed({
-        store,
-        table: "servers",
-        replica: createRowReplica(),
-        waitMs: 300,
-        pace: { intervalMs: 250, quickCalls: 4 },
+    const feed = startFeed(store, {
         onChange: rows => {
             firstAt ||= rows.length === 0 ? 0 : Date.now();
             seen.push(...rows.map(({ key }) => key));
         },
-        log: createEventLog({ process: "p", role: "entry", now: () => 0, write: () => undefined }),
-        metrics: createServingMetrics(),
-        now: () => performance.now(),
-        random: Math.random,
     });
     await sleep(50);
     const since = Date.now();
@@ -59,3 +74,41 @@
     assert.equal(seen.length, 50);
     assert.ok(calls() <= 10, `${calls()} calls`);
 });
+
+// Guards against a process that reads what neighbours have brought already, and against one that goes on reading though
+// others read for it.
+test("a process that needn't read rests, and later reads only what neighbours didn't bring", async () => {
+    const { store, rows, change, delivered, calls } = createMemoryStore();
+    const replica = createRowReplica();
+    let isReader = true;
+    const feed = startFeed(store, { replica, waitMs: 50, isReader: () => isReader });
+    change("first");
+    await sleep(100);
+    isReader = false;
+    await sleep(200);
+    const before = calls();
+    change("second");
+    await sleep(300);
+    assert.equal(calls(), before);
+    replica.apply(rows);
+    change("third");
+    isReader = true;
+    await sleep(300);
+    feed.stop();
+    assert.ok(calls() > before);
+    assert.equal(delivered.filter(revision => revision === 2).length, 0, "the neighbour's change was read again");
+    assert.equal(replica.newest(), 3);
+});
+
+// Guards against an outage that seems to last as much longer as a call without changes waits.
+test("the return of the store is noticed though nothing changes", async () => {
+    const { store, setDown } = createMemoryStore();
+    const feed = startFeed(store, { waitMs: 5000, random: () => 0 });
+    setDown(true);
+    await sleep(300);
+    assert.equal(feed.isConnected(), false);
+    setDown(false);
+    await sleep(400);
+    assert.equal(feed.isConnected(), true);
+    feed.stop();
+});
--- a/src/test/platform/standInStore.ts
+++ b/src/test/platform/standInStore.ts
@@ -71,7 +71,10 @@
             return feed(table, Number(url.searchParams.get("after")), Number(url.searchParams.get("wait-ms")));
         }
         if (url.pathname === "/-/rows-get") {
-            const found = [...rows.values()].filter(row => row.table === table && row.value !== undefined);
+            const [from, to] = [url.searchParams.get("from") ?? "", url.searchParams.get("to")];
+            const found = [...rows.values()]
+                .filter(row => row.table === table && row.value !== undefined)
+                .filter(({ key }) => key >= from && (to === null || key < to));
             return [200, { rows: found.map(rowOf), "has-more": false, ver, "now-ms": Date.now() }];
         }
         const pieces: Buffer[] = [];
--- a/src/test/stager/stager.test.ts
+++ b/src/test/stager/stager.test.ts
@@ -3,7 +3,7 @@
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, test } from "node:test";
-import { agentPortOf, openBeatSocket } from "../../lib/node/beats.js";
+import { agentPortOf, type BeatSocket, openBeatSocket } from "../../lib/node/beats.js";
 import { createEventLog } from "../../lib/observability/index.js";
 import { createPlatformStore } from "../../lib/platform/index.js";
 import { type Stager, startStager } from "../../lib/stager/index.js";
@@ -79,6 +79,7 @@
 let engine: Awaited<ReturnType<typeof startEngineAndOrigin>>;
 let stager: Stager;
 let entryPort: number;
+let entryBeats: BeatSocket;
 
 beforeEach(async () => {
     store = await startStandInStore();
@@ -103,6 +104,7 @@
     store.put("op", "config", configurationRow(1, { services }));
     store.put("servers", "i-1", serverRow(engine.address, { service: "llm" }));
     entryPort = await freePort();
+    entryBeats = openBeatSocket("127.0.0.1", entryPort, entryPort, () => undefined);
     const settings = vmSettings(store.address, entryPort, {
         backendAddress: engine.address,
         backendService: "llm",
@@ -117,6 +119,7 @@
 });
 
 afterEach(() => {
+    entryBeats.close();
     stager.stop();
     engine.close();
     store.close();
@@ -129,10 +132,20 @@
     }
 }
 
-/** The store's feed must have told the agent of the first versions before another one is named. */
+/**
+ * Names versions in the store, and to the agent as an entry does. The agent must have read which were named before its
+ * start.
+ */
 async function nameVersions(...versions: number[]): Promise<void> {
     await new Promise(resolve => setTimeout(resolve, 200));
-    for (const version of versions) store.put("op", `version/${MODEL}`, { model: MODEL, version });
+    for (const version of versions) {
+        store.put("op", `version/${MODEL}`, { model: MODEL, version });
+        tellAgent(version);
+    }
+}
+
+function tellAgent(version: number): void {
+    entryBeats.send({ kind: "weights", model: MODEL, version }, ["127.0.0.1"], agentPortOf(entryPort));
 }
 
 // Guards against weights that are loaded with pieces that the origin sent corrupt.
@@ -163,15 +176,12 @@
     assertLoaded(4);
 });
 
-// Guards against a rollout that waits until the agent reads the store again.
+// Guards against a rollout that needs the store besides the entries.
 test("an agent that the store keeps waiting learns from an entry which weights are named", async () => {
     await nameVersions(2);
     await until(() => engine.state.version === 2);
-    // The answer to its call would tell it too; a silent store doesn't answer.
     store.setTrouble("silent");
-    const beats = openBeatSocket("127.0.0.1", entryPort, entryPort, () => undefined);
-    beats.send({ kind: "weights", model: MODEL, version: 3 }, ["127.0.0.1"], agentPortOf(entryPort));
+    tellAgent(3);
     await until(() => engine.state.version === 3);
-    beats.close();
     assertLoaded(3);
 });
