Let neighbours tell how long ago weights were named; forget silent agents

An entry that learned of a version late allowed older ones for as much longer. Agents that had ended stayed in the list of those to tell. A stream that broke after its server's weights were outdated did not count against the server.

Change: beats of entries carry the age of versions in their time for the switch, and the earliest word counts. Agents are forgotten after 10 s of silence. Only requests that had not begun are exempt from the server's record. The kind of a request, which nothing read, has left the dispatcher.

--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -6,7 +6,7 @@
 import { usualFirstEventMs } from "./engineModel.js";
 import { createFlights, type Flights } from "./flights.js";
 import { type Candidate, type Placement, placeOnEngine, placeOnService } from "./placement.js";
-import type { BackendService, EngineFigures, RequestKind } from "./routeTable.js";
+import type { BackendService, EngineFigures } from "./routeTable.js";
 import type { ServerHealth } from "./serverHealth.js";
 import type { BackendServer, ServerRegistry } from "./serverRegistry.js";
 import {
@@ -21,7 +21,6 @@
 import type { WeightsPolicy } from "./weightsPolicy.js";
 
 export interface DispatchRequest extends Waiting {
-    readonly kind: RequestKind;
     readonly promptTokens: number;
     readonly maxPauseMs: number;
     /** Servers that this request was sent to before. */
--- a/src/lib/core/serving/weightsPolicy.ts
+++ b/src/lib/core/serving/weightsPolicy.ts
@@ -3,9 +3,23 @@
  * that capacity is kept while replicas switch; then only the newest may.
  */
 
+/** How long ago weights were named. */
+export interface NamedAge {
+    readonly model: string;
+    readonly version: number;
+    readonly ageMs: number;
+}
+
 export interface WeightsPolicy {
     /** Records that a version is named. `isNew` is false if it may have been named long ago. */
     name(model: string, version: number, isNew: boolean, now: number): void;
+    /**
+     * Takes the word of a neighbour that may have learned of a version earlier, or that knows when it was named
+     * though this process has only just started. The earliest word counts.
+     */
+    learnAge(age: NamedAge, now: number): void;
+    /** Returns the ages of versions that are in their time for the switch, for neighbours. */
+    ages(now: number): NamedAge[];
     /** Returns the lowest version that may answer a request that is sent now. */
     lowest(model: string, now: number): number;
     /**
@@ -26,16 +40,41 @@
 /** Kept of that for the way of a cancellation to the engine. */
 const CANCEL_MARGIN_MS = 200;
 
+interface Naming {
+    readonly version: number;
+    /** `undefined` if the version may have been named at any time before. */
+    namedAt: number | undefined;
+    /** Older versions are refused from then on. */
+    dueAt: number;
+}
+
 /** `allowedMs` returns the time within which requests must begin on a named version. */
 export function createWeightsPolicy(allowedMs: () => number): WeightsPolicy {
-    const models = new Map<string, { version: number; dueAt: number; }[]>();
+    const models = new Map<string, Naming[]>();
+
+    /** A version that was named so long ago may be refused now. */
+    const dueAfter = (namedAt: number) => namedAt + Math.max(0, allowedMs() - SWITCH_MARGIN_MS);
 
     return {
         name: (model, version, isNew, now) => {
             const named = models.get(model) ?? [];
             if (named.some(known => known.version >= version)) return;
-            const dueAt = isNew ? now + Math.max(0, allowedMs() - SWITCH_MARGIN_MS) : now;
-            models.set(model, [...named.slice(-3), { version, dueAt }]);
+            const naming = { version, namedAt: isNew ? now : undefined, dueAt: isNew ? dueAfter(now) : now };
+            models.set(model, [...named.slice(-3), naming]);
+        },
+        learnAge: ({ model, version, ageMs }, now) => {
+            const naming = models.get(model)?.find(known => known.version === version);
+            const namedAt = now - ageMs;
+            if (naming === undefined || namedAt >= (naming.namedAt ?? Number.POSITIVE_INFINITY)) return;
+            naming.namedAt = namedAt;
+            naming.dueAt = dueAfter(namedAt);
+        },
+        ages: now => {
+            return [...models].flatMap(([model, named]) => {
+                return named.flatMap(({ version, namedAt, dueAt }) => {
+                    return namedAt === undefined || dueAt < now ? [] : [{ model, version, ageMs: now - namedAt }];
+                });
+            });
         },
         lowest: (model, now) => {
             const due = (models.get(model) ?? []).filter(({ dueAt }) => dueAt <= now);
--- a/src/lib/node/beats.ts
+++ b/src/lib/node/beats.ts
@@ -18,6 +18,8 @@
     newest: z.record(z.string(), z.number()),
     /** The sender reaches the store, so it can read for its neighbours. */
     reachesStore: z.boolean(),
+    /** Versions of weights that were named lately, and how long ago the sender learned of it. */
+    named: z.array(z.object({ model: z.string(), version: z.number(), ageMs: z.number().nonnegative() })),
     /** Writing, reading, unread tokens and context tokens of the sender's requests, by server. */
     load: z.record(z.string(), z.tuple([z.number(), z.number(), z.number(), z.number()])),
 });
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -244,7 +244,6 @@
         rank: account?.rank ?? route.rank,
         routeRank: route.rank,
         account: account?.name ?? "",
-        kind: route.kind,
         hasReturned: isReturned,
         arrivedAt: since,
         dueAt: exchange.arrivedAt + route.targetMs,
@@ -278,6 +277,8 @@
         readonly kind: "failed";
         readonly verdict: Verdict;
         readonly text: string;
+        /** An event had arrived, so the server was at work on the request. */
+        readonly hasBegun?: boolean;
         /** The server's own failure, which the caller gets if nothing better comes. */
         readonly answer?: PlainAnswer;
     };
@@ -369,7 +370,8 @@
 function recordResult(exchange: Exchange, assignment: Assignment, result: AttemptResult, facts: ServerFacts): void {
     const { context } = exchange;
     const outcome = outcomeOf(result, facts);
-    const isCancelled = exchange.cancellation.signal.aborted || isOutdated(assignment, context.now());
+    const hasBegun = result.kind === "failed" && result.hasBegun === true;
+    const isCancelled = exchange.cancellation.signal.aborted || !hasBegun && isOutdated(assignment, context.now());
     if (!isCancelled || result.kind === "answered") {
         context.health.record(assignment.server.id, outcome, context.now());
     }
@@ -472,6 +474,7 @@
         kind: "failed",
         verdict: Verdict.mayHaveRun,
         text: `${text}${hasStarted ? " after its first event" : ""}`,
+        hasBegun: hasStarted,
     };
 }
 
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -75,6 +75,9 @@
 const DOMAIN_DELAY_MS = 3;
 const REGION_DELAY_MS = 7;
 
+/** Agents send a beat every 2 s at least; one that was silent for longer has probably ended. */
+const AGENT_SILENT_AFTER_MS = 10_000;
+
 /** A beat that a load is in progress holds for this long; agents repeat it. */
 const LOADING_BEAT_LIFETIME_MS = 1200;
 
@@ -114,7 +117,10 @@
         },
         onWeightsNamed: version => {
             void relay.prefetch(version);
-            for (const [ip, model] of agentModels) tellAgent(ip, model, 0);
+            for (const [ip, { model, heardAt }] of agents) {
+                if (now() - heardAt < AGENT_SILENT_AFTER_MS) tellAgent(ip, model, 0);
+                else agents.delete(ip);
+            }
         },
     });
     const context: ExchangeContext = {
@@ -170,19 +176,22 @@
     const storeReached = new Set<string>();
     const catchUp = createCatchUp();
     /** The agents that have sent beats, with the model of their engine. */
-    const agentModels = new Map<string, string>();
+    const agents = new Map<string, { readonly model: string; readonly heardAt: number; }>();
 
     function onBeat(beat: Beat): void {
         const at = now();
         if (beat.kind === "agent") {
             dispatcher.learnWeights(beat.backendAddress, beat.startedAt, beat.model, beat.version);
             dispatcher.pauseServer(beat.backendAddress, beat.isLoading ? at + LOADING_BEAT_LIFETIME_MS : 0);
-            tellAgent(beat.backendAddress.split(":")[0] ?? "", beat.model, beat.version);
+            const ip = beat.backendAddress.split(":")[0] ?? "";
+            agents.set(ip, { model: beat.model, heardAt: at });
+            tellAgent(ip, beat.model, beat.version);
             return;
         }
         if (beat.kind !== "entry") return;
         neighbourhood.hear(beat, at);
         dispatcher.flights.hear(beat.name, beat.load, at);
+        for (const age of beat.named) weights.learnAge(age, at);
         if (beat.reachesStore) storeReached.add(beat.name);
         else storeReached.delete(beat.name);
         for (const table of [PlatformTable.operator, PlatformTable.servers]) void followNeighbour(beat, table, at);
@@ -201,7 +210,6 @@
 
     /** Agents look at the store seldom, so entries name the newest weights to them, also when a first word was lost. */
     function tellAgent(ip: string, model: string, known: number): void {
-        agentModels.set(ip, model);
         const version = weights.newest(model);
         if (known < version) beats.send({ kind: "weights", model, version }, [ip], agentPortOf(peerPort));
     }
@@ -271,6 +279,7 @@
         beats.send({
             kind: "entry",
             ...self,
+            named: weights.ages(now()),
             reachesStore: feeds.every(feed => feed.isConnected()),
             newest: Object.fromEntries([...replicas].map(([table, replica]) => [table, replica.newest()])),
             load: Object.fromEntries(
--- a/src/test/core/serving/burst.test.ts
+++ b/src/test/core/serving/burst.test.ts
@@ -10,7 +10,6 @@
     type DispatchRequest,
     type EngineFigures,
     passDurationMs,
-    RequestKind,
     type Settlement,
 } from "../../../lib/core/serving/index.js";
 
@@ -132,7 +131,6 @@
         rank: kind.routeRank,
         routeRank: kind.routeRank,
         account: String(Number(id) % 10),
-        kind: RequestKind.stream,
         hasReturned: false,
         arrivedAt: now,
         dueAt: now + kind.targetMs,
--- a/src/test/core/serving/rollout.test.ts
+++ b/src/test/core/serving/rollout.test.ts
@@ -45,6 +45,31 @@
     assert.equal(policy.lowest("m", 0), 4);
 });
 
+// Guards against an entry that is restarted in mid-rollout and refuses every server that has not switched yet, and
+// against one that learned of a version late and lets requests begin on older ones for as much longer.
+test("the earliest word of neighbours says how long ago a version was named", () => {
+    const policies = Array.from({ length: 3 }, () => createWeightsPolicy(() => ALLOWED_MS));
+    const [first, late, restarted] = policies;
+    assert.ok(first !== undefined && late !== undefined && restarted !== undefined);
+    first.name("m", 2, true, 1000);
+    late.name("m", 2, true, 4000);
+    restarted.name("m", 2, false, 4000);
+    assert.equal(restarted.lowest("m", 4000), 2);
+    assert.deepEqual(restarted.ages(4000), [], "it doesn't know");
+    for (const age of late.ages(4000)) restarted.learnAge(age, 4000);
+    assert.equal(restarted.lowest("m", 4000), 1);
+    for (const age of first.ages(5000)) {
+        late.learnAge(age, 5000);
+        restarted.learnAge(age, 5000);
+    }
+    for (const age of late.ages(6000)) first.learnAge({ ...age, ageMs: age.ageMs - 500 }, 6000);
+    for (const policy of policies) {
+        assert.equal(policy.lowest("m", 1000 + ALLOWED_MS / 2), 1);
+        assert.equal(policy.lowest("m", 1000 + ALLOWED_MS), 2);
+        assert.deepEqual(policy.ages(1000 + ALLOWED_MS), []);
+    }
+});
+
 // Guards against a rollout that takes all replicas of a failure domain away at the same moment, and against a last
 // replica that begins too late.
 test("the replicas of a failure domain switch one after the other and in time", () => {
--- a/src/test/platform/standInStore.ts
+++ b/src/test/platform/standInStore.ts
@@ -6,6 +6,7 @@
 
 export interface StandInStore {
     readonly address: string;
+    /** Number of calls so far, by path and table. */
     readonly calls: Map<string, number>;
     /** Writes a row as the operator or a runner does. */
     put(table: string, key: string, value: unknown): number;
@@ -66,7 +67,8 @@
     async function answer(request: http.IncomingMessage): Promise<[number, object]> {
         const url = new URL(request.url ?? "/", "http://store");
         const table = url.searchParams.get("table") ?? "";
-        calls.set(url.pathname, (calls.get(url.pathname) ?? 0) + 1);
+        const call = `${url.pathname} ${table}`;
+        calls.set(call, (calls.get(call) ?? 0) + 1);
         if (url.pathname === "/-/rows-feed") {
             return feed(table, Number(url.searchParams.get("after")), Number(url.searchParams.get("wait-ms")));
         }
--- a/src/test/router/outage.test.ts
+++ b/src/test/router/outage.test.ts
@@ -58,6 +58,39 @@
     assert.equal(revoked.status, 401);
 });
 
+// Guards against entries that all read each configuration whole, which fills the links between regions, and against
+// one that doesn't read and misses a change.
+test("the entries of a region share the reads of configurations", async () => {
+    const [store, runner, peerPort] = [await startStore(), await startRunner(), await freePort()];
+    store.put("servers", "i-1", serverRow(runner.address));
+    store.put("op", "config", configurationRow(1));
+    const ips = ["127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4"];
+    const entries: [string, Router][] = [];
+    for (const ip of ips) entries.push([ip, await startEntry(store.address, ip, peerPort)]);
+    const reads = () => store.calls.get("/-/rows-feed op") ?? 0;
+
+    async function change(version: number): Promise<number> {
+        const before = reads();
+        const key = `key-${version}`;
+        store.put("op", "config", configurationRow(version, { tenants: [{ name: "b", "api-keys": [key] }] }));
+        for (const [ip, { callerPort }] of entries) {
+            const status = async () => (await sendCall(callerPort, { path: "/read/", ip, headers: { key } })).status;
+            await until(async () => await status() === 200);
+        }
+        return reads() - before;
+    }
+
+    // Neighbours have to hear each other, and the calls that each began before wait until something changes.
+    for (const version of [2, 3]) {
+        await new Promise(resolve => setTimeout(resolve, 500));
+        await change(version);
+    }
+    await new Promise(resolve => setTimeout(resolve, 500));
+    const since = Date.now();
+    assert.ok(await change(4) <= 2);
+    assert.ok(Date.now() - since < 2000, `${Date.now() - since} ms`);
+});
+
 // Guards against a restarted entry that can't serve until the store is back.
 test("an entry that starts while the store is down begins with a neighbour's knowledge", async () => {
     const [store, down, runner, peerPort] = [
