Split the module that serves a request

One send, the relay of a stream, the process's own answers and what is known of a request are modules of their own now; the behaviour is unchanged (router tests pass).

--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -36,7 +36,8 @@
 import { createReceiverPaces } from "../stager/uploadPace.js";
 import { createBackendConnections } from "./backendConnections.js";
 import { startCallerServer, startReadyServer } from "./callerServer.js";
-import { type ExchangeContext, serveExchange } from "./exchange.js";
+import { serveExchange } from "./exchange.js";
+import type { ExchangeContext } from "./exchangeState.js";
 import { createOperatorState } from "./operatorState.js";
 
 export interface Router {
