--- a/src/lib/core/serving/transferOrder.ts
+++ b/src/lib/core/serving/transferOrder.ts
@@ -31,3 +31,28 @@
 export function usualTransferMs(bytes: number, linkMbps: number): number {
     return bytes * 8 / (linkMbps * 1000 * TRANSFER_EFFICIENCY);
 }
+
+/** How far a transfer has come. */
+export interface TransferProgress {
+    /** Part of the pieces that are here, 0 to 1. */
+    readonly share: number;
+    readonly elapsedMs: number;
+    /** Time since the last piece arrived. */
+    readonly sinceLastMs: number;
+}
+
+/** Pieces usually arrive every 50 to 100 ms; without one for this long their source is away, maybe for seconds. */
+const STALLED_AFTER_MS = 800;
+
+/**
+ * Returns the predicted time until all pieces are here; infinite while none arrive. The pace so far tells nothing of a
+ * transfer that has stalled: with one piece missing it would seem to be nearly complete for as long as that lasts, and
+ * engines that wait for it serve nobody.
+ *
+ * Answers an origin that ends when only a few pieces are missing.
+ */
+export function predictMissingMs({ share, elapsedMs, sinceLastMs }: TransferProgress): number {
+    if (share >= 1) return 0;
+    if (share === 0 || sinceLastMs > STALLED_AFTER_MS) return Number.POSITIVE_INFINITY;
+    return elapsedMs / share - elapsedMs;
+}
--- a/src/lib/stager/rollout.ts
+++ b/src/lib/stager/rollout.ts
@@ -3,7 +3,7 @@
  * is complete stays available for the engine and for other agents.
  */
 import * as http from "node:http";
-import { shouldFinishFirst, usualTransferMs } from "../core/serving/index.js";
+import { predictMissingMs, shouldFinishFirst, usualTransferMs } from "../core/serving/index.js";
 import { createOrigin, type WeightManifest } from "../platform/index.js";
 import type { AgentContext } from "./agentContext.js";
 import type { FleetView } from "./fleetView.js";
@@ -42,6 +42,8 @@
     readonly usualMs: number;
     /** Whether it goes before a newer version; `undefined` until one is named. */
     finishFirst: boolean | undefined;
+    /** Pieces held, and when the last change of their number was seen. */
+    last: { readonly count: number; readonly at: number; };
 }
 
 /** Processes that are asked for a manifest before the origin. */
@@ -70,6 +72,7 @@
             startedAt: now(),
             usualMs: usualTransferMs(bytes, settings.linkMbps),
             finishFirst: undefined,
+            last: { count: 0, at: now() },
         };
         transfer = current;
         run(model, current, source)
@@ -142,9 +145,13 @@
         const held = pieces.find(version);
         if (isComplete(held)) return 0;
         if (held === undefined || transfer?.version !== version) return Number.POSITIVE_INFINITY;
-        const share = countHeld(held) / Math.max(1, held.pieces.length);
-        const elapsed = now() - transfer.startedAt;
-        return share === 0 ? Number.POSITIVE_INFINITY : elapsed / share - elapsed;
+        const count = countHeld(held);
+        if (count !== transfer.last.count) transfer.last = { count, at: now() };
+        return predictMissingMs({
+            share: count / Math.max(1, held.pieces.length),
+            elapsedMs: now() - transfer.startedAt,
+            sinceLastMs: now() - transfer.last.at,
+        });
     }
 
     return { want, missingMs, stop: () => transfer?.cancellation.abort() };
--- a/src/test/core/serving/rollout.test.ts
+++ b/src/test/core/serving/rollout.test.ts
@@ -4,6 +4,7 @@
 import {
     createWeightsPolicy,
     drainDelayMs,
+    predictMissingMs,
     shouldDrain,
     shouldFinishFirst,
     USUAL_SWITCH_MS,
@@ -104,3 +105,16 @@
     assert.equal(shouldFinishFirst({ ...times, elapsedMs: 3000 }), true);
     assert.equal(shouldFinishFirst({ ...times, elapsedMs: 500 }), false);
 });
+
+// Guards against replicas that take no work for as long as one last piece can't be had, because the transfer seems to be
+// nearly complete.
+test("a transfer that has stalled isn't near its end, however little is missing", () => {
+    const flowing = { share: 63 / 64, elapsedMs: 3000, sinceLastMs: 100 };
+    assert.ok(predictMissingMs(flowing) < USUAL_SWITCH_MS);
+    const stalled = { ...flowing, elapsedMs: 6000, sinceLastMs: 3000 };
+    assert.equal(predictMissingMs(stalled), Number.POSITIVE_INFINITY);
+    const situation = { self: "a", replicas: ["a"], version: 2, namedAt: 0, allowedMs: ALLOWED_MS };
+    assert.equal(shouldDrain({ ...situation, missingMs: predictMissingMs(flowing) }, 6000), true);
+    assert.equal(shouldDrain({ ...situation, missingMs: predictMissingMs(stalled) }, 6000), false);
+    assert.equal(predictMissingMs({ ...stalled, share: 1 }), 0);
+});
