Keep agents off the origin while entries can fetch for them

Change: an entry insists for 1.2 s, with spread pauses, before it refuses a manifest or a piece. Entries share three quarters of the origin's connections and close idle ones after 1 s. Agents ask the origin for a manifest only after 2 to 4 s without a working entry, and keep no idle connection to it.

--- a/src/lib/core/serving/transferOrder.ts
+++ b/src/lib/core/serving/transferOrder.ts
@@ -56,3 +56,20 @@
     if (share === 0 || sinceLastMs > STALLED_AFTER_MS) return Number.POSITIVE_INFINITY;
     return elapsedMs / share - elapsedMs;
 }
+
+/** Without a working entry agents go to the origin after this time, spread over as much again. */
+const ORIGIN_PATIENCE_MS = 2000;
+
+/** Where there is no entry they go at once, spread over this time. */
+const LONE_SPREAD_MS = 500;
+
+/**
+ * Returns how long an agent asks the entries of its region for a version before it asks the origin itself. `random` is
+ * in [0, 1).
+ *
+ * Answers a start of all processes at once: the origin accepts fewer connections than there are agents, and if these
+ * take all of them as long as the entries are not ready, the entries can't fetch anything for anybody.
+ */
+export function originPatienceMs(hasEntries: boolean, random: number): number {
+    return hasEntries ? ORIGIN_PATIENCE_MS * (1 + random) : LONE_SPREAD_MS * random;
+}
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -258,6 +258,8 @@
         entryPort: peerPort,
         log,
         metrics,
+        now,
+        random,
     });
     const paceFor = createReceiverPaces();
     const peerServer = http.createServer((request, response) => {
@@ -349,7 +351,8 @@
     const origin = services.find(service => service.origin !== undefined)?.origin;
     const model = services.find(({ engine }) => engine !== undefined)?.engine?.model;
     if (origin === undefined || model === undefined) return undefined;
-    return { address: origin.address, region: settings.regions.get(origin.failureDomain) ?? "", model };
+    const { address, failureDomain, maxConnections } = origin;
+    return { address, region: settings.regions.get(failureDomain) ?? "", model, maxConnections };
 }
 
 function delayTo(settings: VmSettings, failureDomain: string): number {
--- a/src/lib/stager/pieceRelay.ts
+++ b/src/lib/stager/pieceRelay.ts
@@ -8,7 +8,7 @@
 import VError from "verror";
 import { firstMember } from "../core/index.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
-import { createOrigin, type WeightManifest } from "../platform/index.js";
+import { createOrigin, type Origin, type WeightManifest } from "../platform/index.js";
 import { createPeerClient, type PeerClient, type PieceSupply } from "./peerApi.js";
 import { countHeld, createPieceStore, type HeldVersion } from "./pieceStore.js";
 
@@ -21,16 +21,34 @@
     readonly entryPort: number;
     readonly log: EventLog;
     readonly metrics: ServingMetrics;
+    readonly now: () => number;
+    /** Returns a number in [0, 1). */
+    readonly random: () => number;
 }
 
 export interface WeightsOrigin {
     readonly address: string;
     readonly region: string;
     readonly model: string;
+    /** Connections that it accepts from all processes together. */
+    readonly maxConnections: number;
 }
 
-/** Tries for one piece, each at another source where there is one. */
-const MAX_TRIES = 4;
+/** Time for a manifest or a piece over all sources; those who ask wait about as long before they look elsewhere. */
+const FETCH_MS = 1200;
+
+/** Bounds of the pause before the next try, spread, because all entries start to fetch at the same moment. */
+const MIN_PAUSE_MS = 80;
+const MAX_PAUSE_MS = 240;
+
+/** Part of the origin's connections that the entries use together; agents without a working entry need the rest. */
+const ORIGIN_SHARE = 0.75;
+
+/** Idle connections take up places at the origin, so they are closed soon. */
+const ORIGIN_IDLE_MS = 1000;
+
+/** More connections than these add nothing, since the origin's link is the limit. */
+const MAX_ORIGIN_CONNECTIONS = 8;
 
 /** Wait at another entry that fetches the piece itself. */
 const SOURCE_WAIT_MS = 1200;
@@ -55,6 +73,7 @@
     const { self, log } = options;
     const pieces = createPieceStore();
     const connections = new http.Agent({ keepAlive: true, maxSockets: 8 });
+    const originConnections = new http.Agent({ keepAlive: true, timeout: ORIGIN_IDLE_MS });
     const manifests = new Map<number, Promise<HeldVersion>>();
     const fetches = new Map<string, Promise<Buffer>>();
     let newest = 0;
@@ -62,7 +81,7 @@
     function open(version: number): Promise<HeldVersion> {
         let opening = manifests.get(version);
         if (opening === undefined) {
-            opening = fetchManifest(version).then(({ model, manifest }) => pieces.open(model, manifest));
+            opening = insist(() => fetchManifest(version)).then(({ model, manifest }) => pieces.open(model, manifest));
             manifests.set(version, opening);
             // A failed read is repeated by the next request.
             opening.catch(() => manifests.delete(version));
@@ -78,8 +97,29 @@
             log.info("manifest not received", { version, source: "entry", error: (error as Error).message });
             return undefined;
         });
-        const origin = createOrigin(source.address, connections);
-        return { model: source.model, manifest: manifest ?? await origin.readManifest(source.model, version) };
+        if (manifest !== undefined) return { model: source.model, manifest };
+        return { model: source.model, manifest: await originOf(source).readManifest(source.model, version) };
+    }
+
+    /** Beyond its connections the origin resets new ones, so every entry keeps to its share. */
+    function originOf({ address, maxConnections }: WeightsOrigin): Origin {
+        const share = Math.floor(maxConnections * ORIGIN_SHARE / (options.entries().length + 1));
+        originConnections.maxSockets = Math.max(1, Math.min(MAX_ORIGIN_CONNECTIONS, share));
+        return createOrigin(address, originConnections);
+    }
+
+    /** Repeats what fails for a short time: callers that are refused go to the origin themselves, all at once. */
+    async function insist<T>(run: (tries: number) => Promise<T>): Promise<T> {
+        const until = options.now() + FETCH_MS;
+        for (let tries = 0;; tries++) {
+            try {
+                return await run(tries);
+            }
+            catch (error) {
+                if (options.now() >= until) throw error;
+                await sleep(MIN_PAUSE_MS + options.random() * (MAX_PAUSE_MS - MIN_PAUSE_MS));
+            }
+        }
     }
 
     /** The entry of the own region that fetches a piece for all of it. */
@@ -109,37 +149,36 @@
         return running;
     }
 
-    async function fetchVerified(held: HeldVersion, piece: number): Promise<Buffer> {
+    function fetchVerified(held: HeldVersion, piece: number): Promise<Buffer> {
+        return insist(tries => fetchOnce(held, piece, tries));
+    }
+
+    /** The first tries go to the other entries, all further ones to the origin. */
+    async function fetchOnce(held: HeldVersion, piece: number, tries: number): Promise<Buffer> {
         const { version } = held.manifest;
-        let cause: Error | undefined;
-        for (let tries = 0; tries < MAX_TRIES; tries++) {
-            const source = options.source();
-            if (source === undefined) break;
-            const upstream = upstreamEntries(source, version, piece)[tries];
-            const name = upstream === undefined ? "origin" : "entry";
-            try {
-                const bytes = upstream === undefined ?
-                    await createOrigin(source.address, connections).readPiece(held.model, version, piece) :
-                    await upstream.readPiece(version, piece, SOURCE_WAIT_MS);
-                if (pieces.put(held, piece, bytes)) {
-                    options.metrics.pieces.inc({ source: name });
-                    return bytes;
-                }
-                log.warn("piece corrupt", { piece, version, source: name });
-            }
-            catch (error) {
-                cause = error as Error;
-                log.info("piece not received", { piece, version, source: name, error: cause.message });
-            }
+        const source = options.source();
+        if (source === undefined) throw new VError("no origin is known");
+        const upstream = upstreamEntries(source, version, piece)[tries];
+        const name = upstream === undefined ? "origin" : "entry";
+        try {
+            const bytes = upstream === undefined ?
+                await originOf(source).readPiece(held.model, version, piece) :
+                await upstream.readPiece(version, piece, SOURCE_WAIT_MS);
+            if (!pieces.put(held, piece, bytes)) throw new VError("the piece is corrupt");
+            options.metrics.pieces.inc({ source: name });
+            return bytes;
+        }
+        catch (error) {
+            log.info("piece not received", { piece, version, source: name, error: (error as Error).message });
+            throw new VError({ cause: error as Error }, "piece %d of version %d can't be fetched", piece, version);
         }
-        throw new VError({ cause }, "piece %d of version %d can't be fetched", piece, version);
     }
 
     async function prefetch(version: number): Promise<void> {
         newest = Math.max(newest, version);
         if (options.source() === undefined) return;
         while (newest === version && !await tryPrefetch(version)) {
-            await new Promise(resolve => setTimeout(resolve, PREFETCH_PAUSE_MS));
+            await sleep(PREFETCH_PAUSE_MS);
         }
     }
 
@@ -180,3 +219,7 @@
         },
     };
 }
+
+function sleep(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
--- a/src/lib/stager/rollout.ts
+++ b/src/lib/stager/rollout.ts
@@ -3,8 +3,9 @@
  * is complete stays available for the engine and for other agents.
  */
 import * as http from "node:http";
-import { predictMissingMs, shouldFinishFirst, usualTransferMs } from "../core/serving/index.js";
-import { createOrigin, type WeightManifest } from "../platform/index.js";
+import VError from "verror";
+import { originPatienceMs, predictMissingMs, shouldFinishFirst, usualTransferMs } from "../core/serving/index.js";
+import { createOrigin, type Origin, type WeightManifest } from "../platform/index.js";
 import type { AgentContext } from "./agentContext.js";
 import type { FleetView } from "./fleetView.js";
 import { countHeld, type HeldVersion, type PieceStore } from "./pieceStore.js";
@@ -27,7 +28,6 @@
     readonly context: AgentContext;
     readonly fleet: FleetView;
     readonly pieces: PieceStore;
-    readonly connections: http.Agent;
     /** Reads a piece that the engine may already have, for versions that it has held. */
     readonly readStaged: (model: string, piece: number) => Promise<Buffer | undefined>;
     /** Tells whether pieces of the version may be staged already. */
@@ -49,8 +49,11 @@
 /** Processes that are asked for a manifest before the origin. */
 const MANIFEST_SOURCES = 2;
 
-/** Pause before a transfer that could not start is tried again. */
-const RETRY_PAUSE_MS = 300;
+/** Pause before a transfer that could not start is tried again; half of it is spread. */
+const RETRY_PAUSE_MS = 400;
+
+/** An agent asks the origin for as many pieces at once. */
+const ORIGIN_CONNECTIONS = 2;
 
 /** Time that a transfer with a load of the weights before it needs beside the transfer itself. */
 const LOAD_MS = 1500;
@@ -58,7 +61,18 @@
 export function createRollout(options: RolloutOptions): Rollout {
     const { context, fleet, pieces } = options;
     const { settings, log, now, random } = context;
+    /** Idle connections would take up places at the origin, which accepts few. */
+    const originConnections = new http.Agent({ keepAlive: false, maxSockets: ORIGIN_CONNECTIONS });
     let transfer: Transfer | undefined;
+    /** The version whose manifest is missing, and when the origin may be asked for it. */
+    let wanted: { readonly version: number; readonly originDueAt: number; } | undefined;
+
+    function originDueAt(version: number, hasEntries: boolean): number {
+        if (wanted?.version !== version) {
+            wanted = { version, originDueAt: now() + originPatienceMs(hasEntries, random()) };
+        }
+        return wanted.originDueAt;
+    }
 
     function want(model: string, version: number, bytes: number, source: WeightsSource): void {
         if (isComplete(pieces.find(version))) return;
@@ -78,7 +92,7 @@
         run(model, current, source)
             .catch(async error => {
                 log.warn("transfer failed", { version, error: (error as Error).message });
-                await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
+                await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS * (0.5 + random() / 2)));
             })
             .finally(() => {
                 if (transfer === current) transfer = undefined;
@@ -104,10 +118,11 @@
     async function run(model: string, { version, cancellation }: Transfer, source: WeightsSource): Promise<void> {
         const since = now();
         await fleet.refresh();
-        const origin = createOrigin(source.address, options.connections);
+        const origin = createOrigin(source.address, originConnections);
         const peers = fleet.peers();
         const relays = fleet.relays();
-        const manifest = await readManifest(version, [...relays, ...peers], () => origin.readManifest(model, version));
+        const mayAskOrigin = () => now() >= originDueAt(version, relays.length > 0);
+        const manifest = await readManifest(version, [...relays, ...peers], mayAskOrigin, origin, model);
         const held = pieces.open(model, manifest);
         if (options.mayBeStaged(version)) await readOwnStage(held);
         const fromStage = countHeld(held);
@@ -161,15 +176,23 @@
     return held !== undefined && countHeld(held) === held.pieces.length;
 }
 
-/** Relays and agents have it from the origin; asking them first spares its link. */
+/** Relays and agents have it from the origin; asking them first spares its link and its connections. */
 async function readManifest(
     version: number,
     sources: readonly Relay[],
-    readOrigin: () => Promise<WeightManifest>,
+    mayAskOrigin: () => boolean,
+    origin: Origin,
+    model: string,
 ): Promise<WeightManifest> {
+    let cause: Error | undefined;
     for (const { client } of sources.slice(0, MANIFEST_SOURCES)) {
-        const manifest = await client.readManifest(version).catch(() => undefined);
-        if (manifest !== undefined) return manifest;
+        try {
+            return await client.readManifest(version);
+        }
+        catch (error) {
+            cause = error as Error;
+        }
     }
-    return readOrigin();
+    if (mayAskOrigin()) return origin.readManifest(model, version);
+    throw new VError({ cause }, "no entry has the manifest of version %d", version);
 }
--- a/src/lib/stager/stager.ts
+++ b/src/lib/stager/stager.ts
@@ -64,7 +64,6 @@
         context,
         fleet,
         pieces,
-        connections,
         readStaged: engine.readStaged,
         mayBeStaged: version => version === engineTask.loaded() || now() - startedAt < FIRST_LOOK_MS,
         onComplete: () => void look(),
--- a/src/test/core/serving/rollout.test.ts
+++ b/src/test/core/serving/rollout.test.ts
@@ -4,6 +4,7 @@
 import {
     createWeightsPolicy,
     drainDelayMs,
+    originPatienceMs,
     predictMissingMs,
     shouldDrain,
     shouldFinishFirst,
@@ -118,3 +119,11 @@
     assert.equal(shouldDrain({ ...situation, missingMs: predictMissingMs(stalled) }, 6000), false);
     assert.equal(predictMissingMs({ ...stalled, share: 1 }), 0);
 });
+
+// Guards against agents that take all connections of the origin after a start of all processes at once, so that the
+// entries can't fetch anything for them.
+test("agents leave the origin to the entries at first, and spread when they ask it themselves", () => {
+    const [first, last] = [originPatienceMs(true, 0), originPatienceMs(true, 0.999)];
+    assert.ok(first >= 2000 && last - first > 1900);
+    assert.ok(originPatienceMs(false, 0) === 0 && originPatienceMs(false, 0.999) < 1000);
+});
--- a/src/test/stager/pieceRelay.test.ts
+++ b/src/test/stager/pieceRelay.test.ts
@@ -28,6 +28,9 @@
 
 async function startOrigin() {
     let sent = 0;
+    let isRefusing = false;
+    let open = 0;
+    let mostOpen = 0;
     const server = http.createServer((request, response) => {
         const url = new URL(request.url ?? "/", "http://origin");
         const version = Number(url.searchParams.get("version"));
@@ -42,12 +45,33 @@
         sent++;
         response.end(pieceOf(version, Number(url.searchParams.get("num-items"))));
     });
+    server.on("connection", socket => {
+        if (isRefusing) {
+            socket.resetAndDestroy();
+            return;
+        }
+        mostOpen = Math.max(mostOpen, ++open);
+        socket.on("close", () => open--);
+    });
     servers.push(server);
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    return { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, sent: () => sent, server };
+    return {
+        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        sent: () => sent,
+        /** Connections that are open, and the most that ever were. */
+        connections: () => [open, mostOpen] as const,
+        setRefusing: (value: boolean) => {
+            isRefusing = value;
+        },
+        server,
+    };
 }
 
-async function startRelays(origin: string, regions: Readonly<Record<string, string>>): Promise<PieceRelay[]> {
+async function startRelays(
+    origin: string,
+    regions: Readonly<Record<string, string>>,
+    maxConnections = 48,
+): Promise<PieceRelay[]> {
     const entryPort = await freePort();
     const all = Object.entries(regions).map(([ip, region]) => ({ ip, region }));
     return Promise.all(all.map(async self => {
@@ -55,10 +79,12 @@
         const relay = createPieceRelay({
             self,
             entries: () => all.filter(({ ip }) => ip !== self.ip),
-            source: () => ({ address: origin, region: "near", model: "m" }),
+            source: () => ({ address: origin, region: "near", model: "m", maxConnections }),
             entryPort,
             log: createEventLog({ process: self.ip, role: "entry", now: () => 0, write: () => undefined }),
             metrics,
+            now: () => performance.now(),
+            random: Math.random,
         });
         started.push(relay);
         const server = createPieceServer(relay, createReceiverPaces(), metrics);
@@ -98,3 +124,33 @@
     assert.equal(await heldBy(one), PIECES);
     assert.equal(origin.sent(), PIECES);
 });
+
+// Guards against agents that all turn to the origin because their entry gave up at its first refusal, which takes the
+// connections that the entry needs.
+test("an entry insists for a moment when the origin resets its connections", LIMIT, async () => {
+    const origin = await startOrigin();
+    const [relay] = await startRelays(origin.address, { "127.0.0.2": "near" });
+    origin.setRefusing(true);
+    const manifest = relay?.manifest(2);
+    await new Promise(resolve => setTimeout(resolve, 500));
+    origin.setRefusing(false);
+    assert.equal((await manifest)?.digests.length, PIECES);
+    origin.setRefusing(true);
+    origin.server.closeAllConnections();
+    const piece = relay?.piece(2, 0, 0);
+    await new Promise(resolve => setTimeout(resolve, 500));
+    origin.setRefusing(false);
+    assert.deepEqual(await piece, pieceOf(2, 0));
+});
+
+// Guards against entries that open more connections than the origin accepts from all processes together, and against
+// idle ones that hold places for ever.
+test("the entries share the origin's connections and leave them soon", LIMIT, async () => {
+    const origin = await startOrigin();
+    const relays = await startRelays(origin.address, { "127.0.0.2": "near", "127.0.0.3": "near" }, 8);
+    await Promise.all(relays.map(relay => relay.prefetch(2)));
+    await Promise.all(Array.from({ length: PIECES }, (_, piece) => relays[0]?.piece(2, piece, 0)));
+    const [, most] = origin.connections();
+    assert.ok(most <= 6, `${most} connections`);
+    await until(() => origin.connections()[0] === 0);
+});
