--- a/src/bench/bench.ts
+++ b/src/bench/bench.ts
@@ -20,6 +20,7 @@
     fairness: async () => (await import("./fairness.js")).run,
     flood: async () => (await import("./flood.js")).run,
     overhead: async () => (await import("./overhead.js")).run,
+    placement: async () => (await import("./placement.js")).run,
     faults: async () => (await import("./faults.js")).run,
 };
 
--- /dev/null
+++ b/src/bench/placement.ts
@@ -0,0 +1,45 @@
+/**
+ * Bench `placement`: replays each load trace in the pure core against the design and two baselines. `--trace NAME` takes
+ * one trace, `--seeds N` plays as many arrivals of each.
+ */
+import {
+    createDesignPlacer,
+    createLeastInFlightPlacer,
+    createRandomPlacer,
+    type Placer,
+    replayTrace,
+} from "../harness/enginePool.js";
+import { LOAD_TRACES, type LoadTrace } from "../harness/loadTraces.js";
+import type { Bench, Figures } from "./bench.js";
+
+const DESIGNS: Readonly<Record<string, (trace: LoadTrace) => Placer>> = {
+    design: createDesignPlacer,
+    leastInFlight: createLeastInFlightPlacer,
+    firstComeRandom: createRandomPlacer,
+};
+
+export const run: Bench = async options => {
+    const seeds = Array.from({ length: Number(options.seeds ?? 5) }, (_, index) => index + 1);
+    const traces = LOAD_TRACES.filter(({ name }) => options.trace === undefined || options.trace === name);
+    return Object.fromEntries(traces.map(trace => [
+        trace.name,
+        Object.fromEntries(Object.entries(DESIGNS).map(([name, create]) => [name, measure(trace, create, seeds)])),
+    ]));
+};
+
+/** Means over the seeds. */
+function measure(trace: LoadTrace, create: (trace: LoadTrace) => Placer, seeds: readonly number[]): Figures {
+    const replays = seeds.map(seed => replayTrace(trace, create(trace), seed));
+    const mean = (pick: (replay: (typeof replays)[number]) => number) => {
+        return Math.round(1000 * replays.reduce((sum, replay) => sum + pick(replay), 0) / replays.length) / 1000;
+    };
+    return {
+        worth: mean(({ total }) => total.worth / total.owed),
+        lateShare: mean(({ total }) => (total.served - total.onTime) / total.asked),
+        refusedShare: mean(({ total }) => total.refused / total.asked),
+        tenantJain: mean(({ accountJain }) => accountJain),
+        onTimeByRank: trace.kinds.map((_, rank) =>
+            mean(({ kinds }) => (kinds[rank]?.onTime ?? 0) / (kinds[rank]?.asked ?? 1))
+        ),
+    };
+}
