Finish an older version first, and leave the origin to the relays when it returns

Entries gave the prefetch of version 2 up for version 3, and agents, whose relays had answered 503 for 6 s, fetched the last pieces from the origin each for itself (3.5 copies).

Change: an entry fetches versions one after the other, at most the two newest. A relay that answers that it lacks a piece counts as busy for up to 8 s, not as failed, so that agents get the piece from it as soon as it has it.

Measured: unit tests.

--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -31,7 +31,7 @@
 import { answerMetrics, createServingMetrics, type EventLog } from "../observability/index.js";
 import { PlatformTable } from "../platform/index.js";
 import type { VmBounds, VmSettings } from "../settings/vmSettings.js";
-import { answerPieces } from "../stager/peerApi.js";
+import { answerPieces, LACKING_STATUS } from "../stager/peerApi.js";
 import { createPieceRelay, type WeightsOrigin } from "../stager/pieceRelay.js";
 import { createReceiverPaces } from "../stager/uploadPace.js";
 import { createBackendConnections } from "./backendConnections.js";
@@ -269,7 +269,7 @@
             .catch(error => {
                 log.info("piece not relayed", { error: (error as Error).message });
                 if (response.headersSent) response.destroy();
-                else response.writeHead(503).end();
+                else response.writeHead(LACKING_STATUS).end();
             });
     });
     await listen(peerServer, `${settings.ip}:${peerPort}`);
--- a/src/lib/stager/peerApi.ts
+++ b/src/lib/stager/peerApi.ts
@@ -65,6 +65,14 @@
     };
 }
 
+/** Status of a process that is asked for what it could not get itself in time. */
+export const LACKING_STATUS = 503;
+
+/** Tells whether a call failed because the process that was asked lacks the piece, not because it is away. */
+export function isLacking(error: Error): boolean {
+    return VError.info(error).status === LACKING_STATUS;
+}
+
 /** What a process that serves pieces holds or fetches. */
 export interface PieceSupply {
     manifest(version: number): Promise<WeightManifest | undefined>;
--- a/src/lib/stager/pieceRelay.ts
+++ b/src/lib/stager/pieceRelay.ts
@@ -66,6 +66,12 @@
 /** Pieces fetched at once ahead of the agents; two keep the origin's link busy. */
 const PREFETCHES = 2;
 
+/** A version is fetched to its end if only one newer one is named meanwhile: each has its own time to be in use. */
+const PREFETCHED_VERSIONS = 2;
+
+/** A version that can't be fetched for about the time that a rollout has makes way for a newer one. */
+const HOPELESS_AFTER_MS = 10_000;
+
 /** Pause after which a prefetch that failed is tried again. */
 const PREFETCH_PAUSE_MS = 300;
 
@@ -77,6 +83,7 @@
     const manifests = new Map<number, Promise<HeldVersion>>();
     const fetches = new Map<string, Promise<Buffer>>();
     let newest = 0;
+    let prefetching = Promise.resolve();
 
     function open(version: number): Promise<HeldVersion> {
         let opening = manifests.get(version);
@@ -174,12 +181,19 @@
         }
     }
 
-    async function prefetch(version: number): Promise<void> {
+    function prefetch(version: number): Promise<void> {
         newest = Math.max(newest, version);
-        if (options.source() === undefined) return;
-        while (newest === version && !await tryPrefetch(version)) {
-            await sleep(PREFETCH_PAUSE_MS);
-        }
+        const before = prefetching;
+        prefetching = before.then(() => prefetchInTurn(version));
+        return prefetching;
+    }
+
+    /** Versions are fetched one after the other: together both would be late, since the origin's link is the limit. */
+    async function prefetchInTurn(version: number): Promise<void> {
+        const since = options.now();
+        const isWanted = () => version > newest - PREFETCHED_VERSIONS && options.source() !== undefined;
+        const isHopeless = () => newest > version && options.now() - since > HOPELESS_AFTER_MS;
+        while (isWanted() && !isHopeless() && !await tryPrefetch(version)) await sleep(PREFETCH_PAUSE_MS);
     }
 
     async function tryPrefetch(version: number): Promise<boolean> {
--- a/src/lib/stager/pieceTransfer.ts
+++ b/src/lib/stager/pieceTransfer.ts
@@ -13,7 +13,7 @@
 } from "../core/index.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
 import type { Origin } from "../platform/index.js";
-import type { PeerClient } from "./peerApi.js";
+import { isLacking, type PeerClient } from "./peerApi.js";
 import { countHeld, type HeldVersion, type PieceStore } from "./pieceStore.js";
 
 export interface TransferPeer extends Participant {
@@ -59,6 +59,12 @@
 /** Wait before the next VM takes over a piece that nobody of the region has. */
 const TAKEOVER_STEP_MS = 900;
 
+/**
+ * A relay that answers that it can't get a piece is asked again for this long: it gets it as soon as anybody can, and
+ * agents that all turn to the origin take its link from the relays. Longer than an origin usually needs to return.
+ */
+const RELAY_PATIENCE_MS = 8000;
+
 /** The plan is asked again after this time if no request ends meanwhile. */
 const PLAN_INTERVAL_MS = 50;
 
@@ -77,6 +83,8 @@
     const assignments = digests.map(assign);
     const dueAt = assignments.map(({ rank }) => startedAt + takeoverDelayMs(rank, random(), TAKEOVER_STEP_MS));
     const relays = new Map(options.relays.map(relay => [relay.name, relay]));
+    /** Since when relays that answer have had none of the pieces that they were asked for. */
+    const lackingSince = new Map<string, number>();
     /** Without a working relay agents exchange pieces, which is faster in another order. */
     let relayTrustedAt = relays.size > 0 ? startedAt : Number.POSITIVE_INFINITY;
     const plan = createTransferPlan({
@@ -122,8 +130,10 @@
         if (relay !== undefined) {
             const read = () => relay.client.readPiece(held.manifest.version, chunk, SOURCE_WAIT_MS);
             const outcome = await fetchFrom(chunk, "relay", read);
+            if (outcome === RequestOutcome.held) lackingSince.delete(source);
+            if (outcome === RequestOutcome.busy && isPatientWith(source)) return outcome;
             if (outcome !== RequestOutcome.held) relayTrustedAt = now() + RELAY_PAUSE_MS;
-            return outcome;
+            return outcome === RequestOutcome.busy ? RequestOutcome.failed : outcome;
         }
         if (source !== UPSTREAM) {
             return fetchFrom(chunk, "peer", () => peerPiece(source, chunk, 0));
@@ -136,6 +146,12 @@
         return fetchFrom(chunk, "origin", read);
     }
 
+    function isPatientWith(relay: string): boolean {
+        const since = lackingSince.get(relay) ?? now();
+        lackingSince.set(relay, since);
+        return now() - since < RELAY_PATIENCE_MS;
+    }
+
     function peerPiece(name: string, chunk: number, waitMs: number): Promise<Buffer> {
         const peer = byName.get(name);
         if (peer === undefined) return Promise.reject(new Error("the peer is unknown"));
@@ -155,7 +171,7 @@
         }
         catch (error) {
             options.log.info("piece not received", { piece: chunk, source, error: (error as Error).message });
-            return RequestOutcome.failed;
+            return source === "relay" && isLacking(error as Error) ? RequestOutcome.busy : RequestOutcome.failed;
         }
     }
 }
--- a/src/test/stager/pieceRelay.test.ts
+++ b/src/test/stager/pieceRelay.test.ts
@@ -27,7 +27,7 @@
 });
 
 async function startOrigin() {
-    let sent = 0;
+    const versionsSent: number[] = [];
     let isRefusing = false;
     let open = 0;
     let mostOpen = 0;
@@ -42,7 +42,7 @@
             response.end(JSON.stringify({ model: "m", version, digests }));
             return;
         }
-        sent++;
+        versionsSent.push(version);
         response.end(pieceOf(version, Number(url.searchParams.get("num-items"))));
     });
     server.on("connection", socket => {
@@ -57,7 +57,9 @@
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     return {
         address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-        sent: () => sent,
+        sent: () => versionsSent.length,
+        /** The version of each piece that was sent, in this order. */
+        versionsSent,
         /** Connections that are open, and the most that ever were. */
         connections: () => [open, mostOpen] as const,
         setRefusing: (value: boolean) => {
@@ -154,3 +156,25 @@
     assert.ok(most <= 6, `${most} connections`);
     await until(() => origin.connections()[0] === 0);
 });
+
+// Guards against a version that is nearly complete when the origin returns and then shares its link with a newer one, so
+// that both are late.
+test("a version is prefetched to its end before a newer one", LIMIT, async () => {
+    const origin = await startOrigin();
+    const [relay] = await startRelays(origin.address, { "127.0.0.2": "near" });
+    origin.setRefusing(true);
+    const both = Promise.all([relay?.prefetch(2), relay?.prefetch(3)]);
+    await new Promise(resolve => setTimeout(resolve, 300));
+    origin.setRefusing(false);
+    await both;
+    assert.equal(origin.versionsSent.lastIndexOf(2), PIECES - 1);
+    assert.equal(origin.sent(), 2 * PIECES);
+});
+
+// Guards against a version that nobody needs any more and that keeps the newest one waiting.
+test("of several versions named together only the two newest are prefetched", LIMIT, async () => {
+    const origin = await startOrigin();
+    const [relay] = await startRelays(origin.address, { "127.0.0.2": "near" });
+    await Promise.all([2, 3, 4].map(version => relay?.prefetch(version)));
+    assert.deepEqual([...new Set(origin.versionsSent)], [3, 4]);
+});
