--- a/src/test/platform/standInRunner.ts
+++ b/src/test/platform/standInRunner.ts
@@ -111,6 +111,23 @@
     };
 }
 
+/** The engine figures of a service whose weights have so many pieces. */
+export function engineFigures(model: string, chunks: number, chunkBytes: number): object {
+    return {
+        slots: 4,
+        step_ms: 1,
+        per_seq_ms: 0,
+        context_per_k: 0,
+        read_per_s: 1000,
+        pairs_per_m: 0,
+        usual: { prompt: 1, answer: 1 },
+        layers: 4,
+        models: [{ name: model }],
+        chunks,
+        "chunk-bytes": chunkBytes,
+    };
+}
+
 const ROUTE = {
     host: "site.example",
     "timeout-ms": 3000,
--- a/src/test/router/outdatedWeights.test.ts
+++ b/src/test/router/outdatedWeights.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { afterEach, test } from "node:test";
-import { configurationRow, serverRow, startStandInRunner } from "../platform/standInRunner.js";
+import { configurationRow, engineFigures, serverRow, startStandInRunner } from "../platform/standInRunner.js";
 import { startStandInStore } from "../platform/standInStore.js";
 import { freePort, sendCall, startTestRouter, until, vmSettings } from "./routerHarness.js";
 
@@ -13,20 +13,6 @@
 const MODEL = "m";
 const ALLOWED_MS = 2000;
 
-const ENGINE = {
-    slots: 4,
-    step_ms: 1,
-    per_seq_ms: 0,
-    context_per_k: 0,
-    read_per_s: 1000,
-    pairs_per_m: 0,
-    usual: { prompt: 1, answer: 1 },
-    layers: 4,
-    models: [{ name: MODEL }],
-    chunks: 1,
-    "chunk-bytes": 1,
-};
-
 // Guards against a request that waits at an engine with older weights and begins after the time for the new ones.
 test("a request that has not begun when its server's weights are outdated is cancelled there", async () => {
     const store = await startStandInStore();
@@ -35,7 +21,7 @@
     // With so late a target the answer would be looked for elsewhere only after half of the caller's time.
     const talk = { service: "llm", "target-latency-ms": 2000 };
     const routes = base.routes.map(route => route.name === "talk" ? { ...route, ...talk } : route);
-    const services = [{ name: "llm", "health-path": "/h", "max-connections": 10, engine: ENGINE }];
+    const services = [{ name: "llm", "health-path": "/h", "max-connections": 10, engine: engineFigures(MODEL, 1, 1) }];
     store.put("op", "config", { ...base, routes, services });
     const waiting = await startStandInRunner(() => undefined);
     cleanups.push(waiting.close);
--- a/src/test/stager/stager.test.ts
+++ b/src/test/stager/stager.test.ts
@@ -7,7 +7,7 @@
 import { createEventLog } from "../../lib/observability/index.js";
 import { createPlatformStore } from "../../lib/platform/index.js";
 import { type Stager, startStager } from "../../lib/stager/index.js";
-import { configurationRow, serverRow } from "../platform/standInRunner.js";
+import { configurationRow, engineFigures, serverRow } from "../platform/standInRunner.js";
 import { type StandInStore, startStandInStore } from "../platform/standInStore.js";
 import { freePort, until, vmSettings } from "../router/routerHarness.js";
 
@@ -84,19 +84,7 @@
 beforeEach(async () => {
     store = await startStandInStore();
     engine = await startEngineAndOrigin();
-    const figures = {
-        slots: 4,
-        step_ms: 1,
-        per_seq_ms: 0,
-        context_per_k: 0,
-        read_per_s: 1000,
-        pairs_per_m: 0,
-        usual: { prompt: 1, answer: 1 },
-        layers: 4,
-        models: [{ name: MODEL }],
-        chunks: PIECES,
-        "chunk-bytes": PIECE_BYTES,
-    };
+    const figures = engineFigures(MODEL, PIECES, PIECE_BYTES);
     const services = [
         { name: "llm", "health-path": "/h", "max-connections": 10, engine: figures },
         { name: "weights", origin: engine.address, zone: "a", "max-connections": 10 },
