--- a/src/bench/placement.ts
+++ b/src/bench/placement.ts
@@ -1,34 +1,38 @@
 /**
  * Bench `placement`: replays each load trace in the pure core against the design and two baselines. `--trace NAME` takes
- * one trace, `--seeds N` plays as many arrivals of each.
+ * one trace, `--seeds N` plays as many arrivals of each, `--entries N` shares them between as many entries (default: 1),
+ * which tell each other their load every `--beat` milliseconds (default: 100).
  */
 import {
     createDesignPlacer,
     createLeastInFlightPlacer,
     createRandomPlacer,
+    LONE_ENTRY,
     type Placer,
     replayTrace,
 } from "../harness/enginePool.js";
 import { LOAD_TRACES, type LoadTrace } from "../harness/loadTraces.js";
 import type { Bench, Figures } from "./bench.js";
 
-const DESIGNS: Readonly<Record<string, (trace: LoadTrace) => Placer>> = {
-    design: createDesignPlacer,
-    leastInFlight: createLeastInFlightPlacer,
-    firstComeRandom: createRandomPlacer,
-};
+type Design = (trace: LoadTrace) => Placer;
 
 export const run: Bench = async options => {
     const seeds = Array.from({ length: Number(options.seeds ?? 5) }, (_, index) => index + 1);
+    const group = { entries: Number(options.entries ?? 1), beatMs: Number(options.beat ?? LONE_ENTRY.beatMs) };
+    const designs: Readonly<Record<string, Design>> = {
+        design: trace => createDesignPlacer(trace, group),
+        leastInFlight: createLeastInFlightPlacer,
+        firstComeRandom: createRandomPlacer,
+    };
     const traces = LOAD_TRACES.filter(({ name }) => options.trace === undefined || options.trace === name);
     return Object.fromEntries(traces.map(trace => [
         trace.name,
-        Object.fromEntries(Object.entries(DESIGNS).map(([name, create]) => [name, measure(trace, create, seeds)])),
+        Object.fromEntries(Object.entries(designs).map(([name, create]) => [name, measure(trace, create, seeds)])),
     ]));
 };
 
 /** Means over the seeds. */
-function measure(trace: LoadTrace, create: (trace: LoadTrace) => Placer, seeds: readonly number[]): Figures {
+function measure(trace: LoadTrace, create: Design, seeds: readonly number[]): Figures {
     const replays = seeds.map(seed => replayTrace(trace, create(trace), seed));
     const mean = (pick: (replay: (typeof replays)[number]) => number) => {
         return Math.round(1000 * replays.reduce((sum, replay) => sum + pick(replay), 0) / replays.length) / 1000;
--- a/src/harness/enginePool.ts
+++ b/src/harness/enginePool.ts
@@ -13,6 +13,7 @@
     createWeightsPolicy,
     type DispatchRequest,
     type EngineFigures,
+    type Flights,
     Outcome,
     passDurationMs,
 } from "../lib/core/serving/index.js";
@@ -270,11 +271,61 @@
     return squares === 0 ? 1 : sum * sum / (shares.length * squares);
 }
 
-/** The product's own way: the dispatcher of one entry that sees all requests. */
-export function createDesignPlacer(trace: LoadTrace): Placer {
+/** Entries that share the requests, and how often they tell each other their load. */
+export interface EntryGroup {
+    readonly entries: number;
+    readonly beatMs: number;
+}
+
+/** One entry that sees all requests. */
+export const LONE_ENTRY: EntryGroup = { entries: 1, beatMs: 100 };
+
+/** The product's own way: the dispatchers of one or more entries, each of which gets an even share of the requests. */
+export function createDesignPlacer(trace: LoadTrace, { entries, beatMs } = LONE_ENTRY): Placer {
+    const dispatchers = Array.from({ length: entries }, (_, index) => createEntryPlacer(trace, entries, index));
+    const owners = new Map<string, EntryPlacer>();
+    const generator = xoroshiro128plus(11);
+    let beatAt = 0;
+
+    function exchangeBeats(now: number): void {
+        for (const [index, { flights }] of dispatchers.entries()) {
+            const report = flights.report();
+            for (const [other, { flights: theirs }] of dispatchers.entries()) {
+                if (other !== index) theirs.hear(`entry-${index}`, report, now);
+            }
+        }
+    }
+
+    return {
+        submit: (request, settle, now) => {
+            const owner = dispatchers[uniformInt(generator, 0, entries - 1)];
+            if (owner === undefined) return;
+            owners.set(request.id, owner);
+            owner.submit(request, settle, now);
+        },
+        withdraw: id => owners.get(id)?.withdraw(id),
+        started: (id, ...more) => owners.get(id)?.started(id, ...more),
+        ended: (id, ...more) => {
+            owners.get(id)?.ended(id, ...more);
+            owners.delete(id);
+        },
+        tick: now => {
+            for (const dispatcher of dispatchers) dispatcher.tick(now);
+            if (now < beatAt) return;
+            beatAt = now + beatMs;
+            exchangeBeats(now);
+        },
+    };
+}
+
+interface EntryPlacer extends Placer {
+    readonly flights: Flights;
+}
+
+function createEntryPlacer(trace: LoadTrace, entries: number, index: number): EntryPlacer {
     const registry = createServerRegistry(() => 2000);
     const health = createServerHealth();
-    const ids = Array.from({ length: trace.engines }, (_, index) => engineName(index));
+    const ids = Array.from({ length: trace.engines }, (_, engine) => engineName(engine));
     for (const id of ids) {
         registry.put({
             id,
@@ -288,8 +339,8 @@
             weights: { model: "m", version: 1 },
         });
     }
-    const service = { name: "s", healthPath: "/", maxConnections: 264, engine: FIGURES, origin: undefined };
-    const generator = xoroshiro128plus(3);
+    const service = { name: "s", healthPath: "/", maxConnections: 1000, engine: FIGURES, origin: undefined };
+    const generator = xoroshiro128plus(3 + index);
     const dispatcher = createDispatcher({
         registry,
         health,
@@ -297,11 +348,12 @@
         findService: () => service,
         failureDomain: "d",
         delayMs: () => 1,
-        entries: () => 1,
+        entries: () => entries,
         random: () => uniformFloat64(generator),
     });
     const predictions = new Map<string, number>();
     return {
+        flights: dispatcher.flights,
         submit: (request, settle, now) => {
             dispatcher.submit(request, settlement => {
                 if (settlement.kind === "refused") {
--- a/src/harness/loadTraces.ts
+++ b/src/harness/loadTraces.ts
@@ -80,6 +80,14 @@
     troubles: [],
 } as const;
 
+/** Three times the usual pool under a load that it can just serve, which is where entries get in each other's way. */
+const LARGE = {
+    ...USUAL,
+    engines: 12,
+    accounts: 24,
+    kinds: USUAL.kinds.map(kind => ({ ...kind, perSecond: 3.6 * kind.perSecond })),
+} as const;
+
 export const LOAD_TRACES: readonly LoadTrace[] = [
     /** The least urgent work comes three times as often. */
     { ...USUAL, name: "burst", surges: [{ fromMs: 4000, toMs: 10_000, factor: 3, rank: RELAXED.rank }] },
@@ -89,6 +97,8 @@
     { ...USUAL, name: "hotAccount", surges: [{ fromMs: 3000, toMs: 13_000, factor: 2, account: "0" }] },
     /** An engine takes nearly five times as long and says nothing. */
     { ...USUAL, name: "slowEngine", troubles: [{ engine: 1, fromMs: 4000, toMs: 10_000, slowness: 4.6 }] },
+    /** A large pool at its limit all the time. */
+    { ...LARGE, name: "largePool" },
     /** An engine is gone without notice, and comes back. */
     { ...USUAL, name: "lostEngine", troubles: [{ engine: 2, fromMs: 4000, toMs: 9000, slowness: Infinity }] },
 ];
