Divide the engines among the entries

Cause: an entry knows its own placements at once and the others' from their next beats. Near its limit a pool has few free slots, entries that see the same one all fill it, and every first event there is late.

Change: each entry fills the engines that are its own part of its failure domain; it sends to others only while at most half of their slots are in use. Servers of domains without entries are divided among all.

--- a/src/harness/enginePool.ts
+++ b/src/harness/enginePool.ts
@@ -318,6 +318,8 @@
     };
 }
 
+const entryOf = (index: number) => ({ name: `entry-${index}`, failureDomain: "d" });
+
 interface EntryPlacer extends Placer {
     readonly flights: Flights;
 }
@@ -341,14 +343,15 @@
     }
     const service = { name: "s", healthPath: "/", maxConnections: 1000, engine: FIGURES, origin: undefined };
     const generator = xoroshiro128plus(3 + index);
+    const group = Array.from({ length: entries }, (_, other) => entryOf(other));
     const dispatcher = createDispatcher({
         registry,
         health,
         weights: createWeightsPolicy(() => 8000),
         findService: () => service,
-        failureDomain: "d",
+        self: group[index] ?? entryOf(index),
         delayMs: () => 1,
-        entries: () => entries,
+        entries: () => group,
         random: () => uniformFloat64(generator),
     });
     const predictions = new Map<string, number>();
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -93,18 +93,18 @@
     const health = createServerHealth();
     const weights = createWeightsPolicy(() => bounds.weightsMs);
     const connections = createBackendConnections();
-    const entries = () => neighbourhood.living(now()).length + 1;
+    const entries = () => [self, ...neighbourhood.living(now())];
     const dispatcher = createDispatcher({
         registry,
         health,
         weights,
         findService: name => state.table()?.findService(name),
-        failureDomain: settings.failureDomain,
+        self,
         delayMs: domain => delayTo(settings, domain),
         entries,
         random,
     });
-    const budget = createSendBudget({ bounds: () => bounds.retries, entries });
+    const budget = createSendBudget({ bounds: () => bounds.retries, entries: () => entries().length });
     let stopping = false;
     let callerServer: Awaited<ReturnType<typeof startCallerServer>> | undefined;
     const state = createOperatorState({
