Revert the division of engines among entries; keep its figures

These sites have hardly more than one entry in a failure domain, and the limit for servers of other domains cost more than the division saved.

--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -5,9 +5,8 @@
  */
 import { usualFirstEventMs } from "./engineModel.js";
 import { createFlights, type Flights } from "./flights.js";
-import { findHomes, type Placed } from "./homeServers.js";
 import { type Candidate, type Placement, placeOnEngine, placeOnService } from "./placement.js";
-import type { BackendService } from "./routeTable.js";
+import type { BackendService, EngineFigures } from "./routeTable.js";
 import type { ServerHealth } from "./serverHealth.js";
 import type { BackendServer, ServerRegistry } from "./serverRegistry.js";
 import {
@@ -48,12 +47,11 @@
     readonly health: ServerHealth;
     readonly weights: WeightsPolicy;
     readonly findService: (name: string) => BackendService | undefined;
-    /** This entry. */
-    readonly self: Placed;
+    readonly failureDomain: string;
     /** Network delay to a failure domain and back. */
     readonly delayMs: (failureDomain: string) => number;
     /** Entries that share the servers, this one included. */
-    readonly entries: () => readonly Placed[];
+    readonly entries: () => number;
     readonly random: () => number;
 }
 
@@ -93,9 +91,6 @@
 /** Part of a server's connections that the entries use together; others may connect too. */
 const CONNECTION_SHARE = 0.8;
 
-/** Servers and entries change seldom against the rate of placements. */
-const HOMES_LIFETIME_MS = 100;
-
 interface Entry {
     readonly request: DispatchRequest;
     readonly settle: (verdict: Settlement) => void;
@@ -109,7 +104,6 @@
     const learned = new Map<string, { startedAt: number; model: string; version: number; }>();
     const sentAt = new Map<string, { service: string; at: number; }>();
     const durations = new Map<string, number>();
-    const homes = new Map<string, { readonly at: number; readonly servers: ReadonlySet<string>; }>();
     const lateStarts: { service: string; at: number; }[] = [];
 
     function submit(request: DispatchRequest, settle: (verdict: Settlement) => void, now: number): void {
@@ -174,17 +168,6 @@
         return true;
     }
 
-    /** Servers that can take work at all, divided anew now and then: entries and servers come and go. */
-    function homesOf(service: BackendService, now: number): ReadonlySet<string> {
-        const known = homes.get(service.name);
-        if (known !== undefined && now - known.at < HOMES_LIFETIME_MS) return known.servers;
-        const able = registry.usable(service.name, now).filter(server => isAble(server, service, now));
-        const placed = able.map(({ id, failureDomain }) => ({ name: id, failureDomain }));
-        const servers = findHomes(options.self, options.entries(), placed);
-        homes.set(service.name, { at: now, servers });
-        return servers;
-    }
-
     function place(
         request: DispatchRequest,
         standing: Standing,
@@ -192,8 +175,7 @@
         servers: readonly BackendServer[],
         now: number,
     ): Placement | undefined {
-        const own = homesOf(service, now);
-        const candidates = servers.map(server => candidateOf(server, service, own.has(server.id), now));
+        const candidates = servers.map(server => candidateOf(server, service, now));
         const dueInMs = request.dueAt - now;
         if (service.engine === undefined) return placeOnService(candidates, dueInMs);
         return placeOnEngine(service.engine, candidates, {
@@ -210,18 +192,21 @@
     /** Servers that are known, healthy, hold acceptable weights and weren't tried. */
     function eligibleServers(request: DispatchRequest, service: BackendService, now: number): BackendServer[] {
         return registry.usable(service.name, now).filter(server => {
-            if (request.tried.has(server.id) || !isAble(server, service, now)) return false;
-            if (service.engine === undefined || request.boundWeights === undefined) return true;
-            return versionAt(server, service.engine.model) === request.boundWeights;
+            if (request.tried.has(server.id) || !health.admits(server.id, now)) return false;
+            if ((paused.get(server.address) ?? 0) > now) return false;
+            return service.engine === undefined || holdsWeights(server, service.engine, request, now);
         });
     }
 
-    /** Tells whether a server is healthy, takes work and holds acceptable weights. */
-    function isAble(server: BackendServer, { engine }: BackendService, now: number): boolean {
-        if (!health.admits(server.id, now) || (paused.get(server.address) ?? 0) > now) return false;
-        if (engine === undefined) return true;
+    function holdsWeights(
+        server: BackendServer,
+        engine: EngineFigures,
+        request: DispatchRequest,
+        now: number,
+    ): boolean {
         const version = versionAt(server, engine.model);
-        return version !== undefined && version >= weights.lowest(engine.model, now);
+        if (version === undefined || version < weights.lowest(engine.model, now)) return false;
+        return request.boundWeights === undefined || request.boundWeights === version;
     }
 
     /** The agent's word goes before the registry's, as long as it speaks of the same start of the server. */
@@ -239,15 +224,12 @@
         return lowest > 1 && lowest === weights.newest(service.engine.model) ? lowest : undefined;
     }
 
-    function candidateOf(server: BackendServer, service: BackendService, isHome: boolean, now: number): Candidate {
-        const connections = Math.floor(
-            service.maxConnections * CONNECTION_SHARE / Math.max(1, options.entries().length),
-        );
+    function candidateOf(server: BackendServer, service: BackendService, now: number): Candidate {
+        const connections = Math.floor(service.maxConnections * CONNECTION_SHARE / Math.max(1, options.entries()));
         return {
             id: server.id,
             delayMs: options.delayMs(server.failureDomain),
-            isLocal: server.failureDomain === options.self.failureDomain,
-            isHome,
+            isLocal: server.failureDomain === options.failureDomain,
             slots: server.slots,
             load: flights.loadOf(server.id, now),
             pace: health.pace(server.id),
@@ -273,9 +255,9 @@
         const recentlyLate = lateStarts.filter(start => start.service === service).length;
         return {
             servers: ready.length,
-            completionsPerSecond: busy * 1000 / durationMs / Math.max(1, options.entries().length),
+            completionsPerSecond: busy * 1000 / durationMs / Math.max(1, options.entries()),
             lateStartsPerSecond: recentlyLate * 1000 / LATE_RATE_WINDOW_MS,
-            freeSlots: Math.max(0, slots - busy) / Math.max(1, options.entries().length),
+            freeSlots: Math.max(0, slots - busy) / Math.max(1, options.entries()),
             idleFirstEventMs: idleFirstEventMs(request),
         };
     }
--- a/src/lib/core/serving/index.ts
+++ b/src/lib/core/serving/index.ts
@@ -1,7 +1,6 @@
 export * from "./dispatcher.js";
 export * from "./engineModel.js";
 export * from "./flights.js";
-export * from "./homeServers.js";
 export * from "./neighbourhood.js";
 export * from "./placement.js";
 export * from "./routeTable.js";
--- a/src/lib/core/serving/placement.ts
+++ b/src/lib/core/serving/placement.ts
@@ -6,7 +6,6 @@
  * Answers a pool that is nearly full in one failure domain and has room in another, and a burst in one domain.
  */
 import { type EngineLoad, predictEngine } from "./engineModel.js";
-import { FOREIGN_SLOT_SHARE } from "./homeServers.js";
 import type { EngineFigures } from "./routeTable.js";
 
 /** One server as a placement sees it. */
@@ -15,8 +14,6 @@
     /** Network delay to the server and back. */
     readonly delayMs: number;
     readonly isLocal: boolean;
-    /** Other entries leave the server to this one. */
-    readonly isHome: boolean;
     readonly slots: number;
     readonly load: EngineLoad;
     /** 1 for a server at its declared speed. */
@@ -61,8 +58,7 @@
     for (const candidate of candidates) {
         const { load, slots } = candidate;
         if (candidate.freeConnections <= 0) continue;
-        const slotShare = candidate.isHome ? request.slotShare : Math.min(FOREIGN_SLOT_SHARE, request.slotShare);
-        if (load.writing + load.reading >= Math.floor(slots * slotShare)) continue;
+        if (load.writing + load.reading >= Math.floor(slots * request.slotShare)) continue;
         const prediction = predictEngine(figures, load, request.promptTokens, candidate.pace);
         if (load.writing > 0 && prediction.pauseMs > request.maxPauseMs * TARGET_MARGIN && load.reading > 0) continue;
         const firstEventMs = prediction.firstEventMs + candidate.delayMs;
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -93,18 +93,18 @@
     const health = createServerHealth();
     const weights = createWeightsPolicy(() => bounds.weightsMs);
     const connections = createBackendConnections();
-    const entries = () => [self, ...neighbourhood.living(now())];
+    const entries = () => neighbourhood.living(now()).length + 1;
     const dispatcher = createDispatcher({
         registry,
         health,
         weights,
         findService: name => state.table()?.findService(name),
-        self,
+        failureDomain: settings.failureDomain,
         delayMs: domain => delayTo(settings, domain),
         entries,
         random,
     });
-    const budget = createSendBudget({ bounds: () => bounds.retries, entries: () => entries().length });
+    const budget = createSendBudget({ bounds: () => bounds.retries, entries });
     let stopping = false;
     let callerServer: Awaited<ReturnType<typeof startCallerServer>> | undefined;
     const state = createOperatorState({
