Let an entry ask the origin though another entry is silent

Cause: since entries insist on a piece for 1.2 s, a silent entry that should have it used up that time alone (2.7 s until its timeout), and the origin was never asked until the silent one had left the list of living entries.

Change: an entry makes three tries at least, one for each other entry that may have the piece and one for the origin.

Measured: the new test fails without the change.

--- a/src/lib/stager/pieceRelay.ts
+++ b/src/lib/stager/pieceRelay.ts
@@ -37,6 +37,9 @@
 /** Time for a manifest or a piece over all sources; those who ask wait about as long before they look elsewhere. */
 const FETCH_MS = 1200;
 
+/** Tries even if they take longer: one for each other entry that may have a piece, and one for the origin. */
+const MIN_TRIES = 3;
+
 /** Bounds of the pause before the next try, spread, because all entries start to fetch at the same moment. */
 const MIN_PAUSE_MS = 80;
 const MAX_PAUSE_MS = 240;
@@ -123,7 +126,7 @@
                 return await run(tries);
             }
             catch (error) {
-                if (options.now() >= until) throw error;
+                if (options.now() >= until && tries + 1 >= MIN_TRIES) throw error;
                 await sleep(MIN_PAUSE_MS + options.random() * (MAX_PAUSE_MS - MIN_PAUSE_MS));
             }
         }
--- a/src/test/stager/pieceRelay.test.ts
+++ b/src/test/stager/pieceRelay.test.ts
@@ -145,6 +145,18 @@
     assert.deepEqual(await piece, pieceOf(2, 0));
 });
 
+// Guards against an entry that spends all of its time on another one that is silent and never asks the origin.
+test("an entry gets a piece from the origin though the entry that should have it is silent", LIMIT, async () => {
+    const origin = await startOrigin();
+    const [relay] = await startRelays(origin.address, { "127.0.0.2": "near", "127.0.0.3": "near" });
+    const [, silent] = servers.slice(-2);
+    assert.equal((await relay?.manifest(2))?.digests.length, PIECES);
+    silent?.removeAllListeners("request");
+    const all = Array.from({ length: PIECES }, (_, piece) => piece);
+    const received = await Promise.all(all.map(piece => relay?.piece(2, piece, 0)));
+    assert.deepEqual(received, all.map(piece => pieceOf(2, piece)));
+});
+
 // Guards against entries that open more connections than the origin accepts from all processes together, and against
 // idle ones that hold places for ever.
 test("the entries share the origin's connections and leave them soon", LIMIT, async () => {
