Keep a process that has lost the store from resting

Cause: a process that does not read for its region rested although its calls had failed, took the rest for a success and logged that the store was regained.

Change: it goes on trying until it reaches the store.

Measured: the new test fails without the change.

--- a/src/lib/node/tableFeed.ts
+++ b/src/lib/node/tableFeed.ts
@@ -86,7 +86,8 @@
             return;
         }
         if (isGapless) {
-            if (options.isReader?.() === false) {
+            // A process that has lost the store goes on trying, so that it knows when it reaches it again.
+            if (failures === 0 && options.isReader?.() === false) {
                 await sleep(REST_MS);
                 return;
             }
--- a/src/test/node/tableFeed.test.ts
+++ b/src/test/node/tableFeed.test.ts
@@ -112,3 +112,21 @@
     assert.equal(feed.isConnected(), true);
     feed.stop();
 });
+
+// Guards against a process that takes its rest for a sign that it reaches the store again.
+test("a process that has lost the store doesn't rest before it has regained it", async () => {
+    const { store, change, setDown } = createMemoryStore();
+    let isReader = true;
+    const feed = startFeed(store, { waitMs: 20, random: () => 0, isReader: () => isReader });
+    change("first");
+    await sleep(100);
+    setDown(true);
+    await sleep(100);
+    isReader = false;
+    await sleep(400);
+    assert.equal(feed.isConnected(), false);
+    setDown(false);
+    await sleep(400);
+    assert.equal(feed.isConnected(), true);
+    feed.stop();
+});
