--- a/src/bench/placement.ts
+++ b/src/bench/placement.ts
@@ -3,15 +3,9 @@
  * one trace, `--seeds N` plays as many arrivals of each, `--entries N` shares them between as many entries (default: 1),
  * which tell each other their load every `--beat` milliseconds (default: 100).
  */
-import {
-    createDesignPlacer,
-    createLeastInFlightPlacer,
-    createRandomPlacer,
-    LONE_ENTRY,
-    type Placer,
-    replayTrace,
-} from "../harness/enginePool.js";
+import { type Placer, replayTrace } from "../harness/enginePool.js";
 import { LOAD_TRACES, type LoadTrace } from "../harness/loadTraces.js";
+import { createDesignPlacer, createLeastInFlightPlacer, createRandomPlacer, LONE_ENTRY } from "../harness/placers.js";
 import type { Bench, Figures } from "./bench.js";
 
 type Design = (trace: LoadTrace) => Placer;
--- a/src/harness/enginePool.ts
+++ b/src/harness/enginePool.ts
@@ -4,23 +4,12 @@
  * preemption and the network.
  */
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
-import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import {
-    createDispatcher,
-    createServerHealth,
-    createServerRegistry,
-    createWeightsPolicy,
-    type DispatchRequest,
-    type EngineFigures,
-    type Flights,
-    Outcome,
-    passDurationMs,
-} from "../lib/core/serving/index.js";
+import { type DispatchRequest, type EngineFigures, passDurationMs } from "../lib/core/serving/index.js";
 import type { LoadTrace, RequestShape } from "./loadTraces.js";
 
 /** Figures of an engine with 16 requests at once and 6 tokens an event. */
-const FIGURES: EngineFigures = {
+export const ENGINE_FIGURES: EngineFigures = {
     slots: 16,
     stepMs: 7.4,
     stepMsPerRequest: 0.0387,
@@ -187,9 +176,9 @@
             placer.ended(id, number, false, now);
         }
         if (engine.busyUntil > now || engine.jobs.size === 0) return;
-        const running = [...engine.jobs].slice(0, FIGURES.slots);
+        const running = [...engine.jobs].slice(0, ENGINE_FIGURES.slots);
         const unread = running.reduce((sum, [, job]) => sum + job.unread, 0);
-        const passMs = unread / FIGURES.readTokensPerMs + passDurationMs(FIGURES, running.length, 0);
+        const passMs = unread / ENGINE_FIGURES.readTokensPerMs + passDurationMs(ENGINE_FIGURES, running.length, 0);
         engine.busyUntil = now + slowness * passMs;
         for (const [id, job] of running) {
             job.unread = 0;
@@ -231,7 +220,8 @@
     return trouble?.slowness ?? 1;
 }
 
-const engineName = (engine: number) => `engine-${engine}`;
+/** Name of an engine by its number, as requests list those that they were sent to. */
+export const engineName = (engine: number) => `engine-${engine}`;
 
 function requestOf(id: string, { kind, account, askedAt, hasReturned, tried }: Job, now: number): DispatchRequest {
     return {
@@ -270,143 +260,3 @@
     const squares = shares.reduce((total, share) => total + share * share, 0);
     return squares === 0 ? 1 : sum * sum / (shares.length * squares);
 }
-
-/** Entries that share the requests, and how often they tell each other their load. */
-export interface EntryGroup {
-    readonly entries: number;
-    readonly beatMs: number;
-}
-
-/** One entry that sees all requests. */
-export const LONE_ENTRY: EntryGroup = { entries: 1, beatMs: 100 };
-
-/** The product's own way: the dispatchers of one or more entries, each of which gets an even share of the requests. */
-export function createDesignPlacer(trace: LoadTrace, { entries, beatMs } = LONE_ENTRY): Placer {
-    const dispatchers = Array.from({ length: entries }, (_, index) => createEntryPlacer(trace, entries, index));
-    const owners = new Map<string, EntryPlacer>();
-    const generator = xoroshiro128plus(11);
-    let beatAt = 0;
-
-    function exchangeBeats(now: number): void {
-        for (const [index, { flights }] of dispatchers.entries()) {
-            const report = flights.report();
-            for (const [other, { flights: theirs }] of dispatchers.entries()) {
-                if (other !== index) theirs.hear(`entry-${index}`, report, now);
-            }
-        }
-    }
-
-    return {
-        submit: (request, settle, now) => {
-            const owner = dispatchers[uniformInt(generator, 0, entries - 1)];
-            if (owner === undefined) return;
-            owners.set(request.id, owner);
-            owner.submit(request, settle, now);
-        },
-        withdraw: id => owners.get(id)?.withdraw(id),
-        started: (id, ...more) => owners.get(id)?.started(id, ...more),
-        ended: (id, ...more) => {
-            owners.get(id)?.ended(id, ...more);
-            owners.delete(id);
-        },
-        tick: now => {
-            for (const dispatcher of dispatchers) dispatcher.tick(now);
-            if (now < beatAt) return;
-            beatAt = now + beatMs;
-            exchangeBeats(now);
-        },
-    };
-}
-
-interface EntryPlacer extends Placer {
-    readonly flights: Flights;
-}
-
-function createEntryPlacer(trace: LoadTrace, entries: number, index: number): EntryPlacer {
-    const registry = createServerRegistry(() => 2000);
-    const health = createServerHealth();
-    const ids = Array.from({ length: trace.engines }, (_, engine) => engineName(engine));
-    for (const id of ids) {
-        registry.put({
-            id,
-            service: "s",
-            address: id,
-            failureDomain: "d",
-            slots: FIGURES.slots,
-            isLeaving: false,
-            startedAt: 1,
-            coldMs: 0,
-            weights: { model: "m", version: 1 },
-        });
-    }
-    const service = { name: "s", healthPath: "/", maxConnections: 1000, engine: FIGURES, origin: undefined };
-    const generator = xoroshiro128plus(3 + index);
-    const dispatcher = createDispatcher({
-        registry,
-        health,
-        weights: createWeightsPolicy(() => 8000),
-        findService: () => service,
-        failureDomain: "d",
-        delayMs: () => 1,
-        entries: () => entries,
-        random: () => uniformFloat64(generator),
-    });
-    const predictions = new Map<string, number>();
-    return {
-        flights: dispatcher.flights,
-        submit: (request, settle, now) => {
-            dispatcher.submit(request, settlement => {
-                if (settlement.kind === "refused") {
-                    settle({ retryAfterMs: settlement.decision.retryAfterMs });
-                    return;
-                }
-                predictions.set(request.id, settlement.assignment.predictedMs);
-                settle({ engine: ids.indexOf(settlement.assignment.server.id) });
-            }, now);
-        },
-        withdraw: dispatcher.withdraw,
-        started: (id, engine, tookMs, now) => {
-            health.recordPace(engineName(engine), tookMs / (predictions.get(id) ?? tookMs));
-            dispatcher.started(id, now);
-        },
-        ended: (id, engine, isSound, now) => {
-            predictions.delete(id);
-            health.record(engineName(engine), isSound ? Outcome.success : Outcome.unreachable, now);
-            dispatcher.ended(id, now);
-        },
-        tick: dispatcher.tick,
-    };
-}
-
-/** First come, first served at an engine that is drawn at random; requests queue there. */
-export function createRandomPlacer(trace: LoadTrace): Placer {
-    const generator = xoroshiro128plus(3);
-    return createQueueingPlacer(() => uniformInt(generator, 0, trace.engines - 1));
-}
-
-/** Every request goes to the engine with the fewest requests, which queues it. */
-export function createLeastInFlightPlacer(trace: LoadTrace): Placer {
-    const loads = Array.from({ length: trace.engines }, () => 0);
-    const placer = createQueueingPlacer(tried => {
-        const open = loads.flatMap((load, engine) => tried.has(engineName(engine)) ? [] : [{ load, engine }]);
-        const least = open.toSorted((a, b) => a.load - b.load)[0]?.engine ?? 0;
-        loads[least] = (loads[least] ?? 0) + 1;
-        return least;
-    });
-    return {
-        ...placer,
-        ended: (_id, engine) => {
-            loads[engine] = (loads[engine] ?? 1) - 1;
-        },
-    };
-}
-
-function createQueueingPlacer(choose: (tried: ReadonlySet<string>) => number): Placer {
-    return {
-        submit: ({ tried }, settle) => settle({ engine: choose(tried) }),
-        withdraw: () => undefined,
-        started: () => undefined,
-        ended: () => undefined,
-        tick: () => undefined,
-    };
-}
--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -204,9 +204,14 @@
         request: DispatchRequest,
         now: number,
     ): boolean {
-        const version = versionAt(server, engine.model);
-        if (version === undefined || version < weights.lowest(engine.model, now)) return false;
-        return request.boundWeights === undefined || request.boundWeights === version;
+        if (!mayAnswer(server, engine, now)) return false;
+        return request.boundWeights === undefined || request.boundWeights === versionAt(server, engine.model);
+    }
+
+    /** Tells whether the server holds weights that may still answer. */
+    function mayAnswer(server: BackendServer, { model }: EngineFigures, now: number): boolean {
+        const version = versionAt(server, model);
+        return version !== undefined && version >= weights.lowest(model, now);
     }
 
     /** The agent's word goes before the registry's, as long as it speaks of the same start of the server. */
@@ -244,10 +249,7 @@
             return !request.tried.has(id) && health.admits(id, now);
         });
         const figures = options.findService(service)?.engine;
-        const ready = figures === undefined ? servers : servers.filter(server => {
-            const version = versionAt(server, figures.model);
-            return version !== undefined && version >= weights.lowest(figures.model, now);
-        });
+        const ready = figures === undefined ? servers : servers.filter(server => mayAnswer(server, figures, now));
         const busy = ready.reduce((sum, server) => sum + occupied(server, now), 0);
         const slots = ready.reduce((sum, server) => sum + server.slots, 0);
         const durationMs = durations.get(service) ?? INITIAL_DURATION_MS;
--- a/src/lib/node/metadataStore.ts
+++ b/src/lib/node/metadataStore.ts
@@ -14,9 +14,8 @@
 
 export interface MetadataStore {
     /** Every call throws a VError named `StoreError` if the store refuses, can't be reached or doesn't answer. */
-    readTable(table: string): Promise<TableSnapshot>;
-    /** Reads the rows whose keys begin with the prefix. */
-    readRows(table: string, keyPrefix: string): Promise<TableSnapshot>;
+    /** Reads the rows whose keys begin with the prefix; by default the whole table. */
+    readTable(table: string, keyPrefix?: string): Promise<TableSnapshot>;
     /** Waits up to `waitMs` for changes after a revision. */
     readFeed(table: string, after: number, waitMs: number): Promise<FeedAnswer>;
     /** Writes a row whatever it holds. An error leaves it open whether the write was done. */
--- a/src/lib/node/tableFeed.ts
+++ b/src/lib/node/tableFeed.ts
@@ -2,6 +2,7 @@
  * Keeps a replica of one of the store's tables up to date: a complete read, then the feed. While the store can't be
  * reached the replica keeps what it has, and neighbours add what they know.
  */
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Row, RowReplica } from "../core/serving/index.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
 import type { MetadataStore } from "./metadataStore.js";
@@ -144,7 +145,3 @@
         },
     };
 }
-
-function sleep(ms: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/src/lib/platform/store.ts
+++ b/src/lib/platform/store.ts
@@ -62,7 +62,7 @@
         }
     }
 
-    async function readRows(table: string, keyPrefix: string): Promise<TableSnapshot> {
+    async function readTable(table: string, keyPrefix = ""): Promise<TableSnapshot> {
         const rows: Row[] = [];
         const range = new URLSearchParams({ table, part: "", limit: String(PAGE_ROWS) });
         if (keyPrefix !== "") range.set("to", keyAfter(keyPrefix));
@@ -97,7 +97,7 @@
         if (answer.status !== 200) throw refusedBy(answer);
     }
 
-    return { readTable: table => readRows(table, ""), readRows, readFeed, putRow, close: () => closing.abort() };
+    return { readTable, readFeed, putRow, close: () => closing.abort() };
 }
 
 /** Returns the first key after all keys that begin with the prefix, which ends with an ASCII character. */
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -3,6 +3,7 @@
  * into one process.
  */
 import * as http from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import {
     createCatchUp,
     createDispatcher,
@@ -383,7 +384,3 @@
         }
     }
 }
-
-function sleep(ms: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/src/lib/router/streamRelay.ts
+++ b/src/lib/router/streamRelay.ts
@@ -1,6 +1,7 @@
 /** Passes the events of a stream on to the caller, over as many servers as it takes. */
 import type * as http from "node:http";
 import { Verdict } from "../core/verdict.js";
+import { drained } from "../node/drained.js";
 import { answerHeaders, eventIdOf, eventWeightsOf, type ServerFacts } from "../platform/index.js";
 import type { AttemptResult, Exchange } from "./exchangeState.js";
 import { connectionHeader } from "./ownAnswers.js";
@@ -78,15 +79,3 @@
 function streamHeaders(exchange: Exchange, rawHeaders: readonly string[]): string[] {
     return [...answerHeaders(rawHeaders), ...connectionHeader(exchange.context)];
 }
-
-function drained(response: http.ServerResponse): Promise<void> {
-    return new Promise(resolve => {
-        const done = () => {
-            response.off("drain", done);
-            response.off("close", done);
-            resolve();
-        };
-        response.on("drain", done);
-        response.on("close", done);
-    });
-}
--- a/src/lib/stager/engineTask.ts
+++ b/src/lib/stager/engineTask.ts
@@ -2,6 +2,7 @@
  * Watches the engine on the own VM and brings it to the newest complete version: stages the pieces, reads them back
  * and orders the load. An engine that restarts holds nothing and is loaded again. Entries hear of every change.
  */
+import { setTimeout as sleep } from "node:timers/promises";
 import { createWeightsPolicy, shouldDrain, USUAL_SWITCH_MS } from "../core/serving/index.js";
 import type { BeatSocket } from "../node/beats.js";
 import type { EngineReport, OwnEngine } from "../platform/index.js";
@@ -145,7 +146,3 @@
 
     return { look, loaded: loadedVersion, isSettled: () => isSettled };
 }
-
-function sleep(ms: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/src/lib/stager/operatorWatch.ts
+++ b/src/lib/stager/operatorWatch.ts
@@ -4,6 +4,7 @@
  */
 import type { Row } from "../core/serving/index.js";
 import type { MetadataStore } from "../node/metadataStore.js";
+import { startRepeating } from "../node/repeat.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
 import { PlatformTable, WEIGHTS_KEY_PREFIX } from "../platform/index.js";
 
@@ -35,7 +36,6 @@
 export function startOperatorWatch(options: OperatorWatchOptions): OperatorWatch {
     const { store, log, metrics, now, random } = options;
     let stopped = false;
-    let timer: NodeJS.Timeout | undefined;
     let isKnown = false;
     let configuredAt = 0;
     let failures = 0;
@@ -43,7 +43,7 @@
     async function look(): Promise<void> {
         const isWhole = !isKnown || now() - configuredAt > CONFIGURATION_AGE_MS;
         try {
-            const { rows } = await store.readRows(PlatformTable.operator, isWhole ? "" : WEIGHTS_KEY_PREFIX);
+            const { rows } = await store.readTable(PlatformTable.operator, isWhole ? "" : WEIGHTS_KEY_PREFIX);
             if (stopped) return;
             metrics.storeCalls.inc({ result: "read" });
             if (failures > 0) log.info("store regained", { table: PlatformTable.operator, failures });
@@ -59,7 +59,6 @@
             }
             failures++;
         }
-        timer = setTimeout(() => void look(), pause());
     }
 
     function pause(): number {
@@ -67,11 +66,11 @@
         return MIN_PAUSE_MS + random() * (MAX_PAUSE_MS - MIN_PAUSE_MS);
     }
 
-    void look();
+    const looks = startRepeating(look, pause);
     return {
         stop: () => {
             stopped = true;
-            clearTimeout(timer);
+            void looks.stop();
         },
     };
 }
--- a/src/lib/stager/pieceRelay.ts
+++ b/src/lib/stager/pieceRelay.ts
@@ -5,6 +5,7 @@
  * also carries the streams of its engine.
  */
 import * as http from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import VError from "verror";
 import { firstMember } from "../core/index.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
@@ -73,7 +74,7 @@
 const PREFETCHED_VERSIONS = 2;
 
 /** A version that can't be fetched for about the time that a rollout has makes way for a newer one. */
-const HOPELESS_AFTER_MS = 10_000;
+const GIVE_UP_AFTER_MS = 10_000;
 
 /** Pause after which a prefetch that failed is tried again. */
 const PREFETCH_PAUSE_MS = 300;
@@ -91,7 +92,9 @@
     function open(version: number): Promise<HeldVersion> {
         let opening = manifests.get(version);
         if (opening === undefined) {
-            opening = insist(() => fetchManifest(version)).then(({ model, manifest }) => pieces.open(model, manifest));
+            opening = retryBriefly(() => fetchManifest(version)).then(({ model, manifest }) =>
+                pieces.open(model, manifest)
+            );
             manifests.set(version, opening);
             // A failed read is repeated by the next request.
             opening.catch(() => manifests.delete(version));
@@ -119,7 +122,7 @@
     }
 
     /** Repeats what fails for a short time: callers that are refused go to the origin themselves, all at once. */
-    async function insist<T>(run: (tries: number) => Promise<T>): Promise<T> {
+    async function retryBriefly<T>(run: (tries: number) => Promise<T>): Promise<T> {
         const until = options.now() + FETCH_MS;
         for (let tries = 0;; tries++) {
             try {
@@ -153,16 +156,12 @@
         const key = `${version}/${piece}`;
         let running = fetches.get(key);
         if (running === undefined) {
-            running = fetchVerified(held, piece).finally(() => fetches.delete(key));
+            running = retryBriefly(tries => fetchOnce(held, piece, tries)).finally(() => fetches.delete(key));
             fetches.set(key, running);
         }
         return running;
     }
 
-    function fetchVerified(held: HeldVersion, piece: number): Promise<Buffer> {
-        return insist(tries => fetchOnce(held, piece, tries));
-    }
-
     /** The first tries go to the other entries, all further ones to the origin. */
     async function fetchOnce(held: HeldVersion, piece: number, tries: number): Promise<Buffer> {
         const { version } = held.manifest;
@@ -195,8 +194,8 @@
     async function prefetchInTurn(version: number): Promise<void> {
         const since = options.now();
         const isWanted = () => version > newest - PREFETCHED_VERSIONS && options.source() !== undefined;
-        const isHopeless = () => newest > version && options.now() - since > HOPELESS_AFTER_MS;
-        while (isWanted() && !isHopeless() && !await tryPrefetch(version)) await sleep(PREFETCH_PAUSE_MS);
+        const mustGiveUp = () => newest > version && options.now() - since > GIVE_UP_AFTER_MS;
+        while (isWanted() && !mustGiveUp() && !await tryPrefetch(version)) await sleep(PREFETCH_PAUSE_MS);
     }
 
     async function tryPrefetch(version: number): Promise<boolean> {
@@ -236,7 +235,3 @@
         },
     };
 }
-
-function sleep(ms: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/src/lib/stager/pieceTransfer.ts
+++ b/src/lib/stager/pieceTransfer.ts
@@ -2,6 +2,7 @@
  * Fetches the missing pieces of a version: assigned ones from another region or the origin, all others from agents
  * of the own region. The plan decides what is asked where; this task performs the requests.
  */
+import { setTimeout as sleep } from "node:timers/promises";
 import {
     createChunkAssigner,
     createTransferPlan,
@@ -196,7 +197,3 @@
         }
     }
 }
-
-function sleep(ms: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/src/lib/stager/rollout.ts
+++ b/src/lib/stager/rollout.ts
@@ -3,6 +3,7 @@
  * is complete stays available for the engine and for other agents.
  */
 import * as http from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import VError from "verror";
 import { originPatienceMs, predictMissingMs, shouldFinishFirst, usualTransferMs } from "../core/serving/index.js";
 import { createOrigin, type Origin, type WeightManifest } from "../platform/index.js";
@@ -92,7 +93,7 @@
         run(model, current, source)
             .catch(async error => {
                 log.warn("transfer failed", { version, error: (error as Error).message });
-                await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS * (0.5 + random() / 2)));
+                await sleep(RETRY_PAUSE_MS * (0.5 + random() / 2));
             })
             .finally(() => {
                 if (transfer === current) transfer = undefined;
--- a/src/lib/stager/stager.ts
+++ b/src/lib/stager/stager.ts
@@ -7,6 +7,7 @@
 import { agentPortOf, openBeatSocket } from "../node/beats.js";
 import { listen } from "../node/listen.js";
 import type { MetadataStore } from "../node/metadataStore.js";
+import { startRepeating } from "../node/repeat.js";
 import { createServingMetrics, type EventLog } from "../observability/index.js";
 import {
     CONFIGURATION_KEY,
@@ -84,7 +85,7 @@
     await listen(server, `${settings.ip}:${agentPort}`);
 
     let hasRead = false;
-    const watch = startOperatorWatch({ store, onRows: applyRows, log, metrics, now, random: context.random });
+    const operatorWatch = startOperatorWatch({ store, onRows: applyRows, log, metrics, now, random: context.random });
 
     function applyRows(rows: readonly Row[]): boolean {
         for (const { key, value, revision } of rows) {
@@ -123,23 +124,13 @@
         await engineTask.look(figures?.model);
     }
 
-    let timer: NodeJS.Timeout | undefined;
-    let stopped = false;
-    void watchEngine();
-
-    async function watchEngine(): Promise<void> {
-        await look();
-        if (stopped) return;
-        const interval = engineTask.isSettled() ? IDLE_INTERVAL_MS : WATCH_INTERVAL_MS;
-        timer = setTimeout(() => void watchEngine(), interval);
-    }
+    const engineWatch = startRepeating(look, () => engineTask.isSettled() ? IDLE_INTERVAL_MS : WATCH_INTERVAL_MS);
 
     function stop(): void {
         log.info("process stopping", {});
-        stopped = true;
-        clearTimeout(timer);
+        void engineWatch.stop();
         rollout.stop();
-        watch.stop();
+        operatorWatch.stop();
         store.close();
         beats.close();
         server.close();
--- a/src/lib/standIn/objects.ts
+++ b/src/lib/standIn/objects.ts
@@ -8,6 +8,7 @@
 import { dirname, join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createTokenBucket, type TokenBucket } from "../core/index.js";
+import { drained } from "../node/drained.js";
 import type { FaultSwitches } from "./faults.js";
 import { answerJson, readBody } from "./httpServer.js";
 
@@ -80,15 +81,3 @@
 function createLink(bytesPerSecond: number): TokenBucket {
     return createTokenBucket({ ratePerSecond: bytesPerSecond, burst: 2 * PIECE_BYTES });
 }
-
-function drained(response: ServerResponse): Promise<void> {
-    return new Promise(resolve => {
-        const done = () => {
-            response.off("drain", done);
-            response.off("close", done);
-            resolve();
-        };
-        response.on("drain", done);
-        response.on("close", done);
-    });
-}
--- a/src/test/core/serving/burst.test.ts
+++ b/src/test/core/serving/burst.test.ts
@@ -1,13 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import {
-    createDesignPlacer,
-    createLeastInFlightPlacer,
-    createRandomPlacer,
-    type PoolReplay,
-    replayTrace,
-} from "../../../harness/enginePool.js";
+import { type PoolReplay, replayTrace } from "../../../harness/enginePool.js";
 import { LOAD_TRACES, type LoadTrace } from "../../../harness/loadTraces.js";
+import { createDesignPlacer, createLeastInFlightPlacer, createRandomPlacer } from "../../../harness/placers.js";
 
 function traceOf(name: string): LoadTrace {
     const trace = LOAD_TRACES.find(each => each.name === name);
--- a/src/test/node/tableFeed.test.ts
+++ b/src/test/node/tableFeed.test.ts
@@ -15,7 +15,6 @@
     const delivered: number[] = [];
     const store: MetadataStore = {
         readTable: () => Promise.resolve({ rows, revision: rows.length }),
-        readRows: () => Promise.resolve({ rows, revision: rows.length }),
         readFeed: async (_table, after, waitMs): Promise<FeedAnswer> => {
             calls++;
             if (isDown) throw new Error("down");
--- a/src/test/stager/operatorWatch.test.ts
+++ b/src/test/stager/operatorWatch.test.ts
@@ -15,11 +15,10 @@
     const reads: string[] = [];
     let now = 0;
     const store: MetadataStore = {
-        readTable: () => Promise.reject(new Error("not used")),
         readFeed: () => Promise.reject(new Error("not used")),
         putRow: () => Promise.resolve(),
         close: () => undefined,
-        readRows: async (_table, keyPrefix) => {
+        readTable: async (_table, keyPrefix = "") => {
             reads.push(keyPrefix);
             return { rows: readRows(keyPrefix), revision: 1 };
         },
--- a/src/test/stager/pieceRelay.test.ts
+++ b/src/test/stager/pieceRelay.test.ts
@@ -129,7 +129,7 @@
 
 // Guards against agents that all turn to the origin because their entry gave up at its first refusal, which takes the
 // connections that the entry needs.
-test("an entry insists for a moment when the origin resets its connections", LIMIT, async () => {
+test("an entry tries again for a moment when the origin resets its connections", LIMIT, async () => {
     const origin = await startOrigin();
     const [relay] = await startRelays(origin.address, { "127.0.0.2": "near" });
     origin.setRefusing(true);
