--- a/src/bench/placement.ts
+++ b/src/bench/placement.ts
@@ -2,7 +2,8 @@
  * Benchmark `placement`: simulates each load trace with the product's dispatcher and with two baselines, without
  * processes. `--trace NAME` selects one trace, `--seeds N` sets the number of arrival sequences per trace,
  * `--entries N` splits the requests between that many entries (default: 1), which exchange their load every `--beat`
- * milliseconds (default: 100).
+ * milliseconds (default: 100). `--skew F` gives the first entry an additional fraction of the requests. The design
+ * `reported` is the product's dispatcher with engines that report their speed.
  */
 import { type Placer, simulateTrace } from "../harness/enginePoolSimulation.js";
 import { LOAD_TRACES, type LoadTrace } from "../harness/loadTraces.js";
@@ -21,9 +22,11 @@
     const group = {
         entryCount: Number(options.entries ?? 1),
         heartbeatIntervalMs: Number(options.beat ?? SINGLE_ENTRY.heartbeatIntervalMs),
+        skew: Number(options.skew ?? 0),
     };
     const designs: Readonly<Record<string, CreatePlacer>> = {
         design: trace => createDispatcherPlacer(trace, group),
+        reported: trace => createDispatcherPlacer(trace, { ...group, reportsSlowdown: true }),
         leastInFlight: createLeastInFlightPlacer,
         firstComeRandom: createRandomPlacer,
     };
--- a/src/harness/enginePoolSimulation.ts
+++ b/src/harness/enginePoolSimulation.ts
@@ -229,7 +229,8 @@
     return arrivals;
 }
 
-function slowdownAt(trace: LoadTrace, engine: number, now: number): number {
+/** Returns the factor by which the engine is slower than its specification; infinite if it is unreachable. */
+export function slowdownAt(trace: LoadTrace, engine: number, now: number): number {
     const fault = trace.engineFaults.find(each => each.engine === engine && now >= each.fromMs && now < each.toMs);
     return fault?.slowdown ?? 1;
 }
--- a/src/harness/loadTraces.ts
+++ b/src/harness/loadTraces.ts
@@ -103,6 +103,17 @@
     { ...BASE_TRACE, name: "hotAccount", surges: [{ fromMs: 3000, toMs: 13_000, rateFactor: 2, account: "0" }] },
     /** An engine becomes 4.6 times slower without reporting it. */
     { ...BASE_TRACE, name: "slowEngine", engineFaults: [{ engine: 1, fromMs: 4000, toMs: 10_000, slowdown: 4.6 }] },
+    /** Engines become four times slower for 1.5 s in turn, as VMs that are shared with other work do. */
+    {
+        ...BASE_TRACE,
+        name: "unsteadyEngines",
+        engineFaults: Array.from({ length: 8 }, (_, index) => ({
+            engine: index % BASE_TRACE.engineCount,
+            fromMs: 2000 + 1500 * index,
+            toMs: 3500 + 1500 * index,
+            slowdown: 4,
+        })),
+    },
     /** A large pool that runs at its capacity throughout. */
     { ...LARGE_POOL_TRACE, name: "largePool" },
     /** An engine fails without notice and recovers. */
--- a/src/harness/placers.ts
+++ b/src/harness/placers.ts
@@ -8,11 +8,13 @@
     createDispatcher,
     createServerHealth,
     createServerRegistry,
+    createServerSpeed,
+    createSlotSharing,
     createWeightsPolicy,
     type InFlightRequests,
     Outcome,
 } from "../lib/core/serving/index.js";
-import { ENGINE_SPEC, engineName, type Placer } from "./enginePoolSimulation.js";
+import { ENGINE_SPEC, engineName, type Placer, slowdownAt } from "./enginePoolSimulation.js";
 import type { LoadTrace } from "./loadTraces.js";
 
 /** Time during which a leaving server may still get requests. No engine of the traces leaves. */
@@ -25,17 +27,24 @@
 export interface EntryGroupOptions {
     readonly entryCount: number;
     readonly heartbeatIntervalMs: number;
+    /** Additional fraction of all requests that the first entry gets; the others share the rest evenly. */
+    readonly skew?: number;
+    /** Engines report with each first event and end of a request by which factor they are slower than specified. */
+    readonly reportsSlowdown?: boolean;
 }
 
 /** A single entry that gets all requests. */
 export const SINGLE_ENTRY: EntryGroupOptions = { entryCount: 1, heartbeatIntervalMs: 100 };
 
-/** Uses the product's dispatchers. Each request goes to a random entry, so that every entry gets an even share. */
+/** Uses the product's dispatchers. Each request goes to a random entry. */
 export function createDispatcherPlacer(
     trace: LoadTrace,
-    { entryCount, heartbeatIntervalMs } = SINGLE_ENTRY,
+    { entryCount, heartbeatIntervalMs, skew = 0, reportsSlowdown = false }: EntryGroupOptions = SINGLE_ENTRY,
 ): Placer {
-    const dispatchers = Array.from({ length: entryCount }, (_, index) => createEntryPlacer(trace, entryCount, index));
+    const dispatchers = Array.from(
+        { length: entryCount },
+        (_, index) => createEntryPlacer(trace, entryCount, index, reportsSlowdown),
+    );
     const ownerByRequestId = new Map<string, EntryPlacer>();
     const generator = xoroshiro128plus(11);
     let nextHeartbeatAt = 0;
@@ -51,7 +60,8 @@
 
     return {
         submit: (request, onDecision, now) => {
-            const owner = dispatchers[uniformInt(generator, 0, entryCount - 1)];
+            const isSkewed = uniformFloat64(generator) < skew;
+            const owner = dispatchers[isSkewed ? 0 : uniformInt(generator, 0, entryCount - 1)];
             if (owner === undefined) return;
             ownerByRequestId.set(request.id, owner);
             owner.submit(request, onDecision, now);
@@ -75,9 +85,15 @@
     readonly inFlight: InFlightRequests;
 }
 
-function createEntryPlacer(trace: LoadTrace, entryCount: number, index: number): EntryPlacer {
+function createEntryPlacer(
+    trace: LoadTrace,
+    entryCount: number,
+    index: number,
+    reportsSlowdown: boolean,
+): EntryPlacer {
     const registry = createServerRegistry(() => DRAIN_MS);
     const health = createServerHealth();
+    const speed = createServerSpeed();
     const engineNames = Array.from({ length: trace.engineCount }, (_, engine) => engineName(engine));
     for (const id of engineNames) {
         registry.put({
@@ -94,9 +110,12 @@
     }
     const service = { name: "s", healthPath: "/", maxConnections: 1000, engine: ENGINE_SPEC, origin: undefined };
     const generator = xoroshiro128plus(3 + index);
+    const entryNames = Array.from({ length: entryCount }, (_, entry) => `entry-${entry}`);
     const dispatcher = createDispatcher({
         registry,
         health,
+        speed,
+        slotSharing: createSlotSharing(`entry-${index}`, () => entryNames),
         weights: createWeightsPolicy(() => OLDER_VERSION_ALLOWED_MS),
         findService: () => service,
         failureDomain: "d",
@@ -104,7 +123,13 @@
         entryCount: () => entryCount,
         random: () => uniformFloat64(generator),
     });
-    const predictions = new Map<string, number>();
+    const predictions = new Map<string, { predictedMs: number; assumedSlowdown: number; }>();
+
+    function recordReport(engine: number, now: number): void {
+        const slowdown = slowdownAt(trace, engine, now);
+        if (reportsSlowdown && Number.isFinite(slowdown)) speed.recordReport(engineName(engine), slowdown, now);
+    }
+
     return {
         inFlight: dispatcher.inFlight,
         submit: (request, onDecision, now) => {
@@ -113,17 +138,23 @@
                     onDecision({ retryAfterMs: result.refusal.retryAfterMs });
                     return;
                 }
-                predictions.set(request.id, result.assignment.predictedFirstEventMs);
+                const { predictedFirstEventMs, assumedSlowdown } = result.assignment;
+                predictions.set(request.id, { predictedMs: predictedFirstEventMs, assumedSlowdown });
                 onDecision({ engine: engineNames.indexOf(result.assignment.server.id) });
             }, now);
         },
         cancel: dispatcher.cancel,
         recordFirstEvent: (id, engine, tookMs, now) => {
-            health.recordSlowdown(engineName(engine), tookMs / (predictions.get(id) ?? tookMs));
+            recordReport(engine, now);
+            const prediction = predictions.get(id);
+            if (prediction !== undefined) {
+                speed.recordFirstEvent(engineName(engine), { ...prediction, measuredMs: tookMs }, now);
+            }
             dispatcher.recordFirstEvent(id, now);
         },
         recordEnd: (id, engine, hasSucceeded, now) => {
             predictions.delete(id);
+            recordReport(engine, now);
             health.recordOutcome(engineName(engine), hasSucceeded ? Outcome.success : Outcome.unreachable, now);
             dispatcher.recordEnd(id, now);
         },
--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -15,10 +15,13 @@
 } from "./admissionControl.js";
 import { typicalFirstEventMs } from "./engineModel.js";
 import { createInFlightRequests, type InFlightRequests } from "./inFlightRequests.js";
-import { type Placement, type PlacementCandidate, placeOnEngine, placeOnService } from "./placement.js";
-import type { BackendService, EngineParameters } from "./routeTable.js";
+import { type Placement, placeOnEngine, placeOnService } from "./placement.js";
+import type { BackendService } from "./routeTable.js";
 import type { ServerHealth } from "./serverHealth.js";
+import { createServerPool, type PoolServer, type PoolSnapshot, type ServerPool } from "./serverPool.js";
 import type { BackendServer, ServerRegistry } from "./serverRegistry.js";
+import type { ServerSpeed } from "./serverSpeed.js";
+import type { SlotSharing } from "./slotSharing.js";
 import type { WeightsPolicy } from "./weightsPolicy.js";
 
 export interface DispatchRequest extends QueuedRequest {
@@ -33,6 +36,8 @@
 export interface Assignment {
     readonly server: BackendServer;
     readonly predictedFirstEventMs: number;
+    /** Slowdown of the server that the prediction assumed. */
+    readonly assumedSlowdown: number;
     /** The version of the weights that must answer; `undefined` if any version that the server holds may. */
     readonly requiredVersion: number | undefined;
     /**
@@ -49,7 +54,9 @@
 export interface DispatcherOptions {
     readonly registry: ServerRegistry;
     readonly health: ServerHealth;
+    readonly speed: ServerSpeed;
     readonly weights: WeightsPolicy;
+    readonly slotSharing: SlotSharing;
     readonly findService: (name: string) => BackendService | undefined;
     readonly failureDomain: string;
     /** Network round-trip time to a failure domain. */
@@ -71,13 +78,6 @@
     recordFirstEvent(id: string, now: number): void;
     /** Records that a request has ended at its server, successfully or not. */
     recordEnd(id: string, now: number): void;
-    /**
-     * Records that the engine at the address loads weights and accepts no new requests until `until`; a time in the
-     * past ends the pause.
-     */
-    pauseServer(address: string, until: number): void;
-    /** Records the weights that an agent reports for its engine, which arrive earlier than those in the registry. */
-    recordLoadedWeights(address: string, startedAt: number, model: string, version: number): void;
     /**
      * Decides on the queued requests again: places those for which a server is free and refuses those that can't wait
      * any longer. Call it periodically.
@@ -85,6 +85,7 @@
     tick(now: number): void;
     queueLength(): number;
     readonly inFlight: InFlightRequests;
+    readonly pool: Pick<ServerPool, "pauseServer" | "recordLoadedWeights" | "forgetUnregistered">;
 }
 
 /**
@@ -111,20 +112,16 @@
 /** Weight of the newest duration in the moving average. */
 const DURATION_SMOOTHING = 0.05;
 
-/** Fraction of a server's connections that all entries use together; other clients may connect too. */
-const CONNECTION_FRACTION = 0.8;
-
 interface QueuedItem {
     readonly request: DispatchRequest;
     readonly onResult: (result: AssignmentResult) => void;
 }
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
-    const { registry, health, weights } = options;
+    const { health, weights } = options;
     const inFlight = createInFlightRequests();
+    const pool = createServerPool({ ...options, inFlight });
     const queue = new Map<string, QueuedItem>();
-    const pausedUntilByAddress = new Map<string, number>();
-    const reportedWeightsByAddress = new Map<string, { startedAt: number; model: string; version: number; }>();
     /** Requests at servers, keyed by the request's identifier. */
     const sends = new Map<string, { service: string; sentAt: number; }>();
     const meanDurationMsByService = new Map<string, number>();
@@ -141,17 +138,25 @@
         const classById = new Map(queued.map(request => [request.id, classOf(request, now)]));
         const classOfRequest = (request: DispatchRequest) => classById.get(request.id) ?? QueueClass.late;
         const waitingByClass = new Map<string, number>();
+        const snapshots = new Map<string, PoolSnapshot | undefined>();
         for (const request of sortQueue(queued, classOfRequest, inFlight.countForAccount)) {
-            if (tryPlace(request, classOfRequest(request), now)) continue;
+            if (!snapshots.has(request.service)) snapshots.set(request.service, takeSnapshot(request.service, now));
+            const snapshot = snapshots.get(request.service);
+            if (snapshot !== undefined && tryPlace(request, classOfRequest(request), snapshot, now)) continue;
             const key = `${request.service} ${classOfRequest(request)}`;
             const aheadCount = waitingByClass.get(key) ?? 0;
-            const pool = poolState(request, now);
-            const refusal = decideAdmission(request, classOfRequest(request), aheadCount, pool, options.random(), now);
+            const state = poolState(request, snapshot?.servers() ?? [], now);
+            const refusal = decideAdmission(request, classOfRequest(request), aheadCount, state, options.random(), now);
             if (refusal === undefined) waitingByClass.set(key, aheadCount + 1);
             else deliverResult(request.id, { kind: "refused", refusal });
         }
     }
 
+    function takeSnapshot(serviceName: string, now: number): PoolSnapshot | undefined {
+        const service = options.findService(serviceName);
+        return service === undefined ? undefined : pool.takeSnapshot(service, now);
+    }
+
     function classOf(request: DispatchRequest, now: number): QueueClass {
         return queueClassOf(request, typicalFirstEventFor(request), now);
     }
@@ -161,13 +166,13 @@
         return engine === undefined ? 0 : typicalFirstEventMs(engine, request.promptTokens);
     }
 
-    function tryPlace(request: DispatchRequest, queueClass: QueueClass, now: number): boolean {
-        const service = options.findService(request.service);
-        if (service === undefined) return false;
-        const servers = eligibleServers(request, service, now);
-        const placement = place(request, queueClass, service, servers, now);
-        const server = servers.find(({ id }) => id === placement?.id);
-        if (placement === undefined || server === undefined) return false;
+    function tryPlace(request: DispatchRequest, queueClass: QueueClass, snapshot: PoolSnapshot, now: number): boolean {
+        const { service } = snapshot;
+        const eligible = snapshot.servers().filter(poolServer => isEligible(poolServer, request));
+        const placement = place(request, queueClass, service, eligible, now);
+        const chosen = eligible.find(({ server }) => server.id === placement?.id);
+        if (placement === undefined || chosen === undefined) return false;
+        const { server, version, candidate } = chosen;
         inFlight.add({
             id: request.id,
             serverId: server.id,
@@ -179,10 +184,11 @@
         sends.set(request.id, { service: request.service, sentAt: now });
         if (queueClass === QueueClass.late) lateStarts.push({ service: request.service, startedAt: now });
         health.recordSend(server.id, now);
-        const version = service.engine === undefined ? undefined : loadedVersion(server, service.engine.model);
+        snapshot.refresh(server.id);
         const assignment: Assignment = {
             server,
             predictedFirstEventMs: placement.firstEventMs,
+            assumedSlowdown: candidate.slowdown,
             requiredVersion: requiredVersionFor(request, service, now),
             startDeadline: service.engine === undefined || version === undefined ?
                 undefined :
@@ -192,14 +198,20 @@
         return true;
     }
 
+    /** Returns whether the server accepts requests, holds acceptable weights and wasn't sent this request before. */
+    function isEligible({ server, version, isUsable }: PoolServer, request: DispatchRequest): boolean {
+        if (!isUsable || request.triedServerIds.has(server.id)) return false;
+        return request.requiredVersion === undefined || request.requiredVersion === version;
+    }
+
     function place(
         request: DispatchRequest,
         queueClass: QueueClass,
         service: BackendService,
-        servers: readonly BackendServer[],
+        eligible: readonly PoolServer[],
         now: number,
     ): Placement | undefined {
-        const candidates = servers.map(server => candidateOf(server, service, now));
+        const candidates = eligible.map(({ candidate }) => candidate);
         const timeToDueMs = request.dueAt - now;
         if (service.engine === undefined) return placeOnService(candidates, timeToDueMs);
         return placeOnEngine(service.engine, candidates, {
@@ -213,45 +225,6 @@
         });
     }
 
-    /**
-     * Returns the registered servers that are healthy, aren't loading weights, hold acceptable weights and weren't sent
-     * this request before.
-     */
-    function eligibleServers(request: DispatchRequest, service: BackendService, now: number): BackendServer[] {
-        return registry.usable(service.name, now).filter(server => {
-            if (request.triedServerIds.has(server.id) || !health.isAvailable(server.id, now)) return false;
-            if ((pausedUntilByAddress.get(server.address) ?? 0) > now) return false;
-            return service.engine === undefined || hasUsableWeights(server, service.engine, request, now);
-        });
-    }
-
-    function hasUsableWeights(
-        server: BackendServer,
-        engine: EngineParameters,
-        request: DispatchRequest,
-        now: number,
-    ): boolean {
-        if (!hasAllowedVersion(server, engine, now)) return false;
-        return request.requiredVersion === undefined || request.requiredVersion === loadedVersion(server, engine.model);
-    }
-
-    /** Returns whether the server holds weights that may still answer requests. */
-    function hasAllowedVersion(server: BackendServer, { model }: EngineParameters, now: number): boolean {
-        const version = loadedVersion(server, model);
-        return version !== undefined && version >= weights.lowestAllowed(model, now);
-    }
-
-    /**
-     * Returns the newest version of the model that the registry or the agent reports as loaded, or `undefined` if
-     * neither does. The agent's report counts only if both describe the same start of the server.
-     */
-    function loadedVersion(server: BackendServer, model: string): number | undefined {
-        const report = reportedWeightsByAddress.get(server.address);
-        const registered = server.weights?.model === model ? server.weights.version : undefined;
-        if (report === undefined || report.model !== model || report.startedAt !== server.startedAt) return registered;
-        return Math.max(report.version, registered ?? 0);
-    }
-
     /**
      * Returns the version that must answer. A version is required only where another one would be wrong, so that a
      * switch between assignment and arrival at the server causes no refusals.
@@ -262,50 +235,28 @@
         return lowestAllowed > 1 && lowestAllowed === weights.newest(service.engine.model) ? lowestAllowed : undefined;
     }
 
-    function candidateOf(server: BackendServer, service: BackendService, now: number): PlacementCandidate {
-        const connectionLimit = Math.floor(
-            service.maxConnections * CONNECTION_FRACTION / Math.max(1, options.entryCount()),
-        );
-        return {
-            id: server.id,
-            roundTripMs: options.roundTripMs(server.failureDomain),
-            isLocal: server.failureDomain === options.failureDomain,
-            slots: server.slots,
-            load: inFlight.loadOf(server.id, now),
-            slowdown: health.slowdown(server.id),
-            failureRate: health.failureRate(server.id),
-            freeConnections: connectionLimit - inFlight.countAtServer(server.id),
-        };
-    }
-
-    function poolState(request: DispatchRequest, now: number): PoolState {
+    function poolState(request: DispatchRequest, poolServers: readonly PoolServer[], now: number): PoolState {
         const { service } = request;
-        const servers = registry.usable(service, now).filter(({ id }) => {
-            return !request.triedServerIds.has(id) && health.isAvailable(id, now);
+        const expected = poolServers.filter(({ server, isExpected }) => {
+            return isExpected && !request.triedServerIds.has(server.id);
         });
-        const engine = options.findService(service)?.engine;
-        const readyServers = engine === undefined ?
-            servers :
-            servers.filter(server => hasAllowedVersion(server, engine, now));
-        const runningRequests = readyServers.reduce((sum, server) => sum + runningCount(server, now), 0);
-        const slots = readyServers.reduce((sum, server) => sum + server.slots, 0);
+        const runningRequests = expected.reduce((sum, { candidate: { load } }) => {
+            return sum + load.decoding + load.prefilling;
+        }, 0);
+        const slots = expected.reduce((sum, { server }) => sum + server.slots, 0);
         const durationMs = meanDurationMsByService.get(service) ?? INITIAL_DURATION_MS;
+        const entryCount = Math.max(1, options.entryCount());
         while (lateStarts[0] !== undefined && now - lateStarts[0].startedAt > LATE_START_WINDOW_MS) lateStarts.shift();
         const recentLateStarts = lateStarts.filter(start => start.service === service).length;
         return {
-            serverCount: readyServers.length,
-            completionsPerSecond: runningRequests * 1000 / durationMs / Math.max(1, options.entryCount()),
+            serverCount: expected.length,
+            completionsPerSecond: runningRequests * 1000 / durationMs / entryCount,
             lateStartsPerSecond: recentLateStarts * 1000 / LATE_START_WINDOW_MS,
-            freeSlots: Math.max(0, slots - runningRequests) / Math.max(1, options.entryCount()),
+            freeSlots: Math.max(0, slots - runningRequests) / entryCount,
             typicalFirstEventMs: typicalFirstEventFor(request),
         };
     }
 
-    function runningCount(server: BackendServer, now: number): number {
-        const { decoding, prefilling } = inFlight.loadOf(server.id, now);
-        return decoding + prefilling;
-    }
-
     function deliverResult(id: string, result: AssignmentResult): void {
         const item = queue.get(id);
         queue.delete(id);
@@ -331,12 +282,9 @@
             processQueue(now);
         },
         recordEnd,
-        pauseServer: (address, until) => void pausedUntilByAddress.set(address, until),
-        recordLoadedWeights: (address, startedAt, model, version) => {
-            reportedWeightsByAddress.set(address, { startedAt, model, version });
-        },
         tick: processQueue,
         queueLength: () => queue.size,
         inFlight,
+        pool,
     };
 }
--- a/src/lib/core/serving/inFlightRequests.ts
+++ b/src/lib/core/serving/inFlightRequests.ts
@@ -28,14 +28,19 @@
     countForAccount(account: string): number;
     countAtServer(serverId: string): number;
     count(): number;
-    /** Stores the report of another entry, replacing its previous one. */
-    recordPeerReport(entry: string, report: LoadReport, now: number): void;
+    /** Stores the report of another entry or failure domain, replacing its previous one. */
+    recordPeerReport(sender: string, report: LoadReport, now: number): void;
     /** Returns the load of a server: requests of this process plus the recent reports of other entries. */
     loadOf(serverId: string, now: number): EngineLoad;
     /** Returns the load of this process for the report to other entries. */
     localReport(): LoadReport;
+    /** Returns the sum of the load of this process and of the recent reports of the senders. */
+    combinedReport(senders: readonly string[], now: number): LoadReport;
 }
 
+/** The four numbers of a `LoadReport` for one server. */
+type ServerLoad = [number, number, number, number];
+
 /** Older reports are ignored: most requests last about a second. */
 const REPORT_MAX_AGE_MS = 1000;
 
@@ -44,6 +49,8 @@
     const requestsByServer = new Map<string, Set<InFlightRequest>>();
     const countByAccount = new Map<string, number>();
     const peerReports = new Map<string, { readonly report: LoadReport; readonly receivedAt: number; }>();
+    /** Sum of the peers' recent reports by server; `undefined` after a change. */
+    let peerTotals: { readonly byServer: Map<string, ServerLoad>; readonly validUntil: number; } | undefined;
 
     function add(request: InFlightRequest): void {
         requests.set(request.id, request);
@@ -65,8 +72,8 @@
         else countByAccount.delete(request.account);
     }
 
-    function localLoad(serverId: string): [number, number, number, number] {
-        const load: [number, number, number, number] = [0, 0, 0, 0];
+    function localLoad(serverId: string): ServerLoad {
+        const load: ServerLoad = [0, 0, 0, 0];
         for (const request of requestsByServer.get(serverId) ?? []) {
             if (request.hasFirstEvent) {
                 load[0]++;
@@ -82,13 +89,40 @@
 
     function loadOf(serverId: string, now: number): EngineLoad {
         const sum = localLoad(serverId);
-        for (const { report, receivedAt } of peerReports.values()) {
-            if (now - receivedAt > REPORT_MAX_AGE_MS) continue;
-            report[serverId]?.forEach((value, index) => sum[index] = (sum[index] ?? 0) + value);
-        }
+        addLoad(sum, totalsOfPeers(now).get(serverId));
         return { decoding: sum[0], prefilling: sum[1], prefillTokens: sum[2], contextTokens: sum[3] };
     }
 
+    /** Summed once for all servers, because each decision needs the load of every server. */
+    function totalsOfPeers(now: number): Map<string, ServerLoad> {
+        if (peerTotals !== undefined && now <= peerTotals.validUntil) return peerTotals.byServer;
+        const byServer = new Map<string, ServerLoad>();
+        let validUntil = Number.POSITIVE_INFINITY;
+        for (const [sender, { report, receivedAt }] of peerReports) {
+            if (now - receivedAt > REPORT_MAX_AGE_MS) {
+                peerReports.delete(sender);
+                continue;
+            }
+            validUntil = Math.min(validUntil, receivedAt + REPORT_MAX_AGE_MS);
+            addReport(byServer, report);
+        }
+        peerTotals = { byServer, validUntil };
+        return byServer;
+    }
+
+    const localReport = () => Object.fromEntries([...requestsByServer.keys()].map(id => [id, localLoad(id)]));
+
+    function combinedReport(senders: readonly string[], now: number): LoadReport {
+        const byServer = new Map<string, ServerLoad>();
+        addReport(byServer, localReport());
+        for (const sender of senders) {
+            const peerReport = peerReports.get(sender);
+            if (peerReport === undefined || now - peerReport.receivedAt > REPORT_MAX_AGE_MS) continue;
+            addReport(byServer, peerReport.report);
+        }
+        return Object.fromEntries(byServer);
+    }
+
     return {
         add,
         recordFirstEvent: id => {
@@ -99,8 +133,24 @@
         countForAccount: account => countByAccount.get(account) ?? 0,
         countAtServer: serverId => requestsByServer.get(serverId)?.size ?? 0,
         count: () => requests.size,
-        recordPeerReport: (entry, report, now) => void peerReports.set(entry, { report, receivedAt: now }),
+        recordPeerReport: (sender, report, now) => {
+            peerReports.set(sender, { report, receivedAt: now });
+            peerTotals = undefined;
+        },
         loadOf,
-        localReport: () => Object.fromEntries([...requestsByServer.keys()].map(id => [id, localLoad(id)])),
+        localReport,
+        combinedReport,
     };
 }
+
+function addLoad(sum: ServerLoad, load: LoadReport[string] | undefined): void {
+    load?.forEach((value, index) => sum[index] = (sum[index] ?? 0) + value);
+}
+
+function addReport(byServer: Map<string, ServerLoad>, report: LoadReport): void {
+    for (const [serverId, load] of Object.entries(report)) {
+        let sum = byServer.get(serverId);
+        if (sum === undefined) byServer.set(serverId, sum = [0, 0, 0, 0]);
+        addLoad(sum, load);
+    }
+}
--- a/src/lib/core/serving/placement.ts
+++ b/src/lib/core/serving/placement.ts
@@ -16,6 +16,8 @@
     readonly roundTripMs: number;
     readonly isLocal: boolean;
     readonly slots: number;
+    /** Fraction of the slots that this entry may fill; below 1 if another entry prefers the server. */
+    readonly slotFraction: number;
     readonly load: EngineLoad;
     /** Factor by which the server is slower than declared; 1 for a server at its declared speed. */
     readonly slowdown: number;
@@ -59,7 +61,8 @@
     for (const candidate of candidates) {
         const { load, slots } = candidate;
         if (candidate.freeConnections <= 0) continue;
-        if (load.decoding + load.prefilling >= Math.floor(slots * request.slotFraction)) continue;
+        const slotFraction = Math.min(request.slotFraction, candidate.slotFraction);
+        if (load.decoding + load.prefilling >= Math.floor(slots * slotFraction)) continue;
         const prediction = predictLatency(engine, load, request.promptTokens, candidate.slowdown);
         if (
             load.decoding > 0 && prediction.maxEventGapMs > request.maxEventGapMs * TARGET_FRACTION &&
@@ -76,16 +79,21 @@
     return best;
 }
 
+/** Added to the score of a server that another entry prefers; requests go there if it is clearly less loaded. */
+const SHARED_PENALTY_MS = 50;
+
 /** Large enough that a remote server is chosen only if no local one qualifies. */
 const REMOTE_PENALTY_MS = 10_000;
 
 function scoreOf(candidate: PlacementCandidate, firstEventMs: number): number {
-    return firstEventMs + candidate.failureRate * FAILURE_PENALTY_MS + (candidate.isLocal ? 0 : REMOTE_PENALTY_MS);
+    return firstEventMs + candidate.failureRate * FAILURE_PENALTY_MS + (candidate.isLocal ? 0 : REMOTE_PENALTY_MS) +
+        (candidate.slotFraction < 1 ? SHARED_PENALTY_MS : 0);
 }
 
 /**
- * Places a request on a service without a model engine: the server with the largest fraction of free slots, with a
- * preference for local ones. Returns `undefined` if no candidate has a free slot and a free connection.
+ * Places a request on a service without a model engine: the server with the smallest fraction of slots in use, where a
+ * slow server counts as fuller, with a preference for local ones. Returns `undefined` if no candidate has a free slot
+ * and a free connection.
  */
 export function placeOnService(candidates: readonly PlacementCandidate[], timeToDueMs: number): Placement | undefined {
     let best: Placement | undefined;
@@ -94,7 +102,8 @@
         if (candidate.freeConnections <= 0) continue;
         const running = candidate.load.decoding + candidate.load.prefilling;
         if (running >= candidate.slots) continue;
-        const score = running / candidate.slots + candidate.failureRate + (candidate.isLocal ? 0 : 0.5);
+        const score = (running + 1) / candidate.slots * candidate.slowdown + candidate.failureRate +
+            (candidate.isLocal ? 0 : 0.5);
         if (score >= bestScore) continue;
         best = { id: candidate.id, firstEventMs: candidate.roundTripMs, isOnTime: timeToDueMs > candidate.roundTripMs };
         bestScore = score;
--- a/src/lib/core/serving/serverHealth.ts
+++ b/src/lib/core/serving/serverHealth.ts
@@ -24,8 +24,6 @@
 
 export interface ServerHealth {
     recordOutcome(id: string, outcome: Outcome, now: number): void;
-    /** Records the ratio of the measured to the predicted time to the first event. */
-    recordSlowdown(id: string, ratio: number): void;
     /**
      * Returns whether a new request may be sent to the server. An ejected server admits one probe request after its
      * ejection time.
@@ -33,8 +31,6 @@
     isAvailable(id: string, now: number): boolean;
     /** Records that a request was sent, which counts as the probe of an ejected server. */
     recordSend(id: string, now: number): void;
-    /** Returns the factor by which the server is slower than predicted, at least 1. */
-    slowdown(id: string): number;
     /** Returns the fraction of recent requests that failed, 0 to 1. */
     failureRate(id: string): number;
     isEjected(id: string): boolean;
@@ -69,10 +65,6 @@
 const BASE_REFUSAL_BACKOFF_MS = 100;
 const MAX_REFUSAL_BACKOFF_MS = 1600;
 
-/** Weight of the newest ratio in the moving average of the slowdown. */
-const SLOWDOWN_SMOOTHING = 0.1;
-const MAX_SLOWDOWN = 10;
-
 interface HealthState {
     failureRate: number;
     consecutiveBroken: number;
@@ -81,7 +73,6 @@
     probeSentAt: number | undefined;
     consecutiveRefusals: number;
     backoffUntil: number;
-    slowdown: number;
 }
 
 export function createServerHealth(): ServerHealth {
@@ -98,7 +89,6 @@
             probeSentAt: undefined,
             consecutiveRefusals: 0,
             backoffUntil: 0,
-            slowdown: 1,
         };
         states.set(id, state);
         return state;
@@ -146,11 +136,6 @@
 
     return {
         recordOutcome,
-        recordSlowdown: (id, ratio) => {
-            const state = getOrCreateState(id);
-            const boundedRatio = Math.min(MAX_SLOWDOWN, Math.max(0.5, ratio));
-            state.slowdown += SLOWDOWN_SMOOTHING * (boundedRatio - state.slowdown);
-        },
         isAvailable: (id, now) => {
             const state = states.get(id);
             if (state === undefined) return true;
@@ -163,7 +148,6 @@
             const state = states.get(id);
             if (state?.ejectedUntil !== undefined) state.probeSentAt = now;
         },
-        slowdown: id => Math.max(1, states.get(id)?.slowdown ?? 1),
         failureRate: id => states.get(id)?.failureRate ?? 0,
         isEjected: id => states.get(id)?.ejectedUntil !== undefined,
         remove: id => void states.delete(id),
--- /dev/null
+++ b/src/lib/core/serving/serverPool.ts
@@ -0,0 +1,166 @@
+/**
+ * The backend servers of a service as they are at one moment: which of them may get a request, with which weights, and
+ * how much load each one carries. Combines the registry, the results of recent requests, the agents' reports and the
+ * requests in flight.
+ *
+ * One snapshot serves all queued requests that are decided together. Under overload the queue is decided again after
+ * every event of every stream, and the state of each server would otherwise be computed for each waiting request.
+ */
+import type { InFlightRequests } from "./inFlightRequests.js";
+import type { PlacementCandidate } from "./placement.js";
+import type { BackendService, EngineParameters } from "./routeTable.js";
+import type { ServerHealth } from "./serverHealth.js";
+import type { BackendServer, ServerRegistry } from "./serverRegistry.js";
+import type { ServerSpeed } from "./serverSpeed.js";
+import type { SlotSharing } from "./slotSharing.js";
+import type { WeightsPolicy } from "./weightsPolicy.js";
+
+export interface PoolServer {
+    readonly server: BackendServer;
+    /** Version of the weights that the server holds; `undefined` if it is unknown or the service has no engine. */
+    readonly version: number | undefined;
+    /** Accepts new requests now. */
+    readonly isUsable: boolean;
+    /** Accepts new requests now or as soon as it has loaded weights. */
+    readonly isExpected: boolean;
+    readonly candidate: PlacementCandidate;
+}
+
+export interface PoolSnapshot {
+    readonly service: BackendService;
+    servers(): readonly PoolServer[];
+    /** Computes the state of a server again, after a request was sent to it. */
+    refresh(serverId: string): void;
+}
+
+export interface ServerPool {
+    takeSnapshot(service: BackendService, now: number): PoolSnapshot;
+    /**
+     * Records that the engine at the address loads weights and accepts no new requests until `until`; a time in the
+     * past ends the pause.
+     */
+    pauseServer(address: string, until: number): void;
+    /** Records the weights that an agent reports for its engine, which arrive earlier than those in the registry. */
+    recordLoadedWeights(address: string, startedAt: number, model: string, version: number): void;
+    /** Forgets what agents reported for engines at addresses that no registered server has. */
+    forgetUnregistered(now: number): void;
+}
+
+export interface ServerPoolOptions {
+    readonly registry: ServerRegistry;
+    readonly health: ServerHealth;
+    readonly speed: ServerSpeed;
+    readonly weights: WeightsPolicy;
+    readonly inFlight: InFlightRequests;
+    readonly slotSharing: SlotSharing;
+    readonly failureDomain: string;
+    /** Network round-trip time to a failure domain. */
+    readonly roundTripMs: (failureDomain: string) => number;
+    /** Number of entries that share the servers, including this one. */
+    readonly entryCount: () => number;
+}
+
+/** Fraction of a server's connections that all entries use together; other clients may connect too. */
+const CONNECTION_FRACTION = 0.8;
+
+/** Reports of an engine without a registered server are kept this long, because the registry may lag behind. */
+const UNREGISTERED_REPORT_MAX_AGE_MS = 30_000;
+
+interface EngineReport {
+    readonly startedAt: number;
+    readonly model: string;
+    readonly version: number;
+}
+
+export function createServerPool(options: ServerPoolOptions): ServerPool {
+    const { registry, health, speed, weights, inFlight } = options;
+    const pausedUntilByAddress = new Map<string, number>();
+    const reportByAddress = new Map<string, EngineReport>();
+    /** When an address with a report was first seen without a registered server. */
+    const unregisteredSince = new Map<string, number>();
+
+    function takeSnapshot(service: BackendService, now: number): PoolSnapshot {
+        const connectionLimit = Math.floor(
+            service.maxConnections * CONNECTION_FRACTION / Math.max(1, options.entryCount()),
+        );
+        const servers = registry.usable(service.name, now);
+        const slotFractions = options.slotSharing.slotFractions(servers);
+        const poolServers = servers.map((server, index) => describe(server, slotFractions[index] ?? 1));
+        const indexById = new Map(poolServers.map(({ server }, index) => [server.id, index]));
+
+        function describe(server: BackendServer, slotFraction: number): PoolServer {
+            const { engine } = service;
+            const version = engine === undefined ? undefined : loadedVersion(server, engine);
+            const isPaused = (pausedUntilByAddress.get(server.address) ?? 0) > now;
+            const isExpected = health.isAvailable(server.id, now) &&
+                (engine === undefined || isAllowedVersion(version, engine, now));
+            return {
+                server,
+                version,
+                isUsable: isExpected && !isPaused,
+                isExpected,
+                candidate: {
+                    id: server.id,
+                    roundTripMs: options.roundTripMs(server.failureDomain),
+                    isLocal: server.failureDomain === options.failureDomain,
+                    slots: server.slots,
+                    slotFraction,
+                    load: inFlight.loadOf(server.id, now),
+                    slowdown: speed.slowdown(server.id, now),
+                    failureRate: health.failureRate(server.id),
+                    freeConnections: connectionLimit - inFlight.countAtServer(server.id),
+                },
+            };
+        }
+
+        return {
+            service,
+            servers: () => poolServers,
+            refresh: serverId => {
+                const index = indexById.get(serverId);
+                const server = index === undefined ? undefined : poolServers[index]?.server;
+                if (index === undefined || server === undefined) return;
+                poolServers[index] = describe(server, slotFractions[index] ?? 1);
+            },
+        };
+    }
+
+    function isAllowedVersion(version: number | undefined, { model }: EngineParameters, now: number): boolean {
+        return version !== undefined && version >= weights.lowestAllowed(model, now);
+    }
+
+    /**
+     * Returns the newest version of the model that the registry or the agent reports as loaded, or `undefined` if
+     * neither does. The agent's report counts only if both describe the same start of the server.
+     */
+    function loadedVersion(server: BackendServer, { model }: EngineParameters): number | undefined {
+        const report = reportByAddress.get(server.address);
+        const registered = server.weights?.model === model ? server.weights.version : undefined;
+        if (report === undefined || report.model !== model || report.startedAt !== server.startedAt) return registered;
+        return Math.max(report.version, registered ?? 0);
+    }
+
+    function forgetUnregistered(now: number): void {
+        const registeredAddresses = new Set(registry.all().map(({ address }) => address));
+        for (const address of new Set([...pausedUntilByAddress.keys(), ...reportByAddress.keys()])) {
+            if (registeredAddresses.has(address)) unregisteredSince.delete(address);
+            else {
+                const since = unregisteredSince.get(address) ?? now;
+                unregisteredSince.set(address, since);
+                if (now - since < UNREGISTERED_REPORT_MAX_AGE_MS) continue;
+                pausedUntilByAddress.delete(address);
+                reportByAddress.delete(address);
+                unregisteredSince.delete(address);
+            }
+        }
+    }
+
+    return {
+        takeSnapshot,
+        pauseServer: (address, until) => void pausedUntilByAddress.set(address, until),
+        recordLoadedWeights: (address, startedAt, model, version) => {
+            reportByAddress.set(address, { startedAt, model, version });
+        },
+        forgetUnregistered,
+    };
+}
--- a/src/lib/core/serving/storeReaders.ts
+++ b/src/lib/core/serving/storeReaders.ts
@@ -1,8 +1,9 @@
 /**
- * Decides which processes read a table's changes from the store, and when a process reads them from a peer instead.
+ * Decides which processes read the tables' changes from the store, and when a process reads them from a peer instead.
  *
- * Each change of the configuration transfers all of it, over links between regions that carry requests too. Therefore a
- * few entries of each region read it from the store and the others copy it from these. An entry that can't reach the
+ * Each change of the configuration transfers all of it, over links between regions that carry requests too, and each
+ * change of a server costs a call of every reader. Therefore a few entries of each region read from the store and the
+ * others copy the changes from these. An entry that can't reach the
  * store says so in its heartbeats and is replaced as a reader; if no entry can, all of them try.
  */
 import { positionOf } from "../rendezvous.js";
@@ -44,6 +45,12 @@
     finish(table: string): void;
 }
 
+/**
+ * Time between the starts of two reads of a table from peers. During a rollout every server changes several times, and
+ * each heartbeat names a newer revision.
+ */
+const MIN_PEER_READ_INTERVAL_MS = 200;
+
 /**
  * Time within which a reader's own feed delivers a change, including its polling interval, if it delivers it at all.
  */
@@ -59,6 +66,7 @@
     /** For each table, the first revision that this process lacks and the time since when it has lacked it. */
     const missingByTable = new Map<string, { readonly revision: number; readonly since: number; }>();
     const readsInProgress = new Set<string>();
+    const lastReadAt = new Map<string, number>();
 
     return {
         tryBegin: ({ table, revision, isSameRegion }, local, now) => {
@@ -72,6 +80,9 @@
             if (local.hasSnapshot && now - missing.since < peerReadDelayMs(local.readsFromStore, isSameRegion)) {
                 return false;
             }
+            const previousReadAt = lastReadAt.get(table);
+            if (previousReadAt !== undefined && now - previousReadAt < MIN_PEER_READ_INTERVAL_MS) return false;
+            lastReadAt.set(table, now);
             readsInProgress.add(table);
             return true;
         },
--- a/src/lib/node/peerMessages.ts
+++ b/src/lib/node/peerMessages.ts
@@ -10,22 +10,42 @@
 import { sendRequest } from "../clients/index.js";
 import type { Row, RowReplica } from "../core/serving/index.js";
 
-const entryHeartbeatSchema = z.object({
-    kind: z.literal("entry"),
+const senderFields = {
     name: z.string(),
     ip: z.string(),
     failureDomain: z.string(),
     /** Newest revision that the sender holds, by table. */
     newest: z.record(z.string(), z.number()),
-    /** Whether the sender can reach the store, and so can read it for its peers. */
-    reachesStore: z.boolean(),
+    /** Time since the sender last saw the store fail; `undefined` if it hasn't. */
+    storeOutageAgeMs: z.number().nonnegative().optional(),
     /** Recently named weights versions, each with the time since the sender learned of it. */
     named: z.array(z.object({ model: z.string(), version: z.number(), ageMs: z.number().nonnegative() })),
     /**
-     * Load from the sender's requests, by server: the number of requests with a first event and of those without one,
-     * the prompt tokens of the latter, and the context tokens of the former.
+     * Load by server: the number of requests with a first event and of those without one, the prompt tokens of the
+     * latter, and the context tokens of the former. A heartbeat has the load from the sender's own requests, a digest
+     * that from all requests of the sender's failure domain.
      */
     load: z.record(z.string(), z.tuple([z.number(), z.number(), z.number(), z.number()])),
+};
+
+const entryHeartbeatSchema = z.object({
+    kind: z.literal("entry"),
+    ...senderFields,
+    /** Whether the sender can reach the store, and so can read it for its peers. */
+    reachesStore: z.boolean(),
+});
+
+/** Sent to entries of other failure domains on behalf of all entries of the sender's domain. */
+const domainDigestSchema = z.object({
+    kind: z.literal("domain"),
+    ...senderFields,
+    /** Live entries of the domain, including the sender, each with the time since its last heartbeat. */
+    entries: z.array(z.object({
+        name: z.string(),
+        ip: z.string(),
+        ageMs: z.number().nonnegative(),
+        reachesStore: z.boolean(),
+    })),
 });
 
 const agentHeartbeatSchema = z.object({
@@ -47,14 +67,16 @@
 
 const peerMessageSchema = z.discriminatedUnion("kind", [
     entryHeartbeatSchema,
+    domainDigestSchema,
     agentHeartbeatSchema,
     weightsNotificationSchema,
 ]);
 
 export type EntryHeartbeat = Readonly<z.infer<typeof entryHeartbeatSchema>>;
+export type DomainDigest = Readonly<z.infer<typeof domainDigestSchema>>;
 export type AgentHeartbeat = Readonly<z.infer<typeof agentHeartbeatSchema>>;
 export type WeightsNotification = Readonly<z.infer<typeof weightsNotificationSchema>>;
-export type PeerMessage = EntryHeartbeat | AgentHeartbeat | WeightsNotification;
+export type PeerMessage = EntryHeartbeat | DomainDigest | AgentHeartbeat | WeightsNotification;
 
 export interface PeerSocket {
     /** Sends the message to each IP address, at the entries' port by default. Losses aren't reported. */
--- a/src/lib/platform/headers.ts
+++ b/src/lib/platform/headers.ts
@@ -50,6 +50,11 @@
     readonly weightsVersion: number | undefined;
     /** The server's requests in progress and in its queue; `undefined` if it doesn't report them. */
     readonly load: { readonly running: number; readonly waiting: number; } | undefined;
+    /**
+     * Factor by which work takes longer than usual on the server's VM at this moment; `undefined` if the server
+     * doesn't report it.
+     */
+    readonly slowdown: number | undefined;
 }
 
 /** Headers that apply to a single connection and aren't forwarded. */
@@ -125,7 +130,9 @@
 }
 
 export function parseResponseMetadata(headers: IncomingHttpHeaders): ResponseMetadata {
-    const [running, waiting] = (firstValue(headers["instance-load"]) ?? "").split(",").map(Number);
+    const [running, waiting, , percentOfUsualTime = Number.NaN] = (firstValue(headers["instance-load"]) ?? "")
+        .split(",")
+        .map(Number);
     const hasLoad = Number.isFinite(running) && Number.isFinite(waiting) && headers["instance-load"] !== undefined;
     const weightsVersion = Number(firstValue(headers["weight-versions"]) ?? Number.NaN);
     return {
@@ -135,6 +142,7 @@
         serverId: firstValue(headers["at-server"]) ?? firstValue(headers["instance-id"]),
         weightsVersion: Number.isInteger(weightsVersion) ? weightsVersion : undefined,
         load: hasLoad ? { running: running ?? 0, waiting: waiting ?? 0 } : undefined,
+        slowdown: Number.isFinite(percentOfUsualTime) && percentOfUsualTime > 0 ? percentOfUsualTime / 100 : undefined,
     };
 }
 
--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -55,6 +55,9 @@
             isRetryable: isRetryableRoute(route),
         });
         const metadata = parseResponseMetadata(response.headers);
+        if (metadata.slowdown !== undefined) {
+            context.speed.recordReport(server.id, metadata.slowdown, context.now());
+        }
         const result = await readResponse(exchange, assignment, response, metadata, sentAt);
         recordResult(exchange, assignment, result, metadata);
         return result;
@@ -176,14 +179,19 @@
 
 function recordFirstEvent(
     exchange: Exchange,
-    { server, predictedFirstEventMs }: Assignment,
+    { server, predictedFirstEventMs, assumedSlowdown }: Assignment,
     sentAt: number,
 ): void {
     const { context, route } = exchange;
     const now = context.now();
+    const measuredMs = now - sentAt;
     context.dispatcher.recordFirstEvent(exchange.dispatchId, now);
-    if (predictedFirstEventMs > 0) context.health.recordSlowdown(server.id, (now - sentAt) / predictedFirstEventMs);
-    exchange.prediction = { predictedMs: Math.round(predictedFirstEventMs), actualMs: Math.round(now - sentAt) };
+    context.speed.recordFirstEvent(
+        server.id,
+        { predictedMs: predictedFirstEventMs, measuredMs, assumedSlowdown },
+        now,
+    );
+    exchange.prediction = { predictedMs: Math.round(predictedFirstEventMs), actualMs: Math.round(measuredMs) };
     if (exchange.firstEventAt !== undefined) return;
     exchange.firstEventAt = now;
     context.metrics.firstEventMs.observe({ kind: route.kind }, now - exchange.arrivedAt);
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -7,6 +7,7 @@
     type Route,
     type RouteTable,
     type ServerHealth,
+    type ServerSpeed,
     type SharedRetryBudget,
 } from "../core/serving/index.js";
 import type { Verdict } from "../core/verdict.js";
@@ -22,6 +23,7 @@
     readonly connections: BackendConnections;
     readonly retryBudget: SharedRetryBudget;
     readonly health: ServerHealth;
+    readonly speed: ServerSpeed;
     readonly log: EventLog;
     readonly metrics: ServingMetrics;
     /** Monotonic clock in milliseconds. */
--- /dev/null
+++ b/src/lib/router/peerExchange.ts
@@ -0,0 +1,239 @@
+/**
+ * Exchanges state with the other entries and the agents: heartbeats and digests with the load of servers, the progress
+ * of the table replicas and the ages of named weights. Reads from a peer the changes that this entry doesn't read from
+ * the store itself or hasn't received in time.
+ */
+import {
+    createPeerCatchUp,
+    type Dispatcher,
+    type EntryIdentity,
+    isStoreReader,
+    type PeerEntries,
+    type Row,
+    type RowReplica,
+    type WeightsPolicy,
+} from "../core/serving/index.js";
+import {
+    type AgentHeartbeat,
+    agentPortOf,
+    type DomainDigest,
+    type EntryHeartbeat,
+    fetchPeerChanges,
+    openPeerSocket,
+    type PeerMessage,
+} from "../node/peerMessages.js";
+import type { EventLog } from "../observability/index.js";
+import type { VmSettings } from "../settings/vmSettings.js";
+
+export interface PeerExchangeOptions {
+    readonly settings: VmSettings;
+    readonly self: EntryIdentity;
+    readonly peers: PeerEntries;
+    readonly dispatcher: Dispatcher;
+    readonly weights: WeightsPolicy;
+    /** Replicas of the tables that entries share, by table name. */
+    readonly replicas: ReadonlyMap<string, RowReplica>;
+    /**
+     * Applies changes that were read from a peer. `outageAt` is the last time at which the peer saw the store fail;
+     * `undefined` if it didn't.
+     */
+    readonly onChange: (table: string, rows: readonly Row[], outageAt: number | undefined) => void;
+    /** Returns whether this entry reaches the store. */
+    readonly reachesStore: () => boolean;
+    /** Returns the last time at which this entry saw the store fail; `undefined` if it didn't. */
+    readonly lastOutageAt: () => number | undefined;
+    readonly log: EventLog;
+    /** Monotonic clock, in milliseconds. */
+    readonly now: () => number;
+}
+
+export interface PeerExchange {
+    /**
+     * Tells whether this entry reads the tables from the store. Only some entries of a region do, because each change
+     * costs a call of every reader and, for the operator table, the transfer of a whole configuration.
+     */
+    readsFromStore(): boolean;
+    /** Sends the messages that are due. Call it every `HEARTBEAT_INTERVAL_MS`. */
+    tick(): void;
+    /** Tells all known agents at once that weights were named. */
+    notifyAgents(): void;
+    close(): void;
+}
+
+/** A fifteenth of the time after which an entry that sends no heartbeats is no longer counted. */
+export const HEARTBEAT_INTERVAL_MS = 100;
+
+/** Agents send a heartbeat at least every 2 s; one that sent none for this long has probably ended. */
+const AGENT_TIMEOUT_MS = 10_000;
+
+/** A server stays paused this long after a heartbeat that reports loading; agents repeat it while they load. */
+const LOADING_PAUSE_MS = 1200;
+
+export function createPeerExchange(options: PeerExchangeOptions): PeerExchange {
+    const { settings, self, peers, dispatcher, weights, replicas, log, now } = options;
+    const [peerPort] = settings.peerPorts;
+    /** Names of the entries whose last heartbeat said that they reach the store. */
+    const peersReachingStore = new Set<string>();
+    const catchUp = createPeerCatchUp();
+    /** Agents that have sent heartbeats, by IP address. */
+    const agents = new Map<string, { readonly model: string; readonly lastHeartbeatAt: number; }>();
+    let tickCount = 0;
+
+    const isInOwnRegion = (failureDomain: string) => settings.regions.get(failureDomain) === settings.region;
+
+    function readsFromStore(): boolean {
+        const eligiblePeers = peers.live(now()).filter(({ name, failureDomain }) => {
+            return isInOwnRegion(failureDomain) && peersReachingStore.has(name);
+        });
+        return isStoreReader(self.name, eligiblePeers.map(({ name }) => name));
+    }
+
+    function onMessage(message: PeerMessage): void {
+        const receivedAt = now();
+        if (message.kind === "agent") onAgentHeartbeat(message, receivedAt);
+        else if (message.kind === "entry") onEntryHeartbeat(message, receivedAt);
+        else if (message.kind === "domain") onDomainDigest(message, receivedAt);
+    }
+
+    function onAgentHeartbeat(message: AgentHeartbeat, receivedAt: number): void {
+        const { backendAddress, startedAt, model, version, isLoading } = message;
+        dispatcher.pool.recordLoadedWeights(backendAddress, startedAt, model, version);
+        dispatcher.pool.pauseServer(backendAddress, isLoading ? receivedAt + LOADING_PAUSE_MS : 0);
+        const ip = backendAddress.split(":")[0] ?? "";
+        agents.set(ip, { model, lastHeartbeatAt: receivedAt });
+        sendNewestWeights(ip, model, version);
+    }
+
+    function onEntryHeartbeat(message: EntryHeartbeat, receivedAt: number): void {
+        peers.recordHeartbeat(identityOf(message, message.failureDomain), receivedAt);
+        dispatcher.inFlight.recordPeerReport(message.name, message.load, receivedAt);
+        recordReach(message);
+        mergeProgress(message, receivedAt);
+    }
+
+    function onDomainDigest(message: DomainDigest, receivedAt: number): void {
+        const { failureDomain, entries } = message;
+        const ages = entries.map(entry => ({ entry: identityOf(entry, failureDomain), ageMs: entry.ageMs }));
+        peers.recordAges(ages, receivedAt);
+        for (const entry of entries) recordReach(entry);
+        // A sender that doesn't know this entry's domain yet may include it; the load would then count twice.
+        if (failureDomain !== self.failureDomain) {
+            dispatcher.inFlight.recordPeerReport(domainSender(failureDomain), message.load, receivedAt);
+        }
+        mergeProgress(message, receivedAt);
+    }
+
+    function recordReach({ name, reachesStore }: { readonly name: string; readonly reachesStore: boolean; }): void {
+        if (reachesStore) peersReachingStore.add(name);
+        else peersReachingStore.delete(name);
+    }
+
+    function mergeProgress(message: EntryHeartbeat | DomainDigest, receivedAt: number): void {
+        for (const age of message.named) weights.mergePeerAge(age, receivedAt);
+        for (const table of replicas.keys()) void catchUpFromPeer(message, table, receivedAt);
+    }
+
+    /** Reads from another entry the changes that this entry's own feed hasn't delivered in time. */
+    async function catchUpFromPeer(
+        { ip, failureDomain, newest, storeOutageAgeMs }: EntryHeartbeat | DomainDigest,
+        table: string,
+        receivedAt: number,
+    ): Promise<void> {
+        const replica = replicas.get(table);
+        if (replica === undefined) return;
+        const peerProgress = { table, revision: newest[table] ?? 0, isSameRegion: isInOwnRegion(failureDomain) };
+        const localProgress = {
+            revision: replica.newestRevision(),
+            hasSnapshot: replica.hasSnapshot(),
+            readsFromStore: readsFromStore(),
+        };
+        if (!catchUp.tryBegin(peerProgress, localProgress, receivedAt)) return;
+        try {
+            const { rows, isComplete } = await fetchPeerChanges(ip, peerPort, table, replica.newestRevision());
+            if (!replica.hasSnapshot() && !isComplete) return;
+            const newRows = replica.hasSnapshot() ?
+                replica.apply(rows) :
+                replica.applySnapshot(rows, rows.at(-1)?.revision ?? 0);
+            if (newRows.length === 0) return;
+            log.info("changes taken from a neighbour", { table, neighbour: ip, rows: newRows.length });
+            options.onChange(
+                table,
+                newRows,
+                storeOutageAgeMs === undefined ? undefined : receivedAt - storeOutageAgeMs,
+            );
+        }
+        catch (error) {
+            log.info("neighbour not reached", { table, neighbour: ip, error: (error as Error).message });
+        }
+        finally {
+            catchUp.finish(table);
+        }
+    }
+
+    /**
+     * Tells an agent the newest weights version if it knows only an older one, because agents poll the store rarely.
+     * Each heartbeat of the agent triggers this again, so that a lost message is repeated.
+     */
+    function sendNewestWeights(ip: string, model: string, knownVersion: number): void {
+        const version = weights.newest(model);
+        if (knownVersion < version) socket.send({ kind: "weights", model, version }, [ip], agentPortOf(peerPort));
+    }
+
+    function notifyAgents(): void {
+        for (const [ip, { model, lastHeartbeatAt }] of agents) {
+            if (now() - lastHeartbeatAt < AGENT_TIMEOUT_MS) sendNewestWeights(ip, model, 0);
+            else agents.delete(ip);
+        }
+    }
+
+    function tick(): void {
+        tickCount++;
+        const sentAt = now();
+        const heartbeatIps = peers.heartbeatTargets(tickCount, sentAt).map(({ ip }) => ip);
+        const digestIps = peers.digestTargets(tickCount, sentAt).map(({ ip }) => ip);
+        const outageAt = options.lastOutageAt();
+        const progress = {
+            ...self,
+            named: weights.recentAges(sentAt),
+            newest: Object.fromEntries([...replicas].map(([table, replica]) => [table, replica.newestRevision()])),
+            storeOutageAgeMs: outageAt === undefined ? undefined : Math.max(0, sentAt - outageAt),
+        };
+        const reachesStore = options.reachesStore();
+        if (heartbeatIps.length > 0) {
+            const load = toWireLoad(dispatcher.inFlight.localReport());
+            socket.send({ kind: "entry", ...progress, reachesStore, load }, heartbeatIps);
+        }
+        if (digestIps.length === 0) return;
+        const domainAges = peers.domainAges(sentAt);
+        const senders = domainAges.map(({ entry }) => entry.name);
+        socket.send({
+            kind: "domain",
+            ...progress,
+            entries: domainAges.map(({ entry: { name, ip }, ageMs }) => ({
+                name,
+                ip,
+                ageMs: Math.round(ageMs),
+                reachesStore: name === self.name ? reachesStore : peersReachingStore.has(name),
+            })),
+            load: toWireLoad(dispatcher.inFlight.combinedReport(senders, sentAt)),
+        }, digestIps);
+    }
+
+    const socket = openPeerSocket(settings.ip, peerPort, peerPort, onMessage);
+    for (const ip of settings.seeds) peers.addUnconfirmed({ name: `seed ${ip}`, ip, failureDomain: "" });
+
+    return { readsFromStore, tick, notifyAgents, close: () => socket.close() };
+}
+
+/** Key of a domain's combined load among the load reports of single entries. */
+const domainSender = (failureDomain: string) => `domain ${failureDomain}`;
+
+function identityOf({ name, ip }: { readonly name: string; readonly ip: string; }, failureDomain: string) {
+    return { name, ip, failureDomain };
+}
+
+function toWireLoad(report: ReturnType<Dispatcher["inFlight"]["localReport"]>) {
+    return Object.fromEntries(
+        Object.entries(report).map(([id, load]) => [id, [...load] as [number, number, number, number]]),
+    );
+}
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -6,29 +6,23 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import {
     createDispatcher,
-    createPeerCatchUp,
     createPeerEntries,
     createRowReplica,
     createServerHealth,
     createServerRegistry,
+    createServerSpeed,
     createSharedRetryBudget,
+    createSlotSharing,
     createWeightsPolicy,
     type EntryIdentity,
-    isStoreReader,
     type RouteTable,
+    type Row,
 } from "../core/serving/index.js";
 import { ENTRIES_TABLE, formatEntryRow, parseEntryRow } from "../node/entryRows.js";
 import { listen } from "../node/listen.js";
 import type { MetadataStore } from "../node/metadataStore.js";
-import {
-    agentPortOf,
-    type EntryHeartbeat,
-    fetchPeerChanges,
-    handleChangesRequest,
-    openPeerSocket,
-    type PeerMessage,
-} from "../node/peerMessages.js";
-import { type FeedRateLimit, startTableFeed } from "../node/tableFeed.js";
+import { handleChangesRequest } from "../node/peerMessages.js";
+import { type FeedRateLimit, startTableFeed, type TableFeed } from "../node/tableFeed.js";
 import { createServingMetrics, type EventLog, handleMetricsRequest } from "../observability/index.js";
 import { PlatformTable } from "../platform/index.js";
 import type { VmBounds, VmSettings } from "../settings/vmSettings.js";
@@ -40,6 +34,7 @@
 import { serveExchange } from "./exchange.js";
 import type { ExchangeContext } from "./exchangeState.js";
 import { createOperatorState } from "./operatorState.js";
+import { createPeerExchange, HEARTBEAT_INTERVAL_MS } from "./peerExchange.js";
 
 export interface Router {
     /** Ports of the caller server and the readiness server; 0 if the settings name no address for one. */
@@ -54,9 +49,6 @@
 /** The store ends a feed call without changes after this time. If the store hangs, changes come from peers. */
 const FEED_WAIT_MS = 5000;
 
-/** A tenth of the time after which an entry that sends no heartbeats is no longer counted. */
-const HEARTBEAT_INTERVAL_MS = 100;
-
 /** Waiting requests are dispatched at this interval, in addition to each arrival and end of a request. */
 const DISPATCH_INTERVAL_MS = 20;
 
@@ -84,12 +76,6 @@
 const CROSS_DOMAIN_ROUND_TRIP_MS = 3;
 const CROSS_REGION_ROUND_TRIP_MS = 7;
 
-/** Agents send a heartbeat at least every 2 s; one that sent none for this long has probably ended. */
-const AGENT_TIMEOUT_MS = 10_000;
-
-/** A server stays paused this long after a heartbeat that reports loading; agents repeat it while they load. */
-const LOADING_PAUSE_MS = 1200;
-
 export async function startRouter(settings: VmSettings, store: MetadataStore, log: EventLog): Promise<Router> {
     const now = () => performance.now();
     const random = Math.random;
@@ -99,12 +85,21 @@
     const peers = createPeerEntries(self);
     const registry = createServerRegistry(() => bounds.drainMs);
     const health = createServerHealth();
+    const speed = createServerSpeed();
     const weights = createWeightsPolicy(() => bounds.weightsMs);
     const connections = createBackendConnections();
-    const countEntries = () => peers.live(now()).length + 1;
+    /** Updated with each heartbeat, because the dispatcher needs the list for each decision. */
+    let liveEntries: readonly EntryIdentity[] = [];
+    const countEntries = () => liveEntries.length + 1;
+    const domainEntryNames = () => {
+        const domainPeers = liveEntries.filter(({ failureDomain }) => failureDomain === self.failureDomain);
+        return [self.name, ...domainPeers.map(({ name }) => name)];
+    };
     const dispatcher = createDispatcher({
         registry,
         health,
+        speed,
+        slotSharing: createSlotSharing(self.name, domainEntryNames),
         weights,
         findService: name => operatorState.routeTable()?.findService(name),
         failureDomain: settings.failureDomain,
@@ -123,13 +118,11 @@
         onServerGone: id => {
             connections.removeServer(id);
             health.remove(id);
+            speed.remove(id);
         },
         onWeightsNamed: version => {
             void relay.prefetch(version);
-            for (const [ip, { model, lastHeartbeatAt }] of agents) {
-                if (now() - lastHeartbeatAt < AGENT_TIMEOUT_MS) sendNewestWeights(ip, model, 0);
-                else agents.delete(ip);
-            }
+            peerExchange.notifyAgents();
         },
     });
     const context: ExchangeContext = {
@@ -138,6 +131,7 @@
         connections,
         retryBudget,
         health,
+        speed,
         log,
         metrics,
         now,
@@ -154,26 +148,28 @@
         [PlatformTable.operator as string, createRowReplica()],
         [PlatformTable.servers as string, createRowReplica()],
     ]);
-    const onChange = {
-        [PlatformTable.operator]: (rows: Parameters<typeof operatorState.applyOperatorRows>[0]) => {
+    /** `outageAt` is the last time at which the process that read the rows from the store saw it fail. */
+    type ApplyChanges = (rows: readonly Row[], outageAt: number | undefined) => void;
+    const applyChanges: Readonly<Record<string, ApplyChanges>> = {
+        [PlatformTable.operator]: rows => {
             operatorState.applyOperatorRows(rows, now());
             dispatcher.tick(now());
         },
-        [PlatformTable.servers]: (rows: Parameters<typeof operatorState.applyServerRows>[0]) => {
-            operatorState.applyServerRows(rows, feeds[1]?.lastOutageAt(), now());
+        [PlatformTable.servers]: (rows, outageAt) => {
+            operatorState.applyServerRows(rows, outageAt, now());
             dispatcher.tick(now());
         },
     };
-    // `onChange` relies on the order: `feeds[1]` is the feed of the server registry.
-    const feeds = [PlatformTable.operator, PlatformTable.servers].map(table =>
+    // `feeds[1]` is the feed of the server registry.
+    const feeds: TableFeed[] = [PlatformTable.operator, PlatformTable.servers].map(table =>
         startTableFeed({
             store,
             table,
             replica: replicas.get(table) ?? createRowReplica(),
             waitMs: FEED_WAIT_MS,
             rateLimit: FEED_RATE_LIMIT,
-            isReader: () => readsTable(table),
-            onChange: onChange[table],
+            isReader: () => peerExchange.readsFromStore(),
+            onChange: rows => applyChanges[table]?.(rows, feeds[1]?.lastOutageAt()),
             log,
             metrics,
             now,
@@ -182,95 +178,19 @@
     );
 
     const [peerPort] = settings.peerPorts;
-    /** Names of the entries whose last heartbeat said that they reach the store. */
-    const peersReachingStore = new Set<string>();
-    const catchUp = createPeerCatchUp();
-    /** Agents that have sent heartbeats, by IP address. */
-    const agents = new Map<string, { readonly model: string; readonly lastHeartbeatAt: number; }>();
-
-    function onPeerMessage(message: PeerMessage): void {
-        const receivedAt = now();
-        if (message.kind === "agent") {
-            dispatcher.recordLoadedWeights(
-                message.backendAddress,
-                message.startedAt,
-                message.model,
-                message.version,
-            );
-            dispatcher.pauseServer(message.backendAddress, message.isLoading ? receivedAt + LOADING_PAUSE_MS : 0);
-            const ip = message.backendAddress.split(":")[0] ?? "";
-            agents.set(ip, { model: message.model, lastHeartbeatAt: receivedAt });
-            sendNewestWeights(ip, message.model, message.version);
-            return;
-        }
-        if (message.kind !== "entry") return;
-        peers.recordHeartbeat(message, receivedAt);
-        dispatcher.inFlight.recordPeerReport(message.name, message.load, receivedAt);
-        for (const age of message.named) weights.mergePeerAge(age, receivedAt);
-        if (message.reachesStore) peersReachingStore.add(message.name);
-        else peersReachingStore.delete(message.name);
-        for (const table of [PlatformTable.operator, PlatformTable.servers]) {
-            void catchUpFromPeer(message, table, receivedAt);
-        }
-    }
-
-    /**
-     * Tells whether this entry reads a table from the store. Only some entries of a region read the operator table,
-     * since each change transfers a whole configuration; changes of servers are small, so every entry reads those.
-     */
-    function readsTable(table: string): boolean {
-        if (table !== PlatformTable.operator) return true;
-        const eligiblePeers = peers.live(now()).filter(({ name, failureDomain }) => {
-            return isInOwnRegion(failureDomain) && peersReachingStore.has(name);
-        });
-        return isStoreReader(self.name, eligiblePeers.map(({ name }) => name));
-    }
-
-    const isInOwnRegion = (failureDomain: string) => settings.regions.get(failureDomain) === settings.region;
-
-    /**
-     * Tells an agent the newest weights version if it knows only an older one, because agents poll the store rarely.
-     * Each heartbeat of the agent triggers this again, so that a lost message is repeated.
-     */
-    function sendNewestWeights(ip: string, model: string, knownVersion: number): void {
-        const version = weights.newest(model);
-        if (knownVersion < version) peerSocket.send({ kind: "weights", model, version }, [ip], agentPortOf(peerPort));
-    }
-
-    /** Reads from another entry the changes that this entry's own feed hasn't delivered in time. */
-    async function catchUpFromPeer(
-        { ip, failureDomain, newest }: EntryHeartbeat,
-        table: typeof PlatformTable[keyof typeof PlatformTable],
-        receivedAt: number,
-    ): Promise<void> {
-        const replica = replicas.get(table);
-        if (replica === undefined) return;
-        const peerProgress = { table, revision: newest[table] ?? 0, isSameRegion: isInOwnRegion(failureDomain) };
-        const localProgress = {
-            revision: replica.newestRevision(),
-            hasSnapshot: replica.hasSnapshot(),
-            readsFromStore: readsTable(table),
-        };
-        if (!catchUp.tryBegin(peerProgress, localProgress, receivedAt)) return;
-        try {
-            const { rows, isComplete } = await fetchPeerChanges(ip, peerPort, table, replica.newestRevision());
-            if (!replica.hasSnapshot() && !isComplete) return;
-            const newRows = replica.hasSnapshot() ?
-                replica.apply(rows) :
-                replica.applySnapshot(rows, rows.at(-1)?.revision ?? 0);
-            if (newRows.length === 0) return;
-            log.info("changes taken from a neighbour", { table, neighbour: ip, rows: newRows.length });
-            onChange[table](newRows);
-        }
-        catch (error) {
-            log.info("neighbour not reached", { table, neighbour: ip, error: (error as Error).message });
-        }
-        finally {
-            catchUp.finish(table);
-        }
-    }
-
-    const peerSocket = openPeerSocket(settings.ip, peerPort, peerPort, onPeerMessage);
+    const peerExchange = createPeerExchange({
+        settings,
+        self,
+        peers,
+        dispatcher,
+        weights,
+        replicas,
+        onChange: (table, rows, outageAt) => applyChanges[table]?.(rows, outageAt),
+        reachesStore: () => feeds.every(feed => feed.isConnected()),
+        lastOutageAt: () => feeds[1]?.lastOutageAt(),
+        log,
+        now,
+    });
     const relay = createPieceRelay({
         self: settings,
         entries: () =>
@@ -297,27 +217,16 @@
             });
     });
     await listen(peerServer, `${settings.ip}:${peerPort}`);
-    for (const ip of settings.seeds) peers.addUnconfirmed({ name: `seed ${ip}`, ip, failureDomain: "" });
 
-    let heartbeatCount = 0;
     const heartbeatTimer = setInterval(() => {
-        heartbeatCount++;
-        const recipients = peers.heartbeatTargets(heartbeatCount, now()).map(({ ip }) => ip);
-        peerSocket.send({
-            kind: "entry",
-            ...self,
-            named: weights.recentAges(now()),
-            reachesStore: feeds.every(feed => feed.isConnected()),
-            newest: Object.fromEntries([...replicas].map(([table, replica]) => [table, replica.newestRevision()])),
-            load: Object.fromEntries(
-                Object.entries(dispatcher.inFlight.localReport()).map((
-                    [id, load],
-                ) => [id, [...load] as [number, number, number, number]]),
-            ),
-        }, [...new Set(recipients)]);
+        liveEntries = peers.live(now());
+        peerExchange.tick();
+        dispatcher.pool.forgetUnregistered(now());
         for (const id of registry.expire(now())) {
             log.info("server gone", { server: id, reason: "its entry didn't come back" });
             connections.removeServer(id);
+            health.remove(id);
+            speed.remove(id);
         }
     }, HEARTBEAT_INTERVAL_MS);
     const dispatchTimer = setInterval(() => {
@@ -352,7 +261,7 @@
         for (const feed of feeds) feed.stop();
         relay.stop();
         store.close();
-        peerSocket.close();
+        peerExchange.close();
         callerServer?.close();
         readinessServer?.close();
         peerServer.close();
--- a/src/test/platform/translation.test.ts
+++ b/src/test/platform/translation.test.ts
@@ -100,6 +100,11 @@
         { running: 3, waiting: 1 },
         undefined,
     ]);
+    const slowdownOf = (load: string) => parseResponseMetadata({ "instance-load": load }).slowdown;
+    assert.deepEqual(
+        ["3,1,8", "3,1,8,400", "3,1,8,80", "3,1,8,0", "3,1,8,x", ""].map(slowdownOf),
+        [undefined, 4, 0.8, undefined, undefined, undefined],
+    );
     assert.equal(parseEventId("id: 12\ndata: x"), "12");
     assert.equal(parseEventId("data: id: 12"), undefined);
 });
