Fetch each piece of weights from the origin once

Cause: an entry that waited for a piece turned to the origin after one failed request, because of a time-out of 1.2 s for all sources. All agents of a region also asked the same two entries, and each of these sent at the rate of the whole link of the agent.

Change: pieceSources decides who fetches a piece and when the origin may be asked; requests to the origin run in the order of the pieces, a few at a time from the region. Agents prefer different entries and use the second one only if the first one fails.

--- a/src/lib/stager/fleetView.ts
+++ b/src/lib/stager/fleetView.ts
@@ -3,6 +3,7 @@
  * agent has the IP address of the backend server beside it, and each entry has a row of its own.
  */
 import * as http from "node:http";
+import { orderMembers } from "../core/index.js";
 import type { BackendServer, EntryIdentity } from "../core/serving/index.js";
 import { ENTRIES_TABLE, parseEntryRow } from "../node/entryRows.js";
 import type { MetadataStore } from "../node/metadataStore.js";
@@ -17,7 +18,7 @@
     refresh(): Promise<void>;
     /** Agents beside the engines of the same service, except this one. */
     peers(): TransferPeer[];
-    /** Entries of the same region, at most `MAX_RELAYS`. */
+    /** Entries of the same region in the order in which they are asked, at most `MAX_RELAYS`. */
     relays(): Relay[];
     /** Names of the agents in this failure domain, including this one. */
     domainReplicas(): string[];
@@ -79,14 +80,15 @@
         }));
     }
 
+    /** The agents of a region prefer different entries, so that the pieces load the links of all of them alike. */
     function relays(): Relay[] {
-        return entries
+        const regionIps = entries
             .filter(({ failureDomain }) => settings.regions.get(failureDomain) === settings.region)
-            .slice(0, MAX_RELAYS)
-            .map(({ ip }) => ({
-                name: `relay ${ip}`,
-                client: createPeerClient(ip, entryPort, connections, receiveRateMbps),
-            }));
+            .map(({ ip }) => ip);
+        return orderMembers(`relays of ${settings.ip}`, regionIps).slice(0, MAX_RELAYS).map(ip => ({
+            name: `relay ${ip}`,
+            client: createPeerClient(ip, entryPort, connections, receiveRateMbps),
+        }));
     }
 
     return {
--- a/src/lib/stager/pieceRelay.ts
+++ b/src/lib/stager/pieceRelay.ts
@@ -8,10 +8,20 @@
 import * as http from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import VError from "verror";
-import { firstMember } from "../core/index.js";
+import {
+    advanceFetch,
+    FetchFailure,
+    type FetchProgress,
+    ORIGIN,
+    pieceOwner,
+    type PieceSource,
+    type PieceSourceOptions,
+    pieceSources,
+} from "../core/serving/index.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
 import { createWeightsOriginClient, type WeightManifest, type WeightsOriginClient } from "../platform/index.js";
-import { createPeerClient, type PeerClient, type PieceProvider } from "./peerApi.js";
+import { createOrderedLimit } from "./orderedLimit.js";
+import { createPeerClient, isPieceUnavailable, type PeerClient, type PieceProvider } from "./peerApi.js";
 import { countHeld, createPieceStore, type HeldVersion } from "./pieceStore.js";
 
 export interface PieceRelayOptions {
@@ -37,11 +47,11 @@
     readonly maxConnections: number;
 }
 
-/** Time to fetch a manifest or a piece from all sources; clients wait about as long before they try another source. */
-const FETCH_TIMEOUT_MS = 1200;
+/** A fetch that has not succeeded after this time is abandoned; the next request for the piece starts another one. */
+const FETCH_TIMEOUT_MS = 5000;
 
-/** Attempts that are made even if the timeout is over: one at each of two other entries and one at the origin. */
-const MIN_FETCH_ATTEMPTS = 3;
+/** Time that a response with the manifest waits for it; the client tries another relay afterwards. */
+const MANIFEST_WAIT_MS = 1200;
 
 /** Bounds of the random delay before a retry; all entries start to fetch at the same time. */
 const MIN_RETRY_DELAY_MS = 80;
@@ -53,8 +63,14 @@
 /** Idle connections count against the origin's limit, so they are closed early. */
 const ORIGIN_IDLE_TIMEOUT_MS = 1000;
 
-/** More connections add no throughput, because the origin's link is the bottleneck. */
-const MAX_ORIGIN_CONNECTIONS = 8;
+/**
+ * Requests to the origin in progress from all entries of its region together. A few keep its link busy; with more, each
+ * piece takes longer to arrive, and the first ones could not be passed on early.
+ */
+const REGION_ORIGIN_REQUESTS = 6;
+
+/** Upper bound of one entry's requests to the origin. */
+const MAX_ORIGIN_REQUESTS = 2;
 
 /** Time that another entry may take to fetch a piece that it doesn't hold. */
 const ENTRY_WAIT_MS = 1200;
@@ -75,8 +91,11 @@
 /** Stands for the manifest where a piece's index selects the entry to request from. */
 const MANIFEST_INDEX = -1;
 
-/** Two concurrent fetches keep the origin's link busy. */
-const MAX_CONCURRENT_PREFETCHES = 2;
+/** Pieces that an entry prefetches at the same time; requests to the origin have a lower limit of their own. */
+const MAX_CONCURRENT_PREFETCHES = 4;
+
+/** Versions whose manifest is kept; requests for older ones open them again. */
+const MAX_OPEN_VERSIONS = 4;
 
 /** A version is still prefetched if at most one newer one has been named, because each version has its own deadline. */
 const MAX_PREFETCHED_VERSIONS = 2;
@@ -92,33 +111,46 @@
     const connections = new http.Agent({ keepAlive: true, maxSockets: 8 });
     const originConnections = new http.Agent({ keepAlive: true, timeout: ORIGIN_IDLE_TIMEOUT_MS });
     const openVersions = new Map<number, Promise<HeldVersion>>();
+    const originLimit = createOrderedLimit(maxOriginRequests);
     const inFlightFetches = new Map<string, Promise<Buffer>>();
     let newestVersion = 0;
+    let isStopped = false;
     let lastPrefetch = Promise.resolve();
 
     function openVersion(version: number): Promise<HeldVersion> {
         let opening = openVersions.get(version);
         if (opening === undefined) {
-            opening = retryUntilTimeout(() => fetchManifest(version)).then(({ model, manifest }) =>
+            opening = fetchFromSources(version, MANIFEST_INDEX, fetchManifest).then(({ model, manifest }) =>
                 pieceStore.open(model, manifest)
             );
             openVersions.set(version, opening);
+            forgetOldVersions();
             // After a failure the next request opens the version again.
             opening.catch(() => openVersions.delete(version));
         }
         return opening;
     }
 
-    async function fetchManifest(version: number): Promise<{ model: string; manifest: WeightManifest; }> {
-        const origin = options.origin();
-        if (origin === undefined) throw new VError("no weights origin is configured");
-        const [upstream] = upstreamEntries(origin, version, MANIFEST_INDEX);
-        const manifest = await upstream?.readManifest(version).catch(error => {
-            log.info("manifest not received", { version, source: "entry", error: (error as Error).message });
-            return undefined;
-        });
-        if (manifest !== undefined) return { model: origin.model, manifest };
-        return { model: origin.model, manifest: await createOriginClient(origin).readManifest(origin.model, version) };
+    function forgetOldVersions(): void {
+        const ascendingVersions = [...openVersions.keys()].sort((a, b) => a - b);
+        for (const version of ascendingVersions.slice(0, -MAX_OPEN_VERSIONS)) openVersions.delete(version);
+    }
+
+    async function fetchManifest(
+        version: number,
+        source: PieceSource,
+        origin: WeightsOrigin,
+    ): Promise<{ model: string; manifest: WeightManifest; }> {
+        const manifest = source === ORIGIN ?
+            await createOriginClient(origin).readManifest(origin.model, version) :
+            await createEntryClient(source).readManifest(version);
+        return { model: origin.model, manifest };
+    }
+
+    /** Returns this entry's share of the requests that the origin gets from its region at the same time. */
+    function maxOriginRequests(): number {
+        const regionEntryCount = options.entries().filter(({ region }) => region === self.region).length + 1;
+        return Math.max(1, Math.min(MAX_ORIGIN_REQUESTS, Math.floor(REGION_ORIGIN_REQUESTS / regionEntryCount)));
     }
 
     /** Limits the connections to this entry's share, because the origin resets connections above its limit. */
@@ -126,76 +158,98 @@
         const connectionShare = Math.floor(
             maxConnections * ORIGIN_CONNECTION_FRACTION / (options.entries().length + 1),
         );
-        originConnections.maxSockets = Math.max(1, Math.min(MAX_ORIGIN_CONNECTIONS, connectionShare));
+        originConnections.maxSockets = Math.max(1, Math.min(MAX_ORIGIN_REQUESTS, connectionShare));
         return createWeightsOriginClient(address, originConnections);
     }
 
+    function createEntryClient(ip: string): PeerClient {
+        return createPeerClient(ip, options.entryPort, connections, ENTRY_RATE_MBPS);
+    }
+
+    function sourceOptions({ region }: WeightsOrigin, version: number, piece: number): PieceSourceOptions {
+        return { self, entries: options.entries(), originRegion: region, key: `${version}/${piece}` };
+    }
+
     /**
-     * Retries the operation until the timeout is over and `MIN_FETCH_ATTEMPTS` were made, then throws its last error.
-     * Without retries, the agents whose requests fail would all turn to the origin at the same time.
+     * Tries the sources of a piece, or of the manifest, until one delivers it. The sources are determined anew for each
+     * attempt, because entries may be lost meanwhile. Throws the last error after `FETCH_TIMEOUT_MS`.
      */
-    async function retryUntilTimeout<T>(operation: (attempt: number) => Promise<T>): Promise<T> {
-        const deadline = options.now() + FETCH_TIMEOUT_MS;
-        for (let attempt = 0;; attempt++) {
+    async function fetchFromSources<T>(
+        version: number,
+        piece: number,
+        fetchFrom: (version: number, source: PieceSource, origin: WeightsOrigin) => Promise<T>,
+    ): Promise<T> {
+        const startedAt = options.now();
+        let progress: FetchProgress = { position: 0, sourceSince: startedAt, startedAt };
+        for (;;) {
+            const origin = options.origin();
+            if (origin === undefined) throw new VError("no weights origin is configured");
+            const sources = pieceSources(sourceOptions(origin, version, piece));
+            const source = sources[Math.min(progress.position, sources.length - 1)] ?? ORIGIN;
             try {
-                return await operation(attempt);
+                return await fetchFrom(version, source, origin);
             }
             catch (error) {
-                if (options.now() >= deadline && attempt + 1 >= MIN_FETCH_ATTEMPTS) throw error;
-                await sleep(MIN_RETRY_DELAY_MS + options.random() * (MAX_RETRY_DELAY_MS - MIN_RETRY_DELAY_MS));
+                log.info("piece not received", {
+                    piece,
+                    version,
+                    source: source === ORIGIN ? "origin" : `entry ${source}`,
+                    error: (error as Error).message,
+                });
+                if (isStopped || options.now() - startedAt >= FETCH_TIMEOUT_MS) {
+                    throw new VError({ cause: error as Error }, "piece %d of version %d not received", piece, version);
+                }
+                const failure = isPieceUnavailable(error as Error) ? FetchFailure.unavailable : FetchFailure.failed;
+                progress = advanceFetch(progress, failure, sources.length, options.now());
             }
+            await sleep(MIN_RETRY_DELAY_MS + options.random() * (MAX_RETRY_DELAY_MS - MIN_RETRY_DELAY_MS));
         }
     }
 
-    /** Returns the entry of this region that fetches the piece from outside for the whole region. */
-    function ownerOf(version: number, piece: number): string {
-        const regionPeers = options.entries().filter(({ region }) => region === self.region).map(({ ip }) => ip);
-        return firstMember(`${version}/${piece}`, [self.ip, ...regionPeers]) ?? self.ip;
-    }
-
-    /** Returns the entries to request the piece from, in order; after them comes the origin. */
-    function upstreamEntries(origin: WeightsOrigin, version: number, piece: number): PeerClient[] {
-        const owner = ownerOf(version, piece);
-        const originRegionIps = options.entries().filter(({ region }) => region === origin.region).map(({ ip }) => ip);
-        const originRegionEntry = self.region === origin.region ?
-            undefined :
-            firstMember(`${version}/${piece}`, originRegionIps);
-        return [owner === self.ip ? undefined : owner, originRegionEntry]
-            .filter(ip => ip !== undefined)
-            .map(ip => createPeerClient(ip, options.entryPort, connections, ENTRY_RATE_MBPS));
-    }
-
     function fetchPiece(held: HeldVersion, piece: number): Promise<Buffer> {
         const { version } = held.manifest;
         const key = `${version}/${piece}`;
         let inFlight = inFlightFetches.get(key);
         if (inFlight === undefined) {
-            inFlight = retryUntilTimeout(attempt => fetchOnce(held, piece, attempt)).finally(() =>
-                inFlightFetches.delete(key)
-            );
+            inFlight = fetchFromSources(version, piece, (_, source, origin) => readPiece(held, piece, source, origin))
+                .finally(() => inFlightFetches.delete(key));
+            // A response that waits for the piece may have given up by the time that the fetch fails.
+            inFlight.catch(() => undefined);
             inFlightFetches.set(key, inFlight);
         }
         return inFlight;
     }
 
-    /** The first attempts go to the upstream entries, all later ones to the origin. */
-    async function fetchOnce(held: HeldVersion, piece: number, attempt: number): Promise<Buffer> {
+    async function readPiece(
+        held: HeldVersion,
+        piece: number,
+        source: PieceSource,
+        origin: WeightsOrigin,
+    ): Promise<Buffer> {
         const { version } = held.manifest;
-        const origin = options.origin();
-        if (origin === undefined) throw new VError("no weights origin is configured");
-        const upstream = upstreamEntries(origin, version, piece)[attempt];
-        const sourceName = upstream === undefined ? "origin" : "entry";
+        const bytes = source === ORIGIN ?
+            await originLimit.run(
+                version * held.pieces.length + piece,
+                () => createOriginClient(origin).readPiece(held.model, version, piece),
+            ) :
+            await createEntryClient(source).readPiece(version, piece, ENTRY_WAIT_MS);
+        if (!pieceStore.put(held, piece, bytes)) throw new VError("the piece doesn't match its digest");
+        options.metrics.pieces.inc({ source: source === ORIGIN ? "origin" : "entry" });
+        return bytes;
+    }
+
+    /** Resolves with the value, or throws if it isn't there after `waitMs`; the operation goes on. */
+    async function waitAtMost<T>(operation: Promise<T>, waitMs: number): Promise<T> {
+        const timeout = new AbortController();
+        const expiry = sleep(waitMs, undefined, { signal: timeout.signal }).then(() => {
+            throw new VError("not available within %d ms", waitMs);
+        });
         try {
-            const bytes = upstream === undefined ?
-                await createOriginClient(origin).readPiece(held.model, version, piece) :
-                await upstream.readPiece(version, piece, ENTRY_WAIT_MS);
-            if (!pieceStore.put(held, piece, bytes)) throw new VError("the piece doesn't match its digest");
-            options.metrics.pieces.inc({ source: sourceName });
-            return bytes;
+            return await Promise.race([operation, expiry]);
         }
-        catch (error) {
-            log.info("piece not received", { piece, version, source: sourceName, error: (error as Error).message });
-            throw new VError({ cause: error as Error }, "failed to fetch piece %d of version %d", piece, version);
+        finally {
+            expiry.catch(() => undefined);
+            timeout.abort();
         }
     }
 
@@ -218,7 +272,11 @@
     async function tryPrefetch(version: number): Promise<boolean> {
         try {
             const held = await openVersion(version);
-            const ownedPieces = [...held.pieces.keys()].filter(piece => ownerOf(version, piece) === self.ip);
+            const origin = options.origin();
+            if (origin === undefined) throw new VError("no weights origin is configured");
+            const ownedPieces = [...held.pieces.keys()].filter(piece =>
+                pieceOwner(sourceOptions(origin, version, piece)) === self.ip
+            );
             const unclaimedPieces = ownedPieces.values();
             const fetchUnclaimed = async () => {
                 for (const piece of unclaimedPieces) {
@@ -238,12 +296,13 @@
     return {
         prefetch,
         stop: () => {
+            isStopped = true;
             newestVersion = Number.POSITIVE_INFINITY;
         },
-        manifest: async version => (await openVersion(version)).manifest,
-        piece: async (version, piece) => {
-            const held = await openVersion(version);
-            return held.pieces[piece] ?? await fetchPiece(held, piece);
+        manifest: async version => (await waitAtMost(openVersion(version), MANIFEST_WAIT_MS)).manifest,
+        piece: async (version, piece, waitMs) => {
+            const held = await waitAtMost(openVersion(version), MANIFEST_WAIT_MS);
+            return held.pieces[piece] ?? await waitAtMost(fetchPiece(held, piece), waitMs);
         },
         state: async version => {
             const held = pieceStore.find(version);
--- a/src/lib/stager/pieceTransfer.ts
+++ b/src/lib/stager/pieceTransfer.ts
@@ -32,7 +32,7 @@
 export interface PieceTransferOptions {
     readonly self: Participant & { readonly failureDomain: string; };
     readonly peers: readonly TransferPeer[];
-    /** Entries of the region, which fetch each piece once for all of its agents. */
+    /** Entries of the region in order of preference, which fetch each piece once for all of its agents. */
     readonly relays: readonly Relay[];
     readonly origin: WeightsOriginClient;
     readonly originRegion: string;
@@ -51,8 +51,12 @@
 /** Limits of requests in flight. Two for each source keep a link busy during a round trip. */
 const REQUEST_LIMITS = { maxRequests: 3, maxRequestsPerPeer: 3, maxUpstreamRequests: 2, maxDuplicates: 2 };
 
-/** Relays are preferred to agents, whose links also carry the response streams of their engines. */
-const RELAY_DISTANCE = 0;
+/**
+ * Distances of the relays in their order, all below those of agents, whose links also carry the response streams of
+ * their engines. Each relay sends as much as this agent's link takes, so the second one is used only if the first one
+ * fails.
+ */
+const RELAY_DISTANCES = [0, 0.5] as const;
 
 /** After a failed request to a relay, agents exchange pieces, requested rarest first, for this long. */
 const RELAY_COOLDOWN_MS = 1500;
@@ -107,8 +111,8 @@
     held.pieces.forEach((piece, index) => piece === undefined ? undefined : plan.hold(index));
     const peersByName = new Map(options.peers.map(peer => [peer.name, peer]));
     const regionPeers = options.peers.filter(peer => peer.region === self.region).slice(0, MAX_POLLED_PEERS);
-    for (const name of relays.keys()) {
-        plan.addPeer(name, RELAY_DISTANCE);
+    for (const [index, { name }] of options.relays.entries()) {
+        plan.addPeer(name, RELAY_DISTANCES[index] ?? RELAY_DISTANCES[1]);
         digests.forEach((_, piece) => plan.addPeerChunk(name, piece));
     }
     for (const peer of regionPeers) {
