--- a/src/lib/clients/http.ts
+++ b/src/lib/clients/http.ts
@@ -12,7 +12,10 @@
     readonly url: string;
     readonly headers?: http.OutgoingHttpHeaders;
     readonly body?: Uint8Array | string;
-    /** The request fails after this time without receiving any byte from the server. */
+    /**
+     * The request fails after this time without receiving any byte from the server. `sendRequest` also fails after
+     * `TOTAL_TIMEOUT_FACTOR` times this time in any case.
+     */
     readonly timeoutMs?: number;
     readonly signal?: AbortSignal;
     readonly agent?: http.Agent;
@@ -31,6 +34,9 @@
 
 const DEFAULT_TIMEOUT_MS = 5000;
 
+/** Bounds the duration of a response that arrives byte by byte. */
+const TOTAL_TIMEOUT_FACTOR = 6;
+
 /** Largest body that `sendRequest` accepts, in bytes. */
 const MAX_BODY_BYTES = 64 * 1024 * 1024;
 
@@ -75,7 +81,21 @@
 /** Sends a request and reads the complete response. Throws the same errors as `openRequest`. */
 export async function sendRequest(request: HttpRequest): Promise<HttpResponse> {
     const headers = request.compressed === true ? { ...request.headers, "accept-encoding": "gzip" } : request.headers;
-    const response = await openRequest({ ...request, headers });
+    const totalTimeoutMs = TOTAL_TIMEOUT_FACTOR * (request.timeoutMs ?? DEFAULT_TIMEOUT_MS);
+    const totalTimeout = new AbortController();
+    const timer = setTimeout(() => totalTimeout.abort(), totalTimeoutMs);
+    const signal = request.signal === undefined ?
+        totalTimeout.signal :
+        AbortSignal.any([request.signal, totalTimeout.signal]);
+    try {
+        return await readResponse(request, await openRequest({ ...request, headers, signal }));
+    }
+    finally {
+        clearTimeout(timer);
+    }
+}
+
+async function readResponse(request: HttpRequest, response: http.IncomingMessage): Promise<HttpResponse> {
     const buffers: Buffer[] = [];
     let receivedBytes = 0;
     let body: Buffer;
--- a/src/lib/entry/adminApi.ts
+++ b/src/lib/entry/adminApi.ts
@@ -10,12 +10,13 @@
     Verdict,
 } from "../core/index.js";
 import type { ChangeResult, ProfileStore } from "../node/index.js";
+import { readLimitedBody } from "../node/limitedBody.js";
 import type { Operator } from "./accounts.js";
 import type { AgentDirectory } from "./agentDirectory.js";
 import { type Problem, rejection, sendProblem } from "./problem.js";
 import type { ProcessQuery } from "./processQuery.js";
 import type { ProfileUsage } from "./profileUsage.js";
-import { parseJsonObject, readLimitedBody } from "./requestBody.js";
+import { parseJsonObject } from "./requestBody.js";
 import type { EntryDependencies, RequestContext } from "./requestContext.js";
 
 const PROFILES_PATH = "/admin/v1/profiles";
--- a/src/lib/entry/clientRequest.ts
+++ b/src/lib/entry/clientRequest.ts
@@ -3,9 +3,9 @@
  * progress and reads the body. Each step sends the error response itself when it rejects the request.
  */
 import { capRank, isRank, type Rank, RANKS } from "../core/index.js";
+import { readLimitedBody } from "../node/limitedBody.js";
 import type { Account } from "./accounts.js";
 import { BODY_MEMORY_EXHAUSTED, rejection, sendProblem, TOO_MANY_REQUESTS } from "./problem.js";
-import { readLimitedBody } from "./requestBody.js";
 import type { EntryDependencies, RequestContext } from "./requestContext.js";
 
 export const RANK_HEADER = "endivewell-rank";
--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -3,13 +3,14 @@
 import VError from "verror";
 import { type Assignment, Outcome, RequestKind } from "../core/serving/index.js";
 import { Verdict } from "../core/verdict.js";
+import { readLimitedBody } from "../node/limitedBody.js";
 import {
     forwardedRequestHeaders,
     forwardedResponseHeaders,
     parseResponseMetadata,
     type ResponseMetadata,
 } from "../platform/index.js";
-import { type AttemptResult, type Exchange, isRetryableRoute, readBody } from "./exchangeState.js";
+import { type AttemptResult, type Exchange, isRetryableRoute } from "./exchangeState.js";
 import { sendBuffered } from "./localResponses.js";
 import { relayStream } from "./streamRelay.js";
 
@@ -25,6 +26,10 @@
 /** Largest response body that is buffered; streams are relayed without this limit. */
 const MAX_RESPONSE_BODY_BYTES = 16 * 1024 * 1024;
 
+/** Limits for the body of a refusal, which is read only to keep its connection open. */
+const MAX_DISCARDED_BYTES = 64 * 1024;
+const DISCARD_TIMEOUT_MS = 1000;
+
 /** Sends the request to the assigned server and relays its response. Never throws; failures are in the result. */
 export async function runAttempt(exchange: Exchange, assignment: Assignment): Promise<AttemptResult> {
     const { context, route, caller } = exchange;
@@ -146,7 +151,7 @@
     }
     const isNotRun = (metadata.isNotRun || status === 421) && status >= 400;
     if (isNotRun) {
-        response.resume();
+        discardBody(response);
         return { kind: "failed", verdict: Verdict.notRun, summary: `refused with ${status}` };
     }
     if (exchange.route.kind === RequestKind.stream && status === 200) {
@@ -157,11 +162,26 @@
             onFirstEvent: () => recordFirstEvent(exchange, assignment, sentAt),
         });
     }
-    const body = await readBody(response, MAX_RESPONSE_BODY_BYTES);
-    if (body === undefined || !metadata.isSigned || !await exchange.context.connections.isComplete(response)) {
-        response.destroy();
-        return { kind: "failed", verdict: Verdict.mayHaveRun, summary: "the answer is incomplete" };
+    const memory = exchange.context.bodyBudget.open();
+    try {
+        const bodyResult = await readLimitedBody(response, MAX_RESPONSE_BODY_BYTES, memory.reserve);
+        const isComplete = bodyResult.kind === "complete" && metadata.isSigned &&
+            await exchange.context.connections.isComplete(response);
+        if (!isComplete) {
+            response.destroy();
+            const summary = bodyResult.kind === "tooLarge" ? "the answer is too large" : "the answer is incomplete";
+            return { kind: "failed", verdict: Verdict.mayHaveRun, summary };
+        }
+        return deliverBuffered(exchange, response, bodyResult.body);
     }
+    finally {
+        memory.release();
+    }
+}
+
+/** Sends a complete response to the caller, unless it is a server error that a retry may replace. */
+function deliverBuffered(exchange: Exchange, response: http.IncomingMessage, body: Buffer): AttemptResult {
+    const status = response.statusCode ?? 0;
     const buffered = { status, headers: forwardedResponseHeaders(response.rawHeaders), body };
     if (status >= 500) {
         return {
@@ -177,6 +197,21 @@
     return { kind: "answered", summary: String(status) };
 }
 
+/**
+ * Reads the rest of a response that isn't needed, so that its connection can be used again. A longer or slower body
+ * closes the connection.
+ */
+function discardBody(response: http.IncomingMessage): void {
+    let receivedBytes = 0;
+    const timer = setTimeout(() => response.destroy(), DISCARD_TIMEOUT_MS);
+    response.on("data", (chunk: Buffer) => {
+        receivedBytes += chunk.length;
+        if (receivedBytes > MAX_DISCARDED_BYTES) response.destroy();
+    });
+    response.on("error", () => response.destroy());
+    response.on("close", () => clearTimeout(timer));
+}
+
 function recordFirstEvent(
     exchange: Exchange,
     { server, predictedFirstEventMs, assumedSlowdown }: Assignment,
--- a/src/lib/router/backendConnections.ts
+++ b/src/lib/router/backendConnections.ts
@@ -45,6 +45,9 @@
 /** A connection to the farthest region takes up to 10 ms to open, and a lost packet adds 200 ms. */
 const CONNECT_TIMEOUT_MS = 500;
 
+/** Informational (1xx) responses that may precede the final one. */
+const MAX_INFORMATIONAL_RESPONSES = 8;
+
 /** Idle connections are closed well before the server's own idle timeout could close them under a new request. */
 const IDLE_TIMEOUT_MS = 4000;
 
@@ -111,6 +114,10 @@
                 const verdict = mayBeWritten ? Verdict.mayHaveRun : Verdict.notRun;
                 reject(new VError({ name: "SendError", info: { verdict } }, "%s", abortMessage ?? cause.message));
             });
+            let informationalCount = 0;
+            outgoing.on("information", () => {
+                if (++informationalCount > MAX_INFORMATIONAL_RESPONSES) abort("too many informational responses");
+            });
             outgoing.on("response", response => {
                 clearTimeout(timer);
                 if (isCloseDelimited(response)) cleanCloses.set(response, awaitCleanClose(response.socket, outgoing));
--- a/src/lib/router/eventStreamParser.ts
+++ b/src/lib/router/eventStreamParser.ts
@@ -11,6 +11,8 @@
      * @throws VError if an incomplete event exceeds 256 KiB.
      */
     push(chunk: Buffer): Buffer;
+    /** Returns the number of complete events so far; blocks that hold only comments aren't counted. */
+    eventCount(): number;
     /** Returns the number of buffered bytes of an incomplete event. */
     pendingBytes(): number;
     /** Discards the incomplete event of a broken stream, before the stream is resumed. */
@@ -27,6 +29,9 @@
 
 const EVENT_END = "\n\n";
 
+/** Matches a line that isn't a comment. */
+const ANY_FIELD = /^[^:\n]/m;
+
 /** Largest incomplete event that is buffered. */
 const MAX_EVENT_BYTES = 256 * 1024;
 
@@ -36,6 +41,7 @@
     let pending: Buffer = Buffer.alloc(0);
     let lastId: string | undefined;
     let weightsVersion: number | undefined;
+    let eventCount = 0;
 
     function push(chunk: Buffer): Buffer {
         const buffered = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
@@ -47,12 +53,14 @@
         for (const event of complete.toString("latin1").split(EVENT_END)) {
             lastId = parseId(event) ?? lastId;
             weightsVersion = parseWeightsVersion(event) ?? weightsVersion;
+            if (ANY_FIELD.test(event)) eventCount++;
         }
         return complete;
     }
 
     return {
         push,
+        eventCount: () => eventCount,
         pendingBytes: () => pending.length,
         discardPending: () => {
             pending = Buffer.alloc(0);
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -5,9 +5,10 @@
 import type * as http from "node:http";
 import { type AssignmentResult, chooseService, type DispatchRequest } from "../core/serving/index.js";
 import { canRetry, type Verdict } from "../core/verdict.js";
+import { readLimitedBody } from "../node/limitedBody.js";
 import { parseCallerRequest } from "../platform/index.js";
 import { runAttempt } from "./attempt.js";
-import { type Exchange, type ExchangeContext, isRetryableRoute, readBody } from "./exchangeState.js";
+import { type Exchange, type ExchangeContext, isRetryableRoute } from "./exchangeState.js";
 import {
     DEFAULT_RETRY_AFTER_MS,
     finishCancelled,
@@ -28,6 +29,22 @@
     context: ExchangeContext,
     request: http.IncomingMessage,
     response: http.ServerResponse,
+): Promise<void> {
+    const memory = context.bodyBudget.open();
+    try {
+        await serveWithin(context, request, response, memory.reserve);
+    }
+    finally {
+        memory.release();
+    }
+}
+
+/** `reserve` reserves memory for the body until the exchange ends. */
+async function serveWithin(
+    context: ExchangeContext,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    reserve: (bytes: number) => boolean,
 ): Promise<void> {
     const arrivedAt = context.now();
     const caller = parseCallerRequest(request.headers);
@@ -36,11 +53,18 @@
         refuseRequest(context, response, 503, "no configuration", caller, DEFAULT_RETRY_AFTER_MS);
         return;
     }
-    const body = await readBody(request, initialTable.configuration.limits.maxBodyBytes);
-    if (body === undefined) {
-        if (!request.destroyed) refuseRequest(context, response, 413, "body too large", caller);
+    const bodyResult = await readLimitedBody(request, initialTable.configuration.limits.maxBodyBytes, reserve);
+    if (bodyResult.kind === "aborted") return;
+    if (bodyResult.kind === "tooLarge") {
+        // Without reading on, the rest of the body would reset the connection, and the caller would lose the response.
+        request.resume();
+        if (bodyResult.isMemoryExhausted === true) {
+            refuseRequest(context, response, 503, "no memory for the body", caller, DEFAULT_RETRY_AFTER_MS);
+        }
+        else refuseRequest(context, response, 413, "body too large", caller);
         return;
     }
+    const { body } = bodyResult;
     const host = (request.headers.host ?? "").split(":")[0] ?? "";
     const path = (request.url ?? "/").split("?")[0] ?? "/";
     // The configuration may have changed while the body was read.
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -11,6 +11,7 @@
     type SharedRetryBudget,
 } from "../core/serving/index.js";
 import type { Verdict } from "../core/verdict.js";
+import type { BodyBudget } from "../node/limitedBody.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
 import type { CallerRequest } from "../platform/index.js";
 import type { BackendConnections } from "./backendConnections.js";
@@ -24,6 +25,8 @@
     readonly retryBudget: SharedRetryBudget;
     readonly health: ServerHealth;
     readonly speed: ServerSpeed;
+    /** Memory for the bodies of all requests and responses in progress. */
+    readonly bodyBudget: BodyBudget;
     readonly log: EventLog;
     readonly metrics: ServingMetrics;
     /** Monotonic clock in milliseconds. */
@@ -89,21 +92,3 @@
 export function isRetryableRoute(route: Route): boolean {
     return route.kind === RequestKind.idempotent || (route.kind === RequestKind.stream && route.isResumable);
 }
-
-/** Reads a body to its end. Returns `undefined` if it exceeds `maxBytes` or its sender disconnects. */
-export async function readBody(message: http.IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = [];
-    let receivedBytes = 0;
-    try {
-        for await (const chunk of message as AsyncIterable<Buffer>) {
-            receivedBytes += chunk.length;
-            if (receivedBytes > maxBytes) return undefined;
-            chunks.push(chunk);
-        }
-    }
-    catch {
-        // An aborted body is reported to the calling function as `undefined`.
-        return undefined;
-    }
-    return Buffer.concat(chunks);
-}
--- a/src/lib/router/streamRelay.ts
+++ b/src/lib/router/streamRelay.ts
@@ -1,5 +1,6 @@
 /** Relays the events of a stream to the caller; a stream that broke is resumed with the response of another server. */
 import type * as http from "node:http";
+import VError from "verror";
 import { Verdict } from "../core/verdict.js";
 import { waitForDrain } from "../node/waitForDrain.js";
 import {
@@ -9,7 +10,7 @@
     type ResponseMetadata,
 } from "../platform/index.js";
 import { createEventStreamParser } from "./eventStreamParser.js";
-import type { AttemptResult, Exchange } from "./exchangeState.js";
+import { type AttemptResult, type Exchange, isRetryableRoute } from "./exchangeState.js";
 import { connectionCloseHeader } from "./localResponses.js";
 
 /** Lower bound of the pause between events after which the server, or the network path to it, counts as failed. */
@@ -18,6 +19,16 @@
 /** A stream times out after a pause of this many times the longest pause that its route allows. */
 const PAUSE_TIMEOUT_FACTOR = 4;
 
+/** Bound of the longest pause for routes that set none. */
+const MAX_EVENT_GAP_MS = 10_000;
+
+/** Callers abandon a stream after a pause of this length or this many times the longest pause of its route. */
+const CALLER_PATIENCE_MS = 2000;
+const CALLER_PATIENCE_FACTOR = 8;
+
+/** Comments that are held back at the same time. */
+const MAX_COMMENT_BYTES = 64 * 1024;
+
 /** Describes the attempt whose response is relayed. */
 export interface StreamAttempt {
     readonly metadata: ResponseMetadata;
@@ -39,16 +50,29 @@
         createEventStreamParser({ parseId: parseEventId, parseWeightsVersion: parseEventWeightsVersion });
     const isResumed = exchange.streamParser !== undefined;
     // `maxEventGapMs` is infinite on routes that set no limit.
-    const pauseTimeoutMs = Math.max(MIN_PAUSE_TIMEOUT_MS, PAUSE_TIMEOUT_FACTOR * Math.min(route.maxEventGapMs, 10_000));
+    const maxGapMs = Math.min(route.maxEventGapMs, MAX_EVENT_GAP_MS);
+    // A stream that can't be resumed is cut off only once its caller would leave, since a silent server may go on.
+    const pauseTimeoutMs = isRetryableRoute(route) ?
+        Math.max(MIN_PAUSE_TIMEOUT_MS, PAUSE_TIMEOUT_FACTOR * maxGapMs) :
+        Math.max(CALLER_PATIENCE_MS, CALLER_PATIENCE_FACTOR * maxGapMs);
     let hasFirstEvent = false;
+    /** Received comments that aren't relayed yet. */
+    let comments = Buffer.alloc(0);
     let timer = firstEventTimeoutMs === undefined ?
         undefined :
         setTimeout(() => upstream.destroy(new Error("no event in time")), firstEventTimeoutMs);
     try {
         for await (const chunk of upstream as AsyncIterable<Buffer>) {
+            const eventCountBefore = parser.eventCount();
             const completeEvents = parser.push(chunk);
-            // Bytes that complete no event don't reset the timeout.
             if (completeEvents.length === 0) continue;
+            comments = Buffer.concat([comments, completeEvents]);
+            if (comments.length > MAX_COMMENT_BYTES) throw new VError("comments exceed %d bytes", MAX_COMMENT_BYTES);
+            // Bytes that complete no event and comments don't reset the timeout. Comments wait for the next event, so
+            // that another server can still answer.
+            if (parser.eventCount() === eventCountBefore) continue;
+            const completeBytes = comments;
+            comments = Buffer.alloc(0);
             clearTimeout(timer);
             timer = setTimeout(() => upstream.destroy(new Error("the stream paused too long")), pauseTimeoutMs);
             if (!hasFirstEvent) {
@@ -59,7 +83,7 @@
                 exchange.weightsVersion ??= metadata.weightsVersion ?? registeredWeightsVersion;
             }
             exchange.weightsVersion = parser.weightsVersion() ?? exchange.weightsVersion;
-            if (!response.write(completeEvents)) await waitForDrain(response);
+            if (!response.write(completeBytes)) await waitForDrain(response);
         }
         const isComplete = parser.pendingBytes() === 0 && metadata.isSigned &&
             await context.connections.isComplete(upstream);
@@ -73,7 +97,7 @@
         parser.discardPending();
     }
     if (!response.headersSent) response.writeHead(200, streamHeaders(exchange, upstream.rawHeaders));
-    response.end();
+    response.end(comments);
     return { kind: "answered", summary: isResumed ? "200 resumed" : "200" };
 }
 
