Switch the failure domains by turns and read the store less often

Change: the turns of a rollout go over all domains; with five regions or more each has one reader of the store, and the other regions' readers replace it; feed calls wait 10 s and come every 500 ms during a rollout.

--- a/src/lib/core/serving/storeReaders.ts
+++ b/src/lib/core/serving/storeReaders.ts
@@ -11,11 +11,15 @@
 /** Number of entries per region that read from the store; with two, the failure of one delays no change. */
 export const STORE_READER_COUNT = 2;
 
+/** With at least this number of regions one reader each is enough, because the other regions' readers replace it. */
+const MANY_REGIONS = 5;
+
 /**
  * Returns whether this process reads from the store. `peers` are the live entries of its region that reach the store.
  */
-export function isStoreReader(self: string, peers: readonly string[]): boolean {
-    return positionOf("store readers", self, [self, ...peers]) < STORE_READER_COUNT;
+export function isStoreReader(self: string, peers: readonly string[], regionCount: number): boolean {
+    const readerCount = regionCount >= MANY_REGIONS ? 1 : STORE_READER_COUNT;
+    return positionOf("store readers", self, [self, ...peers]) < readerCount;
 }
 
 /** How far a peer has read a table, according to its heartbeat. */
--- a/src/lib/router/peerExchange.ts
+++ b/src/lib/router/peerExchange.ts
@@ -77,6 +77,7 @@
     const catchUp = createPeerCatchUp();
     /** Agents that have sent heartbeats, by IP address. */
     const agents = new Map<string, { readonly model: string; readonly lastHeartbeatAt: number; }>();
+    const regionCount = new Set(settings.regions.values()).size;
     let tickCount = 0;
 
     const isInOwnRegion = (failureDomain: string) => settings.regions.get(failureDomain) === settings.region;
@@ -85,7 +86,7 @@
         const eligiblePeers = peers.live(now()).filter(({ name, failureDomain }) => {
             return isInOwnRegion(failureDomain) && peersReachingStore.has(name);
         });
-        return isStoreReader(self.name, eligiblePeers.map(({ name }) => name));
+        return isStoreReader(self.name, eligiblePeers.map(({ name }) => name), regionCount);
     }
 
     function onMessage(message: PeerMessage): void {
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -19,6 +19,7 @@
     type Row,
 } from "../core/serving/index.js";
 import { ENTRIES_TABLE, formatEntryRow, parseEntryRow } from "../node/entryRows.js";
+import { createBodyBudget } from "../node/limitedBody.js";
 import { listen } from "../node/listen.js";
 import type { MetadataStore } from "../node/metadataStore.js";
 import { handleChangesRequest } from "../node/peerMessages.js";
@@ -47,16 +48,19 @@
 }
 
 /** The store ends a feed call without changes after this time. If the store hangs, changes come from peers. */
-const FEED_WAIT_MS = 5000;
+const FEED_WAIT_MS = 10_000;
+
+/** Bodies of requests and responses that an entry holds at the same time, a fraction of the memory of its VM. */
+const MAX_BUFFERED_BODY_BYTES = 96 * 1024 * 1024;
 
 /** Waiting requests are dispatched at this interval, in addition to each arrival and end of a request. */
 const DISPATCH_INTERVAL_MS = 20;
 
 /**
- * Limits the feed to a few calls per second while all servers change during a rollout. The interval is an eighth of
- * the 2 s after which a leaving server may get no more work.
+ * Limits the feed to a few calls per second while all servers change during a rollout; agents report loaded weights
+ * themselves. The interval is a quarter of the 2 s after which a leaving server may get no more work.
  */
-const FEED_RATE_LIMIT: FeedRateLimit = { intervalMs: 250, burst: 4 };
+const FEED_RATE_LIMIT: FeedRateLimit = { intervalMs: 500, burst: 3 };
 
 /** The load balancer detects an unready process within two checks, which are one second apart. */
 const UNREADY_DETECTION_MS = 2200;
@@ -132,6 +136,7 @@
         retryBudget,
         health,
         speed,
+        bodyBudget: createBodyBudget(MAX_BUFFERED_BODY_BYTES),
         log,
         metrics,
         now,
--- a/src/lib/stager/engineTask.ts
+++ b/src/lib/stager/engineTask.ts
@@ -109,6 +109,8 @@
         return shouldDrain({
             self: settings.ip,
             replicas: fleet.domainReplicas(),
+            failureDomain: settings.failureDomain,
+            failureDomains: fleet.failureDomains(),
             version,
             namedAt: options.namedAt(version),
             allowedMs: settings.bounds.weightsMs,
--- a/src/lib/stager/fleetView.ts
+++ b/src/lib/stager/fleetView.ts
@@ -22,6 +22,8 @@
     relays(): Relay[];
     /** Names of the agents in this failure domain, including this one. */
     domainReplicas(): string[];
+    /** Failure domains of the engines of the same service, including this one's. */
+    failureDomains(): string[];
     /** IP addresses of the entries that receive this agent's heartbeats. */
     entryIps(): readonly string[];
 }
@@ -99,6 +101,9 @@
             const domainPeers = peers().filter(({ failureDomain }) => failureDomain === settings.failureDomain);
             return [settings.ip, ...domainPeers.map(({ name }) => name)];
         },
+        failureDomains: () => {
+            return [...new Set([settings.failureDomain, ...peers().map(({ failureDomain }) => failureDomain)])];
+        },
         entryIps: () => entryIps,
     };
 }
--- a/src/test/core/serving/storeReaders.test.ts
+++ b/src/test/core/serving/storeReaders.test.ts
@@ -11,7 +11,7 @@
 const NAMES = Array.from({ length: 9 }, (_, index) => `entry-${index}`);
 
 const readersOf = (live: readonly string[]) => {
-    return live.filter(self => isStoreReader(self, live.filter(name => name !== self)));
+    return live.filter(self => isStoreReader(self, live.filter(name => name !== self), 3));
 };
 
 // Guards against a region whose entries all read each configuration from the store, and against one in which none does
@@ -26,6 +26,15 @@
     assert.ok(readersOf(survivors).includes(readers[1] ?? ""));
 });
 
+// Guards against calls to the store that grow with the number of regions, and against a region without a reader.
+test("one entry of a region reads from the store if there are many regions", () => {
+    for (let failedCount = 0; failedCount < NAMES.length; failedCount++) {
+        const live = NAMES.slice(failedCount);
+        const readers = live.filter(self => isStoreReader(self, live.filter(name => name !== self), 5));
+        assert.equal(readers.length, 1);
+    }
+});
+
 const OTHER_REGION: PeerProgress = { table: "t", revision: 8, isSameRegion: false };
 const SAME_REGION: PeerProgress = { ...OTHER_REGION, isSameRegion: true };
 const READER: LocalProgress = { revision: 5, hasSnapshot: true, readsFromStore: true };
--- a/src/test/core/serving/transferPolicy.test.ts
+++ b/src/test/core/serving/transferPolicy.test.ts
@@ -27,7 +27,15 @@
     assert.ok(predictRemainingTransferMs(progressing) < TYPICAL_SWITCH_MS);
     const stalled: TransferProgress = { ...progressing, elapsedMs: 6000, sinceLastPieceMs: 3000 };
     assert.equal(predictRemainingTransferMs(stalled), Number.POSITIVE_INFINITY);
-    const state = { self: "a", replicas: ["a"], version: 2, namedAt: 0, allowedMs: ALLOWED_MS };
+    const state = {
+        self: "a",
+        replicas: ["a"],
+        failureDomain: "d",
+        failureDomains: ["d"],
+        version: 2,
+        namedAt: 0,
+        allowedMs: ALLOWED_MS,
+    };
     assert.equal(shouldDrain({ ...state, remainingTransferMs: predictRemainingTransferMs(progressing) }, 6000), true);
     assert.equal(shouldDrain({ ...state, remainingTransferMs: predictRemainingTransferMs(stalled) }, 6000), false);
     assert.equal(predictRemainingTransferMs({ ...stalled, completedFraction: 1 }), 0);
