Reserve slots at the owner of a server

Cause: entries that see the same free slot all fill it, because each learns of the others' requests 100 to 300 ms later.

Change: each server has an owner among the entries of its failure domain (serverOwnership). Before an entry sends a request to another entry's server, it asks the owner, which grants or refuses from its own knowledge (slotReservations, router/reservations); requests that leave are announced too. An owner that doesn't respond within 40 ms is passed over for a second. The division of slots is removed.

--- a/src/harness/placers.ts
+++ b/src/harness/placers.ts
@@ -7,14 +7,19 @@
 import {
     createDispatcher,
     createServerHealth,
+    createServerOwnership,
     createServerRegistry,
     createServerSpeed,
-    createSlotSharing,
     createWeightsPolicy,
+    decideReservation,
+    type DispatchRequest,
     type InFlightRequests,
     Outcome,
+    type ServerLoad,
+    type SlotDecision,
+    type SlotRequest,
 } from "../lib/core/serving/index.js";
-import { ENGINE_SPEC, engineName, type Placer, slowdownAt } from "./enginePoolSimulation.js";
+import { ENGINE_SPEC, engineName, type PlacementDecision, type Placer, slowdownAt } from "./enginePoolSimulation.js";
 import type { LoadTrace } from "./loadTraces.js";
 
 /** Time during which a leaving server may still get requests. No engine of the traces leaves. */
@@ -31,6 +36,8 @@
     readonly skew?: number;
     /** Engines report with each first event and end of a request by which factor they are slower than specified. */
     readonly reportsSlowdown?: boolean;
+    /** Requests to servers of another entry are reserved there; true by default. */
+    readonly reservesSlots?: boolean;
 }
 
 /** A single entry that gets all requests. */
@@ -39,11 +46,15 @@
 /** Uses the product's dispatchers. Each request goes to a random entry. */
 export function createDispatcherPlacer(
     trace: LoadTrace,
-    { entryCount, heartbeatIntervalMs, skew = 0, reportsSlowdown = false }: EntryGroupOptions = SINGLE_ENTRY,
+    { entryCount, heartbeatIntervalMs, skew = 0, reportsSlowdown = false, reservesSlots = true }: EntryGroupOptions =
+        SINGLE_ENTRY,
 ): Placer {
-    const dispatchers = Array.from(
+    const dispatchers: EntryPlacer[] = Array.from(
         { length: entryCount },
-        (_, index) => createEntryPlacer(trace, entryCount, index, reportsSlowdown),
+        (_, index) =>
+            createEntryPlacer(trace, entryCount, index, reportsSlowdown, name => {
+                return reservesSlots ? dispatchers.find(({ entryName }) => entryName === name) : undefined;
+            }),
     );
     const ownerByRequestId = new Map<string, EntryPlacer>();
     const generator = xoroshiro128plus(11);
@@ -82,14 +93,27 @@
 }
 
 interface EntryPlacer extends Placer {
+    readonly entryName: string;
     readonly inFlight: InFlightRequests;
+    /** Decides on the reservation of another entry. */
+    reserve(slot: SlotRequest, sender: string, now: number): SlotDecision;
 }
 
+interface SentRequest {
+    readonly predictedMs: number;
+    readonly assumedSlowdown: number;
+    readonly promptTokens: number;
+    hasFirstEvent?: boolean;
+}
+
+const entryNameOf = (index: number) => `entry-${index}`;
+
 function createEntryPlacer(
     trace: LoadTrace,
     entryCount: number,
     index: number,
     reportsSlowdown: boolean,
+    findOwner: (name: string) => EntryPlacer | undefined,
 ): EntryPlacer {
     const registry = createServerRegistry(() => DRAIN_MS);
     const health = createServerHealth();
@@ -110,12 +134,18 @@
     }
     const service = { name: "s", healthPath: "/", maxConnections: 1000, engine: ENGINE_SPEC, origin: undefined };
     const generator = xoroshiro128plus(3 + index);
-    const entryNames = Array.from({ length: entryCount }, (_, entry) => `entry-${entry}`);
+    const entries = Array.from({ length: entryCount }, (_, entry) => ({
+        name: entryNameOf(entry),
+        ip: "",
+        failureDomain: "d",
+    }));
     const dispatcher = createDispatcher({
         registry,
         health,
         speed,
-        slotSharing: createSlotSharing(`entry-${index}`, () => entryNames),
+        self: entryNameOf(index),
+        ownership: createServerOwnership(() => entries),
+        reportLagMs: () => 0,
         weights: createWeightsPolicy(() => OLDER_VERSION_ALLOWED_MS),
         findService: () => service,
         failureDomain: "d",
@@ -123,42 +153,86 @@
         entryCount: () => entryCount,
         random: () => uniformFloat64(generator),
     });
-    const predictions = new Map<string, { predictedMs: number; assumedSlowdown: number; }>();
+    const entryName = entryNameOf(index);
+    const predictions = new Map<string, SentRequest>();
 
     function recordReport(engine: number, now: number): void {
         const slowdown = slowdownAt(trace, engine, now);
         if (reportsSlowdown && Number.isFinite(slowdown)) speed.recordReport(engineName(engine), slowdown, now);
     }
 
+    /** The owner of the server of each request that was reserved. */
+    const ownerByRequestId = new Map<string, EntryPlacer>();
+    let currentTime = 0;
+
+    function submit(request: DispatchRequest, onDecision: (decision: PlacementDecision) => void): void {
+        dispatcher.submit(request, result => {
+            if (result.kind === "refused") {
+                onDecision({ retryAfterMs: result.refusal.retryAfterMs });
+                return;
+            }
+            const { server, reservation, predictedFirstEventMs, assumedSlowdown } = result.assignment;
+            const owner = reservation === undefined ? undefined : findOwner(reservation.owner.name);
+            if (reservation !== undefined && owner !== undefined) {
+                const { isGranted, load } = owner.reserve(reservation.slot, entryName, currentTime);
+                if (!isGranted) {
+                    dispatcher.withdraw(request.id, server.id, load, currentTime);
+                    submit(request, onDecision);
+                    return;
+                }
+                ownerByRequestId.set(request.id, owner);
+            }
+            predictions.set(request.id, {
+                predictedMs: predictedFirstEventMs,
+                assumedSlowdown,
+                promptTokens: request.promptTokens,
+            });
+            onDecision({ engine: engineNames.indexOf(server.id) });
+        }, currentTime);
+    }
+
+    /** Tells the owner of a request's server that the request has left it. */
+    function release(id: string, engine: number, now: number): void {
+        const { promptTokens = 0, hasFirstEvent = false } = predictions.get(id) ?? {};
+        const change: ServerLoad = hasFirstEvent ? [-1, 0, 0, -promptTokens] : [0, -1, -promptTokens, 0];
+        ownerByRequestId.get(id)?.inFlight.recordPeerChange(entryName, engineName(engine), change, now);
+        ownerByRequestId.delete(id);
+    }
+
     return {
+        entryName,
         inFlight: dispatcher.inFlight,
+        reserve: (slot, sender, now) => {
+            const slowdown = speed.slowdown(slot.serverId, now);
+            return decideReservation(slot, sender, ENGINE_SPEC, slowdown, dispatcher.inFlight, now);
+        },
         submit: (request, onDecision, now) => {
-            dispatcher.submit(request, result => {
-                if (result.kind === "refused") {
-                    onDecision({ retryAfterMs: result.refusal.retryAfterMs });
-                    return;
-                }
-                const { predictedFirstEventMs, assumedSlowdown } = result.assignment;
-                predictions.set(request.id, { predictedMs: predictedFirstEventMs, assumedSlowdown });
-                onDecision({ engine: engineNames.indexOf(result.assignment.server.id) });
-            }, now);
+            currentTime = now;
+            submit(request, onDecision);
         },
         cancel: dispatcher.cancel,
         recordFirstEvent: (id, engine, tookMs, now) => {
+            currentTime = now;
             recordReport(engine, now);
             const prediction = predictions.get(id);
             if (prediction !== undefined) {
+                prediction.hasFirstEvent = true;
                 speed.recordFirstEvent(engineName(engine), { ...prediction, measuredMs: tookMs }, now);
             }
             dispatcher.recordFirstEvent(id, now);
         },
         recordEnd: (id, engine, hasSucceeded, now) => {
+            currentTime = now;
+            release(id, engine, now);
             predictions.delete(id);
             recordReport(engine, now);
             health.recordOutcome(engineName(engine), hasSucceeded ? Outcome.success : Outcome.unreachable, now);
             dispatcher.recordEnd(id, now);
         },
-        tick: dispatcher.tick,
+        tick: now => {
+            currentTime = now;
+            dispatcher.tick(now);
+        },
     };
 }
 
--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -14,14 +14,16 @@
     sortQueue,
 } from "./admissionControl.js";
 import { typicalFirstEventMs } from "./engineModel.js";
-import { createInFlightRequests, type InFlightRequests } from "./inFlightRequests.js";
-import { type Placement, placeOnEngine, placeOnService } from "./placement.js";
+import { createInFlightRequests, type InFlightRequests, type ServerLoad } from "./inFlightRequests.js";
+import type { EntryIdentity } from "./peerEntries.js";
+import { type PlacementRequest, placeOnEngine, placeOnService, TARGET_FRACTION } from "./placement.js";
 import type { BackendService } from "./routeTable.js";
 import type { ServerHealth } from "./serverHealth.js";
+import type { ServerOwnership } from "./serverOwnership.js";
 import { createServerPool, type PoolServer, type PoolSnapshot, type ServerPool } from "./serverPool.js";
 import type { BackendServer, ServerRegistry } from "./serverRegistry.js";
 import type { ServerSpeed } from "./serverSpeed.js";
-import type { SlotSharing } from "./slotSharing.js";
+import type { SlotRequest } from "./slotReservations.js";
 import type { WeightsPolicy } from "./weightsPolicy.js";
 
 export interface DispatchRequest extends QueuedRequest {
@@ -45,6 +47,8 @@
      * `undefined` if there is no such time.
      */
     readonly startDeadline: number | undefined;
+    /** The reservation to make before the request is sent; `undefined` if none is needed. */
+    readonly reservation: { readonly owner: EntryIdentity; readonly slot: SlotRequest; } | undefined;
 }
 
 export type AssignmentResult =
@@ -56,7 +60,11 @@
     readonly health: ServerHealth;
     readonly speed: ServerSpeed;
     readonly weights: WeightsPolicy;
-    readonly slotSharing: SlotSharing;
+    readonly ownership: ServerOwnership;
+    /** Name of this entry. */
+    readonly self: string;
+    /** By how much the report of a sender may be older than its arrival, in milliseconds. */
+    readonly reportLagMs: (sender: string) => number;
     readonly findService: (name: string) => BackendService | undefined;
     readonly failureDomain: string;
     /** Network round-trip time to a failure domain. */
@@ -74,6 +82,11 @@
     submit(request: DispatchRequest, onResult: (result: AssignmentResult) => void, now: number): void;
     /** Removes a queued request whose caller has disconnected. */
     cancel(id: string): void;
+    /**
+     * Takes an assignment back because the server's owner, which knows of `load`, refused the reservation. The request
+     * can then be submitted again.
+     */
+    withdraw(id: string, serverId: string, load: ServerLoad, now: number): void;
     /** Records that the first event of a request has arrived. */
     recordFirstEvent(id: string, now: number): void;
     /** Records that a request has ended at its server, successfully or not. */
@@ -119,7 +132,7 @@
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
     const { health, weights } = options;
-    const inFlight = createInFlightRequests();
+    const inFlight = createInFlightRequests(options.reportLagMs);
     const pool = createServerPool({ ...options, inFlight });
     const queue = new Map<string, QueuedItem>();
     /** Requests at servers, keyed by the request's identifier. */
@@ -140,6 +153,8 @@
         const waitingByClass = new Map<string, number>();
         const snapshots = new Map<string, PoolSnapshot | undefined>();
         for (const request of sortQueue(queued, classOfRequest, inFlight.countForAccount)) {
+            // A result that was delivered in this pass may have led to a decision on this request.
+            if (!queue.has(request.id)) continue;
             if (!snapshots.has(request.service)) snapshots.set(request.service, takeSnapshot(request.service, now));
             const snapshot = snapshots.get(request.service);
             if (snapshot !== undefined && tryPlace(request, classOfRequest(request), snapshot, now)) continue;
@@ -169,10 +184,14 @@
     function tryPlace(request: DispatchRequest, queueClass: QueueClass, snapshot: PoolSnapshot, now: number): boolean {
         const { service } = snapshot;
         const eligible = snapshot.servers().filter(poolServer => isEligible(poolServer, request));
-        const placement = place(request, queueClass, service, eligible, now);
+        const constraints = constraintsFor(request, queueClass, now);
+        const candidates = eligible.map(({ candidate }) => candidate);
+        const placement = service.engine === undefined ?
+            placeOnService(candidates, constraints.timeToDueMs) :
+            placeOnEngine(service.engine, candidates, constraints);
         const chosen = eligible.find(({ server }) => server.id === placement?.id);
         if (placement === undefined || chosen === undefined) return false;
-        const { server, version, candidate } = chosen;
+        const { server, version, candidate, otherOwner } = chosen;
         inFlight.add({
             id: request.id,
             serverId: server.id,
@@ -193,6 +212,9 @@
             startDeadline: service.engine === undefined || version === undefined ?
                 undefined :
                 weights.startDeadline(service.engine.model, version),
+            reservation: service.engine === undefined || otherOwner === undefined ?
+                undefined :
+                { owner: otherOwner, slot: slotRequestFor(server, constraints, candidate.roundTripMs) },
         };
         deliverResult(request.id, { kind: "assigned", assignment });
         return true;
@@ -204,25 +226,16 @@
         return request.requiredVersion === undefined || request.requiredVersion === version;
     }
 
-    function place(
-        request: DispatchRequest,
-        queueClass: QueueClass,
-        service: BackendService,
-        eligible: readonly PoolServer[],
-        now: number,
-    ): Placement | undefined {
-        const candidates = eligible.map(({ candidate }) => candidate);
-        const timeToDueMs = request.dueAt - now;
-        if (service.engine === undefined) return placeOnService(candidates, timeToDueMs);
-        return placeOnEngine(service.engine, candidates, {
+    function constraintsFor(request: DispatchRequest, queueClass: QueueClass, now: number): PlacementRequest {
+        return {
             promptTokens: request.promptTokens,
-            timeToDueMs,
+            timeToDueMs: request.dueAt - now,
             maxEventGapMs: request.maxEventGapMs,
             slotFraction: queueClass === QueueClass.late ?
                 LATE_SLOT_FRACTION :
                 RANK_SLOT_FRACTIONS[request.routeRank] ?? DEFAULT_SLOT_FRACTION,
             mustBeOnTime: queueClass === QueueClass.onTime,
-        });
+        };
     }
 
     /**
@@ -263,6 +276,14 @@
         item?.onResult(result);
     }
 
+    function withdraw(id: string, serverId: string, load: ServerLoad, now: number): void {
+        sends.delete(id);
+        inFlight.remove(id);
+        inFlight.recordOwnerLoad(serverId, load, now);
+        pool.recordRefusedReservation(serverId, now);
+        processQueue(now);
+    }
+
     function recordEnd(id: string, now: number): void {
         const send = sends.get(id);
         if (send !== undefined) {
@@ -281,6 +302,7 @@
             inFlight.recordFirstEvent(id);
             processQueue(now);
         },
+        withdraw,
         recordEnd,
         tick: processQueue,
         queueLength: () => queue.size,
@@ -288,3 +310,16 @@
         pool,
     };
 }
+
+function slotRequestFor(
+    { id, slots }: BackendServer,
+    { promptTokens, timeToDueMs, slotFraction, mustBeOnTime }: PlacementRequest,
+    roundTripMs: number,
+): SlotRequest {
+    return {
+        serverId: id,
+        promptTokens,
+        maxRunning: Math.floor(slots * slotFraction),
+        maxFirstEventMs: mustBeOnTime ? timeToDueMs * TARGET_FRACTION - roundTripMs : Number.POSITIVE_INFINITY,
+    };
+}
--- a/src/lib/core/serving/inFlightRequests.ts
+++ b/src/lib/core/serving/inFlightRequests.ts
@@ -28,8 +28,17 @@
     countForAccount(account: string): number;
     countAtServer(serverId: string): number;
     count(): number;
+    /** Returns the load that a request of this process puts on its server; `undefined` if it isn't in flight. */
+    loadOfRequest(id: string): ServerLoad | undefined;
     /** Stores the report of another entry or failure domain, replacing its previous one. */
     recordPeerReport(sender: string, report: LoadReport, now: number): void;
+    /**
+     * Records a change of a sender's load that it announced between two reports. It counts until a report that includes
+     * it.
+     */
+    recordPeerChange(sender: string, serverId: string, change: ServerLoad, now: number): void;
+    /** Stores the load of a server as its owner knows it, which replaces all other knowledge for a short time. */
+    recordOwnerLoad(serverId: string, load: ServerLoad, now: number): void;
     /** Returns the load of a server: requests of this process plus the recent reports of other entries. */
     loadOf(serverId: string, now: number): EngineLoad;
     /** Returns the load of this process for the report to other entries. */
@@ -39,17 +48,24 @@
 }
 
 /** The four numbers of a `LoadReport` for one server. */
-type ServerLoad = [number, number, number, number];
+export type ServerLoad = [number, number, number, number];
 
 /** Older reports are ignored: most requests last about a second. */
 const REPORT_MAX_AGE_MS = 1000;
 
-export function createInFlightRequests(): InFlightRequests {
+/** Time for which the owner's knowledge of a server's load is used; heartbeats follow by then. */
+const OWNER_LOAD_MAX_AGE_MS = 150;
+
+/** `reportLagMs` returns by how much a report of a sender may be older than its arrival, in milliseconds. */
+export function createInFlightRequests(reportLagMs: (sender: string) => number = () => 0): InFlightRequests {
     const requests = new Map<string, InFlightRequest>();
     const requestsByServer = new Map<string, Set<InFlightRequest>>();
     const countByAccount = new Map<string, number>();
     const peerReports = new Map<string, { readonly report: LoadReport; readonly receivedAt: number; }>();
     /** Sum of the peers' recent reports by server; `undefined` after a change. */
+    /** Announced changes by sender, oldest first. */
+    const peerChanges = new Map<string, { serverId: string; change: ServerLoad; at: number; }[]>();
+    const ownerLoads = new Map<string, { readonly load: ServerLoad; readonly at: number; }>();
     let peerTotals: { readonly byServer: Map<string, ServerLoad>; readonly validUntil: number; } | undefined;
 
     function add(request: InFlightRequest): void {
@@ -57,6 +73,8 @@
         let requestsAtServer = requestsByServer.get(request.serverId);
         if (requestsAtServer === undefined) requestsByServer.set(request.serverId, requestsAtServer = new Set());
         requestsAtServer.add(request);
+        const ownerLoad = ownerLoads.get(request.serverId);
+        if (ownerLoad !== undefined) addLoad(ownerLoad.load, [0, 1, request.promptTokens, 0]);
         countByAccount.set(request.account, (countByAccount.get(request.account) ?? 0) + 1);
     }
 
@@ -74,23 +92,16 @@
 
     function localLoad(serverId: string): ServerLoad {
         const load: ServerLoad = [0, 0, 0, 0];
-        for (const request of requestsByServer.get(serverId) ?? []) {
-            if (request.hasFirstEvent) {
-                load[0]++;
-                load[3] += request.promptTokens;
-            }
-            else {
-                load[1]++;
-                load[2] += request.promptTokens;
-            }
-        }
+        for (const request of requestsByServer.get(serverId) ?? []) addLoad(load, requestLoad(request));
         return load;
     }
 
     function loadOf(serverId: string, now: number): EngineLoad {
+        const ownerLoad = ownerLoads.get(serverId);
+        if (ownerLoad !== undefined && now - ownerLoad.at <= OWNER_LOAD_MAX_AGE_MS) return toEngineLoad(ownerLoad.load);
         const sum = localLoad(serverId);
         addLoad(sum, totalsOfPeers(now).get(serverId));
-        return { decoding: sum[0], prefilling: sum[1], prefillTokens: sum[2], contextTokens: sum[3] };
+        return toEngineLoad(sum);
     }
 
     /** Summed once for all servers, because each decision needs the load of every server. */
@@ -106,6 +117,12 @@
             validUntil = Math.min(validUntil, receivedAt + REPORT_MAX_AGE_MS);
             addReport(byServer, report);
         }
+        for (const [sender, changes] of peerChanges) {
+            const recent = changes.filter(({ at }) => now - at <= REPORT_MAX_AGE_MS);
+            if (recent.length === 0) peerChanges.delete(sender);
+            else peerChanges.set(sender, recent);
+            for (const { serverId, change } of recent) addReport(byServer, { [serverId]: change });
+        }
         peerTotals = { byServer, validUntil };
         return byServer;
     }
@@ -133,16 +150,48 @@
         countForAccount: account => countByAccount.get(account) ?? 0,
         countAtServer: serverId => requestsByServer.get(serverId)?.size ?? 0,
         count: () => requests.size,
+        loadOfRequest: id => {
+            const request = requests.get(id);
+            return request === undefined ? undefined : requestLoad(request);
+        },
         recordPeerReport: (sender, report, now) => {
             peerReports.set(sender, { report, receivedAt: now });
+            const changes = peerChanges.get(sender);
+            if (changes !== undefined) {
+                const reportedUntil = now - reportLagMs(sender);
+                peerChanges.set(sender, changes.filter(({ at }) => at > reportedUntil));
+            }
             peerTotals = undefined;
         },
+        recordPeerChange: (sender, serverId, change, now) => {
+            let changes = peerChanges.get(sender);
+            if (changes === undefined) peerChanges.set(sender, changes = []);
+            changes.push({ serverId, change, at: now });
+            const total = peerTotals?.byServer.get(serverId);
+            if (total === undefined) peerTotals = undefined;
+            else addLoad(total, change);
+        },
+        recordOwnerLoad: (serverId, load, now) => void ownerLoads.set(serverId, { load: [...load], at: now }),
         loadOf,
         localReport,
         combinedReport,
     };
 }
 
+function requestLoad({ hasFirstEvent, promptTokens }: InFlightRequest): ServerLoad {
+    return hasFirstEvent ? [1, 0, 0, promptTokens] : [0, 1, promptTokens, 0];
+}
+
+/** Changes may be counted twice or late for a moment, so sums can be negative. */
+function toEngineLoad([decoding, prefilling, prefillTokens, contextTokens]: ServerLoad): EngineLoad {
+    return {
+        decoding: Math.max(0, decoding),
+        prefilling: Math.max(0, prefilling),
+        prefillTokens: Math.max(0, prefillTokens),
+        contextTokens: Math.max(0, contextTokens),
+    };
+}
+
 function addLoad(sum: ServerLoad, load: LoadReport[string] | undefined): void {
     load?.forEach((value, index) => sum[index] = (sum[index] ?? 0) + value);
 }
--- a/src/lib/core/serving/placement.ts
+++ b/src/lib/core/serving/placement.ts
@@ -16,8 +16,8 @@
     readonly roundTripMs: number;
     readonly isLocal: boolean;
     readonly slots: number;
-    /** Fraction of the slots that this entry may fill; below 1 if another entry prefers the server. */
-    readonly slotFraction: number;
+    /** No other entry owns the server. */
+    readonly isOwn: boolean;
     readonly load: EngineLoad;
     /** Factor by which the server is slower than declared; 1 for a server at its declared speed. */
     readonly slowdown: number;
@@ -61,8 +61,7 @@
     for (const candidate of candidates) {
         const { load, slots } = candidate;
         if (candidate.freeConnections <= 0) continue;
-        const slotFraction = Math.min(request.slotFraction, candidate.slotFraction);
-        if (load.decoding + load.prefilling >= Math.floor(slots * slotFraction)) continue;
+        if (load.decoding + load.prefilling >= Math.floor(slots * request.slotFraction)) continue;
         const prediction = predictLatency(engine, load, request.promptTokens, candidate.slowdown);
         if (
             load.decoding > 0 && prediction.maxEventGapMs > request.maxEventGapMs * TARGET_FRACTION &&
@@ -79,15 +78,18 @@
     return best;
 }
 
-/** Added to the score of a server that another entry prefers; requests go there if it is clearly less loaded. */
-const SHARED_PENALTY_MS = 50;
+/**
+ * Added to the score of a server that another entry owns, which may refuse the request; it is chosen if it is clearly
+ * less loaded.
+ */
+const FOREIGN_PENALTY_MS = 50;
 
 /** Large enough that a remote server is chosen only if no local one qualifies. */
 const REMOTE_PENALTY_MS = 10_000;
 
 function scoreOf(candidate: PlacementCandidate, firstEventMs: number): number {
     return firstEventMs + candidate.failureRate * FAILURE_PENALTY_MS + (candidate.isLocal ? 0 : REMOTE_PENALTY_MS) +
-        (candidate.slotFraction < 1 ? SHARED_PENALTY_MS : 0);
+        (candidate.isOwn ? 0 : FOREIGN_PENALTY_MS);
 }
 
 /**
--- a/src/lib/core/serving/serverPool.ts
+++ b/src/lib/core/serving/serverPool.ts
@@ -7,12 +7,13 @@
  * every event of every stream, and the state of each server would otherwise be computed for each waiting request.
  */
 import type { InFlightRequests } from "./inFlightRequests.js";
+import type { EntryIdentity } from "./peerEntries.js";
 import type { PlacementCandidate } from "./placement.js";
 import type { BackendService, EngineParameters } from "./routeTable.js";
 import type { ServerHealth } from "./serverHealth.js";
+import type { ServerOwnership } from "./serverOwnership.js";
 import type { BackendServer, ServerRegistry } from "./serverRegistry.js";
 import type { ServerSpeed } from "./serverSpeed.js";
-import type { SlotSharing } from "./slotSharing.js";
 import type { WeightsPolicy } from "./weightsPolicy.js";
 
 export interface PoolServer {
@@ -23,6 +24,8 @@
     readonly isUsable: boolean;
     /** Accepts new requests now or as soon as it has loaded weights. */
     readonly isExpected: boolean;
+    /** Another entry that owns the server; `undefined` if this entry or none does. */
+    readonly otherOwner: EntryIdentity | undefined;
     readonly candidate: PlacementCandidate;
 }
 
@@ -40,6 +43,8 @@
      * past ends the pause.
      */
     pauseServer(address: string, until: number): void;
+    /** Records that the owner of a server refused a reservation; the server isn't used for a short time. */
+    recordRefusedReservation(serverId: string, now: number): void;
     /** Records the weights that an agent reports for its engine, which arrive earlier than those in the registry. */
     recordLoadedWeights(address: string, startedAt: number, model: string, version: number): void;
     /** Forgets what agents reported for engines at addresses that no registered server has. */
@@ -52,7 +57,9 @@
     readonly speed: ServerSpeed;
     readonly weights: WeightsPolicy;
     readonly inFlight: InFlightRequests;
-    readonly slotSharing: SlotSharing;
+    readonly ownership: ServerOwnership;
+    /** Name of this entry. */
+    readonly self: string;
     readonly failureDomain: string;
     /** Network round-trip time to a failure domain. */
     readonly roundTripMs: (failureDomain: string) => number;
@@ -63,6 +70,9 @@
 /** Fraction of a server's connections that all entries use together; other clients may connect too. */
 const CONNECTION_FRACTION = 0.8;
 
+/** Time after which a server whose owner refused a reservation may be asked for again. */
+const REFUSED_PAUSE_MS = 50;
+
 /** Reports of an engine without a registered server are kept this long, because the registry may lag behind. */
 const UNREGISTERED_REPORT_MAX_AGE_MS = 30_000;
 
@@ -75,6 +85,8 @@
 export function createServerPool(options: ServerPoolOptions): ServerPool {
     const { registry, health, speed, weights, inFlight } = options;
     const pausedUntilByAddress = new Map<string, number>();
+    /** Servers whose owners refused a reservation, with the time until which they aren't used. */
+    const refusedUntil = new Map<string, number>();
     const reportByAddress = new Map<string, EngineReport>();
     /** When an address with a report was first seen without a registered server. */
     const unregisteredSince = new Map<string, number>();
@@ -84,11 +96,11 @@
             service.maxConnections * CONNECTION_FRACTION / Math.max(1, options.entryCount()),
         );
         const servers = registry.usable(service.name, now);
-        const slotFractions = options.slotSharing.slotFractions(servers);
-        const poolServers = servers.map((server, index) => describe(server, slotFractions[index] ?? 1));
+        const owners = options.ownership.ownersOf(servers);
+        const poolServers = servers.map((server, index) => describe(server, owners[index]));
         const indexById = new Map(poolServers.map(({ server }, index) => [server.id, index]));
 
-        function describe(server: BackendServer, slotFraction: number): PoolServer {
+        function describe(server: BackendServer, owner: EntryIdentity | undefined): PoolServer {
             const { engine } = service;
             const version = engine === undefined ? undefined : loadedVersion(server, engine);
             const isPaused = (pausedUntilByAddress.get(server.address) ?? 0) > now;
@@ -97,14 +109,15 @@
             return {
                 server,
                 version,
-                isUsable: isExpected && !isPaused,
+                isUsable: isExpected && !isPaused && (refusedUntil.get(server.id) ?? 0) <= now,
                 isExpected,
+                otherOwner: owner?.name === options.self ? undefined : owner,
                 candidate: {
                     id: server.id,
                     roundTripMs: options.roundTripMs(server.failureDomain),
                     isLocal: server.failureDomain === options.failureDomain,
                     slots: server.slots,
-                    slotFraction,
+                    isOwn: owner === undefined || owner.name === options.self,
                     load: inFlight.loadOf(server.id, now),
                     slowdown: speed.slowdown(server.id, now),
                     failureRate: health.failureRate(server.id),
@@ -120,7 +133,7 @@
                 const index = indexById.get(serverId);
                 const server = index === undefined ? undefined : poolServers[index]?.server;
                 if (index === undefined || server === undefined) return;
-                poolServers[index] = describe(server, slotFractions[index] ?? 1);
+                poolServers[index] = describe(server, owners[index]);
             },
         };
     }
@@ -141,6 +154,7 @@
     }
 
     function forgetUnregistered(now: number): void {
+        for (const [serverId, until] of refusedUntil) if (until <= now) refusedUntil.delete(serverId);
         const registeredAddresses = new Set(registry.all().map(({ address }) => address));
         for (const address of new Set([...pausedUntilByAddress.keys(), ...reportByAddress.keys()])) {
             if (registeredAddresses.has(address)) unregisteredSince.delete(address);
@@ -161,6 +175,7 @@
         recordLoadedWeights: (address, startedAt, model, version) => {
             reportByAddress.set(address, { startedAt, model, version });
         },
+        recordRefusedReservation: (serverId, now) => void refusedUntil.set(serverId, now + REFUSED_PAUSE_MS),
         forgetUnregistered,
     };
 }
--- a/src/lib/node/peerMessages.ts
+++ b/src/lib/node/peerMessages.ts
@@ -1,5 +1,6 @@
 /**
- * Sends and receives the heartbeats of entries and agents, and the notifications of named weights, over UDP. Serves
+ * Sends and receives the heartbeats of entries and agents, the notifications of named weights and the reservations of
+ * slots, over UDP. Serves
  * table changes over HTTP, so that an entry that is behind can read them from a peer. Heartbeats are periodic, and a
  * notification is repeated until the agent's heartbeats show the version, so the loss of a message is harmless.
  */
@@ -10,6 +11,9 @@
 import { sendRequest } from "../clients/index.js";
 import type { Row, RowReplica } from "../core/serving/index.js";
 
+/** The four numbers of a load by server. */
+const serverLoadSchema = z.tuple([z.number(), z.number(), z.number(), z.number()]);
+
 const senderFields = {
     name: z.string(),
     ip: z.string(),
@@ -25,7 +29,7 @@
      * latter, and the context tokens of the former. A heartbeat has the load from the sender's own requests, a digest
      * that from all requests of the sender's failure domain.
      */
-    load: z.record(z.string(), z.tuple([z.number(), z.number(), z.number(), z.number()])),
+    load: z.record(z.string(), serverLoadSchema),
 };
 
 const entryHeartbeatSchema = z.object({
@@ -65,18 +69,63 @@
 /** Sent by an entry to tell an agent about named weights before the agent's next poll of the store. */
 const weightsNotificationSchema = z.object({ kind: z.literal("weights"), model: z.string(), version: z.number() });
 
+/** Asks the owner of a server for a slot; see `SlotRequest`. */
+const reservationRequestSchema = z.object({
+    kind: z.literal("reserve"),
+    /** Identifies the request among those of the sender. */
+    id: z.number(),
+    name: z.string(),
+    ip: z.string(),
+    failureDomain: z.string(),
+    serverId: z.string(),
+    promptTokens: z.number(),
+    maxRunning: z.number(),
+    /** `undefined` for no limit. */
+    maxFirstEventMs: z.number().optional(),
+});
+
+const reservationReplySchema = z.object({
+    kind: z.literal("reserved"),
+    id: z.number(),
+    isGranted: z.boolean(),
+    load: serverLoadSchema,
+});
+
+/** Tells the owner of a server that a request which it granted leaves the server. */
+const slotReleaseSchema = z.object({
+    kind: z.literal("release"),
+    name: z.string(),
+    failureDomain: z.string(),
+    serverId: z.string(),
+    /** Load that the request put on the server. */
+    load: serverLoadSchema,
+});
+
 const peerMessageSchema = z.discriminatedUnion("kind", [
     entryHeartbeatSchema,
     domainDigestSchema,
     agentHeartbeatSchema,
     weightsNotificationSchema,
+    reservationRequestSchema,
+    reservationReplySchema,
+    slotReleaseSchema,
 ]);
 
 export type EntryHeartbeat = Readonly<z.infer<typeof entryHeartbeatSchema>>;
 export type DomainDigest = Readonly<z.infer<typeof domainDigestSchema>>;
 export type AgentHeartbeat = Readonly<z.infer<typeof agentHeartbeatSchema>>;
 export type WeightsNotification = Readonly<z.infer<typeof weightsNotificationSchema>>;
-export type PeerMessage = EntryHeartbeat | DomainDigest | AgentHeartbeat | WeightsNotification;
+export type ReservationRequest = Readonly<z.infer<typeof reservationRequestSchema>>;
+export type ReservationReply = Readonly<z.infer<typeof reservationReplySchema>>;
+export type SlotRelease = Readonly<z.infer<typeof slotReleaseSchema>>;
+export type PeerMessage =
+    | EntryHeartbeat
+    | DomainDigest
+    | AgentHeartbeat
+    | WeightsNotification
+    | ReservationRequest
+    | ReservationReply
+    | SlotRelease;
 
 export interface PeerSocket {
     /** Sends the message to each IP address, at the entries' port by default. Losses aren't reported. */
--- a/src/lib/observability/servingMetrics.ts
+++ b/src/lib/observability/servingMetrics.ts
@@ -6,6 +6,7 @@
     readonly requests: Counter<"kind" | "outcome">;
     readonly refusals: Counter<"reason">;
     readonly sends: Counter<"result">;
+    readonly reservations: Counter<"result">;
     readonly firstEventMs: Histogram<"kind">;
     readonly waitMs: Histogram<"kind">;
     readonly waiting: Gauge;
@@ -31,6 +32,7 @@
         requests: counter("endivewell_requests_total", "Requests by kind and outcome.", ["kind", "outcome"]),
         refusals: counter("endivewell_refusals_total", "Refused requests by reason.", ["reason"]),
         sends: counter("endivewell_sends_total", "Requests sent to backend servers by result.", ["result"]),
+        reservations: counter("endivewell_reservations_total", "Reservations at other entries by result.", ["result"]),
         firstEventMs: histogram("endivewell_first_event_ms", "Time to the answer or the first event.", ["kind"]),
         waitMs: histogram("endivewell_wait_ms", "Time until a request was sent to a backend server.", ["kind"]),
         waiting: new Gauge({ name: "endivewell_waiting", help: "Requests that wait for a server.", registers }),
--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -81,6 +81,7 @@
     }
     finally {
         exchange.cancellation.signal.removeEventListener("abort", onAbort);
+        context.reservations.release(assignment, dispatchId);
         context.dispatcher.recordEnd(dispatchId, context.now());
     }
 }
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -3,7 +3,7 @@
  * a backend server, sends the request and, where that is safe, retries it at another server.
  */
 import type * as http from "node:http";
-import { type AssignmentResult, chooseService, type DispatchRequest } from "../core/serving/index.js";
+import { type Assignment, type AssignmentResult, chooseService, type DispatchRequest } from "../core/serving/index.js";
 import { canRetry, type Verdict } from "../core/verdict.js";
 import { readLimitedBody } from "../node/limitedBody.js";
 import { parseCallerRequest } from "../platform/index.js";
@@ -127,8 +127,9 @@
         return;
     }
     context.retryBudget.recordRequest(service, context.now());
+    let queuedSince = context.now();
     for (;;) {
-        const dispatchResult = await waitForServer(exchange, service);
+        const dispatchResult = await waitForServer(exchange, service, queuedSince);
         if (dispatchResult === undefined) {
             finishCancelled(exchange);
             return;
@@ -137,7 +138,9 @@
             finishRefused(exchange, dispatchResult.refusal.reason, dispatchResult.refusal);
             return;
         }
+        if (!await reserveSlot(exchange, dispatchResult.assignment)) continue;
         const result = await runAttempt(exchange, dispatchResult.assignment);
+        queuedSince = context.now();
         exchange.attemptSummaries.push(`${dispatchResult.assignment.server.id} ${result.summary}`);
         if (result.kind === "answered") {
             recordEnd(exchange, "answered", result.summary);
@@ -154,6 +157,18 @@
     }
 }
 
+/** Reserves the assigned slot at the server's owner. If it refuses, takes the assignment back and returns false. */
+async function reserveSlot(exchange: Exchange, assignment: Assignment): Promise<boolean> {
+    const { context, dispatchId } = exchange;
+    const startedAt = context.now();
+    const ownerLoad = await context.reservations.reserve(assignment);
+    const endedAt = context.now();
+    exchange.waitedMs += endedAt - startedAt;
+    if (ownerLoad === undefined) return true;
+    context.dispatcher.withdraw(dispatchId, assignment.server.id, ownerLoad, endedAt);
+    return false;
+}
+
 function shouldRetry(exchange: Exchange, verdict: Verdict, service: string): boolean {
     const { context, route, response } = exchange;
     const isRetryable = isRetryableRoute(route);
@@ -170,9 +185,13 @@
 
 /**
  * Queues the request at the dispatcher until it is assigned to a server or refused. Resolves with `undefined` if the
- * caller disconnects or the request expires first.
+ * caller disconnects or the request expires first. `queuedSince` is earlier than now if an assignment was taken back.
  */
-function waitForServer(exchange: Exchange, service: string): Promise<AssignmentResult | undefined> {
+function waitForServer(
+    exchange: Exchange,
+    service: string,
+    queuedSince: number,
+): Promise<AssignmentResult | undefined> {
     const { context, route, caller, account, cancellation } = exchange;
     const { dispatcher } = context;
     const submittedAt = context.now();
@@ -187,7 +206,7 @@
         routeRank: route.rank,
         account: account?.name ?? "",
         isCallerRetry,
-        arrivedAt: submittedAt,
+        arrivedAt: queuedSince,
         dueAt: exchange.arrivedAt + route.targetMs,
         expiresAt: exchange.expiresAt,
         promptTokens: caller.promptTokens,
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -16,12 +16,14 @@
 import type { CallerRequest } from "../platform/index.js";
 import type { BackendConnections } from "./backendConnections.js";
 import type { EventStreamParser } from "./eventStreamParser.js";
+import type { Reservations } from "./reservations.js";
 
 export interface ExchangeContext {
     /** Current routes; `undefined` until a configuration has been received. */
     readonly routeTable: () => RouteTable | undefined;
     readonly dispatcher: Dispatcher;
     readonly connections: BackendConnections;
+    readonly reservations: Reservations;
     readonly retryBudget: SharedRetryBudget;
     readonly health: ServerHealth;
     readonly speed: ServerSpeed;
--- a/src/lib/router/peerExchange.ts
+++ b/src/lib/router/peerExchange.ts
@@ -24,6 +24,7 @@
 } from "../node/peerMessages.js";
 import type { EventLog } from "../observability/index.js";
 import type { VmSettings } from "../settings/vmSettings.js";
+import { loadSender, type Reservations } from "./reservations.js";
 
 export interface PeerExchangeOptions {
     readonly settings: VmSettings;
@@ -42,6 +43,7 @@
     readonly reachesStore: () => boolean;
     /** Returns the last time at which this entry saw the store fail; `undefined` if it didn't. */
     readonly lastOutageAt: () => number | undefined;
+    readonly reservations: () => Reservations;
     readonly log: EventLog;
     /** Monotonic clock, in milliseconds. */
     readonly now: () => number;
@@ -53,6 +55,8 @@
      * costs a call of every reader and, for the operator table, the transfer of a whole configuration.
      */
     readsFromStore(): boolean;
+    /** Sends a message to an entry; it may be lost. */
+    send(message: PeerMessage, ip: string): void;
     /** Sends the messages that are due. Call it every `HEARTBEAT_INTERVAL_MS`. */
     tick(): void;
     /** Tells all known agents at once that weights were named. */
@@ -94,6 +98,9 @@
         if (message.kind === "agent") onAgentHeartbeat(message, receivedAt);
         else if (message.kind === "entry") onEntryHeartbeat(message, receivedAt);
         else if (message.kind === "domain") onDomainDigest(message, receivedAt);
+        else if (message.kind === "reserve") options.reservations().handleRequest(message);
+        else if (message.kind === "reserved") options.reservations().handleReply(message);
+        else if (message.kind === "release") options.reservations().handleRelease(message);
     }
 
     function onAgentHeartbeat(message: AgentHeartbeat, receivedAt: number): void {
@@ -119,7 +126,7 @@
         for (const entry of entries) recordReach(entry);
         // A sender that doesn't know this entry's domain yet may include it; the load would then count twice.
         if (failureDomain !== self.failureDomain) {
-            dispatcher.inFlight.recordPeerReport(domainSender(failureDomain), message.load, receivedAt);
+            dispatcher.inFlight.recordPeerReport(loadSender(self, message), message.load, receivedAt);
         }
         mergeProgress(message, receivedAt);
     }
@@ -223,12 +230,15 @@
     const socket = openPeerSocket(settings.ip, peerPort, peerPort, onMessage);
     for (const ip of settings.seeds) peers.addUnconfirmed({ name: `seed ${ip}`, ip, failureDomain: "" });
 
-    return { readsFromStore, tick, notifyAgents, close: () => socket.close() };
+    return {
+        readsFromStore,
+        send: (message, ip) => socket.send(message, [ip]),
+        tick,
+        notifyAgents,
+        close: () => socket.close(),
+    };
 }
 
-/** Key of a domain's combined load among the load reports of single entries. */
-const domainSender = (failureDomain: string) => `domain ${failureDomain}`;
-
 function identityOf({ name, ip }: { readonly name: string; readonly ip: string; }, failureDomain: string) {
     return { name, ip, failureDomain };
 }
--- /dev/null
+++ b/src/lib/router/reservations.ts
@@ -0,0 +1,153 @@
+/**
+ * Reserves slots at the owners of servers over UDP, and decides on the reservations of other entries at servers that
+ * this entry owns. An owner that doesn't respond costs a short wait once; its servers are then used without
+ * reservations for a while.
+ */
+import {
+    type Assignment,
+    decideReservation,
+    type Dispatcher,
+    type EntryIdentity,
+    type RouteTable,
+    type ServerLoad,
+    type ServerRegistry,
+    type ServerSpeed,
+} from "../core/serving/index.js";
+import type { ReservationReply, ReservationRequest, SlotRelease } from "../node/peerMessages.js";
+import type { ServingMetrics } from "../observability/index.js";
+
+export interface ReservationsOptions {
+    readonly self: EntryIdentity;
+    readonly dispatcher: Pick<Dispatcher, "inFlight">;
+    readonly registry: ServerRegistry;
+    readonly speed: ServerSpeed;
+    readonly routeTable: () => RouteTable | undefined;
+    /** Sends a message to an entry. Messages may be lost. */
+    readonly send: (message: ReservationRequest | ReservationReply | SlotRelease, ip: string) => void;
+    readonly metrics: ServingMetrics;
+    /** Monotonic clock, in milliseconds. */
+    readonly now: () => number;
+}
+
+export interface Reservations {
+    /**
+     * Reserves a slot for the assignment. Resolves with the load of the server if its owner refuses, otherwise with
+     * `undefined`: if the owner grants it, doesn't respond in time, or the assignment needs no reservation.
+     */
+    reserve(assignment: Assignment): Promise<ServerLoad | undefined>;
+    /** Tells the owner that the request is about to leave its server. Call it while the request is still in flight. */
+    release(assignment: Assignment, requestId: string): void;
+    handleRequest(message: ReservationRequest): void;
+    handleReply(message: ReservationReply): void;
+    handleRelease(message: SlotRelease): void;
+}
+
+/** Several round trips between regions, and a small part of any target time. */
+const RESERVATION_TIMEOUT_MS = 40;
+
+/** Time for which no reservations are made at an owner that didn't respond. */
+const UNRESPONSIVE_OWNER_PAUSE_MS = 1000;
+
+export function createReservations(options: ReservationsOptions): Reservations {
+    const { self, dispatcher, registry, speed, metrics, now } = options;
+    const { inFlight } = dispatcher;
+    const pending = new Map<number, (reply: ReservationReply) => void>();
+    /** Names of owners that didn't respond, with the time until which they aren't asked. */
+    const unresponsiveUntil = new Map<string, number>();
+    let requestCount = 0;
+
+    async function reserve({ reservation }: Assignment): Promise<ServerLoad | undefined> {
+        if (reservation === undefined) return undefined;
+        const { owner, slot } = reservation;
+        if ((unresponsiveUntil.get(owner.name) ?? 0) > now()) {
+            metrics.reservations.inc({ result: "skipped" });
+            return undefined;
+        }
+        const id = ++requestCount;
+        const { maxFirstEventMs, ...otherFields } = slot;
+        options.send({
+            kind: "reserve",
+            id,
+            name: self.name,
+            ip: self.ip,
+            failureDomain: self.failureDomain,
+            ...otherFields,
+            maxFirstEventMs: Number.isFinite(maxFirstEventMs) ? maxFirstEventMs : undefined,
+        }, owner.ip);
+        const reply = await waitForReply(id);
+        if (reply === undefined) unresponsiveUntil.set(owner.name, now() + UNRESPONSIVE_OWNER_PAUSE_MS);
+        else unresponsiveUntil.delete(owner.name);
+        const result = reply === undefined ? "unanswered" : reply.isGranted ? "granted" : "refused";
+        metrics.reservations.inc({ result });
+        return reply === undefined || reply.isGranted ? undefined : reply.load;
+    }
+
+    function waitForReply(id: number): Promise<ReservationReply | undefined> {
+        return new Promise(resolve => {
+            const timer = setTimeout(() => {
+                pending.delete(id);
+                resolve(undefined);
+            }, RESERVATION_TIMEOUT_MS);
+            pending.set(id, reply => {
+                clearTimeout(timer);
+                pending.delete(id);
+                resolve(reply);
+            });
+        });
+    }
+
+    function release({ reservation }: Assignment, requestId: string): void {
+        if (reservation === undefined) return;
+        const load = inFlight.loadOfRequest(requestId);
+        if (load === undefined) return;
+        const { name, failureDomain } = self;
+        const { serverId } = reservation.slot;
+        options.send({ kind: "release", name, failureDomain, serverId, load }, reservation.owner.ip);
+    }
+
+    function handleRequest(message: ReservationRequest): void {
+        const service = registry.get(message.serverId)?.service;
+        const engine = service === undefined ? undefined : options.routeTable()?.findService(service)?.engine;
+        // An owner that doesn't know the server has no reason to refuse.
+        let decision: { isGranted: boolean; load: ServerLoad; } = { isGranted: true, load: [0, 0, 0, 0] };
+        if (engine !== undefined) {
+            const slot = { ...message, maxFirstEventMs: message.maxFirstEventMs ?? Number.POSITIVE_INFINITY };
+            const slowdown = speed.slowdown(message.serverId, now());
+            decision = decideReservation(slot, loadSender(self, message), engine, slowdown, inFlight, now());
+        }
+        options.send({ kind: "reserved", id: message.id, ...decision }, message.ip);
+    }
+
+    return {
+        reserve,
+        release,
+        handleRequest,
+        handleReply: reply => pending.get(reply.id)?.(reply),
+        handleRelease: message => {
+            const [decoding, prefilling, prefillTokens, contextTokens] = message.load;
+            const change: ServerLoad = [-decoding, -prefilling, -prefillTokens, -contextTokens];
+            inFlight.recordPeerChange(loadSender(self, message), message.serverId, change, now());
+        },
+    };
+}
+
+/** Returns the name under which an entry's load is reported to this one: its own, or that of its failure domain. */
+export function loadSender(
+    self: EntryIdentity,
+    { name, failureDomain }: { readonly name: string; readonly failureDomain: string; },
+): string {
+    return failureDomain === self.failureDomain ? name : `${DOMAIN_SENDER_PREFIX}${failureDomain}`;
+}
+
+const DOMAIN_SENDER_PREFIX = "domain ";
+
+/** A digest has what the entries of its domain reported with their last heartbeats. */
+const DIGEST_LAG_MS = 150;
+
+/** Time that a heartbeat is on its way, at most. */
+const HEARTBEAT_LAG_MS = 20;
+
+/** Returns by how much a load report may be older than its arrival, in milliseconds. */
+export function reportLagMs(sender: string): number {
+    return sender.startsWith(DOMAIN_SENDER_PREFIX) ? DIGEST_LAG_MS : HEARTBEAT_LAG_MS;
+}
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -9,10 +9,10 @@
     createPeerEntries,
     createRowReplica,
     createServerHealth,
+    createServerOwnership,
     createServerRegistry,
     createServerSpeed,
     createSharedRetryBudget,
-    createSlotSharing,
     createWeightsPolicy,
     type EntryIdentity,
     type RouteTable,
@@ -36,6 +36,7 @@
 import type { ExchangeContext } from "./exchangeState.js";
 import { createOperatorState } from "./operatorState.js";
 import { createPeerExchange, HEARTBEAT_INTERVAL_MS } from "./peerExchange.js";
+import { createReservations, reportLagMs } from "./reservations.js";
 
 export interface Router {
     /** Ports of the caller server and the readiness server; 0 if the settings name no address for one. */
@@ -95,15 +96,13 @@
     /** Updated with each heartbeat, because the dispatcher needs the list for each decision. */
     let liveEntries: readonly EntryIdentity[] = [];
     const countEntries = () => liveEntries.length + 1;
-    const domainEntryNames = () => {
-        const domainPeers = liveEntries.filter(({ failureDomain }) => failureDomain === self.failureDomain);
-        return [self.name, ...domainPeers.map(({ name }) => name)];
-    };
     const dispatcher = createDispatcher({
         registry,
         health,
         speed,
-        slotSharing: createSlotSharing(self.name, domainEntryNames),
+        self: self.name,
+        ownership: createServerOwnership(() => [self, ...liveEntries]),
+        reportLagMs,
         weights,
         findService: name => operatorState.routeTable()?.findService(name),
         failureDomain: settings.failureDomain,
@@ -129,10 +128,21 @@
             peerExchange.notifyAgents();
         },
     });
+    const reservations = createReservations({
+        self,
+        dispatcher,
+        registry,
+        speed,
+        routeTable: operatorState.routeTable,
+        send: (message, ip) => peerExchange.send(message, ip),
+        metrics,
+        now,
+    });
     const context: ExchangeContext = {
         routeTable: operatorState.routeTable,
         dispatcher,
         connections,
+        reservations,
         retryBudget,
         health,
         speed,
@@ -193,6 +203,7 @@
         onChange: (table, rows, outageAt) => applyChanges[table]?.(rows, outageAt),
         reachesStore: () => feeds.every(feed => feed.isConnected()),
         lastOutageAt: () => feeds[1]?.lastOutageAt(),
+        reservations: () => reservations,
         log,
         now,
     });
