Let entries find each other before the test of reservations

The test was committed failing: it sent its requests 0.7 s after the start, before the entries knew of each other (silent entries get a message once a second), so no owner was known; 6 requests reached a server of 4 slots. It now waits 2 s and lets one entry need the others' slots.

--- a/src/test/router/reservations.test.ts
+++ b/src/test/router/reservations.test.ts
@@ -39,8 +39,7 @@
     return { runner, maxRunning: () => maxRunning };
 }
 
-// Guards against entries that fill the same slots between two heartbeats: four callers at each of three entries used to
-// send up to twelve requests to an engine of four slots.
+// Guards against entries that fill the same slots between two heartbeats.
 test("entries that get requests at the same moment don't overfill the engines", async () => {
     const store = await startFakeStore();
     cleanups.push(() => store.close());
@@ -58,13 +57,15 @@
         cleanups.push(router.stop);
         routers.push([ip, router]);
     }
-    // Lets the entries hear of each other.
-    await new Promise(resolve => setTimeout(resolve, 700));
+    // Lets the entries hear of each other; those that have just started send to silent ones once a second.
+    await new Promise(resolve => setTimeout(resolve, 2000));
     const headers = { "token-usage": "10,10" };
     const call = { path: "/talk/", method: "POST", body: "x", headers };
+    // The first entry needs slots of servers that the others own; the second one uses its own at the same time.
+    const callCounts = [7, 4, 1];
     const responses = await Promise.all(
-        routers.flatMap(([ip, { callerPort }]) =>
-            Array.from({ length: 4 }, () => sendCall(callerPort, { ...call, ip }))
+        routers.flatMap(([ip, { callerPort }], index) =>
+            Array.from({ length: callCounts[index] ?? 0 }, () => sendCall(callerPort, { ...call, ip }))
         ),
     );
     const maxima = engines.map(({ maxRunning }) => maxRunning());
