--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -88,7 +88,7 @@
      */
     withdraw(id: string, serverId: string, load: ServerLoad, now: number): void;
     /** Records that the first event of a request has arrived. */
-    recordFirstEvent(id: string, now: number): void;
+    recordFirstEvent(id: string): void;
     /** Records that a request has ended at its server, successfully or not. */
     recordEnd(id: string, now: number): void;
     /**
@@ -183,7 +183,8 @@
 
     function tryPlace(request: DispatchRequest, queueClass: QueueClass, snapshot: PoolSnapshot, now: number): boolean {
         const { service } = snapshot;
-        const eligible = snapshot.servers().filter(poolServer => isEligible(poolServer, request));
+        const eligible = snapshot.withCapacity().filter(poolServer => isEligible(poolServer, request));
+        if (eligible.length === 0) return false;
         const constraints = constraintsFor(request, queueClass, now);
         const candidates = eligible.map(({ candidate }) => candidate);
         const placement = service.engine === undefined ?
@@ -220,9 +221,9 @@
         return true;
     }
 
-    /** Returns whether the server accepts requests, holds acceptable weights and wasn't sent this request before. */
-    function isEligible({ server, version, isUsable }: PoolServer, request: DispatchRequest): boolean {
-        if (!isUsable || request.triedServerIds.has(server.id)) return false;
+    /** Returns whether the server holds acceptable weights and wasn't sent this request before. */
+    function isEligible({ server, version }: PoolServer, request: DispatchRequest): boolean {
+        if (request.triedServerIds.has(server.id)) return false;
         return request.requiredVersion === undefined || request.requiredVersion === version;
     }
 
@@ -298,10 +299,8 @@
     return {
         submit,
         cancel: id => void queue.delete(id),
-        recordFirstEvent: (id, now) => {
-            inFlight.recordFirstEvent(id);
-            processQueue(now);
-        },
+        // Frees no slot; the next tick takes the lower load into account.
+        recordFirstEvent: id => inFlight.recordFirstEvent(id),
         withdraw,
         recordEnd,
         tick: processQueue,
--- a/src/lib/core/serving/serverPool.ts
+++ b/src/lib/core/serving/serverPool.ts
@@ -32,6 +32,8 @@
 export interface PoolSnapshot {
     readonly service: BackendService;
     servers(): readonly PoolServer[];
+    /** Servers that accept requests now and have a free slot and a free connection; few of them under overload. */
+    withCapacity(): readonly PoolServer[];
     /** Computes the state of a server again, after a request was sent to it. */
     refresh(serverId: string): void;
 }
@@ -82,6 +84,10 @@
     readonly version: number;
 }
 
+function hasCapacity({ isUsable, candidate: { load, slots, freeConnections } }: PoolServer): boolean {
+    return isUsable && load.decoding + load.prefilling < slots && freeConnections > 0;
+}
+
 export function createServerPool(options: ServerPoolOptions): ServerPool {
     const { registry, health, speed, weights, inFlight } = options;
     const pausedUntilByAddress = new Map<string, number>();
@@ -98,6 +104,7 @@
         const servers = registry.usable(service.name, now);
         const owners = options.ownership.ownersOf(servers);
         const poolServers = servers.map((server, index) => describe(server, owners[index]));
+        let serversWithCapacity: readonly PoolServer[] | undefined;
         const indexById = new Map(poolServers.map(({ server }, index) => [server.id, index]));
 
         function describe(server: BackendServer, owner: EntryIdentity | undefined): PoolServer {
@@ -129,7 +136,9 @@
         return {
             service,
             servers: () => poolServers,
+            withCapacity: () => serversWithCapacity ??= poolServers.filter(hasCapacity),
             refresh: serverId => {
+                serversWithCapacity = undefined;
                 const index = indexById.get(serverId);
                 const server = index === undefined ? undefined : poolServers[index]?.server;
                 if (index === undefined || server === undefined) return;
