--- a/src/harness/placers.ts
+++ b/src/harness/placers.ts
@@ -219,7 +219,7 @@
                 prediction.hasFirstEvent = true;
                 speed.recordFirstEvent(engineName(engine), { ...prediction, measuredMs: tookMs }, now);
             }
-            dispatcher.recordFirstEvent(id);
+            dispatcher.recordFirstEvent(id, now);
         },
         recordEnd: (id, engine, hasSucceeded, now) => {
             currentTime = now;
--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -88,7 +88,7 @@
      */
     withdraw(id: string, serverId: string, load: ServerLoad, now: number): void;
     /** Records that the first event of a request has arrived. */
-    recordFirstEvent(id: string): void;
+    recordFirstEvent(id: string, now: number): void;
     /** Records that a request has ended at its server, successfully or not. */
     recordEnd(id: string, now: number): void;
     /**
@@ -299,8 +299,10 @@
     return {
         submit,
         cancel: id => void queue.delete(id),
-        // Frees no slot; the next tick takes the lower load into account.
-        recordFirstEvent: id => inFlight.recordFirstEvent(id),
+        recordFirstEvent: (id, now) => {
+            inFlight.recordFirstEvent(id);
+            processQueue(now);
+        },
         withdraw,
         recordEnd,
         tick: processQueue,
--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -221,7 +221,7 @@
     const { context, route } = exchange;
     const now = context.now();
     const measuredMs = now - sentAt;
-    context.dispatcher.recordFirstEvent(exchange.dispatchId);
+    context.dispatcher.recordFirstEvent(exchange.dispatchId, now);
     context.speed.recordFirstEvent(
         server.id,
         { predictedMs: predictedFirstEventMs, measuredMs, assumedSlowdown },
