Ask peers for their pieces only if the relays fail

Cause: each agent long-polled up to 8 peers during a transfer and got a response for each piece of each of them, about a thousand calls a version, although the relays delivered everything. The test fails on the code before.

--- a/src/lib/stager/pieceTransfer.ts
+++ b/src/lib/stager/pieceTransfer.ts
@@ -81,6 +81,9 @@
 const MAX_POLLED_PEERS = 8;
 
 const PEER_POLL_INTERVAL_MS = 60;
+
+/** Interval at which it is checked whether the relays have failed, so that peers are needed. */
+const RELAY_CHECK_INTERVAL_MS = 100;
 const PEER_FAILURE_DELAY_MS = 500;
 
 /** Resolves when all pieces are held or the signal is aborted. Failed requests are retried and never throw. */
@@ -117,7 +120,7 @@
     }
     for (const peer of regionPeers) {
         plan.addPeer(peer.name, peer.failureDomain === self.failureDomain ? 1 : 2);
-        void pollPeer(options, peer, piece => plan.addPeerChunk(peer.name, piece));
+        void pollPeer(options, peer, () => now() < inOrderFrom, piece => plan.addPeerChunk(peer.name, piece));
     }
 
     let wakePlanLoop: () => void = () => undefined;
@@ -193,14 +196,23 @@
     }
 }
 
+/**
+ * Reads which pieces a peer holds. While a relay works, nothing is requested from peers, and their states would cost
+ * each agent several calls for each piece.
+ */
 async function pollPeer(
     { held, signal }: PieceTransferOptions,
     peer: TransferPeer,
+    isNeeded: () => boolean,
     onPiece: (piece: number) => void,
 ): Promise<void> {
     const pieceCount = held.manifest.digests.length;
     let knownCount = -1;
     while (!signal.aborted && countHeld(held) < pieceCount) {
+        if (!isNeeded()) {
+            await sleep(RELAY_CHECK_INTERVAL_MS);
+            continue;
+        }
         try {
             const state = await peer.client.readState(held.manifest.version, knownCount);
             knownCount = state.held.length;
--- a/src/test/stager/pieceTransfer.test.ts
+++ b/src/test/stager/pieceTransfer.test.ts
@@ -14,9 +14,12 @@
     (_, piece) => createHash("sha256").update(pieceOf(piece)).digest("hex"),
 );
 
-/** Transfers all pieces from one relay and an origin that has every piece. Returns the number of requests to each. */
+/**
+ * Transfers all pieces from one relay, an origin that has every piece and a peer that has none. Returns the number of
+ * requests to each.
+ */
 async function transferThrough(readFromRelay: (piece: number) => Promise<Buffer>) {
-    const requests = { relay: 0, origin: 0 };
+    const requests = { relay: 0, origin: 0, peerStates: 0 };
     const pieceStore = createPieceStore();
     const held = pieceStore.open("m", { version: 2, digests });
     const client: PeerClient = {
@@ -29,7 +32,19 @@
     };
     await transferPieces({
         self: { name: "agent", region: "r", failureDomain: "a" },
-        peers: [],
+        peers: [{
+            name: "peer",
+            region: "r",
+            failureDomain: "a",
+            client: {
+                ...client,
+                readState: async () => {
+                    requests.peerStates++;
+                    await new Promise(resolve => setTimeout(resolve, 50));
+                    return { held: [], loaded: 0 };
+                },
+            },
+        }],
         relays: [{ name: "relay", client }],
         origin: {
             readManifest: () => Promise.reject(new Error("not used")),
@@ -76,3 +91,13 @@
     const requests = await transferThrough(() => Promise.reject(new Error("connection refused")));
     assert.equal(requests.origin, PIECE_COUNT);
 });
+
+// Guards against agents that ask each other for every new piece while their relays work, which costs each of them more
+// processor time than the transfer.
+test("an agent with a working relay doesn't ask its peers which pieces they hold", { timeout: 10_000 }, async () => {
+    const requests = await transferThrough(async piece => {
+        await new Promise(resolve => setTimeout(resolve, 200));
+        return pieceOf(piece);
+    });
+    assert.deepEqual(requests, { relay: PIECE_COUNT, origin: 0, peerStates: 0 });
+});
