--- a/src/lib/stager/fleetView.ts
+++ b/src/lib/stager/fleetView.ts
@@ -68,13 +68,18 @@
         }
     }
 
-    function peers(): TransferPeer[] {
-        const byIp = new Map<string, BackendServer>();
-        for (const server of servers) {
-            const ip = server.address.split(":")[0] ?? "";
-            if (server.service === settings.backendService && ip !== settings.ip) byIp.set(ip, server);
+    /** Returns the failure domains of the other agents by IP address. */
+    function peerDomains(): ReadonlyMap<string, string> {
+        const domainByIp = new Map<string, string>();
+        for (const { address, service, failureDomain } of servers) {
+            const ip = address.split(":")[0] ?? "";
+            if (service === settings.backendService && ip !== settings.ip) domainByIp.set(ip, failureDomain);
         }
-        return [...byIp].map(([ip, { failureDomain }]) => ({
+        return domainByIp;
+    }
+
+    function peers(): TransferPeer[] {
+        return [...peerDomains()].map(([ip, failureDomain]) => ({
             name: ip,
             region: settings.regions.get(failureDomain) ?? "",
             failureDomain,
@@ -98,11 +103,13 @@
         peers,
         relays,
         domainReplicas: () => {
-            const domainPeers = peers().filter(({ failureDomain }) => failureDomain === settings.failureDomain);
-            return [settings.ip, ...domainPeers.map(({ name }) => name)];
+            const domainPeers = [...peerDomains()].filter(([, failureDomain]) => {
+                return failureDomain === settings.failureDomain;
+            });
+            return [settings.ip, ...domainPeers.map(([ip]) => ip)];
         },
         failureDomains: () => {
-            return [...new Set([settings.failureDomain, ...peers().map(({ failureDomain }) => failureDomain)])];
+            return [...new Set([settings.failureDomain, ...peerDomains().values()])];
         },
         entryIps: () => entryIps,
     };
