--- a/src/harness/placers.ts
+++ b/src/harness/placers.ts
@@ -174,9 +174,9 @@
             const { server, reservation, predictedFirstEventMs, assumedSlowdown } = result.assignment;
             const owner = reservation === undefined ? undefined : findOwner(reservation.owner.name);
             if (reservation !== undefined && owner !== undefined) {
-                const { isGranted, load } = owner.reserve(reservation.slot, entryName, currentTime);
-                if (!isGranted) {
-                    dispatcher.withdraw(request.id, server.id, load, currentTime);
+                const decision = owner.reserve(reservation.slot, entryName, currentTime);
+                if (!decision.isGranted) {
+                    dispatcher.withdraw(request.id, server.id, decision, currentTime);
                     submit(request, onDecision);
                     return;
                 }
@@ -204,7 +204,8 @@
         inFlight: dispatcher.inFlight,
         reserve: (slot, sender, now) => {
             const slowdown = speed.slowdown(slot.serverId, now);
-            return decideReservation(slot, sender, ENGINE_SPEC, slowdown, dispatcher.inFlight, now);
+            const owned = { engine: ENGINE_SPEC, slowdown, isPaused: false };
+            return decideReservation(slot, sender, owned, dispatcher.inFlight, now);
         },
         submit: (request, onDecision, now) => {
             currentTime = now;
--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -14,7 +14,7 @@
     sortQueue,
 } from "./admissionControl.js";
 import { typicalFirstEventMs } from "./engineModel.js";
-import { createInFlightRequests, type InFlightRequests, type ServerLoad } from "./inFlightRequests.js";
+import { createInFlightRequests, type InFlightRequests } from "./inFlightRequests.js";
 import type { EntryIdentity } from "./peerEntries.js";
 import { type PlacementRequest, placeOnEngine, placeOnService, TARGET_FRACTION } from "./placement.js";
 import type { BackendService } from "./routeTable.js";
@@ -23,7 +23,7 @@
 import { createServerPool, type PoolServer, type PoolSnapshot, type ServerPool } from "./serverPool.js";
 import type { BackendServer, ServerRegistry } from "./serverRegistry.js";
 import type { ServerSpeed } from "./serverSpeed.js";
-import type { SlotRequest } from "./slotReservations.js";
+import type { SlotDecision, SlotRequest } from "./slotReservations.js";
 import type { WeightsPolicy } from "./weightsPolicy.js";
 
 export interface DispatchRequest extends QueuedRequest {
@@ -83,10 +83,10 @@
     /** Removes a queued request whose caller has disconnected. */
     cancel(id: string): void;
     /**
-     * Takes an assignment back because the server's owner, which knows of `load`, refused the reservation. The request
-     * can then be submitted again.
+     * Takes an assignment back because the server's owner refused the reservation. The request can then be submitted
+     * again.
      */
-    withdraw(id: string, serverId: string, load: ServerLoad, now: number): void;
+    withdraw(id: string, serverId: string, refusal: SlotDecision, now: number): void;
     /** Records that the first event of a request has arrived. */
     recordFirstEvent(id: string, now: number): void;
     /** Records that a request has ended at its server, successfully or not. */
@@ -98,7 +98,7 @@
     tick(now: number): void;
     queueLength(): number;
     readonly inFlight: InFlightRequests;
-    readonly pool: Pick<ServerPool, "pauseServer" | "recordLoadedWeights" | "forgetUnregistered">;
+    readonly pool: Pick<ServerPool, "pauseServer" | "isPaused" | "recordLoadedWeights" | "forgetUnregistered">;
 }
 
 /**
@@ -277,11 +277,11 @@
         item?.onResult(result);
     }
 
-    function withdraw(id: string, serverId: string, load: ServerLoad, now: number): void {
+    function withdraw(id: string, serverId: string, { load, pauseMs }: SlotDecision, now: number): void {
         sends.delete(id);
         inFlight.remove(id);
         inFlight.recordOwnerLoad(serverId, load, now);
-        pool.recordRefusedReservation(serverId, now);
+        pool.recordRefusedReservation(serverId, now + pauseMs);
         processQueue(now);
     }
 
--- a/src/lib/core/serving/serverPool.ts
+++ b/src/lib/core/serving/serverPool.ts
@@ -45,8 +45,10 @@
      * past ends the pause.
      */
     pauseServer(address: string, until: number): void;
-    /** Records that the owner of a server refused a reservation; the server isn't used for a short time. */
-    recordRefusedReservation(serverId: string, now: number): void;
+    /** Returns whether the engine at the address loads weights. */
+    isPaused(address: string, now: number): boolean;
+    /** Records that the owner of a server refused a reservation; the server isn't used until then. */
+    recordRefusedReservation(serverId: string, until: number): void;
     /** Records the weights that an agent reports for its engine, which arrive earlier than those in the registry. */
     recordLoadedWeights(address: string, startedAt: number, model: string, version: number): void;
     /** Forgets what agents reported for engines at addresses that no registered server has. */
@@ -72,9 +74,6 @@
 /** Fraction of a server's connections that all entries use together; other clients may connect too. */
 const CONNECTION_FRACTION = 0.8;
 
-/** Time after which a server whose owner refused a reservation may be asked for again. */
-const REFUSED_PAUSE_MS = 50;
-
 /** Reports of an engine without a registered server are kept this long, because the registry may lag behind. */
 const UNREGISTERED_REPORT_MAX_AGE_MS = 30_000;
 
@@ -110,13 +109,12 @@
         function describe(server: BackendServer, owner: EntryIdentity | undefined): PoolServer {
             const { engine } = service;
             const version = engine === undefined ? undefined : loadedVersion(server, engine);
-            const isPaused = (pausedUntilByAddress.get(server.address) ?? 0) > now;
             const isExpected = health.isAvailable(server.id, now) &&
                 (engine === undefined || isAllowedVersion(version, engine, now));
             return {
                 server,
                 version,
-                isUsable: isExpected && !isPaused && (refusedUntil.get(server.id) ?? 0) <= now,
+                isUsable: isExpected && !isPaused(server.address, now) && (refusedUntil.get(server.id) ?? 0) <= now,
                 isExpected,
                 otherOwner: owner?.name === options.self ? undefined : owner,
                 candidate: {
@@ -147,6 +145,8 @@
         };
     }
 
+    const isPaused = (address: string, now: number) => (pausedUntilByAddress.get(address) ?? 0) > now;
+
     function isAllowedVersion(version: number | undefined, { model }: EngineParameters, now: number): boolean {
         return version !== undefined && version >= weights.lowestAllowed(model, now);
     }
@@ -184,7 +184,8 @@
         recordLoadedWeights: (address, startedAt, model, version) => {
             reportByAddress.set(address, { startedAt, model, version });
         },
-        recordRefusedReservation: (serverId, now) => void refusedUntil.set(serverId, now + REFUSED_PAUSE_MS),
+        isPaused,
+        recordRefusedReservation: (serverId, until) => void refusedUntil.set(serverId, until),
         forgetUnregistered,
     };
 }
--- a/src/lib/core/serving/slotReservations.ts
+++ b/src/lib/core/serving/slotReservations.ts
@@ -20,26 +20,43 @@
     readonly maxFirstEventMs: number;
 }
 
-/** `load` is the load that the owner knows; a refused entry uses it to choose another server. */
+/** A refused entry uses the load that the owner knows to choose another server. */
 export interface SlotDecision {
     readonly isGranted: boolean;
     readonly load: ServerLoad;
+    /** Time for which the refused entry doesn't use the server, in milliseconds; 0 if the slot is granted. */
+    readonly pauseMs: number;
+}
+
+/** The load of a server changes with each event of its streams. */
+const FULL_SERVER_PAUSE_MS = 50;
+
+/** An engine that loads weights is unavailable for a second or two. */
+const LOADING_SERVER_PAUSE_MS = 300;
+
+/** What the owner knows of the server. */
+export interface OwnedServer {
+    readonly engine: EngineParameters;
+    readonly slowdown: number;
+    /** Accepts no requests now, because it loads weights. Its agent tells only some of the entries. */
+    readonly isPaused: boolean;
 }
 
 /** Records a granted request as load of `sender`, the name under which its reports are recorded. */
 export function decideReservation(
     request: SlotRequest,
     sender: string,
-    engine: EngineParameters,
-    slowdown: number,
+    { engine, slowdown, isPaused }: OwnedServer,
     inFlight: InFlightRequests,
     now: number,
 ): SlotDecision {
     const { serverId, promptTokens } = request;
-    const load = inFlight.loadOf(serverId, now);
-    const { firstEventMs } = predictLatency(engine, load, promptTokens, slowdown);
-    const isGranted = load.decoding + load.prefilling + 1 <= request.maxRunning &&
+    const known = inFlight.loadOf(serverId, now);
+    const load: ServerLoad = [known.decoding, known.prefilling, known.prefillTokens, known.contextTokens];
+    if (isPaused) return { isGranted: false, load, pauseMs: LOADING_SERVER_PAUSE_MS };
+    const { firstEventMs } = predictLatency(engine, known, promptTokens, slowdown);
+    const isGranted = known.decoding + known.prefilling + 1 <= request.maxRunning &&
         firstEventMs <= request.maxFirstEventMs;
     if (isGranted) inFlight.recordPeerChange(sender, serverId, [0, 1, promptTokens, 0], now);
-    return { isGranted, load: [load.decoding, load.prefilling, load.prefillTokens, load.contextTokens] };
+    return { isGranted, load, pauseMs: isGranted ? 0 : FULL_SERVER_PAUSE_MS };
 }
--- a/src/lib/node/peerMessages.ts
+++ b/src/lib/node/peerMessages.ts
@@ -89,6 +89,8 @@
     id: z.number(),
     isGranted: z.boolean(),
     load: serverLoadSchema,
+    /** Time for which the refused sender doesn't use the server, in milliseconds. */
+    pauseMs: z.number().nonnegative(),
 });
 
 /** Tells the owner of a server that a request which it granted leaves the server. */
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -161,11 +161,11 @@
 async function reserveSlot(exchange: Exchange, assignment: Assignment): Promise<boolean> {
     const { context, dispatchId } = exchange;
     const startedAt = context.now();
-    const ownerLoad = await context.reservations.reserve(assignment);
+    const refusal = await context.reservations.reserve(assignment);
     const endedAt = context.now();
     exchange.waitedMs += endedAt - startedAt;
-    if (ownerLoad === undefined) return true;
-    context.dispatcher.withdraw(dispatchId, assignment.server.id, ownerLoad, endedAt);
+    if (refusal === undefined) return true;
+    context.dispatcher.withdraw(dispatchId, assignment.server.id, refusal, endedAt);
     return false;
 }
 
--- a/src/lib/router/reservations.ts
+++ b/src/lib/router/reservations.ts
@@ -12,13 +12,14 @@
     type ServerLoad,
     type ServerRegistry,
     type ServerSpeed,
+    type SlotDecision,
 } from "../core/serving/index.js";
 import type { ReservationReply, ReservationRequest, SlotRelease } from "../node/peerMessages.js";
 import type { ServingMetrics } from "../observability/index.js";
 
 export interface ReservationsOptions {
     readonly self: EntryIdentity;
-    readonly dispatcher: Pick<Dispatcher, "inFlight">;
+    readonly dispatcher: Pick<Dispatcher, "inFlight" | "pool">;
     readonly registry: ServerRegistry;
     readonly speed: ServerSpeed;
     readonly routeTable: () => RouteTable | undefined;
@@ -31,10 +32,10 @@
 
 export interface Reservations {
     /**
-     * Reserves a slot for the assignment. Resolves with the load of the server if its owner refuses, otherwise with
-     * `undefined`: if the owner grants it, doesn't respond in time, or the assignment needs no reservation.
+     * Reserves a slot for the assignment. Resolves with the owner's decision if it refuses, otherwise with `undefined`:
+     * if the owner grants it, doesn't respond in time, or the assignment needs no reservation.
      */
-    reserve(assignment: Assignment): Promise<ServerLoad | undefined>;
+    reserve(assignment: Assignment): Promise<SlotDecision | undefined>;
     /** Tells the owner that the request is about to leave its server. Call it while the request is still in flight. */
     release(assignment: Assignment, requestId: string): void;
     handleRequest(message: ReservationRequest): void;
@@ -56,7 +57,7 @@
     const unresponsiveUntil = new Map<string, number>();
     let requestCount = 0;
 
-    async function reserve({ reservation }: Assignment): Promise<ServerLoad | undefined> {
+    async function reserve({ reservation }: Assignment): Promise<SlotDecision | undefined> {
         if (reservation === undefined) return undefined;
         const { owner, slot } = reservation;
         if ((unresponsiveUntil.get(owner.name) ?? 0) > now()) {
@@ -79,7 +80,7 @@
         else unresponsiveUntil.delete(owner.name);
         const result = reply === undefined ? "unanswered" : reply.isGranted ? "granted" : "refused";
         metrics.reservations.inc({ result });
-        return reply === undefined || reply.isGranted ? undefined : reply.load;
+        return reply === undefined || reply.isGranted ? undefined : reply;
     }
 
     function waitForReply(id: number): Promise<ReservationReply | undefined> {
@@ -106,16 +107,19 @@
     }
 
     function handleRequest(message: ReservationRequest): void {
-        const service = registry.get(message.serverId)?.service;
-        const engine = service === undefined ? undefined : options.routeTable()?.findService(service)?.engine;
+        const server = registry.get(message.serverId);
+        const engine = server === undefined ? undefined : options.routeTable()?.findService(server.service)?.engine;
         // An owner that doesn't know the server has no reason to refuse.
-        let decision: { isGranted: boolean; load: ServerLoad; } = { isGranted: true, load: [0, 0, 0, 0] };
-        if (engine !== undefined) {
+        let decision: SlotDecision = { isGranted: true, load: [0, 0, 0, 0], pauseMs: 0 };
+        if (server !== undefined && engine !== undefined) {
             const slot = { ...message, maxFirstEventMs: message.maxFirstEventMs ?? Number.POSITIVE_INFINITY };
             const slowdown = speed.slowdown(message.serverId, now());
-            decision = decideReservation(slot, loadSender(self, message), engine, slowdown, inFlight, now());
+            const isPaused = dispatcher.pool.isPaused(server.address, now());
+            const owned = { engine, slowdown, isPaused };
+            decision = decideReservation(slot, loadSender(self, message), owned, inFlight, now());
         }
-        options.send({ kind: "reserved", id: message.id, ...decision }, message.ip);
+        const { isGranted, load, pauseMs } = decision;
+        options.send({ kind: "reserved", id: message.id, isGranted, load: [...load], pauseMs }, message.ip);
     }
 
     return {
--- a/src/test/core/serving/slotReservations.test.ts
+++ b/src/test/core/serving/slotReservations.test.ts
@@ -45,15 +45,29 @@
     assert.equal(createServerOwnership(() => []).ownersOf(servers)[0], undefined);
 });
 
+const OWNED = { engine: ENGINE_SPEC, slowdown: 1, isPaused: false };
+
+// Guards against requests to an engine that loads weights from entries that its agent doesn't send heartbeats to; the
+// engine rejects them.
+test("an owner refuses requests to a server that loads weights, for longer than to a full one", () => {
+    const inFlight = createInFlightRequests();
+    const slot = { serverId: "s", promptTokens: 100, maxRunning: 1, maxFirstEventMs: Number.POSITIVE_INFINITY };
+    const paused = decideReservation(slot, "a", { ...OWNED, isPaused: true }, inFlight, 0);
+    decideReservation(slot, "a", OWNED, inFlight, 1);
+    const full = decideReservation(slot, "b", OWNED, inFlight, 2);
+    assert.deepEqual([paused.isGranted, full.isGranted], [false, false]);
+    assert.ok(paused.pauseMs > full.pauseMs && full.pauseMs > 0);
+});
+
 // Guards against two entries that see the same free slot and both fill it.
 test("an owner grants each free slot once, until it is released", () => {
     const inFlight = createInFlightRequests();
     const slot = { serverId: "s", promptTokens: 100, maxRunning: 2, maxFirstEventMs: Number.POSITIVE_INFINITY };
-    const reserve = (sender: string, now: number) => decideReservation(slot, sender, ENGINE_SPEC, 1, inFlight, now);
+    const reserve = (sender: string, now: number) => decideReservation(slot, sender, OWNED, inFlight, now);
     assert.equal(reserve("a", 0).isGranted, true);
     assert.equal(reserve("b", 1).isGranted, true);
     const refusal = reserve("c", 2);
-    assert.deepEqual(refusal, { isGranted: false, load: [0, 2, 200, 0] });
+    assert.deepEqual([refusal.isGranted, refusal.load], [false, [0, 2, 200, 0]]);
     inFlight.recordPeerChange("a", "s", [0, -1, -100, 0], 3);
     assert.equal(reserve("c", 4).isGranted, true);
 });
@@ -62,7 +76,7 @@
 test("an owner refuses a request that would be late at its server", () => {
     const inFlight = createInFlightRequests();
     const slot = { serverId: "s", promptTokens: 1000, maxRunning: 16, maxFirstEventMs: 200 };
-    const decisions = Array.from({ length: 6 }, () => decideReservation(slot, "a", ENGINE_SPEC, 1, inFlight, 0));
+    const decisions = Array.from({ length: 6 }, () => decideReservation(slot, "a", OWNED, inFlight, 0));
     assert.equal(decisions[0]?.isGranted, true);
     assert.equal(decisions.at(-1)?.isGranted, false);
 });
