End a stopped agent's transfers, and bring the docs in line

Cause: a transfer that ended after the stop started the next one, again and again. Without the mend the new test's file does not end (stopped after 60 s).

--- a/src/lib/stager/versionFetcher.ts
+++ b/src/lib/stager/versionFetcher.ts
@@ -31,7 +31,7 @@
     ensureFetched(model: string, version: number, bytes: number, origin: OriginLocation): void;
     /** Estimates the time until a version is complete: 0 if it is, infinite if it is stalled or isn't being fetched. */
     estimateRemainingMs(version: number): number;
-    /** Aborts the transfer in progress. */
+    /** Aborts the transfer in progress and starts no other one. */
     stop(): void;
 }
 
@@ -76,6 +76,7 @@
     // No keep-alive: the origin accepts few connections, and idle ones count against its limit.
     const originConnections = new http.Agent({ keepAlive: false, maxSockets: MAX_ORIGIN_CONNECTIONS });
     let transfer: Transfer | undefined;
+    let isStopped = false;
     /** The version whose manifest is needed, and when the origin may be asked for it. */
     let manifestWait: { readonly version: number; readonly originDueAt: number; } | undefined;
 
@@ -87,7 +88,7 @@
     }
 
     function ensureFetched(model: string, version: number, bytes: number, originLocation: OriginLocation): void {
-        if (isComplete(pieceStore.find(version))) return;
+        if (isStopped || isComplete(pieceStore.find(version))) return;
         if (transfer !== undefined) {
             if (transfer.version >= version || mustFinishBefore(transfer, version)) return;
             transfer.cancellation.abort();
@@ -195,7 +196,14 @@
         });
     }
 
-    return { ensureFetched, estimateRemainingMs, stop: () => transfer?.cancellation.abort() };
+    return {
+        ensureFetched,
+        estimateRemainingMs,
+        stop: () => {
+            isStopped = true;
+            transfer?.cancellation.abort();
+        },
+    };
 }
 
 export function isComplete(held: HeldVersion | undefined): boolean {
--- a/src/test/stager/stager.test.ts
+++ b/src/test/stager/stager.test.ts
@@ -173,3 +173,19 @@
     await waitUntil(() => engine.state.version === 3);
     assertLoaded(3);
 });
+
+// Guards against a stopped agent that starts a failed transfer again and again, so that its process never ends; a test
+// file in which a test failed during a transfer didn't end within 10 minutes.
+test("an agent that is stopped during a transfer makes no further calls", async () => {
+    await nameVersions(2);
+    await waitUntil(() => engine.state.version === 2);
+    engine.close();
+    sendNamedVersion(3);
+    await new Promise(resolve => setTimeout(resolve, 600));
+    stager.stop();
+    const countCalls = () => [...store.calls.values()].reduce((sum, count) => sum + count, 0);
+    await new Promise(resolve => setTimeout(resolve, 200));
+    const callsAtStop = countCalls();
+    await new Promise(resolve => setTimeout(resolve, 1500));
+    assert.equal(countCalls(), callsAtStop);
+});
