--- a/src/lib/core/serving/inFlightRequests.ts
+++ b/src/lib/core/serving/inFlightRequests.ts
@@ -65,6 +65,7 @@
     /** Sum of the peers' recent reports by server; `undefined` after a change. */
     /** Announced changes by sender, oldest first. */
     const peerChanges = new Map<string, { serverId: string; change: ServerLoad; at: number; }[]>();
+    /** Loads of servers that their owners told with a refusal. */
     const ownerLoads = new Map<string, { readonly load: ServerLoad; readonly at: number; }>();
     let peerTotals: { readonly byServer: Map<string, ServerLoad>; readonly validUntil: number; } | undefined;
 
@@ -98,7 +99,10 @@
 
     function loadOf(serverId: string, now: number): EngineLoad {
         const ownerLoad = ownerLoads.get(serverId);
-        if (ownerLoad !== undefined && now - ownerLoad.at <= OWNER_LOAD_MAX_AGE_MS) return toEngineLoad(ownerLoad.load);
+        if (ownerLoad !== undefined) {
+            if (now - ownerLoad.at <= OWNER_LOAD_MAX_AGE_MS) return toEngineLoad(ownerLoad.load);
+            ownerLoads.delete(serverId);
+        }
         const sum = localLoad(serverId);
         addLoad(sum, totalsOfPeers(now).get(serverId));
         return toEngineLoad(sum);
