Apply the limit for comments only to comments

Found on reading the change: a chunk that completed an event of more than 64 KiB was taken for too many comments, and its stream failed.

--- a/src/lib/router/streamRelay.ts
+++ b/src/lib/router/streamRelay.ts
@@ -67,10 +67,13 @@
             const completeEvents = parser.push(chunk);
             if (completeEvents.length === 0) continue;
             comments = Buffer.concat([comments, completeEvents]);
-            if (comments.length > MAX_COMMENT_BYTES) throw new VError("comments exceed %d bytes", MAX_COMMENT_BYTES);
             // Bytes that complete no event and comments don't reset the timeout. Comments wait for the next event, so
             // that another server can still answer.
-            if (parser.eventCount() === eventCountBefore) continue;
+            if (parser.eventCount() === eventCountBefore) {
+                if (comments.length > MAX_COMMENT_BYTES)
+                    throw new VError("comments exceed %d bytes", MAX_COMMENT_BYTES);
+                continue;
+            }
             const completeBytes = comments;
             comments = Buffer.alloc(0);
             clearTimeout(timer);
--- a/src/test/router/endlessBytes.test.ts
+++ b/src/test/router/endlessBytes.test.ts
@@ -192,6 +192,16 @@
     assert.equal(response.body, text);
 });
 
+// Guards against a limit for comments that also cuts off large events.
+test("an event of more than 64 KiB reaches the caller", async () => {
+    const text = `id: 1\ndata: ${"x".repeat(100 * 1024)}\n\n`;
+    await addRunners(request => {
+        request.socket.write(`${streamResponseHead(request)}${encodeChunk(text)}0\r\n\r\n`);
+    }, respondOk);
+    const response = await sendCall(router.callerPort, { path: "/talk/", method: "POST", body: "x" });
+    assert.equal(response.body, text);
+});
+
 // Guards against a request with a large body that ends without an answer.
 test("a body above the configured limit is refused with 413", async () => {
     await addRunners(respondOk, respondOk);
