--- a/src/lib/router/streamRelay.ts
+++ b/src/lib/router/streamRelay.ts
@@ -70,8 +70,9 @@
             // Bytes that complete no event and comments don't reset the timeout. Comments wait for the next event, so
             // that another server can still answer.
             if (parser.eventCount() === eventCountBefore) {
-                if (comments.length > MAX_COMMENT_BYTES)
+                if (comments.length > MAX_COMMENT_BYTES) {
                     throw new VError("comments exceed %d bytes", MAX_COMMENT_BYTES);
+                }
                 continue;
             }
             const completeBytes = comments;
