Compute the owners and the usable servers once per change, and dispatch only while requests wait

Each decision built a key of all server and entry names, filtered the registry and read the named versions once per server, and an idle entry woke up 50 times a second for an empty queue.

Change: the registry returns the same list until a server changes, and the owners are kept by that list; the dispatch timer runs only while requests wait.

--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -72,6 +72,8 @@
     /** Number of entries that share the servers, including this one. */
     readonly entryCount: () => number;
     readonly random: () => number;
+    /** Called whenever requests are left in the queue after a decision; `tick` must be called some time later. */
+    readonly onWaiting?: () => void;
 }
 
 export interface Dispatcher {
@@ -93,7 +95,7 @@
     recordEnd(id: string, now: number): void;
     /**
      * Decides on the queued requests again: places those for which a server is free and refuses those that can't wait
-     * any longer. Call it periodically.
+     * any longer. Call it periodically while requests wait.
      */
     tick(now: number): void;
     queueLength(): number;
@@ -165,6 +167,7 @@
             if (refusal === undefined) waitingByClass.set(key, aheadCount + 1);
             else deliverResult(request.id, { kind: "refused", refusal });
         }
+        if (queue.size > 0) options.onWaiting?.();
     }
 
     function takeSnapshot(serviceName: string, now: number): PoolSnapshot | undefined {
--- a/src/lib/core/serving/inFlightRequests.ts
+++ b/src/lib/core/serving/inFlightRequests.ts
@@ -62,11 +62,11 @@
     const requestsByServer = new Map<string, Set<InFlightRequest>>();
     const countByAccount = new Map<string, number>();
     const peerReports = new Map<string, { readonly report: LoadReport; readonly receivedAt: number; }>();
-    /** Sum of the peers' recent reports by server; `undefined` after a change. */
     /** Announced changes by sender, oldest first. */
     const peerChanges = new Map<string, { serverId: string; change: ServerLoad; at: number; }[]>();
     /** Loads of servers that their owners told with a refusal. */
     const ownerLoads = new Map<string, { readonly load: ServerLoad; readonly at: number; }>();
+    /** Sum of the peers' recent reports by server; `undefined` after a change. */
     let peerTotals: { readonly byServer: Map<string, ServerLoad>; readonly validUntil: number; } | undefined;
 
     function add(request: InFlightRequest): void {
@@ -125,7 +125,7 @@
             const recent = changes.filter(({ at }) => now - at <= REPORT_MAX_AGE_MS);
             if (recent.length === 0) peerChanges.delete(sender);
             else peerChanges.set(sender, recent);
-            for (const { serverId, change } of recent) addReport(byServer, { [serverId]: change });
+            for (const { serverId, change } of recent) addServerLoad(byServer, serverId, change);
         }
         peerTotals = { byServer, validUntil };
         return byServer;
@@ -197,13 +197,23 @@
 }
 
 function addLoad(sum: ServerLoad, load: LoadReport[string] | undefined): void {
-    load?.forEach((value, index) => sum[index] = (sum[index] ?? 0) + value);
+    if (load === undefined) return;
+    sum[0] += load[0];
+    sum[1] += load[1];
+    sum[2] += load[2];
+    sum[3] += load[3];
 }
 
 function addReport(byServer: Map<string, ServerLoad>, report: LoadReport): void {
-    for (const [serverId, load] of Object.entries(report)) {
-        let sum = byServer.get(serverId);
-        if (sum === undefined) byServer.set(serverId, sum = [0, 0, 0, 0]);
-        addLoad(sum, load);
-    }
+    for (const serverId in report) addServerLoad(byServer, serverId, report[serverId]);
+}
+
+function addServerLoad(
+    byServer: Map<string, ServerLoad>,
+    serverId: string,
+    load: LoadReport[string] | undefined,
+): void {
+    let sum = byServer.get(serverId);
+    if (sum === undefined) byServer.set(serverId, sum = [0, 0, 0, 0]);
+    addLoad(sum, load);
 }
--- a/src/lib/core/serving/serverOwnership.ts
+++ b/src/lib/core/serving/serverOwnership.ts
@@ -13,20 +13,25 @@
     ownersOf(servers: readonly BackendServer[]): readonly (EntryIdentity | undefined)[];
 }
 
-/** `entries` returns the live entries, including this one. */
+/** `entries` returns the live entries, including this one; the same array as long as they are the same. */
 export function createServerOwnership(entries: () => readonly EntryIdentity[]): ServerOwnership {
-    let cacheKey = "";
-    let ownerById: ReadonlyMap<string, EntryIdentity> = new Map();
+    /** Owners by the list of servers that they were computed for; registries return the same list until it changes. */
+    let ownersByServers = new WeakMap<readonly BackendServer[], readonly (EntryIdentity | undefined)[]>();
+    let knownEntries: readonly EntryIdentity[] | undefined;
 
     return {
         ownersOf: servers => {
-            const candidates = entries();
-            const key = `${candidates.map(({ name, ip }) => name + ip).join()} ${servers.map(({ id }) => id).join()}`;
-            if (key !== cacheKey) {
-                cacheKey = key;
-                ownerById = dealServers(servers, candidates);
+            const currentEntries = entries();
+            if (currentEntries !== knownEntries) {
+                knownEntries = currentEntries;
+                ownersByServers = new WeakMap();
             }
-            return servers.map(({ id }) => ownerById.get(id));
+            const known = ownersByServers.get(servers);
+            if (known !== undefined) return known;
+            const ownerById = dealServers(servers, currentEntries);
+            const owners = servers.map(({ id }) => ownerById.get(id));
+            ownersByServers.set(servers, owners);
+            return owners;
         },
     };
 }
--- a/src/lib/core/serving/serverPool.ts
+++ b/src/lib/core/serving/serverPool.ts
@@ -102,15 +102,15 @@
         );
         const servers = registry.usable(service.name, now);
         const owners = options.ownership.ownersOf(servers);
+        const { engine } = service;
+        const lowestVersion = engine === undefined ? 0 : weights.lowestAllowed(engine.model, now);
         const poolServers = servers.map((server, index) => describe(server, owners[index]));
         let serversWithCapacity: readonly PoolServer[] | undefined;
-        const indexById = new Map(poolServers.map(({ server }, index) => [server.id, index]));
 
         function describe(server: BackendServer, owner: EntryIdentity | undefined): PoolServer {
-            const { engine } = service;
             const version = engine === undefined ? undefined : loadedVersion(server, engine);
             const isExpected = health.isAvailable(server.id, now) &&
-                (engine === undefined || isAllowedVersion(version, engine, now));
+                (engine === undefined || version !== undefined && version >= lowestVersion);
             return {
                 server,
                 version,
@@ -137,9 +137,9 @@
             withCapacity: () => serversWithCapacity ??= poolServers.filter(hasCapacity),
             refresh: serverId => {
                 serversWithCapacity = undefined;
-                const index = indexById.get(serverId);
-                const server = index === undefined ? undefined : poolServers[index]?.server;
-                if (index === undefined || server === undefined) return;
+                const index = servers.findIndex(({ id }) => id === serverId);
+                const server = servers[index];
+                if (server === undefined) return;
                 poolServers[index] = describe(server, owners[index]);
             },
         };
@@ -147,10 +147,6 @@
 
     const isPaused = (address: string, now: number) => (pausedUntilByAddress.get(address) ?? 0) > now;
 
-    function isAllowedVersion(version: number | undefined, { model }: EngineParameters, now: number): boolean {
-        return version !== undefined && version >= weights.lowestAllowed(model, now);
-    }
-
     /**
      * Returns the newest version of the model that the registry or the agent reports as loaded, or `undefined` if
      * neither does. The agent's report counts only if both describe the same start of the server.
--- a/src/lib/core/serving/serverRegistry.ts
+++ b/src/lib/core/serving/serverRegistry.ts
@@ -42,8 +42,8 @@
      */
     remove(id: string, now: number, lastOutageAt: number | undefined): void;
     get(id: string): BackendServer | undefined;
-    /** Returns the servers of a service that may receive new requests. */
-    usable(service: string, now: number): BackendServer[];
+    /** Returns the servers of a service that may receive new requests; the same array until one changes. */
+    usable(service: string, now: number): readonly BackendServer[];
     all(): BackendServer[];
     /** Removes suspect servers whose suspicion timeout has passed and returns their identifiers. */
     expire(now: number): string[];
@@ -69,12 +69,15 @@
 /** `drainMs` returns the time for which a server that left may still receive requests. */
 export function createServerRegistry(drainMs: () => number): ServerRegistry {
     const registered = new Map<string, RegisteredServer>();
+    /** Usable servers by service, and the time at which the first suspicion timeout among them passes. */
+    const usableByService = new Map<string, { servers: readonly BackendServer[]; validUntil: number; }>();
 
     function put(server: BackendServer): void {
         const previous = registered.get(server.id)?.server;
         const isSameIncarnation = previous !== undefined && previous.startedAt === server.startedAt;
         const isLeaving = server.isLeaving || (isSameIncarnation && previous.isLeaving);
         registered.set(server.id, { server: { ...server, isLeaving }, suspectedSince: undefined });
+        usableByService.clear();
     }
 
     function remove(id: string, now: number, lastOutageAt: number | undefined): void {
@@ -85,6 +88,25 @@
             registered.set(id, { server: current.server, suspectedSince: current.suspectedSince ?? now });
         }
         else registered.delete(id);
+        usableByService.clear();
+    }
+
+    function usable(service: string, now: number): readonly BackendServer[] {
+        const known = usableByService.get(service);
+        if (known !== undefined && now < known.validUntil) return known.servers;
+        const servers: BackendServer[] = [];
+        let validUntil = Number.POSITIVE_INFINITY;
+        for (const { server, suspectedSince } of registered.values()) {
+            if (server.service !== service || server.isLeaving) continue;
+            if (suspectedSince !== undefined) {
+                const suspectedUntil = suspectedSince + suspicionTimeoutMs(drainMs());
+                if (now >= suspectedUntil) continue;
+                validUntil = Math.min(validUntil, suspectedUntil);
+            }
+            servers.push(server);
+        }
+        usableByService.set(service, { servers, validUntil });
+        return servers;
     }
 
     function expire(now: number): string[] {
@@ -94,6 +116,7 @@
             )
             .map(({ server }) => server.id);
         for (const id of expiredIds) registered.delete(id);
+        if (expiredIds.length > 0) usableByService.clear();
         return expiredIds;
     }
 
@@ -101,14 +124,7 @@
         put,
         remove,
         get: id => registered.get(id)?.server,
-        usable: (service, now) => {
-            return [...registered.values()]
-                .filter(({ server, suspectedSince }) => {
-                    if (server.service !== service || server.isLeaving) return false;
-                    return suspectedSince === undefined || now - suspectedSince < suspicionTimeoutMs(drainMs());
-                })
-                .map(({ server }) => server);
-        },
+        usable,
         all: () => [...registered.values()].map(({ server }) => server),
         expire,
     };
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -4,6 +4,7 @@
  */
 import * as http from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import { isDeepStrictEqual } from "node:util";
 import {
     createDispatcher,
     createPeerEntries,
@@ -93,15 +94,15 @@
     const speed = createServerSpeed();
     const weights = createWeightsPolicy(() => bounds.weightsMs);
     const connections = createBackendConnections();
-    /** Updated with each heartbeat, because the dispatcher needs the list for each decision. */
-    let liveEntries: readonly EntryIdentity[] = [];
-    const countEntries = () => liveEntries.length + 1;
+    /** Live entries, including this one. Updated with each heartbeat, and only if one came, left or moved. */
+    let liveEntries: readonly EntryIdentity[] = [self];
+    const countEntries = () => liveEntries.length;
     const dispatcher = createDispatcher({
         registry,
         health,
         speed,
         self: self.name,
-        ownership: createServerOwnership(() => [self, ...liveEntries]),
+        ownership: createServerOwnership(() => liveEntries),
         reportLagMs,
         weights,
         findService: name => operatorState.routeTable()?.findService(name),
@@ -109,7 +110,16 @@
         roundTripMs: domain => roundTripMs(settings, domain),
         entryCount: countEntries,
         random,
+        onWaiting: () => {
+            dispatchTimer ??= setTimeout(dispatchWaiting, DISPATCH_INTERVAL_MS);
+        },
     });
+    /** Runs only while requests wait: an idle entry shouldn't wake up for an empty queue. */
+    let dispatchTimer: NodeJS.Timeout | undefined;
+    function dispatchWaiting(): void {
+        dispatchTimer = undefined;
+        dispatcher.tick(now());
+    }
     const retryBudget = createSharedRetryBudget({ limits: () => bounds.retries, entryCount: countEntries });
     let isStopping = false;
     let isDraining = false;
@@ -237,8 +247,10 @@
     await listen(peerServer, `${settings.ip}:${peerPort}`);
 
     const heartbeatTimer = setInterval(() => {
-        liveEntries = peers.live(now());
+        const newEntries = [self, ...peers.live(now())];
+        if (!isDeepStrictEqual(newEntries, liveEntries)) liveEntries = newEntries;
         peerExchange.tick();
+        metrics.waiting.set(dispatcher.queueLength());
         dispatcher.pool.forgetUnregistered(now());
         for (const id of registry.expire(now())) {
             log.info("server gone", { server: id, reason: "its entry didn't come back" });
@@ -247,10 +259,6 @@
             speed.remove(id);
         }
     }, HEARTBEAT_INTERVAL_MS);
-    const dispatchTimer = setInterval(() => {
-        if (dispatcher.queueLength() > 0) dispatcher.tick(now());
-        metrics.waiting.set(dispatcher.queueLength());
-    }, DISPATCH_INTERVAL_MS);
     void registerEntry(store, self, peers.addUnconfirmed, log.warn, () => isStopping);
 
     const isReady = () => {
@@ -276,7 +284,7 @@
         callerServer?.stopListening();
         while ((callerServer?.inProgressCount() ?? 0) > 0 && now() < deadline) await sleep(DRAIN_POLL_INTERVAL_MS);
         clearInterval(heartbeatTimer);
-        clearInterval(dispatchTimer);
+        clearTimeout(dispatchTimer);
         for (const feed of feeds) feed.stop();
         relay.stop();
         store.close();
