Bundle only the long-running roles for the platform

Each process loaded a bundle of 2.1 MB, three quarters of which belong to the project's own interface and the operator's commands.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,5 +1,5 @@
 // Bundles the program into one file. With --binary, also builds the single executable dist/endivewell. With --target,
-// writes the bundle to the directory target, from which the platform runs it.
+// builds the bundle that the platform runs, which has no operator commands, into the directory target.
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
 import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from "node:fs";
@@ -8,7 +8,8 @@
 
 const SENTINEL_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 
-const directory = process.argv.includes("--target") ? "target" : "dist";
+const isForPlatform = process.argv.includes("--target");
+const directory = isForPlatform ? "target" : "dist";
 
 mkdirSync(directory, { recursive: true });
 // The Node.js build of rabin-wasm reads its WebAssembly from a file, which a single executable doesn't have. The
@@ -24,7 +25,7 @@
 
 await build({
     plugins: [embedRabin],
-    entryPoints: ["src/main.ts"],
+    entryPoints: [isForPlatform ? "src/platformMain.ts" : "src/main.ts"],
     bundle: true,
     platform: "node",
     target: "node20",
--- a/src/lib/cli/roles.ts
+++ b/src/lib/cli/roles.ts
@@ -3,10 +3,8 @@
  * don't load oclif, which takes about 15 MB. A command line that `parseRoleCommand` doesn't accept is passed to oclif,
  * which prints the help or the error.
  */
-import { unwatchFile, watchFile } from "node:fs";
 import { parseArgs } from "node:util";
 import { setFlagsFromString } from "node:v8";
-import type { EventLog } from "../observability/index.js";
 import { SETTINGS_VARIABLE } from "../platform/settingsVariable.js";
 import { type Role, ROLES } from "./roleNames.js";
 import { waitForShutdownSignal } from "./shutdownSignal.js";
@@ -41,7 +39,7 @@
 /** Runs the role until SIGTERM or SIGINT, then shuts it down gracefully. */
 export async function runRole({ role, settingsFile, isOnPlatform }: RoleCommand): Promise<void> {
     if (isOnPlatform) {
-        await runOnPlatform(role, settingsFile);
+        await (await import("./platformRole.js")).runPlatformRole(role, settingsFile);
         return;
     }
     setFlagsFromString(MEMORY_FLAGS);
@@ -53,57 +51,6 @@
     await runningRole.stop();
 }
 
-async function runOnPlatform(role: Role, settingsFile: string): Promise<void> {
-    const { createPlatformStore, loadVmSettings } = await import("../platform/index.js");
-    const { createEventLog } = await import("../observability/index.js");
-    const settings = loadVmSettings(settingsFile);
-    const log = createEventLog({ process: settings.name, role, now: () => performance.now() });
-    handleUncaughtExceptions(log);
-    const store = createPlatformStore(settings.storeAddress);
-    const runningRole = role === "agent" ?
-        await (await import("../stager/index.js")).startStager(settings, store, log) :
-        await (await import("../router/index.js")).startRouter(settings, store, log);
-    const stopWatching = watchSettings(settingsFile, () => {
-        try {
-            runningRole.applyBounds(loadVmSettings(settingsFile).bounds);
-            log.info("settings reloaded", {});
-        }
-        catch (error) {
-            log.warn("settings rejected", { error: (error as Error).message });
-        }
-    });
-    await waitForShutdownSignal();
-    stopWatching();
-    await runningRole.stop();
-    log.flush();
-}
-
-/** The settings file is polled at this interval, because the platform may change it without sending SIGHUP. */
-const SETTINGS_CHECK_INTERVAL_MS = 5000;
-
-function watchSettings(file: string, reload: () => void): () => void {
-    process.on("SIGHUP", reload);
-    watchFile(file, { interval: SETTINGS_CHECK_INTERVAL_MS, persistent: false }, (current, previous) => {
-        if (current.mtimeMs !== previous.mtimeMs && current.size > 0) reload();
-    });
-    return () => {
-        process.off("SIGHUP", reload);
-        unwatchFile(file);
-    };
-}
-
-/**
- * Logs uncaught exceptions. A failed system call, such as a connection reset at an unexpected moment, must not end the
- * process. Any other exception is a fault of the program and ends it.
- */
-function handleUncaughtExceptions(log: EventLog): void {
-    process.on("uncaughtException", error => {
-        log.warn("unexpected error", { error: error.message, stack: error.stack });
-        log.flush();
-        if ((error as NodeJS.ErrnoException).syscall === undefined) process.exit(1);
-    });
-}
-
 function parseSettingsFlag(args: readonly string[]): string | undefined {
     try {
         return parseArgs({ args: [...args], options: { settings: { type: "string" } } }).values.settings;
