Don't count the time in which a caller doesn't read as a pause of its server

Cause: while a caller read slowly, the relay stopped reading from the server and its pause timer went on, so a sound stream was cut off after 1 s.

Change: the timer stops while the relay waits for the caller. Chunks are read by events (forEachChunk) instead of an async iterator with two promises for each chunk, and the timer is refreshed instead of replaced for each event.

--- a/src/lib/router/streamRelay.ts
+++ b/src/lib/router/streamRelay.ts
@@ -2,6 +2,7 @@
 import type * as http from "node:http";
 import VError from "verror";
 import { Verdict } from "../core/verdict.js";
+import { forEachChunk } from "../node/forEachChunk.js";
 import { waitForDrain } from "../node/waitForDrain.js";
 import {
     forwardedResponseHeaders,
@@ -29,6 +30,8 @@
 /** Comments that are held back at the same time. */
 const MAX_COMMENT_BYTES = 64 * 1024;
 
+const NO_BYTES: Buffer = Buffer.alloc(0);
+
 /** Describes the attempt whose response is relayed. */
 export interface StreamAttempt {
     readonly metadata: ResponseMetadata;
@@ -57,38 +60,52 @@
         Math.max(CALLER_PATIENCE_MS, CALLER_PATIENCE_FACTOR * maxGapMs);
     let hasFirstEvent = false;
     /** Received comments that aren't relayed yet. */
-    let comments = Buffer.alloc(0);
+    let comments = NO_BYTES;
     let timer = firstEventTimeoutMs === undefined ?
         undefined :
         setTimeout(() => upstream.destroy(new Error("no event in time")), firstEventTimeoutMs);
-    try {
-        for await (const chunk of upstream as AsyncIterable<Buffer>) {
-            const eventCountBefore = parser.eventCount();
-            const completeEvents = parser.push(chunk);
-            if (completeEvents.length === 0) continue;
-            comments = Buffer.concat([comments, completeEvents]);
-            // Bytes that complete no event and comments don't reset the timeout. Comments wait for the next event, so
-            // that another server can still answer.
-            if (parser.eventCount() === eventCountBefore) {
-                if (comments.length > MAX_COMMENT_BYTES) {
-                    throw new VError("comments exceed %d bytes", MAX_COMMENT_BYTES);
-                }
-                continue;
-            }
-            const completeBytes = comments;
-            comments = Buffer.alloc(0);
-            clearTimeout(timer);
-            timer = setTimeout(() => upstream.destroy(new Error("the stream paused too long")), pauseTimeoutMs);
-            if (!hasFirstEvent) {
-                hasFirstEvent = true;
-                onFirstEvent();
-                if (!response.headersSent) response.writeHead(200, streamHeaders(exchange, upstream.rawHeaders));
-                exchange.streamParser = parser;
-                exchange.weightsVersion ??= metadata.weightsVersion ?? registeredWeightsVersion;
-            }
-            exchange.weightsVersion = parser.weightsVersion() ?? exchange.weightsVersion;
-            if (!response.write(completeBytes)) await waitForDrain(response);
+    const startPauseTimer = () => {
+        timer = setTimeout(() => upstream.destroy(new Error("the stream paused too long")), pauseTimeoutMs);
+    };
+
+    function onFirstEvents(): void {
+        hasFirstEvent = true;
+        clearTimeout(timer);
+        startPauseTimer();
+        onFirstEvent();
+        if (!response.headersSent) response.writeHead(200, streamHeaders(exchange, upstream.rawHeaders));
+        exchange.streamParser = parser;
+        exchange.weightsVersion ??= metadata.weightsVersion ?? registeredWeightsVersion;
+    }
+
+    function onChunk(chunk: Buffer): Promise<void> | undefined {
+        const eventCountBefore = parser.eventCount();
+        const completeEvents = parser.push(chunk);
+        if (completeEvents.length === 0) return undefined;
+        const completeBytes = comments.length === 0 ? completeEvents : Buffer.concat([comments, completeEvents]);
+        // Bytes that complete no event and comments don't reset the timeout. Comments wait for the next event, so
+        // that another server can still answer.
+        if (parser.eventCount() === eventCountBefore) {
+            comments = completeBytes;
+            if (comments.length > MAX_COMMENT_BYTES) throw new VError("comments exceed %d bytes", MAX_COMMENT_BYTES);
+            return undefined;
         }
+        comments = NO_BYTES;
+        if (hasFirstEvent) timer?.refresh();
+        else onFirstEvents();
+        exchange.weightsVersion = parser.weightsVersion() ?? exchange.weightsVersion;
+        return response.write(completeBytes) ? undefined : waitForCaller();
+    }
+
+    /** Waits for a caller that reads slowly; the server's pause counts from the time at which more is read from it. */
+    async function waitForCaller(): Promise<void> {
+        clearTimeout(timer);
+        await waitForDrain(response);
+        if (!upstream.destroyed) startPauseTimer();
+    }
+
+    try {
+        await forEachChunk(upstream, onChunk);
         const isComplete = parser.pendingBytes() === 0 && metadata.isSigned &&
             await context.connections.isComplete(upstream);
         if (!isComplete) return streamFailure(hasFirstEvent, "the stream ended early");
