Spread the turns of a switch up to the last request on older weights, and over two versions in succession

Cause: turns ended 2.7 s before the allowed time, so that the last replica was back by then, although only new requests on older weights are ruled out.

Change: turns go on until shortly before entries stop sending to the older weights. The turns for a version begin when those for the version before are over. A turn for an older version counts while a newer one is the target. The order of replicas is the same for all versions. The allowed time follows reloaded settings.

--- a/src/lib/core/serving/weightsPolicy.ts
+++ b/src/lib/core/serving/weightsPolicy.ts
@@ -39,7 +39,7 @@
  * Requests stop being sent to an older version this long before its deadline, because they may wait in the engine's
  * queue.
  */
-const SEND_MARGIN_MS = 900;
+export const SEND_MARGIN_MS = 900;
 
 /** Part of `SEND_MARGIN_MS` that is reserved for a cancellation to reach the engine. */
 const CANCEL_MARGIN_MS = 200;
--- a/src/lib/stager/engineTask.ts
+++ b/src/lib/stager/engineTask.ts
@@ -4,7 +4,7 @@
  * again. Every change of the engine's state is sent to the entries in a heartbeat.
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import { createWeightsPolicy, shouldDrain, TYPICAL_SWITCH_MS } from "../core/serving/index.js";
+import { createWeightsPolicy, planSwitch, type SwitchPlan } from "../core/serving/index.js";
 import type { PeerSocket } from "../node/peerMessages.js";
 import type { EngineReport, LocalEngineClient } from "../platform/index.js";
 import type { AgentContext } from "./agentContext.js";
@@ -32,8 +32,10 @@
     readonly fetcher: VersionFetcher;
     readonly weightsPolicy: ReturnType<typeof createWeightsPolicy>;
     readonly peerSocket: PeerSocket;
-    /** Returns when a version was named, or negative infinity if it was named before this process started. */
-    readonly namedAt: (version: number) => number;
+    /** Returns when a version was named, or `undefined` if that was before this process started. */
+    readonly namedAt: (version: number) => number | undefined;
+    /** Returns the time after a version is named within which requests may still start on older ones. */
+    readonly allowedMs: () => number;
 }
 
 /** Heartbeats are repeated without a change so that entries that have just started learn the engine's state. */
@@ -84,38 +86,29 @@
         const hasVersionChanged = loaded !== previousVersion;
         if (hasVersionChanged) log.info("weights loaded", { model, version: loaded, previous: previousVersion });
         isSettled = loaded === weightsPolicy.newest(model) && !report.isLoadInProgress;
-        const target = targetVersion(model, loaded);
-        isOutOfRotation = target !== undefined &&
-            (report.isLoadInProgress || loaded === 0 || shouldStartDraining(target));
+        const { target, shouldDrain } = planNextSwitch(model, loaded);
+        isOutOfRotation = target !== undefined && (report.isLoadInProgress || loaded === 0 || shouldDrain);
         sendHeartbeatIfDue(model, hasVersionChanged);
         const held = target === undefined ? undefined : pieceStore.find(target);
         if (!isOutOfRotation || report.isLoadInProgress || held === undefined || !isComplete(held)) return;
         await load(held, loaded);
     }
 
-    /**
-     * Returns the newest version that is complete or, failing that, the newest one that is expected to be complete
-     * within the time that a switch typically takes. Considers the three newest versions, and only those newer than the
-     * loaded one.
-     */
-    function targetVersion(model: string, loaded: number): number | undefined {
+    /** Considers the three newest versions. */
+    function planNextSwitch(model: string, loaded: number): SwitchPlan {
         const newest = weightsPolicy.newest(model);
-        const candidates = [newest, newest - 1, newest - 2].filter(version => version > loaded);
-        return candidates.find(version => fetcher.estimateRemainingMs(version) === 0) ??
-            candidates.find(version => fetcher.estimateRemainingMs(version) < TYPICAL_SWITCH_MS);
-    }
-
-    function shouldStartDraining(version: number): boolean {
-        return shouldDrain({
+        const named = [newest, newest - 1, newest - 2].map(version => ({
+            version,
+            namedAt: options.namedAt(version),
+            remainingTransferMs: fetcher.estimateRemainingMs(version),
+        }));
+        const group = {
             self: settings.ip,
             replicas: fleet.domainReplicas(),
             failureDomain: settings.failureDomain,
             failureDomains: fleet.failureDomains(),
-            version,
-            namedAt: options.namedAt(version),
-            allowedMs: settings.bounds.weightsMs,
-            remainingTransferMs: fetcher.estimateRemainingMs(version),
-        }, now());
+        };
+        return planSwitch(loaded, named, group, options.allowedMs(), now());
     }
 
     async function load(held: HeldVersion, loaded: number): Promise<void> {
@@ -126,8 +119,14 @@
         if (loaded > 0 && stagedMs < DRAIN_NOTICE_MS) await sleep(DRAIN_NOTICE_MS - stagedMs);
         const result = await engine.orderLoad(held.model, version);
         metrics.orders.inc({ result });
-        const sinceNamedMs = Math.round(now() - options.namedAt(version));
-        log.info("load ordered", { model: held.model, version, result, sinceNamedMs, stagedMs: Math.round(stagedMs) });
+        const namedAt = options.namedAt(version);
+        log.info("load ordered", {
+            model: held.model,
+            version,
+            result,
+            sinceNamedMs: namedAt === undefined ? undefined : Math.round(now() - namedAt),
+            stagedMs: Math.round(stagedMs),
+        });
     }
 
     /** Reads back every staged piece just before the load order, and stages those that are missing or corrupt. */
--- a/src/lib/stager/stager.ts
+++ b/src/lib/stager/stager.ts
@@ -91,7 +91,8 @@
         fetcher,
         weightsPolicy,
         peerSocket,
-        namedAt: version => namedAt.get(version) ?? Number.NEGATIVE_INFINITY,
+        namedAt: version => namedAt.get(version),
+        allowedMs: () => bounds.weightsMs,
     });
     const pieceProvider = createStoredPieceProvider(pieceStore, engineTask.loadedVersion);
     const uploadThrottle = createUploadThrottle(settings.linkMbps * UPLINK_FRACTION);
--- a/src/test/core/serving/transferPolicy.test.ts
+++ b/src/test/core/serving/transferPolicy.test.ts
@@ -2,8 +2,8 @@
 import { test } from "node:test";
 import {
     originFallbackDelayMs,
+    planSwitch,
     predictRemainingTransferMs,
-    shouldDrain,
     shouldFinishFirst,
     type TransferProgress,
     TYPICAL_SWITCH_MS,
@@ -27,17 +27,13 @@
     assert.ok(predictRemainingTransferMs(progressing) < TYPICAL_SWITCH_MS);
     const stalled: TransferProgress = { ...progressing, elapsedMs: 6000, sinceLastPieceMs: 3000 };
     assert.equal(predictRemainingTransferMs(stalled), Number.POSITIVE_INFINITY);
-    const state = {
-        self: "a",
-        replicas: ["a"],
-        failureDomain: "d",
-        failureDomains: ["d"],
-        version: 2,
-        namedAt: 0,
-        allowedMs: ALLOWED_MS,
+    const group = { self: "a", replicas: ["a", "b"], failureDomain: "d", failureDomains: ["d"] };
+    const drainsWith = (progress: TransferProgress) => {
+        const version = { version: 2, namedAt: 0, remainingTransferMs: predictRemainingTransferMs(progress) };
+        return planSwitch(1, [version], group, ALLOWED_MS, ALLOWED_MS - 1000).shouldDrain;
     };
-    assert.equal(shouldDrain({ ...state, remainingTransferMs: predictRemainingTransferMs(progressing) }, 6000), true);
-    assert.equal(shouldDrain({ ...state, remainingTransferMs: predictRemainingTransferMs(stalled) }, 6000), false);
+    assert.equal(drainsWith(progressing), true);
+    assert.equal(drainsWith(stalled), false);
     assert.equal(predictRemainingTransferMs({ ...stalled, completedFraction: 1 }), 0);
 });
 
