Place requests by the speed that agents read at their engines, and by the length of answers

The report was read only for the weights, and each of 12 entries measured a server too rarely to learn its speed.

Change: agents send the pace with their heartbeats, at once if it changes; entries multiply it by the current slowdown. A placement also counts the predicted duration of the answer, and avoids servers that can't finish it in time.

Stops: a stopping entry closes its connections 300 ms after its last request instead of at once.

--- a/src/bench/placement.ts
+++ b/src/bench/placement.ts
@@ -3,7 +3,8 @@
  * processes. `--trace NAME` selects one trace, `--seeds N` sets the number of arrival sequences per trace,
  * `--entries N` splits the requests between that many entries (default: 1), which exchange their load every `--beat`
  * milliseconds (default: 100). `--skew F` gives the first entry an additional fraction of the requests. The design
- * `reported` is the product's dispatcher with engines that report their speed.
+ * `reported` is the product's dispatcher with engines that report their current speed, `told` with agents that tell the
+ * lasting speed of their engines.
  */
 import { type Placer, simulateTrace } from "../harness/enginePoolSimulation.js";
 import { LOAD_TRACES, type LoadTrace } from "../harness/loadTraces.js";
@@ -27,6 +28,7 @@
     const designs: Readonly<Record<string, CreatePlacer>> = {
         design: trace => createDispatcherPlacer(trace, group),
         reported: trace => createDispatcherPlacer(trace, { ...group, reportsSlowdown: true }),
+        told: trace => createDispatcherPlacer(trace, { ...group, tellsEngineSlowdown: true }),
         leastInFlight: createLeastInFlightPlacer,
         firstComeRandom: createRandomPlacer,
     };
--- a/src/harness/enginePoolSimulation.ts
+++ b/src/harness/enginePoolSimulation.ts
@@ -254,6 +254,7 @@
         dueAt: (isCallerRetry ? now : firstSubmittedAt) + requestClass.firstEventTargetMs,
         expiresAt: firstSubmittedAt + REQUEST_TIMEOUT_MS,
         promptTokens: requestClass.promptTokens,
+        outputTokens: requestClass.events * ENGINE_SPEC.tokensPerEvent,
         maxEventGapMs: 300,
         triedServerIds: triedEngines,
         requiredVersion: undefined,
--- a/src/harness/loadTraces.ts
+++ b/src/harness/loadTraces.ts
@@ -114,6 +114,16 @@
             slowdown: 4,
         })),
     },
+    /** A large pool at two thirds of its capacity, in which two of twelve engines are always 2.5 times slower. */
+    {
+        ...LARGE_POOL_TRACE,
+        name: "unevenEngines",
+        requestClasses: LARGE_POOL_TRACE.requestClasses.map(each => ({
+            ...each,
+            requestsPerSecond: each.requestsPerSecond * 2 / 3,
+        })),
+        engineFaults: [0, 6].map(engine => ({ engine, fromMs: 0, toMs: Infinity, slowdown: 2.5 })),
+    },
     /** A large pool that runs at its capacity throughout. */
     { ...LARGE_POOL_TRACE, name: "largePool" },
     /** An engine fails without notice and recovers. */
--- a/src/harness/placers.ts
+++ b/src/harness/placers.ts
@@ -25,6 +25,8 @@
 /** Time during which a leaving server may still get requests. No engine of the traces leaves. */
 const DRAIN_MS = 2000;
 
+const AGENT_HEARTBEAT_INTERVAL_MS = 2000;
+
 /** Time after a version is named within which requests may still start on older ones. The traces name no version. */
 const OLDER_VERSION_ALLOWED_MS = 8000;
 
@@ -36,6 +38,8 @@
     readonly skew?: number;
     /** Engines report with each first event and end of a request by which factor they are slower than specified. */
     readonly reportsSlowdown?: boolean;
+    /** Agents tell all entries by which lasting factor their engines are slower than specified. */
+    readonly tellsEngineSlowdown?: boolean;
     /** Requests to servers of another entry are reserved there; true by default. */
     readonly reservesSlots?: boolean;
 }
@@ -46,13 +50,13 @@
 /** Uses the product's dispatchers. Each request goes to a random entry. */
 export function createDispatcherPlacer(
     trace: LoadTrace,
-    { entryCount, heartbeatIntervalMs, skew = 0, reportsSlowdown = false, reservesSlots = true }: EntryGroupOptions =
-        SINGLE_ENTRY,
+    options: EntryGroupOptions = SINGLE_ENTRY,
 ): Placer {
+    const { entryCount, heartbeatIntervalMs, skew = 0, reservesSlots = true } = options;
     const dispatchers: EntryPlacer[] = Array.from(
         { length: entryCount },
         (_, index) =>
-            createEntryPlacer(trace, entryCount, index, reportsSlowdown, name => {
+            createEntryPlacer(trace, options, index, name => {
                 return reservesSlots ? dispatchers.find(({ entryName }) => entryName === name) : undefined;
             }),
     );
@@ -110,9 +114,8 @@
 
 function createEntryPlacer(
     trace: LoadTrace,
-    entryCount: number,
+    { entryCount, reportsSlowdown = false, tellsEngineSlowdown = false }: EntryGroupOptions,
     index: number,
-    reportsSlowdown: boolean,
     findOwner: (name: string) => EntryPlacer | undefined,
 ): EntryPlacer {
     const registry = createServerRegistry(() => DRAIN_MS);
@@ -161,6 +164,16 @@
         if (reportsSlowdown && Number.isFinite(slowdown)) speed.recordReport(engineName(engine), slowdown, now);
     }
 
+    function recordEngineSlowdowns(now: number): void {
+        if (!tellsEngineSlowdown || now < nextAgentHeartbeatAt) return;
+        nextAgentHeartbeatAt = now + AGENT_HEARTBEAT_INTERVAL_MS;
+        for (let engine = 0; engine < trace.engineCount; engine++) {
+            const slowdown = slowdownAt(trace, engine, now);
+            if (Number.isFinite(slowdown)) speed.recordEngineSlowdown(engineName(engine), slowdown, now);
+        }
+    }
+
+    let nextAgentHeartbeatAt = 0;
     /** The owner of the server of each request that was reserved. */
     const ownerByRequestId = new Map<string, EntryPlacer>();
     let currentTime = 0;
@@ -232,6 +245,7 @@
         },
         tick: now => {
             currentTime = now;
+            recordEngineSlowdowns(now);
             dispatcher.tick(now);
         },
     };
--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -28,6 +28,8 @@
 
 export interface DispatchRequest extends QueuedRequest {
     readonly promptTokens: number;
+    /** Expected length of the answer; 0 if the request is no generation. */
+    readonly outputTokens: number;
     readonly maxEventGapMs: number;
     /** Identifiers of the servers to which this request was sent before. */
     readonly triedServerIds: ReadonlySet<string>;
@@ -233,7 +235,9 @@
     function constraintsFor(request: DispatchRequest, queueClass: QueueClass, now: number): PlacementRequest {
         return {
             promptTokens: request.promptTokens,
+            outputTokens: request.outputTokens,
             timeToDueMs: request.dueAt - now,
+            timeToExpiryMs: request.expiresAt - now,
             maxEventGapMs: request.maxEventGapMs,
             slotFraction: queueClass === QueueClass.late ?
                 LATE_SLOT_FRACTION :
--- a/src/lib/core/serving/placement.ts
+++ b/src/lib/core/serving/placement.ts
@@ -1,10 +1,10 @@
 /**
  * Chooses the backend server for a request. Servers in the local failure domain are preferred as long as they can meet
  * the request's due time, because links between regions have little bandwidth and carry other traffic too; among those,
- * the server with the earliest predicted first event wins.
+ * the server with the earliest predicted first event wins, unless its answer would take much longer than elsewhere.
  *
- * This handles a pool that is nearly full in one failure domain while another has free capacity, and a burst of
- * requests in one domain.
+ * This handles a pool that is nearly full in one failure domain while another has free capacity, a burst of requests in
+ * one domain, and a pool with slow servers, which may begin a long answer in time but not end it before the deadline.
  */
 import { type EngineLoad, predictLatency } from "./engineModel.js";
 import type { EngineParameters } from "./routeTable.js";
@@ -29,8 +29,12 @@
 
 export interface PlacementRequest {
     readonly promptTokens: number;
+    /** Expected length of the answer. */
+    readonly outputTokens: number;
     /** Time until the first event is due; zero or negative if the request is already late. */
     readonly timeToDueMs: number;
+    /** Time until the whole answer is too late. */
+    readonly timeToExpiryMs: number;
     readonly maxEventGapMs: number;
     /** Fraction of the slots that requests of this rank may fill, 0 to 1. */
     readonly slotFraction: number;
@@ -70,7 +74,9 @@
         const firstEventMs = prediction.firstEventMs + candidate.roundTripMs;
         const isOnTime = firstEventMs <= request.timeToDueMs * TARGET_FRACTION;
         if (request.mustBeOnTime && !isOnTime) continue;
-        const score = scoreOf(candidate, firstEventMs);
+        const answerMs = prediction.iterationMs * request.outputTokens / engine.tokensPerEvent;
+        const score = scoreOf(candidate, firstEventMs) + answerMs * ANSWER_DURATION_WEIGHT +
+            (firstEventMs + answerMs > request.timeToExpiryMs ? UNFINISHED_PENALTY_MS : 0);
         if (score >= bestScore) continue;
         best = { id: candidate.id, firstEventMs, isOnTime };
         bestScore = score;
@@ -84,6 +90,12 @@
  */
 const FOREIGN_PENALTY_MS = 50;
 
+/** How much a longer answer counts against a later first event; it also holds its slot longer. */
+const ANSWER_DURATION_WEIGHT = 0.1;
+
+/** Larger than all others: a remote server that can finish the answer is better than a local one that can't. */
+const UNFINISHED_PENALTY_MS = 20_000;
+
 /** Large enough that a remote server is chosen only if no local one qualifies. */
 const REMOTE_PENALTY_MS = 10_000;
 
--- a/src/lib/core/serving/serverRegistry.ts
+++ b/src/lib/core/serving/serverRegistry.ts
@@ -42,6 +42,8 @@
      */
     remove(id: string, now: number, lastOutageAt: number | undefined): void;
     get(id: string): BackendServer | undefined;
+    /** Returns the server at an address, if it is the one that started at `startedAt`. */
+    findAt(address: string, startedAt: number): BackendServer | undefined;
     /** Returns the servers of a service that may receive new requests; the same array until one changes. */
     usable(service: string, now: number): readonly BackendServer[];
     all(): BackendServer[];
@@ -124,6 +126,12 @@
         put,
         remove,
         get: id => registered.get(id)?.server,
+        findAt: (address, startedAt) => {
+            for (const { server } of registered.values()) {
+                if (server.address === address && server.startedAt === startedAt) return server;
+            }
+            return undefined;
+        },
         usable,
         all: () => [...registered.values()].map(({ server }) => server),
         expire,
--- a/src/lib/core/serving/serverSpeed.ts
+++ b/src/lib/core/serving/serverSpeed.ts
@@ -1,10 +1,12 @@
 /**
- * Estimates by which factor each backend server is slower than its declared speed. A server that shares its VM may
- * report the current factor with its responses; it changes many times per second, so recent reports are averaged. The
- * remaining error of the prediction is learned from the measured times to the first event.
+ * Estimates by which factor each backend server is slower than its declared speed. It is the product of three factors:
+ * the lasting one that the engine reports to its agent, the current one that a server on a shared VM reports with its
+ * responses, and the remaining error of the predictions, learned from the measured times to the first event. The current
+ * factor changes many times per second, so recent reports are averaged.
  *
- * This handles servers that become slow and recover in turn: without it, a server at a quarter of its speed gets the
- * work of a server at full speed, and all of its first events are late.
+ * This handles servers that become slow and recover in turn, and pools in which some servers are always slow: without
+ * it, a server at a quarter of its speed gets the work of a server at full speed, and all of its first events are late.
+ * Many entries share a large pool, so that each one measures a server too rarely to learn that by itself.
  */
 import { TARGET_FRACTION } from "./placement.js";
 
@@ -17,8 +19,10 @@
 }
 
 export interface ServerSpeed {
-    /** Records the slowdown that the server reported; 1 is the declared speed. */
+    /** Records the current slowdown that the server reported with a response; 1 is the declared speed. */
     recordReport(id: string, slowdown: number, now: number): void;
+    /** Records the lasting slowdown of the server's engine, which its agent repeats in heartbeats. */
+    recordEngineSlowdown(id: string, slowdown: number, now: number): void;
     recordFirstEvent(id: string, times: FirstEventTimes, now: number): void;
     /** Returns the factor by which the server is expected to be slower than declared, at least 1. */
     slowdown(id: string, now: number): number;
@@ -31,6 +35,9 @@
 /** Older reports say nothing about the present. */
 const REPORT_MAX_AGE_MS = 2000;
 
+/** Three intervals between the heartbeats of an agent. */
+const ENGINE_SLOWDOWN_MAX_AGE_MS = 6000;
+
 /** Weight of the newest measurement in the moving average of the correction. */
 const CORRECTION_SMOOTHING = 0.05;
 
@@ -48,6 +55,7 @@
 
 interface SpeedState {
     report: { readonly slowdown: number; readonly at: number; } | undefined;
+    engine: { readonly slowdown: number; readonly at: number; } | undefined;
     /** Ratio of the measured times to the predictions at the reported speed. */
     correction: number;
     /** When the correction was last measured. */
@@ -59,12 +67,16 @@
 
     function getOrCreateState(id: string): SpeedState {
         let state = states.get(id);
-        if (state === undefined) states.set(id, state = { report: undefined, correction: 1, correctedAt: 0 });
+        if (state === undefined) {
+            states.set(id, state = { report: undefined, engine: undefined, correction: 1, correctedAt: 0 });
+        }
         return state;
     }
 
-    function reportedSlowdown({ report }: SpeedState, now: number): number {
-        return report === undefined || now - report.at > REPORT_MAX_AGE_MS ? 1 : report.slowdown;
+    function reportedSlowdown({ report, engine }: SpeedState, now: number): number {
+        const current = report === undefined || now - report.at > REPORT_MAX_AGE_MS ? 1 : report.slowdown;
+        const lasting = engine === undefined || now - engine.at > ENGINE_SLOWDOWN_MAX_AGE_MS ? 1 : engine.slowdown;
+        return Math.min(MAX_SLOWDOWN, current * lasting);
     }
 
     function correctionOf({ correction, correctedAt }: SpeedState, now: number): number {
@@ -89,6 +101,9 @@
             const previous = report?.slowdown ?? bounded;
             state.report = { slowdown: previous * previousWeight + bounded * (1 - previousWeight), at: now };
         },
+        recordEngineSlowdown: (id, slowdown, now) => {
+            getOrCreateState(id).engine = { slowdown: Math.min(MAX_SLOWDOWN, slowdown), at: now };
+        },
         recordFirstEvent: (id, { predictedMs, measuredMs, assumedSlowdown }, now) => {
             if (predictedMs <= 0) return;
             const state = getOrCreateState(id);
--- a/src/lib/node/peerMessages.ts
+++ b/src/lib/node/peerMessages.ts
@@ -64,6 +64,8 @@
     version: z.number(),
     /** Whether the engine accepts no new requests because it loads weights or is about to. */
     isLoading: z.boolean(),
+    /** Factor by which the engine is slower than declared, as it reports itself; agents of earlier versions send none. */
+    slowdown: z.number().positive().optional(),
 });
 
 /** Sent by an entry to tell an agent about named weights before the agent's next poll of the store. */
--- a/src/lib/platform/engineClient.ts
+++ b/src/lib/platform/engineClient.ts
@@ -25,6 +25,8 @@
     readonly isLoadInProgress: boolean;
     /** Unix time of the runner's start in milliseconds. */
     readonly startedAt: number;
+    /** Factor by which the runner is slower than its service declares; 1 if it doesn't say so. */
+    readonly slowdown: number;
 }
 
 export interface WeightManifest {
@@ -59,6 +61,8 @@
     busy: z.boolean().default(false),
     /** Unix time of the runner's start in milliseconds. */
     born: z.number().default(0),
+    /** Over 1 for a slow runner. It lasts; the load header of responses has the factor that changes all the time. */
+    pace: z.number().positive().optional().catch(undefined),
 });
 
 const manifestSchema = z.object({ version: z.int(), digests: z.array(z.string()) });
@@ -82,6 +86,7 @@
                 weights: translateLoadedWeights(wire.models, wire.layers),
                 isLoadInProgress: wire.busy,
                 startedAt: wire.born,
+                slowdown: wire.pace ?? 1,
             };
         },
         stagePiece: async (model, pieceNumber, bytes) => {
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -217,6 +217,7 @@
         dueAt: exchange.arrivedAt + route.targetMs,
         expiresAt: exchange.expiresAt,
         promptTokens: caller.promptTokens,
+        outputTokens: caller.expectedOutputTokens ?? caller.maxOutputTokens,
         maxEventGapMs: route.maxEventGapMs,
         triedServerIds: exchange.triedServerIds,
         requiredVersion: exchange.weightsVersion,
--- a/src/lib/router/peerExchange.ts
+++ b/src/lib/router/peerExchange.ts
@@ -44,6 +44,8 @@
     /** Returns the last time at which this entry saw the store fail; `undefined` if it didn't. */
     readonly lastOutageAt: () => number | undefined;
     readonly reservations: () => Reservations;
+    /** Called with the slowdown of an engine that its agent reports. */
+    readonly onEngineSlowdown: (address: string, startedAt: number, slowdown: number, now: number) => void;
     readonly log: EventLog;
     /** Monotonic clock, in milliseconds. */
     readonly now: () => number;
@@ -104,9 +106,10 @@
     }
 
     function onAgentHeartbeat(message: AgentHeartbeat, receivedAt: number): void {
-        const { backendAddress, startedAt, model, version, isLoading } = message;
+        const { backendAddress, startedAt, model, version, isLoading, slowdown = 1 } = message;
         dispatcher.pool.recordLoadedWeights(backendAddress, startedAt, model, version);
         dispatcher.pool.pauseServer(backendAddress, isLoading ? receivedAt + LOADING_PAUSE_MS : 0);
+        options.onEngineSlowdown(backendAddress, startedAt, slowdown, receivedAt);
         const ip = backendAddress.split(":")[0] ?? "";
         agents.set(ip, { model, lastHeartbeatAt: receivedAt });
         sendNewestWeights(ip, model, version);
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -73,6 +73,12 @@
 /** Interval at which `stop` checks whether requests are still in progress. */
 const DRAIN_POLL_INTERVAL_MS = 50;
 
+/**
+ * Time without a request after which a stopping entry closes its connections. A caller may send its next request as soon
+ * as it has the last response, and gets a refusal instead of a reset.
+ */
+const IDLE_BEFORE_CLOSE_MS = 300;
+
 /** Delay between attempts to register this entry in the store, plus a random jitter of up to the second value. */
 const REGISTRATION_RETRY_DELAY_MS = 500;
 const REGISTRATION_RETRY_JITTER_MS = 1500;
@@ -216,6 +222,10 @@
         reachesStore: () => feeds.every(feed => feed.isConnected()),
         lastOutageAt: () => feeds[1]?.lastOutageAt(),
         reservations: () => reservations,
+        onEngineSlowdown: (address, startedAt, slowdown, at) => {
+            const server = registry.findAt(address, startedAt);
+            if (server !== undefined) speed.recordEngineSlowdown(server.id, slowdown, at);
+        },
         log,
         now,
     });
@@ -282,7 +292,10 @@
         await sleep(UNREADY_DETECTION_MS);
         isDraining = true;
         callerServer?.stopListening();
-        while ((callerServer?.inProgressCount() ?? 0) > 0 && now() < deadline) await sleep(DRAIN_POLL_INTERVAL_MS);
+        for (let idleSince = now(); now() < Math.min(deadline, idleSince + IDLE_BEFORE_CLOSE_MS);) {
+            await sleep(DRAIN_POLL_INTERVAL_MS);
+            if ((callerServer?.inProgressCount() ?? 0) > 0) idleSince = now();
+        }
         clearInterval(heartbeatTimer);
         clearTimeout(dispatchTimer);
         for (const feed of feeds) feed.stop();
--- a/src/lib/stager/engineTask.ts
+++ b/src/lib/stager/engineTask.ts
@@ -41,6 +41,9 @@
 /** Heartbeats are repeated without a change so that entries that have just started learn the engine's state. */
 const IDLE_HEARTBEAT_INTERVAL_MS = 2000;
 
+/** A change of the engine's slowdown by more than this fraction is sent at once. */
+const SLOWDOWN_TOLERANCE = 0.1;
+
 /** Heartbeat interval while the engine loads weights or is about to. */
 const LOADING_HEARTBEAT_INTERVAL_MS = 200;
 
@@ -57,6 +60,8 @@
     let isOutOfRotation = false;
     let isSettled = false;
     let lastHeartbeatAt = Number.NEGATIVE_INFINITY;
+    /** Slowdown of the engine in the last heartbeat. */
+    let sentSlowdown = 1;
     let isPolling = false;
     let isReachable = true;
 
@@ -88,7 +93,7 @@
         isSettled = loaded === weightsPolicy.newest(model) && !report.isLoadInProgress;
         const { target, shouldDrain } = planNextSwitch(model, loaded);
         isOutOfRotation = target !== undefined && (report.isLoadInProgress || loaded === 0 || shouldDrain);
-        sendHeartbeatIfDue(model, hasVersionChanged);
+        sendHeartbeatIfDue(model, hasVersionChanged || hasSlowdownChanged());
         const held = target === undefined ? undefined : pieceStore.find(target);
         if (!isOutOfRotation || report.isLoadInProgress || held === undefined || !isComplete(held)) return;
         await load(held, loaded);
@@ -146,10 +151,15 @@
         });
     }
 
-    function sendHeartbeatIfDue(model: string, hasVersionChanged: boolean): void {
+    function hasSlowdownChanged(): boolean {
+        return report !== undefined && Math.abs(report.slowdown / sentSlowdown - 1) > SLOWDOWN_TOLERANCE;
+    }
+
+    function sendHeartbeatIfDue(model: string, hasChanged: boolean): void {
         const intervalMs = isOutOfRotation ? LOADING_HEARTBEAT_INTERVAL_MS : IDLE_HEARTBEAT_INTERVAL_MS;
-        if (report === undefined || !hasVersionChanged && now() - lastHeartbeatAt < intervalMs) return;
+        if (report === undefined || !hasChanged && now() - lastHeartbeatAt < intervalMs) return;
         lastHeartbeatAt = now();
+        sentSlowdown = report.slowdown;
         options.peerSocket.send({
             kind: "agent",
             backendAddress: settings.backendAddress ?? "",
@@ -157,6 +167,7 @@
             model,
             version: loadedVersion(),
             isLoading: isOutOfRotation,
+            slowdown: report.slowdown,
         }, fleet.entryIps());
     }
 
--- a/src/test/core/serving/serverSpeed.test.ts
+++ b/src/test/core/serving/serverSpeed.test.ts
@@ -64,6 +64,37 @@
     assert.ok(speed.slowdown("s", 14_000) < 1.5);
 });
 
+// Guards against entries that take a server for fast because each of them measures it rarely, and against a slowdown that
+// outlives the agent which reports it.
+test("the lasting slowdown that an agent reports counts on top of the current one, and expires", () => {
+    const speed = createServerSpeed();
+    speed.recordEngineSlowdown("s", 2.5, 0);
+    assert.equal(speed.slowdown("s", 0), 2.5);
+    // Measurements that it explains change nothing.
+    speed.recordFirstEvent("s", { predictedMs: 250, measuredMs: 250, assumedSlowdown: 2.5 }, 10);
+    assert.ok(Math.abs(speed.slowdown("s", 10) - 2.5) < 0.01);
+    speed.recordReport("s", 2, 20);
+    assert.ok(Math.abs(speed.slowdown("s", 20) - 5) < 0.01);
+    speed.recordEngineSlowdown("s", 1, 30);
+    assert.ok(Math.abs(speed.slowdown("s", 30) - 2) < 0.01);
+    speed.recordEngineSlowdown("s", 2.5, 40);
+    assert.equal(speed.slowdown("s", 20_000), 1);
+});
+
+// Guards against a large pool whose slow engines make the requests of all entries late. Each entry alone measures an
+// engine too rarely to learn its speed.
+test("a pool with slow engines behind many entries is served better if their agents tell it", () => {
+    const trace = LOAD_TRACES.find(({ name }) => name === "unevenEngines");
+    assert.ok(trace !== undefined);
+    const lostFraction = (tellsEngineSlowdown: boolean) => {
+        const group = { entryCount: 12, heartbeatIntervalMs: 100, tellsEngineSlowdown };
+        const { total } = simulateTrace(trace, createDispatcherPlacer(trace, group), 1);
+        return 1 - total.utility / total.maxUtility;
+    };
+    const [untold, told] = [lostFraction(false), lostFraction(true)];
+    assert.ok(told < untold / 2, `${told} against ${untold}`);
+});
+
 // Guards against reports of the servers' speed that are read and not used.
 test("a pool whose engines slow down in turn is served better if they report it", () => {
     const trace = LOAD_TRACES.find(({ name }) => name === "unsteadyEngines");
--- a/src/test/stager/stager.test.ts
+++ b/src/test/stager/stager.test.ts
@@ -3,7 +3,7 @@
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, test } from "node:test";
-import { agentPortOf, openPeerSocket, type PeerSocket } from "../../lib/node/peerMessages.js";
+import { agentPortOf, openPeerSocket, type PeerMessage, type PeerSocket } from "../../lib/node/peerMessages.js";
 import { createEventLog } from "../../lib/observability/index.js";
 import { createPlatformStore } from "../../lib/platform/index.js";
 import { type Stager, startStager } from "../../lib/stager/index.js";
@@ -21,7 +21,7 @@
 /** Starts one server that is both an origin and an engine, which loads the staged pieces when it is ordered to. */
 async function startEngineAndOrigin() {
     const staged = new Map<number, Buffer>();
-    const state = { version: 1, startedAt: 1, orders: 0, piecesSent: 0, loaded: new Map<number, string>() };
+    const state = { version: 1, startedAt: 1, pace: 1, orders: 0, piecesSent: 0, loaded: new Map<number, string>() };
 
     async function respondTo(request: http.IncomingMessage): Promise<[number, Buffer | object]> {
         const url = new URL(request.url ?? "/", "http://engine");
@@ -33,7 +33,7 @@
         if (call === "report") {
             const layers = state.version === 0 ? null : { from: 0, to: 4, version: state.version };
             const models = state.version === 0 ? [] : [{ name: MODEL, version: state.version, adapters: [] }];
-            return [200, { models, layers, busy: false, born: state.startedAt }];
+            return [200, { models, layers, busy: false, born: state.startedAt, pace: state.pace }];
         }
         if (call === "manifest") {
             const digests = Array.from({ length: PIECE_COUNT }, (_, index) => digestOf(pieceOf(version, index)));
@@ -80,6 +80,7 @@
 let stager: Stager;
 let entryPort: number;
 let entrySocket: PeerSocket;
+const messagesToEntry: PeerMessage[] = [];
 
 beforeEach(async () => {
     store = await startFakeStore();
@@ -92,10 +93,12 @@
     store.put("op", "config", configurationRow(1, { services }));
     store.put("servers", "i-1", serverRow(engine.address, { service: "llm" }));
     entryPort = await findFreePortRange();
-    entrySocket = openPeerSocket("127.0.0.1", entryPort, entryPort, () => undefined);
+    messagesToEntry.length = 0;
+    entrySocket = openPeerSocket("127.0.0.1", entryPort, entryPort, message => messagesToEntry.push(message));
     const settings = createVmSettings(store.address, entryPort, {
         backendAddress: engine.address,
         backendService: "llm",
+        seeds: ["127.0.0.1"],
     });
     const log = createEventLog({
         process: "agent",
@@ -189,3 +192,14 @@
     await new Promise(resolve => setTimeout(resolve, 1500));
     assert.equal(countCalls(), callsAtStop);
 });
+
+// Guards against entries that send a slow engine as much as a fast one: only its agent reads how slow it is at no cost.
+test("an agent tells entries at once that its engine has become slow", async () => {
+    const slowdowns = () => messagesToEntry.flatMap(message => message.kind === "agent" ? [message.slowdown] : []);
+    await waitUntil(() => slowdowns().includes(1));
+    engine.state.pace = 2.5;
+    const changedAt = Date.now();
+    await waitUntil(() => slowdowns().includes(2.5));
+    // Without the change, the next heartbeat is due after 2 s.
+    assert.ok(Date.now() - changedAt < 1500);
+});
