--- a/src/lib/observability/servingMetrics.ts
+++ b/src/lib/observability/servingMetrics.ts
@@ -9,6 +9,8 @@
     readonly reservations: Counter<"result">;
     readonly firstEventMs: Histogram<"kind">;
     readonly waitMs: Histogram<"kind">;
+    /** Time to the first event, divided by the prediction that placed the request. */
+    readonly predictionRatio: Histogram<"kind">;
     readonly waiting: Gauge;
     readonly storeCalls: Counter<"result">;
     readonly pieces: Counter<"source">;
@@ -21,13 +23,19 @@
 /** Buckets around the services' latency targets, which are between 100 ms and a few seconds. */
 const LATENCY_BUCKETS_MS = [10, 25, 50, 100, 150, 200, 250, 300, 400, 600, 800, 1200, 2000, 4000, 8000];
 
+const RATIO_BUCKETS = [0.25, 0.5, 0.75, 0.9, 1.1, 1.25, 1.5, 2, 3, 5];
+
 export function createServingMetrics(): ServingMetrics {
     const registry = new Registry();
     const registers = [registry];
     const counter = <T extends string>(name: string, help: string, labelNames: readonly T[]) =>
         new Counter<T>({ name, help, labelNames: [...labelNames], registers });
-    const histogram = <T extends string>(name: string, help: string, labelNames: readonly T[]) =>
-        new Histogram<T>({ name, help, labelNames: [...labelNames], buckets: LATENCY_BUCKETS_MS, registers });
+    const histogram = <T extends string>(
+        name: string,
+        help: string,
+        labelNames: readonly T[],
+        buckets = LATENCY_BUCKETS_MS,
+    ) => new Histogram<T>({ name, help, labelNames: [...labelNames], buckets, registers });
     return {
         requests: counter("endivewell_requests_total", "Requests by kind and outcome.", ["kind", "outcome"]),
         refusals: counter("endivewell_refusals_total", "Refused requests by reason.", ["reason"]),
@@ -35,6 +43,12 @@
         reservations: counter("endivewell_reservations_total", "Reservations at other entries by result.", ["result"]),
         firstEventMs: histogram("endivewell_first_event_ms", "Time to the answer or the first event.", ["kind"]),
         waitMs: histogram("endivewell_wait_ms", "Time until a request was sent to a backend server.", ["kind"]),
+        predictionRatio: histogram(
+            "endivewell_prediction_ratio",
+            "Time to the first event, divided by its prediction.",
+            ["kind"],
+            RATIO_BUCKETS,
+        ),
         waiting: new Gauge({ name: "endivewell_waiting", help: "Requests that wait for a server.", registers }),
         storeCalls: counter("endivewell_store_calls_total", "Calls to the store by result.", ["result"]),
         pieces: counter("endivewell_pieces_total", "Pieces of weights received by source.", ["source"]),
--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -227,7 +227,14 @@
         { predictedMs: predictedFirstEventMs, measuredMs, assumedSlowdown },
         now,
     );
-    exchange.prediction = { predictedMs: Math.round(predictedFirstEventMs), actualMs: Math.round(measuredMs) };
+    exchange.prediction = {
+        predictedMs: Math.round(predictedFirstEventMs),
+        actualMs: Math.round(measuredMs),
+        slowdown: Math.round(assumedSlowdown * 100) / 100,
+    };
+    if (predictedFirstEventMs > 0) {
+        context.metrics.predictionRatio.observe({ kind: route.kind }, measuredMs / predictedFirstEventMs);
+    }
     if (exchange.firstEventAt !== undefined) return;
     exchange.firstEventAt = now;
     context.metrics.firstEventMs.observe({ kind: route.kind }, now - exchange.arrivedAt);
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -67,8 +67,11 @@
     readonly attemptSummaries: string[];
     /** Total time that the request waited for a server, over all attempts. */
     waitedMs: number;
-    /** Predicted and actual time from the last send to its first event; written to the log under these names. */
-    prediction: { readonly predictedMs: number; readonly actualMs: number; } | undefined;
+    /**
+     * Predicted and actual time from the last send to its first event, and the slowdown of the server that the
+     * prediction assumed; written to the log under these names.
+     */
+    prediction: { readonly predictedMs: number; readonly actualMs: number; readonly slowdown: number; } | undefined;
     firstEventAt: number | undefined;
 }
 
--- a/src/test/router/engineSlowdown.test.ts
+++ b/src/test/router/engineSlowdown.test.ts
@@ -75,4 +75,7 @@
 
     assert.deepEqual(await countCalls(0), [0, CALL_COUNT]);
     assert.deepEqual(await countCalls(1), [CALL_COUNT, 0]);
+
+    const metrics = await fetch(`http://127.0.0.1:${peerPort}/metrics`);
+    assert.match(await metrics.text(), new RegExp(`endivewell_prediction_ratio_count.* ${2 * CALL_COUNT}$`, "m"));
 });
