Let agents reach the entries sooner after a loss of power

Agents start 0.1 to 0.3 s before the entries; their first packet to an entry without power is lost and TCP repeats it after a second.

Change: calls to entries must connect within 250 ms. An agent asks the entries of its region again and again, 150 ms apart, for 1.5 s before it reads from the store; it paused for 0.3 to 1.2 s before. Until the entries deliver again, the store follows one failure, as before.

Tests: a call that doesn't connect in time; an agent whose entry starts 0.4 s later. The test that the store is the last resort checks the time instead of the number of failures.

--- a/src/lib/clients/http.ts
+++ b/src/lib/clients/http.ts
@@ -17,6 +17,11 @@
      * `TOTAL_TIMEOUT_FACTOR` times this time in any case.
      */
     readonly timeoutMs?: number;
+    /**
+     * Time within which the connection must be established; by default `timeoutMs`. A packet that is sent to a VM
+     * without power is lost, and TCP repeats it only after a second, even if the VM is back much earlier.
+     */
+    readonly connectTimeoutMs?: number;
     readonly signal?: AbortSignal;
     readonly agent?: http.Agent;
     /**
@@ -66,8 +71,18 @@
             timeout: request.timeoutMs ?? DEFAULT_TIMEOUT_MS,
         });
         outgoing.on("socket", socket => {
-            if (!socket.connecting) connected = true;
-            else socket.once("connect", () => connected = true);
+            if (!socket.connecting) {
+                connected = true;
+                return;
+            }
+            const timer = request.connectTimeoutMs === undefined ?
+                undefined :
+                setTimeout(() => outgoing.destroy(new Error("connecting timed out")), request.connectTimeoutMs);
+            socket.once("connect", () => {
+                connected = true;
+                clearTimeout(timer);
+            });
+            socket.once("close", () => clearTimeout(timer));
         });
         outgoing.setTimeout(request.timeoutMs ?? DEFAULT_TIMEOUT_MS, () => {
             outgoing.destroy(new Error("no data received before the timeout"));
--- a/src/lib/node/peerMessages.ts
+++ b/src/lib/node/peerMessages.ts
@@ -200,6 +200,9 @@
 /** A peer responds from memory, but a link between regions may delay its response. */
 const CHANGES_TIMEOUT_MS = 2000;
 
+/** Many round trips between regions. */
+export const PEER_CONNECT_TIMEOUT_MS = 250;
+
 const CHANGES_PATH = "/changes";
 
 /** Reads a table's changes after a revision from a peer. Throws if it can't be reached or its response is invalid. */
@@ -214,6 +217,7 @@
         method: "GET",
         url: `http://${ip}:${port}${CHANGES_PATH}?${query}`,
         timeoutMs: CHANGES_TIMEOUT_MS,
+        connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
         compressed: true,
     });
     const { complete, rows } = changesSchema.parse(JSON.parse(response.body.toString()));
--- a/src/lib/stager/sharedReads.ts
+++ b/src/lib/stager/sharedReads.ts
@@ -3,6 +3,7 @@
  * delivers them. When all VMs lose power, every agent needs the configuration at the same moment; read from the store,
  * it saturated the links between regions for seconds, and no engine got its weights meanwhile.
  */
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Row } from "../core/serving/index.js";
 import type { MetadataStore, TableSnapshot } from "../node/metadataStore.js";
 import { fetchPeerChanges } from "../node/peerMessages.js";
@@ -15,12 +16,19 @@
     readonly entryPort: number;
     readonly log: EventLog;
     readonly metrics: ServingMetrics;
+    /** Monotonic clock, in milliseconds. */
+    readonly now: () => number;
+    /** Returns a number in [0, 1). */
+    readonly random: () => number;
 }
 
 export type TableReader = Pick<MetadataStore, "readTable">;
 
-/** Entries that start at the same time as the agent have no table yet, so the agent asks more than once. */
-const MAX_ENTRY_FAILURES = 3;
+/** Entries that start at the same time as the agent have no table yet, so the agent asks them for this long. */
+const STORE_FALLBACK_DELAY_MS = 1500;
+
+/** An entry needs a few hundred milliseconds to start and to read the tables. */
+const MEAN_RETRY_PAUSE_MS = 150;
 
 interface CachedTable {
     readonly rows: Map<string, Row>;
@@ -28,26 +36,30 @@
 }
 
 export function createSharedReads(options: SharedReadsOptions): TableReader {
-    const { store, log, metrics } = options;
+    const { store, log, metrics, now } = options;
     const cachedTables = new Map<string, CachedTable>();
-    let failures = 0;
+    /** The last read ended at the store, because the entries didn't deliver. */
+    let areEntriesFailing = false;
     let requestCount = 0;
 
     async function readTable(table: string, keyPrefix = ""): Promise<TableSnapshot> {
-        const entryIps = await options.entryIps();
-        const ip = entryIps[requestCount++ % Math.max(1, entryIps.length)];
-        if (ip !== undefined) {
+        const startedAt = now();
+        for (;;) {
+            const entryIps = await options.entryIps();
+            const ip = entryIps[requestCount++ % Math.max(1, entryIps.length)];
+            if (ip === undefined) break;
             try {
                 const snapshot = await readFromEntry(ip, table, keyPrefix);
-                failures = 0;
+                areEntriesFailing = false;
                 return snapshot;
             }
             catch (error) {
-                failures++;
                 log.info("table not read from an entry", { table, entry: ip, error: (error as Error).message });
-                if (failures < MAX_ENTRY_FAILURES) throw error;
             }
+            if (areEntriesFailing || now() - startedAt >= STORE_FALLBACK_DELAY_MS) break;
+            await sleep(MEAN_RETRY_PAUSE_MS * (0.5 + options.random()));
         }
+        areEntriesFailing = true;
         const snapshot = await store.readTable(table, keyPrefix);
         metrics.storeCalls.inc({ result: "read" });
         return snapshot;
--- a/src/lib/stager/stager.ts
+++ b/src/lib/stager/stager.ts
@@ -68,7 +68,15 @@
         { entry: entryPort, agent: agentPort },
         connections,
     );
-    const tables = createSharedReads({ store, entryIps: fleet.regionEntryIps, entryPort, log, metrics });
+    const tables = createSharedReads({
+        store,
+        entryIps: fleet.regionEntryIps,
+        entryPort,
+        log,
+        metrics,
+        now,
+        random: context.random,
+    });
     let configuration: RoutingConfiguration | undefined;
     log.info("process started", { ip: settings.ip, backend: settings.backendAddress, store: settings.storeAddress });
 
--- a/src/test/stager/sharedReads.test.ts
+++ b/src/test/stager/sharedReads.test.ts
@@ -39,6 +39,8 @@
         entryPort,
         log: createEventLog({ process: "p", role: "agent", now: () => 0, write: () => undefined }),
         metrics: createServingMetrics(),
+        now: () => performance.now(),
+        random: () => 0.5,
     });
     return { replica, tables, storeReads: () => storeReads };
 }
@@ -58,9 +60,27 @@
 // Guards against an agent that reads an empty table from an entry which has just started, and against one that never
 // turns to the store.
 test("an agent waits for entries that have just started, and then reads from the store", async () => {
-    const { tables, storeReads } = await startEntry();
-    for (let attempt = 0; attempt < 2; attempt++) await assert.rejects(tables.readTable("op"));
-    assert.equal(storeReads(), 0);
+    const { replica, tables, storeReads } = await startEntry();
+    const startedAt = performance.now();
     assert.deepEqual((await tables.readTable("op")).rows, ROWS);
     assert.equal(storeReads(), 1);
+    assert.ok(performance.now() - startedAt > 1000);
+    // Entries that failed aren't waited for again until one has delivered.
+    await tables.readTable("op");
+    assert.equal(storeReads(), 2);
+    replica.applySnapshot(ROWS, 5);
+    await tables.readTable("op");
+    assert.equal(storeReads(), 2);
+});
+
+// Guards against an agent that learns its configuration a second late after a loss of power, because it pauses between
+// its attempts for longer than an entry needs to start.
+test("an agent reads from an entry soon after that has started", async () => {
+    const { replica, tables, storeReads } = await startEntry();
+    const READY_AFTER_MS = 400;
+    const startedAt = performance.now();
+    setTimeout(() => replica.applySnapshot(ROWS, 5), READY_AFTER_MS);
+    assert.deepEqual((await tables.readTable("op")).rows, ROWS);
+    assert.ok(performance.now() - startedAt < READY_AFTER_MS + 400);
+    assert.equal(storeReads(), 0);
 });
