--- a/src/lib/core/serving/switchSchedule.ts
+++ b/src/lib/core/serving/switchSchedule.ts
@@ -51,8 +51,8 @@
 const TURN_ORDER_KEY = "switch";
 
 /**
- * If the turns for the version before aren't over yet, those for a version begin this much later, as a fraction of the
- * time between its first and its last turn; at the earliest when the others are over.
+ * The turns for a version wait until those for the version before are over, but at most this fraction of the time between
+ * its first and its last turn.
  */
 const MAX_START_DELAY_FRACTION = 0.4;
 
@@ -103,14 +103,9 @@
     if (namedAt === undefined) return undefined;
     const firstDelayMs = allowedMs * FIRST_TURN_FRACTION;
     const lastDelayMs = Math.max(firstDelayMs, allowedMs - SEND_MARGIN_MS - LAST_TURN_MARGIN_MS);
-    const previousNamedAt = Math.max(
-        ...named.map(other =>
-            other.version < version ? other.namedAt ?? Number.NEGATIVE_INFINITY : Number.NEGATIVE_INFINITY
-        ),
-    );
-    const firstAt = Math.min(
-        Math.max(namedAt + firstDelayMs, previousNamedAt + lastDelayMs),
-        namedAt + firstDelayMs + (lastDelayMs - firstDelayMs) * MAX_START_DELAY_FRACTION,
-    );
-    return { firstAt, lastAt: namedAt + lastDelayMs };
+    const lastAt = namedAt + lastDelayMs;
+    const latestFirstAt = namedAt + firstDelayMs + (lastDelayMs - firstDelayMs) * MAX_START_DELAY_FRACTION;
+    const earlierNamedAt = named.flatMap(other => other.version < version ? other.namedAt ?? [] : []);
+    const earlierLastAt = Math.max(...earlierNamedAt) + lastDelayMs;
+    return { firstAt: Math.min(Math.max(namedAt + firstDelayMs, earlierLastAt), latestFirstAt), lastAt };
 }
