Share the test's row of loaded weights, and correct a figure

Found on reading the change: three tests wrote the same fields of a server row; loadedWeights of fakeRunner serves them now.

Assertions are unchanged.

--- a/src/test/core/serving/placement.test.ts
+++ b/src/test/core/serving/placement.test.ts
@@ -33,7 +33,7 @@
 const busy = { ...IDLE, decoding: 6, contextTokens: 6000 };
 
 // Guards against answers that begin in time at a slow server and don't end before the caller's deadline: on a day with
-// slow servers of gomgol-orders-grown, all of the requests that reached their deadline were at these.
+// slow servers of gomgol-orders-grown, 105 of 106 streams that their deadline or their caller ended were at these.
 test("a long answer goes to a server that can finish it, a short one to the server that begins first", () => {
     const slow = candidateOf("slow", { slowdown: 2.5 });
     const remote = candidateOf("remote", { roundTripMs: 7, isLocal: false, load: busy });
--- a/src/test/platform/fakeRunner.ts
+++ b/src/test/platform/fakeRunner.ts
@@ -112,6 +112,11 @@
     };
 }
 
+/** Returns the fields of a server row that say that the server holds version 1 of a model. */
+export function loadedWeights(model: string): object {
+    return { models: [{ name: model, version: 1, adapters: [] }], layers: { from: 0, to: 4, version: 1 } };
+}
+
 /** Returns engine parameters of a service whose weights have `chunks` pieces of `chunkBytes` bytes each. */
 export function engineParameters(model: string, chunks: number, chunkBytes: number): object {
     return {
--- a/src/test/router/engineSlowdown.test.ts
+++ b/src/test/router/engineSlowdown.test.ts
@@ -7,6 +7,7 @@
     encodeChunk,
     engineParameters,
     type FakeRunner,
+    loadedWeights,
     numberedEvents,
     serverRow,
     startFakeRunner,
@@ -30,7 +31,6 @@
     const peerPort = await findFreePortRange();
     const [plain] = (configurationRow(1) as { services: object[]; }).services;
     store.put("op", "config", configurationRow(1, { services: [{ ...plain, engine: engineParameters("m", 4, 100) }] }));
-    const weights = { models: [{ name: "m", version: 1, adapters: [] }], layers: { from: 0, to: 4, version: 1 } };
     const runners: FakeRunner[] = [];
     for (const id of ["i-1", "i-2"]) {
         const runner = await startFakeRunner(request => {
@@ -38,7 +38,7 @@
         });
         cleanups.push(runner.close);
         runners.push(runner);
-        store.put("servers", id, serverRow(runner.address, weights));
+        store.put("servers", id, serverRow(runner.address, loadedWeights("m")));
     }
     const router = await startTestRouter(createVmSettings(store.address, peerPort));
     cleanups.push(router.stop);
--- a/src/test/router/outdatedWeights.test.ts
+++ b/src/test/router/outdatedWeights.test.ts
@@ -1,6 +1,12 @@
 import assert from "node:assert/strict";
 import { afterEach, test } from "node:test";
-import { configurationRow, engineParameters, serverRow, startFakeRunner } from "../platform/fakeRunner.js";
+import {
+    configurationRow,
+    engineParameters,
+    loadedWeights,
+    serverRow,
+    startFakeRunner,
+} from "../platform/fakeRunner.js";
 import { startFakeStore } from "../platform/fakeStore.js";
 import { createVmSettings, findFreePortRange, sendCall, startTestRouter, waitUntil } from "./routerHarness.js";
 
@@ -30,8 +36,7 @@
     store.put("op", "config", { ...baseConfiguration, routes, services });
     const hangingRunner = await startFakeRunner(() => undefined);
     cleanups.push(hangingRunner.close);
-    const models = [{ name: MODEL, version: 1, adapters: [] }];
-    const rowChanges = { service: "llm", models, layers: { from: 0, to: 4, version: 1 } };
+    const rowChanges = { service: "llm", ...loadedWeights(MODEL) };
     store.put("servers", "i-1", serverRow(hangingRunner.address, rowChanges));
     const settings = createVmSettings(store.address, await findFreePortRange());
     const bounds = { ...settings.bounds, weightsMs: WEIGHTS_BOUND_MS };
--- a/src/test/router/reservations.test.ts
+++ b/src/test/router/reservations.test.ts
@@ -6,6 +6,7 @@
     encodeChunk,
     engineParameters,
     type FakeRunner,
+    loadedWeights,
     numberedEvents,
     serverRow,
     startFakeRunner,
@@ -75,8 +76,3 @@
         responses.map(({ status }) => status).join(),
     );
 });
-
-/** Returns the fields of a server row that say that the server holds version 1 of a model. */
-function loadedWeights(model: string): object {
-    return { models: [{ name: model, version: 1, adapters: [] }], layers: { from: 0, to: 4, version: 1 } };
-}
