Build and search large route tables in linear time

Cause: the routes of a host were copied for each further route, which took the square of their number, and each lookup searched all of them.

--- a/src/lib/core/serving/routeTable.ts
+++ b/src/lib/core/serving/routeTable.ts
@@ -111,12 +111,14 @@
 }
 
 export function createRouteTable(configuration: RoutingConfiguration): RouteTable {
-    const routesByHost = new Map<string, Route[]>();
+    const routesByHost = new Map<string, HostRoutes>();
     for (const route of configuration.routes) {
         const host = route.host.toLowerCase();
-        routesByHost.set(host, [...routesByHost.get(host) ?? [], route]);
+        let routes = routesByHost.get(host);
+        if (routes === undefined) routesByHost.set(host, routes = { byPrefix: new Map(), maxPrefixLength: 0 });
+        if (!routes.byPrefix.has(route.prefix)) routes.byPrefix.set(route.prefix, route);
+        routes.maxPrefixLength = Math.max(routes.maxPrefixLength, route.prefix.length);
     }
-    for (const routes of routesByHost.values()) routes.sort((a, b) => b.prefix.length - a.prefix.length);
     const accountsByKey = new Map<string, ClientAccount>();
     for (const account of configuration.accounts ?? []) {
         for (const key of account.keys) accountsByKey.set(key, account);
@@ -124,12 +126,29 @@
     const services = new Map(configuration.services.map(service => [service.name, service]));
     return {
         configuration,
-        findRoute: (host, path) => routesByHost.get(host.toLowerCase())?.find(route => path.startsWith(route.prefix)),
+        findRoute: (host, path) => findLongestPrefix(routesByHost.get(host.toLowerCase()), path),
         findAccount: key => accountsByKey.get(key),
         findService: name => services.get(name),
     };
 }
 
+interface HostRoutes {
+    readonly byPrefix: Map<string, Route>;
+    maxPrefixLength: number;
+}
+
+/** Looks up each part of the path that ends with a slash, because every prefix does, from the longest to the shortest. */
+function findLongestPrefix(routes: HostRoutes | undefined, path: string): Route | undefined {
+    if (routes === undefined) return undefined;
+    let slash = path.lastIndexOf("/", routes.maxPrefixLength - 1);
+    while (slash >= 0) {
+        const route = routes.byPrefix.get(path.slice(0, slash + 1));
+        if (route !== undefined) return route;
+        slash = slash === 0 ? -1 : path.lastIndexOf("/", slash - 1);
+    }
+    return undefined;
+}
+
 /**
  * Chooses a service at random in proportion to the weights. `random` is in [0, 1). Returns `undefined` for an empty
  * list.
