Log why a request was not sent again

Callers of a cut stream or of a 502 could not be answered from the logs: the line of a request had the end of each attempt (silence, broken connection, deadline) but told of a denied retry only if the budget was spent.

--- a/src/lib/observability/explain.ts
+++ b/src/lib/observability/explain.ts
@@ -23,6 +23,7 @@
     process: z.string(),
     reason: z.string(),
     attempts: z.array(z.string()).default([]),
+    retryDenial: z.string().optional(),
     waitedMs: z.number().default(0),
     tookMs: z.number().default(0),
     firstEventMs: z.number().optional(),
@@ -133,15 +134,17 @@
         .with({ event: "request failed", status: 504 }, ({ tookMs }) => {
             return `Timed out after ${tookMs} ms at a server, which may have executed it (${attempts}).`;
         })
-        .with({ event: "request failed", status: 502 }, ({ reason }) => {
-            return "Not retried because it may have been executed or no other server was available: " +
-                `${reason} (${attempts}).`;
+        .with({ event: "request failed", status: 502 }, ({ reason, retryDenial }) => {
+            const cause = retryDenial ?? "it may have been executed or no other server was available";
+            return `Not retried (${cause}): ${reason} (${attempts}).`;
         })
-        .with({ event: "request failed" }, ({ reason }) => {
+        .with({ event: "request failed" }, ({ reason, retryDenial }) => {
             const isPassedOn = reason.endsWith(", passed on");
             return isPassedOn ?
                 `The server itself failed and its response was forwarded (${attempts}).` :
-                `Its stream was interrupted and could not be resumed: ${reason} (${attempts}).`;
+                `Its stream was interrupted and could not be resumed (${
+                    retryDenial ?? reason
+                }): ${reason} (${attempts}).`;
         })
         .otherwise(({ waitedMs, tookMs, firstEventMs }) => {
             if (firstEventMs !== undefined) return `The caller disconnected after its first event (${attempts}).`;
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -8,7 +8,7 @@
 import { readLimitedBody } from "../node/limitedBody.js";
 import { parseCallerRequest } from "../platform/index.js";
 import { runAttempt } from "./attempt.js";
-import { type Exchange, type ExchangeContext, isRetryableRoute } from "./exchangeState.js";
+import { type Exchange, type ExchangeContext, isRetryableRoute, RetryDenial } from "./exchangeState.js";
 import {
     DEFAULT_RETRY_AFTER_MS,
     finishCancelled,
@@ -109,6 +109,7 @@
         waitedMs: 0,
         prediction: undefined,
         firstEventAt: undefined,
+        retryDenial: undefined,
     };
     const expiry = setTimeout(() => cancellation.abort("expired"), deadlineMs);
     response.on("close", () => {
@@ -142,6 +143,7 @@
             return;
         }
         if (dispatchResult.kind === "refused") {
+            if (exchange.attemptSummaries.length > 0) exchange.retryDenial = RetryDenial.noServer;
             finishRefused(exchange, dispatchResult.refusal.reason, dispatchResult.refusal);
             return;
         }
@@ -157,7 +159,8 @@
             finishCancelled(exchange);
             return;
         }
-        if (!shouldRetry(exchange, result.verdict, service)) {
+        exchange.retryDenial = findRetryDenial(exchange, result.verdict, service);
+        if (exchange.retryDenial !== undefined) {
             finishFailed(exchange, result.summary, result.errorResponse);
             return;
         }
@@ -176,18 +179,20 @@
     return false;
 }
 
-function shouldRetry(exchange: Exchange, verdict: Verdict, service: string): boolean {
+/** Returns `undefined` if the request may be sent again; the retry is then taken from the budget. */
+function findRetryDenial(exchange: Exchange, verdict: Verdict, service: string): RetryDenial | undefined {
     const { context, route, response } = exchange;
-    const isRetryable = isRetryableRoute(route);
-    if (response.headersSent && exchange.streamParser?.lastEventId() === undefined) return false;
-    if (!canRetry(verdict, isRetryable)) return false;
+    if (response.headersSent && exchange.streamParser?.lastEventId() === undefined) return RetryDenial.notResumable;
+    if (!canRetry(verdict, isRetryableRoute(route))) return RetryDenial.mayHaveRun;
     // Connections that failed before anything was written have no verdict and don't count as sends.
     const sendCount = exchange.verdicts.length;
-    if (sendCount === 0) return exchange.triedServerIds.size < route.maxAttempts + 2;
-    if (sendCount >= route.maxAttempts) return false;
-    const isWithinBudget = context.retryBudget.tryTake(service, context.now());
-    if (!isWithinBudget) context.log.info("retry refused", { id: exchange.caller.id, service, reason: "budget spent" });
-    return isWithinBudget;
+    if (sendCount === 0) {
+        return exchange.triedServerIds.size < route.maxAttempts + 2 ? undefined : RetryDenial.attemptsUsed;
+    }
+    if (sendCount >= route.maxAttempts) return RetryDenial.attemptsUsed;
+    if (context.retryBudget.tryTake(service, context.now())) return undefined;
+    context.log.info("retry refused", { id: exchange.caller.id, service, reason: RetryDenial.budgetSpent });
+    return RetryDenial.budgetSpent;
 }
 
 /**
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -73,8 +73,23 @@
      */
     prediction: { readonly predictedMs: number; readonly actualMs: number; readonly slowdown: number; } | undefined;
     firstEventAt: number | undefined;
+    /** Why the request wasn't sent again after its last attempt; for the log. */
+    retryDenial: RetryDenial | undefined;
 }
 
+/** Reasons for which a request isn't sent again. */
+export const RetryDenial = {
+    /** The request may have run and must not run twice. */
+    mayHaveRun: "may have run",
+    /** The events that the caller has received have no id to resume after. */
+    notResumable: "no event id",
+    attemptsUsed: "attempts used",
+    budgetSpent: "budget spent",
+    noServer: "no server",
+} as const;
+
+export type RetryDenial = (typeof RetryDenial)[keyof typeof RetryDenial];
+
 /** Result of sending a request to one server; `summary` is the text for the log. */
 export type AttemptResult =
     | { readonly kind: "answered"; readonly summary: string; }
--- a/src/lib/router/localResponses.ts
+++ b/src/lib/router/localResponses.ts
@@ -127,6 +127,7 @@
         rank: account?.rank ?? route.rank,
         reason,
         attempts: exchange.attemptSummaries,
+        retryDenial: exchange.retryDenial,
         waitedMs: Math.round(exchange.waitedMs),
         firstEventMs: exchange.firstEventAt === undefined ?
             undefined :
--- a/src/test/observability/explain.test.ts
+++ b/src/test/observability/explain.test.ts
@@ -32,6 +32,12 @@
         ["request failed", { reason: "read ECONNRESET", status: 502, attempts: ["i-1 x"] }, /Not retried/],
         ["request failed", { reason: "failed with 500, passed on", attempts: ["i-1 x"] }, /itself failed/],
         ["request failed", { reason: "overloaded", attempts: ["i-1 x"] }, /interrupted .* overloaded/],
+        [
+            "request failed",
+            { reason: "x", attempts: ["i-1 x"], retryDenial: "attempts used" },
+            /resumed \(attempts used/,
+        ],
+        ["request failed", { reason: "x", status: 502, retryDenial: "budget spent" }, /Not retried \(budget spent\)/],
         [
             "request abandoned",
             { reason: "the caller left", tookMs: 70 },
