Give up a silent server only once its successor is certain

Callers of resumable streams saw their stream cut off, and callers of idempotent requests got a 502, although their server was sound: it was silent for a second or so and would have gone on.

Cause: after one second of silence (or half of the request's time) the attempt was ended first and a retry was looked for then. If all attempts were used, the retry budget was spent, no other server was usable or its slot was refused, the answer in progress was gone. Giving up an answer and having its successor were two decisions.

Fix: the timer asks for a successor: attempts left, a retry in the budget, a server that is free now (dispatcher.assignNow) and whose owner grants the slot. Only with all of these is the attempt cancelled and the retry taken; otherwise the request stays where it is and asks again every 250 ms. An event that arrives meanwhile releases the successor. The cancelled attempt's connection is now reset after the headers too, so that a request which a partition holds up isn't run late. The cancellation of requests that haven't started when the weights become outdated is a timer of its own, unchanged.

Evidence, the new tests on the code before (a silence of 1.4 s; the only server, the last attempt, a spent budget, no free slot): not ok 1 - a stream continues after a silence of its server: the only server (502 instead of 200) not ok 2 - a late response is relayed: the only server (502 {"error":"no server"}) not ok 3 - a stream continues after a silence of its server: the last attempt (incomplete) ok 4 - a late response is relayed: the last attempt not ok 5 - a stream continues after a silence of its server: a spent retry budget (502) not ok 6 - a late response is relayed: a spent retry budget (502 {"error":"the answer timed out"}) not ok 7 - a stream continues after a silence of its server: another server without slots (502) not ok 8 - a late response is relayed: another server without slots (502 {"error":"no server"}) After: all pass; the tests of router, node and core/serving pass (141).

What remains: a successor that refuses or breaks is not undone, because the silent server's attempt is cancelled by then.

--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -84,6 +84,13 @@
      * cancelled first.
      */
     submit(request: DispatchRequest, onResult: (result: AssignmentResult) => void, now: number): void;
+    /**
+     * Assigns a request to a server that is free now; it is neither queued nor refused. Returns `undefined` if there is
+     * no such server.
+     */
+    assignNow(request: DispatchRequest, now: number): Assignment | undefined;
+    /** Releases an assignment to which nothing was sent. */
+    release(id: string, now: number): void;
     /** Removes a queued request whose caller has disconnected. */
     cancel(id: string): void;
     /**
@@ -187,16 +194,33 @@
     }
 
     function tryPlace(request: DispatchRequest, queueClass: QueueClass, snapshot: PoolSnapshot, now: number): boolean {
+        const assignment = assign(request, queueClass, snapshot, now);
+        if (assignment === undefined) return false;
+        deliverResult(request.id, { kind: "assigned", assignment });
+        return true;
+    }
+
+    function assignNow(request: DispatchRequest, now: number): Assignment | undefined {
+        const snapshot = takeSnapshot(request.service, now);
+        return snapshot === undefined ? undefined : assign(request, classOf(request, now), snapshot, now);
+    }
+
+    function assign(
+        request: DispatchRequest,
+        queueClass: QueueClass,
+        snapshot: PoolSnapshot,
+        now: number,
+    ): Assignment | undefined {
         const { service } = snapshot;
         const eligible = snapshot.withCapacity().filter(poolServer => isEligible(poolServer, request));
-        if (eligible.length === 0) return false;
+        if (eligible.length === 0) return undefined;
         const constraints = constraintsFor(request, queueClass, now);
         const candidates = eligible.map(({ candidate }) => candidate);
         const placement = service.engine === undefined ?
             placeOnService(candidates, constraints.timeToDueMs) :
             placeOnEngine(service.engine, candidates, constraints);
         const chosen = eligible.find(({ server }) => server.id === placement?.id);
-        if (placement === undefined || chosen === undefined) return false;
+        if (placement === undefined || chosen === undefined) return undefined;
         const { server, version, candidate, otherOwner } = chosen;
         inFlight.add({
             id: request.id,
@@ -210,7 +234,7 @@
         if (queueClass === QueueClass.late) lateStarts.push({ service: request.service, startedAt: now });
         health.recordSend(server.id, now);
         snapshot.refresh(server.id);
-        const assignment: Assignment = {
+        return {
             server,
             predictedFirstEventMs: placement.firstEventMs,
             assumedSlowdown: candidate.slowdown,
@@ -222,8 +246,6 @@
                 undefined :
                 { owner: otherOwner, slot: slotRequestFor(server, constraints, candidate.roundTripMs) },
         };
-        deliverResult(request.id, { kind: "assigned", assignment });
-        return true;
     }
 
     /** Returns whether the server holds acceptable weights and wasn't sent this request before. */
@@ -292,6 +314,12 @@
         processQueue(now);
     }
 
+    function release(id: string, now: number): void {
+        sends.delete(id);
+        inFlight.remove(id);
+        processQueue(now);
+    }
+
     function recordEnd(id: string, now: number): void {
         const send = sends.get(id);
         if (send !== undefined) {
@@ -305,6 +333,8 @@
 
     return {
         submit,
+        assignNow,
+        release,
         cancel: id => void queue.delete(id),
         recordFirstEvent: (id, now) => {
             inFlight.recordFirstEvent(id);
--- a/src/lib/core/serving/sharedRetryBudget.ts
+++ b/src/lib/core/serving/sharedRetryBudget.ts
@@ -22,6 +22,8 @@
 
 export interface SharedRetryBudget {
     recordRequest(service: string, now: number): void;
+    /** Returns whether a retry is left in the window. */
+    isAvailable(service: string, now: number): boolean;
     /** Takes one retry from the budget; returns false if none is left in the window. */
     tryTake(service: string, now: number): boolean;
 }
@@ -60,17 +62,21 @@
         if (slice !== undefined) slice.requests++;
     }
 
-    function tryTake(service: string, now: number): boolean {
+    function isAvailable(service: string, now: number): boolean {
         const slices = slicesAt(service, now);
         const requestCount = slices.reduce((sum, slice) => sum + slice.requests, 0);
         const retryCount = slices.reduce((sum, slice) => sum + slice.retries, 0);
         const { ratio, slack } = options.limits();
         const allowedRetries = USABLE_FRACTION * (ratio * requestCount + slack / Math.max(1, options.entryCount()));
-        const slice = slices.at(-1);
-        if (slice === undefined || retryCount + 1 > allowedRetries) return false;
+        return retryCount + 1 <= allowedRetries;
+    }
+
+    function tryTake(service: string, now: number): boolean {
+        const slice = slicesAt(service, now).at(-1);
+        if (slice === undefined || !isAvailable(service, now)) return false;
         slice.retries++;
         return true;
     }
 
-    return { recordRequest, tryTake };
+    return { recordRequest, isAvailable, tryTake };
 }
--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -4,6 +4,7 @@
 import { type Assignment, Outcome, RequestKind } from "../core/serving/index.js";
 import { Verdict } from "../core/verdict.js";
 import { readLimitedBody } from "../node/limitedBody.js";
+import { createSilenceTimer } from "../node/silenceTimer.js";
 import {
     forwardedRequestHeaders,
     forwardedResponseHeaders,
@@ -12,12 +13,12 @@
 } from "../platform/index.js";
 import { type AttemptResult, type Exchange, isRetryableRoute } from "./exchangeState.js";
 import { sendBuffered } from "./localResponses.js";
-import { relayStream } from "./streamRelay.js";
+import { relayStream, type StreamAttempt } from "./streamRelay.js";
 
-/** Lower bound of the response timeout, however early the response is expected; engines can stall for up to 1.5 s. */
+/** Lower bound of the time after which a response is overdue; engines can stall for up to 1.5 s. */
 const MIN_RESPONSE_TIMEOUT_MS = 1000;
 
-/** An attempt times out after this many times the target or the predicted time, whichever is larger. */
+/** A response is overdue after this many times the target or the predicted time, whichever is larger. */
 const RESPONSE_TIMEOUT_FACTOR = 3;
 
 /** Subtracted from the deadline sent to the server, because the caller's timeout starts before the request arrives. */
@@ -30,8 +31,16 @@
 const MAX_DISCARDED_BYTES = 64 * 1024;
 const DISCARD_TIMEOUT_MS = 1000;
 
-/** Sends the request to the assigned server and relays its response. Never throws; failures are in the result. */
-export async function runAttempt(exchange: Exchange, assignment: Assignment): Promise<AttemptResult> {
+/**
+ * Sends the request to the assigned server and relays its response. Never throws; failures are in the result. While the
+ * server is silent for too long, `claimSuccessor` is called with a function that tells whether it still is. The attempt
+ * is given up if it returns true.
+ */
+export async function runAttempt(
+    exchange: Exchange,
+    assignment: Assignment,
+    claimSuccessor: (isSilent: () => boolean) => Promise<boolean>,
+): Promise<AttemptResult> {
     const { context, route, caller } = exchange;
     const { server } = assignment;
     const { dispatchId } = exchange;
@@ -40,6 +49,18 @@
     exchange.cancellation.signal.addEventListener("abort", onAbort, { once: true });
     exchange.triedServerIds.add(server.id);
     const sentAt = context.now();
+    /** What the silence of the server means at this stage of the attempt; for the log. */
+    let silenceReason = "the answer timed out";
+    const silence = createSilenceTimer(async () => {
+        const isCutOff = hasFirstEvent && !isRetryableRoute(route);
+        if (isCutOff || await claimSuccessor(silence.isExpired)) cancellation.abort(silenceReason);
+    });
+    silence.start(silenceTimeoutMs(exchange, assignment, sentAt));
+    const { startDeadline } = assignment;
+    const startTimer = startDeadline === undefined || startDeadline >= exchange.expiresAt ?
+        undefined :
+        setTimeout(() => cancellation.abort("outdated weights"), Math.max(1, startDeadline - sentAt));
+    let hasFirstEvent = false;
     try {
         const response = await context.connections.send({
             serverId: server.id,
@@ -55,7 +76,6 @@
                 lastEventId: exchange.streamParser?.lastEventId() ?? caller.lastEventId,
             }, exchange.body.length),
             body: exchange.body,
-            responseTimeoutMs: responseTimeoutMs(exchange, assignment, sentAt),
             signal: cancellation.signal,
             isRetryable: isRetryableRoute(route),
         });
@@ -63,7 +83,26 @@
         if (metadata.slowdown !== undefined) {
             context.speed.recordReport(server.id, metadata.slowdown, context.now());
         }
-        const result = await readResponse(exchange, assignment, response, metadata, sentAt);
+        if (isStreamResponse(exchange, response)) {
+            silenceReason = "no event in time";
+            silence.start(silenceTimeoutMs(exchange, assignment, context.now()));
+        }
+        else {
+            silence.stop();
+            clearTimeout(startTimer);
+        }
+        const result = await readResponse(exchange, response, {
+            metadata,
+            registeredWeightsVersion: server.weights?.version,
+            silence,
+            signal: cancellation.signal,
+            onFirstEvent: () => {
+                hasFirstEvent = true;
+                silenceReason = "the stream paused too long";
+                clearTimeout(startTimer);
+                recordFirstEvent(exchange, assignment, sentAt);
+            },
+        });
         recordResult(exchange, assignment, result, metadata);
         return result;
     }
@@ -80,28 +119,17 @@
         return { kind: "failed", verdict, summary: (error as Error).message };
     }
     finally {
+        silence.stop();
+        clearTimeout(startTimer);
         exchange.cancellation.signal.removeEventListener("abort", onAbort);
         context.reservations.release(assignment, dispatchId);
         context.dispatcher.recordEnd(dispatchId, context.now());
     }
 }
 
-/**
- * Returns the time in milliseconds after which the attempt is abandoned, so that another server can be tried;
- * `undefined` if the attempt may use the rest of the request's time. The request's own expiry has a separate timer, so
- * that it isn't recorded as a failure of the server. A request that hasn't started when its server's weights become
- * outdated is always cancelled.
- */
-function responseTimeoutMs(exchange: Exchange, assignment: Assignment, now: number): number | undefined {
-    const { route } = exchange;
-    const untilOutdatedMs = (assignment.startDeadline ?? Number.POSITIVE_INFINITY) - now;
-    const isLastAttempt = !isRetryableRoute(route) || exchange.verdicts.length + 1 >= route.maxAttempts;
-    const failoverAfterMs = isLastAttempt ?
-        Number.POSITIVE_INFINITY :
-        Math.min(overdueAfterMs(exchange, assignment), (exchange.expiresAt - now) / 2);
-    const timeoutMs = Math.max(1, Math.min(failoverAfterMs, untilOutdatedMs));
-    // A timeout beyond the request's expiry is redundant, and an infinite one can't be passed to a timer.
-    return timeoutMs < exchange.expiresAt - now ? timeoutMs : undefined;
+/** Returns how long the server may be silent, in milliseconds, before another one may take over. */
+function silenceTimeoutMs(exchange: Exchange, assignment: Assignment, now: number): number {
+    return Math.max(1, Math.min(overdueAfterMs(exchange, assignment), (exchange.expiresAt - now) / 2));
 }
 
 /** Tells whether the attempt was cancelled because of outdated weights, which says nothing about server health. */
@@ -138,13 +166,16 @@
     return result.errorResponse === undefined ? Outcome.broken : Outcome.error;
 }
 
+function isStreamResponse({ route }: Exchange, { statusCode }: http.IncomingMessage): boolean {
+    return route.kind === RequestKind.stream && statusCode === 200;
+}
+
 async function readResponse(
     exchange: Exchange,
-    assignment: Assignment,
     response: http.IncomingMessage,
-    metadata: ResponseMetadata,
-    sentAt: number,
+    stream: StreamAttempt,
 ): Promise<AttemptResult> {
+    const { metadata } = stream;
     const status = response.statusCode ?? 0;
     if (metadata.requestId !== undefined && metadata.requestId !== exchange.caller.id) {
         response.destroy();
@@ -155,14 +186,7 @@
         discardBody(response);
         return { kind: "failed", verdict: Verdict.notRun, summary: `refused with ${status}` };
     }
-    if (exchange.route.kind === RequestKind.stream && status === 200) {
-        return relayStream(exchange, response, {
-            metadata,
-            registeredWeightsVersion: assignment.server.weights?.version,
-            firstEventTimeoutMs: responseTimeoutMs(exchange, assignment, exchange.context.now()),
-            onFirstEvent: () => recordFirstEvent(exchange, assignment, sentAt),
-        });
-    }
+    if (isStreamResponse(exchange, response)) return relayStream(exchange, response, stream);
     const memory = exchange.context.bodyBudget.open();
     try {
         const bodyResult = await readLimitedBody(response, MAX_RESPONSE_BODY_BYTES, memory.reserve);
--- a/src/lib/router/backendConnections.ts
+++ b/src/lib/router/backendConnections.ts
@@ -17,9 +17,7 @@
     /** Flat list of alternating names and values. */
     readonly headers: readonly string[];
     readonly body: Buffer;
-    /** Timeout for the response headers, counted from the connection; `undefined` if only `signal` ends the wait. */
-    readonly responseTimeoutMs: number | undefined;
-    /** Cancels the request and resets its connection. */
+    /** Cancels the request and resets its connection; a text as its reason becomes the message of the error. */
     readonly signal: AbortSignal;
     /** If false, the request must not run twice; it gets a new connection, as a pooled one may be about to close. */
     readonly isRetryable: boolean;
@@ -88,21 +86,17 @@
                 if (outgoing.socket?.connecting === false) outgoing.socket.resetAndDestroy();
                 outgoing.destroy(new Error(message));
             };
-            const onAbort = () => abort("cancelled");
+            const onAbort = () => {
+                const reason: unknown = request.signal.reason;
+                abort(typeof reason === "string" ? reason : "cancelled");
+            };
             request.signal.addEventListener("abort", onAbort, { once: true });
             outgoing.once("close", () => request.signal.removeEventListener("abort", onAbort));
             if (request.signal.aborted) onAbort();
-            const { responseTimeoutMs } = request;
-            let timer: NodeJS.Timeout | undefined = setTimeout(
-                () => abort("connecting timed out"),
-                CONNECT_TIMEOUT_MS,
-            );
+            const timer = setTimeout(() => abort("connecting timed out"), CONNECT_TIMEOUT_MS);
             const onConnected = () => {
                 mayBeWritten = true;
                 clearTimeout(timer);
-                timer = responseTimeoutMs === undefined ?
-                    undefined :
-                    setTimeout(() => abort("the answer timed out"), responseTimeoutMs);
             };
             outgoing.on("socket", socket => {
                 socket.setNoDelay(true);
@@ -119,7 +113,6 @@
                 if (++informationalCount > MAX_INFORMATIONAL_RESPONSES) abort("too many informational responses");
             });
             outgoing.on("response", response => {
-                clearTimeout(timer);
                 if (isCloseDelimited(response)) cleanCloses.set(response, awaitCleanClose(response.socket, outgoing));
                 resolve(response);
             });
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -17,6 +17,7 @@
     recordEnd,
     refuseRequest,
 } from "./localResponses.js";
+import { createSuccessorSearch, type Successor } from "./successor.js";
 
 /** Used if the caller sends no deadline. */
 const DEFAULT_DEADLINE_MS = 30_000;
@@ -136,29 +137,44 @@
     }
     context.retryBudget.recordRequest(service, context.now());
     let queuedSince = context.now();
+    let successor: Successor | undefined;
     for (;;) {
-        const dispatchResult = await waitForServer(exchange, service, queuedSince);
-        if (dispatchResult === undefined) {
-            finishCancelled(exchange);
-            return;
-        }
-        if (dispatchResult.kind === "refused") {
-            if (exchange.attemptSummaries.length > 0) exchange.retryDenial = RetryDenial.noServer;
-            finishRefused(exchange, dispatchResult.refusal.reason, dispatchResult.refusal);
-            return;
+        let assignment = successor?.assignment;
+        if (successor !== undefined) exchange.dispatchId = successor.dispatchId;
+        if (assignment === undefined) {
+            const dispatchResult = await waitForServer(exchange, service, queuedSince);
+            if (dispatchResult === undefined) {
+                finishCancelled(exchange);
+                return;
+            }
+            if (dispatchResult.kind === "refused") {
+                if (exchange.attemptSummaries.length > 0) exchange.retryDenial = RetryDenial.noServer;
+                finishRefused(exchange, dispatchResult.refusal.reason, dispatchResult.refusal);
+                return;
+            }
+            assignment = dispatchResult.assignment;
+            if (!await reserveSlot(exchange, assignment)) continue;
         }
-        if (!await reserveSlot(exchange, dispatchResult.assignment)) continue;
-        const result = await runAttempt(exchange, dispatchResult.assignment);
+        const successorSearch = createSuccessorSearch(
+            exchange,
+            service,
+            id => createDispatchRequest(exchange, service, id, context.now()),
+        );
+        const result = await runAttempt(exchange, assignment, successorSearch.claim);
         queuedSince = context.now();
-        exchange.attemptSummaries.push(`${dispatchResult.assignment.server.id} ${result.summary}`);
+        exchange.attemptSummaries.push(`${assignment.server.id} ${result.summary}`);
         if (result.kind === "answered") {
+            successorSearch.release();
             recordEnd(exchange, "answered", result.summary);
             return;
         }
         if (exchange.cancellation.signal.aborted) {
+            successorSearch.release();
             finishCancelled(exchange);
             return;
         }
+        successor = successorSearch.take();
+        if (successor !== undefined) continue;
         exchange.retryDenial = findRetryDenial(exchange, result.verdict, service);
         if (exchange.retryDenial !== undefined) {
             finishFailed(exchange, result.summary, result.errorResponse);
@@ -204,29 +220,12 @@
     service: string,
     queuedSince: number,
 ): Promise<AssignmentResult | undefined> {
-    const { context, route, caller, account, cancellation } = exchange;
+    const { context, caller, cancellation } = exchange;
     const { dispatcher } = context;
     const submittedAt = context.now();
-    const isCallerRetry = caller.deadlineMs !== undefined &&
-        caller.deadlineMs < route.timeoutMs * CALLER_RETRY_DEADLINE_FRACTION;
     const id = `${caller.id}/${exchange.attemptSummaries.length}`;
     exchange.dispatchId = id;
-    const request: DispatchRequest = {
-        id,
-        service,
-        rank: account?.rank ?? route.rank,
-        routeRank: route.rank,
-        account: account?.name ?? "",
-        isCallerRetry,
-        arrivedAt: queuedSince,
-        dueAt: exchange.arrivedAt + route.targetMs,
-        expiresAt: exchange.expiresAt,
-        promptTokens: caller.promptTokens,
-        outputTokens: caller.expectedOutputTokens ?? caller.maxOutputTokens,
-        maxEventGapMs: route.maxEventGapMs,
-        triedServerIds: exchange.triedServerIds,
-        requiredVersion: exchange.weightsVersion,
-    };
+    const request = createDispatchRequest(exchange, service, id, queuedSince);
     return new Promise(resolve => {
         const onAbort = () => {
             dispatcher.cancel(id);
@@ -244,3 +243,30 @@
         }, submittedAt);
     });
 }
+
+function createDispatchRequest(
+    exchange: Exchange,
+    service: string,
+    id: string,
+    queuedSince: number,
+): DispatchRequest {
+    const { route, caller, account } = exchange;
+    const isCallerRetry = caller.deadlineMs !== undefined &&
+        caller.deadlineMs < route.timeoutMs * CALLER_RETRY_DEADLINE_FRACTION;
+    return {
+        id,
+        service,
+        rank: account?.rank ?? route.rank,
+        routeRank: route.rank,
+        account: account?.name ?? "",
+        isCallerRetry,
+        arrivedAt: queuedSince,
+        dueAt: exchange.arrivedAt + route.targetMs,
+        expiresAt: exchange.expiresAt,
+        promptTokens: caller.promptTokens,
+        outputTokens: caller.expectedOutputTokens ?? caller.maxOutputTokens,
+        maxEventGapMs: route.maxEventGapMs,
+        triedServerIds: exchange.triedServerIds,
+        requiredVersion: exchange.weightsVersion,
+    };
+}
--- a/src/lib/router/streamRelay.ts
+++ b/src/lib/router/streamRelay.ts
@@ -3,6 +3,7 @@
 import VError from "verror";
 import { Verdict } from "../core/verdict.js";
 import { forEachChunk } from "../node/forEachChunk.js";
+import type { SilenceTimer } from "../node/silenceTimer.js";
 import { waitForDrain } from "../node/waitForDrain.js";
 import {
     forwardedResponseHeaders,
@@ -14,10 +15,10 @@
 import { type AttemptResult, type Exchange, isRetryableRoute } from "./exchangeState.js";
 import { connectionCloseHeader } from "./localResponses.js";
 
-/** Lower bound of the pause between events after which the server, or the network path to it, counts as failed. */
+/** Lower bound of the pause between events after which another server may take over. */
 const MIN_PAUSE_TIMEOUT_MS = 1000;
 
-/** A stream times out after a pause of this many times the longest pause that its route allows. */
+/** Another server may take over after a pause of this many times the longest pause that the route allows. */
 const PAUSE_TIMEOUT_FACTOR = 4;
 
 /** Bound of the longest pause for routes that set none. */
@@ -37,8 +38,10 @@
     readonly metadata: ResponseMetadata;
     /** Weights version that the registry gives for the server, used if the response names none. */
     readonly registeredWeightsVersion: number | undefined;
-    /** Timeout for the first event; `undefined` if only the request's expiry ends the wait. */
-    readonly firstEventTimeoutMs: number | undefined;
+    /** Runs since the response headers; it is restarted with each event. */
+    readonly silence: SilenceTimer;
+    /** Cancels the attempt; a text as its reason tells why. */
+    readonly signal: AbortSignal;
     readonly onFirstEvent: () => void;
 }
 
@@ -46,7 +49,7 @@
 export async function relayStream(
     exchange: Exchange,
     upstream: http.IncomingMessage,
-    { metadata, registeredWeightsVersion, firstEventTimeoutMs, onFirstEvent }: StreamAttempt,
+    { metadata, registeredWeightsVersion, silence, signal, onFirstEvent }: StreamAttempt,
 ): Promise<AttemptResult> {
     const { context, response, route } = exchange;
     const parser = exchange.streamParser ??
@@ -61,17 +64,10 @@
     let hasFirstEvent = false;
     /** Received comments that aren't relayed yet. */
     let comments = NO_BYTES;
-    let timer = firstEventTimeoutMs === undefined ?
-        undefined :
-        setTimeout(() => upstream.destroy(new Error("no event in time")), firstEventTimeoutMs);
-    const startPauseTimer = () => {
-        timer = setTimeout(() => upstream.destroy(new Error("the stream paused too long")), pauseTimeoutMs);
-    };
 
     function onFirstEvents(): void {
         hasFirstEvent = true;
-        clearTimeout(timer);
-        startPauseTimer();
+        silence.start(pauseTimeoutMs);
         onFirstEvent();
         if (!response.headersSent) response.writeHead(200, streamHeaders(exchange, upstream.rawHeaders));
         exchange.streamParser = parser;
@@ -83,7 +79,7 @@
         const completeEvents = parser.push(chunk);
         if (completeEvents.length === 0) return undefined;
         const completeBytes = comments.length === 0 ? completeEvents : Buffer.concat([comments, completeEvents]);
-        // Bytes that complete no event and comments don't reset the timeout. Comments wait for the next event, so
+        // Bytes that complete no event and comments don't restart the timer. Comments wait for the next event, so
         // that another server can still answer.
         if (parser.eventCount() === eventCountBefore) {
             comments = completeBytes;
@@ -91,7 +87,7 @@
             return undefined;
         }
         comments = NO_BYTES;
-        if (hasFirstEvent) timer?.refresh();
+        if (hasFirstEvent) silence.restart();
         else onFirstEvents();
         exchange.weightsVersion = parser.weightsVersion() ?? exchange.weightsVersion;
         return response.write(completeBytes) ? undefined : waitForCaller();
@@ -99,22 +95,23 @@
 
     /** Waits for a caller that reads slowly; the server's pause counts from the time at which more is read from it. */
     async function waitForCaller(): Promise<void> {
-        clearTimeout(timer);
+        silence.stop();
         await waitForDrain(response);
-        if (!upstream.destroyed) startPauseTimer();
+        if (!upstream.destroyed) silence.restart();
     }
 
     try {
         await forEachChunk(upstream, onChunk);
+        silence.stop();
         const isComplete = parser.pendingBytes() === 0 && metadata.isSigned &&
             await context.connections.isComplete(upstream);
         if (!isComplete) return streamFailure(hasFirstEvent, "the stream ended early");
     }
     catch (error) {
-        return streamFailure(hasFirstEvent, (error as Error).message);
+        const reason: unknown = signal.reason;
+        return streamFailure(hasFirstEvent, typeof reason === "string" ? reason : (error as Error).message);
     }
     finally {
-        clearTimeout(timer);
         parser.discardPending();
     }
     if (!response.headersSent) response.writeHead(200, streamHeaders(exchange, upstream.rawHeaders));
--- a/src/test/platform/fakeRunner.ts
+++ b/src/test/platform/fakeRunner.ts
@@ -97,6 +97,36 @@
     return text;
 }
 
+/** A stream whose server is silent for a while and goes on. */
+export interface SilentStream {
+    readonly eventCount: number;
+    readonly intervalMs: number;
+    /** The server is silent after the event with this id; 0 for a silence before the response headers. */
+    readonly silentAfter: number;
+    readonly silenceMs: number;
+}
+
+/** Responds with numbered events, starting after the request's Last-Event-Id. */
+export function respondWithSilence(request: ReceivedRequest, stream: SilentStream): void {
+    const { eventCount, intervalMs, silentAfter, silenceMs } = stream;
+    const { socket } = request;
+    let id = Number(request.header("last-event-id") || "0");
+    let hasHead = false;
+    const sendNext = () => {
+        if (socket.destroyed) return;
+        if (!hasHead) socket.write(streamResponseHead(request));
+        hasHead = true;
+        if (id === eventCount) {
+            socket.write("0\r\n\r\n");
+            return;
+        }
+        id++;
+        socket.write(encodeChunk(numberedEvents(id, id)));
+        setTimeout(sendNext, id === silentAfter ? silenceMs : intervalMs);
+    };
+    setTimeout(sendNext, silentAfter === 0 ? silenceMs : 0);
+}
+
 export function serverRow(address: string, changes: object = {}): object {
     return {
         service: "plain",
--- /dev/null
+++ b/src/test/router/silentServer.test.ts
@@ -0,0 +1,128 @@
+/** Servers that are silent for a second or so and go on. The limit of the fake routes is one second. */
+import assert from "node:assert/strict";
+import { afterEach, test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { VmSettings } from "../../lib/settings/vmSettings.js";
+import {
+    completeResponse,
+    configurationRow,
+    type FakeRunner,
+    numberedEvents,
+    type ReceivedRequest,
+    respondWithSilence,
+    serverRow,
+    startFakeRunner,
+} from "../platform/fakeRunner.js";
+import { startFakeStore } from "../platform/fakeStore.js";
+import { type CallResponse, createVmSettings, findFreePortRange, sendCall, startTestRouter } from "./routerHarness.js";
+
+/** Longer than the limit, and well within the time of the requests. */
+const SILENCE_MS = 1400;
+
+const EVENT_COUNT = 6;
+
+const NO_RETRIES = { ratio: 0, slack: 0, windowMs: 10_000 };
+
+const cleanups: (() => unknown)[] = [];
+
+afterEach(async () => {
+    for (const cleanup of cleanups.splice(0).reverse()) await cleanup();
+});
+
+interface Pool {
+    readonly runners: readonly FakeRunner[];
+    call(path: string, deadlineMs?: number): Promise<CallResponse>;
+    requestCount(): number;
+}
+
+interface PoolOptions {
+    readonly respond: (request: ReceivedRequest) => void;
+    /** Changes to the row of each server; the number of rows is the number of servers. */
+    readonly rows?: readonly object[];
+    /** Changes to all routes. */
+    readonly route?: object;
+    readonly retries?: VmSettings["bounds"]["retries"];
+}
+
+async function startPool({ respond, rows = [{}], route = {}, retries }: PoolOptions): Promise<Pool> {
+    const store = await startFakeStore();
+    cleanups.push(store.close);
+    const { routes } = configurationRow(1) as { routes: object[]; };
+    store.put("op", "config", configurationRow(1, { routes: routes.map(base => ({ ...base, ...route })) }));
+    const runners: FakeRunner[] = [];
+    for (const [index, row] of rows.entries()) {
+        const runner = await startFakeRunner(respond);
+        cleanups.push(runner.close);
+        runners.push(runner);
+        store.put("servers", `i-${index + 1}`, serverRow(runner.address, row));
+    }
+    const settings = createVmSettings(store.address, await findFreePortRange());
+    const bounds = retries === undefined ? settings.bounds : { ...settings.bounds, retries };
+    const router = await startTestRouter({ ...settings, bounds });
+    cleanups.push(router.stop);
+    await sleep(100);
+    return {
+        runners,
+        call: (path, deadlineMs = 3000) =>
+            sendCall(router.callerPort, {
+                path,
+                method: "POST",
+                body: "x",
+                headers: { "deadline-ms": String(deadlineMs) },
+            }),
+        requestCount: () => runners.reduce((sum, { requests }) => sum + requests.length, 0),
+    };
+}
+
+const silentAfter = (id: number, silenceMs = SILENCE_MS) => (request: ReceivedRequest) => {
+    respondWithSilence(request, { eventCount: EVENT_COUNT, intervalMs: 20, silentAfter: id, silenceMs });
+};
+
+const respondLate = (request: ReceivedRequest) => {
+    setTimeout(() => request.socket.write(completeResponse(request, "late")), SILENCE_MS);
+};
+
+/** Pools in which no server can take over from a silent one. */
+const POOLS_WITHOUT_SUCCESSOR: readonly (readonly [string, Omit<PoolOptions, "respond">])[] = [
+    ["the only server", {}],
+    ["the last attempt", { rows: [{}, {}], route: { "max-attempts": 1 } }],
+    ["a spent retry budget", { rows: [{}, {}], retries: NO_RETRIES }],
+    ["another server without slots", { rows: [{}, { slots: 0 }] }],
+];
+
+for (const [description, options] of POOLS_WITHOUT_SUCCESSOR) {
+    // Guards against a stream that is cut off because its server is silent for a moment, although nothing replaces it.
+    test(`a stream continues after a silence of its server: ${description}`, async () => {
+        for (const id of [0, 3]) {
+            const pool = await startPool({ ...options, respond: silentAfter(id) });
+            const response = await pool.call("/talk/");
+            assert.deepEqual([response.status, response.isComplete], [200, true], `after event ${id}`);
+            assert.equal(response.body, numberedEvents(1, EVENT_COUNT));
+            assert.equal(pool.requestCount(), 1);
+        }
+    });
+
+    // Guards against a 502 for an idempotent request that its server would have answered.
+    test(`a late response is relayed: ${description}`, async () => {
+        const pool = await startPool({ ...options, respond: respondLate });
+        const response = await pool.call("/read/");
+        assert.deepEqual([response.status, response.body, pool.requestCount()], [200, "late", 1]);
+    });
+}
+
+// Guards against a caller that waits for a silent server although another one is free.
+test("another server takes over from a silent one", async () => {
+    for (const id of [0, 3]) {
+        let requestCount = 0;
+        const pool = await startPool({
+            respond: request => silentAfter(requestCount++ === 0 ? id : EVENT_COUNT + 1, 60_000)(request),
+            rows: [{}, {}],
+        });
+        const startedAt = Date.now();
+        const response = await pool.call("/talk/");
+        assert.equal(response.isComplete, true, `after event ${id}`);
+        assert.equal(response.body, numberedEvents(1, EVENT_COUNT));
+        assert.ok(Date.now() - startedAt < 2000);
+        assert.equal(pool.requestCount(), 2);
+    }
+});
