Leave a stream that can't be resumed to its server for as long as its caller waits

Callers of streams that can't be resumed saw them cut off after a silence of two seconds, on routes whose callers wait longer.

Cause: the entry guessed how long callers wait, as two seconds or eight times the route's longest pause. They also wait for four times the target, which the guess left out.

Fix: the entry doesn't end such a stream at all. Its caller closes the connection or its time ends, and both are known already. A server counts as failing when a stream ends in a silence longer than the limit, whoever ends it; so far a caller that left, or whose time was over, hid a server that hangs.

--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -52,15 +52,13 @@
     /** What the silence of the server means at this stage of the attempt; for the log. */
     let silenceReason = "the answer timed out";
     const silence = createSilenceTimer(async () => {
-        const isCutOff = hasFirstEvent && !isRetryableRoute(route);
-        if (isCutOff || await claimSuccessor(silence.isExpired)) cancellation.abort(silenceReason);
+        if (await claimSuccessor(silence.isExpired)) cancellation.abort(silenceReason);
     });
     silence.start(silenceTimeoutMs(exchange, assignment, sentAt));
     const { startDeadline } = assignment;
     const startTimer = startDeadline === undefined || startDeadline >= exchange.expiresAt ?
         undefined :
         setTimeout(() => cancellation.abort("outdated weights"), Math.max(1, startDeadline - sentAt));
-    let hasFirstEvent = false;
     try {
         const response = await context.connections.send({
             serverId: server.id,
@@ -97,13 +95,12 @@
             silence,
             signal: cancellation.signal,
             onFirstEvent: () => {
-                hasFirstEvent = true;
                 silenceReason = "the stream paused too long";
                 clearTimeout(startTimer);
                 recordFirstEvent(exchange, assignment, sentAt);
             },
         });
-        recordResult(exchange, assignment, result, metadata);
+        recordResult(exchange, assignment, result, metadata, silence.isExpired());
         return result;
     }
     catch (error) {
@@ -147,13 +144,15 @@
     assignment: Assignment,
     result: AttemptResult,
     metadata: ResponseMetadata,
+    isSilent: boolean,
 ): void {
     const { context } = exchange;
     const outcome = outcomeFor(result, metadata);
     const hasFirstEvent = result.kind === "failed" && result.hasFirstEvent === true;
     const isCancelled = exchange.cancellation.signal.aborted ||
         !hasFirstEvent && hasOutdatedWeights(assignment, context.now());
-    if (!isCancelled || result.kind === "answered") {
+    // A caller that leaves a silent server has waited for it.
+    if (!isCancelled || result.kind === "answered" || isSilent && hasFirstEvent) {
         context.health.recordOutcome(assignment.server.id, outcome, context.now());
     }
     context.metrics.sends.inc({ result: outcome });
--- a/src/lib/router/streamRelay.ts
+++ b/src/lib/router/streamRelay.ts
@@ -12,7 +12,7 @@
     type ResponseMetadata,
 } from "../platform/index.js";
 import { createEventStreamParser } from "./eventStreamParser.js";
-import { type AttemptResult, type Exchange, isRetryableRoute } from "./exchangeState.js";
+import type { AttemptResult, Exchange } from "./exchangeState.js";
 import { connectionCloseHeader } from "./localResponses.js";
 
 /** Lower bound of the pause between events after which another server may take over. */
@@ -24,10 +24,6 @@
 /** Bound of the longest pause for routes that set none. */
 const MAX_EVENT_GAP_MS = 10_000;
 
-/** Callers abandon a stream after a pause of this length or this many times the longest pause of its route. */
-const CALLER_PATIENCE_MS = 2000;
-const CALLER_PATIENCE_FACTOR = 8;
-
 /** Comments that are held back at the same time. */
 const MAX_COMMENT_BYTES = 64 * 1024;
 
@@ -57,10 +53,7 @@
     const isResumed = exchange.streamParser !== undefined;
     // `maxEventGapMs` is infinite on routes that set no limit.
     const maxGapMs = Math.min(route.maxEventGapMs, MAX_EVENT_GAP_MS);
-    // A stream that can't be resumed is cut off only once its caller would leave, since a silent server may go on.
-    const pauseTimeoutMs = isRetryableRoute(route) ?
-        Math.max(MIN_PAUSE_TIMEOUT_MS, PAUSE_TIMEOUT_FACTOR * maxGapMs) :
-        Math.max(CALLER_PATIENCE_MS, CALLER_PATIENCE_FACTOR * maxGapMs);
+    const pauseTimeoutMs = Math.max(MIN_PAUSE_TIMEOUT_MS, PAUSE_TIMEOUT_FACTOR * maxGapMs);
     let hasFirstEvent = false;
     /** Received comments that aren't relayed yet. */
     let comments = NO_BYTES;
--- a/src/test/router/silentServer.test.ts
+++ b/src/test/router/silentServer.test.ts
@@ -110,6 +110,29 @@
     });
 }
 
+// Guards against a stream that can't be resumed and is cut off before its caller would leave.
+test("a stream that can't be resumed waits for its server as long as its caller does", async () => {
+    const route = { resumable: false, "target-latency-ms": 1000, "timeout-ms": 6000 };
+    const pool = await startPool({ respond: silentAfter(3, 2500), route });
+    const response = await pool.call("/talk/", 6000);
+    assert.deepEqual([response.status, response.isComplete], [200, true]);
+    assert.equal(response.body, numberedEvents(1, EVENT_COUNT));
+});
+
+// Guards against a server that hangs in the middle of streams and keeps receiving new ones.
+test("a server whose streams end in silence is avoided", async () => {
+    const pool = await startPool({
+        respond: request =>
+            silentAfter(request.header("expect-instance") === "i-1" ? 3 : EVENT_COUNT + 1, 60_000)(request),
+        rows: [{}, { zone: "other" }],
+        route: { resumable: false },
+    });
+    const hanging = await Promise.all([1, 2, 3].map(() => pool.call("/talk/", 1600)));
+    assert.deepEqual(hanging.map(({ isComplete }) => isComplete), [false, false, false]);
+    assert.equal((await pool.call("/talk/")).isComplete, true);
+    assert.deepEqual(pool.runners.map(({ requests }) => requests.length), [3, 1]);
+});
+
 // Guards against a caller that waits for a silent server although another one is free.
 test("another server takes over from a silent one", async () => {
     for (const id of [0, 3]) {
