Give each exchange an identifier of its own

Callers saw: of two requests that waited at the same time with the same Attempt-Id, or with none, the first got no answer until its time was over, and a caller that left took the other one's queued request with it. After such a pair one request counted as load of its server for good, so each pair cost the entry a slot until its restart.

Cause: the caller's identifier was the key of the dispatcher's queue and of the requests in flight, so the second request overwrote the first.

The key is now a number that the entry gives; the caller's identifier is used for headers and logs only.

--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -92,6 +92,7 @@
     const cancellation = new AbortController();
     const exchange: Exchange = {
         context,
+        id: context.nextExchangeId(),
         request,
         response,
         caller,
@@ -220,10 +221,10 @@
     service: string,
     queuedSince: number,
 ): Promise<AssignmentResult | undefined> {
-    const { context, caller, cancellation } = exchange;
+    const { context, cancellation } = exchange;
     const { dispatcher } = context;
     const submittedAt = context.now();
-    const id = `${caller.id}/${exchange.attemptSummaries.length}`;
+    const id = `${exchange.id}/${exchange.attemptSummaries.length}`;
     exchange.dispatchId = id;
     const request = createDispatchRequest(exchange, service, id, queuedSince);
     return new Promise(resolve => {
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -34,6 +34,8 @@
     /** Monotonic clock in milliseconds. */
     readonly now: () => number;
     readonly random: () => number;
+    /** Returns an identifier that no other exchange of this process has; callers may repeat theirs. */
+    readonly nextExchangeId: () => number;
     /** True during a graceful stop; responses then tell callers to close their connections. */
     readonly isStopping: () => boolean;
     /** True once the stopping process accepts no new requests; it finishes those in progress. */
@@ -42,6 +44,8 @@
 
 export interface Exchange {
     readonly context: ExchangeContext;
+    /** Unique in this process. `caller.id` is only for logs and headers. */
+    readonly id: number;
     readonly request: http.IncomingMessage;
     readonly response: http.ServerResponse;
     readonly caller: CallerRequest;
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -129,6 +129,7 @@
     const retryBudget = createSharedRetryBudget({ limits: () => bounds.retries, entryCount: countEntries });
     let isStopping = false;
     let isDraining = false;
+    let exchangeCount = 0;
     let callerServer: Awaited<ReturnType<typeof startCallerServer>> | undefined;
     const operatorState = createOperatorState({
         registry,
@@ -168,6 +169,7 @@
         metrics,
         now,
         random,
+        nextExchangeId: () => ++exchangeCount,
         isStopping: () => isStopping,
         isDraining: () => isDraining,
     };
