--- a/src/test/router/rawCaller.ts
+++ b/src/test/router/rawCaller.ts
@@ -19,6 +19,8 @@
     /** Returns the bytes that no returned response includes. */
     received(): string;
     isClosed(): boolean;
+    /** Returns the first error of the connection, such as a reset. */
+    error(): Error | undefined;
     close(): void;
 }
 
@@ -53,6 +55,8 @@
         pending += data.toString("latin1");
         wake();
     });
+    let firstError: Error | undefined;
+    socket.on("error", error => firstError ??= error);
     for (const event of ["end", "close", "error"]) {
         socket.on(event, () => {
             isClosed = true;
@@ -88,6 +92,7 @@
         },
         received: () => pending,
         isClosed: () => isClosed,
+        error: () => firstError,
         close: () => socket.destroy(),
     };
 }
--- a/src/test/router/requestIdentity.test.ts
+++ b/src/test/router/requestIdentity.test.ts
@@ -1,51 +1,29 @@
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, test } from "node:test";
-import type { Router } from "../../lib/router/index.js";
-import {
-    completeResponse,
-    configurationRow,
-    type FakeRunner,
-    type ReceivedRequest,
-    serverRow,
-    startFakeRunner,
-} from "../platform/fakeRunner.js";
-import { type FakeStore, startFakeStore } from "../platform/fakeStore.js";
-import { formatRequest, openRawCaller, type RawCaller } from "./rawCaller.js";
-import { createVmSettings, findFreePortRange, startTestRouter, waitUntil } from "./routerHarness.js";
+import { completeResponse, type ReceivedRequest, serverRow } from "../platform/fakeRunner.js";
+import { formatRequest, type RawCaller } from "./rawCaller.js";
+import { waitUntil } from "./routerHarness.js";
+import { CHANGE_MS, configurationWithRoutes, sleep, startTestEntry, type TestEntry } from "./testEntry.js";
 
-let store: FakeStore;
-let router: Router;
-let runner: FakeRunner;
+let entry: TestEntry;
 const received: ReceivedRequest[] = [];
-const callers: RawCaller[] = [];
 
 beforeEach(async () => {
-    store = await startFakeStore();
-    // All requests wait for the only slot within their target.
-    const { routes } = configurationRow(1) as { routes: object[]; };
-    store.put(
-        "op",
-        "config",
-        configurationRow(1, {
-            routes: routes.map(route => ({ ...route, "target-latency-ms": 2500 })),
-        }),
-    );
-    runner = await startFakeRunner(request => void received.push(request));
-    store.put("servers", "i-1", serverRow(runner.address, { slots: 1 }));
-    router = await startTestRouter(createVmSettings(store.address, await findFreePortRange()));
+    entry = await startTestEntry({
+        // All requests wait for the only slot within their target.
+        configuration: configurationWithRoutes(1, { "target-latency-ms": 2500 }),
+        server: { slots: 1 },
+        respond: request => void received.push(request),
+    });
 });
 
 afterEach(async () => {
-    for (const caller of callers.splice(0)) caller.close();
     received.splice(0);
-    runner.close();
-    store.close();
-    await router.stop();
+    await entry.close();
 });
 
 async function sendFrom(id: string | undefined): Promise<RawCaller> {
-    const caller = await openRawCaller(router.callerPort);
-    callers.push(caller);
+    const caller = await entry.openCaller();
     caller.send(formatRequest({ path: "/book/", id, headers: { "Deadline-Ms": "3000" }, body: "x" }));
     return caller;
 }
@@ -63,7 +41,7 @@
         const first = await sendFrom("first");
         await waitUntil(() => received.length === 1);
         const waiting = [await sendFrom(id), await sendFrom(id)];
-        await new Promise(resolve => setTimeout(resolve, 100));
+        await sleep(100);
         answerNext();
         assert.equal((await first.nextResponse()).status, 200);
         for (let count = 0; count < 2; count++) {
@@ -80,9 +58,9 @@
         await waitUntil(() => received.length === 1);
         const leaving = await sendFrom(id);
         const staying = await sendFrom(id);
-        await new Promise(resolve => setTimeout(resolve, 100));
+        await sleep(100);
         leaving.close();
-        await new Promise(resolve => setTimeout(resolve, 100));
+        await sleep(100);
         answerNext();
         assert.equal((await first.nextResponse()).status, 200);
         await waitUntil(() => received.length === 1);
@@ -92,8 +70,8 @@
 
     // Guards against load that stays on a server after requests with the same identifier, which fills its slots for good.
     test(`requests with ${name} leave no load on their server`, async () => {
-        store.put("servers", "i-1", serverRow(runner.address, { slots: 3, sequence: 2 }));
-        await new Promise(resolve => setTimeout(resolve, 700));
+        entry.store.put("servers", "i-1", serverRow(entry.runner.address, { slots: 3, sequence: 2 }));
+        await sleep(CHANGE_MS);
         for (let round = 0; round < 3; round++) {
             const both = [await sendFrom(id), await sendFrom(id)];
             await waitUntil(() => received.length === 2);
