Cancel requests that end while a slot is reserved

Callers saw: a request whose time was over while its entry reserved a slot at the server's owner got no answer; it was sent nevertheless, with no time limit left. If its caller had left, it stayed at the server until the server ended it.

Cause: the attempt listened for the abort of the exchange, which had already happened.

An attempt now checks whether the exchange has ended, and a cancelled send opens no connection.

--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -47,6 +47,8 @@
     const cancellation = new AbortController();
     const onAbort = () => cancellation.abort();
     exchange.cancellation.signal.addEventListener("abort", onAbort, { once: true });
+    // The exchange may have been cancelled while the slot was reserved.
+    if (exchange.cancellation.signal.aborted) onAbort();
     exchange.triedServerIds.add(server.id);
     const sentAt = context.now();
     /** What the silence of the server means at this stage of the attempt; for the log. */
--- a/src/lib/router/backendConnections.ts
+++ b/src/lib/router/backendConnections.ts
@@ -67,6 +67,10 @@
 
     function send(request: BackendRequest): Promise<http.IncomingMessage> {
         return new Promise((resolve, reject) => {
+            if (request.signal.aborted) {
+                reject(sendError("cancelled", Verdict.notRun));
+                return;
+            }
             const [host, port] = request.address.split(":");
             let mayBeWritten = false;
             let abortMessage: string | undefined;
@@ -92,7 +96,6 @@
             };
             request.signal.addEventListener("abort", onAbort, { once: true });
             outgoing.once("close", () => request.signal.removeEventListener("abort", onAbort));
-            if (request.signal.aborted) onAbort();
             const timer = setTimeout(() => abort("connecting timed out"), CONNECT_TIMEOUT_MS);
             const onConnected = () => {
                 mayBeWritten = true;
@@ -106,7 +109,7 @@
             outgoing.on("error", cause => {
                 clearTimeout(timer);
                 const verdict = mayBeWritten ? Verdict.mayHaveRun : Verdict.notRun;
-                reject(new VError({ name: "SendError", info: { verdict } }, "%s", abortMessage ?? cause.message));
+                reject(sendError(abortMessage ?? cause.message, verdict));
             });
             let informationalCount = 0;
             outgoing.on("information", () => {
@@ -138,6 +141,10 @@
     };
 }
 
+function sendError(message: string, verdict: Verdict): VError {
+    return new VError({ name: "SendError", info: { verdict } }, "%s", message);
+}
+
 function isCloseDelimited({ headers }: http.IncomingMessage): boolean {
     return headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
 }
--- /dev/null
+++ b/src/test/router/requestBody.test.ts
@@ -0,0 +1,58 @@
+import assert from "node:assert/strict";
+import { afterEach, beforeEach, test } from "node:test";
+import { type ReceivedRequest } from "../platform/fakeRunner.js";
+import { formatRequest } from "./rawCaller.js";
+import { respondOk, sleep, startTestEntry, type TestEntry } from "./testEntry.js";
+
+let entry: TestEntry;
+let respond: (request: ReceivedRequest) => void;
+
+beforeEach(async () => {
+    respond = respondOk;
+    entry = await startTestEntry({ respond: request => respond(request) });
+});
+
+afterEach(() => entry.close());
+
+// Guards against an early response that its caller loses because the rest of the body resets the connection.
+test("a caller that is still sending its body receives an early response", async () => {
+    const caller = await entry.openCaller();
+    const length = 8_000_000;
+    caller.send(formatRequest({ path: "/book/", id: "a", headers: { "Content-Length": String(length) } }));
+    const part = "x".repeat(100_000);
+    for (let sent = 0; sent < length && caller.error() === undefined; sent += part.length) {
+        caller.send(part);
+        if (sent % 1_000_000 === 0) await sleep(30);
+    }
+    assert.equal(caller.error(), undefined);
+    assert.equal((await caller.nextResponse()).status, 413);
+});
+
+// Guards against a body that never ends and is never answered, and against a time limit that restarts at its end.
+test("a caller that stalls in its body is answered at its deadline", async () => {
+    const caller = await entry.openCaller();
+    const startedAt = Date.now();
+    const headers = { "Content-Length": "10", "Deadline-Ms": "800" };
+    caller.send(`${formatRequest({ path: "/book/", id: "a", headers })}half`);
+    const response = await Promise.race([caller.nextResponse(), sleep(3000)]);
+    assert.ok(typeof response === "object" && response !== null && "status" in response, "no response within 3 s");
+    assert.equal(response.status, 408);
+    assert.ok(Date.now() - startedAt < 1300, `${Date.now() - startedAt} ms`);
+    assert.equal(entry.runner.requests.length, 0);
+});
+
+// Guards against a request whose time limit starts again once its body has been read.
+test("the time that a body takes to arrive counts toward the deadline", async () => {
+    const caller = await entry.openCaller();
+    respond = () => undefined;
+    const startedAt = Date.now();
+    caller.send(
+        `${
+            formatRequest({ path: "/book/", id: "a", headers: { "Content-Length": "10", "Deadline-Ms": "1000" } })
+        }half1`,
+    );
+    await sleep(700);
+    caller.send("half2");
+    assert.equal((await caller.nextResponse()).status, 504);
+    assert.ok(Date.now() - startedAt < 1400, `${Date.now() - startedAt} ms`);
+});
