--- a/src/test/router/connectionEnd.test.ts
+++ b/src/test/router/connectionEnd.test.ts
@@ -60,8 +60,6 @@
     caller.send(
         formatRequest({ path: "/read/", id: "a", body: "x" }) + formatRequest({ path: "/read/", id: "b", body: "x" }),
     );
-    const ids = [];
-    for (let count = 0; count < 2; count++)
-        ids.push(/attempt-id: (\w+)/i.exec((await caller.nextResponse()).head)?.[1]);
-    assert.deepEqual(ids, ["a", "b"]);
+    const responses = [await caller.nextResponse(), await caller.nextResponse()];
+    assert.deepEqual(responses.map(({ head }) => /attempt-id: (\w+)/i.exec(head)?.[1]), ["a", "b"]);
 });
