Keep idle connections for as long as their callers were told

Callers saw: beside a configuration with a lower idle timeout a connection closed before the time that its last response had named, so the next request on it got neither an answer nor a refusal.

Cause: a response names the timeout that is set when its request arrives, but Node starts the idle timer with the one that is set when the response ends. Requests in progress while the configuration is applied differ in the two.

The timer now starts with the larger of the named and the current timeout, plus a margin for a request that is on its way.

--- a/src/lib/router/callerServer.ts
+++ b/src/lib/router/callerServer.ts
@@ -3,6 +3,7 @@
  * connections are still served, and responses tell callers to close them.
  */
 import * as http from "node:http";
+import type { Socket } from "node:net";
 import type { CallerLimits } from "../core/serving/index.js";
 import { listen } from "../node/listen.js";
 import type { Address } from "../settings/vmSettings.js";
@@ -21,6 +22,9 @@
 /** Limit of the header size, with room for the headers of any configuration; the limits for callers are lower. */
 const MAX_HEADER_BYTES = 64 * 1024;
 
+/** An idle connection is kept longer than its caller was told, for a request that is already on its way. */
+const IDLE_MARGIN_MS = 1000;
+
 export async function startCallerServer(
     address: Address,
     serve: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>,
@@ -28,7 +32,12 @@
     let inProgressCount = 0;
     const server = http.createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true }, (request, response) => {
         inProgressCount++;
-        response.once("close", () => inProgressCount--);
+        // The response carries the timeout that is set now.
+        const advertisedIdleMs = server.keepAliveTimeout;
+        response.once("close", () => {
+            inProgressCount--;
+            keepIdleFor(request.socket, Math.max(advertisedIdleMs, server.keepAliveTimeout) + IDLE_MARGIN_MS);
+        });
         void serve(request, response);
     });
     // Disabled, because the route's timeout bounds the whole request.
@@ -49,6 +58,12 @@
     };
 }
 
+/** Replaces the timeout of a connection that Node has just made idle; any other connection has no timeout. */
+function keepIdleFor(socket: Socket, idleMs: number): void {
+    const isIdle = !socket.destroyed && socket.timeout !== undefined && socket.timeout > 0;
+    if (isIdle) socket.setTimeout(idleMs);
+}
+
 /** Starts a server that responds to every request with 200 while the process is ready and with 503 otherwise. */
 export async function startReadinessServer(
     address: Address,
