Read the rest of a body before closing after an early response

Callers saw: a refusal before the end of a long body (413, or 503 of a stopping entry) reset the connection while the body was on its way. A caller whose write failed took the request for lost.

Cause: a response with `Connection: close` closes the socket as soon as it is flushed. Bytes that arrive then are answered with a reset.

The complete response is sent at once and ends only when the rest of the body has been read and discarded, after 2 s at the latest. Any response that precedes the end of its request's body closes the connection now.

--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -52,7 +52,6 @@
     if (context.isDraining()) {
         // Responses that began before the stop don't tell their callers to close the connection, so callers use it
         // again; such a request might not end before the process.
-        request.resume();
         refuseRequest(context, response, 503, "process stopping", caller, 0);
         return;
     }
@@ -64,8 +63,6 @@
     const bodyResult = await readLimitedBody(request, initialTable.configuration.limits.maxBodyBytes, reserve);
     if (bodyResult.kind === "aborted") return;
     if (bodyResult.kind === "tooLarge") {
-        // Without reading on, the rest of the body would reset the connection, and the caller would lose the response.
-        request.resume();
         if (bodyResult.isMemoryExhausted === true) {
             refuseRequest(context, response, 503, "no memory for the body", caller, DEFAULT_RETRY_AFTER_MS);
         }
--- a/src/lib/router/localResponses.ts
+++ b/src/lib/router/localResponses.ts
@@ -11,6 +11,9 @@
 /** Sent as Retry-After of refusals without an estimated wait, such as before the first configuration. */
 export const DEFAULT_RETRY_AFTER_MS = 500;
 
+/** Time for which the rest of a body is read and discarded after an early response. */
+const MAX_BODY_DISCARD_MS = 2000;
+
 /** Returns the header that asks the caller to close the connection while the process stops; otherwise no header. */
 export function connectionCloseHeader(context: ExchangeContext): string[] {
     return context.isStopping() ? ["Connection", "close"] : [];
@@ -108,9 +111,35 @@
         ...localResponseHeaders(retryAfterMs, caller.id),
         "Content-Type": "application/json",
         "Content-Length": Buffer.byteLength(body),
-        ...context.isStopping() || status === 413 ? { Connection: "close" } : {},
+        // What is left of a body would be taken for the next request.
+        ...context.isStopping() || !isBodyReceived(response) ? { Connection: "close" } : {},
     });
-    response.end(body);
+    response.write(body);
+    endAfterBody(response);
+}
+
+function isBodyReceived({ req }: http.ServerResponse): boolean {
+    return req.complete;
+}
+
+/**
+ * Ends a response once the rest of the request's body has been read. If the connection closed before, the caller would
+ * be reset while it sends the body, and could lose the response.
+ */
+function endAfterBody(response: http.ServerResponse): void {
+    const { req: request } = response;
+    if (isBodyReceived(response) || request.destroyed) {
+        response.end();
+        return;
+    }
+    const finish = () => {
+        clearTimeout(timer);
+        request.off("end", finish).off("close", finish);
+        response.end();
+    };
+    const timer = setTimeout(finish, MAX_BODY_DISCARD_MS);
+    request.once("end", finish).once("close", finish);
+    request.resume();
 }
 
 /** Logs the outcome of a request and records it in the metrics. */
