Count the arrival of the body toward a request's time

Callers saw: a request whose body stalled was never answered, and one whose body arrived slowly was answered later than its deadline and its route's timeout. The log had no line of a request whose body never arrived.

Cause: nothing bounded the reading of the body, and the timer started with the whole deadline after it.

One timer starts when the head has arrived. If it fires while the body is read, the answer is 408, which promises that the request didn't run. `request abandoned` is logged if the connection ends before the body does.

--- a/src/lib/node/limitedBody.ts
+++ b/src/lib/node/limitedBody.ts
@@ -5,30 +5,43 @@
     | { readonly kind: "complete"; readonly body: Buffer; }
     /** `isMemoryExhausted` is true if the body is within the limit but exceeds the memory that is free now. */
     | { readonly kind: "tooLarge"; readonly isMemoryExhausted?: boolean; }
+    /** The connection ended, or `signal` was aborted, before the end of the body. */
     | { readonly kind: "aborted"; };
 
-/** Reads a body. `reserve` is called with the size of each buffer and returns false if there is no memory for it. */
-export async function readLimitedBody(
+/**
+ * Reads a body. `reserve` is called with the size of each buffer and returns false if there is no memory for it. The
+ * message is left paused unless its body is complete; it isn't destroyed, because that would close the connection
+ * before the caller reads the response.
+ */
+export function readLimitedBody(
     message: IncomingMessage,
     maxBytes: number,
     reserve: (bytes: number) => boolean = () => true,
+    signal?: AbortSignal,
 ): Promise<BodyResult> {
-    if (Number(message.headers["content-length"] ?? 0) > maxBytes) return { kind: "tooLarge" };
+    if (Number(message.headers["content-length"] ?? 0) > maxBytes) return Promise.resolve({ kind: "tooLarge" });
+    if (message.destroyed && !message.readableEnded) return Promise.resolve({ kind: "aborted" });
     const buffers: Buffer[] = [];
     let size = 0;
-    try {
-        // Destroying a request would close the connection before the caller reads the response.
-        for await (const buffer of message.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
+    return new Promise(resolve => {
+        function finish(result: BodyResult): void {
+            message.off("data", onData).off("end", onEnd).off("error", onAborted).off("close", onAborted);
+            signal?.removeEventListener("abort", onAborted);
+            if (result.kind !== "complete") message.pause();
+            resolve(result);
+        }
+        function onData(buffer: Buffer): void {
             size += buffer.length;
-            if (size > maxBytes) return { kind: "tooLarge" };
-            if (!reserve(buffer.length)) return { kind: "tooLarge", isMemoryExhausted: true };
-            buffers.push(buffer);
+            if (size > maxBytes) finish({ kind: "tooLarge" });
+            else if (!reserve(buffer.length)) finish({ kind: "tooLarge", isMemoryExhausted: true });
+            else buffers.push(buffer);
         }
-    }
-    catch {
-        return { kind: "aborted" };
-    }
-    return { kind: "complete", body: Buffer.concat(buffers) };
+        const onEnd = () => finish({ kind: "complete", body: Buffer.concat(buffers) });
+        const onAborted = () => finish({ kind: "aborted" });
+        message.on("data", onData).once("end", onEnd).once("error", onAborted).once("close", onAborted);
+        signal?.addEventListener("abort", onAborted, { once: true });
+        if (signal?.aborted === true) onAborted();
+    });
 }
 
 /** Memory for buffered bodies. */
--- a/src/lib/observability/explain.ts
+++ b/src/lib/observability/explain.ts
@@ -146,6 +146,9 @@
                     retryDenial ?? reason
                 }): ${reason} (${attempts}).`;
         })
+        .with({ event: "request abandoned", reason: P.string.endsWith("the end of its body") }, () => {
+            return "The caller disconnected before the end of its body.";
+        })
         .otherwise(({ waitedMs, tookMs, firstEventMs }) => {
             if (firstEventMs !== undefined) return `The caller disconnected after its first event (${attempts}).`;
             if (attempts === "") return `The caller disconnected after ${tookMs} ms while waiting for a server.`;
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -3,17 +3,24 @@
  * a backend server, sends the request and, where that is safe, retries it at another server.
  */
 import type * as http from "node:http";
-import { type Assignment, type AssignmentResult, chooseService, type DispatchRequest } from "../core/serving/index.js";
+import {
+    type Assignment,
+    type AssignmentResult,
+    chooseService,
+    type DispatchRequest,
+    type Route,
+} from "../core/serving/index.js";
 import { canRetry, type Verdict } from "../core/verdict.js";
-import { readLimitedBody } from "../node/limitedBody.js";
-import { parseCallerRequest } from "../platform/index.js";
+import { type BodyResult, readLimitedBody } from "../node/limitedBody.js";
+import { type CallerRequest, parseCallerRequest } from "../platform/index.js";
 import { runAttempt } from "./attempt.js";
-import { type Exchange, type ExchangeContext, isRetryableRoute, RetryDenial } from "./exchangeState.js";
+import { CancelReason, type Exchange, type ExchangeContext, isRetryableRoute, RetryDenial } from "./exchangeState.js";
 import {
     DEFAULT_RETRY_AFTER_MS,
     finishCancelled,
     finishFailed,
     finishRefused,
+    recordAbandonedBody,
     recordEnd,
     refuseRequest,
 } from "./localResponses.js";
@@ -60,70 +67,97 @@
         refuseRequest(context, response, 503, "no configuration", caller, DEFAULT_RETRY_AFTER_MS);
         return;
     }
-    const bodyResult = await readLimitedBody(request, initialTable.configuration.limits.maxBodyBytes, reserve);
-    if (bodyResult.kind === "aborted") return;
-    if (bodyResult.kind === "tooLarge") {
-        if (bodyResult.isMemoryExhausted === true) {
-            refuseRequest(context, response, 503, "no memory for the body", caller, DEFAULT_RETRY_AFTER_MS);
-        }
-        else refuseRequest(context, response, 413, "body too large", caller);
-        return;
-    }
-    const { body } = bodyResult;
     const host = (request.headers.host ?? "").split(":")[0] ?? "";
     const path = (request.url ?? "/").split("?")[0] ?? "/";
-    // The configuration may have changed while the body was read.
-    const currentTable = context.routeTable() ?? initialTable;
-    const route = currentTable.findRoute(host, path);
-    if (route === undefined) {
-        refuseRequest(context, response, 404, "no route", caller);
-        return;
-    }
-    const requiresKey = currentTable.configuration.accounts !== undefined && !route.isPublic;
-    const account = caller.key === undefined || !requiresKey ? undefined : currentTable.findAccount(caller.key);
-    if (requiresKey && account === undefined) {
-        refuseRequest(context, response, 401, "unknown key", caller);
-        return;
-    }
-    const deadlineMs = Math.min(caller.deadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
-    const cancellation = new AbortController();
-    const exchange: Exchange = {
-        context,
-        id: context.nextExchangeId(),
-        request,
-        response,
-        caller,
-        route,
-        account,
-        body,
-        arrivedAt,
-        expiresAt: arrivedAt + deadlineMs,
-        cancellation,
-        triedServerIds: new Set(),
-        verdicts: [],
-        streamParser: undefined,
-        weightsVersion: undefined,
-        dispatchId: "",
-        attemptSummaries: [],
-        waitedMs: 0,
-        prediction: undefined,
-        firstEventAt: undefined,
-        retryDenial: undefined,
+    const expiresAtOn = (route: Route | undefined) => {
+        const deadlineMs = caller.deadlineMs ?? DEFAULT_DEADLINE_MS;
+        return arrivedAt + Math.min(deadlineMs, route?.timeoutMs ?? DEFAULT_DEADLINE_MS);
     };
-    const expiry = setTimeout(() => cancellation.abort("expired"), deadlineMs);
+    const cancellation = new AbortController();
+    const startExpiry = (expiresAt: number) =>
+        setTimeout(() => cancellation.abort(CancelReason.expired), expiresAt - context.now());
+    let expiry = startExpiry(expiresAtOn(initialTable.findRoute(host, path)));
     response.on("close", () => {
-        if (!response.writableFinished) cancellation.abort("caller left");
+        if (!response.writableFinished) cancellation.abort(CancelReason.callerLeft);
     });
+    try {
+        const { maxBodyBytes } = initialTable.configuration.limits;
+        const bodyResult = await readLimitedBody(request, maxBodyBytes, reserve, cancellation.signal);
+        if (bodyResult.kind !== "complete") {
+            finishWithoutBody(context, response, caller, bodyResult, cancellation.signal);
+            return;
+        }
+        // The configuration may have changed while the body was read.
+        const currentTable = context.routeTable() ?? initialTable;
+        const route = currentTable.findRoute(host, path);
+        if (route === undefined) {
+            refuseRequest(context, response, 404, "no route", caller);
+            return;
+        }
+        const requiresKey = currentTable.configuration.accounts !== undefined && !route.isPublic;
+        const account = caller.key === undefined || !requiresKey ? undefined : currentTable.findAccount(caller.key);
+        if (requiresKey && account === undefined) {
+            refuseRequest(context, response, 401, "unknown key", caller);
+            return;
+        }
+        const expiresAt = expiresAtOn(route);
+        clearTimeout(expiry);
+        expiry = startExpiry(expiresAt);
+        await serveWithBody({
+            context,
+            id: context.nextExchangeId(),
+            request,
+            response,
+            caller,
+            route,
+            account,
+            body: bodyResult.body,
+            arrivedAt,
+            expiresAt,
+            cancellation,
+            triedServerIds: new Set(),
+            verdicts: [],
+            streamParser: undefined,
+            weightsVersion: undefined,
+            dispatchId: "",
+            attemptSummaries: [],
+            waitedMs: 0,
+            prediction: undefined,
+            firstEventAt: undefined,
+            retryDenial: undefined,
+        });
+    }
+    finally {
+        clearTimeout(expiry);
+    }
+}
+
+/** Ends a request whose body wasn't read completely. */
+function finishWithoutBody(
+    context: ExchangeContext,
+    response: http.ServerResponse,
+    caller: CallerRequest,
+    result: Exclude<BodyResult, { kind: "complete"; }>,
+    { reason }: AbortSignal,
+): void {
+    const refuse = (status: number, text: string, retryAfterMs?: number) =>
+        refuseRequest(context, response, status, text, caller, retryAfterMs);
+    if (result.kind === "aborted") {
+        if (reason === CancelReason.expired) refuse(408, "body not received in time");
+        else recordAbandonedBody(context, caller);
+    }
+    else if (result.isMemoryExhausted === true) refuse(503, "no memory for the body", DEFAULT_RETRY_AFTER_MS);
+    else refuse(413, "body too large");
+}
+
+async function serveWithBody(exchange: Exchange): Promise<void> {
     try {
         await runAttempts(exchange);
     }
     catch (error) {
-        context.log.warn("request failed", { id: caller.id, error: (error as Error).message });
+        exchange.context.log.warn("request failed", { id: exchange.caller.id, error: (error as Error).message });
         finishFailed(exchange, "internal error");
     }
-    finally {
-        clearTimeout(expiry);
-    }
 }
 
 async function runAttempts(exchange: Exchange): Promise<void> {
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -42,6 +42,12 @@
     readonly isDraining: () => boolean;
 }
 
+/** Why an exchange was cancelled; the values are the texts for the log. */
+export const CancelReason = {
+    callerLeft: "the caller left",
+    expired: "the time is over",
+} as const;
+
 export interface Exchange {
     readonly context: ExchangeContext;
     /** Unique in this process. `caller.id` is only for logs and headers. */
--- a/src/lib/router/localResponses.ts
+++ b/src/lib/router/localResponses.ts
@@ -6,7 +6,7 @@
 import type { DispatchRequest, Refusal } from "../core/serving/index.js";
 import { combineVerdicts, Verdict } from "../core/verdict.js";
 import { type CallerRequest, localResponseHeaders } from "../platform/index.js";
-import type { BufferedResponse, Exchange, ExchangeContext } from "./exchangeState.js";
+import { type BufferedResponse, CancelReason, type Exchange, type ExchangeContext } from "./exchangeState.js";
 
 /** Sent as Retry-After of refusals without an estimated wait, such as before the first configuration. */
 export const DEFAULT_RETRY_AFTER_MS = 500;
@@ -30,18 +30,19 @@
 /** Ends a request whose caller disconnected or whose time expired. */
 export function finishCancelled(exchange: Exchange): void {
     const { response } = exchange;
-    if (exchange.cancellation.signal.reason === "caller left") {
-        recordEnd(exchange, "abandoned", "the caller left");
+    const reason = String(exchange.cancellation.signal.reason);
+    if (reason === CancelReason.callerLeft) {
+        recordEnd(exchange, "abandoned", reason);
         return;
     }
     if (response.headersSent) {
         response.destroy();
-        recordEnd(exchange, "failed", "the time is over");
+        recordEnd(exchange, "failed", reason);
         return;
     }
     const mayHaveRun = combineVerdicts(exchange.verdicts) !== Verdict.notRun;
     // A request that was cancelled at its server may have run, so the status is 504; a 503 would claim that it didn't.
-    finishLocally(exchange, mayHaveRun ? 504 : 503, "the time is over", undefined);
+    finishLocally(exchange, mayHaveRun ? 504 : 503, reason, undefined);
 }
 
 /** Ends a request for which no server could be assigned. */
@@ -142,6 +143,11 @@
     request.resume();
 }
 
+/** Logs that a caller disconnected before its body had arrived. */
+export function recordAbandonedBody({ log }: ExchangeContext, { id }: CallerRequest): void {
+    log.warn("request abandoned", { id, reason: "the caller left before the end of its body" });
+}
+
 /** Logs the outcome of a request and records it in the metrics. */
 export function recordEnd(exchange: Exchange, outcome: string, reason: string, extraFields: object = {}): void {
     const { context, caller, route, account } = exchange;
--- a/src/test/observability/explain.test.ts
+++ b/src/test/observability/explain.test.ts
@@ -45,6 +45,8 @@
         ],
         ["request abandoned", { reason: "the caller left", attempts: ["i-1 x"] }, /servers did not respond \(i-1 x\)/],
         ["request abandoned", { reason: "the caller left", firstEventMs: 9 }, /disconnected after its first event/],
+        ["request abandoned", { reason: "the caller left before the end of its body" }, /before the end of its body/],
+        ["request refused", { reason: "body not received in time", status: 408 }, /without having been executed: body/],
         ["request answered", { reason: "200", firstEventMs: 390 }, /on time/],
         ["request answered", { reason: "200", firstEventMs: 900, waitedMs: 700 }, /it waited 700 ms/],
         ["request answered", { reason: "200", firstEventMs: 900, attempts: ["i-1 x", "i-2 200"] }, /it was retried/],
--- a/src/test/router/requestBody.test.ts
+++ b/src/test/router/requestBody.test.ts
@@ -27,3 +27,32 @@
     assert.equal(caller.error(), undefined);
     assert.equal((await caller.nextResponse()).status, 413);
 });
+
+// Guards against a body that never ends and is never answered, and against a time limit that restarts at its end.
+test("a caller that stalls in its body is answered at its deadline", async () => {
+    const caller = await entry.openCaller();
+    const startedAt = Date.now();
+    const headers = { "Content-Length": "10", "Deadline-Ms": "800" };
+    caller.send(`${formatRequest({ path: "/book/", id: "a", headers })}half`);
+    const response = await Promise.race([caller.nextResponse(), sleep(3000)]);
+    assert.ok(typeof response === "object" && response !== null && "status" in response, "no response within 3 s");
+    assert.equal(response.status, 408);
+    assert.ok(Date.now() - startedAt < 1300, `${Date.now() - startedAt} ms`);
+    assert.equal(entry.runner.requests.length, 0);
+});
+
+// Guards against a request whose time limit starts again once its body has been read.
+test("the time that a body takes to arrive counts toward the deadline", async () => {
+    const caller = await entry.openCaller();
+    respond = () => undefined;
+    const startedAt = Date.now();
+    caller.send(
+        `${
+            formatRequest({ path: "/book/", id: "a", headers: { "Content-Length": "10", "Deadline-Ms": "1000" } })
+        }half1`,
+    );
+    await sleep(700);
+    caller.send("half2");
+    assert.equal((await caller.nextResponse()).status, 504);
+    assert.ok(Date.now() - startedAt < 1400, `${Date.now() - startedAt} ms`);
+});
