Answer requests in progress when the grace period ends

Callers saw, beside a SIGTERM: requests that the entry had read ended without an answer, those that waited for a server too.

Cause: 600 ms before the end of the grace period the entry closed all connections, whatever was in progress on them. A request that came before the entry stopped accepting may have until its route's timeout.

The entry cancels what is left and waits up to 300 ms for the responses: 503 if the request can't have run, else 502. Streams that have begun are still cut off.

--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -76,6 +76,7 @@
     const cancellation = new AbortController();
     const startExpiry = (expiresAt: number) =>
         setTimeout(() => cancellation.abort(CancelReason.expired), expiresAt - context.now());
+    context.cancellations.add(cancellation);
     let expiry = startExpiry(expiresAtOn(initialTable.findRoute(host, path)));
     response.on("close", () => {
         if (!response.writableFinished) cancellation.abort(CancelReason.callerLeft);
@@ -129,6 +130,7 @@
     }
     finally {
         clearTimeout(expiry);
+        context.cancellations.delete(cancellation);
     }
 }
 
@@ -144,6 +146,7 @@
         refuseRequest(context, response, status, text, caller, retryAfterMs);
     if (result.kind === "aborted") {
         if (reason === CancelReason.expired) refuse(408, "body not received in time");
+        else if (reason === CancelReason.stopping) refuse(503, reason, 0);
         else recordAbandonedBody(context, caller);
     }
     else if (result.isMemoryExhausted === true) refuse(503, "no memory for the body", DEFAULT_RETRY_AFTER_MS);
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -40,12 +40,15 @@
     readonly isStopping: () => boolean;
     /** True once the stopping process accepts no new requests; it finishes those in progress. */
     readonly isDraining: () => boolean;
+    /** Cancellations of all exchanges in progress, for the end of the grace period. */
+    readonly cancellations: Set<AbortController>;
 }
 
 /** Why an exchange was cancelled; the values are the texts for the log. */
 export const CancelReason = {
     callerLeft: "the caller left",
     expired: "the time is over",
+    stopping: "process stopping",
 } as const;
 
 export interface Exchange {
--- a/src/lib/router/localResponses.ts
+++ b/src/lib/router/localResponses.ts
@@ -27,7 +27,7 @@
     response.end(exchange.request.method === "HEAD" ? undefined : body);
 }
 
-/** Ends a request whose caller disconnected or whose time expired. */
+/** Ends a request whose caller disconnected, whose time expired or that outlasts the grace period of a stop. */
 export function finishCancelled(exchange: Exchange): void {
     const { response } = exchange;
     const reason = String(exchange.cancellation.signal.reason);
@@ -41,8 +41,9 @@
         return;
     }
     const mayHaveRun = combineVerdicts(exchange.verdicts) !== Verdict.notRun;
-    // A request that was cancelled at its server may have run, so the status is 504; a 503 would claim that it didn't.
-    finishLocally(exchange, mayHaveRun ? 504 : 503, reason, undefined);
+    // A request that was cancelled at its server may have run; a 503 would claim that it didn't.
+    if (reason === CancelReason.stopping) finishLocally(exchange, mayHaveRun ? 502 : 503, reason, 0);
+    else finishLocally(exchange, mayHaveRun ? 504 : 503, reason, undefined);
 }
 
 /** Ends a request for which no server could be assigned. */
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -34,7 +34,7 @@
 import { createBackendConnections } from "./backendConnections.js";
 import { startCallerServer, startReadinessServer } from "./callerServer.js";
 import { serveExchange } from "./exchange.js";
-import type { ExchangeContext } from "./exchangeState.js";
+import { CancelReason, type ExchangeContext } from "./exchangeState.js";
 import { createOperatorState } from "./operatorState.js";
 import { createPeerExchange, HEARTBEAT_INTERVAL_MS } from "./peerExchange.js";
 import { createReservations, reportLagMs } from "./reservations.js";
@@ -67,9 +67,12 @@
 /** The load balancer detects an unready process within two checks, which are one second apart. */
 const UNREADY_DETECTION_MS = 2200;
 
-/** Part of the grace period (`bounds.graceMs`) that is reserved for closing connections. */
+/** Part of the grace period (`bounds.graceMs`) that is reserved for answering the rest and closing connections. */
 const CLOSE_MARGIN_MS = 600;
 
+/** Part of that time in which the responses to cancelled requests are sent. */
+const RESPONSE_MARGIN_MS = 300;
+
 /** Interval at which `stop` checks whether requests are still in progress. */
 const DRAIN_POLL_INTERVAL_MS = 50;
 
@@ -172,6 +175,7 @@
         nextExchangeId: () => ++exchangeCount,
         isStopping: () => isStopping,
         isDraining: () => isDraining,
+        cancellations: new Set(),
     };
     log.info("process started", {
         ip: settings.ip,
@@ -298,6 +302,11 @@
             await sleep(DRAIN_POLL_INTERVAL_MS);
             if ((callerServer?.inProgressCount() ?? 0) > 0) idleSince = now();
         }
+        for (const cancellation of context.cancellations) cancellation.abort(CancelReason.stopping);
+        const responseDeadline = now() + RESPONSE_MARGIN_MS;
+        while ((callerServer?.inProgressCount() ?? 0) > 0 && now() < responseDeadline) {
+            await sleep(DRAIN_POLL_INTERVAL_MS);
+        }
         clearInterval(heartbeatTimer);
         clearTimeout(dispatchTimer);
         for (const feed of feeds) feed.stop();
--- a/src/test/router/gracefulStop.test.ts
+++ b/src/test/router/gracefulStop.test.ts
@@ -57,3 +57,39 @@
     assert.equal((await keeper.nextResponse()).status, 200);
     await stopped;
 });
+
+// Guards against requests that were read and end without an answer when the grace period is over.
+test("requests in progress are answered before the process ends", async () => {
+    respond = () => undefined;
+    const [sent, waiting] = [await entry.openCaller(), await entry.openCaller()];
+    const headers = { "Deadline-Ms": "6000" };
+    const stopped = sleep(0).then(() => entry.router.stop());
+    await sleep(1500);
+    sent.send(formatRequest({ path: "/book/", id: "a", headers, body: "x" }));
+    await waitUntil(() => entry.runner.requests.length === 1);
+    waiting.send(formatRequest({ path: "/book/", id: "b", headers, body: "x" }));
+    await stopped;
+    // The first may have run; the second can't have.
+    assert.deepEqual([(await sent.nextResponse()).status, (await waiting.nextResponse()).status], [502, 503]);
+});
+
+// Guards against a refusal that its caller loses because it is still sending its body.
+test("a request with a long body is refused while the process stops", async () => {
+    const [caller, keeper] = [await entry.openCaller(), await entry.openCaller()];
+    respond = request => void setTimeout(() => respondOk(request), 3000);
+    keeper.send(formatRequest({ path: "/book/", id: "k", headers: { "Deadline-Ms": "6000" }, body: "x" }));
+    await waitUntil(() => entry.runner.requests.length === 1);
+    const stopped = entry.router.stop();
+    await sleep(DRAINING_MS - 300);
+    caller.send(formatRequest({ path: "/read/", id: "a", headers: { "Content-Length": "10" } }));
+    const late = await entry.openCaller();
+    await sleep(400);
+    caller.send("x".repeat(10));
+    late.send(`${formatRequest({ path: "/read/", id: "b", headers: { "Content-Length": "10" } })}half1`);
+    await sleep(200);
+    late.send("half2");
+    assert.equal((await late.nextResponse()).status, 503);
+    assert.notEqual((await caller.nextResponse()).status, 0);
+    await stopped;
+    assert.deepEqual([late.error(), caller.error()], [undefined, undefined]);
+});
