Take responses without a body as complete after their head

Callers saw: a 204, a 304 or an answer to HEAD without a length was answered with 504 at the deadline, or 502 after the server had closed the connection. An answer to HEAD with a length reached its caller with the length 0.

Cause: a response with neither a length nor chunks counted as one that ends with its connection. These three never have a body, so the entry waited for the end of a kept connection.

Evidence: bodylessResponse.test on the code before: statuses 504, 504 and 502 (expected 204, 304 and 200); all pass now.

--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -4,6 +4,7 @@
 import { type Assignment, Outcome, RequestKind } from "../core/serving/index.js";
 import { Verdict } from "../core/verdict.js";
 import { readLimitedBody } from "../node/limitedBody.js";
+import { hasResponseBody } from "../node/responseBody.js";
 import { createSilenceTimer } from "../node/silenceTimer.js";
 import {
     forwardedRequestHeaders,
@@ -190,7 +191,10 @@
     if (isStreamResponse(exchange, response)) return relayStream(exchange, response, stream);
     const memory = exchange.context.bodyBudget.open();
     try {
-        const bodyResult = await readLimitedBody(response, MAX_RESPONSE_BODY_BYTES, memory.reserve);
+        const maxBytes = hasResponseBody(exchange.request.method, status) ?
+            MAX_RESPONSE_BODY_BYTES :
+            Number.POSITIVE_INFINITY;
+        const bodyResult = await readLimitedBody(response, maxBytes, memory.reserve);
         const isComplete = bodyResult.kind === "complete" && metadata.isSigned &&
             await exchange.context.connections.isComplete(response);
         if (!isComplete) {
@@ -208,7 +212,14 @@
 /** Sends a complete response to the caller, unless it is a server error that a retry may replace. */
 function deliverBuffered(exchange: Exchange, response: http.IncomingMessage, body: Buffer): AttemptResult {
     const status = response.statusCode ?? 0;
-    const buffered = { status, headers: forwardedResponseHeaders(response.rawHeaders), body };
+    const buffered = {
+        status,
+        headers: forwardedResponseHeaders(response.rawHeaders),
+        body,
+        contentLength: hasResponseBody(exchange.request.method, status) ?
+            String(body.length) :
+            response.headers["content-length"],
+    };
     if (status >= 500) {
         return {
             kind: "failed",
--- a/src/lib/router/backendConnections.ts
+++ b/src/lib/router/backendConnections.ts
@@ -8,6 +8,7 @@
 import type { Duplex } from "node:stream";
 import VError from "verror";
 import { Verdict } from "../core/verdict.js";
+import { hasResponseBody } from "../node/responseBody.js";
 
 export interface BackendRequest {
     readonly serverId: string;
@@ -116,7 +117,9 @@
                 if (++informationalCount > MAX_INFORMATIONAL_RESPONSES) abort("too many informational responses");
             });
             outgoing.on("response", response => {
-                if (isCloseDelimited(response)) cleanCloses.set(response, awaitCleanClose(response.socket, outgoing));
+                if (isCloseDelimited(request.method, response)) {
+                    cleanCloses.set(response, awaitCleanClose(response.socket, outgoing));
+                }
                 resolve(response);
             });
             outgoing.end(request.body);
@@ -145,8 +148,9 @@
     return new VError({ name: "SendError", info: { verdict } }, "%s", message);
 }
 
-function isCloseDelimited({ headers }: http.IncomingMessage): boolean {
-    return headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
+function isCloseDelimited(method: string, { headers, statusCode }: http.IncomingMessage): boolean {
+    return hasResponseBody(method, statusCode) && headers["content-length"] === undefined &&
+        headers["transfer-encoding"] === undefined;
 }
 
 /**
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -121,6 +121,8 @@
     readonly status: number;
     readonly headers: string[];
     readonly body: Buffer;
+    /** Value of `Content-Length`. In a response without a body it describes another one; `undefined` sends none. */
+    readonly contentLength: string | undefined;
 }
 
 /** Tells whether a request may be sent again after a server may have run it. */
--- a/src/lib/router/localResponses.ts
+++ b/src/lib/router/localResponses.ts
@@ -20,11 +20,12 @@
 }
 
 /** Sends a buffered response to the caller, unless a response has already started. */
-export function sendBuffered(exchange: Exchange, { status, headers, body }: BufferedResponse): void {
+export function sendBuffered(exchange: Exchange, { status, headers, body, contentLength }: BufferedResponse): void {
     const { response, context } = exchange;
     if (response.headersSent || response.destroyed) return;
-    response.writeHead(status, [...headers, "Content-Length", String(body.length), ...connectionCloseHeader(context)]);
-    response.end(exchange.request.method === "HEAD" ? undefined : body);
+    const lengthHeader = contentLength === undefined ? [] : ["Content-Length", contentLength];
+    response.writeHead(status, [...headers, ...lengthHeader, ...connectionCloseHeader(context)]);
+    response.end(body);
 }
 
 /** Ends a request whose caller disconnected, whose time expired or that outlasts the grace period of a stop. */
