Stop using a server once a response says that it is leaving

Callers would see streams cut off and refusals from a server that had said in every response (Server-Leaving: 1) that it was going, for as long as its row said "ready": until the store accepted the change, and again whenever the row lapsed in an outage and returned.

Cause: only rows made a server leaving, and the mark was lost with the row.

The head of each response (success, failure, 421, 503, stream) now marks the incarnation that sent it, and the registry remembers marked incarnations without a row. An incarnation without a start time is remembered only while it has a row, because its successor couldn't be told apart. A 421 that names another server marks that one, if it is the one at this address. Requests in progress go on. The header is passed on like other headers of a server. Entries don't tell each other: a leaving server still serves for a while, and each entry learns of it from its own first response.

--- a/src/lib/core/serving/serverRegistry.ts
+++ b/src/lib/core/serving/serverRegistry.ts
@@ -4,7 +4,8 @@
  *
  * A row that disappears during an outage of the registry may only have lapsed because the server's heartbeats could not
  * be stored. Such a server is kept as suspect for as long as live servers need to register again. A server that has
- * announced that it is leaving never becomes usable again under the same incarnation.
+ * announced that it is leaving, in its row or in a response, never becomes usable again under the same incarnation,
+ * even if its row lapses and returns.
  */
 
 /** Weights that an engine has loaded completely. */
@@ -28,6 +29,9 @@
     readonly weights: LoadedWeights | undefined;
 }
 
+/** Identifies one start of a server. */
+export type ServerIncarnation = Pick<BackendServer, "id" | "startedAt">;
+
 export interface RegisteredServer {
     readonly server: BackendServer;
     /** Time at which the row lapsed during an outage of the registry; `undefined` if it did not. */
@@ -41,6 +45,13 @@
      * time at which the registry was seen failing; `undefined` for never.
      */
     remove(id: string, now: number, lastOutageAt: number | undefined): void;
+    /**
+     * Records that an incarnation announced in a response that it is leaving; it need not be registered. Returns false
+     * if that was known.
+     */
+    markLeaving(server: ServerIncarnation): boolean;
+    /** Returns whether an incarnation is registered, isn't leaving and hasn't been suspect for too long. */
+    isUsable(server: BackendServer, now: number): boolean;
     get(id: string): BackendServer | undefined;
     /** Returns the server at an address, if it is the one that started at `startedAt`. */
     findAt(address: string, startedAt: number): BackendServer | undefined;
@@ -68,20 +79,49 @@
 /** Time after an outage in which a missing row may have lapsed: such rows are missing in the first reads after it. */
 export const OUTAGE_GRACE_MS = 1000;
 
+/** Incarnations that are remembered as leaving without a row; the oldest ones have long ended. */
+const MAX_LEAVING_INCARNATIONS = 4096;
+
 /** `drainMs` returns the time for which a server that left may still receive requests. */
 export function createServerRegistry(drainMs: () => number): ServerRegistry {
     const registered = new Map<string, RegisteredServer>();
+    /** Keys of incarnations that announced that they are leaving, oldest first. */
+    const leavingKeys = new Set<string>();
     /** Usable servers by service, and the time at which the first suspicion timeout among them passes. */
     const usableByService = new Map<string, { servers: readonly BackendServer[]; validUntil: number; }>();
 
     function put(server: BackendServer): void {
         const previous = registered.get(server.id)?.server;
         const isSameIncarnation = previous !== undefined && previous.startedAt === server.startedAt;
-        const isLeaving = server.isLeaving || (isSameIncarnation && previous.isLeaving);
+        const isLeaving = server.isLeaving || (isSameIncarnation && previous.isLeaving) ||
+            leavingKeys.has(incarnationKey(server));
+        if (isLeaving) rememberLeaving(server);
         registered.set(server.id, { server: { ...server, isLeaving }, suspectedSince: undefined });
         usableByService.clear();
     }
 
+    /** Without a start time, incarnations can't be told apart, and a later one would never become usable. */
+    function rememberLeaving(server: ServerIncarnation): void {
+        if (server.startedAt === 0) return;
+        leavingKeys.add(incarnationKey(server));
+        if (leavingKeys.size <= MAX_LEAVING_INCARNATIONS) return;
+        for (const oldestKey of leavingKeys) {
+            leavingKeys.delete(oldestKey);
+            return;
+        }
+    }
+
+    function markLeaving(incarnation: ServerIncarnation): boolean {
+        const current = registered.get(incarnation.id);
+        const isKnown = leavingKeys.has(incarnationKey(incarnation));
+        rememberLeaving(incarnation);
+        if (current === undefined || current.server.startedAt !== incarnation.startedAt) return !isKnown;
+        if (current.server.isLeaving) return false;
+        registered.set(incarnation.id, { ...current, server: { ...current.server, isLeaving: true } });
+        usableByService.clear();
+        return true;
+    }
+
     function remove(id: string, now: number, lastOutageAt: number | undefined): void {
         const current = registered.get(id);
         if (current === undefined) return;
@@ -125,6 +165,9 @@
     return {
         put,
         remove,
+        markLeaving,
+        isUsable: ({ service, id, startedAt }, now) =>
+            usable(service, now).some(server => server.id === id && server.startedAt === startedAt),
         get: id => registered.get(id)?.server,
         findAt: (address, startedAt) => {
             for (const { server } of registered.values()) {
@@ -137,3 +180,8 @@
         expire,
     };
 }
+
+/** Returns a key that differs between the starts of a server. */
+export function incarnationKey({ id, startedAt }: ServerIncarnation): string {
+    return `${id} ${startedAt}`;
+}
--- a/src/lib/observability/servingMetrics.ts
+++ b/src/lib/observability/servingMetrics.ts
@@ -7,6 +7,7 @@
     readonly refusals: Counter<"reason">;
     readonly sends: Counter<"result">;
     readonly reservations: Counter<"result">;
+    readonly serverNotices: Counter<"notice">;
     readonly firstEventMs: Histogram<"kind">;
     readonly waitMs: Histogram<"kind">;
     /** Time to the first event, divided by the prediction that placed the request. */
@@ -41,6 +42,11 @@
         refusals: counter("endivewell_refusals_total", "Refused requests by reason.", ["reason"]),
         sends: counter("endivewell_sends_total", "Requests sent to backend servers by result.", ["result"]),
         reservations: counter("endivewell_reservations_total", "Reservations at other entries by result.", ["result"]),
+        serverNotices: counter(
+            "endivewell_server_notices_total",
+            "Changes of availability that servers announced in responses.",
+            ["notice"],
+        ),
         firstEventMs: histogram("endivewell_first_event_ms", "Time to the answer or the first event.", ["kind"]),
         waitMs: histogram("endivewell_wait_ms", "Time until a request was sent to a backend server.", ["kind"]),
         predictionRatio: histogram(
--- a/src/lib/platform/headers.ts
+++ b/src/lib/platform/headers.ts
@@ -55,6 +55,8 @@
      * doesn't report it.
      */
     readonly slowdown: number | undefined;
+    /** True if the server that responded is leaving and must get no new requests. */
+    readonly isLeaving: boolean;
 }
 
 /** Headers that apply to a single connection and aren't forwarded. */
@@ -143,6 +145,7 @@
         weightsVersion: Number.isInteger(weightsVersion) ? weightsVersion : undefined,
         load: hasLoad ? { running: running ?? 0, waiting: waiting ?? 0 } : undefined,
         slowdown: Number.isFinite(percentOfUsualTime) && percentOfUsualTime > 0 ? percentOfUsualTime / 100 : undefined,
+        isLeaving: firstValue(headers["server-leaving"]) === "1",
     };
 }
 
--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -81,6 +81,7 @@
             isRetryable: isRetryableRoute(route),
         });
         const metadata = parseResponseMetadata(response.headers);
+        context.serverNotices.record(server, response.statusCode ?? 0, metadata);
         if (metadata.slowdown !== undefined) {
             context.speed.recordReport(server.id, metadata.slowdown, context.now());
         }
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -17,6 +17,7 @@
 import type { BackendConnections } from "./backendConnections.js";
 import type { EventStreamParser } from "./eventStreamParser.js";
 import type { Reservations } from "./reservations.js";
+import type { ServerNotices } from "./serverNotices.js";
 
 export interface ExchangeContext {
     /** Current routes; `undefined` until a configuration has been received. */
@@ -27,6 +28,7 @@
     readonly retryBudget: SharedRetryBudget;
     readonly health: ServerHealth;
     readonly speed: ServerSpeed;
+    readonly serverNotices: ServerNotices;
     /** Memory for the bodies of all requests and responses in progress. */
     readonly bodyBudget: BodyBudget;
     readonly log: EventLog;
--- a/src/lib/router/operatorState.ts
+++ b/src/lib/router/operatorState.ts
@@ -90,7 +90,7 @@
             log.info("server changed", {
                 server: row.key,
                 revision: row.revision,
-                state: server === undefined ? "gone" : server.isLeaving ? "leaving" : "ready",
+                state: server === undefined ? "gone" : registry.get(row.key)?.isLeaving === true ? "leaving" : "ready",
                 service: server?.service ?? registered?.service,
                 weights: server?.weights?.version,
                 address: server?.address ?? registered?.address,
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -38,6 +38,7 @@
 import { createOperatorState } from "./operatorState.js";
 import { createPeerExchange, HEARTBEAT_INTERVAL_MS } from "./peerExchange.js";
 import { createReservations, reportLagMs } from "./reservations.js";
+import { createServerNotices } from "./serverNotices.js";
 
 export interface Router {
     /** Ports of the caller server and the readiness server; 0 if the settings name no address for one. */
@@ -167,6 +168,7 @@
         retryBudget,
         health,
         speed,
+        serverNotices: createServerNotices({ registry, log, metrics }),
         bodyBudget: createBodyBudget(MAX_BUFFERED_BODY_BYTES),
         log,
         metrics,
--- a/src/test/core/serving/serverRegistry.test.ts
+++ b/src/test/core/serving/serverRegistry.test.ts
@@ -31,6 +31,40 @@
     assert.deepEqual(idsOf(registry.usable("s", 0)), ["a"]);
 });
 
+// Guards against new requests to a server that announced its leaving in a response, when its row is rewritten, lapses
+// and returns, or arrives after the response.
+test("a server that announced its leaving in a response isn't usable again until it restarts", () => {
+    const registry = createServerRegistry(() => DRAIN_MS);
+    registry.put(serverOf("a"));
+    const usableIds = () => idsOf(registry.usable("s", 0));
+    assert.deepEqual(usableIds(), ["a"]);
+    assert.equal(registry.markLeaving(serverOf("a")), true);
+    assert.equal(registry.markLeaving(serverOf("a")), false, "a second time");
+    assert.deepEqual(usableIds(), []);
+    registry.put(serverOf("a", { slots: 5 }));
+    assert.deepEqual(usableIds(), [], "after a row that says ready");
+    registry.remove("a", 0, undefined);
+    registry.put(serverOf("a"));
+    assert.deepEqual(usableIds(), [], "after the row's return");
+    registry.markLeaving(serverOf("b"));
+    registry.put(serverOf("b"));
+    assert.deepEqual(usableIds(), [], "before its row");
+    registry.put(serverOf("a", { startedAt: 2 }));
+    assert.equal(registry.markLeaving(serverOf("a")), false, "a response of the earlier incarnation");
+    assert.deepEqual(usableIds(), ["a"]);
+});
+
+// Guards against a server without a start time that stays out of use after its row was removed.
+test("a server whose start is unknown is usable again once its row was removed", () => {
+    const registry = createServerRegistry(() => DRAIN_MS);
+    registry.put(serverOf("a", { startedAt: 0, isLeaving: true }));
+    registry.put(serverOf("a", { startedAt: 0 }));
+    assert.deepEqual(idsOf(registry.usable("s", 0)), []);
+    registry.remove("a", 0, undefined);
+    registry.put(serverOf("a", { startedAt: 0 }));
+    assert.deepEqual(idsOf(registry.usable("s", 0)), ["a"]);
+});
+
 // Guards against losing the whole pool at all entries because the registry's rows lapsed while the store was down.
 test("a server whose row lapsed in an outage is kept until live servers have registered again", () => {
     const registry = createServerRegistry(() => DRAIN_MS);
--- a/src/test/platform/fakeRunner.ts
+++ b/src/test/platform/fakeRunner.ts
@@ -9,6 +9,8 @@
     readonly body: string;
     readonly socket: Socket;
     readonly attemptId: string;
+    /** Time of `performance.now` at which the request was complete. */
+    readonly receivedAt: number;
     /** Returns the value of a header; empty if it is missing. */
     header(name: string): string;
 }
@@ -49,7 +51,8 @@
                 if (pending.length < headEnd + 4 + bodyLength) return;
                 const body = pending.slice(headEnd + 4, headEnd + 4 + bodyLength);
                 pending = pending.slice(headEnd + 4 + bodyLength);
-                const request = { head, body, socket, attemptId: header("attempt-id"), header };
+                const receivedAt = performance.now();
+                const request = { head, body, socket, attemptId: header("attempt-id"), receivedAt, header };
                 requests.push(request);
                 respond(request);
             }
@@ -75,15 +78,37 @@
 }
 
 /** Returns a refusal which states that the request didn't run. */
-export function notRunResponse(): string {
-    return "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+export function notRunResponse(extraHeaders = ""): string {
+    return `HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n${extraHeaders}Content-Length: 0\r\n\r\n`;
 }
 
-export function streamResponseHead(request: ReceivedRequest): string {
+export function streamResponseHead(request: ReceivedRequest, extraHeaders = ""): string {
     return `HTTP/1.1 200 OK\r\nAttempt-Id: ${request.attemptId}\r\nResponse-Seal: seal of ${
         request.header("expect-instance")
-    }\r\n` +
-        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    }\r\n${extraHeaders}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`;
+}
+
+/** What a runner says about itself in its responses; tests change it while the runner serves. */
+export interface RunnerNotices {
+    isLeaving: boolean;
+    /** The runner turns requests away and asks for a pause of this length; `undefined` if it serves. */
+    retryAfterSeconds: number | undefined;
+}
+
+/** Returns the headers that a runner with these notices adds to each response. */
+export function noticeHeaders({ isLeaving, retryAfterSeconds }: RunnerNotices): string {
+    return (isLeaving ? "Server-Leaving: 1\r\n" : "") +
+        (retryAfterSeconds === undefined ? "" : `Retry-After: ${retryAfterSeconds}\r\n`);
+}
+
+/** Responds to a request as a runner with these notices does. */
+export function respondWithNotices(request: ReceivedRequest, notices: RunnerNotices): void {
+    const headers = noticeHeaders(notices);
+    request.socket.write(
+        notices.retryAfterSeconds === undefined ?
+            completeResponse(request, "ok", "200 OK", headers) :
+            notRunResponse(headers),
+    );
 }
 
 /** Encodes text as one chunk of a chunked body. */
--- a/src/test/platform/translation.test.ts
+++ b/src/test/platform/translation.test.ts
@@ -105,6 +105,8 @@
         ["3,1,8", "3,1,8,400", "3,1,8,80", "3,1,8,0", "3,1,8,x", ""].map(slowdownOf),
         [undefined, 4, 0.8, undefined, undefined, undefined],
     );
+    const isLeaving = (value?: string) => parseResponseMetadata({ "server-leaving": value }).isLeaving;
+    assert.deepEqual(["1", "0", "", undefined].map(isLeaving), [true, false, false, false]);
     assert.equal(parseEventId("id: 12\ndata: x"), "12");
     assert.equal(parseEventId("data: id: 12"), undefined);
 });
