Honor the Retry-After of a server's 503

A server that turned a request away with 503 and Retry-After was sent further requests after an estimated backoff of 100 ms, which doubles, or, if the 503 didn't state that the request hadn't run, at once until it was ejected. While all servers had asked for a pause, callers were told to return after 3 s or 0.5 s whatever the servers had said.

The backoff that a server asks for is now kept by incarnation, so that a row that lapses and returns doesn't end it and a restart does. During it the server is no candidate: not for new, queued or repeated requests, nor for a probe or after a reservation (an assignment is taken back if its server backs off, left or restarted while the reservation was made). The estimate isn't added to the stated time. While every server of a service backs off, requests wait only if the first return is soon enough; others are refused at once with a Retry-After from that return.

--- a/src/harness/enginePoolSimulation.ts
+++ b/src/harness/enginePoolSimulation.ts
@@ -47,6 +47,8 @@
     recordFirstEvent(id: string, engine: number, tookMs: number, now: number): void;
     /** Reports that the request has left its engine; `hasSucceeded` is false if it failed or timed out there. */
     recordEnd(id: string, engine: number, hasSucceeded: boolean, now: number): void;
+    /** Reports that the engine turned the request away and wants no others for `backoffMs`. */
+    recordRefusal(id: string, engine: number, backoffMs: number, now: number): void;
     tick(now: number): void;
 }
 
@@ -68,6 +70,8 @@
     readonly total: RequestStatistics;
     /** Jain's fairness index of the fractions of their requests that accounts get served; 1 if all are equal. */
     readonly accountJain: number;
+    /** Requests that engines turned away. */
+    readonly turnedAwayCount: number;
 }
 
 interface SimulatedRequest {
@@ -98,6 +102,9 @@
     let submitCount = 0;
     /** Time of the current step; a decision may be made in a later step than the submission. */
     let currentTime = 0;
+    /** Requests that engines turned away, which is reported to the placer after the decision. */
+    let refusals: { id: string; request: SimulatedRequest; engineIndex: number; backoffMs: number; }[] = [];
+    let turnedAwayCount = 0;
     /** Requests at unreachable engines, whose failure is reported to the placer after the decision. */
     let failures: { id: string; request: SimulatedRequest; engineIndex: number; hasStarted: boolean; }[] = [];
 
@@ -115,6 +122,14 @@
         sentAt.set(id, currentTime);
         request.sendCount++;
         request.triedEngines.add(engineName(engineIndex));
+        const pause = trace.enginePauses?.find(({ engine, fromMs, toMs }) => {
+            return engine === engineIndex && currentTime >= fromMs && currentTime < toMs;
+        });
+        if (pause !== undefined) {
+            turnedAwayCount++;
+            refusals.push({ id, request, engineIndex, backoffMs: pause.toMs - currentTime });
+            return;
+        }
         const isUnreachable = slowdownAt(trace, engineIndex, currentTime) === Infinity;
         if (isUnreachable) failures.push({ id, request, engineIndex, hasStarted: false });
         else engines[engineIndex]?.requests.set(id, request);
@@ -152,6 +167,12 @@
         }
         scheduledRetries.splice(0, scheduledRetries.length, ...scheduledRetries.filter(({ at }) => at > now));
         for (const [engineIndex, engine] of engines.entries()) step(engineIndex, engine, now);
+        const currentRefusals = refusals;
+        refusals = [];
+        for (const { id, request, engineIndex, backoffMs } of currentRefusals) {
+            placer.recordRefusal(id, engineIndex, backoffMs, now);
+            if (request.sendCount < MAX_SENDS) submit(request, now);
+        }
         const currentFailures = failures;
         failures = [];
         for (const { id, request, engineIndex, hasStarted } of currentFailures) {
@@ -209,6 +230,7 @@
             summarizeRequests(allRequests.filter(request => request.requestClass === requestClass))
         ),
         total: summarizeRequests(allRequests),
+        turnedAwayCount,
         accountJain: jainIndex(
             accounts.filter(({ requestCount }) => requestCount > 0).map((
                 { servedCount, requestCount },
--- a/src/harness/loadTraces.ts
+++ b/src/harness/loadTraces.ts
@@ -34,6 +34,13 @@
     readonly slowdown: number;
 }
 
+/** An interval in which an engine turns requests away and says when it ends; it finishes what it runs. */
+export interface EnginePause {
+    readonly engine: number;
+    readonly fromMs: number;
+    readonly toMs: number;
+}
+
 export interface LoadTrace {
     readonly name: string;
     readonly engineCount: number;
@@ -42,6 +49,7 @@
     readonly requestClasses: readonly RequestClass[];
     readonly surges: readonly Surge[];
     readonly engineFaults: readonly EngineFault[];
+    readonly enginePauses?: readonly EnginePause[];
 }
 
 const URGENT: RequestClass = {
@@ -126,6 +134,16 @@
     },
     /** A large pool that runs at its capacity throughout. */
     { ...LARGE_POOL_TRACE, name: "largePool" },
+    /** Two engines turn requests away in turn, for a second each time. */
+    {
+        ...BASE_TRACE,
+        name: "pausedEngines",
+        enginePauses: Array.from({ length: 6 }, (_, index) => ({
+            engine: index % 2,
+            fromMs: 2000 + 2000 * index,
+            toMs: 3000 + 2000 * index,
+        })),
+    },
     /** An engine fails without notice and recovers. */
     { ...BASE_TRACE, name: "lostEngine", engineFaults: [{ engine: 2, fromMs: 4000, toMs: 9000, slowdown: Infinity }] },
 ];
--- a/src/harness/placers.ts
+++ b/src/harness/placers.ts
@@ -6,6 +6,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import {
     createDispatcher,
+    createServerBackoff,
     createServerHealth,
     createServerOwnership,
     createServerRegistry,
@@ -42,6 +43,8 @@
     readonly tellsEngineSlowdown?: boolean;
     /** Requests to servers of another entry are reserved there; true by default. */
     readonly reservesSlots?: boolean;
+    /** Entries send no requests to an engine for the time for which it asks; true by default. */
+    readonly honorsBackoff?: boolean;
 }
 
 /** A single entry that gets all requests. */
@@ -87,6 +90,10 @@
             ownerByRequestId.get(id)?.recordEnd(id, ...details);
             ownerByRequestId.delete(id);
         },
+        recordRefusal: (id, ...details) => {
+            ownerByRequestId.get(id)?.recordRefusal(id, ...details);
+            ownerByRequestId.delete(id);
+        },
         tick: now => {
             for (const dispatcher of dispatchers) dispatcher.tick(now);
             if (now < nextHeartbeatAt) return;
@@ -114,11 +121,12 @@
 
 function createEntryPlacer(
     trace: LoadTrace,
-    { entryCount, reportsSlowdown = false, tellsEngineSlowdown = false }: EntryGroupOptions,
+    { entryCount, reportsSlowdown = false, tellsEngineSlowdown = false, honorsBackoff = true }: EntryGroupOptions,
     index: number,
     findOwner: (name: string) => EntryPlacer | undefined,
 ): EntryPlacer {
     const registry = createServerRegistry(() => DRAIN_MS);
+    const backoff = createServerBackoff();
     const health = createServerHealth();
     const speed = createServerSpeed();
     const engineNames = Array.from({ length: trace.engineCount }, (_, engine) => engineName(engine));
@@ -144,6 +152,7 @@
     }));
     const dispatcher = createDispatcher({
         registry,
+        backoff,
         health,
         speed,
         self: entryNameOf(index),
@@ -243,6 +252,15 @@
             health.recordOutcome(engineName(engine), hasSucceeded ? Outcome.success : Outcome.unreachable, now);
             dispatcher.recordEnd(id, now);
         },
+        recordRefusal: (id, engine, backoffMs, now) => {
+            currentTime = now;
+            release(id, engine, now);
+            predictions.delete(id);
+            const server = registry.get(engineName(engine));
+            if (honorsBackoff && server !== undefined) backoff.record(server, backoffMs, now);
+            health.recordOutcome(engineName(engine), honorsBackoff ? Outcome.deferred : Outcome.refused, now);
+            dispatcher.recordEnd(id, now);
+        },
         tick: now => {
             currentTime = now;
             recordEngineSlowdowns(now);
@@ -273,6 +291,9 @@
         recordEnd: (_id, engine) => {
             loads[engine] = (loads[engine] ?? 1) - 1;
         },
+        recordRefusal: (_id, engine) => {
+            loads[engine] = (loads[engine] ?? 1) - 1;
+        },
     };
 }
 
@@ -282,6 +303,7 @@
         cancel: () => undefined,
         recordFirstEvent: () => undefined,
         recordEnd: () => undefined,
+        recordRefusal: () => undefined,
         tick: () => undefined,
     };
 }
--- a/src/lib/core/serving/admissionControl.ts
+++ b/src/lib/core/serving/admissionControl.ts
@@ -25,7 +25,7 @@
     readonly expiresAt: number;
 }
 
-export type RefusalReason = "overloaded" | "expired" | "no server";
+export type RefusalReason = "overloaded" | "servers backing off" | "expired" | "no server";
 
 export interface Refusal<T extends QueuedRequest> {
     readonly request: T;
@@ -36,8 +36,12 @@
 
 /** Capacity of a service's servers at the time of a decision. */
 export interface PoolState {
-    /** Number of usable servers. */
+    /** Number of servers that are usable, or will be if none is now. */
     readonly serverCount: number;
+    /** Time until the first of these servers is usable; 0 if one is now. */
+    readonly untilAvailableMs: number;
+    /** Delay after which the caller should retry if no server can take the request itself. */
+    readonly noServerRetryAfterMs: number;
     /** This entry's share of the requests that complete per second at the current load. */
     readonly completionsPerSecond: number;
     /** Late requests that were recently started per second. */
@@ -77,7 +81,7 @@
 const MIN_RETRY_AFTER_MS = 100;
 
 /** Lost servers become usable again after a restart and a load of their weights, which take seconds. */
-const NO_SERVER_RETRY_AFTER_MS = 3000;
+export const NO_SERVER_RETRY_AFTER_MS = 3000;
 
 /** Lower bound for the rate of late starts as a fraction of all completions, for when none was observed recently. */
 const MIN_LATE_START_FRACTION = 0.05;
@@ -117,18 +121,40 @@
     random: number,
     now: number,
 ): Refusal<T> | undefined {
-    if (pool.serverCount === 0) return createRefusal(request, "no server", NO_SERVER_RETRY_AFTER_MS, random, now);
+    if (pool.serverCount === 0) return createRefusal(request, "no server", pool.noServerRetryAfterMs, random, now);
     if (now >= request.expiresAt) return createRefusal(request, "expired", NO_SERVER_RETRY_AFTER_MS, random, now);
+    if (pool.untilAvailableMs > 0) return decideInBackoff(request, queueClass, aheadCount, pool, random, now);
     if (queueClass === QueueClass.onTime) {
         const slackMs = request.dueAt - now - pool.typicalFirstEventMs;
         if (predictWaitMs(aheadCount, pool) <= slackMs) return undefined;
     }
     const waitMs = predictLateWaitMs(aheadCount, pool);
-    const maxWaitMs = queueClass === QueueClass.callerRetry ? MAX_CALLER_RETRY_WAIT_MS : MAX_LATE_WAIT_MS;
+    const maxWaitMs = maxWaitOf(queueClass);
     if (waitMs <= maxWaitMs && now - request.arrivedAt < 2 * maxWaitMs) return undefined;
     return createRefusal(request, "overloaded", waitMs, random, now);
 }
 
+/** Decides while every server has asked for a backoff: requests wait only for a time that is known to suffice. */
+function decideInBackoff<T extends QueuedRequest>(
+    request: T,
+    queueClass: QueueClass,
+    aheadCount: number,
+    pool: PoolState,
+    random: number,
+    now: number,
+): Refusal<T> | undefined {
+    const waitMs = pool.untilAvailableMs + predictWaitMs(aheadCount, pool);
+    const waitedMs = now - request.arrivedAt;
+    const slackMs = queueClass === QueueClass.onTime ? request.dueAt - now - pool.typicalFirstEventMs : 0;
+    const maxWaitMs = Math.max(slackMs, maxWaitOf(queueClass) - waitedMs);
+    if (waitMs <= Math.min(maxWaitMs, request.expiresAt - now)) return undefined;
+    return createRefusal(request, "servers backing off", waitMs, random, now);
+}
+
+function maxWaitOf(queueClass: QueueClass): number {
+    return queueClass === QueueClass.callerRetry ? MAX_CALLER_RETRY_WAIT_MS : MAX_LATE_WAIT_MS;
+}
+
 /** Returns the predicted time until a request with `aheadCount` others before it starts, in milliseconds. */
 export function predictWaitMs(aheadCount: number, pool: PoolState): number {
     const requestsToFinish = aheadCount + 1 - pool.freeSlots;
@@ -143,9 +169,15 @@
 }
 
 /**
- * The retry-after delay is the predicted wait plus a random delay of up to half of it, so that callers that were
- * refused together don't retry together.
+ * Returns the delay after which a caller should retry: the predicted wait plus a random delay of up to half of it, so
+ * that callers that were refused together don't retry together.
  */
+export function retryAfterMs(waitMs: number, expiresAt: number, random: number, now: number): number {
+    const maxRetryAfterMs = Math.max(0, expiresAt - now) * MAX_RETRY_AFTER_FRACTION;
+    const randomizedWaitMs = Math.max(MIN_RETRY_AFTER_MS, waitMs * (1 + random / 2));
+    return Math.round(Math.min(maxRetryAfterMs, randomizedWaitMs));
+}
+
 function createRefusal<T extends QueuedRequest>(
     request: T,
     reason: RefusalReason,
@@ -153,7 +185,5 @@
     random: number,
     now: number,
 ): Refusal<T> {
-    const maxRetryAfterMs = Math.max(0, request.expiresAt - now) * MAX_RETRY_AFTER_FRACTION;
-    const randomizedWaitMs = Math.max(MIN_RETRY_AFTER_MS, waitMs * (1 + random / 2));
-    return { request, reason, retryAfterMs: Math.round(Math.min(maxRetryAfterMs, randomizedWaitMs)) };
+    return { request, reason, retryAfterMs: retryAfterMs(waitMs, request.expiresAt, random, now) };
 }
--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -6,11 +6,13 @@
  */
 import {
     decideAdmission,
+    NO_SERVER_RETRY_AFTER_MS,
     type PoolState,
     QueueClass,
     queueClassOf,
     type QueuedRequest,
     type Refusal,
+    retryAfterMs,
     sortQueue,
 } from "./admissionControl.js";
 import { typicalFirstEventMs } from "./engineModel.js";
@@ -18,6 +20,7 @@
 import type { EntryIdentity } from "./peerEntries.js";
 import { type PlacementRequest, placeOnEngine, placeOnService, TARGET_FRACTION } from "./placement.js";
 import type { BackendService } from "./routeTable.js";
+import type { ServerBackoff } from "./serverBackoff.js";
 import type { ServerHealth } from "./serverHealth.js";
 import type { ServerOwnership } from "./serverOwnership.js";
 import { createServerPool, type PoolServer, type PoolSnapshot, type ServerPool } from "./serverPool.js";
@@ -59,6 +62,7 @@
 
 export interface DispatcherOptions {
     readonly registry: ServerRegistry;
+    readonly backoff: ServerBackoff;
     readonly health: ServerHealth;
     readonly speed: ServerSpeed;
     readonly weights: WeightsPolicy;
@@ -94,10 +98,17 @@
     /** Removes a queued request whose caller has disconnected. */
     cancel(id: string): void;
     /**
-     * Takes an assignment back because the server's owner refused the reservation. The request can then be submitted
-     * again.
+     * Takes an assignment back because the server's owner refused the reservation or, without a refusal, because the
+     * server no longer accepts requests. The request can then be submitted again.
      */
-    withdraw(id: string, serverId: string, refusal: SlotDecision, now: number): void;
+    withdraw(id: string, serverId: string, refusal: SlotDecision | undefined, now: number): void;
+    /** Returns whether an assigned request may still be sent; time may have passed since the assignment. */
+    mayStillSend(server: BackendServer, now: number): boolean;
+    /**
+     * Returns the delay after which a caller should retry whose request a server refused; `undefined` if other servers
+     * accept requests or it is unknown when one will.
+     */
+    suggestRetryAfterMs(service: string, expiresAt: number, now: number): number | undefined;
     /** Records that the first event of a request has arrived. */
     recordFirstEvent(id: string, now: number): void;
     /** Records that a request has ended at its server, successfully or not. */
@@ -142,7 +153,7 @@
 }
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
-    const { health, weights } = options;
+    const { registry, backoff, health, weights } = options;
     const inFlight = createInFlightRequests(options.reportLagMs);
     const pool = createServerPool({ ...options, inFlight });
     const queue = new Map<string, QueuedItem>();
@@ -280,9 +291,9 @@
 
     function poolState(request: DispatchRequest, poolServers: readonly PoolServer[], now: number): PoolState {
         const { service } = request;
-        const expected = poolServers.filter(({ server, isExpected }) => {
-            return isExpected && !request.triedServerIds.has(server.id);
-        });
+        const untried = poolServers.filter(({ server }) => !request.triedServerIds.has(server.id));
+        const available = untried.filter(({ isExpected }) => isExpected);
+        const expected = available.length > 0 ? available : untried.filter(({ returnsAt }) => returnsAt !== undefined);
         const runningRequests = expected.reduce((sum, { candidate: { load } }) => {
             return sum + load.decoding + load.prefilling;
         }, 0);
@@ -293,6 +304,8 @@
         const recentLateStarts = lateStarts.filter(start => start.service === service).length;
         return {
             serverCount: expected.length,
+            untilAvailableMs: available.length > 0 ? 0 : untilReturnMs(expected, now),
+            noServerRetryAfterMs: untilReturnMs(poolServers, now),
             completionsPerSecond: runningRequests * 1000 / durationMs / entryCount,
             lateStartsPerSecond: recentLateStarts * 1000 / LATE_START_WINDOW_MS,
             freeSlots: Math.max(0, slots - runningRequests) / entryCount,
@@ -306,11 +319,13 @@
         item?.onResult(result);
     }
 
-    function withdraw(id: string, serverId: string, { load, pauseMs }: SlotDecision, now: number): void {
+    function withdraw(id: string, serverId: string, refusal: SlotDecision | undefined, now: number): void {
         sends.delete(id);
         inFlight.remove(id);
-        inFlight.recordOwnerLoad(serverId, load, now);
-        pool.recordRefusedReservation(serverId, now + pauseMs);
+        if (refusal !== undefined) {
+            inFlight.recordOwnerLoad(serverId, refusal.load, now);
+            pool.recordRefusedReservation(serverId, now + refusal.pauseMs);
+        }
         processQueue(now);
     }
 
@@ -320,6 +335,13 @@
         processQueue(now);
     }
 
+    function suggestRetryAfterMs(service: string, expiresAt: number, now: number): number | undefined {
+        const servers = takeSnapshot(service, now)?.servers() ?? [];
+        const isReturnKnown = servers.some(({ returnsAt }) => returnsAt !== undefined);
+        if (!isReturnKnown || servers.some(({ isExpected }) => isExpected)) return undefined;
+        return retryAfterMs(untilReturnMs(servers, now), expiresAt, options.random(), now);
+    }
+
     function recordEnd(id: string, now: number): void {
         const send = sends.get(id);
         if (send !== undefined) {
@@ -341,6 +363,8 @@
             processQueue(now);
         },
         withdraw,
+        mayStillSend: (server, now) => registry.isUsable(server, now) && backoff.endsAt(server, now) === undefined,
+        suggestRetryAfterMs,
         recordEnd,
         tick: processQueue,
         queueLength: () => queue.size,
@@ -349,6 +373,14 @@
     };
 }
 
+/** Returns the time until the first server is expected back; one that names no time counts as lost. */
+function untilReturnMs(poolServers: readonly PoolServer[], now: number): number {
+    const delays = poolServers.map(({ returnsAt }) =>
+        returnsAt === undefined ? NO_SERVER_RETRY_AFTER_MS : returnsAt - now
+    );
+    return delays.length === 0 ? NO_SERVER_RETRY_AFTER_MS : Math.min(...delays);
+}
+
 function slotRequestFor(
     { id, slots }: BackendServer,
     { promptTokens, timeToDueMs, slotFraction, mustBeOnTime }: PlacementRequest,
--- a/src/lib/core/serving/index.ts
+++ b/src/lib/core/serving/index.ts
@@ -7,6 +7,7 @@
 export * from "./placement.js";
 export * from "./routeTable.js";
 export * from "./rowReplica.js";
+export * from "./serverBackoff.js";
 export * from "./serverHealth.js";
 export * from "./serverOwnership.js";
 export * from "./serverPool.js";
--- a/src/lib/core/serving/serverHealth.ts
+++ b/src/lib/core/serving/serverHealth.ts
@@ -18,6 +18,8 @@
     unreachable: "unreachable",
     /** The server refused the request without executing it. */
     refused: "refused",
+    /** The server refused the request without executing it and said when it accepts the next one. */
+    deferred: "deferred",
 } as const;
 
 export type Outcome = (typeof Outcome)[keyof typeof Outcome];
@@ -97,6 +99,7 @@
     function recordOutcome(id: string, outcome: Outcome, now: number): void {
         const state = getOrCreateState(id);
         state.probeSentAt = undefined;
+        if (outcome === Outcome.deferred) return;
         // A refusal indicates load or missing weights rather than a fault.
         if (outcome === Outcome.refused) {
             const backoffMs = Math.min(
--- a/src/lib/core/serving/serverPool.ts
+++ b/src/lib/core/serving/serverPool.ts
@@ -10,6 +10,7 @@
 import type { EntryIdentity } from "./peerEntries.js";
 import type { PlacementCandidate } from "./placement.js";
 import type { BackendService, EngineParameters } from "./routeTable.js";
+import type { ServerBackoff } from "./serverBackoff.js";
 import type { ServerHealth } from "./serverHealth.js";
 import type { ServerOwnership } from "./serverOwnership.js";
 import type { BackendServer, ServerRegistry } from "./serverRegistry.js";
@@ -24,6 +25,8 @@
     readonly isUsable: boolean;
     /** Accepts new requests now or as soon as it has loaded weights. */
     readonly isExpected: boolean;
+    /** End of the backoff that the server asked for, if it is expected from then on; `undefined` otherwise. */
+    readonly returnsAt: number | undefined;
     /** Another entry that owns the server; `undefined` if this entry or none does. */
     readonly otherOwner: EntryIdentity | undefined;
     readonly candidate: PlacementCandidate;
@@ -57,6 +60,7 @@
 
 export interface ServerPoolOptions {
     readonly registry: ServerRegistry;
+    readonly backoff: ServerBackoff;
     readonly health: ServerHealth;
     readonly speed: ServerSpeed;
     readonly weights: WeightsPolicy;
@@ -88,7 +92,7 @@
 }
 
 export function createServerPool(options: ServerPoolOptions): ServerPool {
-    const { registry, health, speed, weights, inFlight } = options;
+    const { registry, backoff, health, speed, weights, inFlight } = options;
     const pausedUntilByAddress = new Map<string, number>();
     /** Servers whose owners refused a reservation, with the time until which they aren't used. */
     const refusedUntil = new Map<string, number>();
@@ -109,13 +113,17 @@
 
         function describe(server: BackendServer, owner: EntryIdentity | undefined): PoolServer {
             const version = engine === undefined ? undefined : loadedVersion(server, engine);
-            const isExpected = health.isAvailable(server.id, now) &&
+            const backoffEnd = backoff.endsAt(server, now);
+            const isSound = health.isAvailable(server.id, backoffEnd ?? now) &&
                 (engine === undefined || version !== undefined && version >= lowestVersion);
+            const isExpected = isSound && backoffEnd === undefined;
             return {
                 server,
                 version,
                 isUsable: isExpected && !isPaused(server.address, now) && (refusedUntil.get(server.id) ?? 0) <= now,
                 isExpected,
+                // An ejected server takes only a single request at first.
+                returnsAt: isSound && !health.isEjected(server.id) ? backoffEnd : undefined,
                 otherOwner: owner?.name === options.self ? undefined : owner,
                 candidate: {
                     id: server.id,
@@ -159,6 +167,7 @@
     }
 
     function forgetUnregistered(now: number): void {
+        backoff.forgetEnded(now);
         for (const [serverId, until] of refusedUntil) if (until <= now) refusedUntil.delete(serverId);
         const registeredAddresses = new Set(registry.all().map(({ address }) => address));
         for (const address of new Set([...pausedUntilByAddress.keys(), ...reportByAddress.keys()])) {
--- a/src/lib/observability/explain.ts
+++ b/src/lib/observability/explain.ts
@@ -56,7 +56,7 @@
 }
 
 const DEPENDENCY_EVENTS = new Set(["store lost", "store regained", "process started", "process stopping"]);
-const SERVER_EVENTS = new Set(["server changed", "server gone", "server entry rejected"]);
+const SERVER_EVENTS = new Set(["server changed", "server gone", "server backing off", "server entry rejected"]);
 
 export function createLogSearch(id: string): LogSearch {
     const requestLines: LogLine[] = [];
@@ -128,6 +128,10 @@
         .with({ event: "request refused", reason: "no server" }, () => {
             return "Refused: no server of its service was known, healthy and loaded with acceptable weights.";
         })
+        .with({ event: "request refused", reason: "servers backing off" }, ({ retryAfterMs }) => {
+            return "Refused: all servers of its service had asked for a pause that was longer than the caller could " +
+                `wait; it was told to retry after ${retryAfterMs} ms.`;
+        })
         .with({ event: "request refused" }, ({ reason }) => {
             return `Refused without having been executed: ${reason}${attempts === "" ? "" : ` (${attempts})`}.`;
         })
--- a/src/lib/platform/headers.ts
+++ b/src/lib/platform/headers.ts
@@ -57,6 +57,8 @@
     readonly slowdown: number | undefined;
     /** True if the server that responded is leaving and must get no new requests. */
     readonly isLeaving: boolean;
+    /** Time for which the server wants no further requests; `undefined` if it names none. */
+    readonly backoffMs: number | undefined;
 }
 
 /** Headers that apply to a single connection and aren't forwarded. */
@@ -86,6 +88,9 @@
     "content-length",
 ]);
 
+/** Status with which a server turns a request away for now. */
+const UNAVAILABLE_STATUS = 503;
+
 /** Longer API keys are treated as missing. */
 const MAX_KEY_LENGTH = 256;
 
@@ -131,7 +136,7 @@
     return headers;
 }
 
-export function parseResponseMetadata(headers: IncomingHttpHeaders): ResponseMetadata {
+export function parseResponseMetadata(status: number, headers: IncomingHttpHeaders): ResponseMetadata {
     const [running, waiting, , percentOfUsualTime = Number.NaN] = (firstValue(headers["instance-load"]) ?? "")
         .split(",")
         .map(Number);
@@ -146,9 +151,17 @@
         load: hasLoad ? { running: running ?? 0, waiting: waiting ?? 0 } : undefined,
         slowdown: Number.isFinite(percentOfUsualTime) && percentOfUsualTime > 0 ? percentOfUsualTime / 100 : undefined,
         isLeaving: firstValue(headers["server-leaving"]) === "1",
+        backoffMs: status === UNAVAILABLE_STATUS ? parseRetryAfterMs(headers["retry-after"]) : undefined,
     };
 }
 
+/** HTTP dates are ignored: the platform's servers send seconds, and the clocks of VMs may differ. */
+function parseRetryAfterMs(text: string | undefined): number | undefined {
+    if (text === undefined || !/^\d+(\.\d+)?$/.test(text)) return undefined;
+    const seconds = Number(text);
+    return seconds > 0 ? seconds * 1000 : undefined;
+}
+
 /** Returns the headers of a server's response for the caller, without `Content-Length`, which the sender sets. */
 export function forwardedResponseHeaders(rawHeaders: readonly string[]): string[] {
     return copyHeaders(rawHeaders, new Set(["content-length"]));
--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -80,7 +80,7 @@
             signal: cancellation.signal,
             isRetryable: isRetryableRoute(route),
         });
-        const metadata = parseResponseMetadata(response.headers);
+        const metadata = parseResponseMetadata(response.statusCode ?? 0, response.headers);
         context.serverNotices.record(server, response.statusCode ?? 0, metadata);
         if (metadata.slowdown !== undefined) {
             context.speed.recordReport(server.id, metadata.slowdown, context.now());
@@ -165,7 +165,7 @@
 
 function outcomeFor(result: AttemptResult, metadata: ResponseMetadata): Outcome {
     if (result.kind === "answered") return Outcome.success;
-    if (metadata.isNotRun) return Outcome.refused;
+    if (metadata.isNotRun) return metadata.backoffMs === undefined ? Outcome.refused : Outcome.deferred;
     return result.errorResponse === undefined ? Outcome.broken : Outcome.error;
 }
 
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -212,20 +212,27 @@
         if (successor !== undefined) continue;
         exchange.retryDenial = findRetryDenial(exchange, result.verdict, service);
         if (exchange.retryDenial !== undefined) {
-            finishFailed(exchange, result.summary, result.errorResponse);
+            const retryAfterMs = context.dispatcher.suggestRetryAfterMs(service, exchange.expiresAt, context.now());
+            finishFailed(exchange, result.summary, result.errorResponse, retryAfterMs);
             return;
         }
     }
 }
 
-/** Reserves the assigned slot at the server's owner. If it refuses, takes the assignment back and returns false. */
+/**
+ * Reserves the assigned slot at the server's owner. If it refuses, or the server no longer accepts requests afterwards,
+ * takes the assignment back and returns false.
+ */
 async function reserveSlot(exchange: Exchange, assignment: Assignment): Promise<boolean> {
     const { context, dispatchId } = exchange;
     const startedAt = context.now();
     const refusal = await context.reservations.reserve(assignment);
     const endedAt = context.now();
     exchange.waitedMs += endedAt - startedAt;
-    if (refusal === undefined) return true;
+    if (refusal === undefined) {
+        if (context.dispatcher.mayStillSend(assignment.server, endedAt)) return true;
+        context.reservations.release(assignment, dispatchId);
+    }
     context.dispatcher.withdraw(dispatchId, assignment.server.id, refusal, endedAt);
     return false;
 }
--- a/src/lib/router/localResponses.ts
+++ b/src/lib/router/localResponses.ts
@@ -64,7 +64,12 @@
 }
 
 /** Ends a request whose last attempt failed, with the server's own error response if there is one. */
-export function finishFailed(exchange: Exchange, reason: string, errorResponse?: BufferedResponse): void {
+export function finishFailed(
+    exchange: Exchange,
+    reason: string,
+    errorResponse?: BufferedResponse,
+    retryAfterMs: number = DEFAULT_RETRY_AFTER_MS,
+): void {
     const { response } = exchange;
     if (response.headersSent) {
         response.destroy();
@@ -77,7 +82,7 @@
         return;
     }
     const mayHaveRun = combineVerdicts(exchange.verdicts) !== Verdict.notRun;
-    finishLocally(exchange, mayHaveRun ? 502 : 503, reason, mayHaveRun ? undefined : DEFAULT_RETRY_AFTER_MS);
+    finishLocally(exchange, mayHaveRun ? 502 : 503, reason, mayHaveRun ? undefined : retryAfterMs);
 }
 
 function finishLocally(exchange: Exchange, status: number, reason: string, retryAfterMs: number | undefined): void {
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -9,6 +9,7 @@
     createDispatcher,
     createPeerEntries,
     createRowReplica,
+    createServerBackoff,
     createServerHealth,
     createServerOwnership,
     createServerRegistry,
@@ -100,6 +101,7 @@
     const self = { name: settings.name, ip: settings.ip, failureDomain: settings.failureDomain };
     const peers = createPeerEntries(self);
     const registry = createServerRegistry(() => bounds.drainMs);
+    const backoff = createServerBackoff();
     const health = createServerHealth();
     const speed = createServerSpeed();
     const weights = createWeightsPolicy(() => bounds.weightsMs);
@@ -109,6 +111,7 @@
     const countEntries = () => liveEntries.length;
     const dispatcher = createDispatcher({
         registry,
+        backoff,
         health,
         speed,
         self: self.name,
@@ -168,7 +171,7 @@
         retryBudget,
         health,
         speed,
-        serverNotices: createServerNotices({ registry, log, metrics }),
+        serverNotices: createServerNotices({ registry, backoff, log, metrics, now }),
         bodyBudget: createBodyBudget(MAX_BUFFERED_BODY_BYTES),
         log,
         metrics,
--- a/src/lib/router/serverNotices.ts
+++ b/src/lib/router/serverNotices.ts
@@ -2,7 +2,7 @@
  * Applies what backend servers say about their own availability in the heads of their responses. A response is newer
  * than the server's row, and arrives also while the store doesn't.
  */
-import type { BackendServer, ServerRegistry } from "../core/serving/index.js";
+import type { BackendServer, ServerBackoff, ServerRegistry } from "../core/serving/index.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
 import type { ResponseMetadata } from "../platform/index.js";
 
@@ -13,14 +13,17 @@
 
 export interface ServerNoticesOptions {
     readonly registry: Pick<ServerRegistry, "get" | "markLeaving">;
+    readonly backoff: ServerBackoff;
     readonly log: EventLog;
     readonly metrics: ServingMetrics;
+    /** Monotonic clock, in milliseconds. */
+    readonly now: () => number;
 }
 
 /** Status of a server that isn't the one that the request names. */
 const MISDIRECTED_STATUS = 421;
 
-export function createServerNotices({ registry, log, metrics }: ServerNoticesOptions): ServerNotices {
+export function createServerNotices({ registry, backoff, log, metrics, now }: ServerNoticesOptions): ServerNotices {
     /** Returns the server that responded; `undefined` if another, unknown one has taken over the address. */
     function findResponder(server: BackendServer, status: number, { serverId }: ResponseMetadata) {
         if (status !== MISDIRECTED_STATUS || serverId === undefined || serverId === server.id) return server;
@@ -40,8 +43,15 @@
         });
     }
 
+    function recordBackoff(server: BackendServer, backoffMs: number): void {
+        if (!backoff.record(server, backoffMs, now())) return;
+        metrics.serverNotices.inc({ notice: "backoff" });
+        log.info("server backing off", { server: server.id, service: server.service, backoffMs });
+    }
+
     return {
         record: (server, status, metadata) => {
+            if (metadata.backoffMs !== undefined) recordBackoff(server, metadata.backoffMs);
             const responder = findResponder(server, status, metadata);
             if (responder !== undefined && metadata.isLeaving) recordLeaving(responder);
         },
--- a/src/test/observability/explain.test.ts
+++ b/src/test/observability/explain.test.ts
@@ -26,6 +26,7 @@
     const cases: [string, object, RegExp][] = [
         ["request refused", { reason: "overloaded", status: 503, retryAfterMs: 900 }, /at once: .* after 900 ms/],
         ["request refused", { reason: "overloaded", status: 503, waitedMs: 250 }, /after waiting 250 ms/],
+        ["request refused", { reason: "servers backing off", status: 503, retryAfterMs: 800 }, /pause .* after 800 ms/],
         ["request refused", { reason: "no server", status: 503 }, /no server of its service/],
         ["request refused", { reason: "unknown key", status: 401 }, /Refused with 401, unknown key/],
         ["request failed", { reason: "the time is over", status: 504, attempts: ["i-1 cancelled"] }, /i-1 cancelled/],
--- a/src/test/platform/translation.test.ts
+++ b/src/test/platform/translation.test.ts
@@ -90,7 +90,7 @@
 test("invalid headers are treated as missing", () => {
     const caller = parseCallerRequest({ "attempt-id": "a", "deadline-ms": "soon", "token-usage": "x,y" });
     assert.deepEqual([caller.deadlineMs, caller.promptTokens, caller.maxOutputTokens], [undefined, 0, 0]);
-    const response = parseResponseMetadata({
+    const response = parseResponseMetadata(503, {
         "not-executed": "1",
         "instance-load": "3,1,8",
         "weight-versions": "none",
@@ -100,13 +100,20 @@
         { running: 3, waiting: 1 },
         undefined,
     ]);
-    const slowdownOf = (load: string) => parseResponseMetadata({ "instance-load": load }).slowdown;
+    const slowdownOf = (load: string) => parseResponseMetadata(200, { "instance-load": load }).slowdown;
     assert.deepEqual(
         ["3,1,8", "3,1,8,400", "3,1,8,80", "3,1,8,0", "3,1,8,x", ""].map(slowdownOf),
         [undefined, 4, 0.8, undefined, undefined, undefined],
     );
-    const isLeaving = (value?: string) => parseResponseMetadata({ "server-leaving": value }).isLeaving;
+    const isLeaving = (value?: string) => parseResponseMetadata(200, { "server-leaving": value }).isLeaving;
     assert.deepEqual(["1", "0", "", undefined].map(isLeaving), [true, false, false, false]);
+    const backoffMs = (value: string, status = 503) =>
+        parseResponseMetadata(status, { "retry-after": value }).backoffMs;
+    assert.deepEqual(["2", "0.25", `1${"0".repeat(400)}`].map(value => backoffMs(value)), [2000, 250, Infinity]);
+    for (const value of ["0", "-1", "", "NaN", "Infinity", "1e3", "0x10", "1, 2", "Sat, 05 Dec 2026 02:00:00 GMT"]) {
+        assert.equal(backoffMs(value), undefined, value);
+    }
+    assert.equal(backoffMs("2", 500), undefined, "another status");
     assert.equal(parseEventId("id: 12\ndata: x"), "12");
     assert.equal(parseEventId("data: id: 12"), undefined);
 });
--- a/src/test/router/serverNotices.test.ts
+++ b/src/test/router/serverNotices.test.ts
@@ -144,3 +144,97 @@
     await sendUntilReceived(runner);
     assert.equal(runner.requests.at(-1)?.header("expect-instance"), "i-2");
 });
+
+/** Returns the number of requests that a runner received between two times after `startedAt`. */
+function countBetween(runner: FakeRunner, startedAt: number, fromMs: number, toMs: number): number {
+    return runner.requests.filter(({ receivedAt }) => {
+        return receivedAt >= startedAt + fromMs && receivedAt < startedAt + toMs;
+    }).length;
+}
+
+// Guards against requests to a server that has asked for a pause: new ones, queued ones, retries and probes, whether or
+// not it states that it didn't run the request.
+test("a burst reaches no server that has asked for a pause", async () => {
+    await addSteadyRunner("i-steady");
+    const responses: Readonly<Record<string, (request: ReceivedRequest) => string>> = {
+        "not executed": () => notRunResponse("Retry-After: 2\r\n"),
+        unsaid: request => completeResponse(request, "busy", "503 Service Unavailable", "Retry-After: 2.0\r\n"),
+    };
+    for (const [name, respond] of Object.entries(responses)) {
+        const busy = await addRunner(`i-${name}`, request => void request.socket.write(respond(request)));
+        while (busy.requests.length === 0) await sendReads(2);
+        const startedAt = busy.requests[0]?.receivedAt ?? 0;
+        while (performance.now() < startedAt + 2300) {
+            await sendReads(6);
+            await sleep(20);
+        }
+        assert.equal(countBetween(busy, startedAt, 200, 2000), 0, `${name}: requests in the pause`);
+        assert.ok(countBetween(busy, startedAt, 2000, 2300) > 0, `${name}: no request after the pause`);
+        store.remove("servers", `i-${name}`);
+        await sleep(600);
+    }
+});
+
+// Guards against a pause that ends early because the server's row lapses and returns, and against one that a new
+// incarnation inherits.
+test("a pause lasts for the incarnation that asked for it", async () => {
+    await addSteadyRunner("i-steady");
+    const { runner: busy, notices } = await addNoticeRunner("i-busy");
+    notices.retryAfterSeconds = 30;
+    await sendUntilReceived(busy);
+    notices.retryAfterSeconds = undefined;
+    store.remove("servers", "i-busy");
+    await sleep(600);
+    store.put("servers", "i-busy", serverRow(busy.address));
+    await sleep(600);
+    const countBefore = busy.requests.length;
+    for (let round = 0; round < 10; round++) await sendReads(4);
+    assert.equal(busy.requests.length, countBefore, "after the row's return");
+    store.put("servers", "i-busy", serverRow(busy.address, { born: 2 }));
+    await sleep(600);
+    await sendUntilReceived(busy);
+});
+
+// Guards against callers that wait for servers which can't take them in time, or that are told to return too early.
+test("requests are refused at once while all servers have asked for a pause, until it ends", async () => {
+    const routes = (configurationRow(2) as { routes: object[]; }).routes;
+    store.put("op", "config", configurationRow(2, { routes: routes.map(r => ({ ...r, "timeout-ms": 20_000 })) }));
+    const first = await addNoticeRunner("i-first");
+    const second = await addNoticeRunner("i-second");
+    first.notices.retryAfterSeconds = 5;
+    second.notices.retryAfterSeconds = 3;
+    const call = { path: "/book/", method: "POST", body: "x", headers: { "deadline-ms": "20000" } };
+    const turnedAway: Awaited<ReturnType<typeof sendCall>>[] = [];
+    while (first.runner.requests.length + second.runner.requests.length < 2) {
+        turnedAway.push(await sendCall(router.callerPort, call));
+    }
+    const startedAt = performance.now();
+    const countOf = () => first.runner.requests.length + second.runner.requests.length;
+    const countBefore = countOf();
+    const last = turnedAway.at(-1);
+    const refused = await sendCall(router.callerPort, call);
+    const tookMs = performance.now() - startedAt;
+    assert.deepEqual([last?.status, refused.status], [503, 503]);
+    assert.ok(tookMs < 500, `${tookMs} ms`);
+    assert.equal(countOf(), countBefore, "sends in the pause");
+    for (const { headers } of [last ?? refused, refused]) {
+        const retryAfterSeconds = Number(headers["retry-after"]);
+        assert.ok(retryAfterSeconds >= 2.4 && retryAfterSeconds <= 4.5, `Retry-After ${retryAfterSeconds}`);
+    }
+    second.notices.retryAfterSeconds = undefined;
+    await sleep(3000 - (performance.now() - startedAt) + 50);
+    assert.equal((await sendCall(router.callerPort, call)).status, 200);
+    assert.equal(first.runner.requests.length, 1);
+});
+
+// Guards against refusing requests that a server takes in time, because its pause is about to end.
+test("requests wait for a pause that ends before they are due", async () => {
+    const { runner, notices } = await addNoticeRunner("i-1");
+    notices.retryAfterSeconds = 0.2;
+    await sendCall(router.callerPort, { path: "/book/", method: "POST", body: "x" });
+    notices.retryAfterSeconds = undefined;
+    const startedAt = runner.requests[0]?.receivedAt ?? 0;
+    const responses = await sendReads(4);
+    assert.deepEqual(responses.map(({ status }) => status), [200, 200, 200, 200]);
+    assert.equal(countBetween(runner, startedAt, 1, 199), 0);
+});
