Keep the pause of a loading server by its start

A server at a reused address wasn't used for up to 1.2 s because the server that had the address before was loading weights: the pause was kept by address.

It now names the start of the server that loads. It applies to that server and to rows of earlier ones at the address, because their server is gone and the requests would reach the loading one.

--- a/src/lib/core/serving/serverPool.ts
+++ b/src/lib/core/serving/serverPool.ts
@@ -44,12 +44,12 @@
 export interface ServerPool {
     takeSnapshot(service: BackendService, now: number): PoolSnapshot;
     /**
-     * Records that the engine at the address loads weights and accepts no new requests until `until`; a time in the
-     * past ends the pause.
+     * Records that the engine at the address that started at `startedAt` loads weights and accepts no new requests until
+     * `until`; a time in the past ends the pause.
      */
-    pauseServer(address: string, until: number): void;
-    /** Returns whether the engine at the address loads weights. */
-    isPaused(address: string, now: number): boolean;
+    pauseServer(address: string, startedAt: number, until: number): void;
+    /** Returns whether the server, or a later one at its address, loads weights. */
+    isPaused(server: BackendServer, now: number): boolean;
     /** Records that the owner of a server refused a reservation; the server isn't used until then. */
     recordRefusedReservation(serverId: string, until: number): void;
     /** Records the weights that an agent reports for its engine, which arrive earlier than those in the registry. */
@@ -93,7 +93,7 @@
 
 export function createServerPool(options: ServerPoolOptions): ServerPool {
     const { registry, backoff, health, speed, weights, inFlight } = options;
-    const pausedUntilByAddress = new Map<string, number>();
+    const pauseByAddress = new Map<string, { readonly startedAt: number; readonly until: number; }>();
     /** Servers whose owners refused a reservation, with the time until which they aren't used. */
     const refusedUntil = new Map<string, number>();
     const reportByAddress = new Map<string, EngineReport>();
@@ -120,7 +120,7 @@
             return {
                 server,
                 version,
-                isUsable: isExpected && !isPaused(server.address, now) && (refusedUntil.get(server.id) ?? 0) <= now,
+                isUsable: isExpected && !isPaused(server, now) && (refusedUntil.get(server.id) ?? 0) <= now,
                 isExpected,
                 // An ejected server takes only a single request at first.
                 returnsAt: isSound && !health.isEjected(server.id) ? backoffEnd : undefined,
@@ -153,7 +153,10 @@
         };
     }
 
-    const isPaused = (address: string, now: number) => (pausedUntilByAddress.get(address) ?? 0) > now;
+    function isPaused({ address, startedAt }: BackendServer, now: number): boolean {
+        const pause = pauseByAddress.get(address);
+        return pause !== undefined && pause.until > now && pause.startedAt >= startedAt;
+    }
 
     /**
      * Returns the newest version of the model that the registry or the agent reports as loaded, or `undefined` if
@@ -170,13 +173,13 @@
         backoff.forgetEnded(now);
         for (const [serverId, until] of refusedUntil) if (until <= now) refusedUntil.delete(serverId);
         const registeredAddresses = new Set(registry.all().map(({ address }) => address));
-        for (const address of new Set([...pausedUntilByAddress.keys(), ...reportByAddress.keys()])) {
+        for (const address of new Set([...pauseByAddress.keys(), ...reportByAddress.keys()])) {
             if (registeredAddresses.has(address)) unregisteredSince.delete(address);
             else {
                 const since = unregisteredSince.get(address) ?? now;
                 unregisteredSince.set(address, since);
                 if (now - since < UNREGISTERED_REPORT_MAX_AGE_MS) continue;
-                pausedUntilByAddress.delete(address);
+                pauseByAddress.delete(address);
                 reportByAddress.delete(address);
                 unregisteredSince.delete(address);
             }
@@ -185,7 +188,7 @@
 
     return {
         takeSnapshot,
-        pauseServer: (address, until) => void pausedUntilByAddress.set(address, until),
+        pauseServer: (address, startedAt, until) => void pauseByAddress.set(address, { startedAt, until }),
         recordLoadedWeights: (address, startedAt, model, version) => {
             reportByAddress.set(address, { startedAt, model, version });
         },
--- a/src/lib/router/peerExchange.ts
+++ b/src/lib/router/peerExchange.ts
@@ -108,7 +108,7 @@
     function onAgentHeartbeat(message: AgentHeartbeat, receivedAt: number): void {
         const { backendAddress, startedAt, model, version, isLoading, slowdown = 1 } = message;
         dispatcher.pool.recordLoadedWeights(backendAddress, startedAt, model, version);
-        dispatcher.pool.pauseServer(backendAddress, isLoading ? receivedAt + LOADING_PAUSE_MS : 0);
+        dispatcher.pool.pauseServer(backendAddress, startedAt, isLoading ? receivedAt + LOADING_PAUSE_MS : 0);
         options.onEngineSlowdown(backendAddress, startedAt, slowdown, receivedAt);
         const ip = backendAddress.split(":")[0] ?? "";
         agents.set(ip, { model, lastHeartbeatAt: receivedAt });
--- a/src/lib/router/reservations.ts
+++ b/src/lib/router/reservations.ts
@@ -114,7 +114,7 @@
         if (server !== undefined && engine !== undefined) {
             const slot = { ...message, maxFirstEventMs: message.maxFirstEventMs ?? Number.POSITIVE_INFINITY };
             const slowdown = speed.slowdown(message.serverId, now());
-            const isPaused = dispatcher.pool.isPaused(server.address, now());
+            const isPaused = dispatcher.pool.isPaused(server, now());
             const owned = { engine, slowdown, isPaused };
             decision = decideReservation(slot, loadSender(self, message), owned, inFlight, now());
         }
