Refuse headers above the configured limit with 431

The operator's limit of the header size was read and never applied, so callers could send up to 64 KiB of headers, which were forwarded.

Requests whose header fields exceed the limit in their shortest form get 431 before their body is read. The size counts no request line and no optional white space, so no request within the limit is refused.

endlessBytes.test on the code before: not ok 19 - headers above the configured limit are refused with 431: the condition didn't hold within 5 s

--- a/src/lib/observability/explain.ts
+++ b/src/lib/observability/explain.ts
@@ -116,7 +116,7 @@
     const attempts = end.attempts.join("; ");
     return match(end)
         .with({ event: "request answered" }, describeAnswer)
-        .with({ event: "request refused", status: P.union(401, 404, 413) }, ({ status, reason }) => {
+        .with({ event: "request refused", status: P.union(401, 404, 413, 431) }, ({ status, reason }) => {
             return `Refused with ${status}, ${reason}, under the configuration active at that time.`;
         })
         .with({ event: "request refused", reason: "overloaded" }, ({ waitedMs, retryAfterMs }) => {
--- a/src/lib/router/callerServer.ts
+++ b/src/lib/router/callerServer.ts
@@ -19,7 +19,7 @@
     readonly port: number;
 }
 
-/** Limit of the header size, with room for the headers of any configuration; the limits for callers are lower. */
+/** Limit of the header size while it is parsed; requests are then held against the limit of the configuration. */
 const MAX_HEADER_BYTES = 64 * 1024;
 
 /** An idle connection is kept longer than its caller was told, for a request that is already on its way. */
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -67,6 +67,11 @@
         refuseRequest(context, response, 503, "no configuration", caller, DEFAULT_RETRY_AFTER_MS);
         return;
     }
+    const { limits } = initialTable.configuration;
+    if (headerBytes(request.rawHeaders) > limits.maxHeaderBytes) {
+        refuseRequest(context, response, 431, "headers too large", caller);
+        return;
+    }
     const host = (request.headers.host ?? "").split(":")[0] ?? "";
     const path = (request.url ?? "/").split("?")[0] ?? "/";
     const expiresAtOn = (route: Route | undefined) => {
@@ -82,8 +87,7 @@
         if (!response.writableFinished) cancellation.abort(CancelReason.callerLeft);
     });
     try {
-        const { maxBodyBytes } = initialTable.configuration.limits;
-        const bodyResult = await readLimitedBody(request, maxBodyBytes, reserve, cancellation.signal);
+        const bodyResult = await readLimitedBody(request, limits.maxBodyBytes, reserve, cancellation.signal);
         if (bodyResult.kind !== "complete") {
             finishWithoutBody(context, response, caller, bodyResult, cancellation.signal);
             return;
@@ -163,6 +167,11 @@
     }
 }
 
+/** Returns the size of header fields in their shortest form, with a colon and a line break each. */
+function headerBytes(rawHeaders: readonly string[]): number {
+    return rawHeaders.reduce((sum, { length }) => sum + length, 3 * rawHeaders.length / 2);
+}
+
 async function runAttempts(exchange: Exchange): Promise<void> {
     const { context, route } = exchange;
     const service = chooseService(route.services, context.random());
--- a/src/test/router/endlessBytes.test.ts
+++ b/src/test/router/endlessBytes.test.ts
@@ -212,6 +212,20 @@
     assert.equal((await sendCall(router.callerPort, { path: "/read/" })).body, "ok");
 });
 
+// Guards against headers above the configured limit that reach a server, and against refusing those within it.
+test("headers above the configured limit are refused with 431", async () => {
+    const limits = { ...(configurationRow(1) as { limits: object; }).limits, "max-header-bytes": 2000 };
+    store.put("op", "config", configurationRow(2, { limits }));
+    await addRunners(respondOk, respondOk);
+    const statusWith = async (valueBytes: number, body?: string) => {
+        const headers = { "x-filler": "x".repeat(valueBytes) };
+        return (await sendCall(router.callerPort, { path: "/read/", method: "POST", headers, body })).status;
+    };
+    await waitUntil(async () => await statusWith(2000) === 431);
+    assert.equal(await statusWith(2000, "x".repeat(90_000)), 431);
+    assert.equal(await statusWith(1600), 200);
+});
+
 // Guards against calls to the store, the origin and peers that never end because single bytes keep arriving.
 test("a response that arrives byte by byte fails after a bounded time", async () => {
     const sockets = new Set<Socket>();
