Measure the route table by processor time

Its test failed once beside six other jobs (created in 574 ms of 250, load average 14; 20 ms alone): the wall clock counts the turns of other processes.

--- a/src/test/core/serving/routeTable.test.ts
+++ b/src/test/core/serving/routeTable.test.ts
@@ -59,11 +59,13 @@
 // Guards against a large configuration that stops the event loop for seconds, so that requests in progress time out.
 test("a table of 40,000 routes is created and searched without blocking the process", () => {
     const routes = Array.from({ length: 40_000 }, (_, index) => routeOf(`/x${index % 97}/n${index}/`));
-    const startedAt = performance.now();
+    // Processor time, because other processes may run meanwhile.
+    const cpuMs = () => process.cpuUsage().user / 1000;
+    const startedAt = cpuMs();
     const table = createRouteTable({ version: 1, routes, services: [], limits: LIMITS, accounts: undefined });
-    const createdAt = performance.now();
+    const createdAt = cpuMs();
     for (let index = 0; index < 1000; index++) assert.equal(table.findRoute("a.example", "/none/x"), undefined);
-    const searchedAt = performance.now();
+    const searchedAt = cpuMs();
     assert.ok(createdAt - startedAt < MAX_BLOCKING_MS, `created in ${createdAt - startedAt} ms`);
     assert.ok(searchedAt - createdAt < MAX_BLOCKING_MS, `1,000 lookups in ${searchedAt - createdAt} ms`);
 });
