Don't judge a server by time in which the entry itself didn't run

Callers saw sound streams cut off or moved, a 504 in place of a response that was there in time, and sound servers were ejected as unreachable, after the entry's process had paused: a long task such as a large configuration, or a machine that was slow or frozen.

Cause: Node runs the timers that are due before it reads from sockets, so after a pause each timer that waits for a peer fires although the awaited bytes are in the socket's buffer, and the pause counts as the server's silence.

The deadlines of a request and of outdated weights stay absolute, but the loop reads once before they act.

--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -59,9 +59,15 @@
     });
     silence.start(silenceTimeoutMs(exchange, assignment, sentAt));
     const { startDeadline } = assignment;
+    let hasStarted = false;
     const startTimer = startDeadline === undefined || startDeadline >= exchange.expiresAt ?
         undefined :
-        setTimeout(() => cancellation.abort("outdated weights"), Math.max(1, startDeadline - sentAt));
+        setTimeout(() => {
+            // An event that has arrived is read before the check.
+            setImmediate(() => {
+                if (!hasStarted) cancellation.abort("outdated weights");
+            });
+        }, Math.max(1, startDeadline - sentAt));
     try {
         const response = await context.connections.send({
             serverId: server.id,
@@ -91,7 +97,7 @@
         }
         else {
             silence.stop();
-            clearTimeout(startTimer);
+            hasStarted = true;
         }
         const result = await readResponse(exchange, response, {
             metadata,
@@ -100,7 +106,7 @@
             signal: cancellation.signal,
             onFirstEvent: () => {
                 silenceReason = "the stream paused too long";
-                clearTimeout(startTimer);
+                hasStarted = true;
                 recordFirstEvent(exchange, assignment, sentAt);
             },
         });
@@ -121,6 +127,7 @@
     }
     finally {
         silence.stop();
+        hasStarted = true;
         clearTimeout(startTimer);
         exchange.cancellation.signal.removeEventListener("abort", onAbort);
         context.reservations.release(assignment, dispatchId);
--- a/src/lib/router/backendConnections.ts
+++ b/src/lib/router/backendConnections.ts
@@ -9,6 +9,7 @@
 import VError from "verror";
 import { Verdict } from "../core/verdict.js";
 import { hasResponseBody } from "../node/responseBody.js";
+import { createSilenceTimer } from "../node/silenceTimer.js";
 
 export interface BackendRequest {
     readonly serverId: string;
@@ -97,10 +98,11 @@
             };
             request.signal.addEventListener("abort", onAbort, { once: true });
             outgoing.once("close", () => request.signal.removeEventListener("abort", onAbort));
-            const timer = setTimeout(() => abort("connecting timed out"), CONNECT_TIMEOUT_MS);
+            const connectTimer = createSilenceTimer(async () => abort("connecting timed out"));
+            connectTimer.start(CONNECT_TIMEOUT_MS);
             const onConnected = () => {
                 mayBeWritten = true;
-                clearTimeout(timer);
+                connectTimer.stop();
             };
             outgoing.on("socket", socket => {
                 socket.setNoDelay(true);
@@ -108,7 +110,7 @@
                 else onConnected();
             });
             outgoing.on("error", cause => {
-                clearTimeout(timer);
+                connectTimer.stop();
                 const verdict = mayBeWritten ? Verdict.mayHaveRun : Verdict.notRun;
                 reject(sendError(abortMessage ?? cause.message, verdict));
             });
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -79,8 +79,12 @@
         return arrivedAt + Math.min(deadlineMs, route?.timeoutMs ?? DEFAULT_DEADLINE_MS);
     };
     const cancellation = new AbortController();
-    const startExpiry = (expiresAt: number) =>
-        setTimeout(() => cancellation.abort(CancelReason.expired), expiresAt - context.now());
+    let expiryImmediate: NodeJS.Immediate | undefined;
+    // A response that has arrived by then is read first.
+    const expire = () => {
+        expiryImmediate = setImmediate(() => cancellation.abort(CancelReason.expired));
+    };
+    const startExpiry = (expiresAt: number) => setTimeout(expire, expiresAt - context.now());
     context.cancellations.add(cancellation);
     let expiry = startExpiry(expiresAtOn(initialTable.findRoute(host, path)));
     response.on("close", () => {
@@ -107,6 +111,7 @@
         }
         const expiresAt = expiresAtOn(route);
         clearTimeout(expiry);
+        clearImmediate(expiryImmediate);
         expiry = startExpiry(expiresAt);
         await serveWithBody({
             context,
