Don't abandon attempts at agents because the entry itself paused

Callers of the product's own interface saw requests end as "the agent is silent" after a pause of the entry's process, although their agents had gone on.

Cause: the periodic check compares the last frame with the clock, and runs before the frames that came meanwhile are read.

Fix: a check that comes late moves the last frame of each attempt by the time in which the process didn't run, and every check runs after the event loop has read what arrived.

Evidence: attemptMonitor.test (the clock jumps by 5 s between two checks). Before: not ok 1 - a pause of the process isn't taken for a silence of the agent (actual: 'the agent is silent'). After: it passes, and so does dispatcher.test (10 in all). The order of reading and checking has no test of its own.

--- a/src/lib/entry/attemptMonitor.ts
+++ b/src/lib/entry/attemptMonitor.ts
@@ -41,9 +41,12 @@
 
 export function startAttemptMonitor(directory: AgentDirectory, now: () => number): AttemptMonitor {
     const activeAttempts = new Set<ActiveAttempt>();
+    let checkedAt = now();
 
     function check(): void {
         const nowMs = now();
+        excludePause(nowMs - checkedAt - CHECK_INTERVAL_MS, nowMs);
+        checkedAt = nowMs;
         for (const activeAttempt of activeAttempts) {
             const reason = findAbandonReason(activeAttempt, nowMs);
             if (reason === undefined) continue;
@@ -53,6 +56,14 @@
         }
     }
 
+    /** Time in which this process didn't run is no silence of the agents. */
+    function excludePause(pauseMs: number, nowMs: number): void {
+        if (pauseMs < CHECK_INTERVAL_MS) return;
+        for (const activeAttempt of activeAttempts) {
+            activeAttempt.lastFrameAt = Math.min(nowMs, activeAttempt.lastFrameAt + pauseMs);
+        }
+    }
+
     function findAbandonReason(activeAttempt: ActiveAttempt, nowMs: number): string | undefined {
         const { attempt, address, isRetryable, deadline, lastFrameAt, isWaitingForCaller } = activeAttempt;
         if (nowMs > deadline + DEADLINE_GRACE_MS) return "the deadline has passed";
@@ -71,7 +82,8 @@
         return sinceLastFrameMs > PROGRESS_TIMEOUT_MS ? "the agent makes no progress" : undefined;
     }
 
-    const timer = setInterval(check, CHECK_INTERVAL_MS);
+    // Frames that have arrived are read before the check.
+    const timer = setInterval(() => setImmediate(check), CHECK_INTERVAL_MS);
     return {
         add: attempt => void activeAttempts.add(attempt),
         remove: attempt => void activeAttempts.delete(attempt),
