Read what has arrived before a call of the HTTP client times out

After a pause of a process its calls failed although their responses were in the sockets: answers that agents relay ended early, the store counted as lost, and pieces of weights were fetched twice.

Fix: when the time is over, the loop reads once; the call fails only if nothing was read and the connection wasn't established.

Evidence: http.test with a server in a thread of its own and a pause of 0.7 s. Only the error of a call was reproduced, not what it leads to.

--- a/src/lib/clients/http.ts
+++ b/src/lib/clients/http.ts
@@ -75,17 +75,28 @@
                 connected = true;
                 return;
             }
+            const onConnectTimeout = () => {
+                if (!connected) outgoing.destroy(new Error("connecting timed out"));
+            };
+            // After a pause of this process the event loop first reads what has arrived; so does the timeout below.
             const timer = request.connectTimeoutMs === undefined ?
                 undefined :
-                setTimeout(() => outgoing.destroy(new Error("connecting timed out")), request.connectTimeoutMs);
+                setTimeout(() => setImmediate(onConnectTimeout), request.connectTimeoutMs);
             socket.once("connect", () => {
                 connected = true;
                 clearTimeout(timer);
             });
             socket.once("close", () => clearTimeout(timer));
         });
-        outgoing.setTimeout(request.timeoutMs ?? DEFAULT_TIMEOUT_MS, () => {
-            outgoing.destroy(new Error("no data received before the timeout"));
+        outgoing.setTimeout(request.timeoutMs ?? DEFAULT_TIMEOUT_MS);
+        outgoing.on("timeout", () => {
+            const isConnecting = outgoing.socket?.connecting;
+            const bytesRead = outgoing.socket?.bytesRead;
+            setImmediate(() => {
+                const hasProgressed = outgoing.socket?.connecting !== isConnecting ||
+                    outgoing.socket?.bytesRead !== bytesRead;
+                if (!hasProgressed) outgoing.destroy(new Error("no data received before the timeout"));
+            });
         });
         outgoing.on("error", rejectWith);
         outgoing.on("response", resolve);
--- a/src/test/clients/http.test.ts
+++ b/src/test/clients/http.test.ts
@@ -2,7 +2,9 @@
 import * as http from "node:http";
 import { Socket } from "node:net";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { provesNotSent, sendRequest } from "../../lib/clients/index.js";
+import { startRunnerThread } from "../platform/runnerThread.js";
 
 /** Returns an agent whose connections are never established, as those to a VM without power. */
 function createUnconnectedAgent(): http.Agent {
@@ -29,3 +31,24 @@
     });
     assert.ok(performance.now() - startedAt < 1000);
 });
+
+// Guards against a call that fails after a pause of this process, although its response has arrived.
+test("a pause of the process isn't taken for a silent server", async () => {
+    const runner = await startRunnerThread({ eventCount: 1, intervalMs: 0, silentAfter: 0, silenceMs: 50 });
+    try {
+        for (const delayMs of [0, 30]) {
+            const sending = sendRequest({
+                method: "GET",
+                url: `http://${runner.address}/`,
+                timeoutMs: 400,
+                connectTimeoutMs: 200,
+            });
+            if (delayMs > 0) await sleep(delayMs);
+            setImmediate(() => Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 700));
+            assert.equal((await sending).status, 200, `paused after ${delayMs} ms`);
+        }
+    }
+    finally {
+        await runner.close();
+    }
+});
