Relay a server's error if no other server takes its request

Callers of idempotent requests saw a 502 of the entry where their server had answered with an error of its own.

Cause: the same as with silent servers: the response in hand was dropped when a retry was allowed, before a server for it was found.

Fix: the error of the last attempt is kept until another server is assigned, and relayed if none is, or if the time ends meanwhile.

Evidence: on the code before, not ok 11 - a server's error is relayed if no other server is free (502 {"error":"no server"} instead of 500 "broken"). After: it passes, with the tests of silentServer and exchange (32).

--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -14,7 +14,14 @@
 import { type BodyResult, readLimitedBody } from "../node/limitedBody.js";
 import { type CallerRequest, parseCallerRequest } from "../platform/index.js";
 import { runAttempt } from "./attempt.js";
-import { CancelReason, type Exchange, type ExchangeContext, isRetryableRoute, RetryDenial } from "./exchangeState.js";
+import {
+    type BufferedResponse,
+    CancelReason,
+    type Exchange,
+    type ExchangeContext,
+    isRetryableRoute,
+    RetryDenial,
+} from "./exchangeState.js";
 import {
     DEFAULT_RETRY_AFTER_MS,
     finishCancelled,
@@ -187,18 +194,21 @@
     context.retryBudget.recordRequest(service, context.now());
     let queuedSince = context.now();
     let successor: Successor | undefined;
+    /** The error with which the last attempt ended; it is relayed if no other server takes the request. */
+    let errorResponse: BufferedResponse | undefined;
     for (;;) {
         let assignment = successor?.assignment;
         if (successor !== undefined) exchange.dispatchId = successor.dispatchId;
         if (assignment === undefined) {
             const dispatchResult = await waitForServer(exchange, service, queuedSince);
             if (dispatchResult === undefined) {
-                finishCancelled(exchange);
+                finishCancelled(exchange, errorResponse);
                 return;
             }
             if (dispatchResult.kind === "refused") {
                 if (exchange.attemptSummaries.length > 0) exchange.retryDenial = RetryDenial.noServer;
-                finishRefused(exchange, dispatchResult.refusal.reason, dispatchResult.refusal);
+                if (errorResponse !== undefined) finishFailed(exchange, dispatchResult.refusal.reason, errorResponse);
+                else finishRefused(exchange, dispatchResult.refusal.reason, dispatchResult.refusal);
                 return;
             }
             assignment = dispatchResult.assignment;
@@ -222,12 +232,13 @@
             finishCancelled(exchange);
             return;
         }
+        errorResponse = result.errorResponse;
         successor = successorSearch.take();
         if (successor !== undefined) continue;
         exchange.retryDenial = findRetryDenial(exchange, result.verdict, service);
         if (exchange.retryDenial !== undefined) {
             const retryAfterMs = context.dispatcher.suggestRetryAfterMs(service, exchange.expiresAt, context.now());
-            finishFailed(exchange, result.summary, result.errorResponse, retryAfterMs);
+            finishFailed(exchange, result.summary, errorResponse, retryAfterMs);
             return;
         }
     }
--- a/src/lib/router/localResponses.ts
+++ b/src/lib/router/localResponses.ts
@@ -28,17 +28,19 @@
     response.end(body);
 }
 
-/** Ends a request whose caller disconnected, whose time expired or that outlasts the grace period of a stop. */
-export function finishCancelled(exchange: Exchange): void {
+/**
+ * Ends a request whose caller disconnected, whose time expired or that outlasts the grace period of a stop. An error of
+ * its last server is relayed.
+ */
+export function finishCancelled(exchange: Exchange, errorResponse?: BufferedResponse): void {
     const { response } = exchange;
     const reason = String(exchange.cancellation.signal.reason);
     if (reason === CancelReason.callerLeft) {
         recordEnd(exchange, "abandoned", reason);
         return;
     }
-    if (response.headersSent) {
-        response.destroy();
-        recordEnd(exchange, "failed", reason);
+    if (response.headersSent || errorResponse !== undefined) {
+        finishFailed(exchange, reason, errorResponse);
         return;
     }
     const mayHaveRun = combineVerdicts(exchange.verdicts) !== Verdict.notRun;
--- a/src/test/router/silentServer.test.ts
+++ b/src/test/router/silentServer.test.ts
@@ -133,6 +133,19 @@
     assert.deepEqual(pool.runners.map(({ requests }) => requests.length), [3, 1]);
 });
 
+// Guards against a server's own error that is replaced by a 502 because a retry was begun without a server for it.
+test("a server's error is relayed if no other server is free", async () => {
+    const pool = await startPool({
+        respond: request => void request.socket.write(completeResponse(request, "broken", "500 Internal Server Error")),
+        rows: [{}, { slots: 0 }],
+    });
+    for (const deadlineMs of [3000, 100]) {
+        const response = await pool.call("/read/", deadlineMs);
+        assert.deepEqual([response.status, response.body], [500, "broken"]);
+    }
+    assert.equal(pool.requestCount(), 2);
+});
+
 // Guards against a caller that waits for a silent server although another one is free.
 test("another server takes over from a silent one", async () => {
     for (const id of [0, 3]) {
