Serve accepted requests after their service left the configuration

Callers saw, beside a configuration without their route's former service: a waiting request was refused as soon as the configuration was applied, and a stream whose server broke off ended, although another server of the service could go on.

Cause: the dispatcher looks up the service of a request by its name in the newest configuration at each decision; a missing one counts as a service without servers.

A request carries the service as it was when the request was accepted, which is used if the configuration has it no longer.

--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -30,6 +30,8 @@
 import type { WeightsPolicy } from "./weightsPolicy.js";
 
 export interface DispatchRequest extends QueuedRequest {
+    /** The service at the time of acceptance, for requests that outlast it in the configuration. */
+    readonly acceptedService?: BackendService | undefined;
     readonly promptTokens: number;
     /** Expected length of the answer; 0 if the request is no generation. */
     readonly outputTokens: number;
@@ -177,7 +179,7 @@
         for (const request of sortQueue(queued, classOfRequest, inFlight.countForAccount)) {
             // A result that was delivered in this pass may have led to a decision on this request.
             if (!queue.has(request.id)) continue;
-            if (!snapshots.has(request.service)) snapshots.set(request.service, takeSnapshot(request.service, now));
+            if (!snapshots.has(request.service)) snapshots.set(request.service, takeSnapshot(request, now));
             const snapshot = snapshots.get(request.service);
             if (snapshot !== undefined && tryPlace(request, classOfRequest(request), snapshot, now)) continue;
             const key = `${request.service} ${classOfRequest(request)}`;
@@ -190,8 +192,12 @@
         if (queue.size > 0) options.onWaiting?.();
     }
 
-    function takeSnapshot(serviceName: string, now: number): PoolSnapshot | undefined {
-        const service = options.findService(serviceName);
+    function serviceOf(request: DispatchRequest): BackendService | undefined {
+        return options.findService(request.service) ?? request.acceptedService;
+    }
+
+    function takeSnapshot(request: DispatchRequest, now: number): PoolSnapshot | undefined {
+        const service = serviceOf(request);
         return service === undefined ? undefined : pool.takeSnapshot(service, now);
     }
 
@@ -200,7 +206,7 @@
     }
 
     function typicalFirstEventFor(request: DispatchRequest): number {
-        const engine = options.findService(request.service)?.engine;
+        const engine = serviceOf(request)?.engine;
         return engine === undefined ? 0 : typicalFirstEventMs(engine, request.promptTokens);
     }
 
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -127,6 +127,7 @@
             response,
             caller,
             route,
+            acceptedTable: currentTable,
             account,
             body: bodyResult.body,
             arrivedAt,
@@ -323,6 +324,7 @@
     return {
         id,
         service,
+        acceptedService: exchange.acceptedTable.findService(service),
         rank: account?.rank ?? route.rank,
         routeRank: route.rank,
         account: account?.name ?? "",
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -61,6 +61,8 @@
     readonly response: http.ServerResponse;
     readonly caller: CallerRequest;
     readonly route: Route;
+    /** The configuration under which the request was accepted. */
+    readonly acceptedTable: RouteTable;
     readonly account: ClientAccount | undefined;
     readonly body: Buffer;
     readonly arrivedAt: number;
