Refuse requests whose time is over when their body has arrived

Callers saw, beside a configuration that lowers a timeout: a request whose body was on its way got 504 although it could have been refused; a booking that gets a 504 isn't sent again.

Cause: the timeout that is in force at the end of the body may have passed already. The timer that cancels the request fired only after the request had been written to an open connection.

The request is cancelled at once, before a server is chosen. Longer timeouts than a timer can hold no longer expire at once.

--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -39,6 +39,9 @@
 /** A deadline below this fraction of the route's timeout indicates that the caller retries after a refusal. */
 const CALLER_RETRY_DEADLINE_FRACTION = 0.97;
 
+/** Timers with a longer delay fire at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /** Serves a request. Never throws; every failure ends in a response or a closed connection. */
 export async function serveExchange(
     context: ExchangeContext,
@@ -87,11 +90,16 @@
     };
     const cancellation = new AbortController();
     let expiryImmediate: NodeJS.Immediate | undefined;
+    const abortExpired = () => cancellation.abort(CancelReason.expired);
     // A response that has arrived by then is read first.
     const expire = () => {
-        expiryImmediate = setImmediate(() => cancellation.abort(CancelReason.expired));
+        expiryImmediate = setImmediate(abortExpired);
+    };
+    const startExpiry = (expiresAt: number) => {
+        const remainingMs = expiresAt - context.now();
+        if (remainingMs <= 0) abortExpired();
+        return setTimeout(expire, Math.min(remainingMs, MAX_TIMER_MS));
     };
-    const startExpiry = (expiresAt: number) => setTimeout(expire, expiresAt - context.now());
     context.cancellations.add(cancellation);
     let expiry = startExpiry(expiresAtOn(initialTable.findRoute(host, path)));
     response.on("close", () => {
--- a/src/test/router/configurationChange.test.ts
+++ b/src/test/router/configurationChange.test.ts
@@ -109,6 +109,13 @@
         laterStatuses: [401],
     },
     "removes the account": { apply: () => writeConfiguration({ tenants: [] }), laterStatuses: [401] },
+    "lowers the timeouts": {
+        apply: () => {
+            const routes = baseConfiguration.routes.map(route => ({ ...route, "timeout-ms": 300 }));
+            writeConfiguration({ routes });
+        },
+        laterStatuses: [200, 408, 503],
+    },
     "lowers the limits": {
         apply: () => {
             const limits = { "header-timeout-ms": 100, "idle-timeout-ms": 300, "max-body-bytes": 5 };
--- a/src/test/router/requestBody.test.ts
+++ b/src/test/router/requestBody.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, beforeEach, test } from "node:test";
 import { type ReceivedRequest } from "../platform/fakeRunner.js";
 import { formatRequest } from "./rawCaller.js";
-import { respondOk, sleep, startTestEntry, type TestEntry } from "./testEntry.js";
+import { CHANGE_MS, configurationWithRoutes, respondOk, sleep, startTestEntry, type TestEntry } from "./testEntry.js";
 
 let entry: TestEntry;
 let respond: (request: ReceivedRequest) => void;
@@ -56,3 +56,18 @@
     assert.equal((await caller.nextResponse()).status, 504);
     assert.ok(Date.now() - startedAt < 1400, `${Date.now() - startedAt} ms`);
 });
+
+// Guards against a request that is sent although its time is over, and against a 504 for one that can't have run.
+test("a request whose time is over when its body has arrived is refused unsent", async () => {
+    const caller = await entry.openCaller();
+    // Leaves an open connection to the server, on which a request would be written at once.
+    caller.send(formatRequest({ path: "/read/", id: "a", body: "x" }));
+    assert.equal((await caller.nextResponse()).status, 200);
+    caller.send(`${formatRequest({ path: "/read/", id: "b", headers: { "Content-Length": "10" } })}half1`);
+    await sleep(100);
+    entry.store.put("op", "config", configurationWithRoutes(2, { "timeout-ms": 300 }));
+    await sleep(CHANGE_MS);
+    caller.send("half2");
+    assert.equal((await caller.nextResponse()).status, 503);
+    assert.equal(entry.runner.requests.length, 1);
+});
