Answer piece requests with invalid numbers at once

A request of the peer API without "wait" was never answered while its piece wasn't held: the deadline was NaN, and the loop that waits for the piece ran every millisecond until it came, after the client had left as well.

Missing or invalid waits and counts are 0 now, and a missing or invalid version or piece gets 400.

peerApi.test on the code before didn't end: it was killed after 9 minutes.

--- a/src/lib/stager/peerApi.ts
+++ b/src/lib/stager/peerApi.ts
@@ -88,6 +88,8 @@
     state(version: number, knownCount: number): Promise<PeerState>;
 }
 
+const PIECE_PATHS: ReadonlySet<string> = new Set(["/manifest", "/state", "/piece"]);
+
 /** Handles a request of the peer API; returns false for any other path. Throws what the provider throws. */
 export async function handlePieceRequest(
     provider: PieceProvider,
@@ -96,26 +98,30 @@
     response: http.ServerResponse,
 ): Promise<boolean> {
     const url = new URL(request.url ?? "/", "http://peer");
-    const numberParameter = (name: string) => Number(url.searchParams.get(name) ?? Number.NaN);
-    const version = numberParameter("version");
-    if (url.pathname === "/manifest") sendJson(response, await provider.manifest(version));
-    else if (url.pathname === "/state") sendJson(response, await provider.state(version, numberParameter("known")));
-    else if (url.pathname === "/piece") {
-        const bytes = await provider.piece(
-            version,
-            numberParameter("piece"),
-            Math.min(numberParameter("wait"), MAX_PIECE_WAIT_MS),
-        );
+    if (!PIECE_PATHS.has(url.pathname)) return false;
+    const countParameter = (name: string) => parseCount(url.searchParams.get(name));
+    const version = countParameter("version");
+    const piece = countParameter("piece");
+    if (version === undefined || url.pathname === "/piece" && piece === undefined) response.writeHead(400).end();
+    else if (url.pathname === "/manifest") sendJson(response, await provider.manifest(version));
+    else if (url.pathname === "/state") sendJson(response, await provider.state(version, countParameter("known") ?? 0));
+    else if (piece !== undefined) {
+        const waitMs = Math.min(countParameter("wait") ?? 0, MAX_PIECE_WAIT_MS);
+        const bytes = await provider.piece(version, piece, waitMs);
         if (bytes === undefined) response.writeHead(404).end();
         else {
             response.writeHead(200, { "content-length": bytes.length });
             await throttleFor(request).send(bytes, response);
         }
     }
-    else return false;
     return true;
 }
 
+/** Returns `undefined` if the text isn't a whole number of 0 or more. */
+function parseCount(text: string | null): number | undefined {
+    return text === null || !/^\d+$/.test(text) ? undefined : Number(text);
+}
+
 /** Creates a server for the peer API. It responds to every other path with the metrics of the process. */
 export function createPieceServer(
     provider: PieceProvider,
--- /dev/null
+++ b/src/test/stager/peerApi.test.ts
@@ -0,0 +1,45 @@
+import assert from "node:assert/strict";
+import { createHash } from "node:crypto";
+import type { Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { afterEach, test } from "node:test";
+import { createServingMetrics } from "../../lib/observability/index.js";
+import { createPieceServer, createStoredPieceProvider } from "../../lib/stager/peerApi.js";
+import { createPieceStore } from "../../lib/stager/pieceStore.js";
+import { createUploadThrottle } from "../../lib/stager/uploadThrottle.js";
+
+const PIECE = Buffer.from("held");
+
+let server: Server | undefined;
+
+afterEach(() => {
+    server?.close();
+    server?.closeAllConnections();
+});
+
+/** Serves a version with two pieces, of which the first one is held. */
+async function startServer(): Promise<string> {
+    const pieceStore = createPieceStore();
+    const digest = createHash("sha256").update(PIECE).digest("hex");
+    pieceStore.put(pieceStore.open("m", { version: 1, digests: [digest, digest] }), 0, PIECE);
+    const throttle = createUploadThrottle(1000);
+    server = createPieceServer(createStoredPieceProvider(pieceStore, () => 0), () => throttle, createServingMetrics());
+    await new Promise<void>(resolve => server?.listen(0, "127.0.0.1", resolve));
+    return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+// Guards against requests with a missing or invalid number, which would be waited for without end.
+test("a request with invalid numbers is answered at once", async () => {
+    const url = await startServer();
+    const statusOf = async (path: string) => {
+        return (await fetch(`${url}${path}`, { signal: AbortSignal.timeout(1000) })).status;
+    };
+    assert.equal(await statusOf("/piece?version=1&piece=0"), 200);
+    for (const wait of ["", "&wait=", "&wait=x", "&wait=-5", "&wait=NaN"]) {
+        assert.equal(await statusOf(`/piece?version=1&piece=1${wait}`), 404, wait);
+    }
+    for (const path of ["/piece?version=1", "/piece?piece=1", "/piece?version=1&piece=-1", "/manifest", "/state"]) {
+        assert.equal(await statusOf(path), 400, path);
+    }
+    assert.equal(await statusOf("/state?version=1"), 200);
+});
