Let reserved load expire without a report of its sender

An entry that owns a server counted the reservations of an entry whose heartbeats never arrived until the next report of any entry: the sum of the peers' load was valid until the oldest report expired, and reservations weren't part of that bound. A server could seem full for as long as the owner heard no other entry.

inFlightRequests.test on the code before: not ok 2 - a change that another entry announced counts only as long as a report: 2 !== 1 after 1.2 s

--- a/src/lib/core/serving/inFlightRequests.ts
+++ b/src/lib/core/serving/inFlightRequests.ts
@@ -67,7 +67,7 @@
     /** Loads of servers that their owners told with a refusal. */
     const ownerLoads = new Map<string, { readonly load: ServerLoad; readonly at: number; }>();
     /** Sum of the peers' recent reports by server; `undefined` after a change. */
-    let peerTotals: { readonly byServer: Map<string, ServerLoad>; readonly validUntil: number; } | undefined;
+    let peerTotals: { readonly byServer: Map<string, ServerLoad>; validUntil: number; } | undefined;
 
     function add(request: InFlightRequest): void {
         requests.set(request.id, request);
@@ -125,6 +125,7 @@
             const recent = changes.filter(({ at }) => now - at <= REPORT_MAX_AGE_MS);
             if (recent.length === 0) peerChanges.delete(sender);
             else peerChanges.set(sender, recent);
+            validUntil = Math.min(validUntil, (recent[0]?.at ?? Number.POSITIVE_INFINITY) + REPORT_MAX_AGE_MS);
             for (const { serverId, change } of recent) addServerLoad(byServer, serverId, change);
         }
         peerTotals = { byServer, validUntil };
@@ -172,8 +173,11 @@
             if (changes === undefined) peerChanges.set(sender, changes = []);
             changes.push({ serverId, change, at: now });
             const total = peerTotals?.byServer.get(serverId);
-            if (total === undefined) peerTotals = undefined;
-            else addLoad(total, change);
+            if (peerTotals === undefined || total === undefined) peerTotals = undefined;
+            else {
+                addLoad(total, change);
+                peerTotals.validUntil = Math.min(peerTotals.validUntil, now + REPORT_MAX_AGE_MS);
+            }
         },
         recordOwnerLoad: (serverId, load, now) => void ownerLoads.set(serverId, { load: [...load], at: now }),
         loadOf,
--- a/src/test/core/serving/inFlightRequests.test.ts
+++ b/src/test/core/serving/inFlightRequests.test.ts
@@ -17,6 +17,17 @@
     assert.equal(inFlight.countForAccount("a"), 0);
 });
 
+// Guards against reservations that count as load forever because no report of their sender arrives.
+test("a change that another entry announced counts only as long as a report", () => {
+    const inFlight = createInFlightRequests();
+    inFlight.recordPeerChange("other", "s", [0, 1, 50, 0], 0);
+    assert.equal(inFlight.loadOf("s", 0).prefilling, 1);
+    inFlight.recordPeerChange("other", "s", [0, 1, 50, 0], 500);
+    assert.equal(inFlight.loadOf("s", 900).prefilling, 2);
+    assert.equal(inFlight.loadOf("s", 1200).prefilling, 1);
+    assert.equal(inFlight.loadOf("s", 5000).prefilling, 0);
+});
+
 // Guards against two entries that fill the same server, and against counting the load of an entry that has stopped.
 test("the load of other entries counts while their reports are recent", () => {
     const inFlight = createInFlightRequests();
