Bound the number of receivers whose rates an entry keeps

A throttle was kept for every address that ever asked for a piece. The one that asked least recently is now forgotten above 1024 receivers.

uploadThrottle.test on the code before: not ok 4 - only receivers that asked recently keep their throttles

--- a/src/lib/stager/uploadThrottle.ts
+++ b/src/lib/stager/uploadThrottle.ts
@@ -30,6 +30,9 @@
 /** A receiver that reads nothing for this long is disconnected, which frees its upload slot. */
 const DRAIN_TIMEOUT_MS = 1500;
 
+/** More than the receivers that ask for pieces at the same time; the one that asked least recently is forgotten. */
+const MAX_RECEIVERS = 1024;
+
 /** Creates a throttle that limits the total rate of all uploads through it to `rateMbps`. */
 export function createUploadThrottle(rateMbps: number): UploadThrottle {
     const bytesPerSecond = rateMbps * 1e6 / 8;
@@ -72,7 +75,12 @@
         if (throttle === undefined) {
             const rateMbps = Number(new URL(url ?? "/", "http://peer").searchParams.get("rate"));
             throttle = createUploadThrottle(rateMbps > 0 ? rateMbps : DEFAULT_RATE_MBPS);
-            throttles.set(receiver, throttle);
+        }
+        throttles.delete(receiver);
+        throttles.set(receiver, throttle);
+        if (throttles.size > MAX_RECEIVERS) {
+            const [leastRecent = ""] = throttles.keys();
+            throttles.delete(leastRecent);
         }
         return throttle;
     };
