Test notices of unnamed servers and of servers with queued requests

A leaving server that answers 421 for another instance is marked itself and leaves the named one in use; queued requests neither follow one that their only server turned away nor wait in vain. Both hold since the notices are applied. markLeaving is no news for a removed server without a start time, which was logged with each of its responses.

--- a/src/lib/core/serving/serverRegistry.ts
+++ b/src/lib/core/serving/serverRegistry.ts
@@ -46,8 +46,8 @@
      */
     remove(id: string, now: number, lastOutageAt: number | undefined): void;
     /**
-     * Records that an incarnation announced in a response that it is leaving; it need not be registered. Returns false
-     * if that was known.
+     * Records that an incarnation announced in a response that it is leaving; it need not be registered. Returns whether
+     * that is news.
      */
     markLeaving(server: ServerIncarnation): boolean;
     /** Returns whether an incarnation is registered, isn't leaving and hasn't been suspect for too long. */
@@ -115,7 +115,9 @@
         const current = registered.get(incarnation.id);
         const isKnown = leavingKeys.has(incarnationKey(incarnation));
         rememberLeaving(incarnation);
-        if (current === undefined || current.server.startedAt !== incarnation.startedAt) return !isKnown;
+        if (current === undefined || current.server.startedAt !== incarnation.startedAt) {
+            return !isKnown && incarnation.startedAt !== 0;
+        }
         if (current.server.isLeaving) return false;
         registered.set(incarnation.id, { ...current, server: { ...current.server, isLeaving: true } });
         usableByService.clear();
--- a/src/test/core/serving/serverRegistry.test.ts
+++ b/src/test/core/serving/serverRegistry.test.ts
@@ -61,6 +61,7 @@
     registry.put(serverOf("a", { startedAt: 0 }));
     assert.deepEqual(idsOf(registry.usable("s", 0)), []);
     registry.remove("a", 0, undefined);
+    assert.equal(registry.markLeaving(serverOf("a", { startedAt: 0 })), false, "a response of a removed server");
     registry.put(serverOf("a", { startedAt: 0 }));
     assert.deepEqual(idsOf(registry.usable("s", 0)), ["a"]);
 });
--- a/src/test/router/serverNotices.test.ts
+++ b/src/test/router/serverNotices.test.ts
@@ -38,10 +38,10 @@
     await router.stop();
 });
 
-async function addRunner(id: string, respond: (request: ReceivedRequest) => void) {
+async function addRunner(id: string, respond: (request: ReceivedRequest) => void, row: object = {}) {
     const runner = await startFakeRunner(respond);
     runners.push(runner);
-    store.put("servers", id, serverRow(runner.address));
+    store.put("servers", id, serverRow(runner.address, row));
     await sleep(100);
     return runner;
 }
@@ -125,6 +125,34 @@
     assert.deepEqual(counts, { "a refusal": 0, "another instance": 0, "a failure": 0, "a running stream": 0 });
 });
 
+// Guards against a sound server that goes out of use because a leaving one at its earlier address says that it is another
+// instance, and against requests to that one.
+test("a leaving server that isn't the named one is marked itself", async () => {
+    const headers = noticeHeaders({ isLeaving: true, retryAfterSeconds: undefined });
+    const leaving = await addRunner("i-leaving", request => {
+        const isNamed = request.header("expect-instance") === "i-leaving";
+        request.socket.write(
+            isNamed ?
+                completeResponse(request, "ok") :
+                `HTTP/1.1 421 Misdirected Request\r\nAt-Server: i-leaving\r\n${headers}Content-Length: 0\r\n\r\n`,
+        );
+    });
+    store.put("servers", "i-moved", serverRow(leaving.address));
+    await sleep(100);
+    const moved = await startFakeRunner(request => void request.socket.write(completeResponse(request, "ok")));
+    runners.push(moved);
+    await waitUntil(async () => {
+        await sendReads(2);
+        return leaving.requests.some(request => request.header("expect-instance") === "i-moved");
+    });
+    store.put("servers", "i-moved", serverRow(moved.address));
+    await sleep(700);
+    const countBefore = leaving.requests.length;
+    await sendUntilReceived(moved);
+    for (let round = 0; round < 5; round++) await sendReads(4);
+    assert.equal(leaving.requests.length, countBefore);
+});
+
 // Guards against a server that stays out of use after a restart because its earlier incarnation was leaving.
 test("a server that was leaving is used again after a restart", async () => {
     await addSteadyRunner("i-steady");
@@ -227,6 +255,31 @@
     assert.equal(first.runner.requests.length, 1);
 });
 
+// Guards against queued requests that are sent to a server, or wait in vain, once it leaves or asks for a pause.
+test("queued requests are refused at once when their only server turns one away", async () => {
+    const notices = [
+        { isLeaving: true, retryAfterSeconds: undefined },
+        { isLeaving: false, retryAfterSeconds: 2.5 },
+    ];
+    for (const [index, notice] of notices.entries()) {
+        const id = `i-${index}`;
+        const runner = await addRunner(id, ({ socket }) => {
+            setTimeout(() => socket.write(notRunResponse(noticeHeaders(notice))), 150);
+        }, { slots: 1 });
+        const startedAt = performance.now();
+        const responses = await sendReads(4);
+        assert.deepEqual(new Set(responses.map(({ status }) => status)), new Set([503]));
+        assert.ok(performance.now() - startedAt < 600, `${performance.now() - startedAt} ms`);
+        assert.equal(runner.requests.length, 1);
+        for (const { headers } of responses) {
+            // A third of the deadline of 3 s, or a bit less.
+            assert.ok(Number(headers["retry-after"]) > 0.8, `Retry-After ${headers["retry-after"]}`);
+        }
+        store.remove("servers", id);
+        await sleep(600);
+    }
+});
+
 // Guards against refusing requests that a server takes in time, because its pause is about to end.
 test("requests wait for a pause that ends before they are due", async () => {
     const { runner, notices } = await addNoticeRunner("i-1");
