--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -179,7 +179,7 @@
         for (const request of sortQueue(queued, classOfRequest, inFlight.countForAccount)) {
             // A result that was delivered in this pass may have led to a decision on this request.
             if (!queue.has(request.id)) continue;
-            if (!snapshots.has(request.service)) snapshots.set(request.service, takeSnapshot(request, now));
+            if (!snapshots.has(request.service)) snapshots.set(request.service, takeSnapshot(serviceOf(request), now));
             const snapshot = snapshots.get(request.service);
             if (snapshot !== undefined && tryPlace(request, classOfRequest(request), snapshot, now)) continue;
             const key = `${request.service} ${classOfRequest(request)}`;
@@ -196,8 +196,7 @@
         return options.findService(request.service) ?? request.acceptedService;
     }
 
-    function takeSnapshot(request: DispatchRequest, now: number): PoolSnapshot | undefined {
-        const service = serviceOf(request);
+    function takeSnapshot(service: BackendService | undefined, now: number): PoolSnapshot | undefined {
         return service === undefined ? undefined : pool.takeSnapshot(service, now);
     }
 
@@ -218,7 +217,7 @@
     }
 
     function assignNow(request: DispatchRequest, now: number): Assignment | undefined {
-        const snapshot = takeSnapshot(request.service, now);
+        const snapshot = takeSnapshot(serviceOf(request), now);
         return snapshot === undefined ? undefined : assign(request, classOf(request, now), snapshot, now);
     }
 
@@ -342,7 +341,7 @@
     }
 
     function suggestRetryAfterMs(service: string, expiresAt: number, now: number): number | undefined {
-        const servers = takeSnapshot(service, now)?.servers() ?? [];
+        const servers = takeSnapshot(options.findService(service), now)?.servers() ?? [];
         const isReturnKnown = servers.some(({ returnsAt }) => returnsAt !== undefined);
         if (!isReturnKnown || servers.some(({ isExpected }) => isExpected)) return undefined;
         return retryAfterMs(untilReturnMs(servers, now), expiresAt, options.random(), now);
