--- a/src/lib/platform/headers.ts
+++ b/src/lib/platform/headers.ts
@@ -20,6 +20,10 @@
     readonly expectedOutputTokens: number | undefined;
     /** Id of the event after which the caller resumes a stream. */
     readonly lastEventId: string | undefined;
+    /** Identifiers of the prompt's parts that other requests may share, in order; without the last part. */
+    readonly sharedPromptParts: readonly string[];
+    /** Identifier of the last part of the prompt, which belongs to the request or its session; empty if unknown. */
+    readonly ownPromptPart: string;
 }
 
 /** Metadata that an entry adds to a request that it forwards. */
@@ -94,11 +98,18 @@
 /** Longer API keys are treated as missing. */
 const MAX_KEY_LENGTH = 256;
 
+/** The parts of longer prompts are ignored. */
+const MAX_PROMPT_PARTS = 64;
+
+/** Longer identifiers of parts are cut off. */
+const MAX_PART_ID_LENGTH = 64;
+
 export function parseCallerRequest(headers: IncomingHttpHeaders): CallerRequest {
     const [promptTokens, maxOutputTokens] = (firstValue(headers["token-usage"]) ?? "").split(",").map(Number);
     const expectedOutputTokens = Number(firstValue(headers["length-hint"]));
     const deadlineMs = Number(firstValue(headers["deadline-ms"]) ?? Number.NaN);
     const key = firstValue(headers["key"]);
+    const promptParts = parsePromptParts(firstValue(headers["prompt-prefix"]));
     return {
         id: firstValue(headers["attempt-id"]) ?? "",
         deadlineMs: Number.isFinite(deadlineMs) ? deadlineMs : undefined,
@@ -109,9 +120,18 @@
             expectedOutputTokens :
             undefined,
         lastEventId: firstValue(headers["last-event-id"]),
+        sharedPromptParts: promptParts.slice(0, -1),
+        ownPromptPart: promptParts.at(-1) ?? "",
     };
 }
 
+/** Returns the identifiers of a prompt's parts, which are listed with their numbers of tokens. */
+function parsePromptParts(value: string | undefined): string[] {
+    const parts = value?.split(",", MAX_PROMPT_PARTS + 1) ?? [];
+    if (parts.length > MAX_PROMPT_PARTS) return [];
+    return parts.map(part => part.trim().split(":")[0]?.slice(0, MAX_PART_ID_LENGTH) ?? "");
+}
+
 /** Returns the headers of the request to a backend server as alternating names and values. */
 export function forwardedRequestHeaders(
     rawHeaders: readonly string[],
--- a/src/lib/router/localResponses.ts
+++ b/src/lib/router/localResponses.ts
@@ -180,6 +180,9 @@
         tookMs: Math.round(now - exchange.arrivedAt),
         ...exchange.prediction,
         promptTokens: caller.promptTokens,
+        sharedPromptParts: outcome === "answered" || caller.sharedPromptParts.length === 0 ?
+            undefined :
+            caller.sharedPromptParts,
         version: configurationVersion(context),
         ...extraFields,
     });
