Quarantine parts of prompts that crash servers

Cause: an entry took the end of a server for the server's own fault and sent the request that had caused it to the next one, and the callers repeated it as well. Nothing tied crashes to the prompts that ran.

A request is a suspect if its server crashed (its connection broke and a new one is refused) before a second event or the end of its answer. Entries tell each other of crashes and of survivals of accused parts. A part is quarantined after three crashes without a survival, or five if it survived before; requests with it are refused, also those that wait. One entry sends a single probe after 15 s, then less and less often, or when newer weights are in force.

--- a/src/lib/core/serving/admissionControl.ts
+++ b/src/lib/core/serving/admissionControl.ts
@@ -25,7 +25,7 @@
     readonly expiresAt: number;
 }
 
-export type RefusalReason = "overloaded" | "servers backing off" | "expired" | "no server";
+export type RefusalReason = "overloaded" | "servers backing off" | "expired" | "no server" | "quarantined prompt";
 
 export interface Refusal<T extends QueuedRequest> {
     readonly request: T;
--- a/src/lib/core/serving/index.ts
+++ b/src/lib/core/serving/index.ts
@@ -5,6 +5,7 @@
 export * from "./peerEntries.js";
 export * from "./pieceSources.js";
 export * from "./placement.js";
+export * from "./promptQuarantine.js";
 export * from "./routeTable.js";
 export * from "./rowReplica.js";
 export * from "./serverBackoff.js";
--- a/src/lib/node/peerMessages.ts
+++ b/src/lib/node/peerMessages.ts
@@ -1,6 +1,6 @@
 /**
  * Sends and receives the heartbeats of entries and agents, the notifications of named weights and the reservations of
- * slots, over UDP. Serves
+ * slots, over UDP. Sends crashes of servers and survivals of prompts between entries. Serves
  * table changes over HTTP, so that an entry that is behind can read them from a peer. Heartbeats are periodic, and a
  * notification is repeated until the agent's heartbeats show the version, so the loss of a message is harmless.
  */
@@ -9,7 +9,7 @@
 import { gzip } from "node:zlib";
 import * as z from "zod";
 import { sendRequest } from "../clients/index.js";
-import type { Row, RowReplica } from "../core/serving/index.js";
+import { MAX_REPORTED_QUARANTINES, type Row, type RowReplica } from "../core/serving/index.js";
 
 /** The four numbers of a load by server. */
 const serverLoadSchema = z.tuple([z.number(), z.number(), z.number(), z.number()]);
@@ -30,6 +30,14 @@
      * that from all requests of the sender's failure domain.
      */
     load: z.record(z.string(), serverLoadSchema),
+    /** Quarantined parts of prompts; see `QuarantineReport`. Entries of earlier versions send none. */
+    quarantines: z.array(z.object({
+        part: z.string(),
+        lastCrashAgeMs: z.number().nonnegative(),
+        probeInMs: z.number(),
+        intervalMs: z.number().positive(),
+        weightsVersion: z.number(),
+    })).max(MAX_REPORTED_QUARANTINES).optional(),
 };
 
 const entryHeartbeatSchema = z.object({
@@ -105,6 +113,23 @@
     load: serverLoadSchema,
 });
 
+/** Tells the other entries that a server crashed, and which requests may have caused it; see `ServerCrash`. */
+const crashNotificationSchema = z.object({
+    kind: z.literal("crash"),
+    serverId: z.string(),
+    /** Start time of the server, in Unix milliseconds. */
+    startedAt: z.number(),
+    ageMs: z.number().nonnegative(),
+    weightsVersion: z.number(),
+    suspects: z.array(z.object({ promptId: z.number(), parts: z.array(z.string()) })),
+});
+
+/** Tells the other entries that requests with accused parts of prompts survived; see `SurvivalReport`. */
+const survivalNotificationSchema = z.object({
+    kind: z.literal("survivals"),
+    survivals: z.array(z.object({ part: z.string(), ageMs: z.number().nonnegative() })),
+});
+
 const peerMessageSchema = z.discriminatedUnion("kind", [
     entryHeartbeatSchema,
     domainDigestSchema,
@@ -113,6 +138,8 @@
     reservationRequestSchema,
     reservationReplySchema,
     slotReleaseSchema,
+    crashNotificationSchema,
+    survivalNotificationSchema,
 ]);
 
 export type EntryHeartbeat = Readonly<z.infer<typeof entryHeartbeatSchema>>;
@@ -122,6 +149,8 @@
 export type ReservationRequest = Readonly<z.infer<typeof reservationRequestSchema>>;
 export type ReservationReply = Readonly<z.infer<typeof reservationReplySchema>>;
 export type SlotRelease = Readonly<z.infer<typeof slotReleaseSchema>>;
+export type CrashNotification = Readonly<z.infer<typeof crashNotificationSchema>>;
+export type SurvivalNotification = Readonly<z.infer<typeof survivalNotificationSchema>>;
 export type PeerMessage =
     | EntryHeartbeat
     | DomainDigest
@@ -129,7 +158,9 @@
     | WeightsNotification
     | ReservationRequest
     | ReservationReply
-    | SlotRelease;
+    | SlotRelease
+    | CrashNotification
+    | SurvivalNotification;
 
 export interface PeerSocket {
     /** Sends the message to each IP address, at the entries' port by default. Losses aren't reported. */
--- a/src/lib/observability/servingMetrics.ts
+++ b/src/lib/observability/servingMetrics.ts
@@ -16,6 +16,7 @@
     readonly storeCalls: Counter<"result">;
     readonly pieces: Counter<"source">;
     readonly orders: Counter<"result">;
+    readonly quarantines: Counter<"change">;
     /** Returns all values in the Prometheus text format. */
     expose(): Promise<string>;
     readonly contentType: string;
@@ -59,6 +60,7 @@
         storeCalls: counter("endivewell_store_calls_total", "Calls to the store by result.", ["result"]),
         pieces: counter("endivewell_pieces_total", "Pieces of weights received by source.", ["source"]),
         orders: counter("endivewell_orders_total", "Orders to the engine by result.", ["result"]),
+        quarantines: counter("endivewell_prompt_quarantines_total", "Changes of prompt quarantines.", ["change"]),
         expose: () => registry.metrics(),
         contentType: registry.contentType,
     };
--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -109,6 +109,7 @@
                 hasStarted = true;
                 recordFirstEvent(exchange, assignment, sentAt);
             },
+            onSurvival: () => context.promptGuard.recordSurvival(caller, server.service),
         });
         recordResult(exchange, assignment, result, metadata, silence.isExpired());
         return result;
@@ -210,6 +211,7 @@
             const summary = bodyResult.kind === "tooLarge" ? "the answer is too large" : "the answer is incomplete";
             return { kind: "failed", verdict: Verdict.mayHaveRun, summary };
         }
+        if (status < 300) stream.onSurvival();
         return deliverBuffered(exchange, response, bodyResult.body);
     }
     finally {
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -10,11 +10,12 @@
     type DispatchRequest,
     type Route,
 } from "../core/serving/index.js";
-import { canRetry, type Verdict } from "../core/verdict.js";
+import { canRetry, Verdict } from "../core/verdict.js";
 import { type BodyResult, readLimitedBody } from "../node/limitedBody.js";
 import { type CallerRequest, parseCallerRequest } from "../platform/index.js";
 import { runAttempt } from "./attempt.js";
 import {
+    type AttemptResult,
     type BufferedResponse,
     CancelReason,
     type Exchange,
@@ -42,6 +43,9 @@
 /** Timers with a longer delay fire at once. */
 const MAX_TIMER_MS = 2 ** 31 - 1;
 
+/** Reason of a refusal because of a part of the prompt that crashes servers. */
+const QUARANTINED_PROMPT = "quarantined prompt";
+
 /** Serves a request. Never throws; every failure ends in a response or a closed connection. */
 export async function serveExchange(
     context: ExchangeContext,
@@ -197,7 +201,7 @@
     const { context, route } = exchange;
     const service = chooseService(route.services, context.random());
     if (service === undefined) {
-        finishRefused(exchange, "no service", undefined);
+        finishRefused(exchange, "no service");
         return;
     }
     context.retryBudget.recordRequest(service, context.now());
@@ -209,20 +213,33 @@
         let assignment = successor?.assignment;
         if (successor !== undefined) exchange.dispatchId = successor.dispatchId;
         if (assignment === undefined) {
+            const admission = context.promptGuard.decide(exchange.caller, service);
+            if (admission.kind === "refused") {
+                finishRefused(exchange, QUARANTINED_PROMPT, admission.retryAfterMs);
+                return;
+            }
             const dispatchResult = await waitForServer(exchange, service, queuedSince);
             if (dispatchResult === undefined) {
                 finishCancelled(exchange, errorResponse);
                 return;
             }
             if (dispatchResult.kind === "refused") {
+                const { reason, retryAfterMs } = dispatchResult.refusal;
                 if (exchange.attemptSummaries.length > 0) exchange.retryDenial = RetryDenial.noServer;
-                if (errorResponse !== undefined) finishFailed(exchange, dispatchResult.refusal.reason, errorResponse);
-                else finishRefused(exchange, dispatchResult.refusal.reason, dispatchResult.refusal);
+                if (errorResponse !== undefined) finishFailed(exchange, reason, errorResponse);
+                else finishRefused(exchange, reason, retryAfterMs);
                 return;
             }
             assignment = dispatchResult.assignment;
             if (!await reserveSlot(exchange, assignment)) continue;
         }
+        const start = context.promptGuard.begin(exchange.caller, service);
+        if (start.kind === "refused") {
+            context.reservations.release(assignment, exchange.dispatchId);
+            context.dispatcher.recordEnd(exchange.dispatchId, context.now());
+            finishRefused(exchange, QUARANTINED_PROMPT, start.retryAfterMs);
+            return;
+        }
         const successorSearch = createSuccessorSearch(
             exchange,
             service,
@@ -242,9 +259,13 @@
             return;
         }
         errorResponse = result.errorResponse;
+        const mayRepeat = mayRepeatPrompt(exchange, assignment, result);
+        // The attempt was given up because its server was silent, not because it crashed.
         successor = successorSearch.take();
         if (successor !== undefined) continue;
-        exchange.retryDenial = findRetryDenial(exchange, result.verdict, service);
+        exchange.retryDenial = await mayRepeat ?
+            findRetryDenial(exchange, result.verdict, service) :
+            RetryDenial.suspectPrompt;
         if (exchange.retryDenial !== undefined) {
             const retryAfterMs = context.dispatcher.suggestRetryAfterMs(service, exchange.expiresAt, context.now());
             finishFailed(exchange, result.summary, errorResponse, retryAfterMs);
@@ -253,6 +274,15 @@
     }
 }
 
+/** Returns false if the request may have crashed its server and could crash the next one. */
+async function mayRepeatPrompt(
+    { context, caller }: Exchange,
+    { server }: Assignment,
+    { hasSurvived = false, verdict }: Extract<AttemptResult, { kind: "failed"; }>,
+): Promise<boolean> {
+    return hasSurvived || context.promptGuard.examineFailure(caller, server, verdict !== Verdict.notRun);
+}
+
 /**
  * Reserves the assigned slot at the server's owner. If it refuses, or the server no longer accepts requests afterwards,
  * takes the assignment back and returns false.
@@ -296,7 +326,7 @@
     service: string,
     queuedSince: number,
 ): Promise<AssignmentResult | undefined> {
-    const { context, cancellation } = exchange;
+    const { context, caller, cancellation } = exchange;
     const { dispatcher } = context;
     const submittedAt = context.now();
     const id = `${exchange.id}/${exchange.attemptSummaries.length}`;
@@ -304,6 +334,7 @@
     const request = createDispatchRequest(exchange, service, id, queuedSince);
     return new Promise(resolve => {
         const onAbort = () => {
+            stopWatching();
             dispatcher.cancel(id);
             resolve(undefined);
         };
@@ -312,7 +343,14 @@
             return;
         }
         cancellation.signal.addEventListener("abort", onAbort, { once: true });
+        const stopWatching = context.promptGuard.onRefusal(caller, service, retryAfterMs => {
+            cancellation.signal.removeEventListener("abort", onAbort);
+            dispatcher.cancel(id);
+            exchange.waitedMs += context.now() - submittedAt;
+            resolve({ kind: "refused", refusal: { request, reason: QUARANTINED_PROMPT, retryAfterMs } });
+        });
         dispatcher.submit(request, dispatchResult => {
+            stopWatching();
             cancellation.signal.removeEventListener("abort", onAbort);
             exchange.waitedMs += context.now() - submittedAt;
             resolve(dispatchResult);
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -16,6 +16,7 @@
 import type { CallerRequest } from "../platform/index.js";
 import type { BackendConnections } from "./backendConnections.js";
 import type { EventStreamParser } from "./eventStreamParser.js";
+import type { PromptGuard } from "./promptGuard.js";
 import type { Reservations } from "./reservations.js";
 import type { ServerNotices } from "./serverNotices.js";
 
@@ -25,6 +26,7 @@
     readonly dispatcher: Dispatcher;
     readonly connections: BackendConnections;
     readonly reservations: Reservations;
+    readonly promptGuard: PromptGuard;
     readonly retryBudget: SharedRetryBudget;
     readonly health: ServerHealth;
     readonly speed: ServerSpeed;
@@ -103,6 +105,9 @@
     attemptsUsed: "attempts used",
     budgetSpent: "budget spent",
     noServer: "no server",
+    /** The request may have crashed its server. */
+    suspectPrompt: "suspect prompt",
+    quarantinedPrompt: "quarantined prompt",
 } as const;
 
 export type RetryDenial = (typeof RetryDenial)[keyof typeof RetryDenial];
@@ -116,6 +121,8 @@
         readonly summary: string;
         /** An event had arrived, so the server had started to run the request. */
         readonly hasFirstEvent?: boolean;
+        /** The stream went on after its first events, so the request can't have crashed the server. */
+        readonly hasSurvived?: boolean;
         /** The server's error response, which is relayed to the caller unless a retry succeeds. */
         readonly errorResponse?: BufferedResponse;
     };
--- a/src/lib/router/localResponses.ts
+++ b/src/lib/router/localResponses.ts
@@ -3,7 +3,6 @@
  * response claims that the request didn't run only if no attempt can have run it.
  */
 import type * as http from "node:http";
-import type { DispatchRequest, Refusal } from "../core/serving/index.js";
 import { combineVerdicts, Verdict } from "../core/verdict.js";
 import { type CallerRequest, localResponseHeaders } from "../platform/index.js";
 import { type BufferedResponse, CancelReason, type Exchange, type ExchangeContext } from "./exchangeState.js";
@@ -53,7 +52,7 @@
 export function finishRefused(
     exchange: Exchange,
     reason: string,
-    refusal: Refusal<DispatchRequest> | undefined,
+    retryAfterMs: number = DEFAULT_RETRY_AFTER_MS,
 ): void {
     if (exchange.response.headersSent) {
         exchange.response.destroy();
@@ -62,7 +61,7 @@
     }
     const mayHaveRun = combineVerdicts(exchange.verdicts) !== Verdict.notRun;
     exchange.context.metrics.refusals.inc({ reason });
-    finishLocally(exchange, mayHaveRun ? 502 : 503, reason, refusal?.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS);
+    finishLocally(exchange, mayHaveRun ? 502 : 503, reason, retryAfterMs);
 }
 
 /** Ends a request whose last attempt failed, with the server's own error response if there is one. */
--- a/src/lib/router/peerExchange.ts
+++ b/src/lib/router/peerExchange.ts
@@ -9,6 +9,7 @@
     type EntryIdentity,
     isStoreReader,
     type PeerEntries,
+    type QuarantineReport,
     type Row,
     type RowReplica,
     type WeightsPolicy,
@@ -24,6 +25,7 @@
 } from "../node/peerMessages.js";
 import type { EventLog } from "../observability/index.js";
 import type { VmSettings } from "../settings/vmSettings.js";
+import type { PromptGuard } from "./promptGuard.js";
 import { loadSender, type Reservations } from "./reservations.js";
 
 export interface PeerExchangeOptions {
@@ -44,6 +46,7 @@
     /** Returns the last time at which this entry saw the store fail; `undefined` if it didn't. */
     readonly lastOutageAt: () => number | undefined;
     readonly reservations: () => Reservations;
+    readonly promptGuard: () => PromptGuard;
     /** Called with the slowdown of an engine that its agent reports. */
     readonly onEngineSlowdown: (address: string, startedAt: number, slowdown: number, now: number) => void;
     readonly log: EventLog;
@@ -59,6 +62,8 @@
     readsFromStore(): boolean;
     /** Sends a message to an entry; it may be lost. */
     send(message: PeerMessage, ip: string): void;
+    /** Sends a message to all live entries; it may be lost. */
+    broadcast(message: PeerMessage): void;
     /** Sends the messages that are due. Call it every `HEARTBEAT_INTERVAL_MS`. */
     tick(): void;
     /** Tells all known agents at once that weights were named. */
@@ -103,6 +108,8 @@
         else if (message.kind === "reserve") options.reservations().handleRequest(message);
         else if (message.kind === "reserved") options.reservations().handleReply(message);
         else if (message.kind === "release") options.reservations().handleRelease(message);
+        else if (message.kind === "crash") options.promptGuard().handleCrash(message);
+        else if (message.kind === "survivals") options.promptGuard().handleSurvivals(message);
     }
 
     function onAgentHeartbeat(message: AgentHeartbeat, receivedAt: number): void {
@@ -141,6 +148,7 @@
 
     function mergeProgress(message: EntryHeartbeat | DomainDigest, receivedAt: number): void {
         for (const age of message.named) weights.mergePeerAge(age, receivedAt);
+        options.promptGuard().mergeReports(message.quarantines ?? []);
         for (const table of replicas.keys()) void catchUpFromPeer(message, table, receivedAt);
     }
 
@@ -208,6 +216,7 @@
             named: weights.recentAges(sentAt),
             newest: Object.fromEntries([...replicas].map(([table, replica]) => [table, replica.newestRevision()])),
             storeOutageAgeMs: outageAt === undefined ? undefined : Math.max(0, sentAt - outageAt),
+            quarantines: reportedQuarantines(),
         };
         const reachesStore = options.reachesStore();
         if (heartbeatIps.length > 0) {
@@ -230,12 +239,18 @@
         }, digestIps);
     }
 
+    function reportedQuarantines(): QuarantineReport[] | undefined {
+        const reports = options.promptGuard().reports();
+        return reports.length === 0 ? undefined : reports;
+    }
+
     const socket = openPeerSocket(settings.ip, peerPort, peerPort, onMessage);
     for (const ip of settings.seeds) peers.addUnconfirmed({ name: `seed ${ip}`, ip, failureDomain: "" });
 
     return {
         readsFromStore,
         send: (message, ip) => socket.send(message, [ip]),
+        broadcast: message => socket.send(message, peers.live(now()).map(({ ip }) => ip)),
         tick,
         notifyAgents,
         close: () => socket.close(),
--- /dev/null
+++ b/src/lib/router/promptGuard.ts
@@ -0,0 +1,227 @@
+/**
+ * Keeps requests with quarantined parts of prompts from backend servers. Detects crashes of servers by failed attempts
+ * and exchanges them, and the survivals of accused parts, with the other entries.
+ */
+import MurmurHash3 from "imurmurhash";
+import { firstMember } from "../core/rendezvous.js";
+import {
+    type BackendServer,
+    createPromptQuarantine,
+    type EntryIdentity,
+    type PromptDecision,
+    type QuarantineReport,
+    type SurvivalReport,
+    type Suspect,
+} from "../core/serving/index.js";
+import { refusesConnections } from "../node/connectCheck.js";
+import type { CrashNotification, SurvivalNotification } from "../node/peerMessages.js";
+import type { EventLog, ServingMetrics } from "../observability/index.js";
+import type { CallerRequest } from "../platform/index.js";
+
+export interface PromptGuardOptions {
+    readonly self: string;
+    readonly liveEntries: () => readonly EntryIdentity[];
+    /** Returns the lowest version of the weights that may answer requests of the service. */
+    readonly weightsVersion: (service: string, now: number) => number;
+    /** Called when a server has crashed, as seen by this or another entry; possibly several times for one crash. */
+    readonly onCrash: (serverId: string, startedAt: number) => void;
+    /** Sends a message to all live entries. Messages may be lost. */
+    readonly broadcast: (message: CrashNotification | SurvivalNotification) => void;
+    readonly log: EventLog;
+    readonly metrics: ServingMetrics;
+    /** Monotonic clock, in milliseconds. */
+    readonly now: () => number;
+}
+
+export interface PromptGuard {
+    /** Decides whether a request may be sent to a server of the service. */
+    decide(caller: CallerRequest, service: string): PromptDecision;
+    /**
+     * Decides as `decide` does, for a request that is sent now. If it is sent as a probe, `examineFailure` or
+     * `recordSurvival` must be called when its attempt ends.
+     */
+    begin(caller: CallerRequest, service: string): PromptDecision;
+    /**
+     * Calls back, at most once, when a part of the request's prompt is quarantined. Returns a function that ends this.
+     */
+    onRefusal(caller: CallerRequest, service: string, callback: (retryAfterMs: number) => void): () => void;
+    /** Records that the request's answer goes on after its start, so its prompt doesn't crash servers. */
+    recordSurvival(caller: CallerRequest, service: string): void;
+    /**
+     * Checks whether the server has crashed, and records the request as a suspect if it has. `hasRun` is false if the
+     * server can't have started the request. Resolves with whether the request may be sent to another server.
+     */
+    examineFailure(caller: CallerRequest, server: BackendServer, hasRun: boolean): Promise<boolean>;
+    handleCrash(message: CrashNotification): void;
+    handleSurvivals(message: SurvivalNotification): void;
+    /** Returns the quarantines for a heartbeat. */
+    reports(): QuarantineReport[];
+    mergeReports(reports: readonly QuarantineReport[]): void;
+}
+
+/** Suspects of one crash that are recorded; they come from requests that were in progress at the same time. */
+const MAX_SUSPECTS = 64;
+
+/** Suspects in one message, which must fit into a datagram. */
+const MAX_SUSPECTS_PER_MESSAGE = 16;
+
+interface CrashCheck {
+    readonly suspects: Suspect[];
+    readonly isDone: Promise<void>;
+}
+
+interface WaitingRequest {
+    readonly parts: readonly string[];
+    readonly onRefused: () => void;
+}
+
+export function createPromptGuard(options: PromptGuardOptions): PromptGuard {
+    const { log, metrics, now } = options;
+    const waitingRequests = new Set<WaitingRequest>();
+    /** Running checks by the server's incarnation. */
+    const checks = new Map<string, CrashCheck>();
+    /** Requests that were sent as probes, with the quarantined part. */
+    const probes = new WeakMap<CallerRequest, string>();
+
+    const quarantine = createPromptQuarantine({
+        isProber: part => firstMember(`probe ${part}`, options.liveEntries().map(({ name }) => name)) === options.self,
+        onQuarantined: (part, crashCount) => {
+            log.warn("prompt part quarantined", { part, crashes: crashCount });
+            metrics.quarantines.inc({ change: crashCount === undefined ? "reported" : "quarantined" });
+            for (const { parts, onRefused } of waitingRequests) if (parts.includes(part)) onRefused();
+        },
+        onLifted: part => {
+            log.warn("prompt part released", { part });
+            metrics.quarantines.inc({ change: "released" });
+        },
+    });
+
+    function decide(caller: CallerRequest, service: string): PromptDecision {
+        const at = now();
+        return quarantine.decide(partsOf(caller, service), options.weightsVersion(service, at), at);
+    }
+
+    function begin(caller: CallerRequest, service: string): PromptDecision {
+        const decision = decide(caller, service);
+        if (decision.kind === "probe") {
+            quarantine.startProbe(decision.part, now());
+            probes.set(caller, decision.part);
+            log.warn("prompt part probed", { part: decision.part, id: caller.id });
+            metrics.quarantines.inc({ change: "probed" });
+        }
+        return decision;
+    }
+
+    function onRefusal(
+        caller: CallerRequest,
+        service: string,
+        callback: (retryAfterMs: number) => void,
+    ): () => void {
+        const parts = partsOf(caller, service);
+        if (parts.length === 0) return () => undefined;
+        const onRefused = () => {
+            const decision = decide(caller, service);
+            if (decision.kind !== "refused") return;
+            waitingRequests.delete(waiting);
+            callback(decision.retryAfterMs);
+        };
+        const waiting: WaitingRequest = { parts, onRefused };
+        waitingRequests.add(waiting);
+        return () => void waitingRequests.delete(waiting);
+    }
+
+    async function examineFailure(caller: CallerRequest, server: BackendServer, hasRun: boolean): Promise<boolean> {
+        const { service } = server;
+        const parts = partsOf(caller, service);
+        if (parts.length === 0) return true;
+        const suspect = { promptId: promptIdOf(caller), parts };
+        if (hasRun) await checkForCrash(server, suspect);
+        const at = now();
+        const probedPart = probes.get(caller);
+        if (probedPart !== undefined) {
+            quarantine.endProbe(probedPart, hasRun, options.weightsVersion(service, at), at);
+        }
+        return !hasRun || quarantine.mayRepeat(parts, at);
+    }
+
+    /** All attempts that a crash ended share one check. */
+    function checkForCrash(server: BackendServer, suspect: Suspect): Promise<void> {
+        const incarnation = incarnationOf(server.id, server.startedAt);
+        const running = checks.get(incarnation);
+        if (running !== undefined) {
+            if (running.suspects.length < MAX_SUSPECTS) running.suspects.push(suspect);
+            return running.isDone;
+        }
+        const suspects = [suspect];
+        const failedAt = now();
+        const isDone = refusesConnections(server.address).then(isRefused => {
+            checks.delete(incarnation);
+            if (isRefused) recordCrash(server, suspects, failedAt);
+        });
+        checks.set(incarnation, { suspects, isDone });
+        return isDone;
+    }
+
+    function recordCrash(server: BackendServer, suspects: readonly Suspect[], failedAt: number): void {
+        const at = now();
+        const { id: serverId, startedAt } = server;
+        options.onCrash(serverId, startedAt);
+        log.warn("server crashed", {
+            server: serverId,
+            suspects: suspects.length,
+            sharedPromptParts: [...new Set(suspects.flatMap(({ parts }) => parts))],
+        });
+        const weightsVersion = options.weightsVersion(server.service, at);
+        for (let first = 0; first < suspects.length; first += MAX_SUSPECTS_PER_MESSAGE) {
+            options.broadcast({
+                kind: "crash",
+                serverId,
+                startedAt,
+                ageMs: at - failedAt,
+                weightsVersion,
+                suspects: suspects.slice(first, first + MAX_SUSPECTS_PER_MESSAGE).map(({ promptId, parts }) => ({
+                    promptId,
+                    parts: [...parts],
+                })),
+            });
+        }
+        const crash = { incarnation: incarnationOf(serverId, startedAt), suspects };
+        announce(quarantine.recordCrash(crash, weightsVersion, failedAt, at));
+    }
+
+    function announce(survivals: readonly SurvivalReport[]): void {
+        if (survivals.length > 0) options.broadcast({ kind: "survivals", survivals: [...survivals] });
+    }
+
+    return {
+        decide,
+        begin,
+        onRefusal,
+        recordSurvival: (caller, service) => announce(quarantine.recordSurvival(partsOf(caller, service), now())),
+        examineFailure,
+        handleCrash: ({ serverId, startedAt, suspects, weightsVersion, ageMs }) => {
+            const at = now();
+            options.onCrash(serverId, startedAt);
+            const crash = { incarnation: incarnationOf(serverId, startedAt), suspects };
+            announce(quarantine.recordCrash(crash, weightsVersion, at - ageMs, at));
+        },
+        handleSurvivals: ({ survivals }) => quarantine.mergeSurvivals(survivals, now()),
+        reports: () => quarantine.reports(now()),
+        mergeReports: reports => {
+            if (reports.length > 0) announce(quarantine.mergeReports(reports, now()));
+        },
+    };
+}
+
+/** Parts count per service: the model of another service may answer the same prompt. */
+function partsOf({ sharedPromptParts }: CallerRequest, service: string): string[] {
+    return sharedPromptParts.map(part => `${service} ${part}`);
+}
+
+function incarnationOf(serverId: string, startedAt: number): string {
+    return `${serverId} ${startedAt}`;
+}
+
+function promptIdOf({ sharedPromptParts, ownPromptPart }: CallerRequest): number {
+    return MurmurHash3([...sharedPromptParts, ownPromptPart].join(","), 0).result();
+}
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -17,6 +17,7 @@
     createSharedRetryBudget,
     createWeightsPolicy,
     type EntryIdentity,
+    Outcome,
     type RouteTable,
     type Row,
 } from "../core/serving/index.js";
@@ -38,6 +39,7 @@
 import { CancelReason, type ExchangeContext } from "./exchangeState.js";
 import { createOperatorState } from "./operatorState.js";
 import { createPeerExchange, HEARTBEAT_INTERVAL_MS } from "./peerExchange.js";
+import { createPromptGuard } from "./promptGuard.js";
 import { createReservations, reportLagMs } from "./reservations.js";
 import { createServerNotices } from "./serverNotices.js";
 
@@ -163,11 +165,29 @@
         metrics,
         now,
     });
+    const promptGuard = createPromptGuard({
+        self: self.name,
+        liveEntries: () => liveEntries,
+        weightsVersion: (service, at) => {
+            const engine = operatorState.routeTable()?.findService(service)?.engine;
+            return engine === undefined ? 0 : weights.lowestAllowed(engine.model, at);
+        },
+        onCrash: (serverId, startedAt) => {
+            if (registry.get(serverId)?.startedAt !== startedAt) return;
+            health.recordOutcome(serverId, Outcome.unreachable, now());
+            connections.removeServer(serverId);
+        },
+        broadcast: message => peerExchange.broadcast(message),
+        log,
+        metrics,
+        now,
+    });
     const context: ExchangeContext = {
         routeTable: operatorState.routeTable,
         dispatcher,
         connections,
         reservations,
+        promptGuard,
         retryBudget,
         health,
         speed,
@@ -233,6 +253,7 @@
         reachesStore: () => feeds.every(feed => feed.isConnected()),
         lastOutageAt: () => feeds[1]?.lastOutageAt(),
         reservations: () => reservations,
+        promptGuard: () => promptGuard,
         onEngineSlowdown: (address, startedAt, slowdown, at) => {
             const server = registry.findAt(address, startedAt);
             if (server !== undefined) speed.recordEngineSlowdown(server.id, slowdown, at);
--- a/src/lib/router/streamRelay.ts
+++ b/src/lib/router/streamRelay.ts
@@ -39,13 +39,15 @@
     /** Cancels the attempt; a text as its reason tells why. */
     readonly signal: AbortSignal;
     readonly onFirstEvent: () => void;
+    /** Called when the stream goes on after its first events, or is complete. */
+    readonly onSurvival: () => void;
 }
 
 /** Relays complete events as they arrive. The response headers are sent with the first event. */
 export async function relayStream(
     exchange: Exchange,
     upstream: http.IncomingMessage,
-    { metadata, registeredWeightsVersion, silence, signal, onFirstEvent }: StreamAttempt,
+    { metadata, registeredWeightsVersion, silence, signal, onFirstEvent, onSurvival }: StreamAttempt,
 ): Promise<AttemptResult> {
     const { context, response, route } = exchange;
     const parser = exchange.streamParser ??
@@ -55,6 +57,7 @@
     const maxGapMs = Math.min(route.maxEventGapMs, MAX_EVENT_GAP_MS);
     const pauseTimeoutMs = Math.max(MIN_PAUSE_TIMEOUT_MS, PAUSE_TIMEOUT_FACTOR * maxGapMs);
     let hasFirstEvent = false;
+    let hasSurvived = false;
     /** Received comments that aren't relayed yet. */
     let comments = NO_BYTES;
 
@@ -67,6 +70,12 @@
         exchange.weightsVersion ??= metadata.weightsVersion ?? registeredWeightsVersion;
     }
 
+    function onFurtherEvents(): void {
+        silence.restart();
+        if (!hasSurvived) onSurvival();
+        hasSurvived = true;
+    }
+
     function onChunk(chunk: Buffer): Promise<void> | undefined {
         const eventCountBefore = parser.eventCount();
         const completeEvents = parser.push(chunk);
@@ -80,7 +89,7 @@
             return undefined;
         }
         comments = NO_BYTES;
-        if (hasFirstEvent) silence.restart();
+        if (hasFirstEvent) onFurtherEvents();
         else onFirstEvents();
         exchange.weightsVersion = parser.weightsVersion() ?? exchange.weightsVersion;
         return response.write(completeBytes) ? undefined : waitForCaller();
@@ -98,26 +107,29 @@
         silence.stop();
         const isComplete = parser.pendingBytes() === 0 && metadata.isSigned &&
             await context.connections.isComplete(upstream);
-        if (!isComplete) return streamFailure(hasFirstEvent, "the stream ended early");
+        if (!isComplete) return streamFailure(hasFirstEvent, hasSurvived, "the stream ended early");
     }
     catch (error) {
         const reason: unknown = signal.reason;
-        return streamFailure(hasFirstEvent, typeof reason === "string" ? reason : (error as Error).message);
+        const summary = typeof reason === "string" ? reason : (error as Error).message;
+        return streamFailure(hasFirstEvent, hasSurvived, summary);
     }
     finally {
         parser.discardPending();
     }
     if (!response.headersSent) response.writeHead(200, streamHeaders(exchange, upstream.rawHeaders));
     response.end(comments);
+    if (!hasSurvived) onSurvival();
     return { kind: "answered", summary: isResumed ? "200 resumed" : "200" };
 }
 
-function streamFailure(hasFirstEvent: boolean, summary: string): AttemptResult {
+function streamFailure(hasFirstEvent: boolean, hasSurvived: boolean, summary: string): AttemptResult {
     return {
         kind: "failed",
         verdict: Verdict.mayHaveRun,
         summary: `${summary}${hasFirstEvent ? " after its first event" : ""}`,
         hasFirstEvent,
+        hasSurvived,
     };
 }
 
--- /dev/null
+++ b/src/test/core/serving/promptQuarantine.test.ts
@@ -0,0 +1,271 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createPromptQuarantine, type PromptQuarantine, type Suspect } from "../../../lib/core/serving/index.js";
+
+interface TestEntry extends PromptQuarantine {
+    readonly quarantined: string[];
+    readonly lifted: string[];
+}
+
+function createTestEntry(isProber = true): TestEntry {
+    const quarantined: string[] = [];
+    const lifted: string[] = [];
+    const quarantine = createPromptQuarantine({
+        isProber: () => isProber,
+        onQuarantined: part => void quarantined.push(part),
+        onLifted: part => void lifted.push(part),
+    });
+    return { ...quarantine, quarantined, lifted };
+}
+
+let promptCount = 0;
+
+function suspect(...parts: string[]): Suspect {
+    return { promptId: ++promptCount, parts };
+}
+
+function crash(incarnation: string, ...suspects: Suspect[]) {
+    return { incarnation, suspects };
+}
+
+/** Quarantines the part `deadly` with three crashes that end at 400. */
+function quarantineDeadly(entry: PromptQuarantine): void {
+    for (const [index, at] of [0, 200, 400].entries()) {
+        entry.recordCrash(crash(`s${index}`, suspect("deadly")), 1, at, at);
+    }
+}
+
+// Guards against requests of one kind that crash one server after the other, and against refusing sound requests that
+// share their other parts, on the pattern of the day `tainted`.
+test("a deadly part is quarantined after few crashes, and the parts it is seen with are not", () => {
+    for (const share of [0.02, 0.05, 0.1]) {
+        for (let seed = 1; seed <= 20; seed++) {
+            const { sendTimes, crashTimes, quarantined } = replay(share, seed);
+            const message = `share ${share}, seed ${seed}, crashes at ${crashTimes}`;
+            assert.deepEqual(quarantined, ["deadly"], message);
+            const boundAt = (crashTimes[4] ?? Number.POSITIVE_INFINITY) + STABILITY_WINDOW_MS;
+            assert.ok(sendTimes.filter(at => at > boundAt).length <= MAX_LATE_SENDS, message);
+        }
+    }
+});
+
+/** Requests that may reach servers later than the first time after the fifth crash by their part. */
+const STABILITY_WINDOW_MS = 3000;
+const MAX_LATE_SENDS = 3;
+
+/**
+ * Replays 20 s of 50 requests a second at 12 servers and 4 entries. Each has one of 60 first parts; deadly requests
+ * have the most frequent one. Entries hear of each other at once, and a crashed server is back after 3 s.
+ */
+function replay(share: number, seed: number) {
+    const random = createRandom(seed);
+    const entries = Array.from({ length: 4 }, () => createTestEntry());
+    const upAt = Array.from({ length: 12 }, () => 0);
+    interface Run {
+        readonly suspect: Suspect;
+        readonly entry: TestEntry;
+        readonly server: number;
+        readonly writesAt: number;
+        readonly isDeadly: boolean;
+    }
+    let runs: Run[] = [];
+    const sendTimes: number[] = [];
+    const crashTimes: number[] = [];
+    for (let now = 0; now < 20_000; now += 20) {
+        const isDeadly = random() < share;
+        const rank = isDeadly ? 0 : Math.floor(60 * random() ** 2);
+        const request = suspect(`first${rank}`, ...isDeadly ? ["deadly"] : []);
+        const entry = entries[Math.floor(random() * 4)] as TestEntry;
+        const upServers = upAt.flatMap((time, server) => time <= now ? [server] : []);
+        if (upServers.length > 0 && entry.decide(request.parts, 1, now).kind === "allowed") {
+            const server = upServers[Math.floor(random() * upServers.length)] ?? 0;
+            if (isDeadly) sendTimes.push(now);
+            runs.push({ suspect: request, entry, server, writesAt: now + 80 + 120 * random(), isDeadly });
+        }
+        const startedRuns = runs.filter(run => run.writesAt <= now);
+        runs = runs.filter(run => run.writesAt > now);
+        for (const run of startedRuns) {
+            // A server that crashed at the same time has ended the run.
+            if ((upAt[run.server] ?? 0) > now) continue;
+            if (run.isDeadly) {
+                crashTimes.push(now);
+                const incarnation = `${run.server} ${now}`;
+                const ended = [run, ...runs.filter(({ server }) => server === run.server)];
+                runs = runs.filter(({ server }) => server !== run.server);
+                upAt[run.server] = now + 3000;
+                for (const observer of new Set(ended.map(ended => ended.entry))) {
+                    const suspects = ended.filter(other => other.entry === observer).map(other => other.suspect);
+                    for (const receiver of entries) {
+                        const survivals = receiver.recordCrash(crash(incarnation, ...suspects), 1, now, now);
+                        for (const other of entries) if (other !== receiver) other.mergeSurvivals(survivals, now);
+                    }
+                }
+            }
+            else {
+                const survivals = run.entry.recordSurvival(run.suspect.parts, now);
+                for (const other of entries) if (other !== run.entry) other.mergeSurvivals(survivals, now);
+            }
+        }
+    }
+    return { sendTimes, crashTimes, quarantined: [...new Set(entries.flatMap(entry => entry.quarantined))] };
+}
+
+/** Returns a generator of numbers in [0, 1) that only depend on the seed (mulberry32). */
+function createRandom(seed: number): () => number {
+    let state = seed;
+    return () => {
+        state = (state + 0x6D2B79F5) | 0;
+        let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
+        mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
+        return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
+    };
+}
+
+// Guards against accusing a common part when several servers are lost at once.
+test("crashes at the same time count once", () => {
+    const entry = createTestEntry();
+    for (let index = 0; index < 8; index++) {
+        entry.recordCrash(crash(`s${index}`, suspect("common")), 1, index, index);
+    }
+    assert.deepEqual(entry.quarantined, []);
+});
+
+// Guards against adding up crashes that sound requests with the part were near, over a long time.
+test("a survival clears the crashes before it", () => {
+    const entry = createTestEntry();
+    for (let index = 0; index < 20; index++) {
+        entry.recordCrash(crash(`s${index}`, suspect("sound")), 1, index * 1000, index * 1000);
+        assert.deepEqual(entry.recordSurvival(["sound"], index * 1000 + 500), [{ part: "sound", ageMs: 0 }]);
+        assert.deepEqual(entry.recordSurvival(["sound"], index * 1000 + 600), [], "announced twice");
+    }
+    assert.deepEqual(entry.quarantined, []);
+});
+
+// Guards against trusting a part for ever because it was sound before.
+test("a part that was sound before it crashed servers is quarantined after a few more crashes", () => {
+    const entry = createTestEntry();
+    entry.recordSurvival(["turned"], 0);
+    for (let index = 1; index <= 5; index++) {
+        assert.deepEqual(entry.quarantined, [], `after ${index - 1} crashes`);
+        entry.recordCrash(crash(`s${index}`, suspect("turned")), 1, index * 100, index * 100);
+    }
+    assert.deepEqual(entry.quarantined, ["turned"]);
+});
+
+// Guards against a quarantine of the part that a deadly one was always seen with.
+test("the last of several parts with the same crashes is quarantined, and the crashes are not held against the others", () => {
+    const entry = createTestEntry();
+    for (let index = 0; index < 3; index++) {
+        entry.recordCrash(crash(`s${index}`, suspect("common", "deadly")), 1, index * 100, index * 100);
+    }
+    // Crashes that a request with the quarantined part was near are explained as well.
+    for (let index = 3; index < 9; index++) {
+        entry.recordCrash(
+            crash(`s${index}`, suspect("common", "deadly"), suspect("common")),
+            1,
+            index * 100,
+            index * 100,
+        );
+    }
+    assert.deepEqual(entry.quarantined, ["deadly"]);
+    assert.equal(entry.decide(["common"], 1, 1000).kind, "allowed");
+});
+
+// Guards against a quarantine because one request is repeated at servers that crash for another reason.
+test("repetitions of one prompt need one more crash", () => {
+    const entry = createTestEntry();
+    const repeated = suspect("part");
+    for (let index = 0; index < 3; index++) {
+        entry.recordCrash(crash(`s${index}`, repeated), 1, index * 100, index * 100);
+    }
+    assert.deepEqual(entry.quarantined, []);
+    entry.recordCrash(crash("s3", repeated), 1, 300, 300);
+    assert.deepEqual(entry.quarantined, ["part"]);
+});
+
+// Guards against repeating a suspect at the next server, and against failing sound requests that a crash interrupted.
+test("a suspect is repeated only if its parts survived before and are accused once", () => {
+    const entry = createTestEntry();
+    entry.recordSurvival(["sound"], 0);
+    entry.recordCrash(crash("s0", suspect("sound"), suspect("new")), 1, 100, 100);
+    assert.equal(entry.mayRepeat(["sound"], 100), true);
+    assert.equal(entry.mayRepeat(["sound", "new"], 100), false);
+    assert.equal(entry.mayRepeat([], 100), true);
+    entry.recordCrash(crash("s1", suspect("sound")), 1, 200, 200);
+    assert.equal(entry.mayRepeat(["sound"], 200), false);
+});
+
+// Guards against a quarantine without an end, and against one request after the other that is sent as a probe.
+test("one entry sends one probe at a time, less and less often while they crash servers", () => {
+    const entry = createTestEntry();
+    const otherEntry = createTestEntry(false);
+    quarantineDeadly(entry);
+    quarantineDeadly(otherEntry);
+    let probeCount = 0;
+    for (let now = 400; now < 600_000; now += 100) {
+        assert.equal(otherEntry.decide(["deadly"], 1, now).kind, "refused");
+        if (entry.decide(["deadly"], 1, now).kind !== "probe") continue;
+        probeCount++;
+        entry.startProbe("deadly", now);
+        assert.equal(entry.decide(["deadly"], 1, now + 100).kind, "refused", "second probe at the same time");
+        entry.recordCrash(crash(`probe${probeCount}`, suspect("other", "deadly")), 1, now + 100, now + 100);
+        entry.endProbe("deadly", true, 1, now + 100);
+    }
+    assert.ok(probeCount >= 2 && probeCount <= 3, `${probeCount} probes in 10 minutes`);
+    assert.deepEqual(entry.quarantined, ["deadly"]);
+});
+
+// Guards against a probe that is lost in a queue or at a full server and keeps a sound part in quarantine.
+test("a probe that didn't run or got no result is repeated", () => {
+    const entry = createTestEntry();
+    quarantineDeadly(entry);
+    entry.startProbe("deadly", 16_000);
+    entry.endProbe("deadly", false, 1, 16_100);
+    assert.equal(entry.decide(["deadly"], 1, 17_000).kind, "probe");
+    entry.startProbe("deadly", 17_000);
+    assert.equal(entry.decide(["deadly"], 1, 18_000).kind, "refused");
+    assert.equal(entry.decide(["deadly"], 1, 30_000).kind, "probe");
+});
+
+// Guards against a part that stays in quarantine although the newer weights are sound.
+test("newer weights are probed at once, and a survival ends the quarantine at all entries", () => {
+    const entry = createTestEntry();
+    const otherEntry = createTestEntry();
+    quarantineDeadly(entry);
+    quarantineDeadly(otherEntry);
+    assert.equal(entry.decide(["deadly"], 1, 8000).kind, "refused");
+    assert.equal(entry.decide(["deadly"], 2, 8000).kind, "probe");
+    entry.startProbe("deadly", 8000);
+    otherEntry.mergeSurvivals(entry.recordSurvival(["deadly"], 8200), 8200);
+    assert.deepEqual([entry.lifted, otherEntry.lifted], [["deadly"], ["deadly"]]);
+    assert.equal(otherEntry.decide(["deadly"], 2, 8200).kind, "allowed");
+});
+
+// Guards against an entry that missed the messages or has restarted and sends deadly requests on.
+test("a quarantine is learned from the report of another entry, and lifted by a survival that the report misses", () => {
+    const entry = createTestEntry();
+    const restarted = createTestEntry();
+    quarantineDeadly(entry);
+    assert.deepEqual(restarted.mergeReports(entry.reports(500), 500), []);
+    assert.equal(restarted.decide(["deadly"], 1, 500).kind, "refused");
+    restarted.recordSurvival(["deadly"], 600);
+    const survivals = restarted.mergeReports(entry.reports(700), 700);
+    assert.deepEqual(restarted.reports(700), [], "quarantined again by an old report");
+    entry.mergeSurvivals(survivals, 700);
+    assert.deepEqual(entry.lifted, ["deadly"]);
+});
+
+// Guards against memory that grows with the parts of all prompts of a day.
+test("the state is bounded", () => {
+    const entry = createTestEntry();
+    const part = "x".repeat(64);
+    for (let index = 0; index < 20_000; index++) {
+        entry.recordSurvival([`sound ${index} ${part}`], index);
+        entry.recordCrash(crash(`s${index}`, suspect(`rare ${index} ${part}`)), 1, index, index);
+    }
+    assert.equal(
+        entry.recordCrash(crash("s", suspect("sound 0"), suspect("sound 19999")), 1, 20_000, 20_000).length,
+        0,
+    );
+    assert.equal(entry.reports(20_000).length, 0);
+});
--- a/src/test/platform/fakeRunner.ts
+++ b/src/test/platform/fakeRunner.ts
@@ -22,6 +22,8 @@
     closedCount(): number;
     /** Returns the number of connections that the entry has reset. */
     resetCount(): number;
+    /** Resets all connections and refuses new ones, as a process that ends by itself. */
+    crash(): void;
     close(): void;
 }
 
@@ -64,6 +66,10 @@
         requests,
         closedCount: () => closedCount,
         resetCount: () => resetCount,
+        crash: () => {
+            server.close();
+            for (const socket of sockets) socket.resetAndDestroy();
+        },
         close: () => {
             server.close();
             for (const socket of sockets) socket.destroy();
