--- a/src/lib/core/serving/index.ts
+++ b/src/lib/core/serving/index.ts
@@ -1,4 +1,5 @@
 export * from "./admissionControl.js";
+export * from "./crashEvidence.js";
 export * from "./dispatcher.js";
 export * from "./engineModel.js";
 export * from "./inFlightRequests.js";
--- a/src/lib/node/connectCheck.ts
+++ b/src/lib/node/connectCheck.ts
@@ -1,8 +1,8 @@
 /** Checks whether a process listens at an address. */
 import { connect } from "node:net";
 
-/** Longer than a connection to the farthest region takes, also after the loss of a packet. */
-const CHECK_TIMEOUT_MS = 300;
+/** Several round trips to the farthest region. Requests wait for the result before they are sent to another server. */
+const CHECK_TIMEOUT_MS = 100;
 
 /**
  * Returns whether the VM at the address refuses a new connection. Returns false if the VM doesn't respond, because it
--- a/src/lib/node/peerMessages.ts
+++ b/src/lib/node/peerMessages.ts
@@ -113,18 +113,20 @@
     load: serverLoadSchema,
 });
 
-/** Tells the other entries that a server crashed, and which requests may have caused it; see `ServerCrash`. */
+/** Tells the other entries that a server crashed, and which prompts that implicates; see `ServerCrash`. */
 const crashNotificationSchema = z.object({
     kind: z.literal("crash"),
+    /** Address of the sender. */
+    ip: z.string(),
     serverId: z.string(),
     /** Start time of the server, in Unix milliseconds. */
     startedAt: z.number(),
     ageMs: z.number().nonnegative(),
     weightsVersion: z.number(),
-    suspects: z.array(z.object({ promptId: z.number(), parts: z.array(z.string()) })),
+    prompts: z.array(z.object({ id: z.number(), parts: z.array(z.string()) })),
 });
 
-/** Tells the other entries that requests with accused parts of prompts survived; see `SurvivalReport`. */
+/** Tells other entries that requests with implicated parts of prompts survived; see `SurvivalReport`. */
 const survivalNotificationSchema = z.object({
     kind: z.literal("survivals"),
     survivals: z.array(z.object({ part: z.string(), ageMs: z.number().nonnegative() })),
--- a/src/lib/observability/explain.ts
+++ b/src/lib/observability/explain.ts
@@ -132,6 +132,14 @@
             return "Refused: all servers of its service had asked for a pause that was longer than the caller could " +
                 `wait; it was told to retry after ${retryAfterMs} ms.`;
         })
+        .with({ event: "request refused", reason: "quarantined prompt" }, () => {
+            return "Refused: a part of its prompt is quarantined because requests with it crashed servers; " +
+                "see the lines `prompt part quarantined` of the entries.";
+        })
+        .with({ event: "request failed", reason: "quarantined prompt" }, () => {
+            return `Not repeated: its server crashed (${attempts}), and a part of its prompt is quarantined because ` +
+                "requests with it crashed servers.";
+        })
         .with({ event: "request refused" }, ({ reason }) => {
             return `Refused without having been executed: ${reason}${attempts === "" ? "" : ` (${attempts})`}.`;
         })
--- a/src/lib/platform/headers.ts
+++ b/src/lib/platform/headers.ts
@@ -99,7 +99,7 @@
 const MAX_KEY_LENGTH = 256;
 
 /** The parts of longer prompts are ignored. */
-const MAX_PROMPT_PARTS = 64;
+const MAX_PROMPT_PARTS = 32;
 
 /** Longer identifiers of parts are cut off. */
 const MAX_PART_ID_LENGTH = 64;
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -278,9 +278,10 @@
 async function mayRepeatPrompt(
     { context, caller }: Exchange,
     { server }: Assignment,
-    { hasSurvived = false, verdict }: Extract<AttemptResult, { kind: "failed"; }>,
+    { hasSurvived = false, verdict, errorResponse }: Extract<AttemptResult, { kind: "failed"; }>,
 ): Promise<boolean> {
-    return hasSurvived || context.promptGuard.examineFailure(caller, server, verdict !== Verdict.notRun);
+    return hasSurvived || errorResponse !== undefined ||
+        context.promptGuard.examineFailure(caller, server, verdict !== Verdict.notRun);
 }
 
 /**
--- a/src/lib/router/peerExchange.ts
+++ b/src/lib/router/peerExchange.ts
@@ -148,7 +148,7 @@
 
     function mergeProgress(message: EntryHeartbeat | DomainDigest, receivedAt: number): void {
         for (const age of message.named) weights.mergePeerAge(age, receivedAt);
-        options.promptGuard().mergeReports(message.quarantines ?? []);
+        options.promptGuard().mergeReports(message.quarantines ?? [], message.ip);
         for (const table of replicas.keys()) void catchUpFromPeer(message, table, receivedAt);
     }
 
--- a/src/lib/router/promptGuard.ts
+++ b/src/lib/router/promptGuard.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps requests with quarantined parts of prompts from backend servers. Detects crashes of servers by failed attempts
- * and exchanges them, and the survivals of accused parts, with the other entries.
+ * Keeps requests with quarantined parts of prompts from backend servers. Detects crashes of servers by failed attempts,
+ * and exchanges them and the survivals of implicated parts with the other entries.
  */
 import MurmurHash3 from "imurmurhash";
 import { firstMember } from "../core/rendezvous.js";
@@ -8,10 +8,10 @@
     type BackendServer,
     createPromptQuarantine,
     type EntryIdentity,
+    type ImplicatedPrompt,
     type PromptDecision,
     type QuarantineReport,
     type SurvivalReport,
-    type Suspect,
 } from "../core/serving/index.js";
 import { refusesConnections } from "../node/connectCheck.js";
 import type { CrashNotification, SurvivalNotification } from "../node/peerMessages.js";
@@ -19,14 +19,17 @@
 import type { CallerRequest } from "../platform/index.js";
 
 export interface PromptGuardOptions {
-    readonly self: string;
+    readonly self: EntryIdentity;
     readonly liveEntries: () => readonly EntryIdentity[];
     /** Returns the lowest version of the weights that may answer requests of the service. */
     readonly weightsVersion: (service: string, now: number) => number;
+    /** Returns whether the server is registered and isn't leaving, so that its end would be a crash. */
+    readonly isServing: (server: BackendServer) => boolean;
     /** Called when a server has crashed, as seen by this or another entry; possibly several times for one crash. */
     readonly onCrash: (serverId: string, startedAt: number) => void;
-    /** Sends a message to all live entries. Messages may be lost. */
+    /** Send a message to all live entries or to one of them. Messages may be lost. */
     readonly broadcast: (message: CrashNotification | SurvivalNotification) => void;
+    readonly send: (message: SurvivalNotification, ip: string) => void;
     readonly log: EventLog;
     readonly metrics: ServingMetrics;
     /** Monotonic clock, in milliseconds. */
@@ -48,25 +51,27 @@
     /** Records that the request's answer goes on after its start, so its prompt doesn't crash servers. */
     recordSurvival(caller: CallerRequest, service: string): void;
     /**
-     * Checks whether the server has crashed, and records the request as a suspect if it has. `hasRun` is false if the
-     * server can't have started the request. Resolves with whether the request may be sent to another server.
+     * Checks whether the server has crashed, which implicates the request's prompt. `mayHaveRun` is false if the server
+     * can't have started the request. Resolves with whether the request may be sent to another server.
      */
-    examineFailure(caller: CallerRequest, server: BackendServer, hasRun: boolean): Promise<boolean>;
+    examineFailure(caller: CallerRequest, server: BackendServer, mayHaveRun: boolean): Promise<boolean>;
     handleCrash(message: CrashNotification): void;
     handleSurvivals(message: SurvivalNotification): void;
     /** Returns the quarantines for a heartbeat. */
     reports(): QuarantineReport[];
-    mergeReports(reports: readonly QuarantineReport[]): void;
+    /** Merges the quarantines of the entry with the IP address. */
+    mergeReports(reports: readonly QuarantineReport[], ip: string): void;
 }
 
-/** Suspects of one crash that are recorded; they come from requests that were in progress at the same time. */
-const MAX_SUSPECTS = 64;
+/** Prompts that are recorded for one crash. */
+const MAX_PROMPTS = 64;
 
-/** Suspects in one message, which must fit into a datagram. */
-const MAX_SUSPECTS_PER_MESSAGE = 16;
+/** Messages must fit into a datagram. */
+const MAX_PROMPTS_PER_MESSAGE = 8;
+const MAX_SURVIVALS_PER_MESSAGE = 256;
 
 interface CrashCheck {
-    readonly suspects: Suspect[];
+    readonly prompts: ImplicatedPrompt[];
     readonly isDone: Promise<void>;
 }
 
@@ -84,13 +89,14 @@
     const probes = new WeakMap<CallerRequest, string>();
 
     const quarantine = createPromptQuarantine({
-        isProber: part => firstMember(`probe ${part}`, options.liveEntries().map(({ name }) => name)) === options.self,
+        isProber: part =>
+            firstMember(`probe ${part}`, options.liveEntries().map(({ name }) => name)) === options.self.name,
         onQuarantined: (part, crashCount) => {
             log.warn("prompt part quarantined", { part, crashes: crashCount });
             metrics.quarantines.inc({ change: crashCount === undefined ? "reported" : "quarantined" });
             for (const { parts, onRefused } of waitingRequests) if (parts.includes(part)) onRefused();
         },
-        onLifted: part => {
+        onReleased: part => {
             log.warn("prompt part released", { part });
             metrics.quarantines.inc({ change: "released" });
         },
@@ -130,86 +136,94 @@
         return () => void waitingRequests.delete(waiting);
     }
 
-    async function examineFailure(caller: CallerRequest, server: BackendServer, hasRun: boolean): Promise<boolean> {
+    async function examineFailure(caller: CallerRequest, server: BackendServer, mayHaveRun: boolean): Promise<boolean> {
         const { service } = server;
         const parts = partsOf(caller, service);
         if (parts.length === 0) return true;
-        const suspect = { promptId: promptIdOf(caller), parts };
-        if (hasRun) await checkForCrash(server, suspect);
+        if (mayHaveRun && options.isServing(server)) {
+            await checkForCrash(server, { id: promptIdOf(caller), parts });
+        }
         const at = now();
         const probedPart = probes.get(caller);
         if (probedPart !== undefined) {
-            quarantine.endProbe(probedPart, hasRun, options.weightsVersion(service, at), at);
+            quarantine.endProbe(probedPart, mayHaveRun, options.weightsVersion(service, at), at);
         }
-        return !hasRun || quarantine.mayRepeat(parts, at);
+        return !mayHaveRun || quarantine.mayRepeat(parts, at);
     }
 
     /** All attempts that a crash ended share one check. */
-    function checkForCrash(server: BackendServer, suspect: Suspect): Promise<void> {
+    function checkForCrash(server: BackendServer, prompt: ImplicatedPrompt): Promise<void> {
         const incarnation = incarnationOf(server.id, server.startedAt);
         const running = checks.get(incarnation);
         if (running !== undefined) {
-            if (running.suspects.length < MAX_SUSPECTS) running.suspects.push(suspect);
+            if (running.prompts.length < MAX_PROMPTS) running.prompts.push(prompt);
             return running.isDone;
         }
-        const suspects = [suspect];
+        const prompts = [prompt];
         const failedAt = now();
         const isDone = refusesConnections(server.address).then(isRefused => {
             checks.delete(incarnation);
-            if (isRefused) recordCrash(server, suspects, failedAt);
+            if (isRefused) recordCrash(server, prompts, failedAt);
         });
-        checks.set(incarnation, { suspects, isDone });
+        checks.set(incarnation, { prompts, isDone });
         return isDone;
     }
 
-    function recordCrash(server: BackendServer, suspects: readonly Suspect[], failedAt: number): void {
+    function recordCrash(server: BackendServer, prompts: readonly ImplicatedPrompt[], failedAt: number): void {
         const at = now();
         const { id: serverId, startedAt } = server;
         options.onCrash(serverId, startedAt);
         log.warn("server crashed", {
             server: serverId,
-            suspects: suspects.length,
-            sharedPromptParts: [...new Set(suspects.flatMap(({ parts }) => parts))],
+            requests: prompts.length,
+            sharedPromptParts: [...new Set(prompts.flatMap(({ parts }) => parts))],
         });
         const weightsVersion = options.weightsVersion(server.service, at);
-        for (let first = 0; first < suspects.length; first += MAX_SUSPECTS_PER_MESSAGE) {
+        for (let first = 0; first < prompts.length; first += MAX_PROMPTS_PER_MESSAGE) {
             options.broadcast({
                 kind: "crash",
+                ip: options.self.ip,
                 serverId,
                 startedAt,
                 ageMs: at - failedAt,
                 weightsVersion,
-                suspects: suspects.slice(first, first + MAX_SUSPECTS_PER_MESSAGE).map(({ promptId, parts }) => ({
-                    promptId,
+                prompts: prompts.slice(first, first + MAX_PROMPTS_PER_MESSAGE).map(({ id, parts }) => ({
+                    id,
                     parts: [...parts],
                 })),
             });
         }
-        const crash = { incarnation: incarnationOf(serverId, startedAt), suspects };
+        const crash = { incarnation: incarnationOf(serverId, startedAt), prompts };
         announce(quarantine.recordCrash(crash, weightsVersion, failedAt, at));
     }
 
-    function announce(survivals: readonly SurvivalReport[]): void {
-        if (survivals.length > 0) options.broadcast({ kind: "survivals", survivals: [...survivals] });
+    function announce(
+        survivals: readonly SurvivalReport[],
+        send: (message: SurvivalNotification) => void = options.broadcast,
+    ): void {
+        if (survivals.length === 0) return;
+        send({ kind: "survivals", survivals: survivals.slice(0, MAX_SURVIVALS_PER_MESSAGE) });
     }
 
+    /** Only the sender gets a reply: most entries know about the same survivals. */
+    const reply = (survivals: readonly SurvivalReport[], ip: string) =>
+        announce(survivals, message => options.send(message, ip));
+
     return {
         decide,
         begin,
         onRefusal,
         recordSurvival: (caller, service) => announce(quarantine.recordSurvival(partsOf(caller, service), now())),
         examineFailure,
-        handleCrash: ({ serverId, startedAt, suspects, weightsVersion, ageMs }) => {
+        handleCrash: ({ serverId, startedAt, prompts, weightsVersion, ageMs, ip }) => {
             const at = now();
             options.onCrash(serverId, startedAt);
-            const crash = { incarnation: incarnationOf(serverId, startedAt), suspects };
-            announce(quarantine.recordCrash(crash, weightsVersion, at - ageMs, at));
+            const crash = { incarnation: incarnationOf(serverId, startedAt), prompts };
+            reply(quarantine.recordCrash(crash, weightsVersion, at - ageMs, at), ip);
         },
         handleSurvivals: ({ survivals }) => quarantine.mergeSurvivals(survivals, now()),
         reports: () => quarantine.reports(now()),
-        mergeReports: reports => {
-            if (reports.length > 0) announce(quarantine.mergeReports(reports, now()));
-        },
+        mergeReports: (reports, ip) => reply(quarantine.mergeReports(reports, now()), ip),
     };
 }
 
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -166,7 +166,7 @@
         now,
     });
     const promptGuard = createPromptGuard({
-        self: self.name,
+        self,
         liveEntries: () => liveEntries,
         weightsVersion: (service, at) => {
             const engine = operatorState.routeTable()?.findService(service)?.engine;
@@ -177,7 +177,12 @@
             health.recordOutcome(serverId, Outcome.unreachable, now());
             connections.removeServer(serverId);
         },
+        isServing: ({ id, startedAt }) => {
+            const registered = registry.get(id);
+            return registered !== undefined && !registered.isLeaving && registered.startedAt === startedAt;
+        },
         broadcast: message => peerExchange.broadcast(message),
+        send: (message, ip) => peerExchange.send(message, ip),
         log,
         metrics,
         now,
--- a/src/test/core/serving/promptQuarantine.test.ts
+++ b/src/test/core/serving/promptQuarantine.test.ts
@@ -1,37 +1,41 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createPromptQuarantine, type PromptQuarantine, type Suspect } from "../../../lib/core/serving/index.js";
+import {
+    createPromptQuarantine,
+    type ImplicatedPrompt,
+    type PromptQuarantine,
+} from "../../../lib/core/serving/index.js";
 
 interface TestEntry extends PromptQuarantine {
     readonly quarantined: string[];
-    readonly lifted: string[];
+    readonly released: string[];
 }
 
 function createTestEntry(isProber = true): TestEntry {
     const quarantined: string[] = [];
-    const lifted: string[] = [];
+    const released: string[] = [];
     const quarantine = createPromptQuarantine({
         isProber: () => isProber,
         onQuarantined: part => void quarantined.push(part),
-        onLifted: part => void lifted.push(part),
+        onReleased: part => void released.push(part),
     });
-    return { ...quarantine, quarantined, lifted };
+    return { ...quarantine, quarantined, released };
 }
 
 let promptCount = 0;
 
-function suspect(...parts: string[]): Suspect {
-    return { promptId: ++promptCount, parts };
+function prompt(...parts: string[]): ImplicatedPrompt {
+    return { id: ++promptCount, parts };
 }
 
-function crash(incarnation: string, ...suspects: Suspect[]) {
-    return { incarnation, suspects };
+function crash(incarnation: string, ...prompts: ImplicatedPrompt[]) {
+    return { incarnation, prompts };
 }
 
 /** Quarantines the part `deadly` with three crashes that end at 400. */
 function quarantineDeadly(entry: PromptQuarantine): void {
     for (const [index, at] of [0, 200, 400].entries()) {
-        entry.recordCrash(crash(`s${index}`, suspect("deadly")), 1, at, at);
+        entry.recordCrash(crash(`s${index}`, prompt("deadly")), 1, at, at);
     }
 }
 
@@ -62,7 +66,7 @@
     const entries = Array.from({ length: 4 }, () => createTestEntry());
     const upAt = Array.from({ length: 12 }, () => 0);
     interface Run {
-        readonly suspect: Suspect;
+        readonly prompt: ImplicatedPrompt;
         readonly entry: TestEntry;
         readonly server: number;
         readonly writesAt: number;
@@ -74,13 +78,13 @@
     for (let now = 0; now < 20_000; now += 20) {
         const isDeadly = random() < share;
         const rank = isDeadly ? 0 : Math.floor(60 * random() ** 2);
-        const request = suspect(`first${rank}`, ...isDeadly ? ["deadly"] : []);
+        const request = prompt(`first${rank}`, ...isDeadly ? ["deadly"] : []);
         const entry = entries[Math.floor(random() * 4)] as TestEntry;
         const upServers = upAt.flatMap((time, server) => time <= now ? [server] : []);
         if (upServers.length > 0 && entry.decide(request.parts, 1, now).kind === "allowed") {
             const server = upServers[Math.floor(random() * upServers.length)] ?? 0;
             if (isDeadly) sendTimes.push(now);
-            runs.push({ suspect: request, entry, server, writesAt: now + 80 + 120 * random(), isDeadly });
+            runs.push({ prompt: request, entry, server, writesAt: now + 80 + 120 * random(), isDeadly });
         }
         const startedRuns = runs.filter(run => run.writesAt <= now);
         runs = runs.filter(run => run.writesAt > now);
@@ -94,15 +98,15 @@
                 runs = runs.filter(({ server }) => server !== run.server);
                 upAt[run.server] = now + 3000;
                 for (const observer of new Set(ended.map(ended => ended.entry))) {
-                    const suspects = ended.filter(other => other.entry === observer).map(other => other.suspect);
+                    const prompts = ended.filter(other => other.entry === observer).map(other => other.prompt);
                     for (const receiver of entries) {
-                        const survivals = receiver.recordCrash(crash(incarnation, ...suspects), 1, now, now);
+                        const survivals = receiver.recordCrash(crash(incarnation, ...prompts), 1, now, now);
                         for (const other of entries) if (other !== receiver) other.mergeSurvivals(survivals, now);
                     }
                 }
             }
             else {
-                const survivals = run.entry.recordSurvival(run.suspect.parts, now);
+                const survivals = run.entry.recordSurvival(run.prompt.parts, now);
                 for (const other of entries) if (other !== run.entry) other.mergeSurvivals(survivals, now);
             }
         }
@@ -121,11 +125,11 @@
     };
 }
 
-// Guards against accusing a common part when several servers are lost at once.
+// Guards against blaming a common part when several servers are lost at once.
 test("crashes at the same time count once", () => {
     const entry = createTestEntry();
     for (let index = 0; index < 8; index++) {
-        entry.recordCrash(crash(`s${index}`, suspect("common")), 1, index, index);
+        entry.recordCrash(crash(`s${index}`, prompt("common")), 1, index, index);
     }
     assert.deepEqual(entry.quarantined, []);
 });
@@ -134,7 +138,7 @@
 test("a survival clears the crashes before it", () => {
     const entry = createTestEntry();
     for (let index = 0; index < 20; index++) {
-        entry.recordCrash(crash(`s${index}`, suspect("sound")), 1, index * 1000, index * 1000);
+        entry.recordCrash(crash(`s${index}`, prompt("sound")), 1, index * 1000, index * 1000);
         assert.deepEqual(entry.recordSurvival(["sound"], index * 1000 + 500), [{ part: "sound", ageMs: 0 }]);
         assert.deepEqual(entry.recordSurvival(["sound"], index * 1000 + 600), [], "announced twice");
     }
@@ -147,7 +151,7 @@
     entry.recordSurvival(["turned"], 0);
     for (let index = 1; index <= 5; index++) {
         assert.deepEqual(entry.quarantined, [], `after ${index - 1} crashes`);
-        entry.recordCrash(crash(`s${index}`, suspect("turned")), 1, index * 100, index * 100);
+        entry.recordCrash(crash(`s${index}`, prompt("turned")), 1, index * 100, index * 100);
     }
     assert.deepEqual(entry.quarantined, ["turned"]);
 });
@@ -156,12 +160,12 @@
 test("the last of several parts with the same crashes is quarantined, and the crashes are not held against the others", () => {
     const entry = createTestEntry();
     for (let index = 0; index < 3; index++) {
-        entry.recordCrash(crash(`s${index}`, suspect("common", "deadly")), 1, index * 100, index * 100);
+        entry.recordCrash(crash(`s${index}`, prompt("common", "deadly")), 1, index * 100, index * 100);
     }
     // Crashes that a request with the quarantined part was near are explained as well.
     for (let index = 3; index < 9; index++) {
         entry.recordCrash(
-            crash(`s${index}`, suspect("common", "deadly"), suspect("common")),
+            crash(`s${index}`, prompt("common", "deadly"), prompt("common")),
             1,
             index * 100,
             index * 100,
@@ -174,7 +178,7 @@
 // Guards against a quarantine because one request is repeated at servers that crash for another reason.
 test("repetitions of one prompt need one more crash", () => {
     const entry = createTestEntry();
-    const repeated = suspect("part");
+    const repeated = prompt("part");
     for (let index = 0; index < 3; index++) {
         entry.recordCrash(crash(`s${index}`, repeated), 1, index * 100, index * 100);
     }
@@ -183,15 +187,15 @@
     assert.deepEqual(entry.quarantined, ["part"]);
 });
 
-// Guards against repeating a suspect at the next server, and against failing sound requests that a crash interrupted.
-test("a suspect is repeated only if its parts survived before and are accused once", () => {
+// Guards against repeating a deadly request at the next server, and against failing sound requests that a crash interrupted.
+test("a request that a crash ended is repeated only if its parts survived before and one crash implicates them", () => {
     const entry = createTestEntry();
     entry.recordSurvival(["sound"], 0);
-    entry.recordCrash(crash("s0", suspect("sound"), suspect("new")), 1, 100, 100);
+    entry.recordCrash(crash("s0", prompt("sound"), prompt("new")), 1, 100, 100);
     assert.equal(entry.mayRepeat(["sound"], 100), true);
     assert.equal(entry.mayRepeat(["sound", "new"], 100), false);
     assert.equal(entry.mayRepeat([], 100), true);
-    entry.recordCrash(crash("s1", suspect("sound")), 1, 200, 200);
+    entry.recordCrash(crash("s1", prompt("sound")), 1, 200, 200);
     assert.equal(entry.mayRepeat(["sound"], 200), false);
 });
 
@@ -208,7 +212,7 @@
         probeCount++;
         entry.startProbe("deadly", now);
         assert.equal(entry.decide(["deadly"], 1, now + 100).kind, "refused", "second probe at the same time");
-        entry.recordCrash(crash(`probe${probeCount}`, suspect("other", "deadly")), 1, now + 100, now + 100);
+        entry.recordCrash(crash(`probe${probeCount}`, prompt("other", "deadly")), 1, now + 100, now + 100);
         entry.endProbe("deadly", true, 1, now + 100);
     }
     assert.ok(probeCount >= 2 && probeCount <= 3, `${probeCount} probes in 10 minutes`);
@@ -237,12 +241,12 @@
     assert.equal(entry.decide(["deadly"], 2, 8000).kind, "probe");
     entry.startProbe("deadly", 8000);
     otherEntry.mergeSurvivals(entry.recordSurvival(["deadly"], 8200), 8200);
-    assert.deepEqual([entry.lifted, otherEntry.lifted], [["deadly"], ["deadly"]]);
+    assert.deepEqual([entry.released, otherEntry.released], [["deadly"], ["deadly"]]);
     assert.equal(otherEntry.decide(["deadly"], 2, 8200).kind, "allowed");
 });
 
 // Guards against an entry that missed the messages or has restarted and sends deadly requests on.
-test("a quarantine is learned from the report of another entry, and lifted by a survival that the report misses", () => {
+test("a quarantine is learned from the report of another entry, and released by a survival that the report misses", () => {
     const entry = createTestEntry();
     const restarted = createTestEntry();
     quarantineDeadly(entry);
@@ -252,7 +256,7 @@
     const survivals = restarted.mergeReports(entry.reports(700), 700);
     assert.deepEqual(restarted.reports(700), [], "quarantined again by an old report");
     entry.mergeSurvivals(survivals, 700);
-    assert.deepEqual(entry.lifted, ["deadly"]);
+    assert.deepEqual(entry.released, ["deadly"]);
 });
 
 // Guards against memory that grows with the parts of all prompts of a day.
@@ -261,10 +265,10 @@
     const part = "x".repeat(64);
     for (let index = 0; index < 20_000; index++) {
         entry.recordSurvival([`sound ${index} ${part}`], index);
-        entry.recordCrash(crash(`s${index}`, suspect(`rare ${index} ${part}`)), 1, index, index);
+        entry.recordCrash(crash(`s${index}`, prompt(`rare ${index} ${part}`)), 1, index, index);
     }
     assert.equal(
-        entry.recordCrash(crash("s", suspect("sound 0"), suspect("sound 19999")), 1, 20_000, 20_000).length,
+        entry.recordCrash(crash("s", prompt("sound 0"), prompt("sound 19999")), 1, 20_000, 20_000).length,
         0,
     );
     assert.equal(entry.reports(20_000).length, 0);
--- a/src/test/observability/explain.test.ts
+++ b/src/test/observability/explain.test.ts
@@ -28,6 +28,8 @@
         ["request refused", { reason: "overloaded", status: 503, waitedMs: 250 }, /after waiting 250 ms/],
         ["request refused", { reason: "servers backing off", status: 503, retryAfterMs: 800 }, /pause .* after 800 ms/],
         ["request refused", { reason: "no server", status: 503 }, /no server of its service/],
+        ["request refused", { reason: "quarantined prompt", status: 503 }, /part of its prompt is quarantined/],
+        ["request failed", { reason: "quarantined prompt", status: 502, attempts: ["i-1 x"] }, /crashed \(i-1 x\)/],
         ["request refused", { reason: "unknown key", status: 401 }, /Refused with 401, unknown key/],
         ["request failed", { reason: "the time is over", status: 504, attempts: ["i-1 cancelled"] }, /i-1 cancelled/],
         ["request failed", { reason: "read ECONNRESET", status: 502, attempts: ["i-1 x"] }, /Not retried/],
