Probe a quarantined part for a few new versions of weights only

A part that goes on to crash servers would otherwise be probed once for each version. Tests of the evidence stand beside its module; the replay loses messages too, and an entry that starts later learns of a quarantine.

--- a/src/lib/core/serving/promptQuarantine.ts
+++ b/src/lib/core/serving/promptQuarantine.ts
@@ -72,6 +72,9 @@
 /** Shortest time between two probes of a part, also if newer weights are in force. */
 const MIN_PROBE_INTERVAL_MS = 5000;
 
+/** Newer weights are no reason for a probe if the interval is longer, because several versions crashed then. */
+const MAX_VERSION_PROBE_INTERVAL_MS = 5 * 60_000;
+
 /** Delay before a probe that didn't run is repeated. */
 const PROBE_REPETITION_DELAY_MS = 500;
 
@@ -170,8 +173,9 @@
 
     /** Newer weights are probed without waiting for the interval. */
     function probeTimeOf(quarantine: Quarantine, weightsVersion: number): number {
-        const { probeAt, lastProbeAt, probingUntil } = quarantine;
-        const dueAt = weightsVersion > quarantine.weightsVersion ?
+        const { probeAt, intervalMs, lastProbeAt, probingUntil } = quarantine;
+        const hasNewWeights = weightsVersion > quarantine.weightsVersion;
+        const dueAt = hasNewWeights && intervalMs <= MAX_VERSION_PROBE_INTERVAL_MS ?
             Math.min(probeAt, lastProbeAt + MIN_PROBE_INTERVAL_MS) :
             probeAt;
         return Math.max(dueAt, probingUntil);
--- /dev/null
+++ b/src/test/core/serving/crashEvidence.test.ts
@@ -0,0 +1,86 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type CrashEvidence, createCrashEvidence, type ImplicatedPrompt } from "../../../lib/core/serving/index.js";
+
+let promptCount = 0;
+
+function prompt(...parts: string[]): ImplicatedPrompt {
+    return { id: ++promptCount, parts };
+}
+
+function recordCrash(evidence: CrashEvidence, at: number, ...prompts: ImplicatedPrompt[]): void {
+    evidence.recordCrash({ incarnation: `crash at ${at}`, prompts }, at);
+}
+
+const causeOf = (evidence: CrashEvidence, parts: string[], now: number) =>
+    evidence.findCause(new Set(parts), now)?.part;
+
+// Guards against blaming a common part when several servers are lost at once.
+test("crashes at the same time count once", () => {
+    const evidence = createCrashEvidence();
+    for (let at = 0; at < 8; at++) recordCrash(evidence, at, prompt("common"));
+    assert.equal(causeOf(evidence, ["common"], 10), undefined);
+});
+
+// Guards against adding up crashes that sound requests with the part were near, over a long time.
+test("a survival clears the crashes before it and not those after it", () => {
+    const evidence = createCrashEvidence();
+    for (let at = 0; at < 20_000; at += 1000) {
+        recordCrash(evidence, at, prompt("sound"));
+        assert.equal(evidence.recordSurvival("sound", at + 500), true);
+        assert.equal(evidence.recordSurvival("sound", at + 600), false);
+    }
+    assert.equal(causeOf(evidence, ["sound"], 20_000), undefined);
+    recordCrash(evidence, 30_000, prompt("sound"));
+    assert.equal(evidence.recordSurvival("sound", 29_000), false);
+});
+
+// Guards against a crash that is reported late and held against a part that has survived since.
+test("a crash before the last survival is no evidence", () => {
+    const evidence = createCrashEvidence();
+    evidence.recordSurvival("sound", 1000);
+    for (let at = 0; at < 1000; at += 100) recordCrash(evidence, at, prompt("sound"));
+    assert.equal(causeOf(evidence, ["sound"], 1000), undefined);
+});
+
+// Guards against trusting a part for ever because it was sound before.
+test("a part that survived before needs a few more crashes", () => {
+    const evidence = createCrashEvidence();
+    evidence.recordSurvival("turned", 0);
+    for (let at = 100; at <= 500; at += 100) {
+        assert.equal(causeOf(evidence, ["turned"], at), undefined, `after the crashes before ${at}`);
+        recordCrash(evidence, at, prompt("turned"));
+    }
+    assert.equal(causeOf(evidence, ["turned"], 500), "turned");
+});
+
+// Guards against blaming the common part that a deadly one was always seen with.
+test("of several parts with the same crashes, the last one that isn't known to survive is the cause", () => {
+    const evidence = createCrashEvidence();
+    evidence.recordSurvival("known", 0);
+    for (let at = 100; at <= 600; at += 100) recordCrash(evidence, at, prompt("first", "deadly", "known"));
+    const parts = ["known", "first", "deadly"];
+    assert.equal(causeOf(evidence, parts, 600), "deadly");
+    evidence.confirmCause("deadly");
+    assert.equal(causeOf(evidence, parts, 600), undefined);
+});
+
+// Guards against new evidence from prompts that another entry reports after the cause has been found.
+test("a crash with a known cause is no evidence, whenever its prompts are reported", () => {
+    const evidence = createCrashEvidence();
+    for (let at = 0; at < 1000; at += 100) {
+        evidence.explainCrash(`crash at ${at}`);
+        recordCrash(evidence, at, prompt("late"));
+    }
+    assert.equal(causeOf(evidence, ["late"], 1000), undefined);
+});
+
+// Guards against blaming the parts of one request that is repeated at servers that crash for another reason.
+test("repetitions of one prompt need one more crash", () => {
+    const evidence = createCrashEvidence();
+    const repeated = prompt("part");
+    for (let at = 0; at < 300; at += 100) recordCrash(evidence, at, repeated);
+    assert.equal(causeOf(evidence, ["part"], 300), undefined);
+    recordCrash(evidence, 300, repeated);
+    assert.equal(causeOf(evidence, ["part"], 300), "part");
+});
--- a/src/test/core/serving/promptQuarantine.test.ts
+++ b/src/test/core/serving/promptQuarantine.test.ts
@@ -4,6 +4,7 @@
     createPromptQuarantine,
     type ImplicatedPrompt,
     type PromptQuarantine,
+    type SurvivalReport,
 } from "../../../lib/core/serving/index.js";
 
 interface TestEntry extends PromptQuarantine {
@@ -42,10 +43,10 @@
 // Guards against requests of one kind that crash one server after the other, and against refusing sound requests that
 // share their other parts, on the pattern of the day `tainted`.
 test("a deadly part is quarantined after few crashes, and the parts it is seen with are not", () => {
-    for (const share of [0.02, 0.05, 0.1]) {
+    for (const [share, lossRate] of [[0.02, 0], [0.05, 0], [0.1, 0], [0.05, 0.3]] as const) {
         for (let seed = 1; seed <= 20; seed++) {
-            const { sendTimes, crashTimes, quarantined } = replay(share, seed);
-            const message = `share ${share}, seed ${seed}, crashes at ${crashTimes}`;
+            const { sendTimes, crashTimes, quarantined } = replay(share, lossRate, seed);
+            const message = `share ${share}, loss ${lossRate}, seed ${seed}, crashes at ${crashTimes}`;
             assert.deepEqual(quarantined, ["deadly"], message);
             const boundAt = (crashTimes[4] ?? Number.POSITIVE_INFINITY) + STABILITY_WINDOW_MS;
             assert.ok(sendTimes.filter(at => at > boundAt).length <= MAX_LATE_SENDS, message);
@@ -59,10 +60,12 @@
 
 /**
  * Replays 20 s of 50 requests a second at 12 servers and 4 entries. Each has one of 60 first parts; deadly requests
- * have the most frequent one. Entries hear of each other at once, and a crashed server is back after 3 s.
+ * have the most frequent one. A crashed server is back after 3 s. Messages between entries arrive at once or are lost;
+ * quarantines are reported every 300 ms.
  */
-function replay(share: number, seed: number) {
+function replay(share: number, lossRate: number, seed: number) {
     const random = createRandom(seed);
+    const arrives = () => random() >= lossRate;
     const entries = Array.from({ length: 4 }, () => createTestEntry());
     const upAt = Array.from({ length: 12 }, () => 0);
     interface Run {
@@ -73,6 +76,9 @@
         readonly isDeadly: boolean;
     }
     let runs: Run[] = [];
+    function broadcast(sender: TestEntry, survivals: readonly SurvivalReport[], now: number): void {
+        for (const receiver of entries) if (receiver !== sender && arrives()) receiver.mergeSurvivals(survivals, now);
+    }
     const sendTimes: number[] = [];
     const crashTimes: number[] = [];
     for (let now = 0; now < 20_000; now += 20) {
@@ -100,14 +106,19 @@
                 for (const observer of new Set(ended.map(ended => ended.entry))) {
                     const prompts = ended.filter(other => other.entry === observer).map(other => other.prompt);
                     for (const receiver of entries) {
+                        if (receiver !== observer && !arrives()) continue;
                         const survivals = receiver.recordCrash(crash(incarnation, ...prompts), 1, now, now);
-                        for (const other of entries) if (other !== receiver) other.mergeSurvivals(survivals, now);
+                        if (receiver === observer) broadcast(receiver, survivals, now);
+                        else if (arrives()) observer.mergeSurvivals(survivals, now);
                     }
                 }
             }
-            else {
-                const survivals = run.entry.recordSurvival(run.prompt.parts, now);
-                for (const other of entries) if (other !== run.entry) other.mergeSurvivals(survivals, now);
+            else broadcast(run.entry, run.entry.recordSurvival(run.prompt.parts, now), now);
+        }
+        if (now % 300 !== 0) continue;
+        for (const sender of entries) {
+            for (const receiver of entries) {
+                if (receiver !== sender && arrives()) receiver.mergeReports(sender.reports(now), now);
             }
         }
     }
@@ -125,66 +136,25 @@
     };
 }
 
-// Guards against blaming a common part when several servers are lost at once.
-test("crashes at the same time count once", () => {
+// Guards against crashes of a quarantined part that are held against the parts it is seen with.
+test("crashes by requests with a quarantined part are no evidence against other parts", () => {
     const entry = createTestEntry();
-    for (let index = 0; index < 8; index++) {
-        entry.recordCrash(crash(`s${index}`, prompt("common")), 1, index, index);
-    }
-    assert.deepEqual(entry.quarantined, []);
-});
-
-// Guards against adding up crashes that sound requests with the part were near, over a long time.
-test("a survival clears the crashes before it", () => {
-    const entry = createTestEntry();
-    for (let index = 0; index < 20; index++) {
-        entry.recordCrash(crash(`s${index}`, prompt("sound")), 1, index * 1000, index * 1000);
-        assert.deepEqual(entry.recordSurvival(["sound"], index * 1000 + 500), [{ part: "sound", ageMs: 0 }]);
-        assert.deepEqual(entry.recordSurvival(["sound"], index * 1000 + 600), [], "announced twice");
-    }
-    assert.deepEqual(entry.quarantined, []);
-});
-
-// Guards against trusting a part for ever because it was sound before.
-test("a part that was sound before it crashed servers is quarantined after a few more crashes", () => {
-    const entry = createTestEntry();
-    entry.recordSurvival(["turned"], 0);
-    for (let index = 1; index <= 5; index++) {
-        assert.deepEqual(entry.quarantined, [], `after ${index - 1} crashes`);
-        entry.recordCrash(crash(`s${index}`, prompt("turned")), 1, index * 100, index * 100);
-    }
-    assert.deepEqual(entry.quarantined, ["turned"]);
-});
-
-// Guards against a quarantine of the part that a deadly one was always seen with.
-test("the last of several parts with the same crashes is quarantined, and the crashes are not held against the others", () => {
-    const entry = createTestEntry();
-    for (let index = 0; index < 3; index++) {
-        entry.recordCrash(crash(`s${index}`, prompt("common", "deadly")), 1, index * 100, index * 100);
-    }
-    // Crashes that a request with the quarantined part was near are explained as well.
-    for (let index = 3; index < 9; index++) {
-        entry.recordCrash(
-            crash(`s${index}`, prompt("common", "deadly"), prompt("common")),
-            1,
-            index * 100,
-            index * 100,
-        );
+    quarantineDeadly(entry);
+    for (let index = 3; index < 12; index++) {
+        const at = index * 200;
+        entry.recordCrash(crash(`s${index}`, prompt("common", "deadly"), prompt("other")), 1, at, at);
     }
     assert.deepEqual(entry.quarantined, ["deadly"]);
-    assert.equal(entry.decide(["common"], 1, 1000).kind, "allowed");
+    assert.equal(entry.decide(["common", "other"], 1, 3000).kind, "allowed");
 });
 
-// Guards against a quarantine because one request is repeated at servers that crash for another reason.
-test("repetitions of one prompt need one more crash", () => {
+// Guards against a survival that the other entries don't hear of, or hear of again and again.
+test("only a survival that clears a part is announced", () => {
     const entry = createTestEntry();
-    const repeated = prompt("part");
-    for (let index = 0; index < 3; index++) {
-        entry.recordCrash(crash(`s${index}`, repeated), 1, index * 100, index * 100);
-    }
-    assert.deepEqual(entry.quarantined, []);
-    entry.recordCrash(crash("s3", repeated), 1, 300, 300);
-    assert.deepEqual(entry.quarantined, ["part"]);
+    assert.deepEqual(entry.recordSurvival(["sound"], 0), []);
+    entry.recordCrash(crash("s0", prompt("sound")), 1, 100, 100);
+    assert.deepEqual(entry.recordSurvival(["sound"], 200), [{ part: "sound", ageMs: 0 }]);
+    assert.deepEqual(entry.recordSurvival(["sound"], 300), []);
 });
 
 // Guards against repeating a deadly request at the next server, and against failing sound requests that a crash interrupted.
@@ -245,6 +215,22 @@
     assert.equal(otherEntry.decide(["deadly"], 2, 8200).kind, "allowed");
 });
 
+// Guards against a probe for each of many versions while the part goes on to crash servers.
+test("newer weights are probed a few times only", () => {
+    const entry = createTestEntry();
+    quarantineDeadly(entry);
+    let probeCount = 0;
+    for (let now = 1000; now < 60_000; now += 1000) {
+        const version = 1 + Math.floor(now / 6000);
+        if (entry.decide(["deadly"], version, now).kind !== "probe") continue;
+        probeCount++;
+        entry.startProbe("deadly", now);
+        entry.recordCrash(crash(`probe${probeCount}`, prompt("deadly")), version, now, now);
+        entry.endProbe("deadly", true, version, now);
+    }
+    assert.ok(probeCount >= 1 && probeCount <= 3, `${probeCount} probes in a minute`);
+});
+
 // Guards against an entry that missed the messages or has restarted and sends deadly requests on.
 test("a quarantine is learned from the report of another entry, and released by a survival that the report misses", () => {
     const entry = createTestEntry();
--- a/src/test/router/promptQuarantine.test.ts
+++ b/src/test/router/promptQuarantine.test.ts
@@ -106,6 +106,11 @@
     assert.deepEqual(new Set(deadlyStatuses.slice(-5)), new Set([503]));
     assert.ok(soundStatuses.filter(status => status === 200).length >= 18, soundStatuses.join());
     assert.deepEqual(new Set(soundStatuses.slice(-10)), new Set([200]));
+    // An entry that starts later learns of the quarantine from heartbeats.
+    const lateIp = "127.0.0.3";
+    const lateRouter = await startRouterAt(store, peerPort, lateIp);
+    await sleep(1500);
+    assert.match((await sendPrompt(lateIp, lateRouter, "common:40,deadly:30")).body, /quarantined prompt/);
 });
 
 // Guards against a quarantine because of a server that resets connections but goes on.
