Confirm crashes that other entries report

An entry whose own path to a server is broken must not make the others avoid that server. Each entry now checks a reported crash itself before it ejects the server and closes its idle connections, once for each crash.

--- a/src/lib/router/promptGuard.ts
+++ b/src/lib/router/promptGuard.ts
@@ -7,6 +7,7 @@
 import {
     type BackendServer,
     createPromptQuarantine,
+    dropOldest,
     type EntryIdentity,
     type ImplicatedPrompt,
     type PromptDecision,
@@ -23,10 +24,10 @@
     readonly liveEntries: () => readonly EntryIdentity[];
     /** Returns the lowest version of the weights that may answer requests of the service. */
     readonly weightsVersion: (service: string, now: number) => number;
-    /** Returns whether the server is registered and isn't leaving, so that its end would be a crash. */
-    readonly isServing: (server: BackendServer) => boolean;
-    /** Called when a server has crashed, as seen by this or another entry; possibly several times for one crash. */
-    readonly onCrash: (serverId: string, startedAt: number) => void;
+    /** Returns the server if it is registered and isn't leaving, so that its end would be a crash. */
+    readonly findServing: (serverId: string, startedAt: number) => BackendServer | undefined;
+    /** Called once when a server has crashed. */
+    readonly onCrash: (server: BackendServer) => void;
     /** Send a message to all live entries or to one of them. Messages may be lost. */
     readonly broadcast: (message: CrashNotification | SurvivalNotification) => void;
     readonly send: (message: SurvivalNotification, ip: string) => void;
@@ -66,6 +67,9 @@
 /** Prompts that are recorded for one crash. */
 const MAX_PROMPTS = 64;
 
+/** Crashes that are remembered so that each is acted on once. */
+const MAX_KNOWN_CRASHES = 1024;
+
 /** Messages must fit into a datagram. */
 const MAX_PROMPTS_PER_MESSAGE = 8;
 const MAX_SURVIVALS_PER_MESSAGE = 256;
@@ -85,6 +89,8 @@
     const waitingRequests = new Set<WaitingRequest>();
     /** Running checks by the server's incarnation. */
     const checks = new Map<string, CrashCheck>();
+    /** Incarnations whose crash this entry has seen or is checking after a message. */
+    const knownCrashes = new Map<string, true>();
     /** Requests that were sent as probes, with the quarantined part. */
     const probes = new WeakMap<CallerRequest, string>();
 
@@ -140,7 +146,7 @@
         const { service } = server;
         const parts = partsOf(caller, service);
         if (parts.length === 0) return true;
-        if (mayHaveRun && options.isServing(server)) {
+        if (mayHaveRun && options.findServing(server.id, server.startedAt) !== undefined) {
             await checkForCrash(server, { id: promptIdOf(caller), parts });
         }
         const at = now();
@@ -172,7 +178,7 @@
     function recordCrash(server: BackendServer, prompts: readonly ImplicatedPrompt[], failedAt: number): void {
         const at = now();
         const { id: serverId, startedAt } = server;
-        options.onCrash(serverId, startedAt);
+        if (rememberCrash(incarnationOf(serverId, startedAt))) options.onCrash(server);
         log.warn("server crashed", {
             server: serverId,
             requests: prompts.length,
@@ -197,6 +203,23 @@
         announce(quarantine.recordCrash(crash, weightsVersion, failedAt, at));
     }
 
+    /** Returns false if the crash is known already. */
+    function rememberCrash(incarnation: string): boolean {
+        if (knownCrashes.has(incarnation)) return false;
+        knownCrashes.set(incarnation, true);
+        dropOldest(knownCrashes, MAX_KNOWN_CRASHES);
+        return true;
+    }
+
+    /** Checks a crash that another entry reports, because only the path of that entry to the server may be broken. */
+    async function confirmCrash(serverId: string, startedAt: number): Promise<void> {
+        const server = options.findServing(serverId, startedAt);
+        const incarnation = incarnationOf(serverId, startedAt);
+        if (server === undefined || !rememberCrash(incarnation)) return;
+        if (await refusesConnections(server.address)) options.onCrash(server);
+        else knownCrashes.delete(incarnation);
+    }
+
     function announce(
         survivals: readonly SurvivalReport[],
         send: (message: SurvivalNotification) => void = options.broadcast,
@@ -217,7 +240,7 @@
         examineFailure,
         handleCrash: ({ serverId, startedAt, prompts, weightsVersion, ageMs, ip }) => {
             const at = now();
-            options.onCrash(serverId, startedAt);
+            void confirmCrash(serverId, startedAt);
             const crash = { incarnation: incarnationOf(serverId, startedAt), prompts };
             reply(quarantine.recordCrash(crash, weightsVersion, at - ageMs, at), ip);
         },
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -172,14 +172,14 @@
             const engine = operatorState.routeTable()?.findService(service)?.engine;
             return engine === undefined ? 0 : weights.lowestAllowed(engine.model, at);
         },
-        onCrash: (serverId, startedAt) => {
-            if (registry.get(serverId)?.startedAt !== startedAt) return;
-            health.recordOutcome(serverId, Outcome.unreachable, now());
-            connections.removeServer(serverId);
+        onCrash: ({ id }) => {
+            health.recordOutcome(id, Outcome.unreachable, now());
+            // Idle connections to a server that crashed aren't always reset, and requests on them would time out.
+            connections.removeServer(id);
         },
-        isServing: ({ id, startedAt }) => {
-            const registered = registry.get(id);
-            return registered !== undefined && !registered.isLeaving && registered.startedAt === startedAt;
+        findServing: (id, startedAt) => {
+            const server = registry.get(id);
+            return server === undefined || server.isLeaving || server.startedAt !== startedAt ? undefined : server;
         },
         broadcast: message => peerExchange.broadcast(message),
         send: (message, ip) => peerExchange.send(message, ip),
--- a/src/test/platform/translation.test.ts
+++ b/src/test/platform/translation.test.ts
@@ -117,3 +117,12 @@
     assert.equal(parseEventId("id: 12\ndata: x"), "12");
     assert.equal(parseEventId("data: id: 12"), undefined);
 });
+
+// Guards against prompts whose parts are taken for shared ones, or that can't be told apart.
+test("the last part of a prompt is its own, and too long prompts have no shared parts", () => {
+    const parse = (prefix: string | undefined) => parseCallerRequest({ "prompt-prefix": prefix }).sharedPromptParts;
+    assert.deepEqual(parse("a1:800, b2:410,c3:250"), ["a1", "b2"]);
+    assert.deepEqual(parse("c3:250"), []);
+    assert.deepEqual(parse(undefined), []);
+    assert.deepEqual(parse(Array.from({ length: 33 }, (_, index) => `${index}:1`).join()), []);
+});
--- /dev/null
+++ b/src/test/router/promptGuard.test.ts
@@ -0,0 +1,94 @@
+import assert from "node:assert/strict";
+import { type AddressInfo, createServer, type Server } from "node:net";
+import { afterEach, test } from "node:test";
+import type { BackendServer } from "../../lib/core/serving/index.js";
+import type { CrashNotification, SurvivalNotification } from "../../lib/node/peerMessages.js";
+import { createEventLog, createServingMetrics } from "../../lib/observability/index.js";
+import { parseCallerRequest } from "../../lib/platform/index.js";
+import { createPromptGuard } from "../../lib/router/promptGuard.js";
+import { waitUntil } from "./routerHarness.js";
+
+const listeners: Server[] = [];
+
+afterEach(() => {
+    for (const listener of listeners.splice(0)) listener.close();
+});
+
+/** Returns the address of a listener; connections to it are refused if `isClosed`. */
+async function startListener(isClosed: boolean): Promise<string> {
+    const listener = createServer(socket => socket.destroy());
+    await new Promise<void>(resolve => listener.listen(0, "127.0.0.1", resolve));
+    const address = `127.0.0.1:${(listener.address() as AddressInfo).port}`;
+    if (isClosed) await new Promise(resolve => listener.close(resolve));
+    else listeners.push(listener);
+    return address;
+}
+
+function backendServer(id: string, address: string): BackendServer {
+    return {
+        id,
+        service: "m",
+        address,
+        failureDomain: "a",
+        slots: 4,
+        isLeaving: false,
+        startedAt: 1,
+        remainingWarmupMs: 0,
+        weights: undefined,
+    };
+}
+
+function createTestGuard(servers: readonly BackendServer[]) {
+    const crashed: string[] = [];
+    const sent: (CrashNotification | SurvivalNotification)[] = [];
+    const self = { name: "entry-1", ip: "127.0.0.1", failureDomain: "a" };
+    const guard = createPromptGuard({
+        self,
+        liveEntries: () => [self],
+        weightsVersion: () => 1,
+        findServing: id => servers.find(server => server.id === id && !server.isLeaving),
+        onCrash: ({ id }) => void crashed.push(id),
+        broadcast: message => void sent.push(message),
+        send: message => void sent.push(message),
+        log: createEventLog({ process: "p", role: "entry", now: () => 0, write: () => undefined }),
+        metrics: createServingMetrics(),
+        now: () => performance.now(),
+    });
+    return { guard, crashed, sent };
+}
+
+function crashOf(serverId: string): CrashNotification {
+    const prompts = [{ id: 1, parts: ["m a"] }];
+    return { kind: "crash", ip: "127.0.0.9", serverId, startedAt: 1, ageMs: 0, weightsVersion: 1, prompts };
+}
+
+// Guards against an entry whose path to a server is broken and that makes all others avoid the server.
+test("a crash that another entry reports is confirmed before it is acted on, once", async () => {
+    const reached = backendServer("reached", await startListener(false));
+    const refusing = backendServer("refusing", await startListener(true));
+    const { guard, crashed } = createTestGuard([reached, refusing]);
+    for (let index = 0; index < 3; index++) {
+        guard.handleCrash(crashOf("reached"));
+        guard.handleCrash(crashOf("refusing"));
+        guard.handleCrash(crashOf("unknown"));
+    }
+    await waitUntil(() => crashed.length > 0);
+    await new Promise(resolve => setTimeout(resolve, 100));
+    guard.handleCrash(crashOf("refusing"));
+    await new Promise(resolve => setTimeout(resolve, 100));
+    assert.deepEqual(crashed, ["refusing"]);
+});
+
+// Guards against holding the planned end of a server against the requests that it cuts off.
+test("only the end of a server that isn't leaving implicates prompts", async () => {
+    const address = await startListener(true);
+    const leaving = { ...backendServer("leaving", address), isLeaving: true };
+    const serving = backendServer("serving", address);
+    const { guard, sent } = createTestGuard([leaving, serving]);
+    const caller = parseCallerRequest({ "prompt-prefix": "shared:5,own:5" });
+    assert.equal(await guard.examineFailure(caller, leaving, true), true);
+    assert.equal(await guard.examineFailure(caller, serving, false), true);
+    assert.deepEqual(sent, []);
+    assert.equal(await guard.examineFailure(caller, serving, true), false);
+    assert.deepEqual(sent.map(({ kind }) => kind), ["crash"]);
+});
