--- a/src/lib/core/serving/promptQuarantine.ts
+++ b/src/lib/core/serving/promptQuarantine.ts
@@ -64,8 +64,11 @@
     mergeReports(reports: readonly QuarantineReport[], now: number): SurvivalReport[];
 }
 
-/** Delay before the first probe of a quarantined part, its factor for each further one and its limit. */
-const INITIAL_PROBE_INTERVAL_MS = 15_000;
+/**
+ * Delay before the first probe of a quarantined part, its factor for each further one and its limit. A probe that crashes
+ * a server ends everything that runs there.
+ */
+const INITIAL_PROBE_INTERVAL_MS = 30_000;
 const PROBE_INTERVAL_FACTOR = 4;
 const MAX_PROBE_INTERVAL_MS = 60 * 60_000;
 
@@ -73,7 +76,7 @@
 const MIN_PROBE_INTERVAL_MS = 5000;
 
 /** Newer weights are no reason for a probe if the interval is longer, because several versions crashed then. */
-const MAX_VERSION_PROBE_INTERVAL_MS = 5 * 60_000;
+const MAX_VERSION_PROBE_INTERVAL_MS = 10 * 60_000;
 
 /** Delay before a probe that didn't run is repeated. */
 const PROBE_REPETITION_DELAY_MS = 500;
