--- a/src/lib/router/successor.ts
+++ b/src/lib/router/successor.ts
@@ -39,8 +39,8 @@
         if (response.headersSent && streamParser?.lastEventId() === undefined) return RetryDenial.notResumable;
         // The attempt in progress has no verdict yet.
         if (verdicts.length + 1 >= route.maxAttempts) return RetryDenial.attemptsUsed;
-        if (context.promptGuard.decide(exchange.caller, service).kind !== "allowed")
-            return RetryDenial.quarantinedPrompt;
+        const { kind } = context.promptGuard.decide(exchange.caller, service);
+        if (kind !== "allowed") return RetryDenial.quarantinedPrompt;
         return context.retryBudget.isAvailable(service, context.now()) ? undefined : RetryDenial.budgetSpent;
     }
 
--- a/src/test/router/successor.test.ts
+++ b/src/test/router/successor.test.ts
@@ -9,12 +9,14 @@
 let calls: string[];
 let refusal: SlotDecision | undefined;
 let isWithinBudget: boolean;
+let isQuarantined: boolean;
 let exchange: Exchange;
 
 beforeEach(() => {
     calls = [];
     refusal = undefined;
     isWithinBudget = true;
+    isQuarantined = false;
     exchange = {
         context: {
             now: () => 0,
@@ -30,6 +32,7 @@
                 reserve: () => Promise.resolve(refusal),
                 release: (_: Assignment, id: string) => calls.push(`release slot ${id}`),
             },
+            promptGuard: { decide: () => ({ kind: isQuarantined ? "refused" : "allowed" }) },
             retryBudget: {
                 isAvailable: () => true,
                 tryTake: () => {
@@ -78,3 +81,11 @@
     assert.equal(exchange.retryDenial, "no server");
     assert.equal(search.take(), undefined);
 });
+
+// Guards against a silent server that is given up for a request which is then refused.
+test("there is no successor for a quarantined prompt", async () => {
+    isQuarantined = true;
+    assert.equal(await createSearch().claim(() => true), false);
+    assert.deepEqual(calls, []);
+    assert.equal(exchange.retryDenial, "quarantined prompt");
+});
