--- a/src/test/router/testEntry.ts
+++ b/src/test/router/testEntry.ts
@@ -16,6 +16,8 @@
     readonly store: FakeStore;
     readonly router: Router;
     readonly runner: FakeRunner;
+    /** Port of the messages and requests of other entries. */
+    readonly peerPort: number;
     openCaller(): Promise<RawCaller>;
     /** Stops everything; `router.stop` may have been called before. */
     close(): Promise<void>;
@@ -45,13 +47,15 @@
     store.put("op", "config", configuration);
     const runner = await startFakeRunner(respond);
     store.put("servers", "i-1", serverRow(runner.address, server));
-    const router = await startTestRouter(createVmSettings(store.address, await findFreePortRange()));
+    const peerPort = await findFreePortRange();
+    const router = await startTestRouter(createVmSettings(store.address, peerPort));
     let stopped: Promise<void> | undefined;
     const stop = () => stopped ??= router.stop();
     return {
         store,
         router: { ...router, stop },
         runner,
+        peerPort,
         openCaller: async () => {
             const caller = await openRawCaller(router.callerPort);
             callers.push(caller);
