Survive peer requests whose target is no URL

Callers saw: a request such as `GET //` on an entry's internal port ended the entry, and all requests in progress were lost.

Cause: the handler of the peer server parses the target outside any promise or `try`, so its exception is uncaught and the process exits.

Such a target is passed on to the handler of pieces, whose failures are answered with 503.

--- a/src/lib/node/peerMessages.ts
+++ b/src/lib/node/peerMessages.ts
@@ -263,7 +263,10 @@
     response: http.ServerResponse,
     replicas: ReadonlyMap<string, RowReplica>,
 ): boolean {
-    const url = new URL(request.url ?? "/", "http://peer");
+    const target = request.url ?? "/";
+    // The targets of other programs, such as `//`, need not form a URL.
+    if (!URL.canParse(target, "http://peer")) return false;
+    const url = new URL(target, "http://peer");
     if (url.pathname !== CHANGES_PATH) return false;
     const replica = replicas.get(url.searchParams.get("table") ?? "");
     const afterRevision = Number(url.searchParams.get("after"));
--- a/src/test/router/invalidInput.test.ts
+++ b/src/test/router/invalidInput.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { createSocket } from "node:dgram";
+import { connect } from "node:net";
 import { afterEach, beforeEach, test } from "node:test";
 import { configurationRow, type ReceivedRequest, serverRow } from "../platform/fakeRunner.js";
 import { formatRequest } from "./rawCaller.js";
@@ -125,3 +126,16 @@
     });
     socket.close();
 });
+
+// Guards against a request on the peers' port that makes the code throw.
+test("requests are answered beside unusual HTTP requests of peers", async () => {
+    await assertServedBeside(async () => {
+        for (const target of ["//", "http://", "/changes?after=x", "/piece?x=%", "*", "//[x"]) {
+            const socket = connect(entry.peerPort, "127.0.0.1");
+            socket.on("error", () => undefined);
+            socket.write(`GET ${target} HTTP/1.1\r\nHost: x\r\n\r\n`);
+            await sleep(30);
+            socket.destroy();
+        }
+    });
+});
