Apply a higher idle timeout to connections that are idle already

Callers saw: after a configuration had raised the idle timeout, a connection that was idle at that moment closed at the former time, under the next request of a caller that keeps connections for most of the newest timeout.

Cause: the timer of an idle connection starts once, with the timeout of that moment.

A higher timeout restarts the timers of idle connections. No change shortens one.

--- a/src/lib/router/callerServer.ts
+++ b/src/lib/router/callerServer.ts
@@ -36,16 +36,24 @@
         const advertisedIdleMs = server.keepAliveTimeout;
         response.once("close", () => {
             inProgressCount--;
-            keepIdleFor(request.socket, Math.max(advertisedIdleMs, server.keepAliveTimeout) + IDLE_MARGIN_MS);
+            keepIdleFor(request.socket, advertisedIdleMs + IDLE_MARGIN_MS);
         });
         void serve(request, response);
     });
+    const sockets = new Set<Socket>();
+    server.on("connection", socket => {
+        sockets.add(socket);
+        socket.once("close", () => sockets.delete(socket));
+    });
     // Disabled, because the route's timeout bounds the whole request.
     server.requestTimeout = 0;
     const port = await listen(server, address);
     return {
         applyLimits: limits => {
             server.headersTimeout = limits.headerTimeoutMs;
+            if (limits.idleTimeoutMs > server.keepAliveTimeout) {
+                for (const socket of sockets) keepIdleFor(socket, limits.idleTimeoutMs + IDLE_MARGIN_MS);
+            }
             server.keepAliveTimeout = limits.idleTimeoutMs;
         },
         inProgressCount: () => inProgressCount,
@@ -57,10 +65,10 @@
     };
 }
 
-/** Replaces the timeout of a connection that Node has just made idle; any other connection has no timeout. */
+/** Restarts the timeout of an idle connection with at least `idleMs`; Node sets no timeout for any other. */
 function keepIdleFor(socket: Socket, idleMs: number): void {
-    const isIdle = !socket.destroyed && socket.timeout !== undefined && socket.timeout > 0;
-    if (isIdle) socket.setTimeout(idleMs);
+    const { timeout = 0 } = socket;
+    if (!socket.destroyed && timeout > 0) socket.setTimeout(Math.max(timeout, idleMs));
 }
 
 /** Starts a server that responds to every request with 200 while the process is ready and with 503 otherwise. */
--- a/src/test/router/keepAlive.test.ts
+++ b/src/test/router/keepAlive.test.ts
@@ -57,6 +57,18 @@
     assert.equal((await caller.nextResponse()).status, 200);
 });
 
+// Guards against an idle connection that closes although its caller may keep it longer since the last configuration.
+test("a higher idle timeout applies to connections that are idle already", async () => {
+    await changeLimits(2, { "idle-timeout-ms": 1000 });
+    const caller = await entry.openCaller();
+    caller.send(formatRequest({ path: "/read/", id: "a", body: "x" }));
+    assert.equal((await caller.nextResponse()).status, 200);
+    await changeLimits(3, { "idle-timeout-ms": 10_000 });
+    await sleep(2500);
+    caller.send(formatRequest({ path: "/read/", id: "b", body: "x" }));
+    assert.equal((await caller.nextResponse()).status, 200);
+});
+
 // Guards against idle connections that are kept for good.
 test("an idle connection is closed after its idle timeout", async () => {
     await changeLimits(2, { "idle-timeout-ms": 1000 });
