Answer a request whose handling throws

Callers saw nothing of this yet: by reading, an exception before the attempts of a request, such as one in the lookup of its route, was an unhandled rejection, which ends the process and all requests in progress.

Evidence: unexpectedFailure.test on the code before: the rejection "unexpected" failed the test run; it passes now.

`serveExchange` logs the exception and answers 500, or cuts off a response that has begun.

--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -56,6 +56,12 @@
     try {
         await serveWithin(context, request, response, memory.reserve);
     }
+    catch (error) {
+        const { message, stack } = error as Error;
+        context.log.warn("request failed", { id: parseCallerRequest(request.headers).id, reason: message, stack });
+        if (response.headersSent) response.destroy();
+        else response.writeHead(500, { Connection: "close" }).end();
+    }
     finally {
         memory.release();
     }
