Keep responses that are being sent when an entry stops listening

The entry's own stop was not reproduced with a request through an agent.

Both entries share `stopListening`. The product's entry closes connections on which nothing has arrived since their last response was flushed, and the others after their response.

--- a/src/lib/entry/server.ts
+++ b/src/lib/entry/server.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import VError from "verror";
+import { stopListening } from "../node/listen.js";
 import { createLog } from "../observability/index.js";
 import { type AdminDependencies, serveAdmin } from "./adminApi.js";
 import { serveCompletion, serveModels } from "./openaiApi.js";
@@ -81,7 +82,7 @@
         sendProblem(response, rejection(417, "unknown expectation", "send Expect: 100-continue or no Expect header"));
     });
     server.maxConnections = limits.connections;
-    evictIdleConnections(server, limits.connections);
+    const idleConnections = trackIdleConnections(server, limits.connections);
     await new Promise<void>((resolve, reject) => {
         server.once("error", error => {
             reject(
@@ -101,38 +102,53 @@
         await sleep(Math.min(READINESS_GRACE_MS, timeoutMs));
         await new Promise<void>(resolve => {
             const timer = setTimeout(() => server.closeAllConnections(), timeoutMs);
-            server.close(() => {
+            stopListening(server, () => {
                 clearTimeout(timer);
                 resolve();
             });
-            server.closeIdleConnections();
+            idleConnections.close();
         });
     }
 
     return { port: (server.address() as AddressInfo).port, stop };
 }
 
-/** Closes the longest idle connection when the limit is near, so that idle callers can't use up all connections. */
-function evictIdleConnections(server: http.Server, maxConnections: number): void {
+/**
+ * Closes the longest idle connection when the limit is near, so that idle callers can't use up all connections. After
+ * `close` it closes every connection that is idle or becomes so.
+ */
+function trackIdleConnections(server: http.Server, maxConnections: number): { close(): void; } {
+    let isClosing = false;
     const openSockets = new Set<Socket>();
-    // A Set iterates in insertion order, so its first element has been idle for longest.
-    const idleSockets = new Set<Socket>();
+    // A Map iterates in insertion order, so its first key has been idle for longest. The values are the bytes that had
+    // been received by then.
+    const idleSockets = new Map<Socket, number>();
     server.on("connection", socket => {
         openSockets.add(socket);
-        idleSockets.add(socket);
+        idleSockets.set(socket, 0);
         socket.on("close", () => {
             openSockets.delete(socket);
             idleSockets.delete(socket);
         });
-        const [longestIdle] = idleSockets;
+        const [longestIdle] = idleSockets.keys();
         if (openSockets.size > maxConnections * IDLE_EVICTION_FRACTION) longestIdle?.destroy();
     });
     server.on("request", ({ socket }, response) => {
         idleSockets.delete(socket);
         response.on("close", () => {
-            if (!socket.destroyed) idleSockets.add(socket);
+            if (isClosing) socket.destroySoon();
+            else if (!socket.destroyed) idleSockets.set(socket, socket.bytesRead);
         });
     });
+    return {
+        close: () => {
+            isClosing = true;
+            for (const [socket, receivedBytes] of idleSockets) {
+                // Otherwise a request has begun to arrive.
+                if (socket.bytesRead === receivedBytes) socket.destroySoon();
+            }
+        },
+    };
 }
 
 function sendHealth(response: http.ServerResponse, isHealthy: boolean): void {
--- a/src/lib/node/listen.ts
+++ b/src/lib/node/listen.ts
@@ -1,6 +1,6 @@
-/** Makes HTTP servers listen at an address from the settings. */
+/** Makes HTTP servers listen at an address from the settings, and stop listening. */
 import type * as http from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, Server as NetServer } from "node:net";
 import type { Address } from "../settings/vmSettings.js";
 
 /** Number of connections that may wait to be accepted, for many callers that connect at the same time. */
@@ -17,3 +17,11 @@
         });
     });
 }
+
+/**
+ * Accepts no new connections. `onClosed` is called when the last open one has ended. `http.Server.close` would also
+ * destroy connections whose last response is still being sent, and those on which a request has just arrived.
+ */
+export function stopListening(server: http.Server, onClosed?: () => void): void {
+    NetServer.prototype.close.call(server, onClosed);
+}
--- a/src/lib/router/callerServer.ts
+++ b/src/lib/router/callerServer.ts
@@ -3,9 +3,9 @@
  * connections are still served, and responses tell callers to close them.
  */
 import * as http from "node:http";
-import { Server as NetServer, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import type { CallerLimits } from "../core/serving/index.js";
-import { listen } from "../node/listen.js";
+import { listen, stopListening } from "../node/listen.js";
 import type { Address } from "../settings/vmSettings.js";
 
 export interface CallerServer {
@@ -57,9 +57,7 @@
             server.keepAliveTimeout = limits.idleTimeoutMs;
         },
         inProgressCount: () => inProgressCount,
-        // `http.Server.close` would also destroy connections whose last response is still being sent, and those on
-        // which a request has just arrived.
-        stopListening: () => void NetServer.prototype.close.call(server),
+        stopListening: () => stopListening(server),
         close: () => server.closeAllConnections(),
         port,
     };
