Let the soak's servers be silent for a second

One in fifty calls has a server that is silent for 1.2 s, in the middle of a stream or before a plain response, and goes on. No call is excused for it.

--- a/src/test/soak/soak.ts
+++ b/src/test/soak/soak.ts
@@ -66,6 +66,12 @@
  */
 const RESET_DELAY_MS = 50;
 
+/** A sound server may be silent for about a second and go on. Entries look for another one after a second. */
+const SILENCE_MS = 1200;
+
+/** Returns whether the server of a call is silent for a while; `draw` is the call's random number. */
+const isSilent = (draw: number) => draw > 0.5 && draw < 0.52;
+
 /** Time after which the registry row of a crashed server expires. */
 const REGISTRY_EXPIRY_MS = 1500;
 
@@ -187,7 +193,7 @@
         }
         if (draw < 0.065) return;
         if (/ \/talk\//.test(request.head)) void sendStreamResponse(request, draw);
-        else setTimeout(() => sendPlainResponse(request, id, draw), draw * 60);
+        else setTimeout(() => sendPlainResponse(request, id, draw), draw * 60 + (isSilent(draw) ? SILENCE_MS : 0));
     }
 
     function sendPlainResponse(request: ReceivedRequest, id: string, draw: number): void {
@@ -208,13 +214,16 @@
     async function sendStreamResponse(request: ReceivedRequest, draw: number): Promise<void> {
         const { socket, attemptId: id } = request;
         const texts = eventTexts(id, 1 + Number(request.header("last-event-id") || "0"));
-        const breakAt = draw < 0.14 ? Math.floor(texts.length / 2) : -1;
+        const middle = Math.floor(texts.length / 2);
+        const breakAt = draw < 0.14 ? middle : -1;
         socket.write(streamResponseHead(request));
         for (const [index, text] of texts.entries()) {
             if (index === breakAt) {
                 socket.write(encodeChunk(text.slice(0, 9)), () => socket.resetAndDestroy());
                 return;
             }
+            if (index === middle && isSilent(draw)) await sleep(SILENCE_MS);
+            if (socket.destroyed) return;
             socket.write(encodeChunk(text));
             await sleep(8);
         }
