Answer pipelined requests while an entry stops

Callers saw: of two requests that were sent on one connection without waiting, the second got no answer when the process was stopped meanwhile, although it was at a server.

Cause: each response of a stopping entry told the caller to close the connection, and Node closes it after that response.

--- a/src/lib/router/callerServer.ts
+++ b/src/lib/router/callerServer.ts
@@ -12,6 +12,8 @@
     applyLimits(limits: CallerLimits): void;
     /** Returns the number of requests whose responses have neither ended nor been cut off. */
     inProgressCount(): number;
+    /** Returns whether other requests on the connection of this response are in progress, which are pipelined. */
+    hasOtherRequests(response: http.ServerResponse): boolean;
     /** Accepts no new connections; open ones continue. */
     stopListening(): void;
     /** Closes all connections, including those with requests in progress. */
@@ -30,13 +32,18 @@
     serve: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>,
 ): Promise<CallerServer> {
     let inProgressCount = 0;
+    const inProgressBySocket = new WeakMap<Socket, number>();
+    const countOf = (socket: Socket) => inProgressBySocket.get(socket) ?? 0;
     const server = http.createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true }, (request, response) => {
+        const { socket } = request;
         inProgressCount++;
+        inProgressBySocket.set(socket, countOf(socket) + 1);
         // The response carries the timeout that is set now.
         const advertisedIdleMs = server.keepAliveTimeout;
         response.once("close", () => {
             inProgressCount--;
-            keepIdleFor(request.socket, advertisedIdleMs + IDLE_MARGIN_MS);
+            inProgressBySocket.set(socket, countOf(socket) - 1);
+            keepIdleFor(socket, advertisedIdleMs + IDLE_MARGIN_MS);
         });
         void serve(request, response);
     });
@@ -57,6 +64,7 @@
             server.keepAliveTimeout = limits.idleTimeoutMs;
         },
         inProgressCount: () => inProgressCount,
+        hasOtherRequests: ({ req }) => countOf(req.socket) > 1,
         stopListening: () => stopListening(server),
         close: () => server.closeAllConnections(),
         port,
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -42,6 +42,8 @@
     readonly nextExchangeId: () => number;
     /** True during a graceful stop; responses then tell callers to close their connections. */
     readonly isStopping: () => boolean;
+    /** Returns whether other requests on the connection of this response are in progress. */
+    readonly hasOtherRequests: (response: http.ServerResponse) => boolean;
     /** True once the stopping process accepts no new requests; it finishes those in progress. */
     readonly isDraining: () => boolean;
     /** Cancellations of all exchanges in progress, for the end of the grace period. */
--- a/src/lib/router/localResponses.ts
+++ b/src/lib/router/localResponses.ts
@@ -14,8 +14,13 @@
 const MAX_BODY_DISCARD_MS = 2000;
 
 /** Returns the header that asks the caller to close the connection while the process stops; otherwise no header. */
-export function connectionCloseHeader(context: ExchangeContext): string[] {
-    return context.isStopping() ? ["Connection", "close"] : [];
+export function connectionCloseHeader(context: ExchangeContext, response: http.ServerResponse): string[] {
+    return isLastOnConnection(context, response) ? ["Connection", "close"] : [];
+}
+
+/** A connection closes after the response that says so, so of pipelined responses only the last one may. */
+function isLastOnConnection(context: ExchangeContext, response: http.ServerResponse): boolean {
+    return context.isStopping() && !context.hasOtherRequests(response);
 }
 
 /** Sends a buffered response to the caller, unless a response has already started. */
@@ -23,7 +28,7 @@
     const { response, context } = exchange;
     if (response.headersSent || response.destroyed) return;
     const lengthHeader = contentLength === undefined ? [] : ["Content-Length", contentLength];
-    response.writeHead(status, [...headers, ...lengthHeader, ...connectionCloseHeader(context)]);
+    response.writeHead(status, [...headers, ...lengthHeader, ...connectionCloseHeader(context, response)]);
     response.end(body);
 }
 
@@ -121,7 +126,7 @@
         "Content-Type": "application/json",
         "Content-Length": Buffer.byteLength(body),
         // What is left of a body would be taken for the next request.
-        ...context.isStopping() || !isBodyReceived(response) ? { Connection: "close" } : {},
+        ...isLastOnConnection(context, response) || !isBodyReceived(response) ? { Connection: "close" } : {},
     });
     response.write(body);
     endAfterBody(response);
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -204,6 +204,7 @@
         random,
         nextExchangeId: () => ++exchangeCount,
         isStopping: () => isStopping,
+        hasOtherRequests: response => callerServer?.hasOtherRequests(response) ?? false,
         isDraining: () => isDraining,
         cancellations: new Set(),
     };
--- a/src/lib/router/streamRelay.ts
+++ b/src/lib/router/streamRelay.ts
@@ -134,5 +134,5 @@
 }
 
 function streamHeaders(exchange: Exchange, rawHeaders: readonly string[]): string[] {
-    return [...forwardedResponseHeaders(rawHeaders), ...connectionCloseHeader(exchange.context)];
+    return [...forwardedResponseHeaders(rawHeaders), ...connectionCloseHeader(exchange.context, exchange.response)];
 }
--- a/src/test/router/gracefulStop.test.ts
+++ b/src/test/router/gracefulStop.test.ts
@@ -93,3 +93,18 @@
     await stopped;
     assert.deepEqual([late.error(), caller.error()], [undefined, undefined]);
 });
+
+// Guards against a pipelined request that gets no answer because the response before it closes the connection.
+test("pipelined requests are all answered while the process stops", async () => {
+    const caller = await entry.openCaller();
+    respond = request => void setTimeout(() => respondOk(request), 500);
+    for (const id of ["a", "b"]) {
+        caller.send(formatRequest({ path: "/book/", id, headers: { "Deadline-Ms": "6000" }, body: "x" }));
+    }
+    await waitUntil(() => entry.runner.requests.length === 1);
+    const stopped = entry.router.stop();
+    const [first, second] = [await caller.nextResponse(), await caller.nextResponse()];
+    assert.deepEqual([first.status, second.status], [200, 200]);
+    assert.deepEqual([first, second].map(({ head }) => /^connection: close/im.test(head)), [false, true]);
+    await stopped;
+});
