Release a slot to which a quarantined request was not sent, and log checks that fail

A request that was quarantined between its assignment and its sending counted in the mean duration of requests; a check of a crash that nobody waits for could have ended the process if it had rejected.

--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -242,7 +242,7 @@
         const start = context.promptGuard.begin(exchange.caller, service);
         if (start.kind === "refused") {
             context.reservations.release(assignment, exchange.dispatchId);
-            context.dispatcher.recordEnd(exchange.dispatchId, context.now());
+            context.dispatcher.release(exchange.dispatchId, context.now());
             finishRefused(exchange, QUARANTINED_PROMPT, start.retryAfterMs);
             return;
         }
@@ -266,12 +266,15 @@
         }
         errorResponse = result.errorResponse;
         const mayRepeat = mayRepeatPrompt(exchange, assignment, result);
-        // The attempt was given up because its server was silent, not because it crashed.
         successor = successorSearch.take();
-        if (successor !== undefined) continue;
+        if (successor !== undefined) {
+            // The attempt was given up because its server was silent, so the result of the check isn't waited for.
+            mayRepeat.catch(error => context.log.warn("crash not checked", { error: (error as Error).message }));
+            continue;
+        }
         exchange.retryDenial = await mayRepeat ?
             findRetryDenial(exchange, result.verdict, service) :
-            RetryDenial.suspectPrompt;
+            RetryDenial.implicatedPrompt;
         if (exchange.retryDenial !== undefined) {
             const retryAfterMs = context.dispatcher.suggestRetryAfterMs(service, exchange.expiresAt, context.now());
             finishFailed(exchange, result.summary, errorResponse, retryAfterMs);
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -107,8 +107,8 @@
     attemptsUsed: "attempts used",
     budgetSpent: "budget spent",
     noServer: "no server",
-    /** The request may have crashed its server. */
-    suspectPrompt: "suspect prompt",
+    /** A crash ended the request, whose prompt may have caused it. */
+    implicatedPrompt: "its prompt may crash servers",
     quarantinedPrompt: "quarantined prompt",
 } as const;
 
