Claim one successor at a time

A server could keep the load of a request that had ended: if the silence timer expired again while the slot of a successor was reserved, a second assignment under the same identifier replaced the first one, which was never released. Found in review, with a script: one request stayed at the server after everything had ended.

successor.test before: two assignments by two claims; one now.

--- a/src/lib/router/successor.ts
+++ b/src/lib/router/successor.ts
@@ -27,11 +27,19 @@
 ): SuccessorSearch {
     const { context, route } = exchange;
     let claimed: Successor | undefined;
+    let isClaiming = false;
 
     async function claim(isNeeded: () => boolean): Promise<boolean> {
-        if (!isRetryableRoute(route)) return false;
-        exchange.retryDenial = findDenial() ?? await assignSuccessor(isNeeded);
-        return claimed !== undefined;
+        // The silence timer may start anew, and expire again, while a slot is reserved.
+        if (!isRetryableRoute(route) || isClaiming) return false;
+        isClaiming = true;
+        try {
+            exchange.retryDenial = findDenial() ?? await assignSuccessor(isNeeded);
+            return claimed !== undefined;
+        }
+        finally {
+            isClaiming = false;
+        }
     }
 
     function findDenial(): RetryDenial | undefined {
--- a/src/test/router/successor.test.ts
+++ b/src/test/router/successor.test.ts
@@ -89,3 +89,11 @@
     assert.deepEqual(calls, []);
     assert.equal(exchange.retryDenial, "quarantined prompt");
 });
+
+// Guards against a second assignment under the same identifier, whose load would be counted forever.
+test("a successor isn't claimed twice while its slot is reserved", async () => {
+    const search = createSearch();
+    const claims = [search.claim(() => true), search.claim(() => true)];
+    assert.deepEqual(await Promise.all(claims), [true, false]);
+    assert.deepEqual(calls, ["assign r/0/successor", "take retry"]);
+});
