Give up a silent server only for a healthy one that still accepts requests

A stream could be given up for a server that is probably down, or that announced while the slot was reserved that it leaves or backs off. The successor was taken among servers that were due for the probe after an ejection, and its assignment was not checked again after the reservation, as others are. Found in review.

--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -91,8 +91,8 @@
      */
     submit(request: DispatchRequest, onResult: (result: AssignmentResult) => void, now: number): void;
     /**
-     * Assigns a request to a server that is free now; it is neither queued nor refused. Returns `undefined` if there is
-     * no such server.
+     * Assigns a request to a server that is free now and not ejected; it is neither queued nor refused. Returns
+     * `undefined` if there is no such server.
      */
     assignNow(request: DispatchRequest, now: number): Assignment | undefined;
     /** Releases an assignment to which nothing was sent. */
@@ -210,7 +210,8 @@
     }
 
     function tryPlace(request: DispatchRequest, queueClass: QueueClass, snapshot: PoolSnapshot, now: number): boolean {
-        const assignment = assign(request, queueClass, snapshot, now);
+        const eligible = snapshot.withCapacity().filter(poolServer => isEligible(poolServer, request));
+        const assignment = assign(request, queueClass, snapshot, eligible, now);
         if (assignment === undefined) return false;
         deliverResult(request.id, { kind: "assigned", assignment });
         return true;
@@ -218,17 +219,22 @@
 
     function assignNow(request: DispatchRequest, now: number): Assignment | undefined {
         const snapshot = takeSnapshot(serviceOf(request), now);
-        return snapshot === undefined ? undefined : assign(request, classOf(request, now), snapshot, now);
+        if (snapshot === undefined) return undefined;
+        // The probe of an ejected server is likely to fail.
+        const eligible = snapshot.withCapacity().filter(poolServer => {
+            return isEligible(poolServer, request) && !health.isEjected(poolServer.server.id);
+        });
+        return assign(request, classOf(request, now), snapshot, eligible, now);
     }
 
     function assign(
         request: DispatchRequest,
         queueClass: QueueClass,
         snapshot: PoolSnapshot,
+        eligible: readonly PoolServer[],
         now: number,
     ): Assignment | undefined {
         const { service } = snapshot;
-        const eligible = snapshot.withCapacity().filter(poolServer => isEligible(poolServer, request));
         if (eligible.length === 0) return undefined;
         const constraints = constraintsFor(request, queueClass, now);
         const candidates = eligible.map(({ candidate }) => candidate);
--- a/src/lib/router/successor.ts
+++ b/src/lib/router/successor.ts
@@ -63,6 +63,10 @@
             return RetryDenial.noServer;
         }
         claimed = { assignment, dispatchId };
+        if (!dispatcher.mayStillSend(assignment.server, now())) {
+            release();
+            return RetryDenial.noServer;
+        }
         if (!isNeeded()) {
             release();
             return undefined;
--- a/src/test/core/serving/serverBackoff.test.ts
+++ b/src/test/core/serving/serverBackoff.test.ts
@@ -67,9 +67,9 @@
         random: () => 0,
     });
     const results = new Map<string, AssignmentResult>();
-    /** Submits a request with a target of 300 ms that expires after 6 s. */
-    function submit(id: string, now: number, changes: Partial<DispatchRequest> = {}): void {
-        const request: DispatchRequest = {
+    /** Creates a request with a target of 300 ms that expires after 6 s. */
+    function createRequest(id: string, now: number, changes: Partial<DispatchRequest> = {}): DispatchRequest {
+        return {
             id,
             service: "s",
             rank: 0,
@@ -86,7 +86,9 @@
             requiredVersion: undefined,
             ...changes,
         };
-        dispatcher.submit(request, result => results.set(id, result), now);
+    }
+    function submit(id: string, now: number, changes: Partial<DispatchRequest> = {}): void {
+        dispatcher.submit(createRequest(id, now, changes), result => results.set(id, result), now);
     }
     /** Returns the server of a request, the reason and delay of its refusal, or `undefined` while it waits. */
     function resultOf(id: string): unknown {
@@ -98,7 +100,7 @@
     }
     const askFor = (id: string, durationMs: number, now: number) =>
         backoff.record({ id, startedAt: 1 }, durationMs, now);
-    return { registry, health, dispatcher, submit, resultOf, askFor };
+    return { registry, health, dispatcher, createRequest, submit, resultOf, askFor };
 }
 
 // Guards against a request in the queue that waits for its deadline although no server can take it in time, and against
@@ -185,3 +187,13 @@
     assert.ok(guessing.turnedAwayCount >= 4 * pauseCount, figures);
     assert.ok(honoring.total.utility > guessing.total.utility, figures);
 });
+
+// Guards against a silent server that is given up for the probe of one that is probably down.
+test("an ejected server gets a probe from the queue, but takes over from no other server", () => {
+    const { health, dispatcher, createRequest, submit, resultOf } = createPool();
+    const triedServerIds = new Set(["b"]);
+    health.recordOutcome("a", Outcome.unreachable, 0);
+    assert.equal(dispatcher.assignNow(createRequest("silent", 1000, { triedServerIds }), 1000), undefined);
+    submit("new", 1000, { triedServerIds });
+    assert.equal(resultOf("new"), "a");
+});
--- a/src/test/router/successor.test.ts
+++ b/src/test/router/successor.test.ts
@@ -10,6 +10,7 @@
 let refusal: SlotDecision | undefined;
 let isWithinBudget: boolean;
 let isQuarantined: boolean;
+let mayStillSend: boolean;
 let exchange: Exchange;
 
 beforeEach(() => {
@@ -17,6 +18,7 @@
     refusal = undefined;
     isWithinBudget = true;
     isQuarantined = false;
+    mayStillSend = true;
     exchange = {
         context: {
             now: () => 0,
@@ -25,6 +27,7 @@
                     calls.push(`assign ${id}`);
                     return ASSIGNMENT;
                 },
+                mayStillSend: () => mayStillSend,
                 withdraw: (id: string) => calls.push(`withdraw ${id}`),
                 release: (id: string) => calls.push(`release ${id}`),
             },
@@ -68,6 +71,12 @@
     assert.deepEqual(calls, released);
 
     calls = [];
+    mayStillSend = false;
+    assert.equal(await search.claim(() => true), false, "the server announced that it leaves");
+    assert.deepEqual(calls, released);
+
+    calls = [];
+    mayStillSend = true;
     isWithinBudget = false;
     assert.equal(await search.claim(() => true), false);
     assert.deepEqual(calls, [released[0], "take retry", released[1], released[2]]);
