Read what arrived during a pause before reservations and waiting requests are decided

After a pause of an entry of 40 ms or more, a refused reservation counted as granted, its owner was not asked for a second, and waiting requests were refused before the ends of others were read. Timers run before sockets are read.

blockedProcess.test before: the refusal that had arrived was not seen; it is now. The order for waiting requests has no test of its own.

--- a/src/lib/router/reservations.ts
+++ b/src/lib/router/reservations.ts
@@ -85,10 +85,12 @@
 
     function waitForReply(id: number): Promise<ReservationReply | undefined> {
         return new Promise(resolve => {
-            const timer = setTimeout(() => {
+            const giveUp = () => {
                 pending.delete(id);
                 resolve(undefined);
-            }, RESERVATION_TIMEOUT_MS);
+            };
+            // A reply that arrived while this process was paused is read first.
+            const timer = setTimeout(() => setImmediate(giveUp), RESERVATION_TIMEOUT_MS);
             pending.set(id, reply => {
                 clearTimeout(timer);
                 pending.delete(id);
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -126,7 +126,8 @@
         entryCount: countEntries,
         random,
         onWaiting: () => {
-            dispatchTimer ??= setTimeout(dispatchWaiting, DISPATCH_INTERVAL_MS);
+            // What ended while this process was paused is read before requests are refused.
+            dispatchTimer ??= setTimeout(() => setImmediate(dispatchWaiting), DISPATCH_INTERVAL_MS);
         },
     });
     /** Runs only while requests wait: an idle entry shouldn't wake up for an empty queue. */
--- a/src/test/router/blockedProcess.test.ts
+++ b/src/test/router/blockedProcess.test.ts
@@ -2,7 +2,11 @@
 import assert from "node:assert/strict";
 import { afterEach, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
+import type { Assignment } from "../../lib/core/serving/index.js";
+import { openPeerSocket, type PeerMessage, type ReservationReply } from "../../lib/node/peerMessages.js";
+import { createServingMetrics } from "../../lib/observability/index.js";
 import { createBackendConnections } from "../../lib/router/backendConnections.js";
+import { createReservations, type ReservationsOptions } from "../../lib/router/reservations.js";
 import { configurationRow, numberedEvents, serverRow, type SilentStream } from "../platform/fakeRunner.js";
 import { startFakeStore } from "../platform/fakeStore.js";
 import { type RunnerThread, startRunnerThread } from "../platform/runnerThread.js";
@@ -104,3 +108,31 @@
     blockEventLoop(700);
     assert.equal((await sending).statusCode, 200);
 });
+
+// Guards against a refused reservation that counts as granted because the process was paused while the reply arrived.
+test("the reply to a reservation that arrives during a pause is read before the wait ends", async () => {
+    const port = await findFreePortRange();
+    let onReply: (reply: ReservationReply) => void = () => undefined;
+    const socket = openPeerSocket("127.0.0.1", port, port, message => {
+        if (message.kind === "reserved") onReply(message);
+    });
+    cleanups.push(() => socket.close());
+    await sleep(100);
+    const reservations = createReservations({
+        self: { name: "entry", ip: "127.0.0.1", failureDomain: "a" },
+        send: ({ kind }: PeerMessage) => {
+            assert.equal(kind, "reserve");
+            socket.send({ kind: "reserved", id: 1, isGranted: false, load: [0, 0, 0, 0], pauseMs: 0 }, ["127.0.0.1"]);
+        },
+        dispatcher: {},
+        metrics: createServingMetrics(),
+        now: () => performance.now(),
+    } as unknown as ReservationsOptions);
+    onReply = reservations.handleReply;
+    const owner = { name: "owner", ip: "127.0.0.1", failureDomain: "a" };
+    // The request leaves just before the event loop is blocked.
+    await new Promise<void>(resolve => setImmediate(resolve));
+    const reserved = reservations.reserve({ reservation: { owner, slot: {} } } as Assignment);
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 100);
+    assert.equal((await reserved)?.isGranted, false);
+});
