Count probes of quarantined prompts that end without a result

A probe that was cancelled, or that ended with the server's own error, was not recorded as ended: it counted as lost after 10 s and was repeated then, instead of after the next interval of two minutes. Found in review, with a script: 27 probes in 300 s where two or three are meant.

The end of each attempt now ends its probe. The new test uses the new call, so it was not run on the code before.

--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -252,6 +252,8 @@
             id => createDispatchRequest(exchange, service, id, context.now()),
         );
         const result = await runAttempt(exchange, assignment, successorSearch.claim);
+        const mayHaveRun = result.kind === "answered" || result.verdict !== Verdict.notRun;
+        context.promptGuard.endAttempt(exchange.caller, service, mayHaveRun);
         queuedSince = context.now();
         exchange.attemptSummaries.push(`${assignment.server.id} ${result.summary}`);
         if (result.kind === "answered") {
--- a/src/lib/router/promptGuard.ts
+++ b/src/lib/router/promptGuard.ts
@@ -41,10 +41,11 @@
     /** Decides whether a request may be sent to a server of the service. */
     decide(caller: CallerRequest, service: string): PromptDecision;
     /**
-     * Decides as `decide` does, for a request that is sent now. If it is sent as a probe, `examineFailure` or
-     * `recordSurvival` must be called when its attempt ends.
+     * Decides as `decide` does, for a request that is sent now. `endAttempt` must be called when its attempt ends.
      */
     begin(caller: CallerRequest, service: string): PromptDecision;
+    /** Records the end of a probe, if the request was one. */
+    endAttempt(caller: CallerRequest, service: string, mayHaveRun: boolean): void;
     /**
      * Calls back, at most once, when a part of the request's prompt is quarantined. Returns a function that ends this.
      */
@@ -124,6 +125,13 @@
         return decision;
     }
 
+    function endAttempt(caller: CallerRequest, service: string, mayHaveRun: boolean): void {
+        const part = probes.get(caller);
+        if (part === undefined) return;
+        probes.delete(caller);
+        quarantine.endProbe(part, mayHaveRun, options.weightsVersion(service, now()), now());
+    }
+
     function onRefusal(
         caller: CallerRequest,
         service: string,
@@ -150,10 +158,6 @@
             await checkForCrash(server, { id: promptIdOf(caller), parts });
         }
         const at = now();
-        const probedPart = probes.get(caller);
-        if (probedPart !== undefined) {
-            quarantine.endProbe(probedPart, mayHaveRun, options.weightsVersion(service, at), at);
-        }
         return !mayHaveRun || quarantine.mayRepeat(parts, at);
     }
 
@@ -235,6 +239,7 @@
     return {
         decide,
         begin,
+        endAttempt,
         onRefusal,
         recordSurvival: (caller, service) => announce(quarantine.recordSurvival(partsOf(caller, service), now())),
         examineFailure,
--- a/src/test/router/promptGuard.test.ts
+++ b/src/test/router/promptGuard.test.ts
@@ -38,7 +38,7 @@
     };
 }
 
-function createTestGuard(servers: readonly BackendServer[]) {
+function createTestGuard(servers: readonly BackendServer[], now: () => number = () => performance.now()) {
     const crashed: string[] = [];
     const sent: (CrashNotification | SurvivalNotification)[] = [];
     const self = { name: "entry-1", ip: "127.0.0.1", failureDomain: "a" };
@@ -52,13 +52,13 @@
         send: message => void sent.push(message),
         log: createEventLog({ process: "p", role: "entry", now: () => 0, write: () => undefined }),
         metrics: createServingMetrics(),
-        now: () => performance.now(),
+        now,
     });
     return { guard, crashed, sent };
 }
 
-function crashOf(serverId: string): CrashNotification {
-    const prompts = [{ id: 1, parts: ["m a"] }];
+function crashOf(serverId: string, promptId = 1): CrashNotification {
+    const prompts = [{ id: promptId, parts: ["m a"] }];
     return { kind: "crash", ip: "127.0.0.9", serverId, startedAt: 1, ageMs: 0, weightsVersion: 1, prompts };
 }
 
@@ -92,3 +92,22 @@
     assert.equal(await guard.examineFailure(caller, serving, true), false);
     assert.deepEqual(sent.map(({ kind }) => kind), ["crash"]);
 });
+
+// Guards against a probe that ends without a crash or an answer and is repeated as if it had been lost.
+test("a probe that is cancelled at its server counts as sent", () => {
+    let at = 0;
+    const { guard } = createTestGuard([], () => at);
+    for (let index = 0; index < 3; index++) {
+        at += 1000;
+        guard.handleCrash(crashOf(`crashed-${index}`, index));
+    }
+    const caller = parseCallerRequest({ "prompt-prefix": "a:5,own:5" });
+    assert.equal(guard.decide(caller, "m").kind, "refused");
+    at += 31_000;
+    assert.equal(guard.begin(caller, "m").kind, "probe");
+    guard.endAttempt(caller, "m", true);
+    at += 60_000;
+    assert.equal(guard.decide(caller, "m").kind, "refused");
+    at += 61_000;
+    assert.equal(guard.decide(caller, "m").kind, "probe");
+});
