Let other entries probe a quarantined prompt if the first one doesn't

Callers in one region could be refused for good: only the first entry in the order for a part sent probes, with a request that arrived there, and requests with one part may all arrive elsewhere. Found in review, with a script: still refused after 24 hours.

Each further entry in the order may probe 10 s later than the one before it, unless it hears of a probe. The test of the probes' number now passes the state on as heartbeats do; its bounds are unchanged.

--- a/src/lib/core/serving/promptQuarantine.ts
+++ b/src/lib/core/serving/promptQuarantine.ts
@@ -34,8 +34,11 @@
     | { readonly kind: "refused"; readonly part: string; readonly retryAfterMs: number; };
 
 export interface PromptQuarantineOptions {
-    /** Returns whether this entry sends the probes for the part. */
-    readonly isProber: (part: string) => boolean;
+    /**
+     * Returns the position of this entry in the order in which entries send a probe of the part: 0 for the first one.
+     * The next one takes over from an entry that gets no requests with the part.
+     */
+    readonly probePosition: (part: string) => number;
     /** `crashCount` is `undefined` if another entry reported the quarantine. */
     readonly onQuarantined: (part: string, crashCount: number | undefined) => void;
     readonly onReleased: (part: string) => void;
@@ -164,9 +167,9 @@
         for (const part of parts) {
             const quarantine = quarantines.get(part);
             if (quarantine === undefined) continue;
-            const probeAt = probeTimeOf(quarantine, weightsVersion);
+            const probeAt = probeTimeOf(quarantine, weightsVersion) + options.probePosition(part) * PROBE_TIMEOUT_MS;
             // A request with two quarantined parts would not tell which of them crashed its server.
-            if (probeAt > now || probedPart !== undefined || !options.isProber(part)) {
+            if (probeAt > now || probedPart !== undefined) {
                 return { kind: "refused", part, retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, probeAt - now) };
             }
             probedPart = part;
--- a/src/lib/router/promptGuard.ts
+++ b/src/lib/router/promptGuard.ts
@@ -3,7 +3,7 @@
  * and exchanges them and the survivals of implicated parts with the other entries.
  */
 import MurmurHash3 from "imurmurhash";
-import { firstMember } from "../core/rendezvous.js";
+import { positionOf } from "../core/rendezvous.js";
 import {
     type BackendServer,
     createPromptQuarantine,
@@ -96,8 +96,10 @@
     const probes = new WeakMap<CallerRequest, string>();
 
     const quarantine = createPromptQuarantine({
-        isProber: part =>
-            firstMember(`probe ${part}`, options.liveEntries().map(({ name }) => name)) === options.self.name,
+        probePosition: part => {
+            const names = options.liveEntries().map(({ name }) => name);
+            return positionOf(`probe ${part}`, options.self.name, names);
+        },
         onQuarantined: (part, crashCount) => {
             log.warn("prompt part quarantined", { part, crashes: crashCount });
             metrics.quarantines.inc({ change: crashCount === undefined ? "reported" : "quarantined" });
--- a/src/test/core/serving/promptQuarantine.test.ts
+++ b/src/test/core/serving/promptQuarantine.test.ts
@@ -12,11 +12,11 @@
     readonly released: string[];
 }
 
-function createTestEntry(isProber = true): TestEntry {
+function createTestEntry(probePosition = 0): TestEntry {
     const quarantined: string[] = [];
     const released: string[] = [];
     const quarantine = createPromptQuarantine({
-        isProber: () => isProber,
+        probePosition: () => probePosition,
         onQuarantined: part => void quarantined.push(part),
         onReleased: part => void released.push(part),
     });
@@ -172,11 +172,13 @@
 // Guards against a quarantine without an end, and against one request after the other that is sent as a probe.
 test("one entry sends one probe at a time, less and less often while they crash servers", () => {
     const entry = createTestEntry();
-    const otherEntry = createTestEntry(false);
+    const otherEntry = createTestEntry(1);
     quarantineDeadly(entry);
     quarantineDeadly(otherEntry);
     let probeCount = 0;
     for (let now = 400; now < 600_000; now += 100) {
+        // Heartbeats have the state of the quarantine.
+        otherEntry.mergeReports(entry.reports(now), now);
         assert.equal(otherEntry.decide(["deadly"], 1, now).kind, "refused");
         if (entry.decide(["deadly"], 1, now).kind !== "probe") continue;
         probeCount++;
@@ -189,6 +191,16 @@
     assert.deepEqual(entry.quarantined, ["deadly"]);
 });
 
+// Guards against a quarantine without an end where the first entry in order gets no requests with the part.
+test("the next entry probes if the first one doesn't", () => {
+    const entries = [createTestEntry(), createTestEntry(1), createTestEntry(2)];
+    for (const entry of entries) quarantineDeadly(entry);
+    const decisionsAt = (now: number) => entries.map(entry => entry.decide(["deadly"], 1, now).kind);
+    assert.deepEqual(decisionsAt(31_000), ["probe", "refused", "refused"]);
+    assert.deepEqual(decisionsAt(41_000), ["probe", "probe", "refused"]);
+    assert.deepEqual(decisionsAt(51_000), ["probe", "probe", "probe"]);
+});
+
 // Guards against a probe that is lost in a queue or at a full server and keeps a sound part in quarantine.
 test("a probe that didn't run or got no result is repeated", () => {
     const entry = createTestEntry();
