Limit the intervals of quarantines that other entries report

One wrong report could have refused the requests of a part for good, and spread, because entries keep the largest value.

--- a/src/lib/core/serving/promptQuarantine.ts
+++ b/src/lib/core/serving/promptQuarantine.ts
@@ -212,10 +212,12 @@
     }
 
     function mergeReport(report: QuarantineReport, lastCrashAt: number, now: number): void {
-        const { part, intervalMs, weightsVersion } = report;
+        const { part, weightsVersion } = report;
+        // The limit also holds for the values of another entry, which may be wrong.
+        const intervalMs = Math.min(report.intervalMs, MAX_PROBE_INTERVAL_MS);
+        const probeAt = now + Math.min(report.probeInMs, MAX_PROBE_INTERVAL_MS);
         const quarantine = quarantines.get(part);
         if (quarantine === undefined) {
-            const probeAt = now + report.probeInMs;
             addQuarantine(part, {
                 lastCrashAt,
                 probeAt,
@@ -229,7 +231,7 @@
         }
         // A longer interval or a newer version means that the other entry knows of a later probe.
         if (intervalMs > quarantine.intervalMs || weightsVersion > quarantine.weightsVersion) {
-            quarantine.probeAt = now + report.probeInMs;
+            quarantine.probeAt = probeAt;
             quarantine.lastProbeAt = now;
         }
         if (lastCrashAt > quarantine.lastCrashAt + MAX_REPORT_DELAY_MS) quarantine.lastCrashAt = lastCrashAt;
--- a/src/test/core/serving/promptQuarantine.test.ts
+++ b/src/test/core/serving/promptQuarantine.test.ts
@@ -201,6 +201,15 @@
     assert.deepEqual(decisionsAt(51_000), ["probe", "probe", "probe"]);
 });
 
+// Guards against a quarantine without an end because of one wrong report.
+test("the intervals that another entry reports are limited", () => {
+    const entry = createTestEntry();
+    const report = { part: "deadly", lastCrashAgeMs: 0, probeInMs: 1e15, intervalMs: 1e15, weightsVersion: 1 };
+    entry.mergeReports([report], 0);
+    assert.equal(entry.decide(["deadly"], 1, 1000).kind, "refused");
+    assert.equal(entry.decide(["deadly"], 1, 2 * 3_600_000).kind, "probe");
+});
+
 // Guards against a probe that is lost in a queue or at a full server and keeps a sound part in quarantine.
 test("a probe that didn't run or got no result is repeated", () => {
     const entry = createTestEntry();
