Don't hand a request that may have crashed servers to a successor

A request with a part that crashes implicate could be sent to a second server when its own one was silent, and a check of a crash took the refusal of a connection for a time-out if the process was paused meanwhile. Found in review. The search for a successor asks whether the prompt may be repeated; the check reads what arrived before it ends. successor.test covers the first; the second has no test.

--- a/src/lib/node/connectCheck.ts
+++ b/src/lib/node/connectCheck.ts
@@ -17,7 +17,8 @@
             resolve(isRefused);
         };
         socket.once("connect", () => finish(false));
-        socket.once("timeout", () => finish(false));
+        // A result that arrived while this process was paused is read first.
+        socket.once("timeout", () => setImmediate(() => finish(false)));
         socket.on("error", error => finish((error as NodeJS.ErrnoException).code === "ECONNREFUSED"));
     });
 }
--- a/src/lib/router/promptGuard.ts
+++ b/src/lib/router/promptGuard.ts
@@ -44,6 +44,8 @@
      * Decides as `decide` does, for a request that is sent now. `endAttempt` must be called when its attempt ends.
      */
     begin(caller: CallerRequest, service: string): PromptDecision;
+    /** Returns whether the request may be sent to another server as far as is known, without a check of its server. */
+    mayRepeat(caller: CallerRequest, service: string): boolean;
     /** Records the end of a probe, if the request was one. */
     endAttempt(caller: CallerRequest, service: string, mayHaveRun: boolean): void;
     /**
@@ -241,6 +243,7 @@
     return {
         decide,
         begin,
+        mayRepeat: (caller, service) => quarantine.mayRepeat(partsOf(caller, service), now()),
         endAttempt,
         onRefusal,
         recordSurvival: (caller, service) => announce(quarantine.recordSurvival(partsOf(caller, service), now())),
--- a/src/lib/router/successor.ts
+++ b/src/lib/router/successor.ts
@@ -49,6 +49,7 @@
         if (verdicts.length + 1 >= route.maxAttempts) return RetryDenial.attemptsUsed;
         const { kind } = context.promptGuard.decide(exchange.caller, service);
         if (kind !== "allowed") return RetryDenial.quarantinedPrompt;
+        if (!context.promptGuard.mayRepeat(exchange.caller, service)) return RetryDenial.implicatedPrompt;
         return context.retryBudget.isAvailable(service, context.now()) ? undefined : RetryDenial.budgetSpent;
     }
 
--- a/src/test/router/successor.test.ts
+++ b/src/test/router/successor.test.ts
@@ -10,6 +10,7 @@
 let refusal: SlotDecision | undefined;
 let isWithinBudget: boolean;
 let isQuarantined: boolean;
+let isImplicated: boolean;
 let mayStillSend: boolean;
 let exchange: Exchange;
 
@@ -18,6 +19,7 @@
     refusal = undefined;
     isWithinBudget = true;
     isQuarantined = false;
+    isImplicated = false;
     mayStillSend = true;
     exchange = {
         context: {
@@ -35,7 +37,10 @@
                 reserve: () => Promise.resolve(refusal),
                 release: (_: Assignment, id: string) => calls.push(`release slot ${id}`),
             },
-            promptGuard: { decide: () => ({ kind: isQuarantined ? "refused" : "allowed" }) },
+            promptGuard: {
+                decide: () => ({ kind: isQuarantined ? "refused" : "allowed" }),
+                mayRepeat: () => !isImplicated,
+            },
             retryBudget: {
                 isAvailable: () => true,
                 tryTake: () => {
@@ -97,6 +102,10 @@
     assert.equal(await createSearch().claim(() => true), false);
     assert.deepEqual(calls, []);
     assert.equal(exchange.retryDenial, "quarantined prompt");
+    isQuarantined = false;
+    isImplicated = true;
+    assert.equal(await createSearch().claim(() => true), false, "its prompt may have crashed servers");
+    assert.deepEqual(calls, []);
 });
 
 // Guards against a second assignment under the same identifier, whose load would be counted forever.
