Ignore servers with an invalid port, and log a search for a successor that fails

A row of the registry with a port above 65535 made the check of a crash, and each send, throw. translation.test before: not ok. An exception in the search for a successor could have ended the process; it is logged now, and the silent server keeps its request.

--- a/src/lib/platform/serverRows.ts
+++ b/src/lib/platform/serverRows.ts
@@ -9,9 +9,13 @@
 /** Models that a runner holds; `version` is the weights version, not the configuration version. */
 export const modelsSchema = z.array(z.object({ name: z.string(), version: z.int() }));
 
+const MAX_PORT = 65_535;
+
+const hasValidPort = (address: string) => Number(address.split(":")[1]) <= MAX_PORT;
+
 const serverRowSchema = z.object({
     service: z.string(),
-    address: z.string().regex(/^[0-9.]+:\d+$/),
+    address: z.string().regex(/^[0-9.]+:\d+$/).refine(hasValidPort),
     zone: z.string(),
     slots: z.int().positive(),
     state: z.enum(["ready", "draining"]),
--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -55,7 +55,12 @@
     /** What the silence of the server means at this stage of the attempt; for the log. */
     let silenceReason = "the answer timed out";
     const silence = createSilenceTimer(async () => {
-        if (await claimSuccessor(silence.isExpired)) cancellation.abort(silenceReason);
+        try {
+            if (await claimSuccessor(silence.isExpired)) cancellation.abort(silenceReason);
+        }
+        catch (error) {
+            context.log.warn("successor not found", { id: caller.id, error: (error as Error).message });
+        }
     });
     silence.start(silenceTimeoutMs(exchange, assignment, sentAt));
     const { startDeadline } = assignment;
--- a/src/test/platform/translation.test.ts
+++ b/src/test/platform/translation.test.ts
@@ -54,6 +54,7 @@
     assert.equal(parseServerRow("i", rowText({ state: "resting" })), undefined);
     assert.equal(parseServerRow("i", rowText({ slots: "8" })), undefined);
     assert.equal(parseServerRow("i", rowText({ address: undefined })), undefined);
+    assert.equal(parseServerRow("i", rowText({ address: "10.0.0.1:99999" })), undefined);
     assert.equal(parseServerRow("i", "\u0000\u0001"), undefined);
     const models = [{ name: "m", version: 3, adapters: [] }];
     assert.equal(parseServerRow("i", rowText({ models, layers: null }))?.weights, undefined);
