--- a/src/lib/node/peerMessages.ts
+++ b/src/lib/node/peerMessages.ts
@@ -1,8 +1,8 @@
 /**
  * Sends and receives the heartbeats of entries and agents, the notifications of named weights and the reservations of
- * slots, over UDP. Sends crashes of servers and survivals of prompts between entries. Serves
- * table changes over HTTP, so that an entry that is behind can read them from a peer. Heartbeats are periodic, and a
- * notification is repeated until the agent's heartbeats show the version, so the loss of a message is harmless.
+ * slots, over UDP. Sends crashes of servers and survivals of prompts between entries. Serves table changes over HTTP, so
+ * that an entry that is behind can read them from a peer. Heartbeats are periodic, and a notification is repeated until
+ * the agent's heartbeats show the version, so the loss of a message is harmless.
  */
 import { createSocket } from "node:dgram";
 import * as http from "node:http";
--- a/src/test/core/serving/promptQuarantine.test.ts
+++ b/src/test/core/serving/promptQuarantine.test.ts
@@ -41,7 +41,7 @@
 }
 
 // Guards against requests of one kind that crash one server after the other, and against refusing sound requests that
-// share their other parts, on the pattern of the day `tainted`.
+// share their other parts.
 test("a deadly part is quarantined after few crashes, and the parts it is seen with are not", () => {
     for (const [share, lossRate] of [[0.02, 0], [0.05, 0], [0.1, 0], [0.05, 0.3]] as const) {
         for (let seed = 1; seed <= 20; seed++) {
