Release a withdrawn assignment by the shared path

Found on reading the change: withdraw repeated what release does, and whether an attempt may have run was computed twice. Behaviour stays as it is: the load and the pause that a refusal reports are independent of the removal.

--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -331,13 +331,11 @@
     }
 
     function withdraw(id: string, serverId: string, refusal: SlotDecision | undefined, now: number): void {
-        sends.delete(id);
-        inFlight.remove(id);
         if (refusal !== undefined) {
             inFlight.recordOwnerLoad(serverId, refusal.load, now);
             pool.recordRefusedReservation(serverId, now + refusal.pauseMs);
         }
-        processQueue(now);
+        release(id, now);
     }
 
     function release(id: string, now: number): void {
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -267,7 +267,7 @@
             return;
         }
         errorResponse = result.errorResponse;
-        const mayRepeat = mayRepeatPrompt(exchange, assignment, result);
+        const mayRepeat = mayRepeatPrompt(exchange, assignment, result, mayHaveRun);
         successor = successorSearch.take();
         if (successor !== undefined) {
             // The attempt was given up because its server was silent, so the result of the check isn't waited for.
@@ -289,10 +289,11 @@
 async function mayRepeatPrompt(
     { context, caller }: Exchange,
     { server }: Assignment,
-    { hasSurvived = false, verdict, errorResponse }: Extract<AttemptResult, { kind: "failed"; }>,
+    { hasSurvived = false, errorResponse }: Extract<AttemptResult, { kind: "failed"; }>,
+    mayHaveRun: boolean,
 ): Promise<boolean> {
     return hasSurvived || errorResponse !== undefined ||
-        context.promptGuard.examineFailure(caller, server, verdict !== Verdict.notRun);
+        context.promptGuard.examineFailure(caller, server, mayHaveRun);
 }
 
 /**
