Don't run requests behind a response that announces the end of its connection

What callers saw: a request sent on a connection while the response before it was still arriving ran at a server, and the connection closed without an answer. During a stop this is each stream, whose head says "Connection: close" long before its end; at other times a refusal that is sent before the request's body has arrived.

Cause: the response that announces the end and the acceptance of requests on the connection were two decisions. Node reads requests until the connection is closed, and each of them was sent to a server.

Why this works: the connection is marked before the head is written, and requests that are read on it later are not accepted. By HTTP a caller knows that they weren't processed, and may send them elsewhere.

--- a/src/lib/router/callerServer.ts
+++ b/src/lib/router/callerServer.ts
@@ -7,6 +7,7 @@
 import type { CallerLimits } from "../core/serving/index.js";
 import { listen, stopListening } from "../node/listen.js";
 import type { Address } from "../settings/vmSettings.js";
+import { createCallerConnections } from "./callerConnections.js";
 
 export interface CallerServer {
     applyLimits(limits: CallerLimits): void;
@@ -14,6 +15,8 @@
     inProgressCount(): number;
     /** Returns whether other requests on the connection of this response are in progress, which are pipelined. */
     hasOtherRequests(response: http.ServerResponse): boolean;
+    /** Records that the connection closes after this response, so that requests behind it aren't served. */
+    closeAfter(response: http.ServerResponse): void;
     /** Accepts no new connections; open ones continue. */
     stopListening(): void;
     /** Closes all connections, including those with requests in progress. */
@@ -31,27 +34,15 @@
     address: Address,
     serve: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>,
 ): Promise<CallerServer> {
-    let inProgressCount = 0;
-    const inProgressBySocket = new WeakMap<Socket, number>();
-    const countOf = (socket: Socket) => inProgressBySocket.get(socket) ?? 0;
+    const connections = createCallerConnections();
     const server = http.createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true }, (request, response) => {
-        const { socket } = request;
-        inProgressCount++;
-        inProgressBySocket.set(socket, countOf(socket) + 1);
+        if (!connections.accept(response)) return;
         // The response carries the timeout that is set now.
         const advertisedIdleMs = server.keepAliveTimeout;
-        response.once("close", () => {
-            inProgressCount--;
-            inProgressBySocket.set(socket, countOf(socket) - 1);
-            keepIdleFor(socket, advertisedIdleMs + IDLE_MARGIN_MS);
-        });
+        response.once("close", () => keepIdleFor(request.socket, advertisedIdleMs + IDLE_MARGIN_MS));
         void serve(request, response);
     });
-    const sockets = new Set<Socket>();
-    server.on("connection", socket => {
-        sockets.add(socket);
-        socket.once("close", () => sockets.delete(socket));
-    });
+    server.on("connection", connections.add);
     // Disabled, because the route's timeout bounds the whole request.
     server.requestTimeout = 0;
     const port = await listen(server, address);
@@ -59,12 +50,13 @@
         applyLimits: limits => {
             server.headersTimeout = limits.headerTimeoutMs;
             if (limits.idleTimeoutMs > server.keepAliveTimeout) {
-                for (const socket of sockets) keepIdleFor(socket, limits.idleTimeoutMs + IDLE_MARGIN_MS);
+                for (const socket of connections.sockets()) keepIdleFor(socket, limits.idleTimeoutMs + IDLE_MARGIN_MS);
             }
             server.keepAliveTimeout = limits.idleTimeoutMs;
         },
-        inProgressCount: () => inProgressCount,
-        hasOtherRequests: ({ req }) => countOf(req.socket) > 1,
+        inProgressCount: connections.inProgressCount,
+        hasOtherRequests: connections.hasOtherRequests,
+        closeAfter: connections.closeAfter,
         stopListening: () => stopListening(server),
         close: () => server.closeAllConnections(),
         port,
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -60,7 +60,10 @@
         const { message, stack } = error as Error;
         context.log.warn("request failed", { id: parseCallerRequest(request.headers).id, reason: message, stack });
         if (response.headersSent) response.destroy();
-        else response.writeHead(500, { Connection: "close" }).end();
+        else {
+            context.closeAfter(response);
+            response.writeHead(500, { Connection: "close" }).end();
+        }
     }
     finally {
         memory.release();
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -44,6 +44,8 @@
     readonly isStopping: () => boolean;
     /** Returns whether other requests on the connection of this response are in progress. */
     readonly hasOtherRequests: (response: http.ServerResponse) => boolean;
+    /** Called before a response which announces that its connection closes; requests behind it can't be answered. */
+    readonly closeAfter: (response: http.ServerResponse) => void;
     /** True once the stopping process accepts no new requests; it finishes those in progress. */
     readonly isDraining: () => boolean;
     /** Cancellations of all exchanges in progress, for the end of the grace period. */
--- a/src/lib/router/localResponses.ts
+++ b/src/lib/router/localResponses.ts
@@ -13,9 +13,14 @@
 /** Time for which the rest of a body is read and discarded after an early response. */
 const MAX_BODY_DISCARD_MS = 2000;
 
-/** Returns the header that asks the caller to close the connection while the process stops; otherwise no header. */
+/**
+ * Returns the header that asks the caller to close the connection while the process stops; otherwise no header. The
+ * response must be sent with it.
+ */
 export function connectionCloseHeader(context: ExchangeContext, response: http.ServerResponse): string[] {
-    return isLastOnConnection(context, response) ? ["Connection", "close"] : [];
+    if (!isLastOnConnection(context, response)) return [];
+    context.closeAfter(response);
+    return ["Connection", "close"];
 }
 
 /** A connection closes after the response that says so, so of pipelined responses only the last one may. */
@@ -121,12 +126,14 @@
 ): void {
     if (response.headersSent || response.destroyed) return;
     const body = JSON.stringify({ error: reason });
+    // What is left of a body would be taken for the next request.
+    const isLast = isLastOnConnection(context, response) || !isBodyReceived(response);
+    if (isLast) context.closeAfter(response);
     response.writeHead(status, {
         ...localResponseHeaders(retryAfterMs, caller.id),
         "Content-Type": "application/json",
         "Content-Length": Buffer.byteLength(body),
-        // What is left of a body would be taken for the next request.
-        ...isLastOnConnection(context, response) || !isBodyReceived(response) ? { Connection: "close" } : {},
+        ...isLast ? { Connection: "close" } : {},
     });
     response.write(body);
     endAfterBody(response);
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -206,6 +206,7 @@
         nextExchangeId: () => ++exchangeCount,
         isStopping: () => isStopping,
         hasOtherRequests: response => callerServer?.hasOtherRequests(response) ?? false,
+        closeAfter: response => callerServer?.closeAfter(response),
         isDraining: () => isDraining,
         cancellations: new Set(),
     };
--- a/src/test/router/unexpectedFailure.test.ts
+++ b/src/test/router/unexpectedFailure.test.ts
@@ -18,6 +18,7 @@
         isDraining: () => {
             throw new Error("unexpected");
         },
+        closeAfter: () => undefined,
     } as unknown as ExchangeContext;
     const server = await startCallerServer("127.0.0.1:0", (request, response) => {
         return serveExchange(context, request, response);
