Answer the requests that were read before bytes that are no request

What callers saw: a connection that closed without the answer of a request in progress, or in the middle of it, once bytes that the HTTP parser rejects had followed the request: no request at all, a second request with invalid or too large headers, or one whose body can't be read. The server's work was lost with it.

Cause: Node's own handling of parser errors destroys the connection at once, whatever is in progress on it. The same handling ends connections whose next headers don't arrive within the header timeout.

Why this works: the server handles these errors itself. Nothing more is accepted on the connection; the requests that were read are answered, the error follows them, and the connection is read for a second longer so that its close doesn't reset the responses. A caller that leaves is still noticed, by its end or reset.

--- a/src/lib/router/callerConnections.ts
+++ b/src/lib/router/callerConnections.ts
@@ -2,7 +2,7 @@
  * Tracks the connections of callers and the responses in progress on each of them. A caller may send further requests
  * before it has the response to the first one.
  */
-import type * as http from "node:http";
+import * as http from "node:http";
 import type { Socket } from "node:net";
 
 export interface CallerConnections {
@@ -11,6 +11,11 @@
     accept(response: http.ServerResponse): boolean;
     /** Records that the connection closes after this response, so that requests behind it aren't accepted. */
     closeAfter(response: http.ServerResponse): void;
+    /**
+     * Ends a connection from which no further request can be read: the requests that were read are answered, and then
+     * the error.
+     */
+    endWith(error: NodeJS.ErrnoException, socket: Socket): void;
     /** Returns the number of requests whose responses have neither ended nor been cut off. */
     inProgressCount(): number;
     /** Returns whether other requests on the connection of this response are in progress. */
@@ -23,6 +28,16 @@
     isClosing: boolean;
 }
 
+/** Statuses for errors of Node's HTTP parser; all others are answered with 400. */
+const ERROR_STATUSES: Readonly<Record<string, number>> = {
+    HPE_HEADER_OVERFLOW: 431,
+    HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
+    ERR_HTTP_REQUEST_TIMEOUT: 408,
+};
+
+/** Time for which a connection is read after its last response: closing it earlier could reset it under the response. */
+const LINGER_MS = 1000;
+
 export function createCallerConnections(): CallerConnections {
     const connections = new Map<Socket, Connection>();
     let inProgressCount = 0;
@@ -44,9 +59,38 @@
         return true;
     }
 
+    function endWith(error: NodeJS.ErrnoException, socket: Socket): void {
+        const connection = connections.get(socket);
+        if (connection === undefined) return;
+        const responses = [...connection.responses];
+        const received = responses.filter(({ req }) => req.complete);
+        // The error may be in the body of the last request.
+        const incomplete = responses.filter(({ req }) => !req.complete);
+        const hasLeft = socket.readableEnded || !socket.writable;
+        if (received.length > 0 && hasLeft) socket.destroy();
+        // Each further chunk is reported as another error.
+        if (connection.isClosing) return;
+        connection.isClosing = true;
+        const finish = () => {
+            if (!socket.writable || incomplete.some(({ headersSent }) => headersSent)) return;
+            socket.end(errorResponse(ERROR_STATUSES[error.code ?? ""] ?? 400));
+            const timer = setTimeout(() => socket.destroy(), LINGER_MS);
+            socket.once("close", () => clearTimeout(timer));
+        };
+        let remainingCount = received.length;
+        if (remainingCount === 0) finish();
+        for (const response of received) {
+            response.once("close", () => {
+                remainingCount--;
+                if (remainingCount === 0) finish();
+            });
+        }
+    }
+
     return {
         add,
         accept,
+        endWith,
         closeAfter: ({ req }) => {
             const connection = connections.get(req.socket);
             if (connection !== undefined) connection.isClosing = true;
@@ -56,3 +100,7 @@
         sockets: () => connections.keys(),
     };
 }
+
+function errorResponse(status: number): string {
+    return `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+}
--- a/src/lib/router/callerServer.ts
+++ b/src/lib/router/callerServer.ts
@@ -43,6 +43,8 @@
         void serve(request, response);
     });
     server.on("connection", connections.add);
+    // Also called for errors of the socket, which is destroyed then.
+    server.on("clientError", (error, socket) => connections.endWith(error, socket as Socket));
     // Disabled, because the route's timeout bounds the whole request.
     server.requestTimeout = 0;
     const port = await listen(server, address);
--- a/src/test/router/pipelining.test.ts
+++ b/src/test/router/pipelining.test.ts
@@ -4,7 +4,7 @@
 import { encodeChunk, numberedEvents, type ReceivedRequest, streamResponseHead } from "../platform/fakeRunner.js";
 import { formatRequest } from "./rawCaller.js";
 import { waitUntil } from "./routerHarness.js";
-import { respondOk, startTestEntry, type TestEntry } from "./testEntry.js";
+import { respondOk, sleep, startTestEntry, type TestEntry } from "./testEntry.js";
 
 let entry: TestEntry;
 let respond: (request: ReceivedRequest) => void;
@@ -37,3 +37,74 @@
     await stopped;
     assert.deepEqual(entry.runner.requests.map(({ attemptId }) => attemptId), ["a"]);
 });
+
+const INVALID_BYTES: Readonly<Record<string, string>> = {
+    "no request": "no request\r\n\r\n",
+    "a request with two lengths": formatRequest({ path: "/read/", id: "b", headers: { "Content-Length": "1, 2" } }),
+    "a request with too large headers": formatRequest({
+        path: "/read/",
+        id: "b",
+        headers: { Large: "x".repeat(70_000) },
+    }),
+};
+
+// Guards against a request that is lost because of what follows it on its connection.
+for (const [name, bytes] of Object.entries(INVALID_BYTES)) {
+    test(`a request is answered although ${name} follows it on its connection`, async () => {
+        const caller = await entry.openCaller();
+        respond = request => void setTimeout(() => respondOk(request), 300);
+        caller.send(formatRequest({ path: "/read/", id: "a", body: "x" }));
+        await waitUntil(() => entry.runner.requests.length === 1);
+        caller.send(bytes);
+        assert.equal((await caller.nextResponse()).status, 200);
+        await waitUntil(() => caller.isClosed());
+        assert.match(caller.received(), /^HTTP\/1\.1 4\d\d [^]*\r\nConnection: close\r\n/);
+        assert.equal(entry.runner.requests.length, 1);
+    });
+}
+
+// Guards against an answer that is cut off by what follows its request.
+test("a stream goes on to its end although bytes that are no request follow its request", async () => {
+    const caller = await entry.openCaller();
+    respond = request => respondWithPause(request, 300);
+    caller.send(formatRequest({ path: "/talk/", id: "a", body: "x" }));
+    await waitUntil(() => caller.received().includes("word1"));
+    caller.send("no request\r\n\r\n");
+    await sleep(50);
+    caller.send("no request\r\n\r\n");
+    assert.equal(
+        (await caller.nextResponse()).body,
+        encodeChunk(numberedEvents(1, 1)) +
+            `${encodeChunk(numberedEvents(2, 2))}0\r\n\r\n`,
+    );
+    await waitUntil(() => caller.isClosed());
+});
+
+// Guards against work for a caller that has left after it sent bytes that are no request.
+test("a caller that leaves after bytes that are no request counts as gone", async () => {
+    for (const leave of ["end", "destroy"] as const) {
+        const closedBefore = entry.runner.closedCount();
+        const caller = await entry.openCaller();
+        respond = () => undefined;
+        const countBefore = entry.runner.requests.length;
+        caller.send(formatRequest({ path: "/read/", id: "a", body: "x" }));
+        await waitUntil(() => entry.runner.requests.length > countBefore);
+        caller.send("no request\r\n\r\n");
+        await sleep(50);
+        caller.socket[leave]();
+        await waitUntil(() => entry.runner.closedCount() > closedBefore);
+    }
+});
+
+// Guards against an answer to an earlier request that is lost with one whose body can't be read.
+test("the requests before one with an invalid body are answered first", async () => {
+    const caller = await entry.openCaller();
+    respond = request => void setTimeout(() => respondOk(request), 300);
+    caller.send(formatRequest({ path: "/read/", id: "a", body: "x" }));
+    caller.send(
+        `${formatRequest({ path: "/read/", id: "b", headers: { "Transfer-Encoding": "chunked" } })}invalid\r\n`,
+    );
+    assert.deepEqual([(await caller.nextResponse()).status, (await caller.nextResponse()).status], [200, 400]);
+    await waitUntil(() => caller.isClosed());
+    assert.deepEqual([caller.error(), entry.runner.requests.length], [undefined, 1]);
+});
