--- a/src/lib/core/serving/rowReplica.ts
+++ b/src/lib/core/serving/rowReplica.ts
@@ -1,48 +1,82 @@
 /**
- * Local replica of a table in the platform's store. Changes are applied in revision order, from the store or from a
- * peer that is ahead, so a replica always holds every change up to its newest revision, and an older value never
- * replaces a newer one.
+ * Local replica of a table in the platform's store. Changes are applied in the order of their positions, from the store
+ * or from a peer that is ahead, so a replica always holds every change of its epoch up to its newest position, and an
+ * older value never replaces a newer one.
+ *
+ * A replica enters a later epoch only with a full snapshot, because the store's history has lost changes that the
+ * replica holds. A row that the restored store lacks, or holds with an older value, may still be the last word of its
+ * writer, who will write it again; `outlives` decides whether the replica retains it until then.
  */
+import { comparePositions, INITIAL_POSITION, laterPosition, type StorePosition } from "./storePosition.js";
 
-export interface Row {
+/** A row with the position of its last change. */
+export interface Row extends StorePosition {
     readonly key: string;
-    /** Revision of the change; revisions increase across all tables. */
-    readonly revision: number;
     /** `undefined` for a deleted row. */
     readonly value: string | undefined;
 }
 
+/** Part of a table that a peer sends. */
+export interface RowChanges {
+    readonly rows: readonly Row[];
+    /** Newest position of the sender. */
+    readonly position: StorePosition;
+    /** Whether `rows` is the whole table instead of the changes after a position. */
+    readonly isSnapshot: boolean;
+}
+
 export interface RowReplica {
-    /** Applies changes and returns those that were new. */
+    /** Applies changes of the same epoch, or retained by a peer, and returns those that were new. */
     apply(rows: readonly Row[]): Row[];
     /**
-     * Replaces the content by a full snapshot taken at `revision`. Rows that are missing from it are deleted, unless
-     * they changed later. Returns the changes.
+     * Replaces the content by a full snapshot taken at `position`. Rows that are missing from it are deleted, unless
+     * they changed later or are retained. Ignores a snapshot of an earlier epoch. Returns the changes.
+     */
+    applySnapshot(snapshot: readonly Row[], position: StorePosition): Row[];
+    /**
+     * Returns the changes after a position for a peer that is behind, oldest first; the whole table if the peer is in
+     * an earlier epoch, and nothing if it is in a later one. `retained` is the peer's newest retained position.
      */
-    applySnapshot(snapshot: readonly Row[], revision: number): Row[];
-    /** Returns the changes after a revision, oldest first, for a peer that is behind. */
-    changesSince(revision: number): Row[];
-    /** Returns the revision of the newest change; 0 for an empty replica. */
-    newestRevision(): number;
+    changesSince(position: StorePosition, retained?: StorePosition): RowChanges;
+    /** Returns the position of the newest change; `INITIAL_POSITION` for an empty replica. */
+    newestPosition(): StorePosition;
+    /** Returns the newest position among the rows that are retained from earlier epochs, or `undefined` without any. */
+    retainedPosition(): StorePosition | undefined;
     /** Returns whether a full snapshot was ever applied. */
     hasSnapshot(): boolean;
 }
 
+/**
+ * Returns whether a row of an earlier epoch stays in force against the row of the restored store; `undefined` if that
+ * has none.
+ */
+export type OutlivesRestoration = (earlier: Row, restored: Row | undefined) => boolean;
+
 /** Number of deleted rows that are kept, so that peers learn of deletions. */
 const MAX_TOMBSTONES = 500;
 
-export function createRowReplica(): RowReplica {
+export function createRowReplica(outlives: OutlivesRestoration = () => false): RowReplica {
     const rows = new Map<string, Row>();
-    let newestRevision = 0;
+    let newestPosition = INITIAL_POSITION;
     let hasSnapshot = false;
 
+    const isRetained = (row: Row) => row.epoch < newestPosition.epoch;
+
+    function replaces(row: Row, current: Row | undefined): boolean {
+        if (current !== undefined && current.epoch === row.epoch) return row.revision > current.revision;
+        if (row.epoch < (current?.epoch ?? newestPosition.epoch)) return outlives(row, current);
+        return current === undefined || !outlives(current, row);
+    }
+
     function applyRow(row: Row): boolean {
+        // The changes of a later epoch are incomplete without its snapshot.
+        if (row.epoch > newestPosition.epoch && hasSnapshot) return false;
+        newestPosition = laterPosition(newestPosition, { epoch: row.epoch, revision: row.revision });
         const current = rows.get(row.key);
-        if (current !== undefined && current.revision >= row.revision) return false;
-        // Deleting first moves the row to the end, which keeps the map in revision order.
+        if (!replaces(row, current)) return false;
+        // Deleting first moves the row to the end, which keeps the map in the order of positions.
         rows.delete(row.key);
         rows.set(row.key, row);
-        newestRevision = Math.max(newestRevision, row.revision);
         return true;
     }
 
@@ -52,13 +86,37 @@
         return applied;
     }
 
-    function applySnapshot(snapshot: readonly Row[], revision: number): Row[] {
+    function applySnapshot(snapshot: readonly Row[], position: StorePosition): Row[] {
+        const { epoch, revision } = position;
+        if (epoch < newestPosition.epoch) return [];
+        if (epoch > newestPosition.epoch) enterEpoch(epoch);
         const presentKeys = new Set(snapshot.map(row => row.key));
         const removed = [...rows.values()]
-            .filter(row => row.value !== undefined && !presentKeys.has(row.key) && row.revision <= revision)
-            .map(row => ({ key: row.key, revision, value: undefined }));
+            .filter(row => row.value !== undefined && !presentKeys.has(row.key))
+            .filter(row => isRetained(row) ? !outlives(row, undefined) : row.revision <= revision)
+            .map(row => ({ key: row.key, epoch, revision, value: undefined }));
         hasSnapshot = true;
-        return apply([...snapshot.toSorted((a, b) => a.revision - b.revision), ...removed]);
+        return apply([...snapshot.toSorted(comparePositions), ...removed]);
+    }
+
+    function enterEpoch(epoch: number): void {
+        newestPosition = { epoch, revision: 0 };
+        // A row that was deleted before the restoration may exist in the restored store.
+        for (const { key, value } of rows.values()) {
+            if (value === undefined) rows.delete(key);
+        }
+    }
+
+    function changesSince(position: StorePosition, retained = INITIAL_POSITION): RowChanges {
+        const sorted = [...rows.values()].sort(comparePositions);
+        if (position.epoch < newestPosition.epoch) {
+            const present = sorted.filter(({ value }) => value !== undefined);
+            return { rows: present, position: newestPosition, isSnapshot: true };
+        }
+        const changes = position.epoch > newestPosition.epoch ?
+            [] :
+            sorted.filter(row => comparePositions(row, isRetained(row) ? retained : position) > 0);
+        return { rows: changes, position: newestPosition, isSnapshot: false };
     }
 
     function trimTombstones(): void {
@@ -66,15 +124,17 @@
         for (const row of tombstones.slice(0, Math.max(0, tombstones.length - MAX_TOMBSTONES))) rows.delete(row.key);
     }
 
+    function retainedPosition(): StorePosition | undefined {
+        const [newest] = [...rows.values()].filter(isRetained).sort((a, b) => comparePositions(b, a));
+        return newest === undefined ? undefined : { epoch: newest.epoch, revision: newest.revision };
+    }
+
     return {
         apply,
         applySnapshot,
-        changesSince: revision => {
-            return [...rows.values()]
-                .filter(row => row.revision > revision)
-                .sort((a, b) => a.revision - b.revision);
-        },
-        newestRevision: () => newestRevision,
+        changesSince,
+        newestPosition: () => newestPosition,
+        retainedPosition,
         hasSnapshot: () => hasSnapshot,
     };
 }
--- a/src/lib/core/serving/storeReaders.ts
+++ b/src/lib/core/serving/storeReaders.ts
@@ -7,6 +7,7 @@
  * store says so in its heartbeats and is replaced as a reader; if no entry can, all of them try.
  */
 import { positionOf } from "../rendezvous.js";
+import { comparePositions, INITIAL_POSITION, type StorePosition } from "./storePosition.js";
 
 /** Number of entries per region that read from the store; with two, the failure of one delays no change. */
 export const STORE_READER_COUNT = 2;
@@ -25,14 +26,17 @@
 /** How far a peer has read a table, according to its heartbeat. */
 export interface PeerProgress {
     readonly table: string;
-    readonly revision: number;
+    readonly position: StorePosition;
+    /** Newest position among the rows that the peer retains from before a restoration of the store. */
+    readonly retained?: StorePosition;
     /** The peer is in the same region, where reading from it is cheap. */
     readonly isSameRegion: boolean;
 }
 
 /** How far this process has read the same table. */
 export interface LocalProgress {
-    readonly revision: number;
+    readonly position: StorePosition;
+    readonly retained?: StorePosition;
     /** A full snapshot of the table was applied. */
     readonly hasSnapshot: boolean;
     /** This process reads the table's changes from the store. */
@@ -67,22 +71,25 @@
 const REMOTE_PEER_DELAY_MS = 800;
 
 export function createPeerCatchUp(): PeerCatchUp {
-    /** For each table, the first revision that this process lacks and the time since when it has lacked it. */
-    const missingByTable = new Map<string, { readonly revision: number; readonly since: number; }>();
+    /** For each table, the first position that this process lacks and the time since when it has lacked it. */
+    const missingByTable = new Map<string, { readonly position: StorePosition; readonly since: number; }>();
     const readsInProgress = new Set<string>();
     const lastReadAt = new Map<string, number>();
 
     return {
-        tryBegin: ({ table, revision, isSameRegion }, local, now) => {
-            if (revision <= local.revision || readsInProgress.has(table)) return false;
-            let missing = missingByTable.get(table);
-            // A peer that is behind too must not restart the delay for a change that another peer has.
-            if (missing === undefined || missing.revision <= local.revision) {
-                missing = { revision, since: now };
-                missingByTable.set(table, missing);
-            }
-            if (local.hasSnapshot && now - missing.since < peerReadDelayMs(local.readsFromStore, isSameRegion)) {
-                return false;
+        tryBegin: (peer, local, now) => {
+            const { table, position, isSameRegion } = peer;
+            const isBehind = comparePositions(position, local.position) > 0;
+            if (!isBehind && !lacksRetainedRows(peer, local) || readsInProgress.has(table)) return false;
+            if (isBehind) {
+                let missing = missingByTable.get(table);
+                // A peer that is behind too must not restart the delay for a change that another peer has.
+                if (missing === undefined || comparePositions(missing.position, local.position) <= 0) {
+                    missing = { position, since: now };
+                    missingByTable.set(table, missing);
+                }
+                const delayMs = peerReadDelayMs(local.readsFromStore, isSameRegion);
+                if (local.hasSnapshot && now - missing.since < delayMs) return false;
             }
             const previousReadAt = lastReadAt.get(table);
             if (previousReadAt !== undefined && now - previousReadAt < MIN_PEER_READ_INTERVAL_MS) return false;
@@ -97,6 +104,12 @@
     };
 }
 
+/** The store can't deliver the rows that a peer retains from before its restoration. */
+function lacksRetainedRows(peer: PeerProgress, local: LocalProgress): boolean {
+    return peer.retained !== undefined && peer.position.epoch === local.position.epoch &&
+        comparePositions(peer.retained, local.retained ?? INITIAL_POSITION) > 0;
+}
+
 function peerReadDelayMs(readsFromStore: boolean, isSameRegion: boolean): number {
     if (readsFromStore) return STORE_READER_DELAY_MS;
     return isSameRegion ? 0 : REMOTE_PEER_DELAY_MS;
--- a/src/lib/core/serving/weightsPolicy.ts
+++ b/src/lib/core/serving/weightsPolicy.ts
@@ -14,9 +14,9 @@
 export interface WeightsPolicy {
     /**
      * Records that a version was named. `isNew` is false if that may have been long ago, as after a restart of this
-     * process.
+     * process. Returns false if this or a newer version is already recorded.
      */
-    recordNamed(model: string, version: number, isNew: boolean, now: number): void;
+    recordNamed(model: string, version: number, isNew: boolean, now: number): boolean;
     /**
      * Merges a peer's report of when a version was named. The peer may have learned of it earlier, or this process may
      * have restarted since. The earliest time counts.
@@ -63,13 +63,14 @@
     return {
         recordNamed: (model, version, isNew, now) => {
             const named = namedByModel.get(model) ?? [];
-            if (named.some(earlier => earlier.version >= version)) return;
+            if (named.some(earlier => earlier.version >= version)) return false;
             const namedVersion = {
                 version,
                 namedAt: isNew ? now : undefined,
                 requiredAt: isNew ? requiredTimeOf(now) : now,
             };
             namedByModel.set(model, [...named.slice(-3), namedVersion]);
+            return true;
         },
         mergePeerAge: ({ model, version, ageMs }, now) => {
             const namedVersion = namedByModel.get(model)?.find(candidate => candidate.version === version);
--- a/src/lib/node/peerMessages.ts
+++ b/src/lib/node/peerMessages.ts
@@ -9,7 +9,13 @@
 import { gzip } from "node:zlib";
 import * as z from "zod";
 import { sendRequest } from "../clients/index.js";
-import { MAX_REPORTED_QUARANTINES, type Row, type RowReplica } from "../core/serving/index.js";
+import {
+    INITIAL_POSITION,
+    MAX_REPORTED_QUARANTINES,
+    type RowChanges,
+    type RowReplica,
+    type StorePosition,
+} from "../core/serving/index.js";
 
 /** The four numbers of a load by server. */
 const serverLoadSchema = z.tuple([z.number(), z.number(), z.number(), z.number()]);
@@ -20,6 +26,10 @@
     failureDomain: z.string(),
     /** Newest revision that the sender holds, by table. */
     newest: z.record(z.string(), z.number()),
+    /** Epoch of that revision, by table. Entries of earlier versions send none. */
+    epochs: z.record(z.string(), z.number()).optional(),
+    /** Epoch and revision of the newest row that the sender retains from before a restoration of the store, by table. */
+    retained: z.record(z.string(), z.tuple([z.number(), z.number()])).optional(),
     /** Time since the sender last saw the store fail; `undefined` if it hasn't. */
     storeOutageAgeMs: z.number().nonnegative().optional(),
     /** Recently named weights versions, each with the time since the sender learned of it. */
@@ -221,13 +231,21 @@
 
 const changesSchema = z.object({
     complete: z.boolean(),
-    rows: z.array(z.object({ key: z.string(), revision: z.number(), value: z.string().optional() })),
+    /** `rows` is the whole table, because the receiver's epoch has ended. */
+    snapshot: z.boolean().default(false),
+    epoch: z.number().default(0),
+    revision: z.number().default(0),
+    rows: z.array(z.object({
+        key: z.string(),
+        epoch: z.number().default(0),
+        revision: z.number(),
+        value: z.string().optional(),
+    })),
 });
 
-export interface TableChanges {
-    /** Whether the peer has read the whole table once, so that its changes from revision 0 are the whole table. */
+export interface TableChanges extends RowChanges {
+    /** Whether the peer has read the whole table once, so that its changes from the start are the whole table. */
     readonly isComplete: boolean;
-    readonly rows: readonly Row[];
 }
 
 /** A peer responds from memory, but a link between regions may delay its response. */
@@ -238,14 +256,24 @@
 
 const CHANGES_PATH = "/changes";
 
-/** Reads a table's changes after a revision from a peer. Throws if it can't be reached or its response is invalid. */
+/**
+ * Reads a table's changes after a position from a peer. Throws if it can't be reached or its response is invalid.
+ * `retained` is the newest position among the rows that the caller retains from before a restoration of the store.
+ */
 export async function fetchPeerChanges(
     ip: string,
     port: number,
     table: string,
-    afterRevision: number,
+    after: StorePosition,
+    retained = INITIAL_POSITION,
 ): Promise<TableChanges> {
-    const query = new URLSearchParams({ table, after: String(afterRevision) });
+    const query = new URLSearchParams({
+        table,
+        epoch: String(after.epoch),
+        after: String(after.revision),
+        "retained-epoch": String(retained.epoch),
+        "retained-after": String(retained.revision),
+    });
     const response = await sendRequest({
         method: "GET",
         url: `http://${ip}:${port}${CHANGES_PATH}?${query}`,
@@ -253,8 +281,13 @@
         connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
         compressed: true,
     });
-    const { complete, rows } = changesSchema.parse(JSON.parse(response.body.toString()));
-    return { isComplete: complete, rows: rows.map(row => ({ ...row, value: row.value })) };
+    const { complete, snapshot, epoch, revision, rows } = changesSchema.parse(JSON.parse(response.body.toString()));
+    return {
+        isComplete: complete,
+        isSnapshot: snapshot,
+        position: { epoch, revision },
+        rows: rows.map(row => ({ ...row, value: row.value })),
+    };
 }
 
 /** Handles a request for table changes; returns false for any other path. */
@@ -269,9 +302,17 @@
     const url = new URL(target, "http://peer");
     if (url.pathname !== CHANGES_PATH) return false;
     const replica = replicas.get(url.searchParams.get("table") ?? "");
-    const afterRevision = Number(url.searchParams.get("after"));
-    const complete = replica?.hasSnapshot() ?? false;
-    const body = JSON.stringify({ complete, rows: replica?.changesSince(afterRevision) ?? [] });
+    const numberParameter = (name: string) => Number(url.searchParams.get(name));
+    const changes = replica?.changesSince(
+        { epoch: numberParameter("epoch"), revision: numberParameter("after") },
+        { epoch: numberParameter("retained-epoch"), revision: numberParameter("retained-after") },
+    );
+    const body = JSON.stringify({
+        complete: replica?.hasSnapshot() ?? false,
+        snapshot: changes?.isSnapshot,
+        ...changes?.position,
+        rows: changes?.rows ?? [],
+    });
     gzip(body, (error, compressed) => {
         if (error === null) {
             response.writeHead(200, { "content-type": "application/json", "content-encoding": "gzip" }).end(compressed);
--- a/src/lib/node/tableFeed.ts
+++ b/src/lib/node/tableFeed.ts
@@ -1,9 +1,11 @@
 /**
  * Keeps a replica of one of the store's tables up to date with a complete read followed by the change feed. While the
- * store can't be reached, the replica keeps its rows, and changes from peers are added by the caller.
+ * store can't be reached, the replica keeps its rows, and changes from peers are added by the caller. When the store has
+ * been restored from a copy, the table is read completely again.
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import type { Row, RowReplica } from "../core/serving/index.js";
+import VError from "verror";
+import { laterPosition, type Row, type RowReplica, type StorePosition } from "../core/serving/index.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
 import type { MetadataStore } from "./metadataStore.js";
 
@@ -27,8 +29,11 @@
      * the replica. By default it always reads.
      */
     readonly isReader?: () => boolean;
-    /** Called with the new changes in the order of their revisions. */
-    readonly onChange: (rows: readonly Row[]) => void;
+    /**
+     * Called with the new changes in the order of their positions. `isRestoration` is true for those by which the
+     * replica enters a later epoch of the store.
+     */
+    readonly onChange: (rows: readonly Row[], isRestoration: boolean) => void;
     readonly log: EventLog;
     readonly metrics: ServingMetrics;
     /** Monotonic clock, in milliseconds. */
@@ -57,10 +62,10 @@
     let isStopped = false;
     let lastOutageAt: number | undefined;
     let failures = 0;
-    let cursor: number | undefined;
+    let cursor: StorePosition | undefined;
     /**
      * Whether the replica has every change up to its newest row. After a complete read it may not: later pages can
-     * include changes newer than the read's revision. The first feed response fills the gap.
+     * include changes newer than the read's position. The first feed response fills the gap.
      */
     let isContiguous = false;
     /** State of the generic cell rate algorithm: when the next call would be due at exactly one call per interval. */
@@ -79,14 +84,24 @@
         }
     }
 
+    async function readTable(): Promise<void> {
+        const { rows, position } = await store.readTable(table);
+        metrics.storeCalls.inc({ result: "read" });
+        const previous = replica.newestPosition();
+        if (position.epoch < previous.epoch) throw outdatedError(position, previous);
+        const isRestoration = replica.hasSnapshot() && position.epoch > previous.epoch;
+        if (isRestoration) log.warn("store restored", { table, ...position, previous });
+        options.onChange(replica.applySnapshot(rows, position), isRestoration);
+        cursor = position;
+        isContiguous = false;
+        log.info("table read", { table, ...position, rows: rows.length });
+    }
+
     async function readNext(): Promise<void> {
+        // A peer may have delivered a later epoch, in which the cursor denotes another state or none.
+        if (cursor !== undefined && !isContiguous && cursor.epoch < replica.newestPosition().epoch) cursor = undefined;
         if (cursor === undefined) {
-            const { rows, revision } = await store.readTable(table);
-            metrics.storeCalls.inc({ result: "read" });
-            options.onChange(replica.applySnapshot(rows, revision));
-            cursor = revision;
-            isContiguous = false;
-            log.info("table read", { table, revision, rows: rows.length });
+            await readTable();
             return;
         }
         if (isContiguous) {
@@ -96,20 +111,24 @@
                 return;
             }
             // Skips changes that peers have already supplied.
-            cursor = Math.max(cursor, replica.newestRevision());
+            cursor = laterPosition(cursor, replica.newestPosition());
         }
         // After a failure the call doesn't wait for changes, so that the recovery is detected at once.
-        const feedResult = await store.readFeed(table, cursor, failures > 0 ? 0 : options.waitMs);
+        const feedResult = await store.readFeed(table, cursor.revision, failures > 0 ? 0 : options.waitMs);
         metrics.storeCalls.inc({ result: "feed" });
-        if (feedResult.kind === "historyLost") {
+        if (feedResult.kind === "changes" && feedResult.position.epoch < cursor.epoch) {
+            throw outdatedError(feedResult.position, cursor);
+        }
+        if (feedResult.kind === "historyLost" || feedResult.position.epoch > cursor.epoch) {
             log.info("feed history lost", { table, after: cursor });
             cursor = undefined;
+            await limitCallRate();
             return;
         }
-        cursor = Math.max(cursor, feedResult.revision);
+        cursor = laterPosition(cursor, feedResult.position);
         isContiguous = true;
         const newRows = replica.apply(feedResult.rows);
-        if (newRows.length > 0) options.onChange(newRows);
+        if (newRows.length > 0) options.onChange(newRows, false);
         if (feedResult.rows.length > 0) await limitCallRate();
     }
 
@@ -124,7 +143,7 @@
 
     function recordSuccess(): void {
         if (failures === 0) return;
-        log.info("store regained", { table, failures, revision: cursor });
+        log.info("store regained", { table, failures, ...cursor });
         failures = 0;
         lastOutageAt = options.now();
     }
@@ -132,7 +151,7 @@
     async function backOff(error: Error): Promise<void> {
         metrics.storeCalls.inc({ result: "failed" });
         lastOutageAt = options.now();
-        if (failures === 0) log.warn("store lost", { table, error: error.message, revision: cursor });
+        if (failures === 0) log.warn("store lost", { table, error: error.message, ...cursor });
         failures++;
         const maxPauseMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** failures);
         const pauseMs = MIN_BACKOFF_MS + options.random() * (maxPauseMs - MIN_BACKOFF_MS);
@@ -148,3 +167,12 @@
         },
     };
 }
+
+function outdatedError(received: StorePosition, held: StorePosition): VError {
+    return new VError(
+        { name: "StoreError" },
+        "the store responded from epoch %d, and a peer knows epoch %d",
+        received.epoch,
+        held.epoch,
+    );
+}
--- a/src/lib/platform/index.ts
+++ b/src/lib/platform/index.ts
@@ -4,3 +4,4 @@
 export * from "./serverRows.js";
 export * from "./settings.js";
 export * from "./store.js";
+export * from "./tableReplica.js";
--- a/src/lib/platform/store.ts
+++ b/src/lib/platform/store.ts
@@ -1,12 +1,13 @@
 /**
  * HTTP client of the platform's metadata store. The store responds with 429 above its rate limits and with 503 if it
- * did nothing. A call without a response may have been executed, or may still be executed later.
+ * did nothing. A call without a response may have been executed, or may still be executed later. Each response states
+ * the epoch of the store; one from an earlier epoch than another response has arrived late and is rejected.
  */
 import * as http from "node:http";
 import VError from "verror";
 import * as z from "zod";
 import { type HttpResponse, sendRequest } from "../clients/index.js";
-import type { Row } from "../core/serving/index.js";
+import type { Row, StorePosition } from "../core/serving/index.js";
 import type { FeedResult, MetadataStore, TableSnapshot } from "../node/metadataStore.js";
 import { parseJson } from "./json.js";
 
@@ -27,6 +28,14 @@
 /** The store's limit of rows per response. */
 const MAX_PAGE_ROWS = 500;
 
+/** Names the epoch; the store increments it when it is restored from a copy. */
+const EPOCH_HEADER = "store-era";
+
+/** A response and the epoch that it belongs to. */
+interface StoreResponse extends HttpResponse {
+    readonly epoch: number;
+}
+
 const rowsSchema = z.object({
     rows: z.array(z.object({
         key: z.string(),
@@ -44,22 +53,31 @@
 export function createPlatformStore(address: string): MetadataStore {
     const agent = new http.Agent({ keepAlive: true });
     const closing = new AbortController();
+    let newestEpoch = 0;
 
-    async function call(method: string, path: string, timeoutMs: number, body?: string): Promise<HttpResponse> {
-        try {
-            return await sendRequest({
-                method,
-                url: `http://${address}${path}`,
-                headers: body === undefined ? {} : { "content-type": "application/json" },
-                body,
-                timeoutMs,
-                agent,
-                signal: closing.signal,
-            });
-        }
-        catch (error) {
+    async function call(method: string, path: string, timeoutMs: number, body?: string): Promise<StoreResponse> {
+        const response = await sendRequest({
+            method,
+            url: `http://${address}${path}`,
+            headers: body === undefined ? {} : { "content-type": "application/json" },
+            body,
+            timeoutMs,
+            agent,
+            signal: closing.signal,
+        }).catch(error => {
             throw new VError({ name: "StoreError", cause: error as Error }, "the request to the store failed");
+        });
+        const epoch = parseEpoch(response) ?? newestEpoch;
+        if (epoch < newestEpoch) {
+            throw new VError(
+                { name: "StoreError", info: { epoch, newestEpoch } },
+                "the response is from epoch %d of the store, which is now in epoch %d",
+                epoch,
+                newestEpoch,
+            );
         }
+        newestEpoch = epoch;
+        return { ...response, epoch };
     }
 
     async function readTable(table: string, keyPrefix = ""): Promise<TableSnapshot> {
@@ -67,16 +85,19 @@
         const query = new URLSearchParams({ table, part: "", limit: String(MAX_PAGE_ROWS) });
         if (keyPrefix !== "") query.set("to", prefixUpperBound(keyPrefix));
         let from = keyPrefix;
-        let revision: number | undefined;
+        let position: StorePosition | undefined;
         for (;;) {
             query.set("from", from);
             const response = await call("GET", `/-/rows-get?${query}`, CALL_TIMEOUT_MS);
             const page = parseRows(response);
             rows.push(...page.rows);
-            // Later pages may include newer changes; a feed from the first page's revision delivers them again.
-            revision ??= page.revision;
+            // Later pages may include newer changes; a feed from the first page's position delivers them again.
+            position ??= page.position;
+            if (page.position.epoch !== position.epoch) {
+                throw new VError({ name: "StoreError" }, "the store was restored while table %s was read", table);
+            }
             const lastRow = page.rows.at(-1);
-            if (!page.hasMore || lastRow === undefined) return { rows, revision };
+            if (!page.hasMore || lastRow === undefined) return { rows, position };
             // The smallest key greater than the last row's.
             from = `${lastRow.key}\0`;
         }
@@ -86,8 +107,8 @@
         const query = new URLSearchParams({ table, after: String(afterRevision), "wait-ms": String(waitMs) });
         const response = await call("GET", `/-/rows-feed?${query}`, waitMs + FEED_TIMEOUT_MARGIN_MS);
         if (response.status === 410) return { kind: "historyLost" };
-        const { rows, revision } = parseRows(response);
-        return { kind: "changes", rows, revision };
+        const { rows, position } = parseRows(response);
+        return { kind: "changes", rows, position };
     }
 
     async function putRow(table: string, key: string, value: string): Promise<void> {
@@ -105,7 +126,15 @@
     return prefix.slice(0, -1) + String.fromCharCode(prefix.charCodeAt(prefix.length - 1) + 1);
 }
 
-function parseRows(response: HttpResponse): { rows: Row[]; revision: number; hasMore: boolean; } {
+/** Returns `undefined` if the store states no epoch. */
+function parseEpoch({ headers }: HttpResponse): number | undefined {
+    const text = headers[EPOCH_HEADER];
+    if (text === undefined) return undefined;
+    if (typeof text === "string" && /^\d{1,15}$/.test(text)) return Number(text);
+    throw new VError({ name: "StoreError" }, "the store's epoch %j isn't a whole number", text);
+}
+
+function parseRows(response: StoreResponse): { rows: Row[]; position: StorePosition; hasMore: boolean; } {
     if (response.status !== 200) throw statusError(response);
     const result = rowsSchema.safeParse(parseJson(response.body));
     if (!result.success) {
@@ -114,16 +143,18 @@
             "the store's response doesn't match the expected schema",
         );
     }
+    const { epoch } = response;
     const { rows, ver, "has-more": hasMore } = result.data;
     return {
         rows: rows.map(row => ({
             key: row.key,
+            epoch,
             revision: row.ver,
             value: row.tombstone === true || row.value === undefined ?
                 undefined :
                 Buffer.from(row.value, "base64").toString("utf8"),
         })),
-        revision: ver,
+        position: { epoch, revision: ver },
         hasMore: hasMore === true,
     };
 }
--- a/src/lib/router/operatorState.ts
+++ b/src/lib/router/operatorState.ts
@@ -70,7 +70,7 @@
     function applyNamedWeights(key: string, text: string, revision: number, now: number): void {
         const named = parseNamedWeights(key, text);
         if (named === undefined) return;
-        weights.recordNamed(named.model, named.version, hasInitialRows, now);
+        if (!weights.recordNamed(named.model, named.version, hasInitialRows, now)) return;
         log.info("weights named", { revision, ...named });
         if (hasInitialRows) options.onWeightsNamed(named.version);
     }
--- a/src/lib/router/peerExchange.ts
+++ b/src/lib/router/peerExchange.ts
@@ -38,9 +38,14 @@
     readonly replicas: ReadonlyMap<string, RowReplica>;
     /**
      * Applies changes that were read from a peer. `outageAt` is the last time at which the peer saw the store fail;
-     * `undefined` if it didn't.
+     * `undefined` if it didn't. `isRestoration` is true for the changes by which the replica enters a later epoch.
      */
-    readonly onChange: (table: string, rows: readonly Row[], outageAt: number | undefined) => void;
+    readonly onChange: (
+        table: string,
+        rows: readonly Row[],
+        outageAt: number | undefined,
+        isRestoration: boolean,
+    ) => void;
     /** Returns whether this entry reaches the store. */
     readonly reachesStore: () => boolean;
     /** Returns the last time at which this entry saw the store fail; `undefined` if it didn't. */
@@ -154,31 +159,47 @@
 
     /** Reads from another entry the changes that this entry's own feed hasn't delivered in time. */
     async function catchUpFromPeer(
-        { ip, failureDomain, newest, storeOutageAgeMs }: EntryHeartbeat | DomainDigest,
+        { ip, failureDomain, newest, epochs, retained, storeOutageAgeMs }: EntryHeartbeat | DomainDigest,
         table: string,
         receivedAt: number,
     ): Promise<void> {
         const replica = replicas.get(table);
         if (replica === undefined) return;
-        const peerProgress = { table, revision: newest[table] ?? 0, isSameRegion: isInOwnRegion(failureDomain) };
+        const [retainedEpoch = 0, retainedRevision = 0] = retained?.[table] ?? [];
+        const peerProgress = {
+            table,
+            position: { epoch: epochs?.[table] ?? 0, revision: newest[table] ?? 0 },
+            retained: { epoch: retainedEpoch, revision: retainedRevision },
+            isSameRegion: isInOwnRegion(failureDomain),
+        };
         const localProgress = {
-            revision: replica.newestRevision(),
+            position: replica.newestPosition(),
+            retained: replica.retainedPosition(),
             hasSnapshot: replica.hasSnapshot(),
             readsFromStore: readsFromStore(),
         };
         if (!catchUp.tryBegin(peerProgress, localProgress, receivedAt)) return;
         try {
-            const { rows, isComplete } = await fetchPeerChanges(ip, peerPort, table, replica.newestRevision());
-            if (!replica.hasSnapshot() && !isComplete) return;
-            const newRows = replica.hasSnapshot() ?
-                replica.apply(rows) :
-                replica.applySnapshot(rows, rows.at(-1)?.revision ?? 0);
-            if (newRows.length === 0) return;
+            const { rows, position, isSnapshot, isComplete } = await fetchPeerChanges(
+                ip,
+                peerPort,
+                table,
+                replica.newestPosition(),
+                replica.retainedPosition(),
+            );
+            const previous = replica.newestPosition();
+            const needsSnapshot = !replica.hasSnapshot() || position.epoch > previous.epoch;
+            if (needsSnapshot && !isComplete) return;
+            const isRestoration = replica.hasSnapshot() && isSnapshot && position.epoch > previous.epoch;
+            const newRows = needsSnapshot ? replica.applySnapshot(rows, position) : replica.apply(rows);
+            if (newRows.length === 0 && !isRestoration) return;
+            if (isRestoration) log.warn("store restored", { table, ...position, previous, neighbour: ip });
             log.info("changes taken from a neighbour", { table, neighbour: ip, rows: newRows.length });
             options.onChange(
                 table,
                 newRows,
                 storeOutageAgeMs === undefined ? undefined : receivedAt - storeOutageAgeMs,
+                isRestoration,
             );
         }
         catch (error) {
@@ -214,7 +235,7 @@
         const progress = {
             ...self,
             named: weights.recentAges(sentAt),
-            newest: Object.fromEntries([...replicas].map(([table, replica]) => [table, replica.newestRevision()])),
+            ...tableProgress(),
             storeOutageAgeMs: outageAt === undefined ? undefined : Math.max(0, sentAt - outageAt),
             quarantines: reportedQuarantines(),
         };
@@ -239,6 +260,22 @@
         }, digestIps);
     }
 
+    function tableProgress(): Pick<EntryHeartbeat, "newest" | "epochs" | "retained"> {
+        const newest: Record<string, number> = {};
+        const epochs: Record<string, number> = {};
+        const retained: Record<string, [number, number]> = {};
+        for (const [table, replica] of replicas) {
+            const { epoch, revision } = replica.newestPosition();
+            newest[table] = revision;
+            epochs[table] = epoch;
+            const retainedPosition = replica.retainedPosition();
+            if (retainedPosition !== undefined) {
+                retained[table] = [retainedPosition.epoch, retainedPosition.revision];
+            }
+        }
+        return { newest, epochs, retained: Object.keys(retained).length === 0 ? undefined : retained };
+    }
+
     function reportedQuarantines(): QuarantineReport[] | undefined {
         const reports = options.promptGuard().reports();
         return reports.length === 0 ? undefined : reports;
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -8,7 +8,6 @@
 import {
     createDispatcher,
     createPeerEntries,
-    createRowReplica,
     createServerBackoff,
     createServerHealth,
     createServerOwnership,
@@ -28,7 +27,7 @@
 import { handleChangesRequest } from "../node/peerMessages.js";
 import { type FeedRateLimit, startTableFeed, type TableFeed } from "../node/tableFeed.js";
 import { createServingMetrics, type EventLog, handleMetricsRequest } from "../observability/index.js";
-import { PlatformTable } from "../platform/index.js";
+import { createTableReplica, PlatformTable } from "../platform/index.js";
 import type { VmBounds, VmSettings } from "../settings/vmSettings.js";
 import { handlePieceRequest, PIECE_UNAVAILABLE_STATUS } from "../stager/peerApi.js";
 import { createPieceRelay, type WeightsOrigin } from "../stager/pieceRelay.js";
@@ -216,10 +215,8 @@
         store: settings.storeAddress,
     });
 
-    const replicas = new Map([
-        [PlatformTable.operator as string, createRowReplica()],
-        [PlatformTable.servers as string, createRowReplica()],
-    ]);
+    const tables: readonly string[] = [PlatformTable.operator, PlatformTable.servers];
+    const replicas = new Map(tables.map(table => [table, createTableReplica(table)]));
     /** `outageAt` is the last time at which the process that read the rows from the store saw it fail. */
     type ApplyChanges = (rows: readonly Row[], outageAt: number | undefined) => void;
     const applyChanges: Readonly<Record<string, ApplyChanges>> = {
@@ -232,16 +229,24 @@
             dispatcher.tick(now());
         },
     };
+    /** Applies the changes by which a replica enters a later epoch of the store. */
+    function applyRestoration(table: string, rows: readonly Row[]): void {
+        // The rows of servers that serve may be missing until they write them again.
+        applyChanges[table]?.(rows, now());
+    }
     // `feeds[1]` is the feed of the server registry.
-    const feeds: TableFeed[] = [PlatformTable.operator, PlatformTable.servers].map(table =>
+    const feeds: TableFeed[] = [...replicas].map(([table, replica]) =>
         startTableFeed({
             store,
             table,
-            replica: replicas.get(table) ?? createRowReplica(),
+            replica,
             waitMs: FEED_WAIT_MS,
             rateLimit: FEED_RATE_LIMIT,
             isReader: () => peerExchange.readsFromStore(),
-            onChange: rows => applyChanges[table]?.(rows, feeds[1]?.lastOutageAt()),
+            onChange: (rows, isRestoration) => {
+                if (isRestoration) applyRestoration(table, rows);
+                else applyChanges[table]?.(rows, feeds[1]?.lastOutageAt());
+            },
             log,
             metrics,
             now,
@@ -257,7 +262,10 @@
         dispatcher,
         weights,
         replicas,
-        onChange: (table, rows, outageAt) => applyChanges[table]?.(rows, outageAt),
+        onChange: (table, rows, outageAt, isRestoration) => {
+            if (isRestoration) applyRestoration(table, rows);
+            else applyChanges[table]?.(rows, outageAt);
+        },
         reachesStore: () => feeds.every(feed => feed.isConnected()),
         lastOutageAt: () => feeds[1]?.lastOutageAt(),
         reservations: () => reservations,
@@ -309,6 +317,7 @@
             speed.remove(id);
         }
     }, HEARTBEAT_INTERVAL_MS);
+
     void registerEntry(store, self, peers.addUnconfirmed, log.warn, () => isStopping);
 
     const isReady = () => {
--- a/src/lib/stager/sharedReads.ts
+++ b/src/lib/stager/sharedReads.ts
@@ -4,10 +4,11 @@
  * it saturated the links between regions for seconds, and no engine got its weights meanwhile.
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import type { Row } from "../core/serving/index.js";
+import { INITIAL_POSITION, type RowReplica } from "../core/serving/index.js";
 import type { MetadataStore, TableSnapshot } from "../node/metadataStore.js";
 import { fetchPeerChanges } from "../node/peerMessages.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
+import { createTableReplica } from "../platform/index.js";
 
 export interface SharedReadsOptions {
     readonly store: Pick<MetadataStore, "readTable">;
@@ -30,14 +31,9 @@
 /** An entry needs a few hundred milliseconds to start and to read the tables. */
 const MEAN_RETRY_PAUSE_MS = 150;
 
-interface CachedTable {
-    readonly rows: Map<string, Row>;
-    revision: number;
-}
-
 export function createSharedReads(options: SharedReadsOptions): TableReader {
     const { store, log, metrics, now } = options;
-    const cachedTables = new Map<string, CachedTable>();
+    const replicas = new Map<string, RowReplica>();
     /** The last read ended at the store, because the entries didn't deliver. */
     let areEntriesFailing = false;
     let requestCount = 0;
@@ -66,19 +62,25 @@
     }
 
     async function readFromEntry(ip: string, table: string, keyPrefix: string): Promise<TableSnapshot> {
-        const cached = cachedTables.get(table) ?? { rows: new Map<string, Row>(), revision: 0 };
-        const { isComplete, rows } = await fetchPeerChanges(ip, options.entryPort, table, cached.revision);
+        const replica = replicas.get(table) ?? createTableReplica(table);
+        const { isComplete, isSnapshot, position, rows } = await fetchPeerChanges(
+            ip,
+            options.entryPort,
+            table,
+            replica.newestPosition(),
+            replica.retainedPosition(),
+        );
         if (!isComplete) throw new Error("the entry hasn't read the table yet");
-        for (const row of rows) {
-            if (row.revision <= (cached.rows.get(row.key)?.revision ?? 0)) continue;
-            cached.rows.set(row.key, row);
-            cached.revision = Math.max(cached.revision, row.revision);
+        if (position.epoch < replica.newestPosition().epoch) {
+            throw new Error("the entry doesn't know yet that the store was restored");
         }
-        cachedTables.set(table, cached);
-        const present = [...cached.rows.values()].filter(({ key, value }) => {
+        if (isSnapshot || !replica.hasSnapshot()) replica.applySnapshot(rows, position);
+        else replica.apply(rows);
+        replicas.set(table, replica);
+        const present = replica.changesSince(INITIAL_POSITION).rows.filter(({ key, value }) => {
             return value !== undefined && key.startsWith(keyPrefix);
         });
-        return { rows: present, revision: cached.revision };
+        return { rows: present, position: replica.newestPosition() };
     }
 
     return { readTable };
--- a/src/test/core/serving/rowReplica.test.ts
+++ b/src/test/core/serving/rowReplica.test.ts
@@ -1,7 +1,9 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createRowReplica, type Row } from "../../../lib/core/serving/index.js";
+import { createRowReplica, INITIAL_POSITION, type Row } from "../../../lib/core/serving/index.js";
+
+const at = (revision: number) => ({ epoch: 0, revision });
 
 const KEYS = ["a", "b", "c", "d"];
 
@@ -10,6 +12,7 @@
     .map(changes =>
         changes.map(({ key, isRemoval }, index): Row => ({
             key,
+            epoch: 0,
             revision: index + 1,
             value: isRemoval ? undefined : `${key}${index + 1}`,
         }))
@@ -34,12 +37,12 @@
             for (const [start, length] of parts) {
                 // A sender always sends all changes after a revision that the replica holds.
                 const from = Math.min(start, deliveredCount);
-                const before = replica.newestRevision();
+                const before = replica.newestPosition().revision;
                 replica.apply(history.slice(from, from + length));
                 deliveredCount = Math.max(deliveredCount, Math.min(history.length, from + length));
-                assert.ok(replica.newestRevision() >= before);
+                assert.ok(replica.newestPosition().revision >= before);
                 const expected = contentOf(history.slice(0, deliveredCount));
-                assert.deepEqual(contentOf(replica.changesSince(0)), expected);
+                assert.deepEqual(contentOf(replica.changesSince(INITIAL_POSITION).rows), expected);
             }
         }),
         { seed: 1 },
@@ -50,21 +53,31 @@
 // discarded.
 test("a snapshot deletes the rows that it doesn't contain", () => {
     const replica = createRowReplica();
-    replica.applySnapshot([{ key: "a", revision: 1, value: "1" }, { key: "b", revision: 2, value: "2" }], 2);
-    const changed = replica.applySnapshot([{ key: "b", revision: 2, value: "2" }], 9);
-    assert.deepEqual(changed, [{ key: "a", revision: 9, value: undefined }]);
-    assert.equal(replica.newestRevision(), 9);
+    replica.applySnapshot([{ key: "a", epoch: 0, revision: 1, value: "1" }, {
+        key: "b",
+        epoch: 0,
+        revision: 2,
+        value: "2",
+    }], at(2));
+    const changed = replica.applySnapshot([{ key: "b", epoch: 0, revision: 2, value: "2" }], at(9));
+    assert.deepEqual(changed, [{ key: "a", epoch: 0, revision: 9, value: undefined }]);
+    assert.equal(replica.newestPosition().revision, 9);
 });
 
 // Guards against a snapshot that is older than the changes that a peer has delivered meanwhile.
 test("a snapshot doesn't delete rows that are newer than itself", () => {
     const replica = createRowReplica();
-    replica.apply([{ key: "a", revision: 7, value: "7" }]);
+    replica.apply([{ key: "a", epoch: 0, revision: 7, value: "7" }]);
     assert.deepEqual(
-        replica.applySnapshot([{ key: "a", revision: 3, value: "3" }, { key: "b", revision: 2, value: "2" }], 5),
+        replica.applySnapshot([{ key: "a", epoch: 0, revision: 3, value: "3" }, {
+            key: "b",
+            epoch: 0,
+            revision: 2,
+            value: "2",
+        }], at(5)),
         [
-            { key: "b", revision: 2, value: "2" },
+            { key: "b", epoch: 0, revision: 2, value: "2" },
         ],
     );
-    assert.equal(contentOf(replica.changesSince(0)).get("a"), "7");
+    assert.equal(contentOf(replica.changesSince(INITIAL_POSITION).rows).get("a"), "7");
 });
--- a/src/test/core/serving/storeReaders.test.ts
+++ b/src/test/core/serving/storeReaders.test.ts
@@ -35,9 +35,11 @@
     }
 });
 
-const OTHER_REGION: PeerProgress = { table: "t", revision: 8, isSameRegion: false };
+const at = (revision: number) => ({ epoch: 0, revision });
+
+const OTHER_REGION: PeerProgress = { table: "t", position: at(8), isSameRegion: false };
 const SAME_REGION: PeerProgress = { ...OTHER_REGION, isSameRegion: true };
-const READER: LocalProgress = { revision: 5, hasSnapshot: true, readsFromStore: true };
+const READER: LocalProgress = { position: at(5), hasSnapshot: true, readsFromStore: true };
 const NON_READER: LocalProgress = { ...READER, readsFromStore: false };
 
 // Guards against a region whose entries are all behind and keep each other from reading from the only peer ahead.
@@ -45,7 +47,7 @@
     const catchUp = createPeerCatchUp();
     let readBeganAt: number | undefined;
     for (let now = 0; readBeganAt === undefined && now < 3000; now += 100) {
-        assert.equal(catchUp.tryBegin({ ...SAME_REGION, revision: 5 }, READER, now), false);
+        assert.equal(catchUp.tryBegin({ ...SAME_REGION, position: at(5) }, READER, now), false);
         if (now % 300 === 0 && catchUp.tryBegin(OTHER_REGION, READER, now)) readBeganAt = now;
     }
     assert.ok(readBeganAt !== undefined && readBeganAt <= 700, `read began at ${readBeganAt} ms`);
@@ -70,11 +72,15 @@
     const catchUp = createPeerCatchUp();
     for (let revision = 0; revision < 100; revision++) {
         const now = revision * 100;
-        assert.equal(catchUp.tryBegin({ ...SAME_REGION, revision: revision + 3 }, { ...READER, revision }, now), false);
+        const peer = { ...SAME_REGION, position: at(revision + 3) };
+        assert.equal(catchUp.tryBegin(peer, { ...READER, position: at(revision) }, now), false);
     }
 });
 
 // Guards against an entry that has just started and waits although it has no data yet.
 test("a process without a snapshot reads from the first peer at once", () => {
-    assert.equal(createPeerCatchUp().tryBegin(OTHER_REGION, { ...READER, revision: 0, hasSnapshot: false }, 0), true);
+    assert.equal(
+        createPeerCatchUp().tryBegin(OTHER_REGION, { ...READER, position: at(0), hasSnapshot: false }, 0),
+        true,
+    );
 });
--- a/src/test/node/tableFeed.test.ts
+++ b/src/test/node/tableFeed.test.ts
@@ -14,19 +14,19 @@
     let isDown = false;
     const delivered: number[] = [];
     const store: MetadataStore = {
-        readTable: () => Promise.resolve({ rows, revision: rows.length }),
+        readTable: () => Promise.resolve({ rows, position: { epoch: 0, revision: rows.length } }),
         readFeed: async (_table, after, waitMs): Promise<FeedResult> => {
             calls++;
             if (isDown) throw new Error("down");
             const end = Date.now() + waitMs;
             while (rows.length <= after && Date.now() < end) await sleep(2);
             delivered.push(...rows.slice(after).map(({ revision }) => revision));
-            return { kind: "changes", rows: rows.slice(after), revision: rows.length };
+            return { kind: "changes", rows: rows.slice(after), position: { epoch: 0, revision: rows.length } };
         },
         putRow: () => Promise.resolve(),
         close: () => undefined,
     };
-    const change = (key: string) => void rows.push({ key, revision: rows.length + 1, value: "x" });
+    const change = (key: string) => void rows.push({ key, epoch: 0, revision: rows.length + 1, value: "x" });
     const setDown = (value: boolean) => {
         isDown = value;
     };
@@ -96,7 +96,7 @@
     feed.stop();
     assert.ok(calls() > callsBefore);
     assert.equal(delivered.filter(revision => revision === 2).length, 0, "the peer's change was read again");
-    assert.equal(replica.newestRevision(), 3);
+    assert.equal(replica.newestPosition().revision, 3);
 });
 
 // Guards against a recovery that is detected only after the full wait of a feed call without changes.
--- a/src/test/platform/fakeStore.ts
+++ b/src/test/platform/fakeStore.ts
@@ -1,12 +1,24 @@
-/** Fake of the platform's metadata store for tests: rows with revisions, a change feed and switchable faults. */
+/**
+ * Fake of the platform's metadata store for tests: rows with revisions, a change feed, switchable faults and restoration
+ * from a copy.
+ */
 import * as http from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+
+/** The store's limit of rows per response. */
+const MAX_PAGE_ROWS = 500;
 
 /**
  * How the store fails calls: `busy` responds with 503, `silent` never responds, `reset` resets the connection.
  */
 export type StoreFault = "none" | "busy" | "silent" | "reset";
 
+/** State of the store at one moment. */
+export interface StoreCopy {
+    readonly revision: number;
+    readonly rows: ReadonlyMap<string, Change>;
+}
+
 export interface FakeStore {
     readonly address: string;
     /** Number of calls so far, by path and table separated by a space. */
@@ -17,6 +29,14 @@
     /** Drops the change history, so that clients of a feed must read their tables again. */
     compact(): void;
     setFault(fault: StoreFault): void;
+    copy(): StoreCopy;
+    /**
+     * Replaces the content by a copy, as in a restoration: later writes are lost, their revisions are given out again,
+     * and the era rises. Feed calls that are waiting are cut off.
+     */
+    restore(copy: StoreCopy): void;
+    /** Returns the keys of a table's rows. */
+    keys(table: string): string[];
     close(): void;
 }
 
@@ -32,8 +52,11 @@
     /** Smallest revision from which a feed can continue. */
     let oldestRevision = 0;
     let fault: StoreFault = "none";
-    const rows = new Map<string, Change>();
+    let era = 0;
+    let rows = new Map<string, Change>();
     const waitingFeeds = new Set<() => void>();
+    /** Connections of the calls in progress. */
+    const busySockets = new Set<Socket>();
     const calls = new Map<string, number>();
 
     function write(table: string, key: string, value: string | undefined): void {
@@ -53,7 +76,7 @@
 
     async function readFeed(table: string, afterRevision: number, waitMs: number): Promise<[number, object]> {
         const changedRows = () => [...rows.values()].filter(row => row.table === table && row.revision > afterRevision);
-        if (afterRevision < oldestRevision) return [410, {}];
+        if (afterRevision < oldestRevision || afterRevision > revision) return [410, {}];
         if (changedRows().length === 0) {
             await new Promise<void>(resolve => {
                 const finish = () => {
@@ -80,8 +103,11 @@
             const [from, to] = [url.searchParams.get("from") ?? "", url.searchParams.get("to")];
             const matchingRows = [...rows.values()]
                 .filter(row => row.table === table && row.value !== undefined)
-                .filter(({ key }) => key >= from && (to === null || key < to));
-            return [200, { rows: matchingRows.map(toWireRow), "has-more": false, ver: revision, "now-ms": Date.now() }];
+                .filter(({ key }) => key >= from && (to === null || key < to))
+                .toSorted((a, b) => a.key < b.key ? -1 : 1);
+            const page = matchingRows.slice(0, Number(url.searchParams.get("limit") ?? MAX_PAGE_ROWS));
+            const hasMore = page.length < matchingRows.length;
+            return [200, { rows: page.map(toWireRow), "has-more": hasMore, ver: revision, "now-ms": Date.now() }];
         }
         const chunks: Buffer[] = [];
         for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
@@ -102,10 +128,15 @@
             response.writeHead(503).end();
             return;
         }
+        const { socket } = request;
+        busySockets.add(socket);
         void handleCall(request).then(([status, body]) => {
+            busySockets.delete(socket);
             // Calls that were waiting when a fault was set get no response either.
-            if (fault === "none") {
-                response.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(body));
+            if (fault === "none" && !socket.destroyed) {
+                response
+                    .writeHead(status, { "content-type": "application/json", "store-era": era })
+                    .end(JSON.stringify(body));
             }
         });
     });
@@ -126,6 +157,17 @@
         setFault: newFault => {
             fault = newFault;
         },
+        copy: () => ({ revision, rows: new Map(rows) }),
+        restore: copy => {
+            era++;
+            revision = copy.revision;
+            rows = new Map(copy.rows);
+            for (const socket of busySockets) socket.destroy();
+            busySockets.clear();
+            for (const wake of waitingFeeds) wake();
+        },
+        keys: table =>
+            [...rows.values()].flatMap(row => row.table === table && row.value !== undefined ? [row.key] : []),
         close: () => {
             server.close();
             server.closeAllConnections();
--- a/src/test/platform/store.test.ts
+++ b/src/test/platform/store.test.ts
@@ -1,4 +1,6 @@
 import assert from "node:assert/strict";
+import * as http from "node:http";
+import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, test } from "node:test";
 import { createRowReplica, type Row } from "../../lib/core/serving/index.js";
 import type { MetadataStore } from "../../lib/node/metadataStore.js";
@@ -83,3 +85,58 @@
     fakeStore.setFault("busy");
     await assert.rejects(store.putRow("own", "k", "w"), { name: "StoreError" });
 });
+
+// Guards against a change that is never delivered because the restored store has given its revision out before.
+test("a feed delivers the changes after a restoration", async () => {
+    const copy = fakeStore.copy();
+    for (let index = 0; index < 5; index++) fakeStore.put("t", "a", `lost ${index}`);
+    await waitUntil(() => lastRow()?.value === "lost 4");
+    fakeStore.restore(copy);
+    fakeStore.put("t", "a", "written again");
+    await waitUntil(() => lastRow()?.value === "written again");
+    for (let index = 0; index < 9; index++) fakeStore.put("t", "b", `later ${index}`);
+    await waitUntil(() => lastRow()?.value === "later 8");
+    const restorations = logLines.filter(line => line.includes("store restored"));
+    assert.equal(restorations.length, 1);
+    assert.match(restorations[0] ?? "", /"epoch":1/);
+});
+
+// Guards against a table that is put together from the states before and after a restoration.
+test("a read in several pages fails if the store is restored in between", async () => {
+    for (let index = 0; index < 600; index++) fakeStore.put("t", `row-${index}`, "x");
+    const read = store.readTable("t");
+    await waitUntil(() => (fakeStore.calls.get("/-/rows-get t") ?? 0) === 2);
+    fakeStore.restore(fakeStore.copy());
+    await assert.rejects(read, { name: "StoreError" });
+    assert.equal((await store.readTable("t")).position.epoch, 1);
+});
+
+/** Starts a store that responds to each call with the next of these eras; `undefined` for no header. */
+async function startStoreOfEras(eras: readonly (string | undefined)[]) {
+    const remaining = [...eras];
+    const server = http.createServer((_request, response) => {
+        const era = remaining.shift();
+        response.writeHead(200, era === undefined ? {} : { "store-era": era }).end("{\"rows\":[],\"ver\":7}");
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const client = createPlatformStore(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+    const close = () => {
+        client.close();
+        server.close();
+        server.closeAllConnections();
+    };
+    return { client, close };
+}
+
+// Guards against a late response from before a restoration that is taken for the present state, or for the proof of a
+// write.
+test("responses of an earlier epoch, or with an unreadable one, are rejected", async () => {
+    const { client, close } = await startStoreOfEras(["4", "3", "3", "x", "4", undefined]);
+    const positions = [await client.readTable("t")];
+    await assert.rejects(client.readTable("t"), { name: "StoreError", message: /epoch 3/ });
+    await assert.rejects(client.putRow("t", "k", "v"), { name: "StoreError", message: /epoch 3/ });
+    await assert.rejects(client.readTable("t"), { name: "StoreError", message: /whole number/ });
+    positions.push(await client.readTable("t"), await client.readTable("t"));
+    close();
+    for (const { position } of positions) assert.deepEqual(position, { epoch: 4, revision: 7 });
+});
--- a/src/test/stager/operatorPoller.test.ts
+++ b/src/test/stager/operatorPoller.test.ts
@@ -5,7 +5,7 @@
 import { startOperatorPoller } from "../../lib/stager/operatorPoller.js";
 import type { TableReader } from "../../lib/stager/sharedReads.js";
 
-const CONFIGURATION: Row = { key: "config", revision: 1, value: "c" };
+const CONFIGURATION: Row = { key: "config", epoch: 0, revision: 1, value: "c" };
 
 const STEP_MS = 50;
 
@@ -17,7 +17,7 @@
     const tables: TableReader = {
         readTable: async (_table, keyPrefix = "") => {
             reads.push(keyPrefix);
-            return { rows: readRows(keyPrefix), revision: 1 };
+            return { rows: readRows(keyPrefix), position: { epoch: 0, revision: 1 } };
         },
     };
     const seen: Row[] = [];
@@ -61,7 +61,7 @@
     let named: Row[] = [];
     const { seen, advance, stop } = startPoller(keyPrefix => keyPrefix === "" ? [CONFIGURATION] : named);
     await advance(1000);
-    named = [{ key: "version/m", revision: 2, value: "v" }];
+    named = [{ key: "version/m", epoch: 0, revision: 2, value: "v" }];
     await advance(12_500);
     stop();
     assert.ok(seen.some(({ key }) => key === "version/m"));
--- a/src/test/stager/sharedReads.test.ts
+++ b/src/test/stager/sharedReads.test.ts
@@ -7,7 +7,14 @@
 import { createSharedReads } from "../../lib/stager/sharedReads.js";
 import { findFreePortRange } from "../router/routerHarness.js";
 
-const ROWS: Row[] = [{ key: "config", revision: 4, value: "c" }, { key: "version/m", revision: 5, value: "2" }];
+const ROWS: Row[] = [{ key: "config", epoch: 0, revision: 4, value: "c" }, {
+    key: "version/m",
+    epoch: 0,
+    revision: 5,
+    value: "2",
+}];
+
+const POSITION = { epoch: 0, revision: 5 };
 
 const cleanups: (() => void)[] = [];
 
@@ -18,9 +25,10 @@
 /** Starts an entry whose replica of the table `op` is empty until `fill` is called, and a reader that knows it. */
 async function startEntry() {
     const replica = createRowReplica();
+    const replicas = new Map([["op", replica]]);
     const entryPort = await findFreePortRange();
     const server = http.createServer((request, response) => {
-        handleChangesRequest(request, response, new Map([["op", replica]]));
+        handleChangesRequest(request, response, replicas);
     });
     await new Promise<void>(resolve => server.listen(entryPort, "127.0.0.1", resolve));
     cleanups.push(() => {
@@ -32,7 +40,7 @@
         store: {
             readTable: () => {
                 storeReads++;
-                return Promise.resolve({ rows: ROWS, revision: 5 });
+                return Promise.resolve({ rows: ROWS, position: POSITION });
             },
         },
         entryIps: () => Promise.resolve(["127.0.0.1"]),
@@ -42,18 +50,23 @@
         now: () => performance.now(),
         random: () => 0.5,
     });
-    return { replica, tables, storeReads: () => storeReads };
+    return { replica, replicas, tables, storeReads: () => storeReads };
 }
 
 // Guards against agents that all read the configuration from the store when all VMs have lost power: on
 // gomgol-orders-grown they saturated the links between regions, and two regions had no weights for 12 s.
 test("an agent reads tables from an entry and not from the store", async () => {
     const { replica, tables, storeReads } = await startEntry();
-    replica.applySnapshot(ROWS, 5);
+    replica.applySnapshot(ROWS, POSITION);
     assert.deepEqual((await tables.readTable("op")).rows, ROWS);
-    replica.apply([{ key: "version/m", revision: 7, value: "3" }, { key: "config", revision: 8, value: undefined }]);
-    const { rows, revision } = await tables.readTable("op", "version/");
-    assert.deepEqual([rows.map(({ value }) => value), revision], [["3"], 8]);
+    replica.apply([{ key: "version/m", epoch: 0, revision: 7, value: "3" }, {
+        key: "config",
+        epoch: 0,
+        revision: 8,
+        value: undefined,
+    }]);
+    const { rows, position } = await tables.readTable("op", "version/");
+    assert.deepEqual([rows.map(({ value }) => value), position], [["3"], { epoch: 0, revision: 8 }]);
     assert.equal(storeReads(), 0);
 });
 
@@ -68,7 +81,7 @@
     // Entries that failed aren't waited for again until one has delivered.
     await tables.readTable("op");
     assert.equal(storeReads(), 2);
-    replica.applySnapshot(ROWS, 5);
+    replica.applySnapshot(ROWS, POSITION);
     await tables.readTable("op");
     assert.equal(storeReads(), 2);
 });
@@ -79,8 +92,25 @@
     const { replica, tables, storeReads } = await startEntry();
     const READY_AFTER_MS = 400;
     const startedAt = performance.now();
-    setTimeout(() => replica.applySnapshot(ROWS, 5), READY_AFTER_MS);
+    setTimeout(() => replica.applySnapshot(ROWS, POSITION), READY_AFTER_MS);
     assert.deepEqual((await tables.readTable("op")).rows, ROWS);
     assert.ok(performance.now() - startedAt < READY_AFTER_MS + 400);
     assert.equal(storeReads(), 0);
 });
+
+// Guards against an agent that keeps rows from before a restoration of the store, or takes them from an entry that
+// doesn't know of it yet.
+test("an agent follows entries into a later epoch of the store, and not back", async () => {
+    const { replica, replicas, tables, storeReads } = await startEntry();
+    replica.applySnapshot(ROWS, POSITION);
+    await tables.readTable("op");
+    const restored: Row[] = [{ key: "config", epoch: 1, revision: 2, value: "restored" }];
+    replica.applySnapshot(restored, { epoch: 1, revision: 3 });
+    assert.deepEqual((await tables.readTable("op")).rows, restored);
+    assert.equal(storeReads(), 0);
+    const outdated = createRowReplica();
+    outdated.applySnapshot(ROWS, POSITION);
+    replicas.set("op", outdated);
+    await tables.readTable("op");
+    assert.equal(storeReads(), 1);
+});
