Register entries again after the store was restored

Entries and agents that started after a restoration did not find the entries whose rows, written once at their start, were not in the copy.

Cause: an acknowledged registration was taken to last. It doesn't if the store is restored from an earlier copy.

Change: an entry registers again when its replica enters a later epoch, with a jitter, and an attempt that is still going on is replaced. An agent that reads the list from a restored store keeps the entries that it lacks.

Evidence: "each entry registers itself again after a restoration" failed on (condition not met within 5 s) and passes.

--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -20,7 +20,6 @@
     type RouteTable,
     type Row,
 } from "../core/serving/index.js";
-import { ENTRIES_TABLE, formatEntryRow, parseEntryRow } from "../node/entryRows.js";
 import { createBodyBudget } from "../node/limitedBody.js";
 import { listen } from "../node/listen.js";
 import type { MetadataStore } from "../node/metadataStore.js";
@@ -39,6 +38,7 @@
 import { createOperatorState } from "./operatorState.js";
 import { createPeerExchange, HEARTBEAT_INTERVAL_MS } from "./peerExchange.js";
 import { createPromptGuard } from "./promptGuard.js";
+import { startRegistration } from "./registration.js";
 import { createReservations, reportLagMs } from "./reservations.js";
 import { createServerNotices } from "./serverNotices.js";
 
@@ -85,10 +85,6 @@
  */
 const IDLE_BEFORE_CLOSE_MS = 300;
 
-/** Delay between attempts to register this entry in the store, plus a random jitter of up to the second value. */
-const REGISTRATION_RETRY_DELAY_MS = 500;
-const REGISTRATION_RETRY_JITTER_MS = 1500;
-
 /** Network round-trip times within a failure domain, between domains of one region and between regions. */
 const LOCAL_ROUND_TRIP_MS = 1;
 const CROSS_DOMAIN_ROUND_TRIP_MS = 3;
@@ -217,6 +213,7 @@
 
     const tables: readonly string[] = [PlatformTable.operator, PlatformTable.servers];
     const replicas = new Map(tables.map(table => [table, createTableReplica(table)]));
+    const registration = startRegistration(store, self, peers.addUnconfirmed, log, random);
     /** `outageAt` is the last time at which the process that read the rows from the store saw it fail. */
     type ApplyChanges = (rows: readonly Row[], outageAt: number | undefined) => void;
     const applyChanges: Readonly<Record<string, ApplyChanges>> = {
@@ -231,6 +228,8 @@
     };
     /** Applies the changes by which a replica enters a later epoch of the store. */
     function applyRestoration(table: string, rows: readonly Row[]): void {
+        // The row that this entry wrote may be lost.
+        registration.renew();
         // The rows of servers that serve may be missing until they write them again.
         applyChanges[table]?.(rows, now());
     }
@@ -318,8 +317,6 @@
         }
     }, HEARTBEAT_INTERVAL_MS);
 
-    void registerEntry(store, self, peers.addUnconfirmed, log.warn, () => isStopping);
-
     const isReady = () => {
         return !isStopping && operatorState.routeTable() !== undefined &&
             (replicas.get(PlatformTable.servers)?.hasSnapshot() ?? false);
@@ -353,6 +350,7 @@
         clearInterval(heartbeatTimer);
         clearTimeout(dispatchTimer);
         for (const feed of feeds) feed.stop();
+        registration.stop();
         relay.stop();
         store.close();
         peerExchange.close();
@@ -389,27 +387,3 @@
         CROSS_DOMAIN_ROUND_TRIP_MS :
         CROSS_REGION_ROUND_TRIP_MS;
 }
-
-/** Registers this entry in the store and reads the rows of the other entries; retries until both succeed. */
-async function registerEntry(
-    store: MetadataStore,
-    self: EntryIdentity,
-    addPeer: (peer: EntryIdentity) => void,
-    warn: EventLog["warn"],
-    isStopping: () => boolean,
-): Promise<void> {
-    for (let failures = 0; !isStopping(); failures++) {
-        try {
-            await store.putRow(ENTRIES_TABLE, self.name, formatEntryRow(self));
-            for (const row of (await store.readTable(ENTRIES_TABLE)).rows) {
-                const entry = parseEntryRow(row);
-                if (entry !== undefined && entry.name !== self.name) addPeer(entry);
-            }
-            return;
-        }
-        catch (error) {
-            if (failures === 0) warn("entries not joined", { error: (error as Error).message });
-            await sleep(REGISTRATION_RETRY_DELAY_MS + Math.random() * REGISTRATION_RETRY_JITTER_MS);
-        }
-    }
-}
--- a/src/lib/stager/fleetView.ts
+++ b/src/lib/stager/fleetView.ts
@@ -40,6 +40,11 @@
 /** Maximum number of entries that receive an agent's heartbeats; entries of its region come first. */
 const MAX_HEARTBEAT_RECIPIENTS = 16;
 
+/** Returns the entries of both lists; one with the same name in `later` replaces the earlier one. */
+function mergeEntries(earlier: readonly EntryIdentity[], later: readonly EntryIdentity[]): EntryIdentity[] {
+    return [...new Map([...earlier, ...later].map(entry => [entry.name, entry])).values()];
+}
+
 export function createFleetView(
     { settings, log, now }: AgentContext,
     store: MetadataStore,
@@ -53,6 +58,7 @@
     let entries: readonly EntryIdentity[] = [];
     let entryIps: readonly string[] = settings.seeds;
     let entriesReadAt = Number.NEGATIVE_INFINITY;
+    let entriesEpoch = 0;
 
     async function refresh(): Promise<void> {
         try {
@@ -71,7 +77,11 @@
         entriesReadAt = now();
         try {
             const entryTable = await store.readTable(ENTRIES_TABLE);
-            const sortedEntries = entryTable.rows.flatMap(row => parseEntryRow(row) ?? []);
+            const readEntries = entryTable.rows.flatMap(row => parseEntryRow(row) ?? []);
+            // A restored store lacks the entries that haven't registered again yet.
+            const isRestored = entryTable.position.epoch > entriesEpoch;
+            entriesEpoch = entryTable.position.epoch;
+            const sortedEntries = isRestored ? mergeEntries(entries, readEntries) : readEntries;
             const regionDistance = (failureDomain: string) =>
                 settings.regions.get(failureDomain) === settings.region ? 0 : 1;
             sortedEntries.sort((a, b) => regionDistance(a.failureDomain) - regionDistance(b.failureDomain));
--- a/src/test/router/restoredStore.test.ts
+++ b/src/test/router/restoredStore.test.ts
@@ -13,6 +13,8 @@
 import { type FaultProxy, startFaultProxy } from "../soak/faultProxy.js";
 import { createVmSettings, findFreePortRange, sendCall, startTestRouter, waitUntil } from "./routerHarness.js";
 
+const ENTRIES_TABLE = "endivewell-entries";
+
 /** Time within which an entry applies a change (`config-apply-ms`). */
 const APPLY_MS = 2000;
 
@@ -190,6 +192,17 @@
     for (const entry of entries) assert.equal(await statusOf(entry), 200);
 });
 
+// Guards against an entry that entries and agents which start after the restoration don't find.
+test("each entry registers itself again after a restoration", async () => {
+    const copy = store.copy();
+    await startEntries();
+    const names = () => store.keys(ENTRIES_TABLE).sort();
+    assert.deepEqual(names(), IPS.map(ip => `vm-${ip}`));
+    store.restore(copy);
+    assert.deepEqual(names(), []);
+    await waitUntil(() => names().length === IPS.length);
+});
+
 // Guards against entries that read a table again and again because the store doesn't have their revision.
 test("a restored store to which nobody writes gets few calls", async () => {
     const copy = store.copy();
