Don't use servers that ended before the store was restored

Cause: a row in a restored registry was taken as the last word of its server.

Change: an incarnation that was removed before a restoration is used again only if its row lasts longer than the registry keeps rows of servers that don't write; the weights of an incarnation never become older.

--- a/src/lib/core/serving/serverRegistry.ts
+++ b/src/lib/core/serving/serverRegistry.ts
@@ -6,6 +6,10 @@
  * be stored. Such a server is kept as suspect for as long as live servers need to register again. A server that has
  * announced that it is leaving, in its row or in a response, never becomes usable again under the same incarnation,
  * even if its row lapses and returns.
+ *
+ * When the registry is restored from a copy, rows of servers that have ended since come back. An incarnation that was
+ * removed before is therefore used again only if its row outlasts the time after which the registry drops the rows of
+ * servers that don't write.
  */
 
 /** Weights that an engine has loaded completely. */
@@ -50,6 +54,8 @@
      * that is news.
      */
     markLeaving(server: ServerIncarnation): boolean;
+    /** Records that the registry was restored from a copy; call it before its rows are put. */
+    recordRestoration(now: number): void;
     /** Returns whether an incarnation is registered, isn't leaving and hasn't been suspect for too long. */
     isUsable(server: BackendServer, now: number): boolean;
     get(id: string): BackendServer | undefined;
@@ -79,14 +85,22 @@
 /** Time after an outage in which a missing row may have lapsed: such rows are missing in the first reads after it. */
 export const OUTAGE_GRACE_MS = 1000;
 
-/** Incarnations that are remembered as leaving without a row; the oldest ones have long ended. */
-const MAX_LEAVING_INCARNATIONS = 4096;
+/** Incarnations that are remembered as leaving or removed without a row; the oldest ones have long ended. */
+const MAX_REMEMBERED_INCARNATIONS = 4096;
+
+/** The registry drops the row of a server after three heartbeat intervals of at most 1.5 s without a write. */
+const CONFIRMATION_MS = 5000;
 
 /** `drainMs` returns the time for which a server that left may still receive requests. */
 export function createServerRegistry(drainMs: () => number): ServerRegistry {
     const registered = new Map<string, RegisteredServer>();
     /** Keys of incarnations that announced that they are leaving, oldest first. */
     const leavingKeys = new Set<string>();
+    /** Keys of incarnations that were removed, oldest first. */
+    const removedKeys = new Set<string>();
+    /** Incarnations that were removed before the last restoration, which aren't used until it has confirmed them. */
+    let doubtfulKeys: ReadonlySet<string> = new Set();
+    let doubtfulUntil = Number.NEGATIVE_INFINITY;
     /** Usable servers by service, and the time at which the first suspicion timeout among them passes. */
     const usableByService = new Map<string, { servers: readonly BackendServer[]; validUntil: number; }>();
 
@@ -96,19 +110,17 @@
         const isLeaving = server.isLeaving || (isSameIncarnation && previous.isLeaving) ||
             leavingKeys.has(incarnationKey(server));
         if (isLeaving) rememberLeaving(server);
-        registered.set(server.id, { server: { ...server, isLeaving }, suspectedSince: undefined });
+        // Engines only load newer weights; an older version is from before a restoration of the registry.
+        const weights = isSameIncarnation ? newerWeights(previous.weights, server.weights) : server.weights;
+        registered.set(server.id, { server: { ...server, isLeaving, weights }, suspectedSince: undefined });
+        removedKeys.delete(incarnationKey(server));
         usableByService.clear();
     }
 
     /** Without a start time, incarnations can't be told apart, and a later one would never become usable. */
     function rememberLeaving(server: ServerIncarnation): void {
         if (server.startedAt === 0) return;
-        leavingKeys.add(incarnationKey(server));
-        if (leavingKeys.size <= MAX_LEAVING_INCARNATIONS) return;
-        for (const oldestKey of leavingKeys) {
-            leavingKeys.delete(oldestKey);
-            return;
-        }
+        addBounded(leavingKeys, incarnationKey(server));
     }
 
     function markLeaving(incarnation: ServerIncarnation): boolean {
@@ -131,7 +143,16 @@
         if (mayHaveLapsed && !current.server.isLeaving) {
             registered.set(id, { server: current.server, suspectedSince: current.suspectedSince ?? now });
         }
-        else registered.delete(id);
+        else {
+            registered.delete(id);
+            addBounded(removedKeys, incarnationKey(current.server));
+        }
+        usableByService.clear();
+    }
+
+    function recordRestoration(now: number): void {
+        doubtfulKeys = new Set([...now < doubtfulUntil ? doubtfulKeys : [], ...removedKeys]);
+        doubtfulUntil = now + CONFIRMATION_MS;
         usableByService.clear();
     }
 
@@ -147,6 +168,10 @@
                 if (now >= suspectedUntil) continue;
                 validUntil = Math.min(validUntil, suspectedUntil);
             }
+            if (now < doubtfulUntil && doubtfulKeys.has(incarnationKey(server))) {
+                validUntil = Math.min(validUntil, doubtfulUntil);
+                continue;
+            }
             servers.push(server);
         }
         usableByService.set(service, { servers, validUntil });
@@ -154,20 +179,22 @@
     }
 
     function expire(now: number): string[] {
-        const expiredIds = [...registered.values()]
-            .filter(({ suspectedSince }) =>
-                suspectedSince !== undefined && now - suspectedSince >= suspicionTimeoutMs(drainMs())
-            )
-            .map(({ server }) => server.id);
-        for (const id of expiredIds) registered.delete(id);
-        if (expiredIds.length > 0) usableByService.clear();
-        return expiredIds;
+        const expired = [...registered.values()].filter(({ suspectedSince }) =>
+            suspectedSince !== undefined && now - suspectedSince >= suspicionTimeoutMs(drainMs())
+        );
+        for (const { server } of expired) {
+            registered.delete(server.id);
+            addBounded(removedKeys, incarnationKey(server));
+        }
+        if (expired.length > 0) usableByService.clear();
+        return expired.map(({ server }) => server.id);
     }
 
     return {
         put,
         remove,
         markLeaving,
+        recordRestoration,
         isUsable: ({ service, id, startedAt }, now) =>
             usable(service, now).some(server => server.id === id && server.startedAt === startedAt),
         get: id => registered.get(id)?.server,
@@ -183,6 +210,22 @@
     };
 }
 
+/** Adds a key, and removes the oldest one if there are too many. */
+function addBounded(keys: Set<string>, key: string): void {
+    keys.add(key);
+    if (keys.size <= MAX_REMEMBERED_INCARNATIONS) return;
+    for (const oldestKey of keys) {
+        keys.delete(oldestKey);
+        return;
+    }
+}
+
+function newerWeights(earlier: LoadedWeights | undefined, later: LoadedWeights | undefined): LoadedWeights | undefined {
+    const isOlder = earlier !== undefined && later !== undefined && earlier.model === later.model &&
+        earlier.version > later.version;
+    return isOlder ? earlier : later;
+}
+
 /** Returns a key that differs between the starts of a server. */
 export function incarnationKey({ id, startedAt }: ServerIncarnation): string {
     return `${id} ${startedAt}`;
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -230,6 +230,7 @@
     function applyRestoration(table: string, rows: readonly Row[]): void {
         // The row that this entry wrote may be lost.
         registration.renew();
+        if (table === PlatformTable.servers) registry.recordRestoration(now());
         // The rows of servers that serve may be missing until they write them again.
         applyChanges[table]?.(rows, now());
     }
--- a/src/test/core/serving/serverRegistry.test.ts
+++ b/src/test/core/serving/serverRegistry.test.ts
@@ -98,3 +98,33 @@
     registry.remove("b", 1000, 990);
     assert.deepEqual(registry.all(), []);
 });
+
+// Guards against requests to a server that had ended, when a restored registry has its row again for a while.
+test("a server that was removed before the registry's restoration is used again only once its row has lasted", () => {
+    const registry = createServerRegistry(() => DRAIN_MS);
+    registry.put(serverOf("ended"));
+    registry.put(serverOf("sound"));
+    registry.remove("ended", 0, undefined);
+    registry.recordRestoration(1000);
+    registry.put(serverOf("ended"));
+    registry.put(serverOf("sound"));
+    assert.deepEqual(idsOf(registry.usable("s", 1000)), ["sound"]);
+    assert.deepEqual(idsOf(registry.usable("s", 5900)), ["sound"]);
+    assert.deepEqual(idsOf(registry.usable("s", 6100)).sort(), ["ended", "sound"]);
+    registry.recordRestoration(7000);
+    assert.deepEqual(idsOf(registry.usable("s", 7000)).sort(), ["ended", "sound"], "it has come back since");
+    registry.put(serverOf("ended", { startedAt: 2 }));
+    assert.deepEqual(idsOf(registry.usable("s", 7000)).sort(), ["ended", "sound"]);
+});
+
+// Guards against a server that is out of use because a restored registry has its row from before it loaded new weights.
+test("the weights of a server never become older", () => {
+    const registry = createServerRegistry(() => DRAIN_MS);
+    const withWeights = (version: number, startedAt = 1) =>
+        registry.put(serverOf("a", { startedAt, weights: { model: "m", version } }));
+    withWeights(3);
+    withWeights(2);
+    assert.equal(registry.get("a")?.weights?.version, 3);
+    withWeights(1, 2);
+    assert.equal(registry.get("a")?.weights?.version, 1, "after a restart");
+});
--- a/src/test/router/restoredStore.test.ts
+++ b/src/test/router/restoredStore.test.ts
@@ -192,6 +192,24 @@
     for (const entry of entries) assert.equal(await statusOf(entry), 200);
 });
 
+// Guards against requests to a server that had left, and whose row is in the copy.
+test("a server that left before the restoration gets no requests when its row returns", async () => {
+    const departed = await startFakeRunner(request => void request.socket.write(completeResponse(request, "departed")));
+    cleanups.push(departed.close);
+    store.put("servers", "i-2", serverRow(departed.address));
+    const copy = store.copy();
+    const entries = await startEntries();
+    store.remove("servers", "i-2");
+    await sleep(PROPAGATION_MS);
+    store.restore(copy);
+    const countBefore = departed.requests.length;
+    const endAt = Date.now() + 2000;
+    while (Date.now() < endAt) {
+        for (const entry of entries) assert.equal(await statusOf(entry), 200);
+    }
+    assert.equal(departed.requests.length, countBefore);
+});
+
 // Guards against an entry that entries and agents which start after the restoration don't find.
 test("each entry registers itself again after a restoration", async () => {
     const copy = store.copy();
