--- a/src/test/router/routerHarness.ts
+++ b/src/test/router/routerHarness.ts
@@ -93,7 +93,7 @@
     readonly headers?: http.OutgoingHttpHeaders;
     readonly body?: string;
     readonly agent?: http.Agent;
-    readonly signal?: AbortSignal;
+    readonly signal?: AbortSignal | undefined;
 }
 
 export interface CallResponse {
--- a/src/test/router/silentServer.test.ts
+++ b/src/test/router/silentServer.test.ts
@@ -1,20 +1,8 @@
 /** Servers that are silent for a second or so and go on. The limit of the fake routes is one second. */
 import assert from "node:assert/strict";
-import { afterEach, test } from "node:test";
-import { setTimeout as sleep } from "node:timers/promises";
-import type { VmSettings } from "../../lib/settings/vmSettings.js";
-import {
-    completeResponse,
-    configurationRow,
-    type FakeRunner,
-    numberedEvents,
-    type ReceivedRequest,
-    respondWithSilence,
-    serverRow,
-    startFakeRunner,
-} from "../platform/fakeRunner.js";
-import { startFakeStore } from "../platform/fakeStore.js";
-import { type CallResponse, createVmSettings, findFreePortRange, sendCall, startTestRouter } from "./routerHarness.js";
+import { test } from "node:test";
+import { completeResponse, numberedEvents, type ReceivedRequest, respondWithSilence } from "../platform/fakeRunner.js";
+import { type PoolOptions, startPool } from "./testPool.js";
 
 /** Longer than the limit, and well within the time of the requests. */
 const SILENCE_MS = 1400;
@@ -23,57 +11,6 @@
 
 const NO_RETRIES = { ratio: 0, slack: 0, windowMs: 10_000 };
 
-const cleanups: (() => unknown)[] = [];
-
-afterEach(async () => {
-    for (const cleanup of cleanups.splice(0).reverse()) await cleanup();
-});
-
-interface Pool {
-    readonly runners: readonly FakeRunner[];
-    call(path: string, deadlineMs?: number): Promise<CallResponse>;
-    requestCount(): number;
-}
-
-interface PoolOptions {
-    readonly respond: (request: ReceivedRequest) => void;
-    /** Changes to the row of each server; the number of rows is the number of servers. */
-    readonly rows?: readonly object[];
-    /** Changes to all routes. */
-    readonly route?: object;
-    readonly retries?: VmSettings["bounds"]["retries"];
-}
-
-async function startPool({ respond, rows = [{}], route = {}, retries }: PoolOptions): Promise<Pool> {
-    const store = await startFakeStore();
-    cleanups.push(store.close);
-    const { routes } = configurationRow(1) as { routes: object[]; };
-    store.put("op", "config", configurationRow(1, { routes: routes.map(base => ({ ...base, ...route })) }));
-    const runners: FakeRunner[] = [];
-    for (const [index, row] of rows.entries()) {
-        const runner = await startFakeRunner(respond);
-        cleanups.push(runner.close);
-        runners.push(runner);
-        store.put("servers", `i-${index + 1}`, serverRow(runner.address, row));
-    }
-    const settings = createVmSettings(store.address, await findFreePortRange());
-    const bounds = retries === undefined ? settings.bounds : { ...settings.bounds, retries };
-    const router = await startTestRouter({ ...settings, bounds });
-    cleanups.push(router.stop);
-    await sleep(100);
-    return {
-        runners,
-        call: (path, deadlineMs = 3000) =>
-            sendCall(router.callerPort, {
-                path,
-                method: "POST",
-                body: "x",
-                headers: { "deadline-ms": String(deadlineMs) },
-            }),
-        requestCount: () => runners.reduce((sum, { requests }) => sum + requests.length, 0),
-    };
-}
-
 const silentAfter = (id: number, silenceMs = SILENCE_MS) => (request: ReceivedRequest) => {
     respondWithSilence(request, { eventCount: EVENT_COUNT, intervalMs: 20, silentAfter: id, silenceMs });
 };
--- /dev/null
+++ b/src/test/router/testPool.ts
@@ -0,0 +1,73 @@
+/** Test helper that starts an entry with a pool of fake runners. Everything is closed after each test of the file. */
+import { afterEach } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { VmSettings } from "../../lib/settings/vmSettings.js";
+import {
+    configurationRow,
+    type FakeRunner,
+    type ReceivedRequest,
+    serverRow,
+    startFakeRunner,
+} from "../platform/fakeRunner.js";
+import { startFakeStore } from "../platform/fakeStore.js";
+import { type CallResponse, createVmSettings, findFreePortRange, sendCall, startTestRouter } from "./routerHarness.js";
+
+const cleanups: (() => unknown)[] = [];
+
+afterEach(async () => {
+    for (const cleanup of cleanups.splice(0).reverse()) await cleanup();
+});
+
+export interface Pool {
+    readonly runners: readonly FakeRunner[];
+    call(path: string, deadlineMs?: number, signal?: AbortSignal): Promise<CallResponse>;
+    /** All requests that the servers have received, in the order of their arrival. */
+    readonly requests: readonly ReceivedRequest[];
+    requestCount(): number;
+}
+
+export interface PoolOptions {
+    /** `number` counts the requests that the servers have received, including this one. */
+    readonly respond: (request: ReceivedRequest, number: number) => void;
+    /** Changes to the row of each server; the number of rows is the number of servers. */
+    readonly rows?: readonly object[];
+    /** Changes to all routes. */
+    readonly route?: object;
+    readonly retries?: VmSettings["bounds"]["retries"];
+}
+
+export async function startPool({ respond, rows = [{}], route = {}, retries }: PoolOptions): Promise<Pool> {
+    const store = await startFakeStore();
+    cleanups.push(store.close);
+    const { routes } = configurationRow(1) as { routes: object[]; };
+    store.put("op", "config", configurationRow(1, { routes: routes.map(base => ({ ...base, ...route })) }));
+    const runners: FakeRunner[] = [];
+    const requests: ReceivedRequest[] = [];
+    for (const [index, row] of rows.entries()) {
+        const runner = await startFakeRunner(request => {
+            requests.push(request);
+            respond(request, requests.length);
+        });
+        cleanups.push(runner.close);
+        runners.push(runner);
+        store.put("servers", `i-${index + 1}`, serverRow(runner.address, row));
+    }
+    const settings = createVmSettings(store.address, await findFreePortRange());
+    const bounds = retries === undefined ? settings.bounds : { ...settings.bounds, retries };
+    const router = await startTestRouter({ ...settings, bounds });
+    cleanups.push(router.stop);
+    await sleep(100);
+    return {
+        runners,
+        requests,
+        call: (path, deadlineMs = 3000, signal) =>
+            sendCall(router.callerPort, {
+                path,
+                method: "POST",
+                body: "x",
+                signal,
+                headers: { "deadline-ms": String(deadlineMs) },
+            }),
+        requestCount: () => requests.length,
+    };
+}
