Keep a silent server's attempt until its successor begins to answer

Callers saw a resumable stream that ended incomplete: server 1 was silent for 1.4 s, server 2 answered 503 with Not-Executed, and server 1 would have gone on. Idempotent requests got a 500 or 502 in place of the response that was on its way.

Cause: the attempt at the silent server was cancelled as soon as its successor had a slot, a reservation and a retry. The successor could still refuse, fail, break off or be silent, and max-attempts allowed no third server. Giving up an accepted request came before another server certainly had it.

Both attempts now stay in progress. The first one that has something for the caller (an event of a stream, or a complete response that is no server error) cancels the others in the same step, so nothing of two runs is joined. Each attempt parses its stream by itself and resumes after the last event that was delivered when it was sent. If the successor doesn't begin, the silent server keeps the request; its error is relayed only if neither goes on. Only the newest attempt may get a successor, attempts in progress count toward max-attempts, and only idempotent requests and resumable streams have successors at all. A server that goes on isn't recorded as failing any more; one that is silent until its successor begins still is.

After a slot has been reserved, the prompt is checked again, because it may have been quarantined meanwhile.

Refusals still count toward max-attempts, which limits the servers that a request is sent to.

--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -12,7 +12,7 @@
     parseResponseMetadata,
     type ResponseMetadata,
 } from "../platform/index.js";
-import { type AttemptResult, type Exchange, isRetryableRoute } from "./exchangeState.js";
+import { type AttemptResult, type Dispatch, type Exchange, isRetryableRoute } from "./exchangeState.js";
 import { sendBuffered } from "./localResponses.js";
 import { relayStream, type StreamAttempt } from "./streamRelay.js";
 
@@ -32,19 +32,23 @@
 const MAX_DISCARDED_BYTES = 64 * 1024;
 const DISCARD_TIMEOUT_MS = 1000;
 
-/**
- * Sends the request to the assigned server and relays its response. Never throws; failures are in the result. While the
- * server is silent for too long, `claimSuccessor` is called with a function that tells whether it still is. The attempt
- * is given up if it returns true.
- */
+/** An attempt, beside which others of the same request may be in progress. */
+export interface AttemptOptions extends Dispatch {
+    /** Aborted when another attempt begins to answer the caller. */
+    readonly supersession: AbortSignal;
+    /** Called while the server is silent for too long, with a function that tells whether it still is. */
+    readonly onSilence: (isSilent: () => boolean) => Promise<void>;
+    /** Called before bytes are sent to the caller. Other attempts must send none from then on. */
+    readonly onDelivery: () => void;
+}
+
+/** Sends the request to the assigned server and relays its response. Never throws; failures are in the result. */
 export async function runAttempt(
     exchange: Exchange,
-    assignment: Assignment,
-    claimSuccessor: (isSilent: () => boolean) => Promise<boolean>,
+    { assignment, dispatchId, supersession, onSilence, onDelivery }: AttemptOptions,
 ): Promise<AttemptResult> {
     const { context, route, caller } = exchange;
     const { server } = assignment;
-    const { dispatchId } = exchange;
     const cancellation = new AbortController();
     const onAbort = () => cancellation.abort();
     exchange.cancellation.signal.addEventListener("abort", onAbort, { once: true });
@@ -56,13 +60,18 @@
     let silenceReason = "the answer timed out";
     const silence = createSilenceTimer(async () => {
         try {
-            if (await claimSuccessor(silence.isExpired)) cancellation.abort(silenceReason);
+            await onSilence(() => silence.isExpired() && !cancellation.signal.aborted);
         }
         catch (error) {
             context.log.warn("successor not found", { id: caller.id, error: (error as Error).message });
         }
     });
     silence.start(silenceTimeoutMs(exchange, assignment, sentAt));
+    let isSuperseded = false;
+    supersession.addEventListener("abort", () => {
+        isSuperseded = !silence.isExpired();
+        cancellation.abort(isSuperseded ? "another server answered" : silenceReason);
+    }, { once: true });
     const { startDeadline } = assignment;
     let hasStarted = false;
     const startTimer = startDeadline === undefined || startDeadline >= exchange.expiresAt ?
@@ -112,24 +121,27 @@
             onFirstEvent: () => {
                 silenceReason = "the stream paused too long";
                 hasStarted = true;
-                recordFirstEvent(exchange, assignment, sentAt);
+                recordFirstEvent(exchange, { assignment, dispatchId }, sentAt);
             },
+            onDelivery,
             onSurvival: () => context.promptGuard.recordSurvival(caller, server.service),
         });
-        recordResult(exchange, assignment, result, metadata, silence.isExpired());
-        return result;
+        const isSilent = silence.isExpired() && !isSuperseded;
+        recordResult(exchange, assignment, result, { metadata, isSilent, isSuperseded });
+        return result.kind === "failed" ? { ...result, isSuperseded } : result;
     }
     catch (error) {
         const verdict = (VError.info(error as Error).verdict as Verdict | undefined) ?? Verdict.mayHaveRun;
         const outcome = verdict === Verdict.notRun ? Outcome.unreachable : Outcome.broken;
         const isOverdue = context.now() - sentAt >= overdueAfterMs(exchange, assignment);
-        const isCancelled = exchange.cancellation.signal.aborted || hasOutdatedWeights(assignment, context.now());
+        const isCancelled = exchange.cancellation.signal.aborted || isSuperseded ||
+            hasOutdatedWeights(assignment, context.now());
         if (!isCancelled || isOverdue) {
             context.health.recordOutcome(server.id, outcome, context.now());
         }
         if (verdict !== Verdict.notRun) exchange.verdicts.push(verdict);
         context.metrics.sends.inc({ result: outcome });
-        return { kind: "failed", verdict, summary: (error as Error).message };
+        return { kind: "failed", verdict, summary: (error as Error).message, isSuperseded };
     }
     finally {
         silence.stop();
@@ -160,13 +172,16 @@
     exchange: Exchange,
     assignment: Assignment,
     result: AttemptResult,
-    metadata: ResponseMetadata,
-    isSilent: boolean,
+    { metadata, isSilent, isSuperseded }: {
+        readonly metadata: ResponseMetadata;
+        readonly isSilent: boolean;
+        readonly isSuperseded: boolean;
+    },
 ): void {
     const { context } = exchange;
     const outcome = outcomeFor(result, metadata);
     const hasFirstEvent = result.kind === "failed" && result.hasFirstEvent === true;
-    const isCancelled = exchange.cancellation.signal.aborted ||
+    const isCancelled = exchange.cancellation.signal.aborted || isSuperseded ||
         !hasFirstEvent && hasOutdatedWeights(assignment, context.now());
     // A caller that leaves a silent server has waited for it.
     if (!isCancelled || result.kind === "answered" || isSilent && hasFirstEvent) {
@@ -217,7 +232,7 @@
             return { kind: "failed", verdict: Verdict.mayHaveRun, summary };
         }
         if (status < 300) stream.onSurvival();
-        return deliverBuffered(exchange, response, bodyResult.body);
+        return deliverBuffered(exchange, response, bodyResult.body, stream);
     }
     finally {
         memory.release();
@@ -225,7 +240,12 @@
 }
 
 /** Sends a complete response to the caller, unless it is a server error that a retry may replace. */
-function deliverBuffered(exchange: Exchange, response: http.IncomingMessage, body: Buffer): AttemptResult {
+function deliverBuffered(
+    exchange: Exchange,
+    response: http.IncomingMessage,
+    body: Buffer,
+    { signal, onDelivery }: StreamAttempt,
+): AttemptResult {
     const status = response.statusCode ?? 0;
     const buffered = {
         status,
@@ -243,8 +263,10 @@
             errorResponse: buffered,
         };
     }
-    exchange.firstEventAt = exchange.context.now();
+    if (signal.aborted) return { kind: "failed", verdict: Verdict.mayHaveRun, summary: "cancelled" };
     if (exchange.response.headersSent) return { kind: "failed", verdict: Verdict.mayHaveRun, summary: "no stream" };
+    exchange.firstEventAt = exchange.context.now();
+    onDelivery();
     sendBuffered(exchange, buffered);
     return { kind: "answered", summary: String(status) };
 }
@@ -266,13 +288,14 @@
 
 function recordFirstEvent(
     exchange: Exchange,
-    { server, predictedFirstEventMs, assumedSlowdown }: Assignment,
+    { assignment, dispatchId }: Dispatch,
     sentAt: number,
 ): void {
     const { context, route } = exchange;
+    const { server, predictedFirstEventMs, assumedSlowdown } = assignment;
     const now = context.now();
     const measuredMs = now - sentAt;
-    context.dispatcher.recordFirstEvent(exchange.dispatchId, now);
+    context.dispatcher.recordFirstEvent(dispatchId, now);
     context.speed.recordFirstEvent(
         server.id,
         { predictedMs: predictedFirstEventMs, measuredMs, assumedSlowdown },
--- a/src/lib/router/eventStreamParser.ts
+++ b/src/lib/router/eventStreamParser.ts
@@ -15,8 +15,6 @@
     eventCount(): number;
     /** Returns the number of buffered bytes of an incomplete event. */
     pendingBytes(): number;
-    /** Discards the incomplete event of a broken stream, before the stream is resumed. */
-    discardPending(): void;
     lastEventId(): string | undefined;
     /** Returns the last weights version that an event named, if any did. */
     weightsVersion(): number | undefined;
@@ -35,12 +33,14 @@
 /** Largest incomplete event that is buffered. */
 const MAX_EVENT_BYTES = 256 * 1024;
 
+/** `previous` is the parser of the stream that this one resumes. */
 export function createEventStreamParser(
     { parseId, parseWeightsVersion }: EventFieldReaders,
+    previous?: EventStreamParser,
 ): EventStreamParser {
     let pending: Buffer = Buffer.alloc(0);
-    let lastId: string | undefined;
-    let weightsVersion: number | undefined;
+    let lastId = previous?.lastEventId();
+    let weightsVersion = previous?.weightsVersion();
     let eventCount = 0;
 
     function push(chunk: Buffer): Buffer {
@@ -62,9 +62,6 @@
         push,
         eventCount: () => eventCount,
         pendingBytes: () => pending.length,
-        discardPending: () => {
-            pending = Buffer.alloc(0);
-        },
         lastEventId: () => lastId,
         weightsVersion: () => weightsVersion,
     };
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -13,14 +13,13 @@
 import { canRetry, Verdict } from "../core/verdict.js";
 import { type BodyResult, readLimitedBody } from "../node/limitedBody.js";
 import { type CallerRequest, parseCallerRequest } from "../platform/index.js";
-import { runAttempt } from "./attempt.js";
 import {
-    type AttemptResult,
     type BufferedResponse,
     CancelReason,
     type Exchange,
     type ExchangeContext,
     isRetryableRoute,
+    MAX_UNREACHABLE_SERVERS,
     RetryDenial,
 } from "./exchangeState.js";
 import {
@@ -32,7 +31,7 @@
     recordEnd,
     refuseRequest,
 } from "./localResponses.js";
-import { createSuccessorSearch, type Successor } from "./successor.js";
+import { runWithTakeover } from "./takeover.js";
 
 /** Used if the caller sends no deadline. */
 const DEFAULT_DEADLINE_MS = 30_000;
@@ -215,33 +214,28 @@
     }
     context.retryBudget.recordRequest(service, context.now());
     let queuedSince = context.now();
-    let successor: Successor | undefined;
-    /** The error with which the last attempt ended; it is relayed if no other server takes the request. */
+    /** The error that a server sent in the last attempts; it is relayed if no other server takes the request. */
     let errorResponse: BufferedResponse | undefined;
     for (;;) {
-        let assignment = successor?.assignment;
-        if (successor !== undefined) exchange.dispatchId = successor.dispatchId;
-        if (assignment === undefined) {
-            const admission = context.promptGuard.decide(exchange.caller, service);
-            if (admission.kind === "refused") {
-                finishRefused(exchange, QUARANTINED_PROMPT, admission.retryAfterMs);
-                return;
-            }
-            const dispatchResult = await waitForServer(exchange, service, queuedSince);
-            if (dispatchResult === undefined) {
-                finishCancelled(exchange, errorResponse);
-                return;
-            }
-            if (dispatchResult.kind === "refused") {
-                const { reason, retryAfterMs } = dispatchResult.refusal;
-                if (exchange.attemptSummaries.length > 0) exchange.retryDenial = RetryDenial.noServer;
-                if (errorResponse !== undefined) finishFailed(exchange, reason, errorResponse);
-                else finishRefused(exchange, reason, retryAfterMs);
-                return;
-            }
-            assignment = dispatchResult.assignment;
-            if (!await reserveSlot(exchange, assignment)) continue;
+        const admission = context.promptGuard.decide(exchange.caller, service);
+        if (admission.kind === "refused") {
+            finishRefused(exchange, QUARANTINED_PROMPT, admission.retryAfterMs);
+            return;
+        }
+        const dispatchResult = await waitForServer(exchange, service, queuedSince);
+        if (dispatchResult === undefined) {
+            finishCancelled(exchange, errorResponse);
+            return;
+        }
+        if (dispatchResult.kind === "refused") {
+            const { reason, retryAfterMs } = dispatchResult.refusal;
+            if (exchange.attemptSummaries.length > 0) exchange.retryDenial = RetryDenial.noServer;
+            if (errorResponse !== undefined) finishFailed(exchange, reason, errorResponse);
+            else finishRefused(exchange, reason, retryAfterMs);
+            return;
         }
+        const { assignment } = dispatchResult;
+        if (!await reserveSlot(exchange, assignment)) continue;
         const start = context.promptGuard.begin(exchange.caller, service);
         if (start.kind === "refused") {
             context.reservations.release(assignment, exchange.dispatchId);
@@ -249,35 +243,25 @@
             finishRefused(exchange, QUARANTINED_PROMPT, start.retryAfterMs);
             return;
         }
-        const successorSearch = createSuccessorSearch(
+        const result = await runWithTakeover(
             exchange,
             service,
+            { assignment, dispatchId: exchange.dispatchId },
             id => createDispatchRequest(exchange, service, id, context.now()),
         );
-        const result = await runAttempt(exchange, assignment, successorSearch.claim);
         const mayHaveRun = result.kind === "answered" || result.verdict !== Verdict.notRun;
         context.promptGuard.endAttempt(exchange.caller, service, mayHaveRun);
         queuedSince = context.now();
-        exchange.attemptSummaries.push(`${assignment.server.id} ${result.summary}`);
         if (result.kind === "answered") {
-            successorSearch.release();
             recordEnd(exchange, "answered", result.summary);
             return;
         }
+        errorResponse = result.errorResponse;
         if (exchange.cancellation.signal.aborted) {
-            successorSearch.release();
-            finishCancelled(exchange);
+            finishCancelled(exchange, errorResponse);
             return;
         }
-        errorResponse = result.errorResponse;
-        const mayRepeat = mayRepeatPrompt(exchange, assignment, result, mayHaveRun);
-        successor = successorSearch.take();
-        if (successor !== undefined) {
-            // The attempt was given up because its server was silent, so the result of the check isn't waited for.
-            mayRepeat.catch(error => context.log.warn("crash not checked", { error: (error as Error).message }));
-            continue;
-        }
-        exchange.retryDenial = await mayRepeat ?
+        exchange.retryDenial = await result.mayRepeat() ?
             findRetryDenial(exchange, result.verdict, service) :
             RetryDenial.implicatedPrompt;
         if (exchange.retryDenial !== undefined) {
@@ -288,17 +272,6 @@
     }
 }
 
-/** Returns false if the request may have crashed its server and could crash the next one. */
-async function mayRepeatPrompt(
-    { context, caller }: Exchange,
-    { server }: Assignment,
-    { hasSurvived = false, errorResponse }: Extract<AttemptResult, { kind: "failed"; }>,
-    mayHaveRun: boolean,
-): Promise<boolean> {
-    return hasSurvived || errorResponse !== undefined ||
-        context.promptGuard.examineFailure(caller, server, mayHaveRun);
-}
-
 /**
  * Reserves the assigned slot at the server's owner. If it refuses, or the server no longer accepts requests afterwards,
  * takes the assignment back and returns false.
@@ -325,7 +298,9 @@
     // Connections that failed before anything was written have no verdict and don't count as sends.
     const sendCount = exchange.verdicts.length;
     if (sendCount === 0) {
-        return exchange.triedServerIds.size < route.maxAttempts + 2 ? undefined : RetryDenial.attemptsUsed;
+        return exchange.triedServerIds.size < route.maxAttempts + MAX_UNREACHABLE_SERVERS ?
+            undefined :
+            RetryDenial.attemptsUsed;
     }
     if (sendCount >= route.maxAttempts) return RetryDenial.attemptsUsed;
     if (context.retryBudget.tryTake(service, context.now())) return undefined;
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -1,6 +1,7 @@
 /** Defines the state of one request in progress, which the modules that serve it share. */
 import type * as http from "node:http";
 import {
+    type Assignment,
     type ClientAccount,
     type Dispatcher,
     RequestKind,
@@ -78,13 +79,13 @@
     readonly cancellation: AbortController;
     /** Ids of the servers that were assigned so far, including those that couldn't be reached. */
     readonly triedServerIds: Set<string>;
-    /** Verdicts of the failed sends; failed connections are left out. */
+    /** Verdicts of the failed sends, refusals among them; failed connections are left out. */
     readonly verdicts: Verdict[];
     /** Parser of a stream that has started; it holds the id of the last delivered event. */
     streamParser: EventStreamParser | undefined;
     /** Version of the weights that produced the delivered part of a stream. */
     weightsVersion: number | undefined;
-    /** Identifies the current attempt at the dispatcher. */
+    /** Identifies the queued request, and later its first attempt, at the dispatcher. */
     dispatchId: string;
     /** Server id and result of each attempt, for the log. */
     readonly attemptSummaries: string[];
@@ -116,6 +117,12 @@
 
 export type RetryDenial = (typeof RetryDenial)[keyof typeof RetryDenial];
 
+/** A server that is assigned to a request, and the identifier of the assignment at the dispatcher. */
+export interface Dispatch {
+    readonly assignment: Assignment;
+    readonly dispatchId: string;
+}
+
 /** Result of sending a request to one server; `summary` is the text for the log. */
 export type AttemptResult =
     | { readonly kind: "answered"; readonly summary: string; }
@@ -123,6 +130,8 @@
         readonly kind: "failed";
         readonly verdict: Verdict;
         readonly summary: string;
+        /** Another attempt began to answer while this server wasn't silent, so the failure isn't the server's. */
+        readonly isSuperseded?: boolean;
         /** An event had arrived, so the server had started to run the request. */
         readonly hasFirstEvent?: boolean;
         /** The stream went on after its first events, so the request can't have crashed the server. */
@@ -140,6 +149,9 @@
     readonly contentLength: string | undefined;
 }
 
+/** Servers that a request may find unreachable in addition to its route's attempts. */
+export const MAX_UNREACHABLE_SERVERS = 2;
+
 /** Tells whether a request may be sent again after a server may have run it. */
 export function isRetryableRoute(route: Route): boolean {
     return route.kind === RequestKind.idempotent || (route.kind === RequestKind.stream && route.isResumable);
--- a/src/lib/router/streamRelay.ts
+++ b/src/lib/router/streamRelay.ts
@@ -39,6 +39,8 @@
     /** Cancels the attempt; a text as its reason tells why. */
     readonly signal: AbortSignal;
     readonly onFirstEvent: () => void;
+    /** Called before bytes are sent to the caller. */
+    readonly onDelivery: () => void;
     /** Called when the stream goes on after its first events, or is complete. */
     readonly onSurvival: () => void;
 }
@@ -47,11 +49,13 @@
 export async function relayStream(
     exchange: Exchange,
     upstream: http.IncomingMessage,
-    { metadata, registeredWeightsVersion, silence, signal, onFirstEvent, onSurvival }: StreamAttempt,
+    stream: StreamAttempt,
 ): Promise<AttemptResult> {
     const { context, response, route } = exchange;
-    const parser = exchange.streamParser ??
-        createEventStreamParser({ parseId: parseEventId, parseWeightsVersion: parseEventWeightsVersion });
+    const { metadata, registeredWeightsVersion, silence, signal, onFirstEvent, onDelivery, onSurvival } = stream;
+    const fieldReaders = { parseId: parseEventId, parseWeightsVersion: parseEventWeightsVersion };
+    // Each attempt has a parser of its own, because another one may be in progress.
+    const parser = createEventStreamParser(fieldReaders, exchange.streamParser);
     const isResumed = exchange.streamParser !== undefined;
     // `maxEventGapMs` is infinite on routes that set no limit.
     const maxGapMs = Math.min(route.maxEventGapMs, MAX_EVENT_GAP_MS);
@@ -77,6 +81,8 @@
     }
 
     function onChunk(chunk: Buffer): Promise<void> | undefined {
+        // Bytes that were read before the cancellation may follow it.
+        if (signal.aborted) throw new VError("cancelled");
         const eventCountBefore = parser.eventCount();
         const completeEvents = parser.push(chunk);
         if (completeEvents.length === 0) return undefined;
@@ -89,6 +95,7 @@
             return undefined;
         }
         comments = NO_BYTES;
+        onDelivery();
         if (hasFirstEvent) onFurtherEvents();
         else onFirstEvents();
         exchange.weightsVersion = parser.weightsVersion() ?? exchange.weightsVersion;
@@ -108,15 +115,14 @@
         const isComplete = parser.pendingBytes() === 0 && metadata.isSigned &&
             await context.connections.isComplete(upstream);
         if (!isComplete) return streamFailure(hasFirstEvent, hasSurvived, "the stream ended early");
+        if (signal.aborted) throw new VError("cancelled");
     }
     catch (error) {
         const reason: unknown = signal.reason;
         const summary = typeof reason === "string" ? reason : (error as Error).message;
         return streamFailure(hasFirstEvent, hasSurvived, summary);
     }
-    finally {
-        parser.discardPending();
-    }
+    onDelivery();
     if (!response.headersSent) response.writeHead(200, streamHeaders(exchange, upstream.rawHeaders));
     response.end(comments);
     if (!hasSurvived) onSurvival();
--- a/src/lib/router/successor.ts
+++ b/src/lib/router/successor.ts
@@ -1,41 +1,46 @@
 /**
- * Finds the server that takes over from a silent one. A silent server may go on, so its attempt is given up only once
- * its successor is certain: the server is assigned, its slot is reserved and the retry is taken from the budget.
+ * Finds the server that takes over from a silent one. It is sent the request once it is certain: the server is assigned,
+ * its slot is reserved and the retry is taken from the budget.
  */
-import type { Assignment, DispatchRequest } from "../core/serving/index.js";
-import { type Exchange, isRetryableRoute, RetryDenial } from "./exchangeState.js";
+import type { DispatchRequest } from "../core/serving/index.js";
+import {
+    type Dispatch,
+    type Exchange,
+    isRetryableRoute,
+    MAX_UNREACHABLE_SERVERS,
+    RetryDenial,
+} from "./exchangeState.js";
 
-/** A server that is assigned to a request in addition to the one that works on it. */
-export interface Successor {
-    readonly assignment: Assignment;
-    readonly dispatchId: string;
+export interface SuccessorSearchOptions {
+    readonly createDispatchRequest: (dispatchId: string) => DispatchRequest;
+    /** Returns the number of attempts in progress. */
+    readonly openCount: () => number;
+    /** Sends the request to the successor. Its attempt must be in progress when this returns. */
+    readonly start: (successor: Dispatch) => void;
 }
 
 export interface SuccessorSearch {
-    /** Returns whether there is a successor. `isNeeded` tells whether the server in use is still silent. */
-    claim(isNeeded: () => boolean): Promise<boolean>;
-    /** Returns the claimed successor, which the caller must use. */
-    take(): Successor | undefined;
-    /** Releases a claimed successor that isn't needed. */
-    release(): void;
+    /**
+     * Starts a successor if there is one. `silentId` is the dispatch identifier of the silent attempt; `isNeeded` tells
+     * whether its server is still silent.
+     */
+    claim(silentId: string, isNeeded: () => boolean): Promise<void>;
 }
 
 export function createSuccessorSearch(
     exchange: Exchange,
     service: string,
-    createDispatchRequest: (dispatchId: string) => DispatchRequest,
+    { createDispatchRequest, openCount, start }: SuccessorSearchOptions,
 ): SuccessorSearch {
-    const { context, route } = exchange;
-    let claimed: Successor | undefined;
+    const { context, route, caller } = exchange;
     let isClaiming = false;
 
-    async function claim(isNeeded: () => boolean): Promise<boolean> {
+    async function claim(silentId: string, isNeeded: () => boolean): Promise<void> {
         // The silence timer may start anew, and expire again, while a slot is reserved.
-        if (!isRetryableRoute(route) || isClaiming) return false;
+        if (!isRetryableRoute(route) || isClaiming) return;
         isClaiming = true;
         try {
-            exchange.retryDenial = findDenial() ?? await assignSuccessor(isNeeded);
-            return claimed !== undefined;
+            exchange.retryDenial = findDenial() ?? await startSuccessor(`${silentId}/successor`, isNeeded);
         }
         finally {
             isClaiming = false;
@@ -43,19 +48,23 @@
     }
 
     function findDenial(): RetryDenial | undefined {
-        const { response, streamParser, verdicts } = exchange;
+        const { response, streamParser, verdicts, triedServerIds } = exchange;
         if (response.headersSent && streamParser?.lastEventId() === undefined) return RetryDenial.notResumable;
-        // The attempt in progress has no verdict yet.
-        if (verdicts.length + 1 >= route.maxAttempts) return RetryDenial.attemptsUsed;
-        const { kind } = context.promptGuard.decide(exchange.caller, service);
-        if (kind !== "allowed") return RetryDenial.quarantinedPrompt;
-        if (!context.promptGuard.mayRepeat(exchange.caller, service)) return RetryDenial.implicatedPrompt;
-        return context.retryBudget.isAvailable(service, context.now()) ? undefined : RetryDenial.budgetSpent;
+        // Attempts in progress have no verdict yet. Refusals count: the limit is on the servers that get the request.
+        if (verdicts.length + openCount() >= route.maxAttempts) return RetryDenial.attemptsUsed;
+        if (triedServerIds.size >= route.maxAttempts + MAX_UNREACHABLE_SERVERS) return RetryDenial.attemptsUsed;
+        if (!context.retryBudget.isAvailable(service, context.now())) return RetryDenial.budgetSpent;
+        return findPromptDenial();
     }
 
-    async function assignSuccessor(isNeeded: () => boolean): Promise<RetryDenial | undefined> {
+    function findPromptDenial(): RetryDenial | undefined {
+        const { promptGuard } = context;
+        if (promptGuard.decide(caller, service).kind !== "allowed") return RetryDenial.quarantinedPrompt;
+        return promptGuard.mayRepeat(caller, service) ? undefined : RetryDenial.implicatedPrompt;
+    }
+
+    async function startSuccessor(dispatchId: string, isNeeded: () => boolean): Promise<RetryDenial | undefined> {
         const { dispatcher, reservations, retryBudget, now } = context;
-        const dispatchId = `${exchange.dispatchId}/successor`;
         const assignment = dispatcher.assignNow(createDispatchRequest(dispatchId), now());
         if (assignment === undefined) return RetryDenial.noServer;
         const refusal = await reservations.reserve(assignment);
@@ -63,32 +72,23 @@
             dispatcher.withdraw(dispatchId, assignment.server.id, refusal, now());
             return RetryDenial.noServer;
         }
-        claimed = { assignment, dispatchId };
-        if (!dispatcher.mayStillSend(assignment.server, now())) {
-            release();
-            return RetryDenial.noServer;
-        }
+        const release = () => {
+            reservations.release(assignment, dispatchId);
+            dispatcher.release(dispatchId, now());
+        };
         if (!isNeeded()) {
             release();
             return undefined;
         }
-        if (retryBudget.tryTake(service, now())) return undefined;
+        // The server may have announced that it leaves, and the prompt may have been quarantined, in the meantime.
+        const denial = dispatcher.mayStillSend(assignment.server, now()) ? findPromptDenial() : RetryDenial.noServer;
+        if (denial === undefined && retryBudget.tryTake(service, now())) {
+            start({ assignment, dispatchId });
+            return undefined;
+        }
         release();
-        return RetryDenial.budgetSpent;
-    }
-
-    function take(): Successor | undefined {
-        const taken = claimed;
-        claimed = undefined;
-        return taken;
-    }
-
-    function release(): void {
-        const released = take();
-        if (released === undefined) return;
-        context.reservations.release(released.assignment, released.dispatchId);
-        context.dispatcher.release(released.dispatchId, context.now());
+        return denial ?? RetryDenial.budgetSpent;
     }
 
-    return { claim, take, release };
+    return { claim };
 }
