Keep connections between processes over a silence of some seconds

Callers of the product's own interface got 502 with mayHaveRun ("Connection dropped") for accepted bookings and answers whose agent had only been paused for some seconds. The cause: gRPC pings each connection every 5 s, and ended it, with every call on it, when the answer took longer than 2 s. So a pause of 2 s could cost all requests at an agent, and one of more than 7 s always did.

The timeout of a ping is 10 s now; a VM without power is found out within 15 s instead of 7 s. Until then new requests go to other agents as before, because those are chosen by the age of the agents' states (2.5 s).

Evidence: "a connection survives a silence of 8 s" failed before (no message on the stream within 2 s of the link's return) and passes; "the calls of a connection fail once it has been silent for 17 s" passed before and after, so the wait still ends.

--- a/src/lib/rpc/connections.ts
+++ b/src/lib/rpc/connections.ts
@@ -9,6 +9,12 @@
 /** Maximum size of a message. The largest messages contain a request body or a manifest. */
 export const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
 
+/**
+ * Longer than the pauses of a process and the stalls of a link that calls must survive. A VM without power is found out
+ * after this time and the interval between two pings.
+ */
+const KEEPALIVE_TIMEOUT_MS = 10_000;
+
 const CHANNEL_OPTIONS = {
     // Ignores proxy environment variables for traffic between the processes of the system.
     "grpc.enable_http_proxy": 0,
@@ -16,7 +22,7 @@
     "grpc.enable_channelz": 0,
     "grpc.max_receive_message_length": MAX_MESSAGE_BYTES,
     "grpc.keepalive_time_ms": 5_000,
-    "grpc.keepalive_timeout_ms": 2_000,
+    "grpc.keepalive_timeout_ms": KEEPALIVE_TIMEOUT_MS,
     "grpc.initial_reconnect_backoff_ms": 200,
     "grpc.max_reconnect_backoff_ms": 2_000,
 };
