Give up a silent agent only for one that takes over

Callers of the product's own interface got 502 with mayHaveRun ("the agent is silent"), a broken-off answer or, with a key, 409, although their request had been accepted by an agent that was only silent for some seconds and then went on. The cause: the entry cancelled every attempt without a frame for 3 s at an agent without state messages, whether or not another agent could run the request. Calls that must not be repeated, answers that had begun and pools without another agent lost theirs; a call with a key went to an agent that can't run it, because the silent one holds the claim.

Now the attempt is given up only once its successor is certain: the request may be repeated or resumed, another agent serves its version and has a free slot, and the retry was taken from the budget. Until then it stays, and is asked about again every 250 ms. A dispatch is counted when the agent is chosen, so that requests that move at the same time don't share one slot.

--- a/src/lib/entry/attemptMonitor.ts
+++ b/src/lib/entry/attemptMonitor.ts
@@ -1,4 +1,7 @@
-/** Cancels attempts whose agent is silent, leaving or makes no progress, or whose deadline has passed. */
+/**
+ * Cancels attempts whose agent is leaving or makes no progress, or whose deadline has passed, and moves those of a
+ * silent agent to another one.
+ */
 import type { ClientReadableStream } from "@grpc/grpc-js";
 import type { Attempt } from "../core/index.js";
 import type { AnswerFrame } from "../rpc/index.js";
@@ -10,6 +13,8 @@
     readonly address: string;
     readonly call: ClientReadableStream<AnswerFrame>;
     readonly isRetryable: boolean;
+    /** Returns whether another agent takes the request over if this attempt is abandoned. */
+    readonly claimSuccessor: () => boolean;
     /** Milliseconds since the epoch. */
     readonly deadline: number;
     lastFrameAt: number;
@@ -28,8 +33,8 @@
 const CHECK_INTERVAL_MS = 250;
 
 /**
- * An agent that sends no state messages has lost an attempt if no frame of it has arrived for this long either. The
- * attempt is then abandoned.
+ * An agent that sends no state messages is silent for an attempt if no frame of it has arrived for this long either.
+ * The attempt is then abandoned if another agent takes over.
  */
 const ATTEMPT_SILENCE_TIMEOUT_MS = 3000;
 
@@ -70,9 +75,8 @@
         if (isWaitingForCaller) return undefined;
         const trust = directory.trust(address, nowMs);
         const sinceLastFrameMs = nowMs - lastFrameAt;
-        if ((trust === "silent" || trust === "lost") && sinceLastFrameMs > ATTEMPT_SILENCE_TIMEOUT_MS) {
-            return "the agent is silent";
-        }
+        const isSilent = (trust === "silent" || trust === "lost") && sinceLastFrameMs > ATTEMPT_SILENCE_TIMEOUT_MS;
+        if (isSilent && activeAttempt.claimSuccessor()) return "the agent is silent";
         if (attempt.phase() === "queued") {
             // A leaving agent refuses its queued requests itself; this covers one that doesn't know it is leaving.
             return trust === "leaving" && isRetryable && sinceLastFrameMs > CHECK_INTERVAL_MS ?
--- a/src/lib/entry/attemptRunner.ts
+++ b/src/lib/entry/attemptRunner.ts
@@ -1,14 +1,12 @@
 /** Runs one attempt at an agent: connects, sends the request and relays the response. */
 import { randomUUID } from "node:crypto";
-import { createAttempt, Verdict } from "../core/index.js";
+import { type AttemptPhase, createAttempt, Verdict } from "../core/index.js";
 import type { Connections } from "../rpc/index.js";
-import type { AgentDirectory } from "./agentDirectory.js";
 import type { ActiveAttempt, AttemptMonitor } from "./attemptMonitor.js";
 import { type Delivery, relayFrames } from "./frameRelay.js";
 import { type DispatchResult, failure, isRetryable, type ResponseReceiver, type Work } from "./work.js";
 
 export interface AttemptRunnerOptions {
-    readonly directory: AgentDirectory;
     readonly connections: Connections;
     readonly monitor: AttemptMonitor;
     readonly now: () => number;
@@ -16,20 +14,25 @@
 
 const CONNECT_TIMEOUT_MS = 500;
 
-/** Runs an attempt at the address and resolves when it has ended. */
+/**
+ * Runs an attempt at the address and resolves when it has ended. `claimSuccessor` is called while the agent is silent,
+ * until it returns true; the attempt then ends.
+ */
 export type AttemptRunner = (
     work: Work,
     address: string,
     delivery: Delivery,
     receiver: ResponseReceiver,
+    claimSuccessor: (phase: AttemptPhase) => boolean,
 ) => Promise<DispatchResult>;
 
-export function createAttemptRunner({ directory, connections, monitor, now }: AttemptRunnerOptions): AttemptRunner {
+export function createAttemptRunner({ connections, monitor, now }: AttemptRunnerOptions): AttemptRunner {
     async function run(
         work: Work,
         address: string,
         delivery: Delivery,
         receiver: ResponseReceiver,
+        claimSuccessor: (phase: AttemptPhase) => boolean,
     ): Promise<DispatchResult> {
         if (!await connections.connect(address, CONNECT_TIMEOUT_MS)) {
             return failure(Verdict.notRun, "the agent is unreachable");
@@ -38,7 +41,6 @@
         const attemptId = randomUUID();
         const resumed = delivery.hasStarted ? work.buildResumedRequest?.(delivery.outputEventCount) : undefined;
         const { body, headers } = resumed ?? work;
-        directory.recordDispatch(address, now());
         const call = connections.agent(address).dispatch({
             attemptId,
             requestId: work.requestId,
@@ -57,11 +59,13 @@
             idempotent: work.isIdempotent,
             resumePosition: delivery.hasStarted ? delivery.outputEventCount : 0,
         });
+        const attempt = createAttempt(attemptId);
         const activeAttempt: ActiveAttempt = {
-            attempt: createAttempt(attemptId),
+            attempt,
             address,
             call,
             isRetryable: isRetryable(work),
+            claimSuccessor: () => claimSuccessor(attempt.phase()),
             deadline: work.deadline,
             lastFrameAt: now(),
             isWaitingForCaller: false,
--- a/src/lib/entry/slotSelector.ts
+++ b/src/lib/entry/slotSelector.ts
@@ -8,13 +8,21 @@
 import { type DispatchFailure, failure, type Work } from "./work.js";
 
 /** Where an attempt runs; `release` must be called when it has ended. */
+export interface ChosenSlot {
+    readonly kind: "chosen";
+    readonly address: string;
+    readonly release: () => void;
+}
+
 export type Slot =
-    | { readonly kind: "chosen"; readonly address: string; readonly release: () => void; }
+    | ChosenSlot
     | { readonly kind: "refused"; readonly failure: DispatchFailure; };
 
 export interface SlotSelector {
     /** Selects an untried agent that serves an eligible version. May wait if requests are queued at the entry. */
     select(work: Work, triedAddresses: ReadonlySet<string>, signal: AbortSignal): Promise<Slot>;
+    /** Selects an untried agent that can start the work at once. */
+    selectFree(work: Work, triedAddresses: ReadonlySet<string>): Slot;
     /** Returns the root digest that the agent serves: the work's own if the agent is gone, empty for plain services. */
     digestAt(work: Work, address: string): string;
     /** Records that the agent's engine probably has the work's prefix in its cache. */
@@ -40,13 +48,29 @@
 
     async function select(work: Work, triedAddresses: ReadonlySet<string>, signal: AbortSignal): Promise<Slot> {
         const candidates = () => candidatesFor(work).filter(({ address }) => !triedAddresses.has(address));
-        const agents = candidates();
-        if (agents.length === 0) {
-            const reason = `no agent of ${work.service} can take the request`;
-            return { kind: "refused", failure: failure(Verdict.notRun, reason) };
-        }
-        if (options.queue !== undefined) return options.queue.acquire(work, candidates, signal);
-        return { kind: "chosen", address: selectAddress(work, agents) ?? "", release: () => undefined };
+        if (options.queue === undefined) return choose(work, candidates());
+        if (candidates().length === 0) return refusedSlot(work);
+        const slot = await options.queue.acquire(work, candidates, signal);
+        if (slot.kind === "chosen") directory.recordDispatch(slot.address, now());
+        return slot;
+    }
+
+    function selectFree(work: Work, triedAddresses: ReadonlySet<string>): Slot {
+        const hasFreeSlot = ({ state, sentSinceReport }: UsableAgent) =>
+            state.running + state.queued + sentSinceReport < state.concurrencyLimit;
+        return choose(
+            work,
+            candidatesFor(work).filter(agent => {
+                return !triedAddresses.has(agent.address) && hasFreeSlot(agent);
+            }),
+        );
+    }
+
+    function choose(work: Work, agents: readonly UsableAgent[]): Slot {
+        const address = selectAddress(work, agents);
+        if (address === undefined) return refusedSlot(work);
+        directory.recordDispatch(address, now());
+        return { kind: "chosen", address, release: () => undefined };
     }
 
     function candidatesFor(work: Work): UsableAgent[] {
@@ -72,7 +96,11 @@
         if (work.prefix !== "") affinities.record(work.prefix, address, now());
     }
 
-    return { select, digestAt, recordAffinity };
+    return { select, selectFree, digestAt, recordAffinity };
+}
+
+function refusedSlot({ service }: Work): Slot {
+    return { kind: "refused", failure: failure(Verdict.notRun, `no agent of ${service} can take the request`) };
 }
 
 function toCandidate({ address, state, sentSinceReport }: UsableAgent, rank: Rank) {
