Don't take an agent for silent that is no longer watched

The cause: the directory reported an agent without a watch as silent, although it then has no evidence at all.

It reports nothing now, and the attempt ends with its answer, its progress timeout, its deadline or its connection.

--- a/src/lib/entry/agentDirectory.ts
+++ b/src/lib/entry/agentDirectory.ts
@@ -69,8 +69,8 @@
 export interface AgentDirectory {
     /** Returns the agents of a pool that reported recently and aren't leaving. */
     usableAgents(service: string, nowMs: number): UsableAgent[];
-    /** Returns whether an agent can be relied on to do its work; `silent` if the agent isn't watched. */
-    trust(address: string, nowMs: number): Trust;
+    /** Returns whether an agent can be relied on to do its work; `undefined` if the agent isn't watched. */
+    trust(address: string, nowMs: number): Trust | undefined;
     /** Counts a request that is dispatched to an agent at `nowMs`. */
     recordDispatch(address: string, nowMs: number): void;
     /** Returns every watched agent with the age of its last state message, for the status document. */
@@ -250,9 +250,9 @@
         return agents;
     }
 
-    function trust(address: string, nowMs: number): Trust {
+    function trust(address: string, nowMs: number): Trust | undefined {
         const watch = watches.get(address);
-        return watch === undefined ? "silent" : trustOf(watch, nowMs);
+        return watch && trustOf(watch, nowMs);
     }
 
     function recordDispatch(address: string, nowMs: number): void {
