Don't use the earlier start of a server whose row a restoration brings back

Callers: none seen. A server that restarted under its identifier during the writes that a restoration loses was replaced in the registry by its earlier start, whose row is in the copy, and requests were sent to the address of that start until the server wrote its row again.

Cause: only incarnations that were removed counted as ended. One that a later start had replaced in place did not.

Evidence: the new test of serverRegistry.test failed before (["a"] instead of no server).

Why this works: a replaced incarnation is remembered like a removed one, so its row must outlast the time after which the registry drops rows of servers that don't write.

--- a/src/lib/core/serving/serverRegistry.ts
+++ b/src/lib/core/serving/serverRegistry.ts
@@ -8,8 +8,8 @@
  * even if its row lapses and returns.
  *
  * When the registry is restored from a copy, rows of servers that have ended since come back. An incarnation that was
- * removed before is therefore used again only if its row outlasts the time after which the registry drops the rows of
- * servers that don't write.
+ * removed or replaced before is therefore used again only if its row outlasts the time after which the registry drops
+ * the rows of servers that don't write.
  */
 
 /** Weights that an engine has loaded completely. */
@@ -96,7 +96,7 @@
     const registered = new Map<string, RegisteredServer>();
     /** Keys of incarnations that announced that they are leaving, oldest first. */
     const leavingKeys = new Set<string>();
-    /** Keys of incarnations that were removed, oldest first. */
+    /** Keys of incarnations that were removed or replaced by a later start, oldest first. */
     const removedKeys = new Set<string>();
     /** Incarnations that were removed before the last restoration, which aren't used until it has confirmed them. */
     let doubtfulKeys: ReadonlySet<string> = new Set();
@@ -112,6 +112,7 @@
         if (isLeaving) rememberLeaving(server);
         // Engines only load newer weights; an older version is from before a restoration of the registry.
         const weights = isSameIncarnation ? newerWeights(previous.weights, server.weights) : server.weights;
+        if (previous !== undefined && !isSameIncarnation) addBounded(removedKeys, incarnationKey(previous));
         registered.set(server.id, { server: { ...server, isLeaving, weights }, suspectedSince: undefined });
         removedKeys.delete(incarnationKey(server));
         usableByService.clear();
--- a/src/test/core/serving/serverRegistry.test.ts
+++ b/src/test/core/serving/serverRegistry.test.ts
@@ -128,3 +128,15 @@
     withWeights(1, 2);
     assert.equal(registry.get("a")?.weights?.version, 1, "after a restart");
 });
+
+// Guards against requests to the earlier start of a server that restarted, when a restored registry has its row again.
+test("an incarnation that was replaced before the registry's restoration isn't used when its row returns", () => {
+    const registry = createServerRegistry(() => DRAIN_MS);
+    registry.put(serverOf("a", { address: "127.0.0.1:1" }));
+    registry.put(serverOf("a", { address: "127.0.0.1:2", startedAt: 2 }));
+    registry.recordRestoration(1000);
+    registry.put(serverOf("a", { address: "127.0.0.1:1" }));
+    assert.deepEqual(idsOf(registry.usable("s", 1000)), []);
+    registry.put(serverOf("a", { address: "127.0.0.1:2", startedAt: 2 }));
+    assert.deepEqual(registry.usable("s", 1500).map(({ address }) => address), ["127.0.0.1:2"]);
+});
