Detect a restored store as soon as an entry begins to read it for the others

If the readers of a region ended about when the store was restored, an entry that took over could miss a change for up to 10 s.

Cause: the first feed call of a new reader waits for changes after a revision of the earlier epoch. If the restored store has passed that revision, it responds only to the table's next change, and the epoch is read then.

Evidence: the new test of tableFeed.test failed before: the replica still had the lost row and lacked the late one after 1 s.

Why this works: like the first call after a failure, the first one after a time without calls doesn't wait, so its response states the epoch at once. The cost is one call for each change of the reader.

--- a/src/lib/node/tableFeed.ts
+++ b/src/lib/node/tableFeed.ts
@@ -68,6 +68,8 @@
      * include changes newer than the read's position. The first feed response fills the gap.
      */
     let isContiguous = false;
+    /** Whether other processes have read for this one since its last call, so that the store may have been restored. */
+    let hasSkippedCalls = false;
     /** State of the generic cell rate algorithm: when the next call would be due at exactly one call per interval. */
     let theoreticalArrivalTime = 0;
 
@@ -107,14 +109,17 @@
         if (isContiguous) {
             // A process that has lost the store keeps calling it, so that it detects when the store is back.
             if (failures === 0 && options.isReader?.() === false) {
+                hasSkippedCalls = true;
                 await sleep(READER_CHECK_INTERVAL_MS);
                 return;
             }
             // Skips changes that peers have already supplied.
             cursor = laterPosition(cursor, replica.newestPosition());
         }
-        // After a failure the call doesn't wait for changes, so that the recovery is detected at once.
-        const feedResult = await store.readFeed(table, cursor.revision, failures > 0 ? 0 : options.waitMs);
+        // Without waiting for changes, the call detects a recovery or a restoration at once.
+        const waitMs = failures > 0 || hasSkippedCalls ? 0 : options.waitMs;
+        const feedResult = await store.readFeed(table, cursor.revision, waitMs);
+        hasSkippedCalls = false;
         metrics.storeCalls.inc({ result: "feed" });
         if (feedResult.kind === "changes" && feedResult.position.epoch < cursor.epoch) {
             throw outdatedError(feedResult.position, cursor);
--- a/src/test/node/tableFeed.test.ts
+++ b/src/test/node/tableFeed.test.ts
@@ -4,6 +4,8 @@
 import type { FeedResult, MetadataStore } from "../../lib/node/metadataStore.js";
 import { startTableFeed } from "../../lib/node/tableFeed.js";
 import { createEventLog, createServingMetrics } from "../../lib/observability/index.js";
+import { createPlatformStore } from "../../lib/platform/index.js";
+import { startFakeStore } from "../platform/fakeStore.js";
 
 const sleep = (ms: number) => new Promise<void>(resolve => setTimeout(resolve, ms));
 
@@ -129,3 +131,30 @@
     assert.equal(feed.isConnected(), true);
     feed.stop();
 });
+
+// Guards against a process that waits for changes in another history, because the store was restored while others read
+// for it.
+test("a process that becomes a reader after a restoration reads the table at once", async () => {
+    const fakeStore = await startFakeStore();
+    const store = createPlatformStore(fakeStore.address);
+    const replica = createRowReplica();
+    const copy = fakeStore.copy();
+    let isReader = true;
+    fakeStore.put("servers", "lost", "1");
+    const feed = startFeed(store, { replica, waitMs: 5000, isReader: () => isReader });
+    await sleep(200);
+    isReader = false;
+    // Ends the call in progress.
+    fakeStore.put("servers", "lost", "2");
+    await sleep(200);
+    fakeStore.restore(copy);
+    fakeStore.put("servers", "late", "1");
+    for (let index = 0; index < 5; index++) fakeStore.put("op", "config", String(index));
+    isReader = true;
+    await sleep(1000);
+    feed.stop();
+    store.close();
+    fakeStore.close();
+    const { rows } = replica.changesSince({ epoch: 0, revision: 0 });
+    assert.deepEqual(rows.filter(({ value }) => value !== undefined).map(({ key }) => key), ["late"]);
+});
