Split the soak into modules by topic

The soak was one closure of almost 500 lines. Entries, servers and their responses, operator, callers and faults are modules of their own now.

--- /dev/null
+++ b/src/test/soak/bounds.ts
@@ -0,0 +1,13 @@
+/** Bounds of the requirements, and times of the simulated platform, that several modules of the soak use. */
+
+/** Time after a fault during which its effects are still tolerated (`stability-window-ms` of the requirements). */
+export const STABILITY_WINDOW_MS = 3000;
+
+/** Time within which every entry applies a new configuration (`config-apply-ms`). */
+export const CONFIG_APPLY_MS = 2000;
+
+/** Time during which a draining server may still get calls (`drain-ms`). */
+export const DRAIN_MS = 2000;
+
+/** Allowance for scheduling delays on a busy machine. */
+export const SCHEDULING_DELAY_MS = 500;
--- /dev/null
+++ b/src/test/soak/entryProcesses.ts
@@ -0,0 +1,141 @@
+/** The soak's entries: child processes that are signalled from outside, and started again after they have exited. */
+import { type ChildProcess, spawn } from "node:child_process";
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { sendCall, waitUntil } from "../router/routerHarness.js";
+import { STABILITY_WINDOW_MS } from "./bounds.js";
+import { type FaultProxy, startFaultProxy } from "./faultProxy.js";
+
+export interface EntryProcess {
+    readonly name: string;
+    readonly ip: string;
+    readonly storeLink: FaultProxy;
+    child: ChildProcess | undefined;
+    startedAt: number;
+    lastFaultAt: number;
+    /** The process got SIGTERM while no fault affected it, and none has since. */
+    isGracefulStop: boolean;
+    /** The process got SIGTERM or SIGKILL, so its exit isn't a failure. */
+    isExitExpected: boolean;
+}
+
+export interface EntryProcesses {
+    readonly all: readonly EntryProcess[];
+    /** Port of every entry for calls. */
+    readonly port: number;
+    /** Starts all entries and waits until they are ready. */
+    start(): Promise<void>;
+    signal(entry: EntryProcess, signal: NodeJS.Signals): void;
+    lastFaultAt(entry: EntryProcess, at: number): number;
+    /** Returns whether an entry becomes ready within 5 s. */
+    becomesReady(entry: EntryProcess): Promise<boolean>;
+    /** Exited processes aren't started again from now on. */
+    stopRestarting(): void;
+    close(): void;
+}
+
+export interface EntryProcessesOptions {
+    readonly count: number;
+    readonly port: number;
+    readonly storeAddress: string;
+    /** Directory of the settings files. */
+    readonly directory: string;
+    readonly log: (line: string) => void;
+    readonly onViolation: (text: string) => void;
+}
+
+const MAIN = fileURLToPath(new URL("../../main.js", import.meta.url));
+
+const RESTART_DELAY_MS = 300;
+
+export async function createEntryProcesses(options: EntryProcessesOptions): Promise<EntryProcesses> {
+    const { port, log, onViolation } = options;
+    const now = () => performance.now();
+    const entries: EntryProcess[] = [];
+    let isRestarting = true;
+    for (let index = 0; index < options.count; index++) {
+        entries.push({
+            name: `entry-${index}`,
+            ip: `127.0.0.${index + 2}`,
+            storeLink: await startFaultProxy(() => options.storeAddress),
+            child: undefined,
+            startedAt: now(),
+            lastFaultAt: now(),
+            isGracefulStop: false,
+            isExitExpected: false,
+        });
+    }
+
+    function lastFaultAt(entry: EntryProcess, at: number): number {
+        return Math.max(entry.lastFaultAt, entry.storeLink.lastFaultAt(at) ?? Number.NEGATIVE_INFINITY);
+    }
+
+    function writeSettings({ name, ip, storeLink }: EntryProcess): string {
+        const path = join(options.directory, `${name}.toml`);
+        const seeds = entries.map(entry => `"${entry.ip}:1"`).join(", ");
+        writeFileSync(
+            path,
+            `node = "${name}"\nip = "${ip}"\nzone = "z0"\nregion = "r"\nseeds = [${seeds}]\n` +
+                `internal-ports = [${port + 2}, ${port + 9}]\n[zones]\nz0 = "r"\nz1 = "r"\n` +
+                `[listen]\nfront = "${ip}:${port}"\nready = "${ip}:${port + 1}"\n` +
+                "[limits]\nlink-mbps = 1000\n[bounds]\ndrain-ms = 2000\ngrace-s = 8\nconfig-apply-ms = 2000\n" +
+                "version_ms = 8000\nretry-budget-ratio = 0.2\nretry-budget-slack = 100\nbudget-window-s = 10\n" +
+                `[platform]\naddress = "${storeLink.address}"\n`,
+        );
+        return path;
+    }
+
+    function startEntry(entry: EntryProcess): void {
+        entry.isExitExpected = false;
+        entry.isGracefulStop = false;
+        entry.startedAt = entry.lastFaultAt = now();
+        const child = spawn(process.execPath, [MAIN, "entry"], {
+            env: { ...process.env, ENDIVEWELL_SETTINGS: writeSettings(entry) },
+            stdio: ["ignore", "ignore", "pipe"],
+        });
+        child.stderr?.on("data", text => onViolation(`${entry.name} wrote to standard error: ${String(text)}`));
+        child.once("exit", (code, signal) => {
+            if (entry.child === child) entry.child = undefined;
+            if (!entry.isExitExpected) onViolation(`${entry.name} exited unexpectedly with ${code ?? signal}`);
+            log(`${entry.name} exited`);
+            entry.lastFaultAt = now();
+            if (isRestarting) setTimeout(() => isRestarting && startEntry(entry), RESTART_DELAY_MS);
+        });
+        entry.child = child;
+    }
+
+    function signal(entry: EntryProcess, name: NodeJS.Signals): void {
+        const at = now();
+        if (name === "SIGTERM") entry.isGracefulStop = at - lastFaultAt(entry, at) > STABILITY_WINDOW_MS;
+        else if (name !== "SIGHUP") entry.isGracefulStop = false;
+        if (name !== "SIGTERM") entry.lastFaultAt = at;
+        if (name === "SIGKILL" || name === "SIGTERM") entry.isExitExpected = true;
+        entry.child?.kill(name);
+    }
+
+    const isReady = async ({ ip }: EntryProcess) => (await sendCall(port + 1, { path: "/", ip })).status === 200;
+
+    return {
+        all: entries,
+        port,
+        start: async () => {
+            for (const entry of entries) startEntry(entry);
+            for (const entry of entries) await waitUntil(() => isReady(entry));
+        },
+        signal,
+        lastFaultAt,
+        becomesReady: entry => waitUntil(() => isReady(entry)).then(() => true, () => false),
+        stopRestarting: () => {
+            isRestarting = false;
+        },
+        close: () => {
+            isRestarting = false;
+            for (const entry of entries) {
+                entry.isExitExpected = true;
+                entry.child?.kill("SIGKILL");
+                entry.storeLink.close();
+            }
+        },
+    };
+}
--- /dev/null
+++ b/src/test/soak/soakFaults.ts
@@ -0,0 +1,135 @@
+/** The faults that the soak injects. Each lasts until its promise resolves. */
+import { setTimeout as sleep } from "node:timers/promises";
+import type { StoreFault } from "../platform/fakeStore.js";
+import { DRAIN_MS, SCHEDULING_DELAY_MS } from "./bounds.js";
+import type { EntryProcesses } from "./entryProcesses.js";
+import type { LinkFault } from "./faultProxy.js";
+import type { SoakOperator } from "./soakOperator.js";
+import type { SoakRandom } from "./soakRandom.js";
+import type { SoakServers } from "./soakServers.js";
+import type { SoakStore } from "./soakStore.js";
+
+export interface SoakFaultsOptions {
+    readonly store: SoakStore;
+    readonly entries: EntryProcesses;
+    readonly servers: SoakServers;
+    readonly operator: SoakOperator;
+    readonly random: SoakRandom;
+}
+
+export type SoakFaults = Readonly<Record<string, () => Promise<void>>>;
+
+const STORE_FAULTS: readonly StoreFault[] = ["busy", "silent", "reset"];
+const LINK_FAULTS: readonly LinkFault[] = ["delay", "reset", "silent", "one way", "refuse"];
+
+/** Time until Node.js runs the program's code on a busy machine. */
+const NODE_STARTUP_MS = 400;
+
+/** Time after which the registry row of a crashed server expires. */
+const REGISTRY_EXPIRY_MS = 1500;
+
+export function createSoakFaults(options: SoakFaultsOptions): SoakFaults {
+    return { ...createEntryFaults(options), ...createStoreFaults(options), ...createServerFaults(options) };
+}
+
+function createEntryFaults({ entries, operator, random }: SoakFaultsOptions): SoakFaults {
+    return {
+        "kill an entry": async () => entries.signal(random.pick(entries.all), "SIGKILL"),
+        "stop an entry": async () => entries.signal(random.pick(entries.all), "SIGTERM"),
+        "stop all entries in turn": async () => {
+            for (const entry of entries.all) {
+                entries.signal(entry, "SIGTERM");
+                await sleep(1000);
+            }
+        },
+        "kill all entries": async () => entries.all.forEach(entry => entries.signal(entry, "SIGKILL")),
+        "freeze an entry": async () => {
+            const entry = random.pick(entries.all);
+            entries.signal(entry, "SIGSTOP");
+            await sleep(random.between(200, 2500));
+            entries.signal(entry, "SIGCONT");
+        },
+        "reload an entry": async () => {
+            for (let index = 0; index < 3; index++) {
+                const entry = random.pick(entries.all);
+                // Before Node.js runs the program's code, a SIGHUP terminates the process; the program can't prevent
+                // that.
+                if (performance.now() - entry.startedAt > NODE_STARTUP_MS) entries.signal(entry, "SIGHUP");
+                await sleep(200);
+            }
+        },
+        "change the keys": async () => {
+            for (let index = 0; index < 2; index++) {
+                operator.addKey();
+                operator.revokeKey();
+                operator.writeConfiguration();
+                await sleep(300);
+            }
+        },
+    };
+}
+
+function createStoreFaults({ store, entries, servers, random }: SoakFaultsOptions): SoakFaults {
+    return {
+        "disturb the store": async () => {
+            const expiringServers = servers.all.filter(({ drainStartedAt, isStopped }) =>
+                drainStartedAt === undefined && !isStopped && random.next() < 0.3
+            );
+            store.recordFault(Number.POSITIVE_INFINITY);
+            store.fake.setFault(random.pick(STORE_FAULTS));
+            await sleep(random.between(500, 4000));
+            for (const { id } of expiringServers) store.fake.remove("servers", id);
+            store.fake.setFault("none");
+            store.recordFault(performance.now());
+            await sleep(1000);
+            for (const server of expiringServers) {
+                if (server.drainStartedAt === undefined && !server.isStopped) servers.register(server);
+            }
+            store.recordFault(performance.now());
+        },
+        "drop the store's change history": async () => {
+            store.recordFault(performance.now());
+            store.fake.compact();
+        },
+        "disturb the link between an entry and the store": async () => {
+            const { storeLink } = random.pick(entries.all);
+            storeLink.setFault(random.pick(LINK_FAULTS), performance.now());
+            await sleep(random.between(500, 4000));
+            storeLink.setFault("none", performance.now());
+        },
+    };
+}
+
+function createServerFaults({ store, servers, random }: SoakFaultsOptions): SoakFaults {
+    return {
+        "disturb the link between the entries and a server": async () => {
+            const { link } = random.pick(servers.all);
+            link.setFault(random.pick(LINK_FAULTS), performance.now());
+            servers.recordFault(Number.POSITIVE_INFINITY);
+            await sleep(random.between(300, 3000));
+            link.setFault("none", performance.now());
+            servers.recordFault(performance.now());
+        },
+        "crash a server": async () => {
+            const server = random.pick(servers.all);
+            if (server.isStopped) return;
+            server.isStopped = true;
+            servers.recordFault(performance.now());
+            server.link.setFault("refuse", performance.now());
+            server.runner.close();
+            await servers.add();
+            await sleep(REGISTRY_EXPIRY_MS);
+            store.fake.remove("servers", server.id);
+        },
+        "drain a server": async () => {
+            const server = random.pick(servers.all);
+            if (server.isStopped || server.drainStartedAt !== undefined) return;
+            await servers.add();
+            servers.register(server, "draining");
+            server.drainStartedAt = performance.now();
+            await sleep(DRAIN_MS + 2 * SCHEDULING_DELAY_MS);
+            server.isStopped = true;
+            store.fake.remove("servers", server.id);
+        },
+    };
+}
