Send the soak's SIGHUP only to processes that run the program's code

The soak waited 400 ms after a process's start before it sent a SIGHUP. That time says nothing if another fault freezes the process while Node.js starts: the signal is then delivered before any code of the program has run, and terminates the process.

The soak now asks whether the process handles the signal, or has written to its log. A process that runs and doesn't handle it still fails the soak, and a SIGHUP can come earlier than before.

--- a/src/test/soak/entryProcesses.ts
+++ b/src/test/soak/entryProcesses.ts
@@ -1,6 +1,6 @@
 /** The soak's entries: child processes that are signalled from outside, and started again after they have exited. */
 import { type ChildProcess, spawn } from "node:child_process";
-import { writeFileSync } from "node:fs";
+import { existsSync, readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { sendCall, waitUntil } from "../router/routerHarness.js";
@@ -13,6 +13,8 @@
     readonly storeLink: FaultProxy;
     child: ChildProcess | undefined;
     startedAt: number;
+    /** The process has written to its log, so that it runs the program's code. */
+    hasLogged: boolean;
     lastFaultAt: number;
     /** The process got SIGTERM while no fault affected it, and none has since. */
     isGracefulStop: boolean;
@@ -27,6 +29,11 @@
     /** Starts all entries and waits until they are ready. */
     start(): Promise<void>;
     signal(entry: EntryProcess, signal: NodeJS.Signals): void;
+    /**
+     * Sends SIGHUP, unless Node.js hasn't run the program's code yet. It would terminate the process then, which the
+     * program can't prevent. Returns whether the signal was sent.
+     */
+    reload(entry: EntryProcess): boolean;
     lastFaultAt(entry: EntryProcess, at: number): number;
     /** Returns whether an entry becomes ready within 5 s. */
     becomesReady(entry: EntryProcess): Promise<boolean>;
@@ -49,6 +56,9 @@
 
 const RESTART_DELAY_MS = 300;
 
+/** Mask of SIGHUP among the signals that `/proc` lists. */
+const HANGUP_MASK = 1n;
+
 export async function createEntryProcesses(options: EntryProcessesOptions): Promise<EntryProcesses> {
     const { port, log, onViolation } = options;
     const now = () => performance.now();
@@ -61,6 +71,7 @@
             storeLink: await startFaultProxy(() => options.storeAddress),
             child: undefined,
             startedAt: now(),
+            hasLogged: false,
             lastFaultAt: now(),
             isGracefulStop: false,
             isExitExpected: false,
@@ -89,10 +100,14 @@
     function startEntry(entry: EntryProcess): void {
         entry.isExitExpected = false;
         entry.isGracefulStop = false;
+        entry.hasLogged = false;
         entry.startedAt = entry.lastFaultAt = now();
         const child = spawn(process.execPath, [MAIN, "entry"], {
             env: { ...process.env, ENDIVEWELL_SETTINGS: writeSettings(entry) },
-            stdio: ["ignore", "ignore", "pipe"],
+            stdio: ["ignore", "pipe", "pipe"],
+        });
+        child.stdout?.on("data", () => {
+            if (entry.child === child) entry.hasLogged = true;
         });
         child.stderr?.on("data", text => onViolation(`${entry.name} wrote to standard error: ${String(text)}`));
         child.once("exit", (code, signal) => {
@@ -114,6 +129,13 @@
         entry.child?.kill(name);
     }
 
+    function reload(entry: EntryProcess): boolean {
+        const pid = entry.child?.pid;
+        if (pid === undefined || !(entry.hasLogged || catchesHangup(pid))) return false;
+        signal(entry, "SIGHUP");
+        return true;
+    }
+
     const isReady = async ({ ip }: EntryProcess) => (await sendCall(port + 1, { path: "/", ip })).status === 200;
 
     return {
@@ -124,6 +146,7 @@
             for (const entry of entries) await waitUntil(() => isReady(entry));
         },
         signal,
+        reload,
         lastFaultAt,
         becomesReady: entry => waitUntil(() => isReady(entry)).then(() => true, () => false),
         stopRestarting: () => {
@@ -139,3 +162,12 @@
         },
     };
 }
+
+/** Returns whether a process has a handler for SIGHUP. */
+function catchesHangup(pid: number): boolean {
+    const path = `/proc/${pid}/status`;
+    const caughtSignals = existsSync(path) ?
+        /^SigCgt:\s*([0-9a-f]+)$/m.exec(readFileSync(path, "utf8"))?.[1] :
+        undefined;
+    return (BigInt(`0x${caughtSignals ?? "0"}`) & HANGUP_MASK) === HANGUP_MASK;
+}
--- a/src/test/soak/soakFaults.ts
+++ b/src/test/soak/soakFaults.ts
@@ -22,9 +22,6 @@
 const STORE_FAULTS: readonly StoreFault[] = ["busy", "silent", "reset"];
 const LINK_FAULTS: readonly LinkFault[] = ["delay", "reset", "silent", "one way", "refuse"];
 
-/** Time until Node.js runs the program's code on a busy machine. */
-const NODE_STARTUP_MS = 400;
-
 /** Time after which the registry row of a crashed server expires. */
 const REGISTRY_EXPIRY_MS = 1500;
 
@@ -51,10 +48,7 @@
         },
         "reload an entry": async () => {
             for (let index = 0; index < 3; index++) {
-                const entry = random.pick(entries.all);
-                // Before Node.js runs the program's code, a SIGHUP terminates the process; the program can't prevent
-                // that.
-                if (performance.now() - entry.startedAt > NODE_STARTUP_MS) entries.signal(entry, "SIGHUP");
+                entries.reload(random.pick(entries.all));
                 await sleep(200);
             }
         },
