Restore a fake store's history with its rows, and let it close at once

A restoration to a copy from before a compaction left the fake without any revision from which a feed can continue, so that each feed call got 410. A copy holds the oldest revision too. Feed calls that waited when a fake was closed kept the test's process alive for up to 10 s.

--- a/src/test/platform/fakeStore.ts
+++ b/src/test/platform/fakeStore.ts
@@ -16,6 +16,8 @@
 /** State of the store at one moment. */
 export interface StoreCopy {
     readonly revision: number;
+    /** Smallest revision from which a feed can continue. */
+    readonly oldestRevision: number;
     readonly rows: ReadonlyMap<string, Change>;
 }
 
@@ -49,7 +51,6 @@
 
 export async function startFakeStore(): Promise<FakeStore> {
     let revision = 0;
-    /** Smallest revision from which a feed can continue. */
     let oldestRevision = 0;
     let fault: StoreFault = "none";
     let era = 0;
@@ -157,10 +158,10 @@
         setFault: newFault => {
             fault = newFault;
         },
-        copy: () => ({ revision, rows: new Map(rows) }),
+        copy: () => ({ revision, oldestRevision, rows: new Map(rows) }),
         restore: copy => {
             era++;
-            revision = copy.revision;
+            ({ revision, oldestRevision } = copy);
             rows = new Map(copy.rows);
             for (const socket of busySockets) socket.destroy();
             busySockets.clear();
@@ -171,6 +172,8 @@
         close: () => {
             server.close();
             server.closeAllConnections();
+            // Their timers would keep the process alive.
+            for (const wake of waitingFeeds) wake();
         },
     };
 }
