Report entries of the soak that don't become ready, and reserve their ports on their own addresses

The exception hid what the entries had reported, and ended the runs of the later seeds too. It is a violation of that seed now, with the same bound, and the logs of the entries are kept and can be written to a directory. The free port range was looked for on 127.0.0.1 only, where no entry listens, so two soaks at the same time could choose the same ports; it is checked on the entries' own addresses now. Whether that was the cause isn't shown.

--- a/src/test/router/routerHarness.ts
+++ b/src/test/router/routerHarness.ts
@@ -11,14 +11,16 @@
 const PORT_RANGE_SIZE = 16;
 
 /**
- * Returns the first port of a free range. The range lies below the ephemeral ports, which connections of parallel tests
+ * Returns the first port of a range that is free on each of the addresses. The range lies below the ephemeral ports, which connections of parallel tests
  * could otherwise take before the test does.
  */
-export async function findFreePortRange(ip = "127.0.0.1"): Promise<number> {
+export async function findFreePortRange(...ips: readonly string[]): Promise<number> {
+    const addresses = ips.length === 0 ? ["127.0.0.1"] : ips;
     for (;;) {
         const firstPort = randomInt(10_000 / PORT_RANGE_SIZE, 32_000 / PORT_RANGE_SIZE) * PORT_RANGE_SIZE;
         const ports = Array.from({ length: PORT_RANGE_SIZE }, (_, index) => firstPort + index);
-        if ((await Promise.all(ports.map(port => isFree(ip, port)))).every(Boolean)) return firstPort;
+        const checks = addresses.flatMap(ip => ports.map(port => isFree(ip, port)));
+        if ((await Promise.all(checks)).every(Boolean)) return firstPort;
     }
 }
 
--- a/src/test/soak/entryProcesses.test.ts
+++ b/src/test/soak/entryProcesses.test.ts
@@ -6,7 +6,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { configurationRow } from "../platform/fakeRunner.js";
 import { type FakeStore, startFakeStore } from "../platform/fakeStore.js";
-import { findFreePortRange } from "../router/routerHarness.js";
 import { createEntryProcesses, type EntryProcesses } from "./entryProcesses.js";
 
 let store: FakeStore;
@@ -21,7 +20,6 @@
     violations = [];
     entries = await createEntryProcesses({
         count: 1,
-        port: await findFreePortRange(),
         storeAddress: store.address,
         directory,
         log: () => undefined,
--- a/src/test/soak/entryProcesses.ts
+++ b/src/test/soak/entryProcesses.ts
@@ -3,7 +3,7 @@
 import { existsSync, readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { sendCall, waitUntil } from "../router/routerHarness.js";
+import { findFreePortRange, sendCall, waitUntil } from "../router/routerHarness.js";
 import { STABILITY_WINDOW_MS } from "./bounds.js";
 import { type FaultProxy, startFaultProxy } from "./faultProxy.js";
 
@@ -15,6 +15,8 @@
     startedAt: number;
     /** The process has written to its log, so that it runs the program's code. */
     hasLogged: boolean;
+    /** What the process and earlier ones have written to their logs. */
+    readonly log: string[];
     lastFaultAt: number;
     /** The process got SIGTERM while no fault affected it, and none has since. */
     isGracefulStop: boolean;
@@ -26,7 +28,7 @@
     readonly all: readonly EntryProcess[];
     /** Port of every entry for calls. */
     readonly port: number;
-    /** Starts all entries and waits until they are ready. */
+    /** Starts all entries and waits until they are ready. One that isn't within 5 s is a violation. */
     start(): Promise<void>;
     signal(entry: EntryProcess, signal: NodeJS.Signals): void;
     /**
@@ -37,6 +39,8 @@
     lastFaultAt(entry: EntryProcess, at: number): number;
     /** Returns whether an entry becomes ready within 5 s. */
     becomesReady(entry: EntryProcess): Promise<boolean>;
+    /** Returns what each entry has written to its log, by name. */
+    logs(): ReadonlyMap<string, string>;
     /** Exited processes aren't started again from now on. */
     stopRestarting(): void;
     close(): void;
@@ -44,7 +48,6 @@
 
 export interface EntryProcessesOptions {
     readonly count: number;
-    readonly port: number;
     readonly storeAddress: string;
     /** Directory of the settings files. */
     readonly directory: string;
@@ -60,18 +63,21 @@
 const HANGUP_MASK = 1n;
 
 export async function createEntryProcesses(options: EntryProcessesOptions): Promise<EntryProcesses> {
-    const { port, log, onViolation } = options;
+    const { log, onViolation } = options;
     const now = () => performance.now();
     const entries: EntryProcess[] = [];
     let isRestarting = true;
-    for (let index = 0; index < options.count; index++) {
+    const ips = Array.from({ length: options.count }, (_, index) => `127.0.0.${index + 2}`);
+    const port = await findFreePortRange(...ips);
+    for (const [index, ip] of ips.entries()) {
         entries.push({
             name: `entry-${index}`,
-            ip: `127.0.0.${index + 2}`,
+            ip,
             storeLink: await startFaultProxy(() => options.storeAddress),
             child: undefined,
             startedAt: now(),
             hasLogged: false,
+            log: [],
             lastFaultAt: now(),
             isGracefulStop: false,
             isExitExpected: false,
@@ -106,7 +112,8 @@
             env: { ...process.env, ENDIVEWELL_SETTINGS: writeSettings(entry) },
             stdio: ["ignore", "pipe", "pipe"],
         });
-        child.stdout?.on("data", () => {
+        child.stdout?.on("data", text => {
+            entry.log.push(String(text));
             if (entry.child === child) entry.hasLogged = true;
         });
         child.stderr?.on("data", text => onViolation(`${entry.name} wrote to standard error: ${String(text)}`));
@@ -136,6 +143,8 @@
         return true;
     }
 
+    const becomesReady = (entry: EntryProcess) => waitUntil(() => isReady(entry)).then(() => true, () => false);
+
     const isReady = async ({ ip }: EntryProcess) => (await sendCall(port + 1, { path: "/", ip })).status === 200;
 
     return {
@@ -143,12 +152,18 @@
         port,
         start: async () => {
             for (const entry of entries) startEntry(entry);
-            for (const entry of entries) await waitUntil(() => isReady(entry));
+            for (const entry of entries) {
+                if (await becomesReady(entry)) {
+                    log(`${entry.name} ready ${Math.round(now() - entry.startedAt)} ms after its start`);
+                }
+                else onViolation(`${entry.name} isn't ready after its start`);
+            }
         },
         signal,
         reload,
         lastFaultAt,
-        becomesReady: entry => waitUntil(() => isReady(entry)).then(() => true, () => false),
+        becomesReady,
+        logs: () => new Map(entries.map(entry => [entry.name, entry.log.join("")])),
         stopRestarting: () => {
             isRestarting = false;
         },
--- a/src/test/soak/soak.ts
+++ b/src/test/soak/soak.ts
@@ -6,7 +6,6 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
-import { findFreePortRange } from "../router/routerHarness.js";
 import { STABILITY_WINDOW_MS } from "./bounds.js";
 import { createEntryProcesses } from "./entryProcesses.js";
 import { createLedger } from "./ledger.js";
@@ -33,6 +32,8 @@
     readonly answered: number;
     readonly runs: number;
     readonly faults: number;
+    /** Logs of the entries by name. */
+    readonly entryLogs: ReadonlyMap<string, string>;
 }
 
 const INITIAL_KEY_COUNT = 3;
@@ -52,7 +53,6 @@
     const store = await startSoakStore();
     const entries = await createEntryProcesses({
         count: options.entries,
-        port: await findFreePortRange(),
         storeAddress: store.fake.address,
         directory,
         log: options.log,
@@ -95,7 +95,12 @@
         store.fake.close();
         rmSync(directory, { recursive: true });
     }
-    return { violations: [...violations, ...ledger.listViolations()], faults: faultCount, ...ledger.counts() };
+    return {
+        violations: [...violations, ...ledger.listViolations()],
+        faults: faultCount,
+        entryLogs: entries.logs(),
+        ...ledger.counts(),
+    };
 }
 
 /** Injects faults for the length of the soak and waits until the last one has ended. Returns their number. */
--- a/src/test/soak/soakScript.ts
+++ b/src/test/soak/soakScript.ts
@@ -1,8 +1,11 @@
 /**
  * Command line of the fault soak:
- * `npm run soak -- [--seeds N] [--first SEED] [--seconds S] [--entries N] [--servers N] [--callers N] [--verbose]`
+ * `npm run soak -- [--seeds N] [--first SEED] [--seconds S] [--entries N] [--servers N] [--callers N] [--verbose]
+ * [--logs DIRECTORY]`; the logs of the entries of a failed run are written to that directory.
  */
 import { randomInt } from "node:crypto";
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
 import { parseArgs } from "node:util";
 import { runSoak } from "./soak.js";
 
@@ -14,6 +17,7 @@
         entries: { type: "string", default: "3" },
         servers: { type: "string", default: "6" },
         callers: { type: "string", default: "12" },
+        logs: { type: "string" },
         verbose: { type: "boolean", default: false },
     },
 });
@@ -38,6 +42,9 @@
     if (violations.length === 0) continue;
     failedCount++;
     print([...lines, ...violations.slice(0, 20)].join("\n"));
+    if (values.logs === undefined) continue;
+    mkdirSync(values.logs, { recursive: true });
+    for (const [name, log] of result.entryLogs) writeFileSync(join(values.logs, `${seed}-${name}.log`), log);
 }
 print(`${Number(values.seeds) - failedCount} passed, ${failedCount} failed`);
 process.exit(failedCount === 0 ? 0 : 1);
