Let the soak restore the store from a copy, and servers leave or pause by their answers

New faults: the store is away for up to 2.5 s and comes back from a copy that is 1 to 9 s old, once or twice; the operator and the servers write theirs again up to 1.5 s later, or a single change follows late; rows of servers that have left come back for 3.6 s. Servers say in all answers that they are leaving, with or without a word in the store, or turn calls away for a stated time. Signals and changes of the keys come in quick succession, and callers keep connections until they end, some of them idle for a while.

New checks: no process goes back to an older configuration; a server that leaves by its answers or its row gets no call that is sent after its drain time, and one that pauses at most two in the rest of the pause from 0.5 s on, both for each span of a process without restart or freeze; at most three calls end without a response at entries that nothing affected. Keys whose change was lost in a restoration count from the time at which it was acknowledged again. All checks from before are unchanged. Servers state the same start time in each registration, so that one that registers again after an outage is the same incarnation.

--- a/src/test/soak/entryProcesses.test.ts
+++ b/src/test/soak/entryProcesses.test.ts
@@ -23,6 +23,7 @@
         storeAddress: store.address,
         directory,
         log: () => undefined,
+        onSpanEnd: () => undefined,
         onViolation: text => void violations.push(text),
     });
 });
--- a/src/test/soak/entryProcesses.ts
+++ b/src/test/soak/entryProcesses.ts
@@ -12,12 +12,17 @@
     readonly ip: string;
     readonly storeLink: FaultProxy;
     child: ChildProcess | undefined;
+    startCount: number;
+    /** Number of times at which the process was frozen or continued. */
+    freezeCount: number;
     startedAt: number;
     /** The process has written to its log, so that it runs the program's code. */
     hasLogged: boolean;
     /** What the process and earlier ones have written to their logs. */
     readonly log: string[];
     lastFaultAt: number;
+    /** The same without reloads, which are planned work. */
+    lastDisruptionAt: number;
     /** The process got SIGTERM while no fault affected it, and none has since. */
     isGracefulStop: boolean;
     /** The process got SIGTERM or SIGKILL, so its exit isn't a failure. */
@@ -53,6 +58,18 @@
     readonly directory: string;
     readonly log: (line: string) => void;
     readonly onViolation: (text: string) => void;
+    /** Called when a span of a process ends, with its name. */
+    readonly onSpanEnd: (span: string) => void;
+}
+
+/** Names the running process of an entry. Each start has another name. */
+export function lifeOf({ name, startCount }: EntryProcess): string {
+    return `${name}/${startCount}`;
+}
+
+/** Names the time since the last start or freeze of an entry's process. */
+export function spanOf(entry: EntryProcess): string {
+    return `${lifeOf(entry)}/${entry.freezeCount}`;
 }
 
 const MAIN = fileURLToPath(new URL("../../main.js", import.meta.url));
@@ -75,10 +92,13 @@
             ip,
             storeLink: await startFaultProxy(() => options.storeAddress),
             child: undefined,
+            startCount: 0,
+            freezeCount: 0,
             startedAt: now(),
             hasLogged: false,
             log: [],
             lastFaultAt: now(),
+            lastDisruptionAt: now(),
             isGracefulStop: false,
             isExitExpected: false,
         });
@@ -107,7 +127,9 @@
         entry.isExitExpected = false;
         entry.isGracefulStop = false;
         entry.hasLogged = false;
-        entry.startedAt = entry.lastFaultAt = now();
+        options.onSpanEnd(spanOf(entry));
+        entry.startCount++;
+        entry.startedAt = entry.lastFaultAt = entry.lastDisruptionAt = now();
         const child = spawn(process.execPath, [MAIN, "entry"], {
             env: { ...process.env, ENDIVEWELL_SETTINGS: writeSettings(entry) },
             stdio: ["ignore", "pipe", "pipe"],
@@ -121,7 +143,7 @@
             if (entry.child === child) entry.child = undefined;
             if (!entry.isExitExpected) onViolation(`${entry.name} exited unexpectedly with ${code ?? signal}`);
             log(`${entry.name} exited`);
-            entry.lastFaultAt = now();
+            entry.lastFaultAt = entry.lastDisruptionAt = now();
             if (isRestarting) setTimeout(() => isRestarting && startEntry(entry), RESTART_DELAY_MS);
         });
         entry.child = child;
@@ -132,7 +154,12 @@
         if (name === "SIGTERM") entry.isGracefulStop = at - lastFaultAt(entry, at) > STABILITY_WINDOW_MS;
         else if (name !== "SIGHUP") entry.isGracefulStop = false;
         if (name !== "SIGTERM") entry.lastFaultAt = at;
+        if (name !== "SIGTERM" && name !== "SIGHUP") entry.lastDisruptionAt = at;
         if (name === "SIGKILL" || name === "SIGTERM") entry.isExitExpected = true;
+        if (name === "SIGSTOP" || name === "SIGCONT") {
+            options.onSpanEnd(spanOf(entry));
+            entry.freezeCount++;
+        }
         entry.child?.kill(name);
     }
 
--- a/src/test/soak/ledger.ts
+++ b/src/test/soak/ledger.ts
@@ -23,6 +23,8 @@
     readonly endedAt: number;
     /** The caller closed the connection before the response was complete. */
     readonly isCancelled: boolean;
+    /** Nothing but reloads and configuration changes affected the entry, and no server or link failed. */
+    readonly isUndisturbed: boolean;
     /** A fault affected the entry or its link to the store during the call or shortly before. */
     readonly isAffectedByFault: boolean;
     /** The entry got SIGTERM, and no other fault affected the call. */
@@ -62,6 +64,9 @@
  */
 const MAX_GRACEFUL_STOP_CUT_COUNT = 3;
 
+/** Number of calls per soak that may end without a response although nothing affected the entry. */
+const MAX_UNANSWERED_COUNT = 3;
+
 /** Timeout of the route (3000 ms), 500 ms more, and 250 ms for scheduling delays. */
 const MAX_CALL_DURATION_MS = 3750;
 
@@ -145,6 +150,15 @@
             [];
     }
 
+    function findUnanswered(): string[] {
+        const unanswered = [...results.values()].filter(({ status, isCancelled, isUndisturbed }) =>
+            status === 0 && !isCancelled && isUndisturbed
+        );
+        return unanswered.length > MAX_UNANSWERED_COUNT ?
+            [`lost: ${unanswered.length} calls without a response by entries that nothing affected`] :
+            [];
+    }
+
     return {
         recordSent: call => void calls.set(call.id, call),
         recordResult: (id, result) => void results.set(id, result),
@@ -160,6 +174,7 @@
             ),
             ...findLateStarts(),
             ...findGracefulStopCuts(),
+            ...findUnanswered(),
         ],
         counts: () => ({
             calls: calls.size,
--- a/src/test/soak/serverResponses.ts
+++ b/src/test/soak/serverResponses.ts
@@ -17,38 +17,38 @@
 /** Returns whether the server sends a complete response to a call that it executes. */
 export const isCompletelyAnswered = (draw: number) => draw >= 0.14;
 
-/** Responds to a call that the server executes; `draw` selects the response. */
-export function sendRunResponse(request: ReceivedRequest, draw: number): void {
+/** Responds to a call that the server executes; `draw` selects the response, and `headers` are added to it. */
+export function sendRunResponse(request: ReceivedRequest, draw: number, headers: string): void {
     if (draw < 0.06) {
         request.socket.resetAndDestroy();
         return;
     }
     if (draw < 0.065) return;
-    if (/ \/talk\//.test(request.head)) void sendStreamResponse(request, draw);
-    else setTimeout(() => sendPlainResponse(request, draw), draw * 60 + (isSilent(draw) ? SILENCE_MS : 0));
+    if (/ \/talk\//.test(request.head)) void sendStreamResponse(request, draw, headers);
+    else setTimeout(() => sendPlainResponse(request, draw, headers), draw * 60 + (isSilent(draw) ? SILENCE_MS : 0));
 }
 
-function sendPlainResponse(request: ReceivedRequest, draw: number): void {
+function sendPlainResponse(request: ReceivedRequest, draw: number, headers: string): void {
     const { socket, attemptId: id } = request;
     const body = expectedBody("read", id);
-    const head = `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nResponse-Seal: s\r\n`;
-    if (draw < 0.08) socket.write(completeResponse(request, "failed", "500 Internal Server Error"));
+    const head = `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nResponse-Seal: s\r\n${headers}`;
+    if (draw < 0.08) socket.write(completeResponse(request, "failed", "500 Internal Server Error", headers));
     else if (draw < 0.1) socket.end(`${head}\r\n${body}`);
     else if (draw < 0.11) {
         socket.write(`${head}\r\n${body.slice(0, 5)}`);
         setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
     }
     else if (draw < 0.12) socket.end(`${head}Content-Length: ${body.length}\r\n\r\n${body.slice(0, 5)}`);
-    else socket.write(completeResponse(request, body));
+    else socket.write(completeResponse(request, body, "200 OK", headers));
     if (draw > 0.98) setTimeout(() => socket.write(completeResponse(request, "extra")), 10);
 }
 
-async function sendStreamResponse(request: ReceivedRequest, draw: number): Promise<void> {
+async function sendStreamResponse(request: ReceivedRequest, draw: number, headers: string): Promise<void> {
     const { socket, attemptId: id } = request;
     const texts = eventTexts(id, 1 + Number(request.header("last-event-id") || "0"));
     const middle = Math.floor(texts.length / 2);
     const breakAt = isCompletelyAnswered(draw) ? -1 : middle;
-    socket.write(streamResponseHead(request));
+    socket.write(streamResponseHead(request, headers));
     for (const [index, text] of texts.entries()) {
         if (index === breakAt) {
             socket.write(encodeChunk(text.slice(0, 9)), () => socket.resetAndDestroy());
--- a/src/test/soak/soak.test.ts
+++ b/src/test/soak/soak.test.ts
@@ -10,6 +10,7 @@
     isComplete: true,
     endedAt: 100,
     isCancelled: false,
+    isUndisturbed: false,
     isAffectedByFault: false,
     isGracefulStop: false,
 };
@@ -53,23 +54,26 @@
 
 // Guards against a ledger that doesn't report when more calls than allowed start after their callers have cancelled
 // them or are interrupted by graceful stops.
-test("the ledger counts calls that started too late and calls that a graceful stop interrupted", () => {
+test("the ledger counts calls that started too late, were interrupted by a graceful stop or got no response", () => {
     const ledger = createLedger();
+    const changes = {
+        late: { isCancelled: true },
+        cut: { isGracefulStop: true },
+        unanswered: { isUndisturbed: true },
+    };
     for (let index = 0; index < 4; index++) {
-        for (const name of ["late", "cut"]) {
+        for (const [name, change] of Object.entries(changes)) {
             const id = `${name}-${index}`;
             ledger.recordSent({ id, kind: "book", account: "a", sentAt: 0 });
             const result = { ...RESULT, status: 0, body: "", isComplete: false };
-            ledger.recordResult(
-                id,
-                name === "late" ? { ...result, isCancelled: true } : { ...result, isGracefulStop: true },
-            );
+            ledger.recordResult(id, { ...result, ...change });
             ledger.recordRun({ ...RUN, id, startedAt: name === "late" ? 900 : 50 });
         }
     }
     const violations = ledger.listViolations().join();
     assert.match(violations, /gone: 4/);
-    assert.match(violations, /lost: 4/);
+    assert.match(violations, /lost: 4 calls interrupted/);
+    assert.match(violations, /lost: 4 calls without a response/);
 });
 
 /** Seeds of the regular test run. Seeds that once failed are added with a comment on the cause. */
@@ -82,19 +86,31 @@
     16,
 ];
 
+async function assertFulfilled(seed: number, faultNames?: readonly string[]): Promise<void> {
+    const lines: string[] = [];
+    const { violations, answered } = await runSoak({
+        seed,
+        seconds: 8,
+        entries: 3,
+        servers: 6,
+        callers: 8,
+        ...faultNames === undefined ? {} : { faultNames },
+        log: line => void lines.push(line),
+    });
+    assert.deepEqual(violations, [], lines.join("\n"));
+    assert.ok(answered > 100, `${answered} calls were answered`);
+}
+
 // Guards against guarantees that are violated when faults of the store, links, servers and processes overlap.
 for (const seed of SEEDS) {
-    test(`entries fulfil their guarantees under the faults of seed ${seed}`, async () => {
-        const lines: string[] = [];
-        const { violations, answered } = await runSoak({
-            seed,
-            seconds: 8,
-            entries: 3,
-            servers: 6,
-            callers: 8,
-            log: line => void lines.push(line),
-        });
-        assert.deepEqual(violations, [], lines.join("\n"));
-        assert.ok(answered > 100, `${answered} calls were answered`);
-    });
+    test(`entries fulfil their guarantees under the faults of seed ${seed}`, () => assertFulfilled(seed));
 }
+
+// Guards against changes of the configuration that are late or taken back, and calls to servers that have left, after the
+// store was restored from a copy.
+test("entries fulfil their guarantees when the store is restored from a copy", () =>
+    assertFulfilled(5, ["restore", "change the keys", "drain", "entry and the store", "reload", "kill an entry"]));
+
+// Guards against calls to servers that say in their answers that they are leaving or want a pause.
+test("entries fulfil their guarantees when servers leave or pause by their answers", () =>
+    assertFulfilled(6, ["by its answers", "pauses", "disturb the store", "freeze", "stop an entry"]));
--- a/src/test/soak/soak.ts
+++ b/src/test/soak/soak.ts
@@ -7,8 +7,10 @@
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { STABILITY_WINDOW_MS } from "./bounds.js";
+import { createConfigurationLedger } from "./configurationLedger.js";
 import { createEntryProcesses } from "./entryProcesses.js";
 import { createLedger } from "./ledger.js";
+import { createNoticeLedger } from "./noticeLedger.js";
 import { runCaller } from "./soakCallers.js";
 import { createSoakFaults, type SoakFaults } from "./soakFaults.js";
 import { createSoakOperator } from "./soakOperator.js";
@@ -22,6 +24,8 @@
     readonly entries: number;
     readonly servers: number;
     readonly callers: number;
+    /** Only faults whose names contain one of these texts are injected; all if there are none. */
+    readonly faultNames?: readonly string[];
     /** Called with a line of text for each injected fault and each process exit. */
     readonly log: (line: string) => void;
 }
@@ -45,6 +49,8 @@
     const random = createSoakRandom(options.seed);
     const directory = mkdtempSync(join(tmpdir(), "endivewell-soak-"));
     const ledger = createLedger();
+    const notices = createNoticeLedger();
+    const configurations = createConfigurationLedger();
     const violations: string[] = [];
     const onViolation = (text: string) => void violations.push(text);
     let lastSerial = 0;
@@ -57,9 +63,10 @@
         directory,
         log: options.log,
         onViolation,
+        onSpanEnd: notices.endSpan,
     });
     const operator = createSoakOperator(store, random, nextSerial);
-    const servers = createSoakServers({ store, entries, ledger, random, nextSerial });
+    const servers = createSoakServers({ store, entries, ledger, notices, random, nextSerial });
     let faultCount = 0;
     try {
         for (let index = 0; index < INITIAL_KEY_COUNT; index++) operator.addKey();
@@ -72,13 +79,15 @@
             servers,
             operator,
             ledger,
+            notices,
+            configurations,
             random,
             nextSerial,
             isFinished: () => isFinished,
             onViolation,
         };
         const callers = Array.from({ length: options.callers }, () => runCaller(caller));
-        const faults = createSoakFaults({ store, entries, servers, operator, random });
+        const faults = createSoakFaults({ store, entries, servers, operator, notices, random });
         faultCount = await injectFaults(faults, random, options);
         await sleep(STABILITY_WINDOW_MS);
         for (const entry of entries.all) {
@@ -92,11 +101,11 @@
         isFinished = true;
         entries.close();
         servers.close();
-        store.fake.close();
+        store.close();
         rmSync(directory, { recursive: true });
     }
     return {
-        violations: [...violations, ...ledger.listViolations()],
+        violations: [...violations, ...ledger.listViolations(), ...notices.listViolations()],
         faults: faultCount,
         entryLogs: entries.logs(),
         ...ledger.counts(),
@@ -105,13 +114,15 @@
 
 /** Injects faults for the length of the soak and waits until the last one has ended. Returns their number. */
 async function injectFaults(faults: SoakFaults, random: SoakRandom, options: SoakOptions): Promise<number> {
+    const { faultNames = [""] } = options;
+    const names = Object.keys(faults).filter(name => faultNames.some(text => name.includes(text)));
     const startedAt = performance.now();
     const activeFaults = new Set<Promise<void>>();
     let faultCount = 0;
     for (;;) {
         const elapsedSeconds = (performance.now() - startedAt) / 1000;
         if (elapsedSeconds >= options.seconds) break;
-        const name = random.pick(Object.keys(faults));
+        const name = random.pick(names);
         options.log(`${elapsedSeconds.toFixed(1)} s ${name}`);
         faultCount++;
         const fault = faults[name]?.().finally(() => activeFaults.delete(fault as Promise<void>));
--- a/src/test/soak/soakFaults.ts
+++ b/src/test/soak/soakFaults.ts
@@ -1,9 +1,11 @@
 /** The faults that the soak injects. Each lasts until its promise resolves. */
 import { setTimeout as sleep } from "node:timers/promises";
 import type { StoreFault } from "../platform/fakeStore.js";
-import { DRAIN_MS, SCHEDULING_DELAY_MS } from "./bounds.js";
 import type { EntryProcesses } from "./entryProcesses.js";
 import type { LinkFault } from "./faultProxy.js";
+import { createNoticeFaults, finishDrain } from "./noticeFaults.js";
+import type { NoticeLedger } from "./noticeLedger.js";
+import { createRestorationFaults } from "./restorationFaults.js";
 import type { SoakOperator } from "./soakOperator.js";
 import type { SoakRandom } from "./soakRandom.js";
 import type { SoakServers } from "./soakServers.js";
@@ -14,6 +16,7 @@
     readonly entries: EntryProcesses;
     readonly servers: SoakServers;
     readonly operator: SoakOperator;
+    readonly notices: NoticeLedger;
     readonly random: SoakRandom;
 }
 
@@ -26,7 +29,13 @@
 const REGISTRY_EXPIRY_MS = 1500;
 
 export function createSoakFaults(options: SoakFaultsOptions): SoakFaults {
-    return { ...createEntryFaults(options), ...createStoreFaults(options), ...createServerFaults(options) };
+    return {
+        ...createEntryFaults(options),
+        ...createStoreFaults(options),
+        ...createServerFaults(options),
+        ...createNoticeFaults(options),
+        ...createRestorationFaults(options),
+    };
 }
 
 function createEntryFaults({ entries, operator, random }: SoakFaultsOptions): SoakFaults {
@@ -54,33 +63,48 @@
         },
         "change the keys": async () => {
             for (let index = 0; index < 2; index++) {
-                operator.addKey();
-                operator.revokeKey();
-                operator.writeConfiguration();
+                changeKeys(operator);
                 await sleep(300);
             }
         },
+        "stop, reload and reconfigure in quick succession": async () => {
+            const entry = random.pick(entries.all);
+            for (let index = 0; index < 6; index++) {
+                const draw = random.next();
+                if (draw < 0.3) entries.signal(entry, "SIGTERM");
+                else if (draw < 0.6) entries.reload(random.pick(entries.all));
+                else changeKeys(operator);
+                await sleep(random.between(20, 500));
+            }
+        },
     };
 }
 
+function changeKeys(operator: SoakOperator): void {
+    operator.addKey();
+    operator.revokeKey();
+    operator.writeConfiguration();
+}
+
 function createStoreFaults({ store, entries, servers, random }: SoakFaultsOptions): SoakFaults {
     return {
-        "disturb the store": async () => {
-            const expiringServers = servers.all.filter(({ drainStartedAt, isStopped }) =>
-                drainStartedAt === undefined && !isStopped && random.next() < 0.3
-            );
-            store.recordFault(Number.POSITIVE_INFINITY);
-            store.fake.setFault(random.pick(STORE_FAULTS));
-            await sleep(random.between(500, 4000));
-            for (const { id } of expiringServers) store.fake.remove("servers", id);
-            store.fake.setFault("none");
-            store.recordFault(performance.now());
-            await sleep(1000);
-            for (const server of expiringServers) {
-                if (server.drainStartedAt === undefined && !server.isStopped) servers.register(server);
-            }
-            store.recordFault(performance.now());
-        },
+        "disturb the store": () =>
+            store.exclusively(async () => {
+                const expiringServers = servers.all.filter(({ drainStartedAt, isStopped }) =>
+                    drainStartedAt === undefined && !isStopped && random.next() < 0.3
+                );
+                store.recordFault(Number.POSITIVE_INFINITY);
+                store.fake.setFault(random.pick(STORE_FAULTS));
+                await sleep(random.between(500, 4000));
+                for (const { id } of expiringServers) store.fake.remove("servers", id);
+                store.fake.setFault("none");
+                store.recordFault(performance.now());
+                await sleep(1000);
+                for (const server of expiringServers) {
+                    if (server.drainStartedAt === undefined && !server.isStopped) servers.register(server);
+                }
+                store.recordFault(performance.now());
+            }),
         "drop the store's change history": async () => {
             store.recordFault(performance.now());
             store.fake.compact();
@@ -94,7 +118,8 @@
     };
 }
 
-function createServerFaults({ store, servers, random }: SoakFaultsOptions): SoakFaults {
+function createServerFaults(options: SoakFaultsOptions): SoakFaults {
+    const { servers, random } = options;
     return {
         "disturb the link between the entries and a server": async () => {
             const { link } = random.pick(servers.all);
@@ -113,17 +138,14 @@
             server.runner.close();
             await servers.add();
             await sleep(REGISTRY_EXPIRY_MS);
-            store.fake.remove("servers", server.id);
+            servers.unregister(server);
         },
         "drain a server": async () => {
             const server = random.pick(servers.all);
             if (server.isStopped || server.drainStartedAt !== undefined) return;
             await servers.add();
-            servers.register(server, "draining");
-            server.drainStartedAt = performance.now();
-            await sleep(DRAIN_MS + 2 * SCHEDULING_DELAY_MS);
-            server.isStopped = true;
-            store.fake.remove("servers", server.id);
+            servers.startDrain(server);
+            await finishDrain(options, server);
         },
     };
 }
--- a/src/test/soak/soakScript.ts
+++ b/src/test/soak/soakScript.ts
@@ -1,7 +1,8 @@
 /**
  * Command line of the fault soak:
  * `npm run soak -- [--seeds N] [--first SEED] [--seconds S] [--entries N] [--servers N] [--callers N] [--verbose]
- * [--logs DIRECTORY]`; the logs of the entries of a failed run are written to that directory.
+ * [--logs DIRECTORY] [--fault NAME]...`; the logs of the entries of a failed run are written to that directory.
+ * Only faults whose names contain one of the given texts are injected.
  */
 import { randomInt } from "node:crypto";
 import { mkdirSync, writeFileSync } from "node:fs";
@@ -17,6 +18,7 @@
         entries: { type: "string", default: "3" },
         servers: { type: "string", default: "6" },
         callers: { type: "string", default: "12" },
+        fault: { type: "string", multiple: true, default: [""] },
         logs: { type: "string" },
         verbose: { type: "boolean", default: false },
     },
@@ -35,6 +37,7 @@
         entries: Number(values.entries),
         servers: Number(values.servers),
         callers: Number(values.callers),
+        faultNames: values.fault,
         log: line => void (values.verbose ? print(line) : lines.push(line)),
     });
     const { violations, calls, answered, runs, faults } = result;
--- a/src/test/soak/soakServers.ts
+++ b/src/test/soak/soakServers.ts
@@ -10,6 +10,7 @@
 import type { EntryProcesses } from "./entryProcesses.js";
 import { type FaultProxy, startFaultProxy } from "./faultProxy.js";
 import type { Ledger } from "./ledger.js";
+import type { NoticeLedger } from "./noticeLedger.js";
 import { isCompletelyAnswered, sendRunResponse } from "./serverResponses.js";
 import type { SoakRandom } from "./soakRandom.js";
 import type { SoakStore } from "./soakStore.js";
@@ -18,6 +19,15 @@
     readonly id: string;
     readonly runner: FakeRunner;
     readonly link: FaultProxy;
+    readonly zone: string;
+    /** Time of the start that the server states. */
+    readonly born: number;
+    /** What the server has written to the store; it writes that again after a restoration. */
+    row: "ready" | "draining" | "gone";
+    /** The server says in all its answers that it is leaving. */
+    announcesLeaving: boolean;
+    /** The server turns calls away and asks for a pause until this time. */
+    pausedUntil: number;
     drainStartedAt: number | undefined;
     isStopped: boolean;
 }
@@ -26,7 +36,12 @@
     readonly all: readonly Server[];
     /** Starts a server and registers it. */
     add(): Promise<void>;
-    register(server: Server, state?: string): void;
+    /** Writes a server's row. */
+    register(server: Server): void;
+    /** Writes that a server is leaving. */
+    startDrain(server: Server): void;
+    /** Removes the row of a server that has left or crashed. */
+    unregister(server: Server): void;
     /** Records the time of a crash or link fault, which may interrupt calls that had started. */
     recordFault(at: number): void;
     lastFaultAt(): number;
@@ -37,28 +52,65 @@
     readonly store: SoakStore;
     readonly entries: EntryProcesses;
     readonly ledger: Ledger;
+    readonly notices: NoticeLedger;
     readonly random: SoakRandom;
     readonly nextSerial: () => number;
 }
 
-export function createSoakServers({ store, entries, ledger, random, nextSerial }: SoakServersOptions): SoakServers {
+/** Header by which callers learn which server answered. */
+export const SERVED_BY_HEADER = "x-served-by";
+
+export function createSoakServers(options: SoakServersOptions): SoakServers {
+    const { store, entries, ledger, notices, random, nextSerial } = options;
     const servers: Server[] = [];
     let lastFaultAt = Number.NEGATIVE_INFINITY;
-    let lastSerial = 0;
 
     async function add(): Promise<void> {
-        lastSerial = nextSerial();
-        const id = `i-${lastSerial}`;
+        const serial = nextSerial();
+        const id = `i-${serial}`;
         const runner = await startFakeRunner(request => handleRequest(server, request));
         const link = await startFaultProxy(() => runner.address);
-        const server: Server = { id, runner, link, drainStartedAt: undefined, isStopped: false };
+        const server: Server = {
+            id,
+            runner,
+            link,
+            zone: `z${serial % 2}`,
+            born: 1000 + serial,
+            row: "ready",
+            announcesLeaving: false,
+            pausedUntil: 0,
+            drainStartedAt: undefined,
+            isStopped: false,
+        };
         servers.push(server);
         register(server);
     }
 
-    function register({ id, link }: Server, state = "ready"): void {
-        const zone = `z${servers.length % 2}`;
-        store.fake.put("servers", id, serverRow(link.address, { state, zone, slots: 16, born: 1000 + lastSerial }));
+    function register({ id, link, zone, born, row }: Server): void {
+        store.fake.put("servers", id, serverRow(link.address, { state: row, zone, slots: 16, born }));
+    }
+
+    function startDrain(server: Server): void {
+        server.row = "draining";
+        server.drainStartedAt = performance.now();
+        register(server);
+    }
+
+    function unregister(server: Server): void {
+        server.row = "gone";
+        server.drainStartedAt ??= performance.now();
+        store.fake.remove("servers", server.id);
+    }
+
+    /** Asks for a pause if the server is in one, and returns whether it is. */
+    function answerWithPause(server: Server, { socket, attemptId: id }: ReceivedRequest, headers: string): boolean {
+        const at = performance.now();
+        const seconds = Math.floor((server.pausedUntil - at) / 10) / 100;
+        if (seconds <= 0) return false;
+        socket.write(notRunResponse(`${headers}Retry-After: ${seconds}\r\n`));
+        // During a fault of the link the answer may not arrive.
+        if (server.link.lastFaultAt(at) !== at) notices.recordPause(id, server.id, at, seconds * 1000);
+        return true;
     }
 
     /**
@@ -71,12 +123,18 @@
             socket.write("HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
             return;
         }
+        const at = performance.now();
+        notices.recordArrival(id, server.id, at);
+        const headers = `${SERVED_BY_HEADER}: ${server.id}\r\n${
+            server.announcesLeaving ? "Server-Leaving: 1\r\n" : ""
+        }`;
+        if (server.announcesLeaving) notices.recordLeavingAnswer(id, server.id);
+        if (answerWithPause(server, request, headers)) return;
         const draw = random.next();
         if (draw < 0.04) {
-            socket.write(notRunResponse());
+            socket.write(notRunResponse(headers));
             return;
         }
-        const at = performance.now();
         const isStable = server.drainStartedAt !== undefined && store.isStable(server.drainStartedAt) &&
             store.isStable(at) &&
             entries.all.every(entry => at - entries.lastFaultAt(entry, at) > STABILITY_WINDOW_MS);
@@ -88,13 +146,15 @@
             isAffectedByFault: at - (server.link.lastFaultAt(at) ?? Number.NEGATIVE_INFINITY) < STABILITY_WINDOW_MS,
             isCompletelyAnswered: isCompletelyAnswered(draw) && !server.isStopped,
         });
-        sendRunResponse(request, draw);
+        sendRunResponse(request, draw, headers);
     }
 
     return {
         all: servers,
         add,
         register,
+        startDrain,
+        unregister,
         recordFault: at => {
             lastFaultAt = at;
         },
