Detect a feed call without response in time for the next change

Callers were denied with a new key, or served with a removed one, for up to 8 s after a change that the store had acknowledged long after a fault. If the store loses the response to it, the call ends by its timeout after 11 s only. One change during a fault wakes the calls of all readers, so all of them can be in that state, and no peer has the next change. The fault ends, the stability window passes, and the next change isn't applied until a call times out.

The wait now leaves enough time within the stability window and the time allowed for a change: 3 s with the bounds of the smallest deployments, 10 s at most. Readers make more calls without changes: one per table and 3 s instead of one per 10 s.

--- a/src/lib/node/tableFeed.ts
+++ b/src/lib/node/tableFeed.ts
@@ -21,8 +21,8 @@
     readonly store: MetadataStore;
     readonly table: string;
     readonly replica: RowReplica;
-    /** Maximum time that the store holds a feed call open when there are no changes. */
-    readonly waitMs: number;
+    /** Returns the maximum time that the store holds a feed call open when there are no changes. */
+    readonly waitMs: () => number;
     readonly rateLimit: FeedRateLimit;
     /**
      * Returns whether this process currently reads the feed itself; otherwise the caller adds changes from peers to
@@ -117,7 +117,7 @@
             cursor = laterPosition(cursor, replica.newestPosition());
         }
         // Without waiting for changes, the call detects a recovery or a restoration at once.
-        const waitMs = failures > 0 || hasSkippedCalls ? 0 : options.waitMs;
+        const waitMs = failures > 0 || hasSkippedCalls ? 0 : options.waitMs();
         const feedResult = await store.readFeed(table, cursor.revision, waitMs);
         hasSkippedCalls = false;
         metrics.storeCalls.inc({ result: "feed" });
--- a/src/lib/platform/settings.ts
+++ b/src/lib/platform/settings.ts
@@ -23,6 +23,7 @@
     bounds: z.object({
         "drain-ms": z.number(),
         "grace-s": z.number(),
+        "stability-window-ms": z.number().default(0),
         "config-apply-ms": z.number(),
         // The platform spells this field with an underscore, unlike the others.
         version_ms: z.number().default(Number.POSITIVE_INFINITY),
@@ -89,6 +90,7 @@
         bounds: {
             drainMs: bounds["drain-ms"],
             graceMs: bounds["grace-s"] * 1000,
+            stabilityMs: bounds["stability-window-ms"],
             configurationMs: bounds["config-apply-ms"],
             weightsMs: bounds.version_ms,
             retries: {
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -52,8 +52,12 @@
     stop(): Promise<void>;
 }
 
-/** The store ends a feed call without changes after this time. If the store hangs, changes come from peers. */
-const FEED_WAIT_MS = 10_000;
+/** The store ends a feed call without changes after this time at the latest. */
+const MAX_FEED_WAIT_MS = 10_000;
+const MIN_FEED_WAIT_MS = 1000;
+
+/** Time to detect that a feed call gets no response, and to make another one. */
+const FEED_RECOVERY_MS = 2000;
 
 /** Bodies of requests and responses that an entry holds at the same time, a fraction of the memory of its VM. */
 const MAX_BUFFERED_BODY_BYTES = 96 * 1024 * 1024;
@@ -240,7 +244,7 @@
             store,
             table,
             replica,
-            waitMs: FEED_WAIT_MS,
+            waitMs: () => feedWaitMs(bounds),
             rateLimit: FEED_RATE_LIMIT,
             isReader: () => peerExchange.readsFromStore(),
             onChange: (rows, isRestoration) => {
@@ -372,6 +376,14 @@
     };
 }
 
+/**
+ * Returns the wait time of feed calls. The store may lose the response to a call that waits during a fault, at all
+ * entries at once. The call must time out early enough to apply a change that follows the fault in time.
+ */
+function feedWaitMs({ stabilityMs, configurationMs }: VmBounds): number {
+    return Math.min(MAX_FEED_WAIT_MS, Math.max(MIN_FEED_WAIT_MS, stabilityMs + configurationMs - FEED_RECOVERY_MS));
+}
+
 /** Returns the configured weights origin and the model to load from it, or `undefined` if either is missing. */
 function findWeightsOrigin(routeTable: RouteTable | undefined, settings: VmSettings): WeightsOrigin | undefined {
     const services = routeTable?.configuration.services ?? [];
--- a/src/lib/settings/vmSettings.ts
+++ b/src/lib/settings/vmSettings.ts
@@ -19,6 +19,8 @@
     readonly drainMs: number;
     /** Time between SIGTERM and SIGKILL. */
     readonly graceMs: number;
+    /** Time after the end of a fault from which on the other bounds hold again. */
+    readonly stabilityMs: number;
     /** Time within which an acknowledged configuration must take effect. */
     readonly configurationMs: number;
     /** Time after a version of the weights is named within which requests must start on it. */
--- a/src/test/node/tableFeed.test.ts
+++ b/src/test/node/tableFeed.test.ts
@@ -40,7 +40,7 @@
         store,
         table: "servers",
         replica: createRowReplica(),
-        waitMs: 300,
+        waitMs: () => 300,
         rateLimit: { intervalMs: 250, burst: 4 },
         onChange: () => undefined,
         log: createEventLog({ process: "p", role: "entry", now: () => 0, write: () => undefined }),
@@ -82,7 +82,7 @@
     const { store, rows, change, delivered, calls } = createMemoryStore();
     const replica = createRowReplica();
     let isReader = true;
-    const feed = startFeed(store, { replica, waitMs: 50, isReader: () => isReader });
+    const feed = startFeed(store, { replica, waitMs: () => 50, isReader: () => isReader });
     change("first");
     await sleep(100);
     isReader = false;
@@ -104,7 +104,7 @@
 // Guards against a recovery that is detected only after the full wait of a feed call without changes.
 test("the recovery of the store is detected although nothing changes", async () => {
     const { store, setDown } = createMemoryStore();
-    const feed = startFeed(store, { waitMs: 5000, random: () => 0 });
+    const feed = startFeed(store, { waitMs: () => 5000, random: () => 0 });
     setDown(true);
     await sleep(300);
     assert.equal(feed.isConnected(), false);
@@ -118,7 +118,7 @@
 test("a process that has lost the store keeps calling it until it has recovered", async () => {
     const { store, change, setDown } = createMemoryStore();
     let isReader = true;
-    const feed = startFeed(store, { waitMs: 20, random: () => 0, isReader: () => isReader });
+    const feed = startFeed(store, { waitMs: () => 20, random: () => 0, isReader: () => isReader });
     change("first");
     await sleep(100);
     setDown(true);
@@ -141,7 +141,7 @@
     const copy = fakeStore.copy();
     let isReader = true;
     fakeStore.put("servers", "lost", "1");
-    const feed = startFeed(store, { replica, waitMs: 5000, isReader: () => isReader });
+    const feed = startFeed(store, { replica, waitMs: () => 5000, isReader: () => isReader });
     await sleep(200);
     isReader = false;
     // Ends the call in progress.
--- a/src/test/platform/settingsFile.ts
+++ b/src/test/platform/settingsFile.ts
@@ -17,6 +17,7 @@
 [bounds]
 drain-ms = 2000
 grace-s = 8
+stability-window-ms = 3000
 config-apply-ms = 2000
 retry-budget-ratio = 0.2
 retry-budget-slack = 100
--- a/src/test/platform/store.test.ts
+++ b/src/test/platform/store.test.ts
@@ -28,7 +28,7 @@
         table: "t",
         replica: createRowReplica(),
         rateLimit: { intervalMs: 250, burst: 4 },
-        waitMs: 500,
+        waitMs: () => 500,
         onChange: rows => void receivedRows.push(...rows),
         log: createEventLog({
             process: "p",
--- a/src/test/platform/wireNames.test.ts
+++ b/src/test/platform/wireNames.test.ts
@@ -38,6 +38,7 @@
     "cold-remaining-ms",
     "retry-budget-ratio",
     "config-apply-ms",
+    "stability-window-ms",
 ];
 
 function listSourceFiles(directory: string): string[] {
--- a/src/test/router/routerHarness.ts
+++ b/src/test/router/routerHarness.ts
@@ -55,6 +55,7 @@
         bounds: {
             drainMs: 2000,
             graceMs: 4000,
+            stabilityMs: 3000,
             configurationMs: 2000,
             weightsMs: 8000,
             retries: { ratio: 0.2, slack: 100, windowMs: 10_000 },
--- a/src/test/soak/entryProcesses.ts
+++ b/src/test/soak/entryProcesses.ts
@@ -116,7 +116,8 @@
             `node = "${name}"\nip = "${ip}"\nzone = "z0"\nregion = "r"\nseeds = [${seeds}]\n` +
                 `internal-ports = [${port + 2}, ${port + 9}]\n[zones]\nz0 = "r"\nz1 = "r"\n` +
                 `[listen]\nfront = "${ip}:${port}"\nready = "${ip}:${port + 1}"\n` +
-                "[limits]\nlink-mbps = 1000\n[bounds]\ndrain-ms = 2000\ngrace-s = 8\nconfig-apply-ms = 2000\n" +
+                "[limits]\nlink-mbps = 1000\n[bounds]\ndrain-ms = 2000\ngrace-s = 8\nstability-window-ms = 3000\n" +
+                "config-apply-ms = 2000\n" +
                 "version_ms = 8000\nretry-budget-ratio = 0.2\nretry-budget-slack = 100\nbudget-window-s = 10\n" +
                 `[platform]\naddress = "${storeLink.address}"\n`,
         );
