End pipelined requests whose caller has left

What callers saw: nothing themselves, but servers went on with requests of a caller that had left, until the request's time was over, if they waited behind another request on its connection. A stop waited for them until the end of its grace period.

Cause: an exchange learns that its caller has left from the close of its response. Node reports it only to the response that is being sent, not to those that are queued behind it, so these also stayed among the requests in progress.

Evidence: the new test failed before (the servers' connections were closed after 2995 ms in place of 500 ms).

Why this works: the close of the connection is passed on to the responses that have no socket yet.

--- a/src/lib/router/callerConnections.ts
+++ b/src/lib/router/callerConnections.ts
@@ -43,8 +43,15 @@
     let inProgressCount = 0;
 
     function add(socket: Socket): void {
-        connections.set(socket, { responses: new Set(), isClosing: false });
-        socket.once("close", () => connections.delete(socket));
+        const connection: Connection = { responses: new Set(), isClosing: false };
+        connections.set(socket, connection);
+        socket.once("close", () => {
+            connections.delete(socket);
+            for (const response of connection.responses) {
+                // Node reports the close only to the response that is being sent, not to those that wait for it.
+                if (response.socket === null && !response.writableFinished) response.destroy().emit("close");
+            }
+        });
     }
 
     function accept(response: http.ServerResponse): boolean {
--- a/src/test/router/pipelining.test.ts
+++ b/src/test/router/pipelining.test.ts
@@ -108,3 +108,19 @@
     await waitUntil(() => caller.isClosed());
     assert.deepEqual([caller.error(), entry.runner.requests.length], [undefined, 1]);
 });
+
+// Guards against work for a caller that has left while its request waits behind another one on its connection, and
+// against a stop that waits for such a request until its grace period is over.
+test("all pipelined requests end when their caller leaves", async () => {
+    const caller = await entry.openCaller();
+    respond = () => undefined;
+    for (const id of ["a", "b", "c"]) caller.send(formatRequest({ path: "/read/", id, body: "x" }));
+    await waitUntil(() => entry.runner.requests.length === 3);
+    caller.socket.destroy();
+    const leftAt = Date.now();
+    await waitUntil(() => entry.runner.closedCount() === 3);
+    assert.ok(Date.now() - leftAt < 500, `${Date.now() - leftAt} ms`);
+    const stoppedAt = Date.now();
+    await entry.router.stop();
+    assert.ok(Date.now() - stoppedAt < 3000, `${Date.now() - stoppedAt} ms`);
+});
