Refuse requests for a tunnel instead of closing their connections

What callers saw: a CONNECT request was read whole and its connection closed without an answer; a request in progress before it on the same connection was lost with it.

Cause: without a listener Node destroys the connection of a CONNECT request.

Evidence: the new test failed before (status 0 in place of 405).

Why this works: the connection ends as after bytes that are no request: the requests before it are answered, then the refusal. Node stops parsing such a connection, so it is also closed by the server's own list of connections at a stop.

--- a/src/lib/router/callerConnections.ts
+++ b/src/lib/router/callerConnections.ts
@@ -13,9 +13,9 @@
     closeAfter(response: http.ServerResponse): void;
     /**
      * Ends a connection from which no further request can be read: the requests that were read are answered, and then
-     * the error.
+     * an error with this status.
      */
-    endWith(error: NodeJS.ErrnoException, socket: Socket): void;
+    endWith(status: number, socket: Socket): void;
     /** Returns the number of requests whose responses have neither ended nor been cut off. */
     inProgressCount(): number;
     /** Returns whether other requests on the connection of this response are in progress. */
@@ -28,13 +28,6 @@
     isClosing: boolean;
 }
 
-/** Statuses for errors of Node's HTTP parser; all others are answered with 400. */
-const ERROR_STATUSES: Readonly<Record<string, number>> = {
-    HPE_HEADER_OVERFLOW: 431,
-    HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
-    ERR_HTTP_REQUEST_TIMEOUT: 408,
-};
-
 /** Time for which a connection is read after its last response: closing it earlier could reset it under the response. */
 const LINGER_MS = 1000;
 
@@ -66,7 +59,7 @@
         return true;
     }
 
-    function endWith(error: NodeJS.ErrnoException, socket: Socket): void {
+    function endWith(status: number, socket: Socket): void {
         const connection = connections.get(socket);
         if (connection === undefined) return;
         const responses = [...connection.responses];
@@ -80,7 +73,7 @@
         connection.isClosing = true;
         const finish = () => {
             if (!socket.writable || incomplete.some(({ headersSent }) => headersSent)) return;
-            socket.end(errorResponse(ERROR_STATUSES[error.code ?? ""] ?? 400));
+            socket.end(errorResponse(status));
             const timer = setTimeout(() => socket.destroy(), LINGER_MS);
             socket.once("close", () => clearTimeout(timer));
         };
--- a/src/lib/router/callerServer.ts
+++ b/src/lib/router/callerServer.ts
@@ -30,6 +30,13 @@
 /** An idle connection is kept longer than its caller was told, for a request that is already on its way. */
 const IDLE_MARGIN_MS = 1000;
 
+/** Statuses for errors of Node's HTTP parser; all others are answered with 400. */
+const ERROR_STATUSES: Readonly<Record<string, number>> = {
+    HPE_HEADER_OVERFLOW: 431,
+    HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
+    ERR_HTTP_REQUEST_TIMEOUT: 408,
+};
+
 export async function startCallerServer(
     address: Address,
     serve: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>,
@@ -44,7 +51,14 @@
     });
     server.on("connection", connections.add);
     // Also called for errors of the socket, which is destroyed then.
-    server.on("clientError", (error, socket) => connections.endWith(error, socket as Socket));
+    server.on("clientError", ({ code = "" }: NodeJS.ErrnoException, socket) => {
+        connections.endWith(ERROR_STATUSES[code] ?? 400, socket as Socket);
+    });
+    server.on("connect", (_, socket) => {
+        // Node has removed its own listeners.
+        socket.on("error", () => socket.destroy()).on("end", () => socket.destroy()).resume();
+        connections.endWith(405, socket as Socket);
+    });
     // Disabled, because the route's timeout bounds the whole request.
     server.requestTimeout = 0;
     const port = await listen(server, address);
@@ -60,7 +74,9 @@
         hasOtherRequests: connections.hasOtherRequests,
         closeAfter: connections.closeAfter,
         stopListening: () => stopListening(server),
-        close: () => server.closeAllConnections(),
+        close: () => {
+            for (const socket of connections.sockets()) socket.destroy();
+        },
         port,
     };
 }
--- a/src/test/router/pipelining.test.ts
+++ b/src/test/router/pipelining.test.ts
@@ -63,6 +63,28 @@
     });
 }
 
+// Guards against a request for a tunnel that gets no answer, and ends the request before it on its connection.
+test("a request for a tunnel is refused after the requests before it", async () => {
+    const tunnel = "CONNECT site.example:80 HTTP/1.1\r\nHost: site.example\r\n\r\n";
+    const [caller, alone] = [await entry.openCaller(), await entry.openCaller()];
+    respond = request => void setTimeout(() => respondOk(request), 300);
+    caller.send(formatRequest({ path: "/read/", id: "a", body: "x" }));
+    await waitUntil(() => entry.runner.requests.length === 1);
+    caller.send(tunnel);
+    alone.send(tunnel);
+    assert.equal((await alone.nextResponse()).status, 405);
+    assert.deepEqual([(await caller.nextResponse()).status, (await caller.nextResponse()).status], [200, 405]);
+    respond = () => undefined;
+    const leaving = await entry.openCaller();
+    leaving.send(formatRequest({ path: "/read/", id: "b", body: "x" }));
+    await waitUntil(() => entry.runner.requests.length === 2);
+    const closedBefore = entry.runner.closedCount();
+    leaving.send(tunnel);
+    await sleep(50);
+    leaving.socket.end();
+    await waitUntil(() => entry.runner.closedCount() > closedBefore);
+});
+
 // Guards against an answer that is cut off by what follows its request.
 test("a stream goes on to its end although bytes that are no request follow its request", async () => {
     const caller = await entry.openCaller();
