Read what arrived during a pause before an idle connection is closed

A caller that reused a connection while its entry was paused got neither an answer nor a refusal, but a reset connection. The cause: Node runs timers before it reads from sockets, so the timeout of an idle connection closed it after the pause although a request had arrived on it in time. A pause of 8 s did that to each open idle connection, a short one to those whose timeout fell into it.

The timeout now closes the connection in the next step of the event loop, unless bytes have arrived on it.

Evidence: the new test of server.test failed before (read ECONNRESET) and passes; the connection is still closed once it is idle.

--- a/src/lib/entry/server.ts
+++ b/src/lib/entry/server.ts
@@ -82,6 +82,7 @@
         sendProblem(response, rejection(417, "unknown expectation", "send Expect: 100-continue or no Expect header"));
     });
     server.maxConnections = limits.connections;
+    server.on("timeout", closeUnlessReceiving);
     const idleConnections = trackIdleConnections(server, limits.connections);
     await new Promise<void>((resolve, reject) => {
         server.once("error", error => {
@@ -151,6 +152,15 @@
     };
 }
 
+/** Closes an idle connection after its timeout, unless a request has arrived while this process didn't run. */
+function closeUnlessReceiving(socket: Socket): void {
+    const receivedBytes = socket.bytesRead;
+    // The event loop runs timers before it reads from sockets.
+    setImmediate(() => {
+        if (socket.bytesRead === receivedBytes) socket.destroy();
+    });
+}
+
 function sendHealth(response: http.ServerResponse, isHealthy: boolean): void {
     response.writeHead(isHealthy ? 200 : 503, { "content-type": "text/plain" });
     response.end(isHealthy ? "ok\n" : "not ready\n");
--- a/src/test/entry/server.test.ts
+++ b/src/test/entry/server.test.ts
@@ -6,6 +6,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { after, before, test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { sendRequest } from "../../lib/clients/index.js";
 import { type RunningEntry, startEntry } from "../../lib/entry/index.js";
@@ -15,6 +16,9 @@
 const MAIN = fileURLToPath(new URL("../../main.js", import.meta.url));
 const BODY_BYTES = 4096;
 
+/** Time after which Node closes an idle connection: the advertised 5 s and a second. */
+const IDLE_TIMEOUT_MS = 6000;
+
 let directory: string;
 let platform: FakePlatform;
 let entry: RunningEntry;
@@ -176,3 +180,24 @@
     assert.match(unusable.err, /weightsPath .*client\/weights/);
     assert.doesNotMatch(unusable.err, /^ {4}at /m);
 });
+
+// Guards against an idle connection that is closed although a request has arrived on it in time, which a pause of the
+// entry kept from being read.
+test("a request that arrives during a pause is read before its idle connection is closed", async () => {
+    const socket = connect(entry.port, "127.0.0.1");
+    let received = "";
+    let isClosed = false;
+    socket.on("data", data => received += data.toString());
+    socket.on("close", () => isClosed = true);
+    const sendRequest = () => socket.write("GET /healthz HTTP/1.1\r\nHost: entry\r\n\r\n");
+    const responseCount = () => received.split("HTTP/1.1 200 OK").length - 1;
+    sendRequest();
+    await sleep(IDLE_TIMEOUT_MS - 200);
+    sendRequest();
+    const pauseEnd = performance.now() + 500;
+    while (performance.now() < pauseEnd);
+    await sleep(200);
+    assert.equal(responseCount(), 2);
+    await sleep(IDLE_TIMEOUT_MS + 500);
+    assert.ok(isClosed, "the idle connection stays open");
+});
