Don't take a pause of an entry for a silence of its agents

Requests that reached an entry while it was paused for some seconds were refused after the pause (503, notRun: "no agent can take the request"), although every agent was sound. The cause: the directory compared the age of the last state message with the clock, and requests on open connections are read before the states that the agents have sent meanwhile.

The directory leaves them out too: ages are counted up to the next check at most, and the check, which runs after what has arrived was read, adds the pause to the times of the last messages. A lost connection stays lost.

--- a/src/lib/entry/agentDirectory.ts
+++ b/src/lib/entry/agentDirectory.ts
@@ -111,9 +111,12 @@
     /** The live VMs, as text, that the last assignment was made from. */
     let assignedInput = "";
     let assignedAt = Number.NEGATIVE_INFINITY;
+    let reconciledAt = now();
 
     function reconcile(): void {
         const nowMs = now();
+        excludePause(nowMs - reconciledAt - RECONCILE_INTERVAL_MS, nowMs);
+        reconciledAt = nowMs;
         const vms = membership.current();
         listedVms = new Map(vms.map(vm => [vm.address, vm]));
         updateSubset(vms, nowMs);
@@ -129,6 +132,16 @@
         }
     }
 
+    /** Time in which this process didn't run is no silence of the agents. */
+    function excludePause(pauseMs: number, nowMs: number): void {
+        if (pauseMs < RECONCILE_INTERVAL_MS) return;
+        for (const watch of watches.values()) {
+            const { lastMessageAt, disconnectedAt } = watch.evidence;
+            if (lastMessageAt === undefined || disconnectedAt !== undefined) continue;
+            watch.evidence = { ...watch.evidence, lastMessageAt: Math.min(nowMs, lastMessageAt + pauseMs) };
+        }
+    }
+
     function updateSubset(vms: readonly Vm[], nowMs: number): void {
         if (isAssigning || nowMs - assignedAt < ASSIGNMENT_INTERVAL_MS && vms.length > SUBSET_SIZE) return;
         const live = vms.filter(vm => vm.state === "live");
@@ -172,7 +185,9 @@
     }
 
     function trustOf({ address, evidence }: AgentWatch, nowMs: number): Trust {
-        return evaluateTrust(listedState(address), evidence, nowMs);
+        // After a pause, requests may be read before the states that the agents have sent meanwhile.
+        const countedMs = Math.min(nowMs, reconciledAt + 2 * RECONCILE_INTERVAL_MS);
+        return evaluateTrust(listedState(address), evidence, countedMs);
     }
 
     function createWatch(address: string): AgentWatch {
@@ -277,7 +292,8 @@
         for (const { stateStream } of watches.values()) stateStream?.cancel();
     }
 
-    const timer = setInterval(reconcile, RECONCILE_INTERVAL_MS);
+    // States that have arrived are read before the check.
+    const timer = setInterval(() => void setImmediate().then(reconcile), RECONCILE_INTERVAL_MS);
     const lastBusyAt = (service: string, digest: string) => lastBusyTimes.get(`${service} ${digest}`) ?? 0;
     return { usableAgents, trust, recordDispatch, watchedAgents, lastBusyAt, isReady, stop };
 }
--- a/src/test/entry/agentDirectory.test.ts
+++ b/src/test/entry/agentDirectory.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { EventEmitter } from "node:events";
-import { test } from "node:test";
+import { afterEach, test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { waitUntil } from "../../harness/index.js";
 import type { Vm } from "../../lib/clients/index.js";
 import { SILENCE_TIMEOUT_MS, SUBSET_SIZE } from "../../lib/core/index.js";
@@ -10,9 +11,15 @@
 
 const TIMEOUT_MS = 5000;
 
-// Guards against work of a sound agent that is moved because its entry no longer watches the agent.
-test("an agent isn't silent because it is no longer watched", async () => {
-    const vms = Array.from({ length: 2 * SUBSET_SIZE }, (_, i): Vm => {
+/** Interval at which agents report that aren't silent. */
+const REPORT_INTERVAL_MS = 200;
+
+const cleanups: (() => unknown)[] = [];
+
+afterEach(() => cleanups.splice(0).forEach(cleanup => cleanup()));
+
+function startDirectory(agentCount: number, now: () => number) {
+    const vms = Array.from({ length: agentCount }, (_, i): Vm => {
         const name = `runner-${i}`;
         return {
             name,
@@ -25,42 +32,61 @@
         };
     });
     const streams = new Map<string, EventEmitter>();
-    const report = (address: string) => {
-        streams.get(address)?.emit("data", AgentState.fromPartial({ process: address, service: "models" }));
-    };
-    const watchState = (address: string) => {
-        const cancel = () => streams.delete(address);
-        const stream = Object.assign(new EventEmitter(), { cancel });
+    const silentAddresses = new Set<string>();
+
+    function watchState(address: string) {
+        const stream = Object.assign(new EventEmitter(), { cancel: () => streams.delete(address) });
         streams.set(address, stream);
         return stream;
-    };
-    let nowMs = 0;
-    const directory = startAgentDirectory({
-        process: "entry",
-        failureDomain: "d",
-        membership: { current: () => vms } as unknown as MembershipTask,
-        connections: {
-            agent: (address: string) => ({ watchState: () => watchState(address) }),
-            closeConnection: () => undefined,
-        } as unknown as Connections,
-        now: () => nowMs,
-    });
-    try {
-        await waitUntil("the subset is watched", () => streams.size === SUBSET_SIZE, TIMEOUT_MS);
-        const subset = [...streams.keys()];
-        subset.forEach(report);
-        nowMs += SILENCE_TIMEOUT_MS + 1;
-        const [silent = "", ...others] = subset;
-        others.forEach(report);
-        await waitUntil("a substitute is watched", () => streams.size === SUBSET_SIZE + 1, TIMEOUT_MS);
-        const substitute = [...streams.keys()].at(-1) ?? "";
-        report(substitute);
-        assert.deepEqual([silent, substitute].map(address => directory.trust(address, nowMs)), ["silent", "usable"]);
-        report(silent);
-        await waitUntil("the substitute isn't needed", () => !streams.has(substitute), TIMEOUT_MS);
-        assert.equal(directory.trust(substitute, nowMs), undefined);
     }
-    finally {
-        directory.stop();
+
+    function report(): void {
+        for (const [address, stream] of streams) {
+            if (silentAddresses.has(address)) continue;
+            stream.emit("data", AgentState.fromPartial({ process: address, service: "models" }));
+        }
     }
+
+    const connections = {
+        agent: (address: string) => ({ watchState: () => watchState(address) }),
+        closeConnection: () => undefined,
+    } as unknown as Connections;
+    const membership = { current: () => vms } as unknown as MembershipTask;
+    const directory = startAgentDirectory({ process: "entry", failureDomain: "d", membership, connections, now });
+    const timer = setInterval(report, REPORT_INTERVAL_MS);
+    cleanups.push(() => clearInterval(timer), directory.stop);
+    const addresses = () => [...streams.keys()];
+    return { directory, silentAddresses, addresses };
+}
+
+// Guards against work of a sound agent that is moved because its entry no longer watches the agent.
+test("an agent isn't silent because it is no longer watched", async () => {
+    const now = () => performance.now();
+    const { directory, silentAddresses, addresses } = startDirectory(2 * SUBSET_SIZE, now);
+    const isUsable = (address: string) => directory.trust(address, now()) === "usable";
+    await waitUntil("the subset is watched", () => addresses().filter(isUsable).length === SUBSET_SIZE, TIMEOUT_MS);
+    const [silent = ""] = addresses();
+    silentAddresses.add(silent);
+    await waitUntil("a substitute is watched", () => addresses().length === SUBSET_SIZE + 1, TIMEOUT_MS);
+    const substitute = addresses().at(-1) ?? "";
+    await waitUntil("the substitute is usable", () => isUsable(substitute), TIMEOUT_MS);
+    assert.equal(directory.trust(silent, now()), "silent");
+    silentAddresses.delete(silent);
+    await waitUntil("the substitute isn't watched", () => !addresses().includes(substitute), TIMEOUT_MS);
+    assert.equal(directory.trust(substitute, now()), undefined);
+});
+
+// Guards against an entry that refuses requests after a pause, in which it could read no states of the agents.
+test("a pause of the process isn't taken for a silence of the agents", async () => {
+    let pauseMs = 0;
+    const now = () => performance.now() + pauseMs;
+    const { directory, silentAddresses, addresses } = startDirectory(1, now);
+    const usableCount = () => directory.usableAgents("models", now()).length;
+    await waitUntil("the agent is usable", () => usableCount() === 1, TIMEOUT_MS);
+    addresses().forEach(address => silentAddresses.add(address));
+    pauseMs = 2 * SILENCE_TIMEOUT_MS;
+    assert.equal(usableCount(), 1);
+    await sleep(SILENCE_TIMEOUT_MS / 2);
+    assert.equal(usableCount(), 1);
+    await waitUntil("the agent is silent", () => usableCount() === 0, SILENCE_TIMEOUT_MS);
 });
--- a/src/test/entry/silentAgent.test.ts
+++ b/src/test/entry/silentAgent.test.ts
@@ -18,7 +18,7 @@
 }
 
 /** Sends one request of each kind. The bookings take 1 s, the answers of the model 1.2 s. */
-function sendEachKind({ entries: [entry] }: Fleet): Promise<Sent>[] {
+function sendEachKind({ entries: [entry] }: Fleet, name: string): Promise<Sent>[] {
     assert.ok(entry);
     const book = (reference: string, headers = {}) =>
         sendToEntry(entry, "POST", `/services/${BOOKINGS}/book`, "client-0", { reference }, headers);
@@ -27,8 +27,8 @@
         return sendToEntry(entry, "POST", "/v1/completions", "client-0", body);
     };
     const requests = {
-        keyed: book("keyed", { "idempotency-key": "k" }),
-        unkeyed: book("unkeyed"),
+        keyed: book(`${name} keyed`, { "idempotency-key": name }),
+        unkeyed: book(`${name} unkeyed`),
         stream: complete(true),
         whole: complete(false),
     } as const;
@@ -63,7 +63,7 @@
 test("requests at an agent that is silent for some seconds get their answers when it goes on", async () => {
     const { fleet, rootDigest } = await start(1);
     try {
-        const sent = sendEachKind(fleet);
+        const sent = sendEachKind(fleet, "only");
         await sleep(DISPATCH_MS);
         await pauseAll([...fleet.modelAgents, ...fleet.bookingAgents], SILENCE_MS);
         assertAnswered(await Promise.all(sent), rootDigest);
@@ -96,14 +96,18 @@
     }
 });
 
-// Guards against requests that are given up because their entry could not read for some seconds.
-test("requests at an entry that is paused for some seconds get their answers", async () => {
+// Guards against requests that are given up or refused, because their entry could not read for some seconds.
+test("requests that arrive before and during a pause of their entry get their answers", async () => {
     const { fleet, rootDigest } = await start(2);
     try {
-        const sent = sendEachKind(fleet);
+        // Requests on open connections are read first after the pause.
+        await Promise.all(Array.from({ length: 5 }, (_, i) => sendEachKind(fleet, `before ${i}`)).flat());
+        const early = sendEachKind(fleet, "early");
         await sleep(DISPATCH_MS);
-        await pauseAll(fleet.entries, SILENCE_MS);
-        assertAnswered(await Promise.all(sent), rootDigest);
+        const isOver = pauseAll(fleet.entries, SILENCE_MS);
+        const late = Array.from({ length: 5 }, (_, i) => sendEachKind(fleet, `late ${i}`));
+        await isOver;
+        assertAnswered(await Promise.all([early, ...late].flat()), rootDigest);
     }
     finally {
         await fleet.stop();
