Count a restoration of the store as an outage even if no call has failed

Servers whose rows lapse just after a restoration, until they write them again, were dropped at once by an entry that had noticed the restoration without a failed call.

Cause: lapses are told apart from removals by the time of the last failed call or of the recovery after it; a feed that only saw the epoch rise had neither.

Evidence: the new test of tableFeed.test failed before (no outage known).

Why this works: the feed records an outage whenever its cursor enters a later epoch, by its own read or by a peer's rows.

--- a/src/lib/node/tableFeed.ts
+++ b/src/lib/node/tableFeed.ts
@@ -43,7 +43,10 @@
 }
 
 export interface TableFeed {
-    /** Returns the time of the last failed call or of the recovery after it; `undefined` if no call has failed. */
+    /**
+     * Returns the time of the last failed call, of the recovery after it or of the last restoration of the store;
+     * `undefined` if none of them has happened.
+     */
     lastOutageAt(): number | undefined;
     /** Returns whether the last call succeeded; true before the first one ends. */
     isConnected(): boolean;
@@ -63,6 +66,8 @@
     let lastOutageAt: number | undefined;
     let failures = 0;
     let cursor: StorePosition | undefined;
+    /** Newest epoch in which this feed has had a cursor. */
+    let epoch: number | undefined;
     /**
      * Whether the replica has every change up to its newest row. After a complete read it may not: later pages can
      * include changes newer than the read's position. The first feed response fills the gap.
@@ -93,12 +98,19 @@
         if (position.epoch < previous.epoch) throw outdatedError(position, previous);
         const isRestoration = replica.hasSnapshot() && position.epoch > previous.epoch;
         if (isRestoration) log.warn("store restored", { table, ...position, previous });
+        enterEpoch(position);
         options.onChange(replica.applySnapshot(rows, position), isRestoration);
         cursor = position;
         isContiguous = false;
         log.info("table read", { table, ...position, rows: rows.length });
     }
 
+    /** A restoration counts as an outage even if no call has failed: rows may lapse meanwhile. */
+    function enterEpoch(position: StorePosition): void {
+        if (epoch !== undefined && position.epoch > epoch) lastOutageAt = options.now();
+        epoch = position.epoch;
+    }
+
     async function readNext(): Promise<void> {
         // A peer may have delivered a later epoch, in which the cursor denotes another state or none.
         if (cursor !== undefined && !isContiguous && cursor.epoch < replica.newestPosition().epoch) cursor = undefined;
@@ -115,6 +127,7 @@
             }
             // Skips changes that peers have already supplied.
             cursor = laterPosition(cursor, replica.newestPosition());
+            enterEpoch(cursor);
         }
         // Without waiting for changes, the call detects a recovery or a restoration at once.
         const waitMs = failures > 0 || hasSkippedCalls ? 0 : options.waitMs();
--- a/src/test/node/tableFeed.test.ts
+++ b/src/test/node/tableFeed.test.ts
@@ -158,3 +158,25 @@
     const { rows } = replica.changesSince({ epoch: 0, revision: 0 });
     assert.deepEqual(rows.filter(({ value }) => value !== undefined).map(({ key }) => key), ["late"]);
 });
+
+// Guards against servers that are dropped at once because their rows lapse just after a restoration that no failed call
+// announced.
+test("a restoration counts as an outage of the store", async () => {
+    const fakeStore = await startFakeStore();
+    const store = createPlatformStore(fakeStore.address);
+    const copy = fakeStore.copy();
+    let isReader = true;
+    fakeStore.put("servers", "i-1", "1");
+    const feed = startFeed(store, { waitMs: 50, isReader: () => isReader });
+    await sleep(200);
+    isReader = false;
+    await sleep(200);
+    fakeStore.restore(copy);
+    isReader = true;
+    await sleep(500);
+    feed.stop();
+    store.close();
+    fakeStore.close();
+    const outageAt = feed.lastOutageAt();
+    assert.ok(outageAt !== undefined && performance.now() - outageAt < 1000, `outage at ${outageAt}`);
+});
