Send deletions to entries of earlier versions, whatever the store's epoch

Callers: none seen. During an upgrade, an entry of the version before that reads from an entry of this one kept servers that had left, if the store states an epoch above 0.

Cause: a request without an epoch was taken for one from epoch 0, and the whole table that answers it has no deleted rows.

Why this works: a request without an epoch is answered from the current one, by its revision, as before epochs were introduced.

--- a/src/lib/node/peerMessages.ts
+++ b/src/lib/node/peerMessages.ts
@@ -303,8 +303,10 @@
     if (url.pathname !== CHANGES_PATH) return false;
     const replica = replicas.get(url.searchParams.get("table") ?? "");
     const numberParameter = (name: string) => Number(url.searchParams.get(name));
+    // Entries of earlier versions name no epoch, and don't learn of deletions from a whole table.
+    const epoch = url.searchParams.has("epoch") ? numberParameter("epoch") : replica?.newestPosition().epoch ?? 0;
     const changes = replica?.changesSince(
-        { epoch: numberParameter("epoch"), revision: numberParameter("after") },
+        { epoch, revision: numberParameter("after") },
         { epoch: numberParameter("retained-epoch"), revision: numberParameter("retained-after") },
     );
     const body = JSON.stringify({
