--- a/src/test/node/tableFeed.test.ts
+++ b/src/test/node/tableFeed.test.ts
@@ -167,7 +167,7 @@
     const copy = fakeStore.copy();
     let isReader = true;
     fakeStore.put("servers", "i-1", "1");
-    const feed = startFeed(store, { waitMs: 50, isReader: () => isReader });
+    const feed = startFeed(store, { waitMs: () => 50, isReader: () => isReader });
     await sleep(200);
     isReader = false;
     await sleep(200);
