Record a silent server's failure when its successor starts

Since a silent server keeps its attempt, its silence was recorded as a failure only when that attempt ended: once the successor had begun to answer, or at the caller's deadline. Until then a server that hung received further requests.

It is recorded again at the moment the request is sent to a successor, once for each attempt. A server that goes on and answers is reinstated by its success.

--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -36,8 +36,11 @@
 export interface AttemptOptions extends Dispatch {
     /** Aborted when another attempt begins to answer the caller. */
     readonly supersession: AbortSignal;
-    /** Called while the server is silent for too long, with a function that tells whether it still is. */
-    readonly onSilence: (isSilent: () => boolean) => Promise<void>;
+    /**
+     * Called while the server is silent for too long, with a function that tells whether it still is. Resolves with
+     * whether the request was sent to another server.
+     */
+    readonly onSilence: (isSilent: () => boolean) => Promise<boolean>;
     /** Called before bytes are sent to the caller. Other attempts must send none from then on. */
     readonly onDelivery: () => void;
 }
@@ -58,9 +61,13 @@
     const sentAt = context.now();
     /** What the silence of the server means at this stage of the attempt; for the log. */
     let silenceReason = "the answer timed out";
+    let hasRecordedSilence = false;
     const silence = createSilenceTimer(async () => {
         try {
-            await onSilence(() => silence.isExpired() && !cancellation.signal.aborted);
+            if (!await onSilence(() => silence.isExpired() && !cancellation.signal.aborted)) return;
+            // Recorded at once, because a server that hangs would receive further requests until this one ends.
+            context.health.recordOutcome(server.id, Outcome.broken, context.now());
+            hasRecordedSilence = true;
         }
         catch (error) {
             context.log.warn("successor not found", { id: caller.id, error: (error as Error).message });
@@ -127,7 +134,7 @@
             onSurvival: () => context.promptGuard.recordSurvival(caller, server.service),
         });
         const isSilent = silence.isExpired() && !isSuperseded;
-        recordResult(exchange, assignment, result, { metadata, isSilent, isSuperseded });
+        recordResult(exchange, assignment, result, { metadata, isSilent, isSuperseded, hasRecordedSilence });
         return result.kind === "failed" ? { ...result, isSuperseded } : result;
     }
     catch (error) {
@@ -136,7 +143,7 @@
         const isOverdue = context.now() - sentAt >= overdueAfterMs(exchange, assignment);
         const isCancelled = exchange.cancellation.signal.aborted || isSuperseded ||
             hasOutdatedWeights(assignment, context.now());
-        if (!isCancelled || isOverdue) {
+        if (!hasRecordedSilence && (!isCancelled || isOverdue)) {
             context.health.recordOutcome(server.id, outcome, context.now());
         }
         if (verdict !== Verdict.notRun) exchange.verdicts.push(verdict);
@@ -172,10 +179,11 @@
     exchange: Exchange,
     assignment: Assignment,
     result: AttemptResult,
-    { metadata, isSilent, isSuperseded }: {
+    { metadata, isSilent, isSuperseded, hasRecordedSilence }: {
         readonly metadata: ResponseMetadata;
         readonly isSilent: boolean;
         readonly isSuperseded: boolean;
+        readonly hasRecordedSilence: boolean;
     },
 ): void {
     const { context } = exchange;
@@ -184,7 +192,8 @@
     const isCancelled = exchange.cancellation.signal.aborted || isSuperseded ||
         !hasFirstEvent && hasOutdatedWeights(assignment, context.now());
     // A caller that leaves a silent server has waited for it.
-    if (!isCancelled || result.kind === "answered" || isSilent && hasFirstEvent) {
+    const isServerFailure = !isCancelled || isSilent && hasFirstEvent;
+    if (result.kind === "answered" || isServerFailure && !hasRecordedSilence) {
         context.health.recordOutcome(assignment.server.id, outcome, context.now());
     }
     context.metrics.sends.inc({ result: outcome });
--- a/src/lib/router/successor.ts
+++ b/src/lib/router/successor.ts
@@ -11,6 +11,8 @@
     RetryDenial,
 } from "./exchangeState.js";
 
+type StartDenial = RetryDenial | "notNeeded";
+
 export interface SuccessorSearchOptions {
     readonly createDispatchRequest: (dispatchId: string) => DispatchRequest;
     /** Returns the number of attempts in progress. */
@@ -21,10 +23,10 @@
 
 export interface SuccessorSearch {
     /**
-     * Starts a successor if there is one. `silentId` is the dispatch identifier of the silent attempt; `isNeeded` tells
+     * Starts a successor if there is one, and resolves with whether it did. `silentId` is the dispatch identifier of the silent attempt; `isNeeded` tells
      * whether its server is still silent.
      */
-    claim(silentId: string, isNeeded: () => boolean): Promise<void>;
+    claim(silentId: string, isNeeded: () => boolean): Promise<boolean>;
 }
 
 export function createSuccessorSearch(
@@ -35,12 +37,14 @@
     const { context, route, caller } = exchange;
     let isClaiming = false;
 
-    async function claim(silentId: string, isNeeded: () => boolean): Promise<void> {
+    async function claim(silentId: string, isNeeded: () => boolean): Promise<boolean> {
         // The silence timer may start anew, and expire again, while a slot is reserved.
-        if (!isRetryableRoute(route) || isClaiming) return;
+        if (!isRetryableRoute(route) || isClaiming) return false;
         isClaiming = true;
         try {
-            exchange.retryDenial = findDenial() ?? await startSuccessor(`${silentId}/successor`, isNeeded);
+            const denial = findDenial() ?? await startSuccessor(`${silentId}/successor`, isNeeded);
+            exchange.retryDenial = denial === "notNeeded" ? undefined : denial;
+            return denial === undefined;
         }
         finally {
             isClaiming = false;
@@ -63,7 +67,7 @@
         return promptGuard.mayRepeat(caller, service) ? undefined : RetryDenial.implicatedPrompt;
     }
 
-    async function startSuccessor(dispatchId: string, isNeeded: () => boolean): Promise<RetryDenial | undefined> {
+    async function startSuccessor(dispatchId: string, isNeeded: () => boolean): Promise<StartDenial | undefined> {
         const { dispatcher, reservations, retryBudget, now } = context;
         const assignment = dispatcher.assignNow(createDispatchRequest(dispatchId), now());
         if (assignment === undefined) return RetryDenial.noServer;
@@ -78,7 +82,7 @@
         };
         if (!isNeeded()) {
             release();
-            return undefined;
+            return "notNeeded";
         }
         // The server may have announced that it leaves, and the prompt may have been quarantined, in the meantime.
         const denial = dispatcher.mayStillSend(assignment.server, now()) ? findPromptDenial() : RetryDenial.noServer;
--- a/src/lib/router/takeover.ts
+++ b/src/lib/router/takeover.ts
@@ -66,10 +66,9 @@
             runAttempt(exchange, {
                 ...dispatch,
                 supersession: attempt.supersession.signal,
-                onSilence: async isSilent => {
-                    // An attempt that has a successor doesn't need another one.
-                    if (open.at(-1) === attempt) await search.claim(dispatch.dispatchId, isSilent);
-                },
+                // An attempt that has a successor doesn't need another one.
+                onSilence: async isSilent =>
+                    open.at(-1) === attempt && await search.claim(dispatch.dispatchId, isSilent),
                 onDelivery: () => supersedeOthers(attempt),
             }).then(result => {
                 closeAttempt(attempt, result);
--- a/src/test/router/successor.test.ts
+++ b/src/test/router/successor.test.ts
@@ -62,7 +62,7 @@
 });
 
 /** Starts a search for the attempt `r/0`. */
-function createClaim(): (isNeeded?: () => boolean) => Promise<void> {
+function createClaim(): (isNeeded?: () => boolean) => Promise<boolean> {
     const search = createSuccessorSearch(exchange, "plain", {
         createDispatchRequest: id => ({ id }) as DispatchRequest,
         openCount: () => openCount,
@@ -76,7 +76,7 @@
 
 // Guards against a silent server that gets a successor without a slot or a retry.
 test("a successor is assigned, its slot reserved and the retry taken", async () => {
-    await createClaim()();
+    assert.equal(await createClaim()(), true);
     assert.deepEqual(calls, ["assign r/0/successor", "take retry", "start r/0/successor"]);
     assert.deepEqual(started, [{ assignment: ASSIGNMENT, dispatchId: "r/0/successor" }]);
 });
@@ -85,25 +85,25 @@
 test("a successor that isn't used is released", async () => {
     const released = ["assign r/0/successor", "release slot r/0/successor", "release r/0/successor"];
     const claim = createClaim();
-    await claim(() => false);
+    assert.equal(await claim(() => false), false);
     assert.deepEqual(calls, released, "the server went on meanwhile");
 
     calls = [];
     mayStillSend = false;
-    await claim();
+    assert.equal(await claim(), false);
     assert.deepEqual(calls, released, "the server announced that it leaves");
 
     calls = [];
     mayStillSend = true;
     isWithinBudget = false;
-    await claim();
+    assert.equal(await claim(), false);
     assert.deepEqual(calls, [released[0], "take retry", released[1], released[2]]);
     assert.equal(exchange.retryDenial, "budget spent");
 
     calls = [];
     isWithinBudget = true;
     refusal = { isGranted: false, load: [0, 0, 0, 0], pauseMs: 0 };
-    await claim();
+    assert.equal(await claim(), false);
     assert.deepEqual(calls, [released[0], "withdraw r/0/successor"]);
     assert.equal(exchange.retryDenial, "no server");
     assert.deepEqual(started, []);
@@ -113,12 +113,12 @@
 test("there is no successor for a quarantined prompt", async () => {
     const claim = createClaim();
     isQuarantined = true;
-    await claim();
+    assert.equal(await claim(), false);
     assert.deepEqual(calls, []);
     assert.equal(exchange.retryDenial, "quarantined prompt");
     isQuarantined = false;
     isImplicated = true;
-    await claim();
+    assert.equal(await claim(), false);
     assert.deepEqual(calls, [], "its prompt may have crashed servers");
 });
 
@@ -126,7 +126,7 @@
 test("a successor is released if the prompt is quarantined meanwhile", async () => {
     const claim = createClaim()();
     isQuarantined = true;
-    await claim;
+    assert.equal(await claim, false);
     assert.deepEqual(calls, ["assign r/0/successor", "release slot r/0/successor", "release r/0/successor"]);
     assert.equal(exchange.retryDenial, "quarantined prompt");
 });
@@ -134,7 +134,7 @@
 // Guards against a second assignment under the same identifier, whose load would be counted forever.
 test("a successor isn't claimed twice while its slot is reserved", async () => {
     const claim = createClaim();
-    await Promise.all([claim(), claim()]);
+    assert.deepEqual(await Promise.all([claim(), claim()]), [true, false]);
     assert.deepEqual(calls, ["assign r/0/successor", "take retry", "start r/0/successor"]);
 });
 
@@ -142,10 +142,10 @@
 test("a successor counts as one of the attempts", async () => {
     const claim = createClaim();
     openCount = 2;
-    await claim();
+    assert.equal(await claim(), false);
     openCount = 1;
     for (const id of ["i-2", "i-3", "i-4"]) exchange.triedServerIds.add(id);
-    await claim();
+    assert.equal(await claim(), false);
     assert.deepEqual(calls, []);
     assert.equal(exchange.retryDenial, "attempts used");
 });
--- a/src/test/router/takeover.test.ts
+++ b/src/test/router/takeover.test.ts
@@ -221,3 +221,18 @@
     assert.deepEqual(responses.map(({ isComplete }) => isComplete), [true, true]);
     assert.deepEqual(pool.runners.map(({ requests }) => requests.length), [2, 2]);
 });
+
+// Guards against a server that hangs and receives further requests until its successors have begun.
+test("a server that hangs is avoided as soon as others take over its requests", async () => {
+    const pool = await startPool({
+        respond: (request, number) => {
+            if (number > 3) setTimeout(() => request.socket.write(completeResponse(request, "ok")), 800);
+        },
+        rows: [{}, { zone: "other" }],
+    });
+    const calls = [1, 2, 3].map(() => pool.call("/read/"));
+    await waitUntil(() => pool.requestCount() === 6);
+    calls.push(pool.call("/read/"));
+    assert.deepEqual((await Promise.all(calls)).map(({ body }) => body), ["ok", "ok", "ok", "ok"]);
+    assert.deepEqual(pool.runners.map(({ requests }) => requests.length), [3, 4]);
+});
