Report a table service that has lost configuration revisions

If the table service came back from a copy, nothing told operators that it had lost accepted changes: each process kept its higher revision in silence, and even reported the older row as a confirmation of it. Its next read could also be answered with 304 for an entity tag that had been given out again for another row.

A process that reads a revision below one that it had before the read now keeps its own, logs a warning once a minute, confirms nothing, and treats the table as unavailable where it asks before it acts, so no replica starts a switch. The comparison is with the revision from before the read, because a newer one may arrive from a peer during it. After a failed read the next one is unconditional, since a table is away before it comes back from a copy.

--- a/src/lib/node/configurationSync.ts
+++ b/src/lib/node/configurationSync.ts
@@ -60,6 +60,9 @@
 const EXCHANGE_INTERVAL_MS = 1000;
 const EXCHANGE_TIMEOUT_MS = 1000;
 
+/** Interval at which the warning of a table that has lost revisions is repeated. */
+const WARNING_INTERVAL_MS = 60_000;
+
 export type ConfigurationListener = (configuration: Configuration) => void;
 
 export interface ConfigurationSync extends PeriodicTask {
@@ -70,7 +73,7 @@
     readonly handleExchange: (request: SyncConfigurationRequest) => SyncConfigurationResponse;
     /**
      * Reads the table now. Resolves to true if `current` then includes everything committed before the call, and to
-     * false if the table is unavailable or its row is invalid.
+     * false if the table is unavailable, or its row is invalid or older than a revision that was committed before.
      */
     readonly refresh: () => Promise<boolean>;
     /** Registers a listener that is called after each new revision. */
@@ -102,8 +105,11 @@
     let current = EMPTY_CONFIGURATION;
     let confirmedAt = 0;
     let polledAt = 0;
-    let etag: string | undefined;
+    /** Entity tag and revision of the row that was read last; `undefined` if the next read is unconditional. */
+    let knownRow: { readonly etag: string; readonly revision: number; } | undefined;
     let peerIndex = 0;
+    /** Time of the last warning of a table that has lost revisions; 0 if the table has the current one. */
+    let lostRevisionWarnedAt = 0;
     /** Highest revision that is being requested from a peer; 0 for none. */
     let requestedRevision = 0;
 
@@ -124,22 +130,45 @@
     /** Returns whether the table confirmed the revision that is now current. */
     async function poll(): Promise<boolean> {
         const startedAt = now();
+        const committedRevision = current.revision;
+        let tableRevision = knownRow?.revision ?? 0;
         polledAt = startedAt;
-        const row = await table.read(CONFIGURATION_TABLE, CONFIGURATION_KEY, etag);
-        if (row.kind === "unavailable") return false;
+        const row = await table.read(CONFIGURATION_TABLE, CONFIGURATION_KEY, knownRow?.etag);
+        if (row.kind === "unavailable") {
+            // A table that was restored from a copy gives out entity tags again, with other content.
+            knownRow = undefined;
+            return false;
+        }
         if (row.kind === "found") {
             const snapshot = parseConfiguration(row.value);
             if (snapshot === undefined) {
                 log.warn("the configuration row in the table is invalid; keeping revision %d", current.revision);
                 return false;
             }
-            etag = row.etag;
+            tableRevision = snapshot.revision;
+            knownRow = { etag: row.etag, revision: tableRevision };
             applyIfNewer({ ...snapshot, changes: [] });
         }
+        if (row.kind === "missing") tableRevision = 0;
+        if (tableRevision < committedRevision) {
+            warnOfLostRevision(tableRevision, committedRevision);
+            return false;
+        }
+        lostRevisionWarnedAt = 0;
         recordConfirmation(startedAt);
         return true;
     }
 
+    function warnOfLostRevision(tableRevision: number, committedRevision: number): void {
+        if (lostRevisionWarnedAt !== 0 && now() - lostRevisionWarnedAt < WARNING_INTERVAL_MS) return;
+        lostRevisionWarnedAt = now();
+        log.warn(
+            "the table has configuration revision %d, but revision %d was committed to it; keeping that one",
+            tableRevision,
+            committedRevision,
+        );
+    }
+
     function domainVms(): Vm[] {
         return options.vms().filter(vm => vm.failureDomain === options.failureDomain);
     }
--- a/src/test/node/configurationSync.test.ts
+++ b/src/test/node/configurationSync.test.ts
@@ -10,8 +10,9 @@
     startFleet,
     waitUntil,
 } from "../../harness/index.js";
-import { createObjectStore } from "../../lib/clients/index.js";
-import { shouldPoll } from "../../lib/node/index.js";
+import { createObjectStore, type TableService } from "../../lib/clients/index.js";
+import type { Configuration } from "../../lib/core/index.js";
+import { shouldPoll, startConfigurationSync } from "../../lib/node/index.js";
 import { publishDirectory } from "../../lib/publish/index.js";
 import { type Connections, createConnections, createCredentials } from "../../lib/rpc/index.js";
 
@@ -88,3 +89,83 @@
     assert.equal(shouldPoll(50, 31_000, 11_000), true);
     assert.equal(shouldPoll(50, 31_000, 500), false);
 });
+
+interface TestRow {
+    readonly etag: string;
+    readonly revision: number;
+}
+
+/** Runs a process that reads a table without peers. */
+async function withTable(
+    run: (
+        table: { row: TestRow | "unavailable" | undefined; },
+        sync: ReturnType<typeof startConfigurationSync>,
+    ) => Promise<void>,
+): Promise<void> {
+    const state: { row: TestRow | "unavailable" | undefined; } = { row: undefined };
+    const table = {
+        read: async (_table: string, _key: string, knownEtag?: string) => {
+            const { row } = state;
+            if (row === "unavailable") return { kind: "unavailable", cause: new Error("outage") };
+            if (row === undefined) return { kind: "missing" };
+            if (row.etag === knownEtag) return { kind: "unchanged" };
+            const value: Configuration = { revision: row.revision, profiles: {}, changes: [] };
+            return { kind: "found", value, etag: row.etag };
+        },
+    } as unknown as TableService;
+    const connections = createConnections(createCredentials(undefined));
+    const sync = startConfigurationSync({
+        process: "p",
+        failureDomain: "d",
+        table,
+        vms: () => [],
+        connections,
+        events: { record: () => undefined } as never,
+        pollMs: 1_000_000,
+        now: () => performance.now(),
+        random: Math.random,
+    });
+    try {
+        await run(state, sync);
+    }
+    finally {
+        await sync.stop();
+        connections.close();
+    }
+}
+
+// Guards against a table that was restored from a copy and is taken as a confirmation of revisions that it has lost.
+test("a table that is behind a committed revision confirms nothing and is reported", async t => {
+    await withTable(async (table, sync) => {
+        const write = t.mock.method(process.stderr, "write", () => true);
+        const warningCount = () =>
+            write.mock.calls.filter(call => /revision 2, but revision 3/.test(String(call.arguments[0]))).length;
+        table.row = { etag: "a", revision: 3 };
+        assert.equal(await sync.refresh(), true);
+        const confirmedAt = sync.confirmedAt();
+        table.row = { etag: "b", revision: 2 };
+        // The second read is conditional.
+        for (let i = 0; i < 2; i++) assert.equal(await sync.refresh(), false);
+        table.row = undefined;
+        assert.equal(await sync.refresh(), false);
+        assert.equal(sync.confirmedAt(), confirmedAt);
+        assert.equal(sync.current().revision, 3);
+        assert.equal(warningCount(), 1);
+        table.row = { etag: "c", revision: 4 };
+        assert.equal(await sync.refresh(), true);
+        assert.equal(sync.current().revision, 4);
+    });
+});
+
+// Guards against a row that is never read because the table, restored from a copy, has given out its entity tag again.
+test("the first read after an outage is unconditional", async () => {
+    await withTable(async (table, sync) => {
+        table.row = { etag: "a", revision: 3 };
+        assert.equal(await sync.refresh(), true);
+        table.row = "unavailable";
+        assert.equal(await sync.refresh(), false);
+        table.row = { etag: "a", revision: 4 };
+        assert.equal(await sync.refresh(), true);
+        assert.equal(sync.current().revision, 4);
+    });
+});
