Record the result of a call whose claim is gone

If the table service lost the claim of a call while it ran, as after a restoration from a copy, the call's result was dropped in silence, and a repeated call with the same key ran again. The cause: the settlement took a missing row, and an earlier attempt's released row, for a claim that was already settled.

It now writes the result there, under the same conditions as a release, so that the repeated call is replayed. A row that another attempt has claimed or settled stays as it is.

The specification is unchanged: in it rows don't vanish.

--- a/src/lib/core/claim.ts
+++ b/src/lib/core/claim.ts
@@ -141,8 +141,9 @@
     | { readonly kind: "retryLater"; };
 
 /**
- * Decides how to settle a claim of this process after its row was read. A release also writes to a missing row and
- * over another attempt's released row, because an insert or takeover with an unknown outcome may still take effect.
+ * Decides how to settle a claim of this process after its row was read. It also writes to a missing row and over another
+ * attempt's released row: a release, because an insert or takeover with an unknown outcome may still take effect, and a
+ * result, because a table service that was restored from a copy may have lost the claim.
  */
 export function afterSettleRead(
     attempt: Pick<ClaimAttempt, "token" | "fingerprint">,
@@ -151,13 +152,11 @@
 ): SettleStep {
     if (read.kind === "unavailable") return { kind: "retryLater" };
     const row = createSettledRow(attempt, settlement);
-    if (read.kind === "missing") {
-        return settlement.kind === "release" ? { kind: "insert", row } : { kind: "settled" };
-    }
+    if (read.kind === "missing") return { kind: "insert", row };
     const foundRow = parseClaimRow(read.value);
     const isOwn = foundRow?.token === attempt.token;
-    // A pending takeover of a released row can still take effect as long as the row's entity tag doesn't change.
-    const mayBeTakenOver = settlement.kind === "release" && !isOwn && foundRow?.state === "released";
+    // A takeover of a released row can still take effect as long as the row's entity tag doesn't change.
+    const mayBeTakenOver = !isOwn && foundRow?.state === "released";
     const isOwnUnsettled = isOwn && foundRow.state === "claimed";
     return isOwnUnsettled || mayBeTakenOver ? { kind: "replace", row, etag: read.etag } : { kind: "settled" };
 }
--- a/src/test/agent/claims.test.ts
+++ b/src/test/agent/claims.test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import type { AnswerSink } from "../../lib/agent/answerSink.js";
 import { createClaims, MAX_RECORDED_BYTES, REPLAYED_HEADER } from "../../lib/agent/claims.js";
-import type { TableService, TableWrite } from "../../lib/clients/index.js";
+import type { TableService, TableWrite, WriteCondition } from "../../lib/clients/index.js";
 import { Verdict } from "../../lib/core/index.js";
 import type { DispatchRequest } from "../../lib/rpc/index.js";
 import { longTestParameters } from "../longTest.js";
@@ -255,3 +255,39 @@
     const { outcomes, runs } = await runInTurn(call, call);
     assert.deepEqual([verdictOf(outcomes[1] as Outcome), runs.length], [Verdict.ran, 1]);
 });
+
+// Guards against a repeated call that runs again because the table service came back without the claim.
+test("a call whose claim was lost while it ran is replayed", async () => {
+    const rows = new Map<string, { value: unknown; etag: string; }>();
+    const table = {
+        read: async (_table: string, key: string) => {
+            const row = rows.get(key);
+            return row === undefined ? { kind: "missing" } : { kind: "found", ...row };
+        },
+        write: async (_table: string, key: string, value: unknown, condition: WriteCondition) => {
+            const etag = condition.kind === "absent" ? undefined : condition.etag;
+            if (rows.get(key)?.etag !== etag) return { kind: "conflict" };
+            const written = `"${JSON.stringify(value).length}"`;
+            rows.set(key, { value, etag: written });
+            return { kind: "written", etag: written };
+        },
+    } as unknown as TableService;
+    const claims = createClaims({ table, now: () => 0, sleep: () => Promise.resolve() });
+    const frames: Frame[] = [];
+    const sink: AnswerSink = {
+        send: frame => frames.push(frame) > 0,
+        waitForDrain: () => Promise.resolve(),
+        end: () => undefined,
+        signal: new AbortController().signal,
+    };
+    const request = { idempotencyKey: "k", method: "POST", path: "/", body: Buffer.from("b") } as DispatchRequest;
+    const settlingSink = await claims.claim(request, 1000, sink);
+    assert.ok(settlingSink);
+    rows.clear();
+    sendResponse(settlingSink, "first");
+    await claims.waitForSettlements();
+    frames.length = 0;
+    assert.equal(await claims.claim(request, 1000, sink), undefined, "the call runs again");
+    const data = frames.find(frame => frame.$case === "data");
+    assert.ok(data?.$case === "data" && data.data.toString() === "ran first");
+});
