Let the soak restore the store from a copy with a server that has left

The row of a server whose leaving every entry knows comes back with the copy, so that the check of calls to servers that have left applies to a restoration.

--- a/src/test/soak/restorationFaults.ts
+++ b/src/test/soak/restorationFaults.ts
@@ -1,6 +1,7 @@
 /** Faults in which the store is away for a moment and comes back from a copy, so that it loses its latest writes. */
 import { setTimeout as sleep } from "node:timers/promises";
 import type { StoreCopy, StoreFault } from "../platform/fakeStore.js";
+import { finishDrain } from "./noticeFaults.js";
 import type { SoakFaults, SoakFaultsOptions } from "./soakFaults.js";
 import type { Server } from "./soakServers.js";
 import { MAX_COPY_AGE_MS, MIN_COPY_AGE_MS } from "./soakStore.js";
@@ -13,9 +14,11 @@
 /** Time after which the store removes the rows of servers that don't write. */
 const ROW_EXPIRY_MS = 3600;
 
-export function createRestorationFaults({ store, servers, operator, random }: SoakFaultsOptions): SoakFaults {
-    async function restore(): Promise<void> {
-        const copy = store.findCopy(random.between(MIN_COPY_AGE_MS, MAX_COPY_AGE_MS));
+export function createRestorationFaults(options: SoakFaultsOptions): SoakFaults {
+    const { store, servers, operator, random } = options;
+
+    async function restore(minCopyAgeMs: number): Promise<void> {
+        const copy = store.findCopy(random.between(minCopyAgeMs, MAX_COPY_AGE_MS));
         if (copy === undefined) return;
         store.recordFault(Number.POSITIVE_INFINITY);
         store.fake.setFault(random.pick(OUTAGES));
@@ -56,13 +59,24 @@
     return {
         "restore the store from a copy": async () => {
             await store.exclusively(async () => {
-                await restore();
+                await restore(MIN_COPY_AGE_MS);
                 if (random.next() > 0.3) return;
                 await sleep(random.between(0, 1500));
-                await restore();
+                await restore(MIN_COPY_AGE_MS);
             });
             await Promise.all([writeServersAgain(), writeConfigurationAgain()]);
         },
+        "restore the store from a copy with a server that has left": async () => {
+            const server = random.pick(servers.all);
+            if (isGone(server) || server.drainStartedAt !== undefined) return;
+            await servers.add();
+            const startedAt = performance.now();
+            if (random.next() < 0.5) servers.unregister(server);
+            else servers.startDrain(server);
+            await finishDrain(options, server);
+            await store.exclusively(() => restore(performance.now() - startedAt + MIN_COPY_AGE_MS));
+            await Promise.all([writeServersAgain(), writeConfigurationAgain()]);
+        },
     };
 }
 
