--- a/src/lib/router/successor.ts
+++ b/src/lib/router/successor.ts
@@ -23,8 +23,8 @@
 
 export interface SuccessorSearch {
     /**
-     * Starts a successor if there is one, and resolves with whether it did. `silentId` is the dispatch identifier of the silent attempt; `isNeeded` tells
-     * whether its server is still silent.
+     * Starts a successor if there is one, and resolves with whether it did. `silentId` is the dispatch identifier of
+     * the silent attempt; `isNeeded` tells whether its server is still silent.
      */
     claim(silentId: string, isNeeded: () => boolean): Promise<boolean>;
 }
--- a/src/test/router/routerHarness.ts
+++ b/src/test/router/routerHarness.ts
@@ -11,8 +11,8 @@
 const PORT_RANGE_SIZE = 16;
 
 /**
- * Returns the first port of a range that is free on each of the addresses. The range lies below the ephemeral ports, which connections of parallel tests
- * could otherwise take before the test does.
+ * Returns the first port of a range that is free on each of the addresses. The range lies below the ephemeral ports,
+ * which connections of parallel tests could otherwise take before the test does.
  */
 export async function findFreePortRange(...ips: readonly string[]): Promise<number> {
     const addresses = ips.length === 0 ? ["127.0.0.1"] : ips;
