Read what has arrived before a stop cancels requests

What callers saw: a stream that was cut off, or a 502, at the end of a grace period although the server's whole answer had arrived while the entry's process was paused.

Cause: after a pause the timer at the end of the grace period runs before sockets are read.

Evidence: the new test failed before (the events of the pause and the end of the stream were missing).

Why this works: requests are cancelled in the check phase of the event loop, which follows the reads, as all other timers about servers do.

--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -3,7 +3,7 @@
  * dispatcher, and the HTTP servers for callers, readiness checks and peers.
  */
 import * as http from "node:http";
-import { setTimeout as sleep } from "node:timers/promises";
+import { setImmediate as waitForImmediate, setTimeout as sleep } from "node:timers/promises";
 import { isDeepStrictEqual } from "node:util";
 import {
     createDispatcher,
@@ -347,6 +347,8 @@
             await sleep(DRAIN_POLL_INTERVAL_MS);
             if ((callerServer?.inProgressCount() ?? 0) > 0) idleSince = now();
         }
+        // What arrived while this process was paused is read before requests are cancelled.
+        await waitForImmediate();
         for (const cancellation of context.cancellations) cancellation.abort(CancelReason.stopping);
         const responseDeadline = now() + RESPONSE_MARGIN_MS;
         while ((callerServer?.inProgressCount() ?? 0) > 0 && now() < responseDeadline) {
--- a/src/test/router/blockedProcess.test.ts
+++ b/src/test/router/blockedProcess.test.ts
@@ -41,6 +41,7 @@
     cleanups.push(router.stop);
     await sleep(100);
     return {
+        stop: router.stop,
         call: (deadlineMs = 3000) =>
             sendCall(router.callerPort, {
                 path: "/talk/",
@@ -89,6 +90,20 @@
     assert.deepEqual([response.status, response.body], [200, numberedEvents(1, 3)]);
 });
 
+// Guards against an answer that is cut off at the end of a stop although it had arrived.
+test("a stream that ends while the process pauses is relayed before a stop cancels it", async () => {
+    const pool = await startPool({ eventCount: 10, intervalMs: 100, silentAfter: 0, silenceMs: 0 });
+    const stopped = pool.stop();
+    await sleep(2000);
+    const call = pool.call();
+    await sleep(600);
+    // The grace period of 4 s is almost over afterwards.
+    blockEventLoop(1100);
+    const response = await call;
+    assert.deepEqual([response.body, response.isComplete], [numberedEvents(1, 10), true]);
+    await stopped;
+});
+
 // Guards against a sound server that is ejected as unreachable after a pause of the entry.
 test("a pause of the process isn't taken for a connection that can't be established", async () => {
     const runner = await startRunnerThread({ eventCount: 1, intervalMs: 0, silentAfter: 0, silenceMs: 0 });
