Don't bring back a deleted row from a table that arrives late

Callers: none seen. A server that had left stayed registered in one entry, when a peer's earlier table arrived after a later one from the store.

Evidence: the new test of restoredReplica.test failed before (the row was applied); core/serving and node pass. The router tests were not run to their end on this change.

--- a/src/lib/core/serving/rowReplica.ts
+++ b/src/lib/core/serving/rowReplica.ts
@@ -59,6 +59,8 @@
     const rows = new Map<string, Row>();
     let newestPosition = INITIAL_POSITION;
     let hasSnapshot = false;
+    /** Position of the newest snapshot. A row that changed before and isn't in the replica has been deleted. */
+    let snapshotPosition = INITIAL_POSITION;
 
     const isRetained = (row: Row) => row.epoch < newestPosition.epoch;
 
@@ -73,6 +75,7 @@
         if (row.epoch > newestPosition.epoch && hasSnapshot) return false;
         newestPosition = laterPosition(newestPosition, { epoch: row.epoch, revision: row.revision });
         const current = rows.get(row.key);
+        if (current === undefined && wasDeletedSince(row)) return false;
         if (!replaces(row, current)) return false;
         // Deleting first moves the row to the end, which keeps the map in the order of positions.
         rows.delete(row.key);
@@ -80,6 +83,11 @@
         return true;
     }
 
+    /** Without a tombstone: a snapshot lists no deleted rows. */
+    function wasDeletedSince({ epoch, revision }: Row): boolean {
+        return epoch === snapshotPosition.epoch && revision <= snapshotPosition.revision;
+    }
+
     function apply(changes: readonly Row[]): Row[] {
         const applied = changes.filter(applyRow);
         trimTombstones();
@@ -96,7 +104,9 @@
             .filter(row => isRetained(row) ? !outlives(row, undefined) : row.revision <= revision)
             .map(row => ({ key: row.key, epoch, revision, value: undefined }));
         hasSnapshot = true;
-        return apply([...snapshot.toSorted(comparePositions), ...removed]);
+        const applied = apply([...snapshot.toSorted(comparePositions), ...removed]);
+        snapshotPosition = laterPosition(snapshotPosition, position);
+        return applied;
     }
 
     function enterEpoch(epoch: number): void {
--- a/src/test/core/serving/restoredReplica.test.ts
+++ b/src/test/core/serving/restoredReplica.test.ts
@@ -159,3 +159,14 @@
     assert.deepEqual(replica.changesSince(peer.newestPosition()).rows, [], "rows of an earlier epoch");
     assert.deepEqual(peer.applySnapshot([rowAt("a", "1", 1, 9)], at(1, 9)), [], "a snapshot that is late");
 });
+
+// Guards against a server that has left and is used for ever, because a peer's earlier table arrives after a later one
+// from the store.
+test("a row that a snapshot lacks isn't brought back by an earlier table", () => {
+    const replica = createRowReplica();
+    replica.applySnapshot([rowAt("sound", "1", 1, 2)], at(1, 4));
+    const late = [rowAt("sound", "1", 1, 2), rowAt("departed", "1", 1, 3)];
+    assert.deepEqual(replica.apply(late), []);
+    assert.deepEqual(replica.applySnapshot(late, at(1, 3)), []);
+    assert.deepEqual(replica.apply([rowAt("departed", "2", 1, 5)]), [rowAt("departed", "2", 1, 5)]);
+});
