Register an entry in the epoch in which its row is seen

An entry whose row was lost between its write and the first reads of its tables never registered again, as no replica had entered a later epoch; a renewal after a stop repeated its attempts for ever.

Cause: the renewal depended on a rise that the replicas had seen, not on the epoch in which the row is known to be.

Change: an attempt ends only when the entry's own row is in the table, and the entry registers again when a replica is in a later epoch than that read.

--- a/src/lib/router/registration.ts
+++ b/src/lib/router/registration.ts
@@ -8,8 +8,8 @@
 import type { EventLog } from "../observability/index.js";
 
 export interface Registration {
-    /** Registers the entry again; what an earlier write has achieved is unknown then. */
-    renew(): void;
+    /** Registers the entry again if the store is in a later epoch than when the row was last seen. */
+    renewIn(epoch: number): void;
     stop(): void;
 }
 
@@ -30,23 +30,30 @@
 ): Registration {
     let timer: NodeJS.Timeout | undefined;
     let failures = 0;
+    let isStopped = false;
+    /** Epoch in which the store was seen to have the row; `undefined` while an attempt is scheduled or in progress. */
+    let registeredEpoch: number | undefined;
     /** Number of registrations begun; an attempt that another one has replaced ends without effect. */
     let generation = 0;
 
     function scheduleAttempt(delayMs: number): void {
         clearTimeout(timer);
         generation++;
-        timer = setTimeout(() => void attempt(generation), delayMs);
+        registeredEpoch = undefined;
+        if (!isStopped) timer = setTimeout(() => void attempt(generation), delayMs);
     }
 
     async function attempt(ownGeneration: number): Promise<void> {
         try {
             await store.putRow(ENTRIES_TABLE, self.name, formatEntryRow(self));
-            for (const row of (await store.readTable(ENTRIES_TABLE)).rows) {
+            const { rows, position } = await store.readTable(ENTRIES_TABLE);
+            for (const row of rows) {
                 const entry = parseEntryRow(row);
                 if (entry !== undefined && entry.name !== self.name) addPeer(entry);
             }
+            if (!rows.some(({ key }) => key === self.name)) throw new Error("the store has lost the entry's row");
             failures = 0;
+            if (ownGeneration === generation) registeredEpoch = position.epoch;
         }
         catch (error) {
             if (ownGeneration !== generation) return;
@@ -58,8 +65,11 @@
 
     scheduleAttempt(0);
     return {
-        renew: () => scheduleAttempt(random() * RENEWAL_JITTER_MS),
+        renewIn: epoch => {
+            if (registeredEpoch !== undefined && epoch > registeredEpoch) scheduleAttempt(random() * RENEWAL_JITTER_MS);
+        },
         stop: () => {
+            isStopped = true;
             generation++;
             clearTimeout(timer);
         },
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -232,8 +232,6 @@
     };
     /** Applies the changes by which a replica enters a later epoch of the store. */
     function applyRestoration(table: string, rows: readonly Row[]): void {
-        // The row that this entry wrote may be lost.
-        registration.renew();
         if (table === PlatformTable.servers) registry.recordRestoration(now());
         // The rows of servers that serve may be missing until they write them again.
         applyChanges[table]?.(rows, now());
@@ -312,6 +310,7 @@
         const newEntries = [self, ...peers.live(now())];
         if (!isDeepStrictEqual(newEntries, liveEntries)) liveEntries = newEntries;
         peerExchange.tick();
+        for (const replica of replicas.values()) registration.renewIn(replica.newestPosition().epoch);
         metrics.waiting.set(dispatcher.queueLength());
         dispatcher.pool.forgetUnregistered(now());
         for (const id of registry.expire(now())) {
