Don't take a naming from before a restoration for a new one

An entry that started after a restoration read the copy, got a newer naming from a peer that retained it, and allowed older weights for another whole switch period if no peer reported its age any more.

Cause: each naming after the first read of the table counted as new.

Change: a row of an earlier epoch than the store's counts as old; a peer that still knows its age corrects that.

--- a/src/lib/router/operatorState.ts
+++ b/src/lib/router/operatorState.ts
@@ -20,8 +20,8 @@
 export interface OperatorState {
     /** Returns the current route table, or `undefined` until a valid configuration has been read. */
     routeTable(): RouteTable | undefined;
-    /** Applies changed rows of the operator table. */
-    applyOperatorRows(rows: readonly Row[], now: number): void;
+    /** Applies changed rows of the operator table; `epoch` is the present one of the store. */
+    applyOperatorRows(rows: readonly Row[], epoch: number, now: number): void;
     /** Applies changed rows of the server registry. `lastOutageAt` is the last time at which the store failed. */
     applyServerRows(rows: readonly Row[], lastOutageAt: number | undefined, now: number): void;
 }
@@ -41,11 +41,13 @@
     let routeTable: RouteTable | undefined;
     let hasInitialRows = false;
 
-    function applyOperatorRows(rows: readonly Row[], now: number): void {
+    function applyOperatorRows(rows: readonly Row[], epoch: number, now: number): void {
         for (const row of rows) {
             if (row.value === undefined) continue;
+            // A row that a peer has retained from before a restoration may be old.
+            const isNew = hasInitialRows && row.epoch === epoch;
             if (row.key === ROUTING_CONFIGURATION_KEY) applyConfiguration(row.value, row.revision);
-            else applyNamedWeights(row.key, row.value, row.revision, now);
+            else applyNamedWeights(row.key, row.value, row.revision, isNew, now);
         }
         hasInitialRows = true;
     }
@@ -67,10 +69,10 @@
         options.onConfiguration(routeTable);
     }
 
-    function applyNamedWeights(key: string, text: string, revision: number, now: number): void {
+    function applyNamedWeights(key: string, text: string, revision: number, isNew: boolean, now: number): void {
         const named = parseNamedWeights(key, text);
         if (named === undefined) return;
-        if (!weights.recordNamed(named.model, named.version, hasInitialRows, now)) return;
+        if (!weights.recordNamed(named.model, named.version, isNew, now)) return;
         log.info("weights named", { revision, ...named });
         if (hasInitialRows) options.onWeightsNamed(named.version);
     }
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -222,7 +222,11 @@
     type ApplyChanges = (rows: readonly Row[], outageAt: number | undefined) => void;
     const applyChanges: Readonly<Record<string, ApplyChanges>> = {
         [PlatformTable.operator]: rows => {
-            operatorState.applyOperatorRows(rows, now());
+            operatorState.applyOperatorRows(
+                rows,
+                replicas.get(PlatformTable.operator)?.newestPosition().epoch ?? 0,
+                now(),
+            );
             dispatcher.tick(now());
         },
         [PlatformTable.servers]: (rows, outageAt) => {
