Fail the attempt when a server switches the protocol unasked

What callers saw: no answer, neither at the deadline nor at the end of a stop, if a server answered with 101 and the headers of an upgrade, as a faulty one may. The connection stayed open until its caller left.

Cause: Node closes the connection to such a server without an error and without a response, so the promise of the send was never settled, and cancelling the attempt had nothing left to end.

Evidence: the new test failed before (no byte within 5 s; an earlier form of it hung for ten minutes).

Why this works: the close of the connection, which Node always reports, settles the send as well. A response that has arrived before isn't affected.

--- a/src/lib/router/backendConnections.ts
+++ b/src/lib/router/backendConnections.ts
@@ -97,7 +97,15 @@
                 abort(typeof reason === "string" ? reason : "cancelled");
             };
             request.signal.addEventListener("abort", onAbort, { once: true });
-            outgoing.once("close", () => request.signal.removeEventListener("abort", onAbort));
+            const fail = (message: string) => {
+                connectTimer.stop();
+                reject(sendError(abortMessage ?? message, mayBeWritten ? Verdict.mayHaveRun : Verdict.notRun));
+            };
+            outgoing.once("close", () => {
+                request.signal.removeEventListener("abort", onAbort);
+                // There is no error if the server switches the protocol unasked.
+                fail("closed without a response");
+            });
             const connectTimer = createSilenceTimer(async () => abort("connecting timed out"));
             connectTimer.start(CONNECT_TIMEOUT_MS);
             const onConnected = () => {
@@ -109,11 +117,7 @@
                 if (socket.connecting) socket.once("connect", onConnected);
                 else onConnected();
             });
-            outgoing.on("error", cause => {
-                connectTimer.stop();
-                const verdict = mayBeWritten ? Verdict.mayHaveRun : Verdict.notRun;
-                reject(sendError(abortMessage ?? cause.message, verdict));
-            });
+            outgoing.on("error", cause => fail(cause.message));
             let informationalCount = 0;
             outgoing.on("information", () => {
                 if (++informationalCount > MAX_INFORMATIONAL_RESPONSES) abort("too many informational responses");
--- a/src/test/router/invalidInput.test.ts
+++ b/src/test/router/invalidInput.test.ts
@@ -139,3 +139,19 @@
         }
     });
 });
+
+const INVALID_RESPONSES: Readonly<Record<string, (id: string) => string>> = {
+    "switches the protocol": () => "HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\nConnection: Upgrade\r\n\r\n",
+    "isn't final": id => `HTTP/1.1 101 Switching Protocols\r\nAttempt-Id: ${id}\r\nResponse-Seal: s\r\n\r\n`,
+};
+
+// Guards against requests that are never answered, or not with a final response, because of what their server sends.
+for (const [name, format] of Object.entries(INVALID_RESPONSES)) {
+    test(`a request is answered although the response of its server ${name}`, async () => {
+        respond = ({ socket, attemptId }) => void socket.write(format(attemptId));
+        const caller = await entry.openCaller();
+        caller.send(formatRequest({ path: "/book/", id: "a", body: "x" }));
+        await waitUntil(() => caller.received() !== "" || caller.isClosed());
+        assert.match(caller.received(), /^HTTP\/1\.1 502 /);
+    });
+}
