Report a drained connection to its response after a request for a tunnel

What callers saw: a stream that stopped in its middle and was cut off when its time was over. Its caller had sent a CONNECT request behind it on the same connection.

Cause: when Node hands over the connection of a CONNECT request, it removes its listeners from the socket, also the one that reports to the response in progress that the socket has drained. The relay waits for this report after each write that exceeds the buffer, so from there on nothing more was relayed.

Evidence: the new test failed before (status 0 in place of 200); without the CONNECT request the stream was whole.

Why this works: the drain of such a connection is passed on to the response that is being sent.

--- a/src/lib/router/callerConnections.ts
+++ b/src/lib/router/callerConnections.ts
@@ -16,6 +16,8 @@
      * an error with this status.
      */
     endWith(status: number, socket: Socket): void;
+    /** Tells the response that is being sent that the connection has drained, where Node doesn't. */
+    reportDrain(socket: Socket): void;
     /** Returns the number of requests whose responses have neither ended nor been cut off. */
     inProgressCount(): number;
     /** Returns whether other requests on the connection of this response are in progress. */
@@ -91,6 +93,11 @@
         add,
         accept,
         endWith,
+        reportDrain: socket => {
+            for (const response of connections.get(socket)?.responses ?? []) {
+                if (response.socket === socket) response.emit("drain");
+            }
+        },
         closeAfter: ({ req }) => {
             const connection = connections.get(req.socket);
             if (connection !== undefined) connection.isClosing = true;
--- a/src/lib/router/callerServer.ts
+++ b/src/lib/router/callerServer.ts
@@ -57,6 +57,7 @@
     server.on("connect", (_, socket) => {
         // Node has removed its own listeners.
         socket.on("error", () => socket.destroy()).on("end", () => socket.destroy()).resume();
+        socket.on("drain", () => connections.reportDrain(socket as Socket));
         connections.endWith(405, socket as Socket);
     });
     // Disabled, because the route's timeout bounds the whole request.
--- a/src/test/router/pipelining.test.ts
+++ b/src/test/router/pipelining.test.ts
@@ -146,3 +146,22 @@
     await entry.router.stop();
     assert.ok(Date.now() - stoppedAt < 3000, `${Date.now() - stoppedAt} ms`);
 });
+
+// Guards against a response that stops where its caller reads slowly, because Node no longer reports that the socket of
+// a request for a tunnel has drained.
+test("a stream of large events goes on to its end although a request for a tunnel follows its request", async () => {
+    const caller = await entry.openCaller();
+    const events = [1, 2, 3, 4, 5].map(id => encodeChunk(`id: ${id}\ndata: ${"x".repeat(40_000)}\n\n`));
+    respond = request => {
+        const { socket } = request;
+        socket.write(streamResponseHead(request));
+        setTimeout(() => socket.write(`${events.join("")}0\r\n\r\n`), 300);
+    };
+    caller.send(formatRequest({ path: "/talk/", id: "a", body: "x" }));
+    await waitUntil(() => entry.runner.requests.length === 1);
+    caller.send("CONNECT site.example:80 HTTP/1.1\r\nHost: site.example\r\n\r\n");
+    const response = await caller.nextResponse();
+    assert.equal(response.status, 200);
+    assert.match(response.body, /id: 5\n/);
+    assert.equal((await caller.nextResponse()).status, 405);
+});
