--- a/src/test/agent/gate.test.ts
+++ b/src/test/agent/gate.test.ts
@@ -17,6 +17,10 @@
     /** Sets the state last read by the agent and, if `atEngine` is given, a different actual state of the engine. */
     readonly setServing: (state: typeof STATE, atEngine?: typeof STATE) => void;
     readonly setDigest: (digest: string) => void;
+    /** Sets what happens while a claim is made. */
+    readonly onClaim: (listener: () => void) => void;
+    /** Simulates a pause of the process. */
+    readonly pauseFor: (ms: number) => void;
 }
 
 async function withGate(
@@ -32,6 +36,8 @@
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     let serving = STATE;
     let atEngine: typeof STATE | undefined;
+    let claimListener = () => undefined as void;
+    let pausedMs = 0;
     const gate = createGate({
         backendUrl: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
         kind: "model",
@@ -41,15 +47,23 @@
         policy: () => DEFAULT_QUEUE_POLICY,
         ranked: true,
         onChange: () => undefined,
-        // These tests send no calls with an idempotency key, so nothing is claimed.
-        claims: { claim: async (_request, _deadline, sink) => sink, waitForSettlements: async () => undefined },
-        now: () => Date.now(),
+        // These tests send no calls with an idempotency key, so nothing is written.
+        claims: {
+            claim: async (_request, _deadline, sink) => {
+                claimListener();
+                return sink;
+            },
+            waitForSettlements: async () => undefined,
+        },
+        now: () => Date.now() + pausedMs,
     });
     try {
         await run({
             gate,
             setServing: (state, engineState) => void ([serving, atEngine] = [state, engineState]),
             setDigest: digest => void (serving = { ...STATE, digest }),
+            onClaim: listener => claimListener = listener,
+            pauseFor: ms => void (pausedMs += ms),
         });
     }
     finally {
@@ -93,6 +107,27 @@
     return { sink, kinds: () => frames.map(({ $case }) => $case), frames };
 }
 
+// Guards against an agent that goes on after a pause and runs a call whose caller has given up meanwhile.
+test("a call whose deadline passed during a pause is refused as not run", async () => {
+    let runCount = 0;
+    const respond = (response: ServerResponse) => {
+        runCount++;
+        response.end("data: {}\n\ndata: [DONE]\n\n");
+    };
+    await withGate(respond, 1, async ({ gate, onClaim, pauseFor }) => {
+        const { remainingMs } = request("a");
+        onClaim(() => pauseFor(remainingMs));
+        const late = createSink();
+        await gate.dispatch(request("late"), late.sink);
+        assert.match(JSON.stringify(late.frames), /"notRun".*"the deadline has passed"/);
+        assert.equal(runCount, 0);
+        onClaim(() => pauseFor(remainingMs / 2));
+        const inTime = createSink();
+        await gate.dispatch(request("in time"), inTime.sink);
+        assert.deepEqual([inTime.kinds()[0], runCount], ["admitted", 1]);
+    });
+});
+
 // Guards against a version switch that interrupts or loses requests, or runs one on a version it isn't bound to.
 test("a pause lets running requests finish and keeps queued ones queued until it ends", async () => {
     const responses: ServerResponse[] = [];
