Read what arrived during a pause before a caller's idle connection is closed

Callers: a request on a kept connection got neither an answer nor a refusal, but a reset, if it had arrived while the entry's process was paused or its event loop blocked past the connection's idle timeout.

Cause: the event loop runs timers before it reads, and Node closes an idle connection in its timer.

Change: as on the product's own interface, the connection is closed in the next phase of the loop, unless bytes have arrived; both use one function.

--- a/src/lib/entry/server.ts
+++ b/src/lib/entry/server.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import VError from "verror";
+import { closeUnlessReceiving } from "../node/idleTimeout.js";
 import { stopListening } from "../node/listen.js";
 import { createLog } from "../observability/index.js";
 import { type AdminDependencies, serveAdmin } from "./adminApi.js";
@@ -152,15 +153,6 @@
     };
 }
 
-/** Closes an idle connection after its timeout, unless a request has arrived while this process didn't run. */
-function closeUnlessReceiving(socket: Socket): void {
-    const receivedBytes = socket.bytesRead;
-    // The event loop runs timers before it reads from sockets.
-    setImmediate(() => {
-        if (socket.bytesRead === receivedBytes) socket.destroy();
-    });
-}
-
 function sendHealth(response: http.ServerResponse, isHealthy: boolean): void {
     response.writeHead(isHealthy ? 200 : 503, { "content-type": "text/plain" });
     response.end(isHealthy ? "ok\n" : "not ready\n");
--- a/src/lib/router/callerServer.ts
+++ b/src/lib/router/callerServer.ts
@@ -5,6 +5,7 @@
 import * as http from "node:http";
 import type { Socket } from "node:net";
 import type { CallerLimits } from "../core/serving/index.js";
+import { closeUnlessReceiving } from "../node/idleTimeout.js";
 import { listen, stopListening } from "../node/listen.js";
 import type { Address } from "../settings/vmSettings.js";
 import { createCallerConnections } from "./callerConnections.js";
@@ -50,6 +51,7 @@
         void serve(request, response);
     });
     server.on("connection", connections.add);
+    server.on("timeout", closeUnlessReceiving);
     // Also called for errors of the socket, which is destroyed then.
     server.on("clientError", ({ code = "" }: NodeJS.ErrnoException, socket) => {
         connections.endWith(ERROR_STATUSES[code] ?? 400, socket as Socket);
--- a/src/test/router/keepAlive.test.ts
+++ b/src/test/router/keepAlive.test.ts
@@ -88,3 +88,20 @@
     caller.send(formatRequest({ path: "/book/", id: "b", body: "x" }));
     assert.equal((await caller.nextResponse()).status, 200);
 });
+
+// Guards against a request that gets neither an answer nor a refusal: it arrived on an idle connection in time, but the
+// process was paused, and its idle timer ran before the request was read.
+test("a request that arrives during a pause is read before its idle connection is closed", async () => {
+    await changeLimits(2, { "idle-timeout-ms": 1000 });
+    const caller = await entry.openCaller();
+    caller.send(formatRequest({ path: "/read/", id: "a", body: "x" }));
+    assert.equal((await caller.nextResponse()).status, 200);
+    await sleep(500);
+    // After the check phase, the event loop runs timers before it reads.
+    await new Promise(resolve => setImmediate(resolve));
+    caller.send(formatRequest({ path: "/read/", id: "b", body: "x" }));
+    const pauseEnd = performance.now() + 2500;
+    while (performance.now() < pauseEnd);
+    assert.equal((await caller.nextResponse()).status, 200);
+    await waitUntil(() => caller.isClosed());
+});
