Find the newest retained row without copying the table; forget servers in one place

Each heartbeat, sent or received, copied and sorted the rows of both tables for a value that is almost always undefined. The registry removed a server and remembered its incarnation in two places.

--- a/src/lib/core/serving/rowReplica.ts
+++ b/src/lib/core/serving/rowReplica.ts
@@ -135,8 +135,11 @@
     }
 
     function retainedPosition(): StorePosition | undefined {
-        const [newest] = [...rows.values()].filter(isRetained).sort((a, b) => comparePositions(b, a));
-        return newest === undefined ? undefined : { epoch: newest.epoch, revision: newest.revision };
+        let newest: StorePosition | undefined;
+        for (const row of rows.values()) {
+            if (isRetained(row)) newest = laterPosition(newest ?? row, row);
+        }
+        return newest && { epoch: newest.epoch, revision: newest.revision };
     }
 
     return {
--- a/src/lib/core/serving/serverRegistry.ts
+++ b/src/lib/core/serving/serverRegistry.ts
@@ -144,13 +144,15 @@
         if (mayHaveLapsed && !current.server.isLeaving) {
             registered.set(id, { server: current.server, suspectedSince: current.suspectedSince ?? now });
         }
-        else {
-            registered.delete(id);
-            addBounded(removedKeys, incarnationKey(current.server));
-        }
+        else forget(current.server);
         usableByService.clear();
     }
 
+    function forget(server: BackendServer): void {
+        registered.delete(server.id);
+        addBounded(removedKeys, incarnationKey(server));
+    }
+
     function recordRestoration(now: number): void {
         doubtfulKeys = new Set([...now < doubtfulUntil ? doubtfulKeys : [], ...removedKeys]);
         doubtfulUntil = now + CONFIRMATION_MS;
@@ -183,10 +185,7 @@
         const expired = [...registered.values()].filter(({ suspectedSince }) =>
             suspectedSince !== undefined && now - suspectedSince >= suspicionTimeoutMs(drainMs())
         );
-        for (const { server } of expired) {
-            registered.delete(server.id);
-            addBounded(removedKeys, incarnationKey(server));
-        }
+        for (const { server } of expired) forget(server);
         if (expired.length > 0) usableByService.clear();
         return expired.map(({ server }) => server.id);
     }
