--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -48,11 +48,12 @@
 }
 
 /**
- * Starts a runner. `weights` is set for a model engine. `respond` may take over the response to an engine's report. Runs
- * are passed to `onRun`.
+ * Starts a runner. `weights` is set for a model engine. `respond` may take over the response to an engine's report.
  */
 export async function startRunner(context, store, options) {
-    const { id, service, ip, zone, slots = 16, weights, onRun = () => undefined, respond, initialVersion = 0 } = options;
+    const { id, service, ip, zone, slots = 16, weights, respond, initialVersion = 0 } = options;
+    /** `onRun` is called when a request is taken, `onBegin` when a stream begins with its first event. */
+    const { onRun = () => undefined, onBegin = () => undefined } = options;
     let born = Date.now();
     let sequence = 0;
     let activeCount = 0;
@@ -189,6 +190,8 @@
             "Content-Type": "text/event-stream",
             "Weight-Versions": String(loadedVersion),
         });
+        const runVersion = loadedVersion;
+        let hasBegun = false;
         let eventId = Number(headers["last-event-id"] ?? 0);
         const sendNext = () => {
             if (response.destroyed || incarnation !== born) return;
@@ -197,6 +200,8 @@
                 return;
             }
             eventId++;
+            if (!hasBegun) onBegin({ id: attemptId, runner: id, version: runVersion });
+            hasBegun = true;
             response.write(`id: ${eventId}\ndata: word${eventId}\n\n`);
             setTimeout(sendNext, EVENT_INTERVAL_MS);
         };
