Add review case: an entry misses a removed server for good

Cause: a replica without tombstones serves changes to a peer that is behind, which then never learns of the deletion.

--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -59,8 +59,8 @@
     let activeCount = 0;
     let isBusy = false;
     let loadedVersion = initialVersion;
-    let state = "ready";
     let isOn = true;
+    let isLeaving = false;
     /** What lies staged at the engine, by index of the piece. */
     let staged = new Map();
     if (weights !== undefined && initialVersion > 0) stageAll(initialVersion);
@@ -82,7 +82,7 @@
             zone,
             version: "v1",
             slots,
-            state,
+            state: "ready",
             "cold-remaining-ms": 0,
             sequence,
             born,
@@ -175,7 +175,11 @@
         response.on("close", end);
         const incarnation = born;
         onRun({ id: attemptId, runner: id, tenant: headers.tenant, path: request.url, version: loadedVersion, body });
-        const common = { "Attempt-Id": attemptId, "Response-Seal": `seal-${id}-${attemptId}` };
+        const common = {
+            "Attempt-Id": attemptId,
+            "Response-Seal": `seal-${id}-${attemptId}`,
+            ...isLeaving ? { "Server-Leaving": "1" } : {},
+        };
         if (weights === undefined) {
             setTimeout(() => {
                 const text = JSON.stringify({ runner: id, attempt: attemptId });
@@ -232,9 +236,10 @@
         id,
         address,
         loadedVersion: () => loadedVersion,
-        drain: () => {
-            state = "draining";
-            register();
+        /** Begins to leave without reporting it: the entry is removed, and the runner serves on for a while. */
+        leave: () => {
+            isLeaving = true;
+            return store.remove("servers", id);
         },
         /** The machine loses power: the engine's layers and what lies staged are gone. */
         powerOff: async () => {
