--- a/review/lib/proxy.mjs
+++ b/review/lib/proxy.mjs
@@ -1,17 +1,12 @@
-/** A TCP proxy on loopback whose open connections can fall silent while new ones work, or that can be cut off. */
+/** A TCP proxy on loopback whose open connections can fall silent while new ones work. */
 import { connect, createServer } from "node:net";
 
 export async function startProxy(context, target) {
     const [host, port] = target.split(":");
     const connections = new Set();
-    let isCut = false;
-    let lastRequestAt = Number.NEGATIVE_INFINITY;
     const server = createServer(client => {
         const upstream = connect({ host, port: Number(port) });
-        const connection = { isSilent: isCut };
-        client.on("data", () => {
-            lastRequestAt = performance.now();
-        });
+        const connection = { isSilent: false };
         connections.add(connection);
         const relay = (from, to) => {
             from.on("data", data => {
@@ -46,12 +41,5 @@
             for (const connection of silenced) connection.isSilent = true;
             return silenced.length;
         },
-        /** Nothing passes any more, on open and on new connections. */
-        cut: () => {
-            isCut = true;
-            for (const connection of connections) connection.isSilent = true;
-        },
-        /** Returns the time of `performance.now` at which the client sent something for the last time. */
-        lastRequestAt: () => lastRequestAt,
     };
 }
