--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -145,12 +145,12 @@
     const servedBefore = await sendFor(STEADY_MS);
     if (servedBefore < 0.25) return NOT_RUN;
     write(`operator: version 2 acknowledged as ${store.put("op", "config", operatorConfiguration(2))}`);
-    for (const machine of machines) machine.powerOff();
+    for (const machine of machines) machine.kill();
     await Promise.all(engines.map(engine => engine.powerOff()));
     mayGarble = hasTrouble;
     await sleep(DOWN_MS);
     await Promise.all(engines.map(engine => engine.powerOn()));
-    for (const machine of machines) machine.powerOn();
+    for (const machine of machines) machine.startAgain();
     const backAt = now();
     write("the machines are back");
     await sleep(backAt + BOUNDS.recoveryMs - now());
--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -126,7 +126,7 @@
  *
  * `machines` are objects with `name`, `role` ("entry" or "agent"), `ip`, `zone` and, for agents, `app` and `service`.
  */
-export async function createMachines(context, machines, storeAddress, { zones, memoryMb = {} }) {
+export async function createMachines(context, machines, storeAddress, { zones, agentLinkMbps = 7.6 }) {
     const base = await findPorts(machines.map(({ ip }) => ip), 20);
     const ports = { front: base, ready: base + 1, control: base + 2, internal: base + 3 };
     const seeds = machines.filter(({ role }) => role === "entry").slice(0, 3).map(({ ip }) => `${ip}:${ports.control}`);
@@ -143,7 +143,7 @@
             startCount++;
             writeFileSync(settingsFile, settingsOf(machine, ports, seeds, zones, storeAddress(machine), {
                 isFirst: startCount === 1,
-                memoryMb: memoryMb[machine.role],
+                agentLinkMbps,
             }));
             const [command, ...args] = roleCommand(machine.role);
             const { PATH, HOME, LANG } = process.env;
@@ -177,13 +177,13 @@
                 child?.kill(name);
             },
             /** Ends the process and doesn't start it again before `start` is called. */
-            powerOff: () => {
+            kill: () => {
                 isRestarting = false;
                 signalledAt = now();
-                context.write(`${machine.name} loses power`);
+                context.write(`${machine.name} is killed`);
                 child?.kill("SIGKILL");
             },
-            powerOn: () => {
+            startAgain: () => {
                 isRestarting = true;
                 start();
             },
@@ -216,7 +216,7 @@
     });
 }
 
-function settingsOf(machine, ports, seeds, zones, storeAddress, { isFirst, memoryMb }) {
+function settingsOf(machine, ports, seeds, zones, storeAddress, { isFirst, agentLinkMbps }) {
     const { name, role, ip, zone, app, service } = machine;
     const isEntry = role === "entry";
     const zoneLines = Object.entries(zones).map(([key, region]) => `${key} = "${region}"`).join("\n");
@@ -249,9 +249,9 @@
 [limits]
 cpu-share = ${isEntry ? 0.675 : 0.81}
 cores = 1
-memory-mb = ${memoryMb ?? (isEntry ? 480 : 218)}
+memory-mb = ${isEntry ? 480 : 218}
 max-fds = ${isEntry ? 6300 : 1494}
-link-mbps = ${isEntry ? "1500.0" : "7.6"}
+link-mbps = ${isEntry ? "1500.0" : agentLinkMbps}
 disk-mb = 0
 
 [tolerate]
--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -314,30 +314,59 @@
 
 /**
  * Starts the origin of weights. `garble` may return other bytes for an answer: it gets "manifest" or "piece", the index
- * of the piece and the sound bytes.
+ * of the piece and the sound bytes. `linkMbps` limits its link. Versions that are two or more behind the newest one that
+ * `announce` was called with get 410.
  */
-export async function startOrigin(context, weights, { ip, garble = (_kind, _index, bytes) => bytes }) {
-    const counts = { manifest: 0, piece: 0 };
+export async function startOrigin(
+    context,
+    weights,
+    { ip, garble = (_kind, _index, bytes) => bytes, linkMbps = Number.POSITIVE_INFINITY },
+) {
+    const counts = { manifest: 0, piece: 0, gone: 0 };
+    let newestVersion = 1;
+    let linkFreeAt = 0;
+    /** Resolves when the link has carried the bytes, after all that were sent before. */
+    function carry(byteCount) {
+        const now = performance.now();
+        linkFreeAt = Math.max(linkFreeAt, now) + byteCount * 8 / (linkMbps * 1000);
+        return new Promise(resolve => setTimeout(resolve, linkFreeAt - now));
+    }
     const server = http.createServer((request, response) => {
         const url = new URL(request.url, "http://origin");
-        const version = Number(url.searchParams.get("version") ?? 1);
+        const version = Number(url.searchParams.get("version") ?? newestVersion);
+        if (version <= newestVersion - 2) {
+            counts.gone++;
+            response.writeHead(410, { "Content-Length": 0 }).end();
+            return;
+        }
+        const send = (bytes, headers = {}) =>
+            void carry(bytes.length).then(() => {
+                response.writeHead(200, { ...headers, "Content-Length": bytes.length }).end(bytes);
+            });
         if (url.pathname.startsWith("/-/manifest/")) {
             counts.manifest++;
             const { model, chunkBytes } = weights;
-            const manifest = { model, version, "chunk-bytes": chunkBytes, layers: LAYERS, digests: weights.digestsOf(version) };
-            const bytes = garble("manifest", undefined, Buffer.from(JSON.stringify(manifest)));
-            response.writeHead(200, { "Content-Type": "application/json", "Content-Length": bytes.length }).end(bytes);
+            const digests = weights.digestsOf(version);
+            const manifest = { model, version, "chunk-bytes": chunkBytes, layers: LAYERS, digests };
+            send(garble("manifest", undefined, Buffer.from(JSON.stringify(manifest))), {
+                "Content-Type": "application/json",
+            });
             return;
         }
         counts.piece++;
         const index = Number(url.searchParams.get("num-items"));
-        const bytes = garble("piece", index, pieceBytes(version, index, weights.chunkBytes));
-        response.writeHead(200, { "Content-Length": bytes.length }).end(bytes);
+        send(garble("piece", index, pieceBytes(version, index, weights.chunkBytes)));
     });
     await new Promise(resolve => server.listen(0, ip, resolve));
     context.onEnd(() => {
         server.close();
         server.closeAllConnections();
     });
-    return { address: `${ip}:${server.address().port}`, counts };
+    return {
+        address: `${ip}:${server.address().port}`,
+        counts,
+        announce: version => {
+            newestVersion = version;
+        },
+    };
 }
