--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -54,10 +54,10 @@
 }
 
 /**
- * Starts a runner. `weights` is set for a model engine. `respond` may take over the response to an engine's report.
+ * Starts a runner. `weights` is set for a model engine.
  */
 export async function startRunner(context, store, options) {
-    const { service, ip, zone, slots = 16, weights, respond, initialVersion = 0 } = options;
+    const { service, ip, zone, slots = 16, weights, initialVersion = 0 } = options;
     /**
      * `onRun` is called when a request is taken, `onBegin` when a stream begins with its first event. `isDeadly` tells
      * whether the runner crashes when it begins to answer a request with these headers.
@@ -71,7 +71,6 @@
     let isBusy = false;
     let loadedVersion = initialVersion;
     let isOn = true;
-    let isLeaving = false;
     /** What lies staged at the engine, by index of the piece. */
     let staged = new Map();
     if (weights !== undefined && initialVersion > 0) stageAll(initialVersion);
@@ -122,7 +121,6 @@
 
     async function serveEngine(request, response, url) {
         if (url.pathname === "/-/report") {
-            if (respond?.(response) === true) return;
             sendJson(response, 200, {
                 ...engineFields(),
                 busy: isBusy,
@@ -186,11 +184,7 @@
         response.on("close", end);
         const incarnation = born;
         onRun({ id: attemptId, runner: id, tenant: headers.tenant, path: request.url, version: loadedVersion, body });
-        const common = {
-            "Attempt-Id": attemptId,
-            "Response-Seal": `seal-${id}-${attemptId}`,
-            ...isLeaving ? { "Server-Leaving": "1" } : {},
-        };
+        const common = { "Attempt-Id": attemptId, "Response-Seal": `seal-${id}-${attemptId}` };
         if (weights === undefined) {
             setTimeout(() => {
                 const text = JSON.stringify({ runner: id, attempt: attemptId });
@@ -287,11 +281,6 @@
         id,
         address,
         loadedVersion: () => loadedVersion,
-        /** Begins to leave without reporting it: the entry is removed, and the runner serves on for a while. */
-        leave: () => {
-            isLeaving = true;
-            return store.remove("servers", id);
-        },
         /** The machine loses power: the engine's layers and what lies staged are gone. */
         powerOff: async () => {
             isOn = false;
