Review case 3: a deadly part among more than 32

Cause, as far as known: parsePromptParts returns no parts for a prompt with more than 32, so that the guard against deadly parts lets it pass.

--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,6 +1,6 @@
 /**
- * One part of a prompt crashes each runner that begins to answer it. Requests with that part come in batches: some of them
- * at the same moment, no two alike, among many sound ones.
+ * All prompts share 31 parts, and each has one of its own. Some have one more shared part, which crashes each engine that
+ * begins to write an answer on it; they arrive one after the other.
  */
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -29,15 +29,13 @@
 const WEIGHTS = createWeights({ model: "model-a", chunks: 16, chunkBytes: 32_768 });
 
 const DEADLY_PART = "dead01";
-const SOUND_PARTS = ["a1", "a2", "a3", "a4"];
+/** Parts that all prompts share; with the deadly part and its own one, a prompt has 33. */
+const SOUND_PARTS = Array.from({ length: 31 }, (_, index) => `a${index.toString(16).padStart(3, "0")}`);
 
 const SOUND_INTERVAL_MS = 30;
 /** Under 5 in 100 of the requests, within 22 s, as in the day that the users' news give. */
-const BATCH_SIZE = 11;
-/** The requests of a batch are sent one after the other with this pause. */
-const BATCH_GAP_MS = 2;
-const BATCH_INTERVAL_MS = 8000;
-const BATCH_COUNT = 3;
+const DEADLY_INTERVAL_MS = 700;
+const DEADLY_COUNT = 30;
 /** More requests than this one break the rule. */
 const ALLOWED_REQUESTS = 3;
 const COUNTED_CRASH = 5;
@@ -135,18 +133,14 @@
     let isSending = true;
     const sending = (async () => {
         for (let index = 0; isSending; index++) {
-            pending.push(send([SOUND_PARTS[index % SOUND_PARTS.length]]));
+            pending.push(send(SOUND_PARTS));
             await sleep(SOUND_INTERVAL_MS);
         }
     })();
     await sleep(2000);
-    for (let batch = 0; batch < BATCH_COUNT; batch++) {
-        write(`batch ${batch + 1}`);
-        for (let index = 0; index < BATCH_SIZE; index++) {
-            pending.push(send([SOUND_PARTS[index % SOUND_PARTS.length], DEADLY_PART]));
-            await sleep(BATCH_GAP_MS);
-        }
-        await sleep(batch === BATCH_COUNT - 1 ? 3000 : BATCH_INTERVAL_MS);
+    for (let index = 0; index < DEADLY_COUNT; index++) {
+        pending.push(send([...SOUND_PARTS, DEADLY_PART]));
+        await sleep(DEADLY_INTERVAL_MS);
     }
     isSending = false;
     await sending;
