review: show a deadly part that is never found

Cause: if the same crashes implicate several parts of a prompt, the last one is quarantined and the evidence against the others is deleted. Change: case 4 (BUDGET) asks about a deadly document in sessions.

--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,6 +1,6 @@
 /**
- * All prompts share 31 parts, and each has one of its own. Some have one more shared part, which crashes each engine that
- * begins to write an answer on it; they arrive one after the other.
+ * A deadly document: each engine that begins to answer a request with it crashes. Callers ask about it in sessions; the
+ * requests of a session share the part of the prompt that follows the document. Later the session goes on without it.
  */
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -29,8 +29,11 @@
 const WEIGHTS = createWeights({ model: "model-a", chunks: 16, chunkBytes: 32_768 });
 
 const DEADLY_PART = "dead01";
-/** Parts that all prompts share; with the deadly part and its own one, a prompt has 33. */
-const SOUND_PARTS = Array.from({ length: 31 }, (_, index) => `a${index.toString(16).padStart(3, "0")}`);
+/** The part that all prompts begin with. */
+const COMMON_PART = "a000";
+const sessionPart = session => `b${session.toString(16).padStart(3, "0")}`;
+/** Requests of a session about the document. */
+const DEADLY_PER_SESSION = 5;
 
 const SOUND_INTERVAL_MS = 30;
 /** Under 5 in 100 of the requests, within 22 s, as in the day that the users' news give. */
@@ -131,15 +134,19 @@
     }
     const pending = [];
     let isSending = true;
+    /** The sessions that go on without the document: one from the start, the others after their requests about it. */
+    let openSessionCount = 1;
     const sending = (async () => {
         for (let index = 0; isSending; index++) {
-            pending.push(send(SOUND_PARTS));
+            pending.push(send([COMMON_PART, sessionPart(index % openSessionCount)]));
             await sleep(SOUND_INTERVAL_MS);
         }
     })();
     await sleep(2000);
     for (let index = 0; index < DEADLY_COUNT; index++) {
-        pending.push(send([...SOUND_PARTS, DEADLY_PART]));
+        const session = 1 + Math.floor(index / DEADLY_PER_SESSION);
+        openSessionCount = session;
+        pending.push(send([COMMON_PART, DEADLY_PART, sessionPart(session)]));
         await sleep(DEADLY_INTERVAL_MS);
     }
     isSending = false;
