--- a/src/lib/core/serving/index.ts
+++ b/src/lib/core/serving/index.ts
@@ -3,6 +3,7 @@
 export * from "./dispatcher.js";
 export * from "./engineModel.js";
 export * from "./inFlightRequests.js";
+export * from "./manifestReadings.js";
 export * from "./peerEntries.js";
 export * from "./pieceSources.js";
 export * from "./placement.js";
--- a/src/lib/platform/engineClient.ts
+++ b/src/lib/platform/engineClient.ts
@@ -6,7 +6,7 @@
 import VError from "verror";
 import * as z from "zod";
 import { type HttpResponse, sendRequest } from "../clients/index.js";
-import type { LoadedWeights } from "../core/serving/index.js";
+import { DIGEST_PATTERN, type LoadedWeights } from "../core/serving/index.js";
 import { parseJson } from "./json.js";
 import { layersSchema, modelsSchema, translateLoadedWeights } from "./serverRows.js";
 
@@ -65,7 +65,11 @@
     pace: z.number().positive().optional().catch(undefined),
 });
 
-const manifestSchema = z.object({ version: z.int(), digests: z.array(z.string()) });
+const manifestSchema = z.object({
+    version: z.int(),
+    model: z.string().optional(),
+    digests: z.array(z.string().regex(DIGEST_PATTERN)).min(1),
+});
 
 export function createLocalEngineClient(address: string): LocalEngineClient {
     const agent = new http.Agent({ keepAlive: true, maxSockets: 2 });
@@ -120,11 +124,21 @@
 
     return {
         readManifest: async (model, version) => {
-            return parseResponse(
-                ORIGIN,
-                await call(`/-/manifest/${encodeURIComponent(model)}?version=${version}`),
-                manifestSchema,
-            );
+            const path = `/-/manifest/${encodeURIComponent(model)}?version=${version}`;
+            const manifest = parseResponse(ORIGIN, await call(path), manifestSchema);
+            // The response may be corrupt, and pieces are stored under the version that the manifest names.
+            if (manifest.version !== version || (manifest.model ?? model) !== model) {
+                throw new VError(
+                    { name: "EngineError" },
+                    "%s responded to a request for version %d of %s with version %d of %s",
+                    ORIGIN,
+                    version,
+                    model,
+                    manifest.version,
+                    manifest.model ?? model,
+                );
+            }
+            return { version, digests: manifest.digests };
         },
         readPiece: async (model, version, pieceNumber) => {
             // `num-items` is the number of the piece, not a count.
--- a/src/lib/stager/peerApi.ts
+++ b/src/lib/stager/peerApi.ts
@@ -5,6 +5,7 @@
 import VError from "verror";
 import * as z from "zod";
 import { sendRequest } from "../clients/index.js";
+import { DIGEST_PATTERN } from "../core/serving/index.js";
 import { handleMetricsRequest, type ServingMetrics } from "../observability/index.js";
 import type { WeightManifest } from "../platform/index.js";
 import { countHeld, type PieceStore } from "./pieceStore.js";
@@ -26,7 +27,7 @@
     readPiece(version: number, piece: number, waitMs: number): Promise<Buffer>;
 }
 
-const manifestSchema = z.object({ version: z.int(), digests: z.array(z.string()) });
+const manifestSchema = z.object({ version: z.int(), digests: z.array(z.string().regex(DIGEST_PATTERN)).min(1) });
 const stateSchema = z.object({ held: z.array(z.int()), loaded: z.int() });
 
 /** Maximum duration of a long poll for a peer's state. It can be long because nothing else waits for the result. */
@@ -56,9 +57,18 @@
     }
     return {
         readManifest: async version => {
-            return manifestSchema.parse(
+            const manifest = manifestSchema.parse(
                 JSON.parse(String(await get(`/manifest?version=${version}`, STALL_TIMEOUT_MS))),
             );
+            if (manifest.version === version) return manifest;
+            throw new VError(
+                { name: "PeerError" },
+                "peer %s:%d responded with the manifest of version %d instead of %d",
+                ip,
+                port,
+                manifest.version,
+                version,
+            );
         },
         readState: async (version, knownCount) => {
             const path = `/state?version=${version}&known=${knownCount}`;
--- a/src/test/stager/peerApi.test.ts
+++ b/src/test/stager/peerApi.test.ts
@@ -1,10 +1,15 @@
 import assert from "node:assert/strict";
 import { createHash } from "node:crypto";
-import type { Server } from "node:http";
+import { Agent, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, test } from "node:test";
 import { createServingMetrics } from "../../lib/observability/index.js";
-import { createPieceServer, createStoredPieceProvider } from "../../lib/stager/peerApi.js";
+import {
+    createPeerClient,
+    createPieceServer,
+    createStoredPieceProvider,
+    type PieceProvider,
+} from "../../lib/stager/peerApi.js";
 import { createPieceStore } from "../../lib/stager/pieceStore.js";
 import { createUploadThrottle } from "../../lib/stager/uploadThrottle.js";
 
@@ -43,3 +48,19 @@
     }
     assert.equal(await statusOf("/state?version=1"), 200);
 });
+
+// Guards against the digests of one version that are stored for another one, whoever sent them.
+test("a peer's manifest of another version than the requested one is an error", async () => {
+    const manifest = { version: 1, digests: [createHash("sha256").update(PIECE).digest("hex")] };
+    const provider: PieceProvider = {
+        manifest: async () => manifest,
+        piece: async () => undefined,
+        state: async () => ({ held: [], loaded: 0 }),
+    };
+    const throttle = createUploadThrottle(1000);
+    server = createPieceServer(provider, () => throttle, createServingMetrics());
+    await new Promise<void>(resolve => server?.listen(0, "127.0.0.1", resolve));
+    const client = createPeerClient("127.0.0.1", (server.address() as AddressInfo).port, new Agent(), 1000);
+    assert.deepEqual(await client.readManifest(1), manifest);
+    await assert.rejects(client.readManifest(2), /version 1 instead of 2/);
+});
--- a/src/test/stager/pieceRelay.test.ts
+++ b/src/test/stager/pieceRelay.test.ts
@@ -29,11 +29,20 @@
     }
 });
 
+interface Manifest {
+    readonly model: string;
+    readonly version: number;
+    readonly digests: readonly string[];
+}
+
 async function startOrigin() {
     const versionsSent: number[] = [];
     let isResetting = false;
     let openCount = 0;
     let maxOpenCount = 0;
+    /** Corrupts a manifest; `count` is the number of manifests sent before. */
+    let corruptManifest = (manifest: Manifest, _count: number) => manifest;
+    let manifestCount = 0;
     const server = http.createServer((request, response) => {
         const url = new URL(request.url ?? "/", "http://origin");
         const version = Number(url.searchParams.get("version"));
@@ -42,7 +51,7 @@
                 { length: PIECE_COUNT },
                 (_, piece) => createHash("sha256").update(pieceOf(version, piece)).digest("hex"),
             );
-            response.end(JSON.stringify({ model: "m", version, digests }));
+            response.end(JSON.stringify(corruptManifest({ model: "m", version, digests }, manifestCount++)));
             return;
         }
         versionsSent.push(version);
@@ -65,6 +74,9 @@
         versionsSent,
         /** Number of open connections now, and its maximum so far. */
         connections: () => [openCount, maxOpenCount] as const,
+        setManifestCorruption: (corrupt: typeof corruptManifest) => {
+            corruptManifest = corrupt;
+        },
         setResetting: (value: boolean) => {
             isResetting = value;
         },
@@ -197,3 +209,23 @@
     await Promise.all([2, 3, 4].map(version => relay?.prefetch(version)));
     assert.deepEqual([...new Set(origin.versionsSent)], [3, 4]);
 });
+
+/** Reads all pieces of a version through a relay and compares them with the sound ones. */
+async function assertServesVersion(relay: PieceRelay | undefined, version: number): Promise<void> {
+    for (let piece = 0; piece < PIECE_COUNT; piece++) {
+        assert.deepEqual(await relay?.piece(version, piece, PIECE_WAIT_MS), pieceOf(version, piece), `piece ${piece}`);
+    }
+}
+
+// Guards against engines that load the pieces of an older version as the newest one: a corrupt manifest named version 3
+// where version 2 was asked for, and its digests were kept for version 3 (review/1).
+test("a manifest that names another version than the requested one isn't used", TEST_OPTIONS, async () => {
+    const origin = await startOrigin();
+    const [relay] = await startRelays(origin.address, { "127.0.0.2": "near" });
+    origin.setManifestCorruption((manifest, count) => count === 0 ? { ...manifest, version: 3 } : manifest);
+    await relay?.manifest(2);
+    const digestOf = (version: number) => createHash("sha256").update(pieceOf(version, 0)).digest("hex");
+    assert.equal((await relay?.manifest(3))?.digests[0], digestOf(3));
+    assert.equal((await relay?.manifest(2))?.digests[0], digestOf(2));
+    await assertServesVersion(relay, 3);
+});
--- a/src/test/stager/stager.test.ts
+++ b/src/test/stager/stager.test.ts
@@ -18,10 +18,25 @@
 const pieceOf = (version: number, piece: number) => Buffer.alloc(PIECE_BYTES, `${version}/${piece} `);
 const digestOf = (bytes: Buffer) => createHash("sha256").update(bytes).digest("hex");
 
+interface Manifest {
+    readonly model: string;
+    readonly version: number;
+    readonly digests: readonly string[];
+}
+
 /** Starts one server that is both an origin and an engine, which loads the staged pieces when it is ordered to. */
 async function startEngineAndOrigin() {
     const staged = new Map<number, Buffer>();
-    const state = { version: 1, startedAt: 1, pace: 1, orders: 0, piecesSent: 0, loaded: new Map<number, string>() };
+    const state = {
+        version: 1,
+        startedAt: 1,
+        pace: 1,
+        orders: 0,
+        piecesSent: 0,
+        loaded: new Map<number, string>(),
+        /** Corrupts a manifest before it is sent. */
+        corruptManifest: (manifest: Manifest) => manifest,
+    };
 
     async function respondTo(request: http.IncomingMessage): Promise<[number, Buffer | object]> {
         const url = new URL(request.url ?? "/", "http://engine");
@@ -37,7 +52,7 @@
         }
         if (call === "manifest") {
             const digests = Array.from({ length: PIECE_COUNT }, (_, index) => digestOf(pieceOf(version, index)));
-            return [200, { model: MODEL, version, digests }];
+            return [200, state.corruptManifest({ model: MODEL, version, digests })];
         }
         if (call === "piece") {
             const isCorrupt = ++state.piecesSent % 3 === 0;
@@ -160,6 +175,28 @@
     assertLoaded(2);
 });
 
+/** Returns a corruption of the first manifest only. */
+function corruptOnce(corrupt: (manifest: Manifest) => Manifest): (manifest: Manifest) => Manifest {
+    let isDone = false;
+    return manifest => {
+        if (isDone) return manifest;
+        isDone = true;
+        return corrupt(manifest);
+    };
+}
+
+// Guards against an engine that loads the pieces of version 2 under the name of version 3: the manifest of version 2
+// arrived with a wrong version number, and its digests were kept for version 3 (review/1).
+test("a manifest that names another version than the requested one isn't used", async () => {
+    engine.state.corruptManifest = corruptOnce(manifest => ({ ...manifest, version: 3 }));
+    await nameVersions(2);
+    await waitUntil(() => engine.state.version === 2);
+    assertLoaded(2);
+    await nameVersions(3);
+    await waitUntil(() => engine.state.version === 3);
+    assertLoaded(3);
+});
+
 // Guards against an agent that stops at a version that was superseded while it was being fetched.
 test("the newest of several versions named in quick succession is loaded", async () => {
     await nameVersions(2, 3, 4);
