Confirm a manifest by a second reading, and replace one that pieces contradict

Cause: a manifest has no digest of its own, the first reading was kept for good, and all peers copied it. The piece with the wrong digest never matched, whoever sent it. Fix: a manifest from the origin counts once two separate readings are the same. If the same bytes arrive three times for a piece that doesn't match, the manifest is read from the origin again and replaces the held one. Cost: one more manifest (5 KB) for each process that reads it from the origin.

--- a/src/lib/stager/pieceRelay.ts
+++ b/src/lib/stager/pieceRelay.ts
@@ -20,6 +20,7 @@
 } from "../core/serving/index.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
 import { createWeightsOriginClient, type WeightManifest, type WeightsOriginClient } from "../platform/index.js";
+import { createManifestReader } from "./manifestReader.js";
 import { createOrderedLimit } from "./orderedLimit.js";
 import { createPeerClient, isPieceUnavailable, type PeerClient, type PieceProvider } from "./peerApi.js";
 import { countHeld, createPieceStore, type HeldVersion } from "./pieceStore.js";
@@ -112,6 +113,9 @@
     const originConnections = new http.Agent({ keepAlive: true, timeout: ORIGIN_IDLE_TIMEOUT_MS });
     const openVersions = new Map<number, Promise<HeldVersion>>();
     const originLimit = createOrderedLimit(maxOriginRequests);
+    const manifestReader = createManifestReader(log);
+    /** Versions whose manifest is contradicted by their pieces and has to be read from the origin again. */
+    const contradictedVersions = new Set<number>();
     const inFlightFetches = new Map<string, Promise<Buffer>>();
     let newestVersion = 0;
     let isStopped = false;
@@ -131,6 +135,13 @@
         return opening;
     }
 
+    /** Makes the next request for the version read its manifest from the origin. */
+    function reopenContradicted(version: number): void {
+        log.warn("manifest contradicted by a piece", { version });
+        contradictedVersions.add(version);
+        openVersions.delete(version);
+    }
+
     function forgetOldVersions(): void {
         const ascendingVersions = [...openVersions.keys()].sort((a, b) => a - b);
         for (const version of ascendingVersions.slice(0, -MAX_OPEN_VERSIONS)) openVersions.delete(version);
@@ -141,9 +152,10 @@
         source: PieceSource,
         origin: WeightsOrigin,
     ): Promise<{ model: string; manifest: WeightManifest; }> {
-        const manifest = source === ORIGIN ?
-            await createOriginClient(origin).readManifest(origin.model, version) :
+        const manifest = source === ORIGIN || contradictedVersions.has(version) ?
+            await manifestReader.read(createOriginClient(origin), origin.model, version) :
             await createEntryClient(source).readManifest(version);
+        contradictedVersions.delete(version);
         return { model: origin.model, manifest };
     }
 
@@ -206,12 +218,15 @@
         }
     }
 
-    function fetchPiece(held: HeldVersion, piece: number): Promise<Buffer> {
-        const { version } = held.manifest;
+    function fetchPiece(version: number, piece: number): Promise<Buffer> {
         const key = `${version}/${piece}`;
         let inFlight = inFlightFetches.get(key);
         if (inFlight === undefined) {
-            inFlight = fetchFromSources(version, piece, (_, source, origin) => readPiece(held, piece, source, origin))
+            inFlight = fetchFromSources(
+                version,
+                piece,
+                (_, source, origin) => readPiece(version, piece, source, origin),
+            )
                 .finally(() => inFlightFetches.delete(key));
             // A response that waits for the piece may have given up by the time that the fetch fails.
             inFlight.catch(() => undefined);
@@ -221,19 +236,22 @@
     }
 
     async function readPiece(
-        held: HeldVersion,
+        version: number,
         piece: number,
         source: PieceSource,
         origin: WeightsOrigin,
     ): Promise<Buffer> {
-        const { version } = held.manifest;
+        const held = await openVersion(version);
         const bytes = source === ORIGIN ?
             await originLimit.run(
                 version * held.pieces.length + piece,
                 () => createOriginClient(origin).readPiece(held.model, version, piece),
             ) :
             await createEntryClient(source).readPiece(version, piece, ENTRY_WAIT_MS);
-        if (!pieceStore.put(held, piece, bytes)) throw new VError("the piece doesn't match its digest");
+        if (!pieceStore.put(held, piece, bytes)) {
+            if (held.isContradicted && pieceStore.find(version) === held) reopenContradicted(version);
+            throw new VError("the piece doesn't match its digest");
+        }
         options.metrics.pieces.inc({ source: source === ORIGIN ? "origin" : "entry" });
         return bytes;
     }
@@ -280,7 +298,7 @@
             const unclaimedPieces = ownedPieces.values();
             const fetchUnclaimed = async () => {
                 for (const piece of unclaimedPieces) {
-                    if (held.pieces[piece] === undefined) await fetchPiece(held, piece);
+                    if (held.pieces[piece] === undefined) await fetchPiece(version, piece);
                 }
             };
             await Promise.all(Array.from({ length: MAX_CONCURRENT_PREFETCHES }, fetchUnclaimed));
@@ -302,7 +320,7 @@
         manifest: async version => (await waitAtMost(openVersion(version), MANIFEST_WAIT_MS)).manifest,
         piece: async (version, piece, waitMs) => {
             const held = await waitAtMost(openVersion(version), MANIFEST_WAIT_MS);
-            return held.pieces[piece] ?? await waitAtMost(fetchPiece(held, piece), waitMs);
+            return held.pieces[piece] ?? await waitAtMost(fetchPiece(version, piece), waitMs);
         },
         state: async version => {
             const held = pieceStore.find(version);
--- a/src/lib/stager/pieceTransfer.ts
+++ b/src/lib/stager/pieceTransfer.ts
@@ -4,6 +4,7 @@
  * chooses the source of each piece; this module performs the requests.
  */
 import { setTimeout as sleep } from "node:timers/promises";
+import VError from "verror";
 import {
     createChunkAssigner,
     createTransferPlan,
@@ -86,7 +87,10 @@
 const RELAY_CHECK_INTERVAL_MS = 100;
 const PEER_FAILURE_DELAY_MS = 500;
 
-/** Resolves when all pieces are held or the signal is aborted. Failed requests are retried and never throw. */
+/**
+ * Resolves when all pieces are held or the signal is aborted. Failed requests are retried. Throws only if a piece
+ * contradicts the manifest.
+ */
 export async function transferPieces(options: PieceTransferOptions): Promise<void> {
     const { held, self, now, random, signal } = options;
     const { digests } = held.manifest;
@@ -125,6 +129,7 @@
 
     let wakePlanLoop: () => void = () => undefined;
     while (plan.missingCount() > 0 && !signal.aborted) {
+        if (held.isContradicted) throw new VError("the manifest is contradicted by a piece");
         for (let next = plan.next(now()); next !== undefined; next = plan.next(now())) {
             void performRequest(next).then(() => wakePlanLoop());
         }
--- a/src/lib/stager/versionFetcher.ts
+++ b/src/lib/stager/versionFetcher.ts
@@ -12,10 +12,11 @@
     shouldFinishFirst,
     typicalTransferMs,
 } from "../core/serving/index.js";
-import { createWeightsOriginClient, type WeightManifest, type WeightsOriginClient } from "../platform/index.js";
+import { createWeightsOriginClient, type WeightManifest } from "../platform/index.js";
 import type { AgentContext } from "./agentContext.js";
 import type { FleetView } from "./fleetView.js";
-import { countHeld, type HeldVersion, type PieceStore } from "./pieceStore.js";
+import { createManifestReader } from "./manifestReader.js";
+import { countHeld, hasDigest, type HeldVersion, type PieceStore } from "./pieceStore.js";
 import { type Relay, transferPieces } from "./pieceTransfer.js";
 
 export interface OriginLocation {
@@ -75,6 +76,9 @@
     const { settings, log, now, random } = context;
     // No keep-alive: the origin accepts few connections, and idle ones count against its limit.
     const originConnections = new http.Agent({ keepAlive: false, maxSockets: MAX_ORIGIN_CONNECTIONS });
+    const manifestReader = createManifestReader(log);
+    /** The version whose manifest is contradicted by a piece, so that it has to be read from the origin again. */
+    let contradictedVersion: number | undefined;
     let transfer: Transfer | undefined;
     let isStopped = false;
     /** The version whose manifest is needed, and when the origin may be asked for it. */
@@ -104,6 +108,8 @@
         transfer = current;
         runTransfer(model, current, originLocation)
             .catch(async error => {
+                current.cancellation.abort();
+                if (pieceStore.find(version)?.isContradicted === true) contradictedVersion = version;
                 log.warn("transfer failed", { version, error: (error as Error).message });
                 await sleep(MAX_RETRY_DELAY_MS * (0.5 + random() / 2));
             })
@@ -143,7 +149,11 @@
         const peers = fleet.peers();
         const relays = fleet.relays();
         const mayAskOrigin = () => now() >= originDueAt(version, relays.length > 0);
-        const manifest = await readManifest(version, [...relays, ...peers], mayAskOrigin, origin, model);
+        const readFromOrigin = () => manifestReader.read(origin, model, version);
+        const manifest = contradictedVersion === version ?
+            await readFromOrigin() :
+            await readManifest(version, [...relays, ...peers], mayAskOrigin, readFromOrigin);
+        contradictedVersion = undefined;
         const held = pieceStore.open(model, manifest);
         if (options.mayBeStaged(version)) await reuseStagedPieces(held);
         const stagedCount = countHeld(held);
@@ -175,7 +185,9 @@
         try {
             for (const index of held.pieces.keys()) {
                 const staged = await options.readStagedPiece(held.model, index);
-                if (staged !== undefined) pieceStore.put(held, index, staged);
+                if (staged !== undefined && hasDigest(held.manifest, index, staged)) {
+                    pieceStore.put(held, index, staged);
+                }
             }
         }
         catch (error) {
@@ -218,8 +230,7 @@
     version: number,
     sources: readonly Relay[],
     mayAskOrigin: () => boolean,
-    origin: WeightsOriginClient,
-    model: string,
+    readFromOrigin: () => Promise<WeightManifest>,
 ): Promise<WeightManifest> {
     let cause: Error | undefined;
     for (const { client } of sources.slice(0, MAX_MANIFEST_SOURCES)) {
@@ -230,6 +241,6 @@
             cause = error as Error;
         }
     }
-    if (mayAskOrigin()) return origin.readManifest(model, version);
+    if (mayAskOrigin()) return readFromOrigin();
     throw new VError({ cause }, "no relay or agent delivered the manifest of version %d", version);
 }
--- a/src/test/stager/pieceRelay.test.ts
+++ b/src/test/stager/pieceRelay.test.ts
@@ -229,3 +229,27 @@
     assert.equal((await relay?.manifest(2))?.digests[0], digestOf(2));
     await assertServesVersion(relay, 3);
 });
+
+const withWrongDigest = (manifest: Manifest): Manifest => ({
+    ...manifest,
+    digests: manifest.digests.map((digest, index) => index === 5 ? digest.replace(/./g, "0") : digest),
+});
+
+// Guards against a region without weights: a manifest with one wrong digest was kept for good, and the piece that it
+// belongs to never matched.
+test("a manifest with a wrong digest isn't used", TEST_OPTIONS, async () => {
+    const origin = await startOrigin();
+    const [relay] = await startRelays(origin.address, { "127.0.0.2": "near" });
+    origin.setManifestCorruption((manifest, count) => count === 0 ? withWrongDigest(manifest) : manifest);
+    await assertServesVersion(relay, 2);
+});
+
+// Guards against the same fault if the origin corrupts two manifests alike, or another entry delivers a wrong one.
+test("a manifest that a piece contradicts is read again", { timeout: 20_000 }, async () => {
+    const origin = await startOrigin();
+    const [relay, other] = await startRelays(origin.address, { "127.0.0.2": "near", "127.0.0.3": "near" });
+    origin.setManifestCorruption((manifest, count) => count < 2 ? withWrongDigest(manifest) : manifest);
+    await Promise.all([relay?.manifest(2), other?.manifest(2)]);
+    await assertServesVersion(relay, 2);
+    await assertServesVersion(other, 2);
+});
--- a/src/test/stager/stager.test.ts
+++ b/src/test/stager/stager.test.ts
@@ -197,6 +197,16 @@
     assertLoaded(3);
 });
 
+// Guards against an engine that never gets a version because its manifest arrived with one wrong digest.
+test("a manifest with a wrong digest isn't used", async () => {
+    engine.state.corruptManifest = corruptOnce(manifest => {
+        return { ...manifest, digests: manifest.digests.with(2, digestOf(Buffer.from("corrupt"))) };
+    });
+    await nameVersions(2);
+    await waitUntil(() => engine.state.version === 2);
+    assertLoaded(2);
+});
+
 // Guards against an agent that stops at a version that was superseded while it was being fetched.
 test("the newest of several versions named in quick succession is loaded", async () => {
     await nameVersions(2, 3, 4);
