--- a/src/lib/core/serving/crashEvidence.ts
+++ b/src/lib/core/serving/crashEvidence.ts
@@ -2,9 +2,15 @@
  * Finds the part of a prompt that crashes backend servers. A crash ends all requests of its server, and implicates the
  * parts of those that aren't known to have survived the start of their answers. Most of these parts are sound; they are
  * cleared as soon as any request with them survives. The cause is a part that several crashes implicate without a
- * survival in between.
+ * survival in between. If the same crashes implicate several parts alike, any of them may be the cause, or only their
+ * combination; further crashes and survivals tell which.
+ *
+ * A crash with a known cause is no evidence against other parts. It is kept nevertheless, and counts again if the cause
+ * turns out to be sound.
  */
 
+import { isDeepStrictEqual } from "node:util";
+
 /** The prompt of a request that a crash ended before the request is known to have survived. */
 export interface ImplicatedPrompt {
     /** Identifies the prompt as a whole; equal for repetitions of one request. */
@@ -20,7 +26,8 @@
 }
 
 export interface CrashCause {
-    readonly part: string;
+    /** The parts among which the cause is, sorted; the same crashes implicate all of them. */
+    readonly parts: readonly string[];
     readonly crashCount: number;
     readonly lastCrashAt: number;
 }
@@ -31,12 +38,14 @@
     recordSurvival(part: string, at: number): boolean;
     /** Returns the time of the part's last survival; `undefined` if none is known. */
     lastSurvivalAt(part: string): number | undefined;
-    /** Returns the one of the parts for which the evidence is sufficient and strongest. */
-    findCause(parts: ReadonlySet<string>, now: number): CrashCause | undefined;
-    /** Records that the part caused all crashes that implicate it, which are no evidence against other parts then. */
-    confirmCause(part: string): void;
-    /** Records that the cause of the crash is known, also for prompts that are reported later. */
-    explainCrash(incarnation: string): void;
+    /** Returns the causes among the parts for which the evidence is sufficient, the strongest first. */
+    findCauses(parts: ReadonlySet<string>, now: number): CrashCause[];
+    /** Records that all crashes that implicate each of the parts are caused by one of them. */
+    confirmCause(parts: readonly string[]): void;
+    /** Records that one of the parts caused the crash, also for prompts that are reported later. */
+    explainCrash(incarnation: string, parts: readonly string[]): void;
+    /** Withdraws a cause: the crashes that it explained are evidence again. Returns the parts that they implicate. */
+    retractCause(parts: readonly string[]): ReadonlySet<string>;
     /** Returns whether a request that a crash ended is likely to be sound. */
     isLikelySound(part: string, now: number): boolean;
 }
@@ -75,29 +84,27 @@
 interface ImplicatedPart {
     /** Crashes since the last survival, in the order of their times. */
     crashes: ImplicatingCrash[];
-    /** Position of the part in the prompt. */
-    readonly position: number;
 }
 
 export function createCrashEvidence(): CrashEvidence {
     const implicatedParts = new Map<string, ImplicatedPart>();
     const lastSurvivals = new Map<string, number>();
-    const explainedCrashes = new Map<string, true>();
+    /** The known causes of crashes by the server's incarnation. */
+    const causesByCrash = new Map<string, (readonly string[])[]>();
 
     function recordCrash({ incarnation, prompts }: ServerCrash, at: number): void {
-        if (explainedCrashes.has(incarnation)) return;
         for (const { id, parts } of prompts) {
-            for (const [position, part] of parts.entries()) {
+            for (const part of parts) {
                 const lastSurvivalAt = lastSurvivals.get(part);
-                if (lastSurvivalAt === undefined || lastSurvivalAt < at) implicate(part, position, incarnation, id, at);
+                if (lastSurvivalAt === undefined || lastSurvivalAt < at) implicate(part, incarnation, id, at);
             }
         }
     }
 
-    function implicate(part: string, position: number, incarnation: string, promptId: number, at: number): void {
+    function implicate(part: string, incarnation: string, promptId: number, at: number): void {
         let implicated = implicatedParts.get(part);
         if (implicated === undefined) {
-            implicatedParts.set(part, implicated = { crashes: [], position });
+            implicatedParts.set(part, implicated = { crashes: [] });
             dropOldest(implicatedParts, MAX_IMPLICATED_PARTS);
         }
         const recorded = implicated.crashes.find(crash => crash.incarnation === incarnation);
@@ -119,39 +126,40 @@
         dropOldest(lastSurvivals, MAX_KNOWN_PARTS);
         const implicated = implicatedParts.get(part);
         if (implicated === undefined) return false;
-        const countBefore = implicated.crashes.length;
-        removeCrashes(part, implicated, crash => crash.at <= at);
-        return implicated.crashes.length < countBefore;
+        const laterCrashes = implicated.crashes.filter(crash => crash.at > at);
+        const isCleared = laterCrashes.length < implicated.crashes.length;
+        implicated.crashes = laterCrashes;
+        if (laterCrashes.length === 0) implicatedParts.delete(part);
+        return isCleared;
     }
 
-    function removeCrashes(
-        part: string,
-        implicated: ImplicatedPart,
-        shouldRemove: (crash: ImplicatingCrash) => boolean,
-    ): void {
-        implicated.crashes = implicated.crashes.filter(crash => !shouldRemove(crash));
-        if (implicated.crashes.length === 0) implicatedParts.delete(part);
+    /** Returns the crashes that are evidence against the part: those whose known causes, if any, include it. */
+    function openCrashes(part: string, { crashes }: ImplicatedPart): ImplicatingCrash[] {
+        return crashes.filter(({ incarnation }) => {
+            return (causesByCrash.get(incarnation) ?? []).every(parts => parts.length > 1 && parts.includes(part));
+        });
     }
 
-    /** If the same crashes implicate several parts, the last one is returned, because fewest requests share it. */
-    function findCause(parts: ReadonlySet<string>, now: number): CrashCause | undefined {
-        const [cause] = [...parts]
-            .flatMap(part => {
-                const implicated = implicatedParts.get(part);
-                if (implicated === undefined) return [];
-                const crashCount = countCrashes(implicated);
-                const isKnown = isKnownToSurvive(part, now);
-                if (crashCount < sufficientCount(implicated, isKnown)) return [];
-                const lastCrashAt = implicated.crashes.at(-1)?.at ?? now;
-                return [{ part, crashCount, lastCrashAt, isKnown, position: implicated.position }];
-            })
-            .toSorted((a, b) =>
-                Number(a.isKnown) - Number(b.isKnown) || b.crashCount - a.crashCount || b.position - a.position
-            );
-        return cause;
+    function findCauses(parts: ReadonlySet<string>, now: number): CrashCause[] {
+        const causes = new Map<string, CrashCause & { readonly isKnown: boolean; }>();
+        for (const part of [...parts].sort()) {
+            const implicated = implicatedParts.get(part);
+            if (implicated === undefined) continue;
+            const crashes = openCrashes(part, implicated);
+            const crashCount = countCrashes(crashes);
+            const isKnown = isKnownToSurvive(part, now);
+            if (crashCount < sufficientCount(crashes, isKnown)) continue;
+            const key = JSON.stringify([isKnown, crashes.map(({ incarnation }) => incarnation).sort()]);
+            const alike = causes.get(key)?.parts ?? [];
+            const lastCrashAt = crashes.at(-1)?.at ?? now;
+            causes.set(key, { parts: [...alike, part], crashCount, lastCrashAt, isKnown });
+        }
+        return [...causes.values()].sort((a, b) =>
+            Number(a.isKnown) - Number(b.isKnown) || b.crashCount - a.crashCount
+        );
     }
 
-    function sufficientCount({ crashes }: ImplicatedPart, isKnown: boolean): number {
+    function sufficientCount(crashes: readonly ImplicatingCrash[], isKnown: boolean): number {
         const promptIds = new Set(crashes.flatMap(crash => [...crash.promptIds]));
         return (isKnown ? KNOWN_PART_CRASH_COUNT : SUFFICIENT_CRASH_COUNT) +
             (promptIds.size < MIN_PROMPT_COUNT ? 1 : 0);
@@ -162,35 +170,53 @@
         return lastSurvivalAt !== undefined && now - lastSurvivalAt < SURVIVAL_MAX_AGE_MS;
     }
 
-    function confirmCause(part: string): void {
-        for (const { incarnation } of implicatedParts.get(part)?.crashes ?? []) explainCrash(incarnation);
-        implicatedParts.delete(part);
+    function confirmCause(parts: readonly string[]): void {
+        const [first, ...others] = parts.map(part => implicatedParts.get(part)?.crashes ?? []);
+        for (const { incarnation } of first ?? []) {
+            const implicatesAll = others.every(crashes => crashes.some(crash => crash.incarnation === incarnation));
+            if (implicatesAll) explainCrash(incarnation, parts);
+        }
+    }
+
+    function explainCrash(incarnation: string, parts: readonly string[]): void {
+        const causes = causesByCrash.get(incarnation) ?? [];
+        if (causes.some(cause => isDeepStrictEqual(cause, parts))) return;
+        causesByCrash.set(incarnation, [...causes, parts]);
+        dropOldest(causesByCrash, MAX_EXPLAINED_CRASHES);
     }
 
-    function explainCrash(explained: string): void {
-        explainedCrashes.set(explained, true);
-        dropOldest(explainedCrashes, MAX_EXPLAINED_CRASHES);
-        for (const [part, implicated] of implicatedParts) {
-            removeCrashes(part, implicated, ({ incarnation }) => incarnation === explained);
+    function retractCause(parts: readonly string[]): ReadonlySet<string> {
+        const retracted = new Set<string>();
+        for (const [incarnation, causes] of causesByCrash) {
+            const otherCauses = causes.filter(cause => !isDeepStrictEqual(cause, parts));
+            if (otherCauses.length === causes.length) continue;
+            retracted.add(incarnation);
+            if (otherCauses.length > 0) causesByCrash.set(incarnation, otherCauses);
+            else causesByCrash.delete(incarnation);
         }
+        const implicates = ({ crashes }: ImplicatedPart) =>
+            crashes.some(({ incarnation }) => retracted.has(incarnation));
+        return new Set([...implicatedParts].flatMap(([part, implicated]) => implicates(implicated) ? [part] : []));
     }
 
     return {
         recordCrash,
         recordSurvival,
         lastSurvivalAt: part => lastSurvivals.get(part),
-        findCause,
+        findCauses,
         confirmCause,
         explainCrash,
+        retractCause,
         isLikelySound: (part, now) => {
             const implicated = implicatedParts.get(part);
-            return implicated === undefined || isKnownToSurvive(part, now) && countCrashes(implicated) < 2;
+            const crashes = implicated === undefined ? [] : openCrashes(part, implicated);
+            return crashes.length === 0 || isKnownToSurvive(part, now) && countCrashes(crashes) < 2;
         },
     };
 }
 
 /** Counts crashes at almost the same time once. */
-function countCrashes({ crashes }: ImplicatedPart): number {
+function countCrashes(crashes: readonly ImplicatingCrash[]): number {
     let count = 0;
     let lastAt = Number.NEGATIVE_INFINITY;
     for (const { at } of crashes) {
--- a/src/lib/core/serving/promptQuarantine.ts
+++ b/src/lib/core/serving/promptQuarantine.ts
@@ -3,15 +3,22 @@
  * lasts until a request with it survives. From time to time, and when newer weights are in force, one entry lets a
  * single request through as a probe, because the evidence may have been wrong.
  *
+ * While several parts are under the same suspicion, such as a document and the session that asks about it, they are
+ * quarantined together: requests with all of them are refused. As soon as one of them survives without the others or is
+ * missing in a further crash, the others are left.
+ *
  * Entries exchange crashes and survivals, because requests with one part arrive at all of them. They also report their
  * quarantines to each other, so that an entry that missed messages or has restarted learns them. All times may differ
  * between entries by the time that a message takes.
  */
-import { createCrashEvidence, dropOldest, type ServerCrash } from "./crashEvidence.js";
+import { createCrashEvidence, type ServerCrash } from "./crashEvidence.js";
 
 /** State of a quarantine for the exchange between entries. */
 export interface QuarantineReport {
+    /** Identifies the quarantine: the part, or the names of all parts. */
     readonly part: string;
+    /** The parts if there are several. */
+    readonly parts?: readonly string[];
     readonly lastCrashAgeMs: number;
     /** Time until the next probe; negative if it is overdue. */
     readonly probeInMs: number;
@@ -21,6 +28,9 @@
     readonly weightsVersion: number;
 }
 
+/** Joins the names of parts that are quarantined together. */
+const PART_SEPARATOR = " + ";
+
 /** Time since a request with the part last survived. */
 export interface SurvivalReport {
     readonly part: string;
@@ -98,6 +108,8 @@
 export const MAX_REPORTED_QUARANTINES = 16;
 
 interface Quarantine {
+    /** A request is refused if it has all of these parts. */
+    readonly parts: readonly string[];
     lastCrashAt: number;
     probeAt: number;
     /** Time between the next probe and the one after it. */
@@ -114,11 +126,10 @@
 
     function recordCrash(crash: ServerCrash, weightsVersion: number, at: number, now: number): SurvivalReport[] {
         const parts = new Set(crash.prompts.flatMap(prompt => prompt.parts));
-        for (const part of parts) {
-            const quarantine = quarantines.get(part);
-            if (quarantine === undefined) continue;
+        for (const quarantine of quarantines.values()) {
+            if (!crash.prompts.some(prompt => isSubset(quarantine.parts, prompt.parts))) continue;
             quarantine.lastCrashAt = Math.max(quarantine.lastCrashAt, at);
-            evidence.explainCrash(crash.incarnation);
+            evidence.explainCrash(crash.incarnation, quarantine.parts);
         }
         evidence.recordCrash(crash, at);
         quarantineCauses(parts, weightsVersion, now);
@@ -130,51 +141,76 @@
 
     function quarantineCauses(parts: ReadonlySet<string>, weightsVersion: number, now: number): void {
         for (;;) {
-            const cause = evidence.findCause(parts, now);
+            const cause = evidence.findCauses(parts, now).find(candidate => !quarantines.has(idOf(candidate.parts)));
             if (cause === undefined) return;
-            const { part, crashCount, lastCrashAt } = cause;
-            addQuarantine(part, {
-                lastCrashAt,
+            addQuarantine({
+                parts: cause.parts,
+                lastCrashAt: cause.lastCrashAt,
                 probeAt: now + INITIAL_PROBE_INTERVAL_MS,
                 intervalMs: INITIAL_PROBE_INTERVAL_MS * PROBE_INTERVAL_FACTOR,
                 lastProbeAt: now,
                 probingUntil: now,
                 weightsVersion,
             });
-            options.onQuarantined(part, crashCount);
+            options.onQuarantined(idOf(cause.parts), cause.crashCount);
         }
     }
 
-    function addQuarantine(part: string, quarantine: Quarantine): void {
-        quarantines.set(part, quarantine);
-        dropOldest(quarantines, MAX_QUARANTINES);
-        evidence.confirmCause(part);
+    /** Also ends the quarantines of several parts together that the new one includes. */
+    function addQuarantine(quarantine: Quarantine): void {
+        for (const [id, { parts }] of quarantines) {
+            if (isSubset(quarantine.parts, parts)) removeQuarantine(id);
+        }
+        quarantines.set(idOf(quarantine.parts), quarantine);
+        for (const id of quarantines.keys()) {
+            if (quarantines.size <= MAX_QUARANTINES) break;
+            removeQuarantine(id);
+        }
+        evidence.confirmCause(quarantine.parts);
     }
 
-    /** Returns whether other entries need to know of the survival. */
-    function applySurvival(part: string, at: number): boolean {
-        const isCleared = evidence.recordSurvival(part, at);
-        const quarantine = quarantines.get(part);
-        if (quarantine === undefined || at <= quarantine.lastCrashAt) return isCleared;
-        quarantines.delete(part);
-        options.onReleased(part);
-        return true;
+    /** Returns the parts whose evidence the quarantine had explained. */
+    function removeQuarantine(id: string): ReadonlySet<string> {
+        const quarantine = quarantines.get(id);
+        quarantines.delete(id);
+        return evidence.retractCause(quarantine?.parts ?? []);
+    }
+
+    /** Returns the survivals that other entries need to know. */
+    function applySurvivals(survivals: readonly { readonly part: string; readonly at: number; }[], now: number) {
+        const announced = new Set(
+            survivals.filter(({ part, at }) => evidence.recordSurvival(part, at)).map(({ part }) => part),
+        );
+        for (const [id, quarantine] of quarantines) {
+            const survived = survivals
+                .filter(({ part, at }) => quarantine.parts.includes(part) && at > quarantine.lastCrashAt)
+                .map(({ part }) => part);
+            if (survived.length === 0) continue;
+            for (const part of survived) announced.add(part);
+            const suspects = quarantine.parts.filter(part => !survived.includes(part));
+            if (suspects.length === 0) options.onReleased(id);
+            quarantineCauses(removeQuarantine(id), quarantine.weightsVersion, now);
+            // Another entry that reported the quarantine may have evidence that this one lacks.
+            if (suspects.length > 0 && !quarantines.has(idOf(suspects))) {
+                addQuarantine({ ...quarantine, parts: suspects });
+                options.onQuarantined(idOf(suspects), undefined);
+            }
+        }
+        return survivals.filter(({ part }) => announced.has(part));
     }
 
     function decide(parts: readonly string[], weightsVersion: number, now: number): PromptDecision {
-        if (quarantines.size === 0) return { kind: "allowed" };
-        let probedPart: string | undefined;
-        for (const part of parts) {
-            const quarantine = quarantines.get(part);
-            if (quarantine === undefined) continue;
-            const probeAt = probeTimeOf(quarantine, weightsVersion) + options.probePosition(part) * PROBE_TIMEOUT_MS;
-            // A request with two quarantined parts would not tell which of them crashed its server.
-            if (probeAt > now || probedPart !== undefined) {
-                return { kind: "refused", part, retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, probeAt - now) };
+        let probed: string | undefined;
+        for (const [id, quarantine] of quarantines) {
+            if (!isSubset(quarantine.parts, parts)) continue;
+            const probeAt = probeTimeOf(quarantine, weightsVersion) + options.probePosition(id) * PROBE_TIMEOUT_MS;
+            // A request under two quarantines would not tell which of them is right.
+            if (probeAt > now || probed !== undefined) {
+                return { kind: "refused", part: id, retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, probeAt - now) };
             }
-            probedPart = part;
+            probed = id;
         }
-        return probedPart === undefined ? { kind: "allowed" } : { kind: "probe", part: probedPart };
+        return probed === undefined ? { kind: "allowed" } : { kind: "probe", part: probed };
     }
 
     /** Newer weights are probed without waiting for the interval. */
@@ -204,6 +240,7 @@
     function reports(now: number): QuarantineReport[] {
         return [...quarantines].slice(-MAX_REPORTED_QUARANTINES).map(([part, quarantine]) => ({
             part,
+            parts: quarantine.parts.length > 1 ? quarantine.parts : undefined,
             lastCrashAgeMs: Math.max(0, now - quarantine.lastCrashAt),
             probeInMs: quarantine.probeAt - now,
             intervalMs: quarantine.intervalMs,
@@ -218,7 +255,8 @@
         const probeAt = now + Math.min(report.probeInMs, MAX_PROBE_INTERVAL_MS);
         const quarantine = quarantines.get(part);
         if (quarantine === undefined) {
-            addQuarantine(part, {
+            addQuarantine({
+                parts: report.parts ?? [part],
                 lastCrashAt,
                 probeAt,
                 intervalMs,
@@ -243,9 +281,16 @@
         const missedSurvivals: SurvivalReport[] = [];
         for (const report of peerReports) {
             const lastCrashAt = now - report.lastCrashAgeMs;
-            const survivalAt = evidence.lastSurvivalAt(report.part);
-            if (survivalAt === undefined || survivalAt <= lastCrashAt) mergeReport(report, lastCrashAt, now);
-            else missedSurvivals.push({ part: report.part, ageMs: now - survivalAt });
+            const laterSurvivals = (report.parts ?? [report.part]).flatMap(part => {
+                const survivalAt = evidence.lastSurvivalAt(part);
+                return survivalAt === undefined || survivalAt <= lastCrashAt ? [] : [{ part, ageMs: now - survivalAt }];
+            });
+            missedSurvivals.push(...laterSurvivals);
+            // Quarantines of fewer parts include a reported one of more parts.
+            const isIncluded = [...quarantines.values()].some(({ parts }) =>
+                parts.length < (report.parts?.length ?? 1) && isSubset(parts, report.parts ?? [])
+            );
+            if (laterSurvivals.length === 0 && !isIncluded) mergeReport(report, lastCrashAt, now);
         }
         return missedSurvivals;
     }
@@ -253,10 +298,11 @@
     return {
         recordCrash,
         recordSurvival: (parts, now) => {
-            return parts.filter(part => applySurvival(part, now)).map(part => ({ part, ageMs: 0 }));
+            const survivals = applySurvivals(parts.map(part => ({ part, at: now })), now);
+            return survivals.map(({ part }) => ({ part, ageMs: 0 }));
         },
         mergeSurvivals: (survivals, now) => {
-            for (const { part, ageMs } of survivals) applySurvival(part, now - ageMs);
+            applySurvivals(survivals.map(({ part, ageMs }) => ({ part, at: now - ageMs })), now);
         },
         decide,
         startProbe: (part, now) => {
@@ -264,8 +310,19 @@
             if (quarantine !== undefined) quarantine.probingUntil = now + PROBE_TIMEOUT_MS;
         },
         endProbe,
-        mayRepeat: (parts, now) => parts.every(part => !quarantines.has(part) && evidence.isLikelySound(part, now)),
+        mayRepeat: (parts, now) => {
+            return parts.every(part => evidence.isLikelySound(part, now)) &&
+                ![...quarantines.values()].some(quarantine => isSubset(quarantine.parts, parts));
+        },
         reports,
         mergeReports,
     };
 }
+
+function idOf(parts: readonly string[]): string {
+    return parts.join(PART_SEPARATOR);
+}
+
+function isSubset(subset: readonly string[], parts: readonly string[]): boolean {
+    return subset.every(part => parts.includes(part));
+}
--- a/src/lib/node/peerMessages.ts
+++ b/src/lib/node/peerMessages.ts
@@ -43,6 +43,7 @@
     /** Quarantined parts of prompts; see `QuarantineReport`. Entries of earlier versions send none. */
     quarantines: z.array(z.object({
         part: z.string(),
+        parts: z.array(z.string()).min(2).readonly().optional(),
         lastCrashAgeMs: z.number().nonnegative(),
         probeInMs: z.number(),
         intervalMs: z.number().positive(),
--- a/src/lib/router/promptGuard.ts
+++ b/src/lib/router/promptGuard.ts
@@ -83,7 +83,6 @@
 }
 
 interface WaitingRequest {
-    readonly parts: readonly string[];
     readonly onRefused: () => void;
 }
 
@@ -105,7 +104,7 @@
         onQuarantined: (part, crashCount) => {
             log.warn("prompt part quarantined", { part, crashes: crashCount });
             metrics.quarantines.inc({ change: crashCount === undefined ? "reported" : "quarantined" });
-            for (const { parts, onRefused } of waitingRequests) if (parts.includes(part)) onRefused();
+            for (const { onRefused } of waitingRequests) onRefused();
         },
         onReleased: part => {
             log.warn("prompt part released", { part });
@@ -149,7 +148,7 @@
             waitingRequests.delete(waiting);
             callback(decision.retryAfterMs);
         };
-        const waiting: WaitingRequest = { parts, onRefused };
+        const waiting: WaitingRequest = { onRefused };
         waitingRequests.add(waiting);
         return () => void waitingRequests.delete(waiting);
     }
--- a/src/test/core/serving/promptQuarantine.test.ts
+++ b/src/test/core/serving/promptQuarantine.test.ts
@@ -280,3 +280,104 @@
     );
     assert.equal(entry.reports(20_000).length, 0);
 });
+
+// Guards against quarantining one session after the other while the document that all of them ask about crashes servers
+// (review/4), and against refusing the sessions' sound requests.
+test("a deadly part that is asked about in sessions is found by the second session", () => {
+    const entries = [createTestEntry(), createTestEntry(), createTestEntry()];
+    let crashCount = 0;
+    const refusedSessions: string[] = [];
+    for (let index = 0; index < 30; index++) {
+        const session = `session${1 + Math.floor(index / 5)}`;
+        const now = index * 700;
+        const parts = ["common", "document", session];
+        const sender = entries[index % entries.length];
+        if (sender?.decide(parts, 1, now).kind === "allowed") {
+            crashCount++;
+            const recorded = crash(`s${index}`, prompt(...parts));
+            for (const entry of entries) entry.recordCrash(recorded, 1, now, now);
+        }
+        for (const [number, entry] of entries.entries()) {
+            const soundParts = ["common", `session${1 + (index + number) % 6}`];
+            // Sessions go on without the document after they have asked about it.
+            if (Number(soundParts[1]?.slice(7)) > index / 5) continue;
+            if (entry.decide(soundParts, 1, now + 100).kind !== "allowed") refusedSessions.push(`${soundParts}`);
+            const survivals = entry.recordSurvival(soundParts, now + 200);
+            for (const other of entries) if (other !== entry) other.mergeSurvivals(survivals, now + 200);
+        }
+        for (const entry of entries) entry.mergeReports(sender?.reports(now + 300) ?? [], now + 300);
+    }
+    assert.equal(crashCount, 4);
+    assert.deepEqual(refusedSessions, []);
+    for (const entry of entries) assert.deepEqual(entry.reports(21_000).map(({ part }) => part), ["document"]);
+});
+
+const SUSPECTS = "document + session";
+
+/** Quarantines two parts together with three crashes that end at 400. */
+function quarantineSuspects(entry: PromptQuarantine): void {
+    for (const [index, at] of [0, 200, 400].entries()) {
+        entry.recordCrash(crash(`s${index}`, prompt("document", "session")), 1, at, at);
+    }
+}
+
+// Guards against refusing sound requests with one of several suspected parts, and against an entry that doesn't learn
+// that they are quarantined together.
+test("requests with one of several suspected parts are allowed, at all entries", () => {
+    const entry = createTestEntry();
+    const otherEntry = createTestEntry();
+    quarantineSuspects(entry);
+    otherEntry.mergeReports(entry.reports(500), 500);
+    for (const { decide, quarantined } of [entry, otherEntry]) {
+        assert.deepEqual(quarantined, [SUSPECTS]);
+        assert.equal(decide(["common", "document", "session"], 1, 500).kind, "refused");
+        assert.equal(decide(["common", "document"], 1, 500).kind, "allowed");
+        assert.equal(decide(["common", "session"], 1, 500).kind, "allowed");
+    }
+});
+
+// Guards against a quarantine that a survival of a sound part ends although the other one crashes servers.
+test("a survival of one suspected part leaves the other one in quarantine, at all entries", () => {
+    const entry = createTestEntry();
+    const otherEntry = createTestEntry();
+    quarantineSuspects(entry);
+    otherEntry.mergeReports(entry.reports(500), 500);
+    const survivals = entry.recordSurvival(["common", "session"], 600);
+    assert.deepEqual(survivals.map(({ part }) => part), ["session"]);
+    otherEntry.mergeSurvivals(survivals, 600);
+    for (const { decide, released } of [entry, otherEntry]) {
+        assert.equal(decide(["common", "document"], 1, 700).kind, "refused");
+        assert.equal(decide(["common", "session"], 1, 700).kind, "allowed");
+        assert.deepEqual(released, []);
+    }
+    // A late report of the former state changes nothing.
+    const [report] = otherEntry.reports(700);
+    assert.ok(report !== undefined);
+    entry.mergeReports([{ ...report, part: SUSPECTS, parts: ["document", "session"] }], 700);
+    assert.deepEqual(entry.reports(700).map(({ part }) => part), ["document"]);
+});
+
+// Guards against suspected parts that stay in quarantine although a probe with all of them has survived.
+test("a survival of all suspected parts ends their quarantine", () => {
+    const entry = createTestEntry();
+    quarantineSuspects(entry);
+    assert.equal(entry.decide(["document", "session"], 1, 31_000).kind, "probe");
+    entry.startProbe(SUSPECTS, 31_000);
+    entry.recordSurvival(["document", "session"], 31_500);
+    assert.deepEqual(entry.released, [SUSPECTS]);
+    assert.deepEqual(entry.reports(31_500), []);
+});
+
+// Guards against evidence that is lost with a wrong quarantine, so that the right part needs as many crashes again.
+test("crashes that a released part had explained count against other parts", () => {
+    const entry = createTestEntry();
+    entry.recordCrash(crash("s0", prompt("sound")), 1, 0, 0);
+    for (const [index, at] of [200, 400, 600].entries()) {
+        entry.recordCrash(crash(`s${1 + index}`, prompt("sound", "deadly")), 1, at, at);
+    }
+    assert.deepEqual(entry.quarantined, ["sound"]);
+    entry.recordSurvival(["sound"], 700);
+    assert.deepEqual(entry.released, ["sound"]);
+    assert.deepEqual(entry.quarantined, ["sound", "deadly"]);
+    assert.equal(entry.decide(["deadly"], 1, 800).kind, "refused");
+});
