--- a/src/lib/core/serving/transferPolicy.ts
+++ b/src/lib/core/serving/transferPolicy.ts
@@ -5,7 +5,8 @@
  * Each version has its own deadline. Aborting a nearly complete transfer leaves no replica with acceptable weights
  * until the newer version has arrived, while finishing one that has just begun delays the newer version. This matters
  * when versions are named in quick succession. The decision depends only on times that all agents know, so that they
- * all decide alike and can keep serving pieces to each other.
+ * all decide alike and can keep serving pieces to each other. It lapses when the newer version would be late, so that a
+ * transfer that can't end doesn't hold up the newer ones.
  */
 
 /** Times that decide which of two versions is transferred first. They are logged under these names. */
@@ -26,6 +27,31 @@
     return remainingMs + usualMs + loadMs <= allowedMs;
 }
 
+/** Times that decide how long the transfer of an older version has precedence over a newer one. */
+export interface PrecedenceTimes extends TransferTimes {
+    /**
+     * Time until the loaded weights may answer no more requests, after which the replica is idle until newer ones are
+     * loaded; infinite if it holds none.
+     */
+    readonly untilOutdatedMs: number;
+}
+
+/**
+ * Returns for how long, from the naming of the newer version, the transfer of the older one is to be finished first; 0
+ * if it isn't.
+ *
+ * If versions follow each other faster than a transfer takes, each transfer would be aborted for the next one, and the
+ * replica would have nothing to load when its weights are outdated. So a transfer that ends in time for that is
+ * finished if one of the newer version wouldn't.
+ */
+export function precedenceMs(times: PrecedenceTimes): number {
+    const { elapsedMs, usualMs, allowedMs, loadMs, untilOutdatedMs } = times;
+    if (shouldFinishFirst(times)) return allowedMs - usualMs - loadMs;
+    const remainingMs = Math.max(0, usualMs - elapsedMs);
+    const isOnlyOneInTime = remainingMs + loadMs <= untilOutdatedMs && usualMs + loadMs > untilOutdatedMs;
+    return isOnlyOneInTime && Number.isFinite(untilOutdatedMs) ? untilOutdatedMs - loadMs : 0;
+}
+
 /** Fraction of an agent's link bandwidth that a transfer from a relay achieves. */
 const LINK_UTILIZATION = 0.82;
 
--- a/src/lib/platform/engineClient.ts
+++ b/src/lib/platform/engineClient.ts
@@ -48,6 +48,14 @@
     orderLoad(model: string, version: number): Promise<LoadOrderResult>;
 }
 
+/** Status with which the origin responds for a version that it doesn't have any more. */
+const WITHDRAWN_STATUS = 410;
+
+/** Returns whether a call failed because the origin doesn't have the version any more. */
+export function isVersionWithdrawn(error: Error): boolean {
+    return VError.info(error).status === WITHDRAWN_STATUS;
+}
+
 /** Client of the weights origin. Calls throw a VError named `EngineError` on an unexpected response. */
 export interface WeightsOriginClient {
     readManifest(model: string, version: number): Promise<WeightManifest>;
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -28,7 +28,7 @@
 import { createServingMetrics, type EventLog, handleMetricsRequest } from "../observability/index.js";
 import { createTableReplica, PlatformTable } from "../platform/index.js";
 import type { VmBounds, VmSettings } from "../settings/vmSettings.js";
-import { handlePieceRequest, PIECE_UNAVAILABLE_STATUS } from "../stager/peerApi.js";
+import { handlePieceRequest, pieceErrorStatus } from "../stager/peerApi.js";
 import { createPieceRelay, type WeightsOrigin } from "../stager/pieceRelay.js";
 import { createReceiverThrottles } from "../stager/uploadThrottle.js";
 import { createBackendConnections } from "./backendConnections.js";
@@ -305,7 +305,7 @@
             .catch(error => {
                 log.info("piece not relayed", { error: (error as Error).message });
                 if (response.headersSent) response.destroy();
-                else response.writeHead(PIECE_UNAVAILABLE_STATUS).end();
+                else response.writeHead(pieceErrorStatus(error as Error)).end();
             });
     });
     await listen(peerServer, `${settings.ip}:${peerPort}`);
--- a/src/lib/stager/engineTask.ts
+++ b/src/lib/stager/engineTask.ts
@@ -9,8 +9,8 @@
 import type { EngineReport, LocalEngineClient } from "../platform/index.js";
 import type { AgentContext } from "./agentContext.js";
 import type { FleetView } from "./fleetView.js";
-import { hasDigest, type HeldVersion, type PieceStore } from "./pieceStore.js";
-import { isComplete, type VersionFetcher } from "./versionFetcher.js";
+import { hasDigest, type HeldVersion, isComplete, type PieceStore } from "./pieceStore.js";
+import type { VersionFetcher } from "./versionFetcher.js";
 
 export interface EngineTask {
     /**
@@ -32,8 +32,8 @@
     readonly fetcher: VersionFetcher;
     readonly weightsPolicy: ReturnType<typeof createWeightsPolicy>;
     readonly peerSocket: PeerSocket;
-    /** Returns when a version was named, or `undefined` if that was before this process started. */
-    readonly namedAt: (version: number) => number | undefined;
+    /** Returns when recent versions were named; lacks those that were named before this process started. */
+    readonly namedAt: (model: string) => ReadonlyMap<number, number>;
     /** Returns the time after a version is named within which requests may still start on older ones. */
     readonly allowedMs: () => number;
 }
@@ -99,12 +99,14 @@
         await load(held, loaded);
     }
 
-    /** Considers the three newest versions. */
     function planNextSwitch(model: string, loaded: number): SwitchPlan {
         const newest = weightsPolicy.newest(model);
-        const named = [newest, newest - 1, newest - 2].map(version => ({
+        // A version that was named before the start of this process may be the one before the newest.
+        const namedAt = options.namedAt(model);
+        const versions = new Set([newest, newest - 1, newest - 2, ...namedAt.keys()]);
+        const named = [...versions].map(version => ({
             version,
-            namedAt: options.namedAt(version),
+            namedAt: namedAt.get(version),
             remainingTransferMs: fetcher.estimateRemainingMs(version),
         }));
         const group = {
@@ -124,7 +126,7 @@
         if (loaded > 0 && stagedMs < DRAIN_NOTICE_MS) await sleep(DRAIN_NOTICE_MS - stagedMs);
         const result = await engine.orderLoad(held.model, version);
         metrics.orders.inc({ result });
-        const namedAt = options.namedAt(version);
+        const namedAt = options.namedAt(held.model).get(version);
         log.info("load ordered", {
             model: held.model,
             version,
--- a/src/lib/stager/peerApi.ts
+++ b/src/lib/stager/peerApi.ts
@@ -7,7 +7,7 @@
 import { sendRequest } from "../clients/index.js";
 import { DIGEST_PATTERN } from "../core/serving/index.js";
 import { handleMetricsRequest, type ServingMetrics } from "../observability/index.js";
-import type { WeightManifest } from "../platform/index.js";
+import { isVersionWithdrawn, type WeightManifest } from "../platform/index.js";
 import { countHeld, type PieceStore } from "./pieceStore.js";
 import type { UploadThrottle } from "./uploadThrottle.js";
 
@@ -84,6 +84,14 @@
 /** HTTP status of a process that couldn't get the requested piece or manifest in time. */
 export const PIECE_UNAVAILABLE_STATUS = 503;
 
+/** HTTP status of a process whose sources don't have the requested version any more. */
+const PIECE_WITHDRAWN_STATUS = 410;
+
+/** Returns the status of a response to a request for a piece or a manifest that failed with the error. */
+export function pieceErrorStatus(error: Error): number {
+    return isVersionWithdrawn(error) ? PIECE_WITHDRAWN_STATUS : PIECE_UNAVAILABLE_STATUS;
+}
+
 /** Returns whether a call failed because the peer, which is reachable, couldn't get the piece. */
 export function isPieceUnavailable(error: Error): boolean {
     return VError.info(error).status === PIECE_UNAVAILABLE_STATUS;
--- a/src/lib/stager/pieceRelay.ts
+++ b/src/lib/stager/pieceRelay.ts
@@ -19,7 +19,12 @@
     pieceSources,
 } from "../core/serving/index.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
-import { createWeightsOriginClient, type WeightManifest, type WeightsOriginClient } from "../platform/index.js";
+import {
+    createWeightsOriginClient,
+    isVersionWithdrawn,
+    type WeightManifest,
+    type WeightsOriginClient,
+} from "../platform/index.js";
 import { createManifestReader } from "./manifestReader.js";
 import { createOrderedLimit } from "./orderedLimit.js";
 import { createPeerClient, isPieceUnavailable, type PeerClient, type PieceProvider } from "./peerApi.js";
@@ -184,7 +189,8 @@
 
     /**
      * Tries the sources of a piece, or of the manifest, until one delivers it. The sources are determined anew for each
-     * attempt, because entries may be lost meanwhile. Throws the last error after `FETCH_TIMEOUT_MS`.
+     * attempt, because entries may be lost meanwhile. Throws the last error after `FETCH_TIMEOUT_MS`, or at once if the
+     * version is superseded and a source doesn't have it any more.
      */
     async function fetchFromSources<T>(
         version: number,
@@ -208,7 +214,8 @@
                     source: source === ORIGIN ? "origin" : `entry ${source}`,
                     error: (error as Error).message,
                 });
-                if (isStopped || options.now() - startedAt >= FETCH_TIMEOUT_MS) {
+                const isWithdrawn = version < newestVersion && isVersionWithdrawn(error as Error);
+                if (isWithdrawn || isStopped || options.now() - startedAt >= FETCH_TIMEOUT_MS) {
                     throw new VError({ cause: error as Error }, "piece %d of version %d not received", piece, version);
                 }
                 const failure = isPieceUnavailable(error as Error) ? FetchFailure.unavailable : FetchFailure.failed;
@@ -279,12 +286,16 @@
         return lastPrefetch;
     }
 
+    function isPrefetchNeeded(version: number): boolean {
+        return version > newestVersion - MAX_PREFETCHED_VERSIONS && options.origin() !== undefined;
+    }
+
     async function prefetchWithRetries(version: number): Promise<void> {
         const startedAt = options.now();
-        const isNeeded = () => version > newestVersion - MAX_PREFETCHED_VERSIONS && options.origin() !== undefined;
         const isSuperseded = () =>
             newestVersion > version && options.now() - startedAt > SUPERSEDED_PREFETCH_TIMEOUT_MS;
-        while (isNeeded() && !isSuperseded() && !await tryPrefetch(version)) await sleep(PREFETCH_RETRY_DELAY_MS);
+        while (isPrefetchNeeded(version) && !isSuperseded() && !await tryPrefetch(version))
+            await sleep(PREFETCH_RETRY_DELAY_MS);
     }
 
     async function tryPrefetch(version: number): Promise<boolean> {
@@ -298,6 +309,7 @@
             const unclaimedPieces = ownedPieces.values();
             const fetchUnclaimed = async () => {
                 for (const piece of unclaimedPieces) {
+                    if (!isPrefetchNeeded(version)) throw new VError("newer versions have been named");
                     if (held.pieces[piece] === undefined) await fetchPiece(version, piece);
                 }
             };
--- a/src/lib/stager/pieceStore.ts
+++ b/src/lib/stager/pieceStore.ts
@@ -34,7 +34,10 @@
     waitForMore(version: number, knownCount: number, waitMs: number): Promise<void>;
 }
 
-/** Keeps the newest version and the previous one, which slower replicas may still be fetching. */
+/**
+ * Keeps the newest version, the previous one, which slower replicas may still be fetching, and the newest complete one,
+ * which the engine needs after a restart.
+ */
 const KEPT_VERSION_COUNT = 2;
 
 export function createPieceStore(): PieceStore {
@@ -59,8 +62,10 @@
         };
         versions.set(manifest.version, held);
         const ascendingVersions = [...versions.keys()].sort((a, b) => a - b);
-        const excessCount = Math.max(0, ascendingVersions.length - KEPT_VERSION_COUNT);
-        for (const version of ascendingVersions.slice(0, excessCount)) versions.delete(version);
+        const newestComplete = ascendingVersions.findLast(version => isComplete(versions.get(version)));
+        for (const version of ascendingVersions.slice(0, -KEPT_VERSION_COUNT)) {
+            if (version !== newestComplete) versions.delete(version);
+        }
         return held;
     }
 
@@ -114,6 +119,10 @@
         first.digests.every((digest, index) => digest === second.digests[index]);
 }
 
+export function isComplete(held: HeldVersion | undefined): boolean {
+    return held !== undefined && countHeld(held) === held.pieces.length;
+}
+
 export function countHeld(held: HeldVersion | undefined): number {
     return held?.pieces.filter(piece => piece !== undefined).length ?? 0;
 }
--- a/src/lib/stager/pieceTransfer.ts
+++ b/src/lib/stager/pieceTransfer.ts
@@ -15,7 +15,7 @@
     UPSTREAM,
 } from "../core/index.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
-import type { WeightsOriginClient } from "../platform/index.js";
+import { isVersionWithdrawn, type WeightsOriginClient } from "../platform/index.js";
 import { isPieceUnavailable, type PeerClient } from "./peerApi.js";
 import { countHeld, type HeldVersion, type PieceStore } from "./pieceStore.js";
 
@@ -41,6 +41,8 @@
     readonly held: HeldVersion;
     /** Aborts the transfer, for example because a newer version replaces this one. */
     readonly signal: AbortSignal;
+    /** Returns whether a newer version has been named, so that this one may be withdrawn. */
+    readonly isSuperseded: () => boolean;
     readonly log: EventLog;
     readonly metrics: ServingMetrics;
     /** Monotonic clock, in milliseconds. */
@@ -89,7 +91,7 @@
 
 /**
  * Resolves when all pieces are held or the signal is aborted. Failed requests are retried. Throws only if a piece
- * contradicts the manifest.
+ * contradicts the manifest, or if a source doesn't have the superseded version any more.
  */
 export async function transferPieces(options: PieceTransferOptions): Promise<void> {
     const { held, self, now, random, signal } = options;
@@ -127,9 +129,11 @@
         void pollPeer(options, peer, () => now() < inOrderFrom, piece => plan.addPeerChunk(peer.name, piece));
     }
 
+    let withdrawal: Error | undefined;
     let wakePlanLoop: () => void = () => undefined;
     while (plan.missingCount() > 0 && !signal.aborted) {
         if (held.isContradicted) throw new VError("the manifest is contradicted by a piece");
+        if (withdrawal !== undefined) throw new VError({ cause: withdrawal }, "the version was withdrawn");
         for (let next = plan.next(now()); next !== undefined; next = plan.next(now())) {
             void performRequest(next).then(() => wakePlanLoop());
         }
@@ -194,6 +198,7 @@
         }
         catch (error) {
             options.log.info("piece not received", { piece, source, error: (error as Error).message });
+            if (options.isSuperseded() && isVersionWithdrawn(error as Error)) withdrawal = error as Error;
             return source === "relay" && isPieceUnavailable(error as Error) ?
                 RequestOutcome.busy :
                 RequestOutcome.failed;
--- a/src/lib/stager/stager.ts
+++ b/src/lib/stager/stager.ts
@@ -38,6 +38,9 @@
     stop(): void;
 }
 
+/** Namings are forgotten after this time; several times the time allowed for a switch. */
+const NAMING_MAX_AGE_MS = 60_000;
+
 /** Poll interval while the engine loads weights or has to load them. */
 const ACTIVE_POLL_INTERVAL_MS = 150;
 
@@ -55,7 +58,8 @@
     const startedAt = now();
     let { bounds } = settings;
     const weightsPolicy = createWeightsPolicy(() => bounds.weightsMs);
-    const namedAt = new Map<number, number>();
+    /** When recent versions of each model were named, by version. */
+    const namingTimes = new Map<string, Map<number, number>>();
     const pieceStore = createPieceStore();
     const engine = createLocalEngineClient(settings.backendAddress ?? "");
     const [entryPort] = settings.peerPorts;
@@ -89,6 +93,13 @@
         pieceStore,
         readStagedPiece: engine.readStagedPiece,
         mayBeStaged: version => version === engineTask.loadedVersion() || now() - startedAt < STAGED_REUSE_WINDOW_MS,
+        untilOutdatedMs: model => {
+            const loaded = engineTask.loadedVersion();
+            const newerNamedAt = [...namedAt(model)].flatMap(([version, at]) =>
+                loaded > 0 && version > loaded ? at : []
+            );
+            return Math.min(...newerNamedAt) + bounds.weightsMs - now();
+        },
         onTransferEnd: () => void reconcile(),
     });
     const engineTask = createEngineTask({
@@ -99,7 +110,7 @@
         fetcher,
         weightsPolicy,
         peerSocket,
-        namedAt: version => namedAt.get(version),
+        namedAt,
         allowedMs: () => bounds.weightsMs,
     });
     const pieceProvider = createStoredPieceProvider(pieceStore, engineTask.loadedVersion);
@@ -107,6 +118,10 @@
     const server = createPieceServer(pieceProvider, () => uploadThrottle, metrics);
     await listen(server, `${settings.ip}:${agentPort}`);
 
+    function namedAt(model: string): ReadonlyMap<number, number> {
+        return namingTimes.get(model) ?? new Map();
+    }
+
     let hasReadOperatorTable = false;
     const operatorPoller = startOperatorPoller({
         tables,
@@ -133,7 +148,10 @@
     function applyNamedWeights({ model, version }: NamedWeights, source: string): void {
         if (version <= weightsPolicy.newest(model)) return;
         weightsPolicy.recordNamed(model, version, hasReadOperatorTable, now());
-        if (hasReadOperatorTable) namedAt.set(version, now());
+        if (hasReadOperatorTable) {
+            const recent = [...namedAt(model)].filter(([, at]) => at > now() - NAMING_MAX_AGE_MS);
+            namingTimes.set(model, new Map([...recent, [version, now()]]));
+        }
         log.info("weights named", { model, version, source });
         void reconcile();
     }
--- a/src/lib/stager/versionFetcher.ts
+++ b/src/lib/stager/versionFetcher.ts
@@ -8,15 +8,15 @@
 import VError from "verror";
 import {
     originFallbackDelayMs,
+    precedenceMs,
     predictRemainingTransferMs,
-    shouldFinishFirst,
     typicalTransferMs,
 } from "../core/serving/index.js";
 import { createWeightsOriginClient, type WeightManifest } from "../platform/index.js";
 import type { AgentContext } from "./agentContext.js";
 import type { FleetView } from "./fleetView.js";
 import { createManifestReader } from "./manifestReader.js";
-import { countHeld, hasDigest, type HeldVersion, type PieceStore } from "./pieceStore.js";
+import { countHeld, hasDigest, type HeldVersion, isComplete, type PieceStore } from "./pieceStore.js";
 import { type Relay, transferPieces } from "./pieceTransfer.js";
 
 export interface OriginLocation {
@@ -44,6 +44,8 @@
     readonly readStagedPiece: (model: string, piece: number) => Promise<Buffer | undefined>;
     /** Returns whether pieces of the version may already be staged at the engine. */
     readonly mayBeStaged: (version: number) => boolean;
+    /** Returns the time until the loaded weights may answer no more requests; infinite if that isn't known. */
+    readonly untilOutdatedMs: (model: string) => number;
     /** Called when a transfer ends, whether it completed, failed or was aborted. */
     readonly onTransferEnd: () => void;
 }
@@ -53,8 +55,10 @@
     readonly cancellation: AbortController;
     readonly startedAt: number;
     readonly typicalMs: number;
-    /** Whether this transfer must be finished before a newer version is fetched; `undefined` until one is named. */
-    mustFinishFirst: boolean | undefined;
+    /** Newest version that has been named since the transfer began. */
+    newestNamed: number;
+    /** Until this time the transfer is finished before a newer version is fetched. */
+    hasPrecedenceUntil: number;
     /** Number of pieces held, and when it was last seen to change. */
     lastProgress: { readonly count: number; readonly at: number; };
 }
@@ -94,7 +98,7 @@
     function ensureFetched(model: string, version: number, bytes: number, originLocation: OriginLocation): void {
         if (isStopped || isComplete(pieceStore.find(version))) return;
         if (transfer !== undefined) {
-            if (transfer.version >= version || mustFinishBefore(transfer, version)) return;
+            if (transfer.version >= version || mustFinishBefore(transfer, model, version)) return;
             transfer.cancellation.abort();
         }
         const current: Transfer = {
@@ -102,7 +106,8 @@
             cancellation: new AbortController(),
             startedAt: now(),
             typicalMs: typicalTransferMs(bytes, settings.linkMbps),
-            mustFinishFirst: undefined,
+            newestNamed: version,
+            hasPrecedenceUntil: Number.NEGATIVE_INFINITY,
             lastProgress: { count: 0, at: now() },
         };
         transfer = current;
@@ -119,30 +124,31 @@
             });
     }
 
-    function mustFinishBefore(current: Transfer, newest: number): boolean {
-        if (current.mustFinishFirst === undefined) {
+    function mustFinishBefore(current: Transfer, model: string, newest: number): boolean {
+        if (newest > current.newestNamed) {
+            const isFirstNewer = current.newestNamed === current.version;
+            current.newestNamed = newest;
             const times = {
                 elapsedMs: now() - current.startedAt,
                 usualMs: current.typicalMs,
                 allowedMs: settings.bounds.weightsMs,
                 loadMs: LOAD_DURATION_MS,
+                untilOutdatedMs: options.untilOutdatedMs(model),
             };
-            current.mustFinishFirst = shouldFinishFirst(times);
+            // The first newer version limits the time for the transfer: it has the earliest deadline.
+            if (isFirstNewer) current.hasPrecedenceUntil = now() + precedenceMs(times);
             log.info("newer weights named during a transfer", {
                 newest,
                 version: current.version,
-                finishFirst: current.mustFinishFirst,
+                finishFirst: now() < current.hasPrecedenceUntil,
                 ...times,
             });
         }
-        return current.mustFinishFirst;
+        return now() < current.hasPrecedenceUntil;
     }
 
-    async function runTransfer(
-        model: string,
-        { version, cancellation }: Transfer,
-        originLocation: OriginLocation,
-    ): Promise<void> {
+    async function runTransfer(model: string, current: Transfer, originLocation: OriginLocation): Promise<void> {
+        const { version, cancellation } = current;
         const startedAt = now();
         await fleet.refresh();
         const origin = createWeightsOriginClient(originLocation.address, originConnections);
@@ -166,6 +172,7 @@
             pieceStore,
             held,
             signal: cancellation.signal,
+            isSuperseded: () => current.newestNamed > version,
             log,
             metrics: context.metrics,
             now,
@@ -218,10 +225,6 @@
     };
 }
 
-export function isComplete(held: HeldVersion | undefined): boolean {
-    return held !== undefined && countHeld(held) === held.pieces.length;
-}
-
 /**
  * Reads the manifest of a version. Asks relays and agents before the origin, to save its bandwidth and connections.
  * Throws if no source delivers it.
--- a/src/test/core/serving/transferPolicy.test.ts
+++ b/src/test/core/serving/transferPolicy.test.ts
@@ -3,6 +3,7 @@
 import {
     originFallbackDelayMs,
     planSwitch,
+    precedenceMs,
     predictRemainingTransferMs,
     shouldFinishFirst,
     type TransferProgress,
@@ -21,6 +22,39 @@
     assert.equal(shouldFinishFirst({ ...times, elapsedMs: 500 }), false);
 });
 
+// Guards against a transfer that can't end and keeps its precedence over all newer versions (review/2).
+test("a transfer loses its precedence when the newer version would be late", () => {
+    const times = { usualMs: 3800, allowedMs: ALLOWED_MS, loadMs: 1500, untilOutdatedMs: Number.POSITIVE_INFINITY };
+    assert.equal(precedenceMs({ ...times, elapsedMs: 500 }), 0);
+    assert.equal(precedenceMs({ ...times, elapsedMs: 3000 }), ALLOWED_MS - 3800 - 1500);
+});
+
+// Guards against versions that follow each other so fast that each transfer is aborted for the next one, until the loaded
+// weights are outdated and there is nothing to load.
+test("one of many versions in quick succession is finished before the loaded weights are outdated", () => {
+    for (const intervalMs of [500, 800, 1000, 1200, 2000]) {
+        let startedAt = 0;
+        let precedenceUntil = 0;
+        let firstCompletedAt = Number.POSITIVE_INFINITY;
+        const usualMs = 3800;
+        for (let namedAt = intervalMs; namedAt < 20_000; namedAt += intervalMs) {
+            if (startedAt + usualMs <= namedAt) firstCompletedAt = Math.min(firstCompletedAt, startedAt + usualMs);
+            const untilOutdatedMs = ALLOWED_MS - namedAt;
+            const times = {
+                elapsedMs: namedAt - startedAt,
+                usualMs,
+                allowedMs: ALLOWED_MS,
+                loadMs: 1500,
+                untilOutdatedMs,
+            };
+            if (namedAt < precedenceUntil) continue;
+            precedenceUntil = namedAt + precedenceMs(times);
+            if (precedenceUntil <= namedAt) startedAt = namedAt;
+        }
+        assert.ok(firstCompletedAt <= ALLOWED_MS - 1500, `every ${intervalMs} ms: ${firstCompletedAt} ms`);
+    }
+});
+
 // Guards against replicas that drain while the last piece is unavailable, because the transfer looks nearly complete.
 test("a stalled transfer isn't near completion, however little is missing", () => {
     const progressing: TransferProgress = { completedFraction: 63 / 64, elapsedMs: 3000, sinceLastPieceMs: 100 };
--- a/src/test/stager/pieceRelay.test.ts
+++ b/src/test/stager/pieceRelay.test.ts
@@ -43,6 +43,7 @@
     /** Corrupts a manifest; `count` is the number of manifests sent before. */
     let corruptManifest = (manifest: Manifest, _count: number) => manifest;
     let manifestCount = 0;
+    let withdrawnVersion = 0;
     const server = http.createServer((request, response) => {
         const url = new URL(request.url ?? "/", "http://origin");
         const version = Number(url.searchParams.get("version"));
@@ -55,6 +56,10 @@
             return;
         }
         versionsSent.push(version);
+        if (version <= withdrawnVersion) {
+            response.writeHead(410).end();
+            return;
+        }
         response.end(pieceOf(version, Number(url.searchParams.get("num-items"))));
     });
     server.on("connection", socket => {
@@ -74,6 +79,10 @@
         versionsSent,
         /** Number of open connections now, and its maximum so far. */
         connections: () => [openCount, maxOpenCount] as const,
+        /** From now on, the origin responds with 410 to requests for pieces of this version and earlier ones. */
+        withdraw: (version: number) => {
+            withdrawnVersion = version;
+        },
         setManifestCorruption: (corrupt: typeof corruptManifest) => {
             corruptManifest = corrupt;
         },
@@ -253,3 +262,15 @@
     await assertServesVersion(relay, 2);
     await assertServesVersion(other, 2);
 });
+
+// Guards against an entry that repeats requests for a version that the origin doesn't have any more, each of which it
+// could have used for the newest one.
+test("a withdrawn version is requested once for each piece", TEST_OPTIONS, async () => {
+    const origin = await startOrigin();
+    const [relay] = await startRelays(origin.address, { "127.0.0.2": "near" });
+    await relay?.manifest(2);
+    origin.withdraw(2);
+    await relay?.prefetch(4);
+    await assert.rejects(relay?.piece(2, 0, PIECE_WAIT_MS) ?? Promise.resolve(), /not received/);
+    assert.equal(origin.versionsSent.filter(version => version === 2).length, 1);
+});
--- a/src/test/stager/pieceTransfer.test.ts
+++ b/src/test/stager/pieceTransfer.test.ts
@@ -18,7 +18,7 @@
  * Transfers all pieces from one relay, an origin that has every piece and a peer that has none. Returns the number of
  * requests to each.
  */
-async function transferThrough(readFromRelay: (piece: number) => Promise<Buffer>) {
+async function transferThrough(readFromRelay: (piece: number) => Promise<Buffer>, isSuperseded = false) {
     const requests = { relay: 0, origin: 0, peerStates: 0 };
     const pieceStore = createPieceStore();
     const held = pieceStore.open("m", { version: 2, digests });
@@ -57,6 +57,7 @@
         pieceStore,
         held,
         signal: AbortSignal.timeout(8000),
+        isSuperseded: () => isSuperseded,
         log: createEventLog({ process: "p", role: "agent", now: () => 0, write: () => undefined }),
         metrics: createServingMetrics(),
         now: () => performance.now(),
@@ -101,3 +102,14 @@
     });
     assert.deepEqual(requests, { relay: PIECE_COUNT, origin: 0, peerStates: 0 });
 });
+
+const rejectAsWithdrawn = () =>
+    Promise.reject(new VError({ info: { status: 410 } }, "the peer responded with status 410"));
+
+// Guards against requests that are repeated without an end for a version that can't be completed any more, and against
+// giving up the newest version because of one corrupt status.
+test("a transfer ends when its superseded version is withdrawn, and goes on if it is the newest", async () => {
+    await assert.rejects(transferThrough(rejectAsWithdrawn, true), /withdrawn/);
+    const requests = await transferThrough(rejectAsWithdrawn);
+    assert.equal(requests.origin, PIECE_COUNT);
+});
--- a/src/test/stager/stager.test.ts
+++ b/src/test/stager/stager.test.ts
@@ -34,6 +34,11 @@
         orders: 0,
         piecesSent: 0,
         loaded: new Map<number, string>(),
+        isCorruptingPieces: true,
+        /** Versions of the requested pieces. */
+        requestedVersions: [] as number[],
+        /** Status with which the origin responds to a request for a piece of the version; 200 sends it. */
+        pieceStatus: (_version: number) => 200,
         /** Corrupts a manifest before it is sent. */
         corruptManifest: (manifest: Manifest) => manifest,
     };
@@ -55,7 +60,10 @@
             return [200, state.corruptManifest({ model: MODEL, version, digests })];
         }
         if (call === "piece") {
-            const isCorrupt = ++state.piecesSent % 3 === 0;
+            state.requestedVersions.push(version);
+            const status = state.pieceStatus(version);
+            if (status !== 200) return [status, {}];
+            const isCorrupt = state.isCorruptingPieces && ++state.piecesSent % 3 === 0;
             return [200, isCorrupt ? Buffer.alloc(PIECE_BYTES) : pieceOf(version, piece)];
         }
         if (call === "stage-put") {
@@ -175,6 +183,34 @@
     assertLoaded(2);
 });
 
+// Guards against a rollout that stops for good: an agent had decided to finish version 2 first, whose pieces the origin
+// didn't have any more, and repeated its requests without an end (review/2).
+test("a version that the origin withdraws during its transfer doesn't hold up a newer one", async () => {
+    engine.state.pieceStatus = version => version === 2 ? 503 : 200;
+    await nameVersions(2);
+    await waitUntil(() => engine.state.requestedVersions.includes(2));
+    await nameVersions(3);
+    engine.state.pieceStatus = version => version <= 2 ? 410 : 200;
+    await nameVersions(4);
+    await waitUntil(() => engine.state.version === 4);
+    assertLoaded(4);
+});
+
+// Guards against an agent that considers the three newest versions only, so that it loads none while their pieces don't
+// arrive, although it holds an earlier one.
+test("a complete version is loaded although several newer ones don't arrive", async () => {
+    engine.state.isCorruptingPieces = false;
+    await nameVersions(2);
+    const stateUrl = `http://127.0.0.1:${agentPortOf(entryPort)}/state?version=2&known=${PIECE_COUNT - 1}`;
+    const countHeld = async () => (await (await fetch(stateUrl)).json() as { held: number[]; }).held.length;
+    await waitUntil(async () => await countHeld() === PIECE_COUNT);
+    engine.state.pieceStatus = () => 503;
+    await nameVersions(3, 4, 5, 6);
+    assert.equal(engine.state.version, 1);
+    await waitUntil(() => engine.state.version === 2);
+    assertLoaded(2);
+});
+
 /** Returns a corruption of the first manifest only. */
 function corruptOnce(corrupt: (manifest: Manifest) => Manifest): (manifest: Manifest) => Manifest {
     let isDone = false;
