--- a/src/lib/core/serving/index.ts
+++ b/src/lib/core/serving/index.ts
@@ -18,6 +18,7 @@
 export * from "./serverSpeed.js";
 export * from "./sharedRetryBudget.js";
 export * from "./slotReservations.js";
+export * from "./stagedCheck.js";
 export * from "./storePosition.js";
 export * from "./storeReaders.js";
 export * from "./switchSchedule.js";
--- a/src/lib/stager/engineTask.ts
+++ b/src/lib/stager/engineTask.ts
@@ -1,10 +1,18 @@
 /**
  * Polls the engine on this VM and loads the newest completely fetched weights version into it: stages the pieces,
- * verifies them by reading them back, and orders the load. An engine that restarted holds no weights and is loaded
- * again. Every change of the engine's state is sent to the entries in a heartbeat.
+ * verifies all of them by reading them back, and orders the load at once. An engine that restarted holds no weights and
+ * is loaded again. Every change of the engine's state is sent to the entries in a heartbeat.
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import { createWeightsPolicy, planSwitch, type SwitchPlan } from "../core/serving/index.js";
+import {
+    type ClockReading,
+    createWeightsPolicy,
+    elapsedMs,
+    mayOrder,
+    planSwitch,
+    type SwitchPlan,
+    wasOrderInTime,
+} from "../core/serving/index.js";
 import type { PeerSocket } from "../node/peerMessages.js";
 import type { EngineReport, LocalEngineClient } from "../platform/index.js";
 import type { AgentContext } from "./agentContext.js";
@@ -53,9 +61,22 @@
  */
 const DRAIN_NOTICE_MS = 60;
 
+/** Attempts to verify the staged pieces in one poll; each one that finds a corrupt piece or takes too long is repeated. */
+const MAX_CHECKS_PER_POLL = 4;
+
+/** An order that the engine may have accepted after the check of the staged pieces had expired. */
+interface LateOrder {
+    readonly version: number;
+    /** Start of the engine that got the order. */
+    readonly engineStartedAt: number;
+    /** Whether a staged piece was found corrupt since, so that the engine may have loaded it. */
+    isSuspect: boolean;
+}
+
 export function createEngineTask(options: EngineTaskOptions): EngineTask {
     const { context, engine, fleet, pieceStore, fetcher, weightsPolicy } = options;
-    const { settings, log, metrics, now } = context;
+    const { settings, log, metrics, now, readClocks } = context;
+    let lateOrder: LateOrder | undefined;
     let report: EngineReport | undefined;
     let isOutOfRotation = false;
     let isSettled = false;
@@ -90,9 +111,11 @@
         const loaded = loadedVersion();
         const hasVersionChanged = loaded !== previousVersion;
         if (hasVersionChanged) log.info("weights loaded", { model, version: loaded, previous: previousVersion });
+        await examineLateOrder(model, report);
         isSettled = loaded === weightsPolicy.newest(model) && !report.isLoadInProgress;
         const { target, shouldDrain } = planNextSwitch(model, loaded);
-        isOutOfRotation = target !== undefined && (report.isLoadInProgress || loaded === 0 || shouldDrain);
+        isOutOfRotation = lateOrder?.isSuspect === true ||
+            target !== undefined && (report.isLoadInProgress || loaded === 0 || shouldDrain);
         sendHeartbeatIfDue(model, hasVersionChanged || hasSlowdownChanged());
         const held = target === undefined ? undefined : pieceStore.find(target);
         if (!isOutOfRotation || report.isLoadInProgress || held === undefined || !isComplete(held)) return;
@@ -121,10 +144,17 @@
     async function load(held: HeldVersion, loaded: number): Promise<void> {
         const { version } = held.manifest;
         const startedAt = now();
-        await stageAll(held);
+        const drainedAt = startedAt + (loaded > 0 ? DRAIN_NOTICE_MS : 0);
+        const checkedSince = await stageAll(held, drainedAt);
+        if (checkedSince === undefined) return;
         const stagedMs = now() - startedAt;
-        if (loaded > 0 && stagedMs < DRAIN_NOTICE_MS) await sleep(DRAIN_NOTICE_MS - stagedMs);
+        // Until the response arrives in time, the order may be accepted late or may have been accepted unnoticed.
+        const earlierOrder = lateOrder;
+        lateOrder = { version, engineStartedAt: report?.startedAt ?? 0, isSuspect: false };
         const result = await engine.orderLoad(held.model, version);
+        const respondedAt = readClocks();
+        // If the order hasn't begun anything, an earlier one has taken effect.
+        if (wasOrderInTime(checkedSince, respondedAt)) lateOrder = result === "begun" ? undefined : earlierOrder;
         metrics.orders.inc({ result });
         const namedAt = options.namedAt(held.model).get(version);
         log.info("load ordered", {
@@ -133,24 +163,75 @@
             result,
             sinceNamedMs: namedAt === undefined ? undefined : Math.round(now() - namedAt),
             stagedMs: Math.round(stagedMs),
+            checkAgeMs: Math.round(elapsedMs(checkedSince, respondedAt)),
         });
     }
 
-    /** Reads back every staged piece just before the load order, and stages those that are missing or corrupt. */
-    async function stageAll(held: HeldVersion): Promise<void> {
+    /**
+     * Stages the pieces that are missing or corrupt until a check finds all of them sound, and is young enough for an
+     * order from `orderAt` on. Returns when that check began; `undefined` if none succeeds.
+     */
+    async function stageAll(held: HeldVersion, orderAt: number): Promise<ClockReading | undefined> {
+        const { version } = held.manifest;
         let writtenCount = 0;
+        for (let checks = 1; checks <= MAX_CHECKS_PER_POLL; checks++) {
+            const checkedSince = readClocks();
+            const repairedCount = await repairStagedPieces(held);
+            writtenCount += repairedCount;
+            if (repairedCount > 0) continue;
+            if (now() < orderAt) await sleep(orderAt - now());
+            if (!mayOrder(checkedSince, readClocks())) continue;
+            log.info("pieces staged", {
+                version,
+                written: writtenCount,
+                kept: held.pieces.length - writtenCount,
+                checks,
+            });
+            return checkedSince;
+        }
+        log.warn("staged pieces not verified", { version, written: writtenCount });
+        return undefined;
+    }
+
+    /** Reads back every staged piece and stages those that are missing or corrupt. Returns their number. */
+    async function repairStagedPieces(held: HeldVersion): Promise<number> {
+        let repairedCount = 0;
         for (const [index, bytes] of held.pieces.entries()) {
-            if (bytes === undefined) continue;
-            const staged = await engine.readStagedPiece(held.model, index);
-            if (staged !== undefined && hasDigest(held.manifest, index, staged)) continue;
-            writtenCount++;
+            if (bytes === undefined || await isStaged(held, index)) continue;
+            repairedCount++;
             await engine.stagePiece(held.model, index, bytes);
         }
-        log.info("pieces staged", {
-            version: held.manifest.version,
-            written: writtenCount,
-            kept: held.pieces.length - writtenCount,
-        });
+        return repairedCount;
+    }
+
+    async function isStaged(held: HeldVersion, index: number): Promise<boolean> {
+        const staged = await engine.readStagedPiece(held.model, index);
+        return staged !== undefined && hasDigest(held.manifest, index, staged);
+    }
+
+    /**
+     * Checks the staged pieces after an order that the engine may have accepted late. A corrupt piece stays corrupt until
+     * it is staged again, so pieces that are sound now were sound then. Otherwise the engine gets no requests until it
+     * holds another version or has restarted.
+     */
+    async function examineLateOrder(
+        model: string,
+        { weights, startedAt, isLoadInProgress }: EngineReport,
+    ): Promise<void> {
+        if (lateOrder === undefined) return;
+        const { version, engineStartedAt, isSuspect } = lateOrder;
+        const held = pieceStore.find(version);
+        const loaded = weights?.version ?? 0;
+        if (startedAt !== engineStartedAt || loaded > version || held?.model !== model) lateOrder = undefined;
+        // The order may still be on its way to the engine.
+        if (lateOrder === undefined || held === undefined || isSuspect || isLoadInProgress || loaded < version) return;
+        for (const index of held.pieces.keys()) {
+            if (await isStaged(held, index)) continue;
+            lateOrder.isSuspect = true;
+            log.warn("loaded weights may be corrupt", { model, version, piece: index });
+            return;
+        }
+        lateOrder = undefined;
     }
 
     function hasSlowdownChanged(): boolean {
--- a/src/lib/stager/pieceRelay.ts
+++ b/src/lib/stager/pieceRelay.ts
@@ -294,8 +294,10 @@
         const startedAt = options.now();
         const isSuperseded = () =>
             newestVersion > version && options.now() - startedAt > SUPERSEDED_PREFETCH_TIMEOUT_MS;
-        while (isPrefetchNeeded(version) && !isSuperseded() && !await tryPrefetch(version))
+        while (isPrefetchNeeded(version) && !isSuperseded()) {
+            if (await tryPrefetch(version)) return;
             await sleep(PREFETCH_RETRY_DELAY_MS);
+        }
     }
 
     async function tryPrefetch(version: number): Promise<boolean> {
--- a/src/lib/stager/stager.ts
+++ b/src/lib/stager/stager.ts
@@ -54,7 +54,8 @@
 export async function startStager(settings: VmSettings, store: MetadataStore, log: EventLog): Promise<Stager> {
     const now = () => performance.now();
     const metrics = createServingMetrics();
-    const context: AgentContext = { settings, log, metrics, now, random: Math.random };
+    const readClocks = () => ({ monotonicMs: performance.now(), wallMs: Date.now() });
+    const context: AgentContext = { settings, log, metrics, now, readClocks, random: Math.random };
     const startedAt = now();
     let { bounds } = settings;
     const weightsPolicy = createWeightsPolicy(() => bounds.weightsMs);
--- a/src/test/stager/stager.test.ts
+++ b/src/test/stager/stager.test.ts
@@ -1,7 +1,4 @@
 import assert from "node:assert/strict";
-import { createHash } from "node:crypto";
-import * as http from "node:http";
-import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, test } from "node:test";
 import { agentPortOf, openPeerSocket, type PeerMessage, type PeerSocket } from "../../lib/node/peerMessages.js";
 import { createEventLog } from "../../lib/observability/index.js";
@@ -10,96 +7,19 @@
 import { configurationRow, engineParameters, serverRow } from "../platform/fakeRunner.js";
 import { type FakeStore, startFakeStore } from "../platform/fakeStore.js";
 import { createVmSettings, findFreePortRange, waitUntil } from "../router/routerHarness.js";
-
-const MODEL = "m";
-const PIECE_COUNT = 8;
-const PIECE_BYTES = 2048;
-
-const pieceOf = (version: number, piece: number) => Buffer.alloc(PIECE_BYTES, `${version}/${piece} `);
-const digestOf = (bytes: Buffer) => createHash("sha256").update(bytes).digest("hex");
-
-interface Manifest {
-    readonly model: string;
-    readonly version: number;
-    readonly digests: readonly string[];
-}
-
-/** Starts one server that is both an origin and an engine, which loads the staged pieces when it is ordered to. */
-async function startEngineAndOrigin() {
-    const staged = new Map<number, Buffer>();
-    const state = {
-        version: 1,
-        startedAt: 1,
-        pace: 1,
-        orders: 0,
-        piecesSent: 0,
-        loaded: new Map<number, string>(),
-        isCorruptingPieces: true,
-        /** Versions of the requested pieces. */
-        requestedVersions: [] as number[],
-        /** Status with which the origin responds to a request for a piece of the version; 200 sends it. */
-        pieceStatus: (_version: number) => 200,
-        /** Corrupts a manifest before it is sent. */
-        corruptManifest: (manifest: Manifest) => manifest,
-    };
-
-    async function respondTo(request: http.IncomingMessage): Promise<[number, Buffer | object]> {
-        const url = new URL(request.url ?? "/", "http://engine");
-        const piece = Number(url.searchParams.get("num-items"));
-        const version = Number(url.searchParams.get("version"));
-        const body: Buffer[] = [];
-        for await (const part of request as AsyncIterable<Buffer>) body.push(part);
-        const [, , call] = url.pathname.split("/");
-        if (call === "report") {
-            const layers = state.version === 0 ? null : { from: 0, to: 4, version: state.version };
-            const models = state.version === 0 ? [] : [{ name: MODEL, version: state.version, adapters: [] }];
-            return [200, { models, layers, busy: false, born: state.startedAt, pace: state.pace }];
-        }
-        if (call === "manifest") {
-            const digests = Array.from({ length: PIECE_COUNT }, (_, index) => digestOf(pieceOf(version, index)));
-            return [200, state.corruptManifest({ model: MODEL, version, digests })];
-        }
-        if (call === "piece") {
-            state.requestedVersions.push(version);
-            const status = state.pieceStatus(version);
-            if (status !== 200) return [status, {}];
-            const isCorrupt = state.isCorruptingPieces && ++state.piecesSent % 3 === 0;
-            return [200, isCorrupt ? Buffer.alloc(PIECE_BYTES) : pieceOf(version, piece)];
-        }
-        if (call === "stage-put") {
-            staged.set(piece, Buffer.concat(body));
-            return [200, {}];
-        }
-        if (call === "stage-get") {
-            const bytes = staged.get(piece);
-            return bytes === undefined ? [404, {}] : [200, bytes];
-        }
-        state.orders++;
-        state.version = (JSON.parse(Buffer.concat(body).toString()) as { version: number; }).version;
-        state.loaded = new Map([...staged].map(([index, bytes]) => [index, digestOf(bytes)]));
-        return [202, {}];
-    }
-
-    const server = http.createServer((request, response) => {
-        void respondTo(request).then(([status, body]) => {
-            const bytes = Buffer.isBuffer(body) ? body : Buffer.from(JSON.stringify(body));
-            response.writeHead(status, { "content-length": bytes.length }).end(bytes);
-        });
-    });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    return {
-        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-        staged,
-        state,
-        close: () => {
-            server.close();
-            server.closeAllConnections();
-        },
-    };
-}
+import {
+    digestOf,
+    type Manifest,
+    MODEL,
+    PIECE_BYTES,
+    PIECE_COUNT,
+    pieceOf,
+    startTestEngine,
+    type TestEngine,
+} from "./testEngine.js";
 
 let store: FakeStore;
-let engine: Awaited<ReturnType<typeof startEngineAndOrigin>>;
+let engine: TestEngine;
 let stager: Stager;
 let entryPort: number;
 let entrySocket: PeerSocket;
@@ -107,7 +27,7 @@
 
 beforeEach(async () => {
     store = await startFakeStore();
-    engine = await startEngineAndOrigin();
+    engine = await startTestEngine();
     const parameters = engineParameters(MODEL, PIECE_COUNT, PIECE_BYTES);
     const services = [
         { name: "llm", "health-path": "/h", "max-connections": 10, engine: parameters },
@@ -139,12 +59,7 @@
     store.close();
 });
 
-function assertLoaded(version: number): void {
-    assert.equal(engine.state.version, version);
-    for (let piece = 0; piece < PIECE_COUNT; piece++) {
-        assert.equal(engine.state.loaded.get(piece), digestOf(pieceOf(version, piece)), `piece ${piece}`);
-    }
-}
+const assertLoaded = (version: number) => engine.assertLoaded(version);
 
 /**
  * Names versions in the store and tells the agent about them as an entry does. First gives the agent time to read the
@@ -286,3 +201,66 @@
     // Without the change, the next heartbeat is due after 2 s.
     assert.ok(Date.now() - changedAt < 1500);
 });
+
+// Guards against pieces that become corrupt after they were staged, while the staging of the others takes seconds.
+test("all staged pieces are checked again after the last one was staged", async () => {
+    engine.state.beforeStageCall = async (call, piece) => {
+        if (call !== "stage-put" || piece !== 3) return;
+        engine.state.beforeStageCall = async () => undefined;
+        engine.staged.set(0, Buffer.from("corrupt"));
+        await new Promise(resolve => setTimeout(resolve, 1800));
+    };
+    await nameVersions(2);
+    await waitUntil(() => engine.state.version === 2);
+    assertLoaded(2);
+});
+
+// Guards against a check that has expired when the load is ordered, because the agent or the engine stood still.
+test("a check that took long is repeated before the order", async () => {
+    let wasWritten = false;
+    engine.state.beforeStageCall = async (call, piece) => {
+        wasWritten ||= call === "stage-put";
+        if (call === "stage-put" || !wasWritten || piece !== PIECE_COUNT - 1) return;
+        if (engine.staged.get(piece)?.equals(pieceOf(2, piece)) !== true) return;
+        engine.state.beforeStageCall = async () => undefined;
+        engine.staged.set(0, Buffer.from("corrupt"));
+        await new Promise(resolve => setTimeout(resolve, 1800));
+    };
+    await nameVersions(2);
+    await waitUntil(() => engine.state.version === 2);
+    assertLoaded(2);
+});
+
+const lastAgentHeartbeat = () => messagesToEntry.findLast(message => message.kind === "agent");
+
+// Guards against an engine that serves weights which it may have taken from corrupt pieces, because the order reached it
+// late.
+test("an engine that may have loaded corrupt pieces gets no requests until it has loaded others", async () => {
+    engine.state.beforeOrder = async () => {
+        engine.state.beforeOrder = async () => undefined;
+        await new Promise(resolve => setTimeout(resolve, 2200));
+        engine.staged.set(0, Buffer.from("corrupt"));
+    };
+    await nameVersions(2);
+    await waitUntil(() => engine.state.version === 2);
+    await waitUntil(() => {
+        const heartbeat = lastAgentHeartbeat();
+        return heartbeat?.version === 2 && heartbeat.isLoading;
+    });
+    await new Promise(resolve => setTimeout(resolve, 500));
+    assert.equal(lastAgentHeartbeat()?.isLoading, true);
+    await nameVersions(3);
+    await waitUntil(() => lastAgentHeartbeat()?.version === 3 && lastAgentHeartbeat()?.isLoading === false);
+    assertLoaded(3);
+});
+
+// Guards against an engine that is kept from requests although its pieces are sound.
+test("an engine that was ordered late to load sound pieces serves them", async () => {
+    engine.state.beforeOrder = async () => {
+        engine.state.beforeOrder = async () => undefined;
+        await new Promise(resolve => setTimeout(resolve, 2200));
+    };
+    await nameVersions(2);
+    await waitUntil(() => lastAgentHeartbeat()?.version === 2 && lastAgentHeartbeat()?.isLoading === false);
+    assertLoaded(2);
+});
