Bound the size of the reports of parts that are quarantined together

Cause, seen by reading: a quarantine of many parts names all of them in each heartbeat, and 16 such would not fit into a datagram. Change: quarantines of more than 8 parts aren't reported; other entries find them by the crashes that they hear of. A test bounds the reports to 32 KiB.

--- a/src/lib/core/serving/promptQuarantine.ts
+++ b/src/lib/core/serving/promptQuarantine.ts
@@ -107,6 +107,9 @@
 const MAX_QUARANTINES = 256;
 export const MAX_REPORTED_QUARANTINES = 16;
 
+/** Quarantines of more parts together aren't reported, so that the reports fit into a datagram. */
+export const MAX_REPORTED_PARTS = 8;
+
 interface Quarantine {
     /** A request is refused if it has all of these parts. */
     readonly parts: readonly string[];
@@ -238,7 +241,8 @@
     }
 
     function reports(now: number): QuarantineReport[] {
-        return [...quarantines].slice(-MAX_REPORTED_QUARANTINES).map(([part, quarantine]) => ({
+        const reported = [...quarantines].filter(([, { parts }]) => parts.length <= MAX_REPORTED_PARTS);
+        return reported.slice(-MAX_REPORTED_QUARANTINES).map(([part, quarantine]) => ({
             part,
             parts: quarantine.parts.length > 1 ? quarantine.parts : undefined,
             lastCrashAgeMs: Math.max(0, now - quarantine.lastCrashAt),
--- a/src/lib/node/peerMessages.ts
+++ b/src/lib/node/peerMessages.ts
@@ -11,6 +11,7 @@
 import { sendRequest } from "../clients/index.js";
 import {
     INITIAL_POSITION,
+    MAX_REPORTED_PARTS,
     MAX_REPORTED_QUARANTINES,
     type RowChanges,
     type RowReplica,
@@ -43,7 +44,7 @@
     /** Quarantined parts of prompts; see `QuarantineReport`. Entries of earlier versions send none. */
     quarantines: z.array(z.object({
         part: z.string(),
-        parts: z.array(z.string()).min(2).readonly().optional(),
+        parts: z.array(z.string()).min(2).max(MAX_REPORTED_PARTS).readonly().optional(),
         lastCrashAgeMs: z.number().nonnegative(),
         probeInMs: z.number(),
         intervalMs: z.number().positive(),
--- a/src/test/core/serving/promptQuarantine.test.ts
+++ b/src/test/core/serving/promptQuarantine.test.ts
@@ -381,3 +381,19 @@
     assert.deepEqual(entry.quarantined, ["sound", "deadly"]);
     assert.equal(entry.decide(["deadly"], 1, 800).kind, "refused");
 });
+
+// Guards against heartbeats that don't fit into a datagram, so that other entries take their sender for lost.
+test("the reports of quarantines are bounded in size", () => {
+    const entry = createTestEntry();
+    for (let cause = 0; cause < 40; cause++) {
+        const parts = Array.from({ length: cause < 20 ? 31 : 8 }, (_, index) => `${cause}/${index} `.padEnd(80, "x"));
+        for (let index = 0; index < 3; index++) {
+            const at = cause * 1000 + index * 100;
+            entry.recordCrash(crash(`s${at}`, prompt(...parts)), 1, at, at);
+        }
+    }
+    assert.equal(entry.quarantined.length, 40);
+    const reports = entry.reports(40_000);
+    assert.equal(reports.length, 16);
+    assert.ok(JSON.stringify(reports).length < 32_768, `${JSON.stringify(reports).length} bytes`);
+});
