Accept API keys of more than 256 characters

The header limit of the configuration bounds their length already. The new test fails before the change.

--- a/src/lib/platform/headers.ts
+++ b/src/lib/platform/headers.ts
@@ -95,9 +95,6 @@
 /** Status with which a server turns a request away for now. */
 const UNAVAILABLE_STATUS = 503;
 
-/** Longer API keys are treated as missing. */
-const MAX_KEY_LENGTH = 256;
-
 /** The parts of longer prompts are ignored. */
 const MAX_PROMPT_PARTS = 32;
 
@@ -113,7 +110,7 @@
     return {
         id: firstValue(headers["attempt-id"]) ?? "",
         deadlineMs: Number.isFinite(deadlineMs) ? deadlineMs : undefined,
-        key: key === undefined || key.length > MAX_KEY_LENGTH ? undefined : key,
+        key,
         promptTokens: Number.isFinite(promptTokens) ? promptTokens ?? 0 : 0,
         maxOutputTokens: Number.isFinite(maxOutputTokens) ? maxOutputTokens ?? 0 : 0,
         expectedOutputTokens: Number.isFinite(expectedOutputTokens) && expectedOutputTokens > 0 ?
--- a/src/test/platform/translation.test.ts
+++ b/src/test/platform/translation.test.ts
@@ -127,3 +127,9 @@
     assert.deepEqual(parse(undefined), []);
     assert.deepEqual(parse(Array.from({ length: 33 }, (_, index) => `${index}:1`).join()), []);
 });
+
+// Guards against callers whose valid API key is taken for missing because it is long.
+test("an API key of any length that the header limit allows is read", () => {
+    const key = "k".repeat(8000);
+    assert.equal(parseCallerRequest({ key }).key, key);
+});
