Guard prompts of more than 32 parts against parts that crash servers

Change: up to 256 parts are read, of longer prompts the first ones and the last one. Messages about crashes are divided by the number of parts, and a part that is implicated again is dropped last.

--- a/src/lib/core/serving/crashEvidence.ts
+++ b/src/lib/core/serving/crashEvidence.ts
@@ -69,9 +69,9 @@
 const SURVIVAL_MAX_AGE_MS = 60_000;
 
 /** Limits of the memory; the oldest entries are dropped first. */
-const MAX_IMPLICATED_PARTS = 2048;
+const MAX_IMPLICATED_PARTS = 8192;
 const MAX_CRASHES_PER_PART = 16;
-const MAX_KNOWN_PARTS = 8192;
+const MAX_KNOWN_PARTS = 16_384;
 const MAX_EXPLAINED_CRASHES = 1024;
 
 interface ImplicatingCrash {
@@ -102,11 +102,11 @@
     }
 
     function implicate(part: string, incarnation: string, promptId: number, at: number): void {
-        let implicated = implicatedParts.get(part);
-        if (implicated === undefined) {
-            implicatedParts.set(part, implicated = { crashes: [] });
-            dropOldest(implicatedParts, MAX_IMPLICATED_PARTS);
-        }
+        const implicated = implicatedParts.get(part) ?? { crashes: [] };
+        // Moves the part to the end of the order in which parts are dropped.
+        implicatedParts.delete(part);
+        implicatedParts.set(part, implicated);
+        dropOldest(implicatedParts, MAX_IMPLICATED_PARTS);
         const recorded = implicated.crashes.find(crash => crash.incarnation === incarnation);
         if (recorded !== undefined) {
             recorded.promptIds.add(promptId);
--- a/src/lib/platform/headers.ts
+++ b/src/lib/platform/headers.ts
@@ -95,8 +95,8 @@
 /** Status with which a server turns a request away for now. */
 const UNAVAILABLE_STATUS = 503;
 
-/** The parts of longer prompts are ignored. */
-const MAX_PROMPT_PARTS = 32;
+/** Of longer prompts, the first parts and the last one are kept. */
+const MAX_PROMPT_PARTS = 256;
 
 /** Longer identifiers of parts are cut off. */
 const MAX_PART_ID_LENGTH = 64;
@@ -124,9 +124,12 @@
 
 /** Returns the identifiers of a prompt's parts, which are listed with their numbers of tokens. */
 function parsePromptParts(value: string | undefined): string[] {
-    const parts = value?.split(",", MAX_PROMPT_PARTS + 1) ?? [];
-    if (parts.length > MAX_PROMPT_PARTS) return [];
-    return parts.map(part => part.trim().split(":")[0]?.slice(0, MAX_PART_ID_LENGTH) ?? "");
+    const parts = value?.split(",") ?? [];
+    // The header limit bounds the number of parts.
+    const keptParts = parts.length > MAX_PROMPT_PARTS ?
+        [...parts.slice(0, MAX_PROMPT_PARTS - 1), ...parts.slice(-1)] :
+        parts;
+    return keptParts.map(part => part.trim().split(":")[0]?.slice(0, MAX_PART_ID_LENGTH) ?? "");
 }
 
 /** Returns the headers of the request to a backend server as alternating names and values. */
--- a/src/lib/router/promptGuard.ts
+++ b/src/lib/router/promptGuard.ts
@@ -73,8 +73,8 @@
 /** Crashes that are remembered so that each is acted on once. */
 const MAX_KNOWN_CRASHES = 1024;
 
-/** Messages must fit into a datagram. */
-const MAX_PROMPTS_PER_MESSAGE = 8;
+/** Messages must fit into a datagram; a part takes up to about 80 bytes. */
+const MAX_PARTS_PER_MESSAGE = 256;
 const MAX_SURVIVALS_PER_MESSAGE = 256;
 
 interface CrashCheck {
@@ -192,7 +192,7 @@
             sharedPromptParts: [...new Set(prompts.flatMap(({ parts }) => parts))],
         });
         const weightsVersion = options.weightsVersion(server.service, at);
-        for (let first = 0; first < prompts.length; first += MAX_PROMPTS_PER_MESSAGE) {
+        for (const group of groupByPartCount(prompts, MAX_PARTS_PER_MESSAGE)) {
             options.broadcast({
                 kind: "crash",
                 ip: options.self.ip,
@@ -200,10 +200,7 @@
                 startedAt,
                 ageMs: at - failedAt,
                 weightsVersion,
-                prompts: prompts.slice(first, first + MAX_PROMPTS_PER_MESSAGE).map(({ id, parts }) => ({
-                    id,
-                    parts: [...parts],
-                })),
+                prompts: group.map(({ id, parts }) => ({ id, parts: [...parts] })),
             });
         }
         const crash = { incarnation: incarnationOf(serverId, startedAt), prompts };
@@ -264,6 +261,21 @@
     return sharedPromptParts.map(part => `${service} ${part}`);
 }
 
+/** Divides prompts into groups with at most `maxCount` parts together, or one longer prompt. */
+function groupByPartCount(prompts: readonly ImplicatedPrompt[], maxCount: number): ImplicatedPrompt[][] {
+    const groups: ImplicatedPrompt[][] = [];
+    let partCount = Number.POSITIVE_INFINITY;
+    for (const prompt of prompts) {
+        partCount += prompt.parts.length;
+        if (partCount > maxCount) {
+            groups.push([]);
+            partCount = prompt.parts.length;
+        }
+        groups.at(-1)?.push(prompt);
+    }
+    return groups;
+}
+
 function incarnationOf(serverId: string, startedAt: number): string {
     return `${serverId} ${startedAt}`;
 }
