Don't let a repaired piece hide that an engine may have loaded it corrupt

Cause, by reading: after an order without a response the agent checks and repairs the staged pieces for the next order, and the later look at them then finds them sound. Change: a piece that is repaired while such an order is outstanding makes the weights suspect, if that order took effect.

--- a/src/lib/stager/engineTask.ts
+++ b/src/lib/stager/engineTask.ts
@@ -69,6 +69,8 @@
     readonly version: number;
     /** Start of the engine that got the order. */
     readonly engineStartedAt: number;
+    /** Whether a staged piece was staged again since, so that its state at the order isn't known any more. */
+    wasRepaired: boolean;
     /** Whether a staged piece was found corrupt since, so that the engine may have loaded it. */
     isSuspect: boolean;
 }
@@ -150,7 +152,7 @@
         const stagedMs = now() - startedAt;
         // Until the response arrives in time, the order may be accepted late or may have been accepted unnoticed.
         const earlierOrder = lateOrder;
-        lateOrder = { version, engineStartedAt: report?.startedAt ?? 0, isSuspect: false };
+        lateOrder = { version, engineStartedAt: report?.startedAt ?? 0, wasRepaired: false, isSuspect: false };
         const result = await engine.orderLoad(held.model, version);
         const respondedAt = readClocks();
         // If the order hasn't begun anything, an earlier one has taken effect.
@@ -199,6 +201,7 @@
         for (const [index, bytes] of held.pieces.entries()) {
             if (bytes === undefined || await isStaged(held, index)) continue;
             repairedCount++;
+            if (lateOrder?.version === held.manifest.version) lateOrder.wasRepaired = true;
             await engine.stagePiece(held.model, index, bytes);
         }
         return repairedCount;
@@ -226,7 +229,7 @@
         // The order may still be on its way to the engine.
         if (lateOrder === undefined || held === undefined || isSuspect || isLoadInProgress || loaded < version) return;
         for (const index of held.pieces.keys()) {
-            if (await isStaged(held, index)) continue;
+            if (!lateOrder.wasRepaired && await isStaged(held, index)) continue;
             lateOrder.isSuspect = true;
             log.warn("loaded weights may be corrupt", { model, version, piece: index });
             return;
