Test of a late order: a repeated order doesn't begin before it

The test failed in 2 of 5 parallel runs: the agent's repeated order began before the late one and loaded sound pieces, so the engine was rightly served. The fake now holds the repeated order until the late one has taken effect; the assertions are the same.

--- a/src/test/stager/stager.test.ts
+++ b/src/test/stager/stager.test.ts
@@ -237,7 +237,8 @@
 // late.
 test("an engine that may have loaded corrupt pieces gets no requests until it has loaded others", async () => {
     engine.state.beforeOrder = async () => {
-        engine.state.beforeOrder = async () => undefined;
+        // A repeated order that begins before this one would load sound pieces.
+        engine.state.beforeOrder = () => waitUntil(() => engine.state.version === 2);
         await new Promise(resolve => setTimeout(resolve, 2200));
         engine.staged.set(0, Buffer.from("corrupt"));
     };
