Log the age of what an entry knows of the store, and what a failed call waited for

No decision depends on them yet.

216 tests of router, clients, observability, the feed and the store passed.

--- a/src/lib/clients/http.ts
+++ b/src/lib/clients/http.ts
@@ -52,15 +52,14 @@
  * the stream.
  *
  * @throws VError named `HttpError`. Its info `connected` tells whether the connection was established, in which case
- * the server may have received the request.
+ * the server may have received the request, and `reusedConnection` whether an earlier request had used it.
  */
 export function openRequest(request: HttpRequest): Promise<http.IncomingMessage> {
     return new Promise((resolve, reject) => {
         let connected = false;
         const rejectWith = (cause: Error) => {
-            reject(
-                new VError({ name: "HttpError", cause, info: { connected } }, "%s %s", request.method, request.url),
-            );
+            const info = { connected, reusedConnection: outgoing.reusedSocket };
+            reject(new VError({ name: "HttpError", cause, info }, "%s %s", request.method, request.url));
         };
         const outgoing = http.request(request.url, {
             method: request.method,
--- a/src/lib/core/serving/index.ts
+++ b/src/lib/core/serving/index.ts
@@ -22,5 +22,6 @@
 export * from "./storePosition.js";
 export * from "./storeReaders.js";
 export * from "./switchSchedule.js";
+export * from "./tableFreshness.js";
 export * from "./transferPolicy.js";
 export * from "./weightsPolicy.js";
--- a/src/lib/node/metadataStore.ts
+++ b/src/lib/node/metadataStore.ts
@@ -5,10 +5,18 @@
     readonly rows: readonly Row[];
     /** `rows` includes every change of this epoch up to this position. */
     readonly position: StorePosition;
+    /** The store's clock when it responded, in milliseconds; `undefined` if it states none. */
+    readonly storeTime?: number | undefined;
 }
 
 export type FeedResult =
-    | { readonly kind: "changes"; readonly rows: readonly Row[]; readonly position: StorePosition; }
+    | {
+        readonly kind: "changes";
+        readonly rows: readonly Row[];
+        readonly position: StorePosition;
+        /** The store's clock when it responded, in milliseconds; `undefined` if it states none. */
+        readonly storeTime?: number | undefined;
+    }
     /** The store no longer has the changes after the revision; the table must be read again. */
     | { readonly kind: "historyLost"; };
 
--- a/src/lib/node/tableFeed.ts
+++ b/src/lib/node/tableFeed.ts
@@ -5,9 +5,10 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import VError from "verror";
-import { laterPosition, type Row, type RowReplica, type StorePosition } from "../core/serving/index.js";
+import { laterPosition, type Row, type StorePosition, type TableFreshness } from "../core/serving/index.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
 import type { MetadataStore } from "./metadataStore.js";
+import type { SharedTable } from "./sharedTable.js";
 
 /** Limits the rate of feed calls that return changes, so that many changes in succession are fetched in batches. */
 export interface FeedRateLimit {
@@ -17,10 +18,8 @@
     readonly burst: number;
 }
 
-export interface TableFeedOptions {
+export interface TableFeedOptions extends SharedTable {
     readonly store: MetadataStore;
-    readonly table: string;
-    readonly replica: RowReplica;
     /** Returns the maximum time that the store holds a feed call open when there are no changes. */
     readonly waitMs: () => number;
     readonly rateLimit: FeedRateLimit;
@@ -61,7 +60,7 @@
 const READER_CHECK_INTERVAL_MS = 100;
 
 export function startTableFeed(options: TableFeedOptions): TableFeed {
-    const { store, table, replica, log, metrics } = options;
+    const { store, table, replica, freshness, log, metrics } = options;
     let isStopped = false;
     let lastOutageAt: number | undefined;
     let failures = 0;
@@ -77,6 +76,7 @@
     let hasSkippedCalls = false;
     /** State of the generic cell rate algorithm: when the next call would be due at exactly one call per interval. */
     let theoreticalArrivalTime = 0;
+    let callStartedAt = 0;
 
     async function run(): Promise<void> {
         while (!isStopped) {
@@ -92,7 +92,8 @@
     }
 
     async function readTable(): Promise<void> {
-        const { rows, position } = await store.readTable(table);
+        callStartedAt = options.now();
+        const { rows, position, storeTime } = await store.readTable(table);
         metrics.storeCalls.inc({ result: "read" });
         const previous = replica.newestPosition();
         if (position.epoch < previous.epoch) throw outdatedError(position, previous);
@@ -100,6 +101,7 @@
         if (isRestoration) log.warn("store restored", { table, ...position, previous });
         enterEpoch(position);
         options.onChange(replica.applySnapshot(rows, position), isRestoration);
+        freshness.recordResponse(callStartedAt, storeTime, options.now());
         cursor = position;
         isContiguous = false;
         log.info("table read", { table, ...position, rows: rows.length });
@@ -131,6 +133,7 @@
         }
         // Without waiting for changes, the call detects a recovery or a restoration at once.
         const waitMs = failures > 0 || hasSkippedCalls ? 0 : options.waitMs();
+        callStartedAt = options.now();
         const feedResult = await store.readFeed(table, cursor.revision, waitMs);
         hasSkippedCalls = false;
         metrics.storeCalls.inc({ result: "feed" });
@@ -146,10 +149,17 @@
         cursor = laterPosition(cursor, feedResult.position);
         isContiguous = true;
         const newRows = replica.apply(feedResult.rows);
+        recordConfirmation(feedResult.rows.length > 0, waitMs, feedResult.storeTime);
         if (newRows.length > 0) options.onChange(newRows, false);
         if (feedResult.rows.length > 0) await limitCallRate();
     }
 
+    /** A response without changes has left the store when the wait was over, and may have been delayed since. */
+    function recordConfirmation(hasChanges: boolean, waitMs: number, storeTime: number | undefined): void {
+        const now = options.now();
+        freshness.recordResponse(hasChanges ? now : Math.min(now, callStartedAt + waitMs), storeTime, now);
+    }
+
     /** Waits until the rate limit allows the next call; returns at once while the burst isn't used up. */
     async function limitCallRate(): Promise<void> {
         const { intervalMs, burst } = options.rateLimit;
@@ -169,7 +179,16 @@
     async function backOff(error: Error): Promise<void> {
         metrics.storeCalls.inc({ result: "failed" });
         lastOutageAt = options.now();
-        if (failures === 0) log.warn("store lost", { table, error: error.message, ...cursor });
+        if (failures === 0) {
+            log.warn("store lost", {
+                table,
+                error: error.message,
+                reusedConnection: VError.info(error).reusedConnection,
+                callMs: Math.round(options.now() - callStartedAt),
+                ageMs: loggedAge(freshness, options.now()),
+                ...cursor,
+            });
+        }
         failures++;
         const maxPauseMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** failures);
         const pauseMs = MIN_BACKOFF_MS + options.random() * (maxPauseMs - MIN_BACKOFF_MS);
@@ -186,6 +205,12 @@
     };
 }
 
+/** Returns the age of a table in whole milliseconds, or `undefined` if the table was never confirmed. */
+export function loggedAge(freshness: TableFreshness, now: number): number | undefined {
+    const ageMs = Math.round(freshness.ageMs(now));
+    return Number.isFinite(ageMs) ? ageMs : undefined;
+}
+
 function outdatedError(received: StorePosition, held: StorePosition): VError {
     return new VError(
         { name: "StoreError" },
--- a/src/lib/platform/store.ts
+++ b/src/lib/platform/store.ts
@@ -47,6 +47,8 @@
         tombstone: z.boolean().optional(),
     })),
     ver: z.number(),
+    /** The store's steady clock. */
+    "now-ms": z.number().optional(),
     "has-more": z.boolean().optional(),
 });
 
@@ -86,6 +88,7 @@
         if (keyPrefix !== "") query.set("to", prefixUpperBound(keyPrefix));
         let from = keyPrefix;
         let position: StorePosition | undefined;
+        let storeTime: number | undefined;
         for (;;) {
             query.set("from", from);
             const response = await call("GET", `/-/rows-get?${query}`, CALL_TIMEOUT_MS);
@@ -93,11 +96,12 @@
             rows.push(...page.rows);
             // Later pages may include newer changes; a feed from the first page's position delivers them again.
             position ??= page.position;
+            storeTime ??= page.storeTime;
             if (page.position.epoch !== position.epoch) {
                 throw new VError({ name: "StoreError" }, "the store was restored while table %s was read", table);
             }
             const lastRow = page.rows.at(-1);
-            if (!page.hasMore || lastRow === undefined) return { rows, position };
+            if (!page.hasMore || lastRow === undefined) return { rows, position, storeTime };
             // The smallest key greater than the last row's.
             from = `${lastRow.key}\0`;
         }
@@ -107,8 +111,8 @@
         const query = new URLSearchParams({ table, after: String(afterRevision), "wait-ms": String(waitMs) });
         const response = await call("GET", `/-/rows-feed?${query}`, waitMs + FEED_TIMEOUT_MARGIN_MS);
         if (response.status === 410) return { kind: "historyLost" };
-        const { rows, position } = parseRows(response);
-        return { kind: "changes", rows, position };
+        const { rows, position, storeTime } = parseRows(response);
+        return { kind: "changes", rows, position, storeTime };
     }
 
     async function putRow(table: string, key: string, value: string): Promise<void> {
@@ -134,7 +138,14 @@
     throw new VError({ name: "StoreError" }, "the store's epoch %j isn't a whole number", text);
 }
 
-function parseRows(response: StoreResponse): { rows: Row[]; position: StorePosition; hasMore: boolean; } {
+interface RowPage {
+    readonly rows: Row[];
+    readonly position: StorePosition;
+    readonly storeTime: number | undefined;
+    readonly hasMore: boolean;
+}
+
+function parseRows(response: StoreResponse): RowPage {
     if (response.status !== 200) throw statusError(response);
     const result = rowsSchema.safeParse(parseJson(response.body));
     if (!result.success) {
@@ -144,7 +155,7 @@
         );
     }
     const { epoch } = response;
-    const { rows, ver, "has-more": hasMore } = result.data;
+    const { rows, ver, "now-ms": storeTime, "has-more": hasMore } = result.data;
     return {
         rows: rows.map(row => ({
             key: row.key,
@@ -155,6 +166,7 @@
                 Buffer.from(row.value, "base64").toString("utf8"),
         })),
         position: { epoch, revision: ver },
+        storeTime,
         hasMore: hasMore === true,
     };
 }
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -24,6 +24,8 @@
 export interface ExchangeContext {
     /** Current routes; `undefined` until a configuration has been received. */
     readonly routeTable: () => RouteTable | undefined;
+    /** Age of the configuration for the log; see `TableFreshness`. `undefined` before one is known. */
+    readonly configurationAgeMs: () => number | undefined;
     readonly dispatcher: Dispatcher;
     readonly connections: BackendConnections;
     readonly reservations: Reservations;
--- a/src/lib/router/localResponses.ts
+++ b/src/lib/router/localResponses.ts
@@ -112,7 +112,13 @@
     retryAfterMs?: number,
 ): void {
     context.metrics.refusals.inc({ reason });
-    context.log.warn("request refused", { id: caller.id, status, reason, version: configurationVersion(context) });
+    context.log.warn("request refused", {
+        id: caller.id,
+        status,
+        reason,
+        version: configurationVersion(context),
+        versionAgeMs: context.configurationAgeMs(),
+    });
     sendLocalResponse(context, response, status, reason, caller, retryAfterMs);
 }
 
@@ -195,6 +201,7 @@
             undefined :
             caller.sharedPromptParts,
         version: configurationVersion(context),
+        versionAgeMs: context.configurationAgeMs(),
         ...extraFields,
     });
 }
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -14,6 +14,7 @@
     createServerRegistry,
     createServerSpeed,
     createSharedRetryBudget,
+    createTableFreshness,
     createWeightsPolicy,
     type EntryIdentity,
     Outcome,
@@ -24,7 +25,8 @@
 import { listen } from "../node/listen.js";
 import type { MetadataStore } from "../node/metadataStore.js";
 import { handleChangesRequest } from "../node/peerMessages.js";
-import { type FeedRateLimit, startTableFeed, type TableFeed } from "../node/tableFeed.js";
+import type { SharedTable } from "../node/sharedTable.js";
+import { type FeedRateLimit, loggedAge, startTableFeed, type TableFeed } from "../node/tableFeed.js";
 import { createServingMetrics, type EventLog, handleMetricsRequest } from "../observability/index.js";
 import { createTableReplica, PlatformTable } from "../platform/index.js";
 import type { VmBounds, VmSettings } from "../settings/vmSettings.js";
@@ -189,6 +191,7 @@
     });
     const context: ExchangeContext = {
         routeTable: operatorState.routeTable,
+        configurationAgeMs: () => loggedAge(operatorTable.freshness, now()),
         dispatcher,
         connections,
         reservations,
@@ -215,8 +218,10 @@
         store: settings.storeAddress,
     });
 
-    const tables: readonly string[] = [PlatformTable.operator, PlatformTable.servers];
-    const replicas = new Map(tables.map(table => [table, createTableReplica(table)]));
+    const operatorTable = createSharedTable(PlatformTable.operator);
+    const serverTable = createSharedTable(PlatformTable.servers);
+    const sharedTables = [operatorTable, serverTable];
+    const replicas = new Map(sharedTables.map(({ table, replica }) => [table, replica]));
     const registration = startRegistration(store, self, peers.addUnconfirmed, log, random);
     /** `outageAt` is the last time at which the process that read the rows from the store saw it fail. */
     type ApplyChanges = (rows: readonly Row[], outageAt: number | undefined) => void;
@@ -224,7 +229,7 @@
         [PlatformTable.operator]: rows => {
             operatorState.applyOperatorRows(
                 rows,
-                replicas.get(PlatformTable.operator)?.newestPosition().epoch ?? 0,
+                operatorTable.replica.newestPosition().epoch,
                 now(),
             );
             dispatcher.tick(now());
@@ -241,15 +246,15 @@
         applyChanges[table]?.(rows, now());
     }
     // `feeds[1]` is the feed of the server registry.
-    const feeds: TableFeed[] = [...replicas].map(([table, replica]) =>
+    const feeds: TableFeed[] = sharedTables.map(sharedTable =>
         startTableFeed({
+            ...sharedTable,
             store,
-            table,
-            replica,
             waitMs: () => feedWaitMs(bounds),
             rateLimit: FEED_RATE_LIMIT,
             isReader: () => peerExchange.readsFromStore(),
             onChange: (rows, isRestoration) => {
+                const { table } = sharedTable;
                 if (isRestoration) applyRestoration(table, rows);
                 else applyChanges[table]?.(rows, feeds[1]?.lastOutageAt());
             },
@@ -327,7 +332,7 @@
 
     const isReady = () => {
         return !isStopping && operatorState.routeTable() !== undefined &&
-            (replicas.get(PlatformTable.servers)?.hasSnapshot() ?? false);
+            serverTable.replica.hasSnapshot();
     };
     const { callerAddress, readyAddress } = settings;
     if (callerAddress !== undefined) {
@@ -381,6 +386,10 @@
     };
 }
 
+function createSharedTable(table: string): SharedTable {
+    return { table, replica: createTableReplica(table), freshness: createTableFreshness() };
+}
+
 /**
  * Returns the wait time of feed calls. The store may lose the response to a call that waits during a fault, at all
  * entries at once. The call must time out early enough to apply a change that follows the fault in time.
--- a/src/test/node/tableFeed.test.ts
+++ b/src/test/node/tableFeed.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createRowReplica, type Row } from "../../lib/core/serving/index.js";
+import { createRowReplica, createTableFreshness, type Row } from "../../lib/core/serving/index.js";
 import type { FeedResult, MetadataStore } from "../../lib/node/metadataStore.js";
 import { startTableFeed } from "../../lib/node/tableFeed.js";
 import { createEventLog, createServingMetrics } from "../../lib/observability/index.js";
@@ -40,6 +40,7 @@
         store,
         table: "servers",
         replica: createRowReplica(),
+        freshness: createTableFreshness(),
         waitMs: () => 300,
         rateLimit: { intervalMs: 250, burst: 4 },
         onChange: () => undefined,
--- a/src/test/platform/store.test.ts
+++ b/src/test/platform/store.test.ts
@@ -2,7 +2,7 @@
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, test } from "node:test";
-import { createRowReplica, type Row } from "../../lib/core/serving/index.js";
+import { createRowReplica, createTableFreshness, type Row } from "../../lib/core/serving/index.js";
 import type { MetadataStore } from "../../lib/node/metadataStore.js";
 import { startTableFeed, type TableFeed } from "../../lib/node/tableFeed.js";
 import { createEventLog, createServingMetrics } from "../../lib/observability/index.js";
@@ -27,6 +27,7 @@
         store,
         table: "t",
         replica: createRowReplica(),
+        freshness: createTableFreshness(),
         rateLimit: { intervalMs: 250, burst: 4 },
         waitMs: () => 500,
         onChange: rows => void receivedRows.push(...rows),
