--- a/src/test/soak/faultProxy.ts
+++ b/src/test/soak/faultProxy.ts
@@ -1,14 +1,17 @@
 /**
  * TCP proxy on loopback that injects faults: it delays, resets or refuses connections, or drops their bytes in one
- * direction or in both.
+ * direction or in both. Open connections can also fall silent for good while new ones work.
  */
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 
-export type LinkFault = "none" | "delay" | "reset" | "silent" | "one way" | "refuse";
+export type LinkFault = "none" | "delay" | "reset" | "silent" | "one way" | "refuse" | "silence open";
 
 export interface FaultProxy {
     readonly address: string;
-    /** `reset` resets the open connections once and accepts new ones; other faults last until the next call. */
+    /**
+     * `reset` and `silence open` affect the connections that are open at the time; new ones work. Other faults last until
+     * the next call.
+     */
     setFault(fault: LinkFault, now: number): void;
     /** Returns `now` during a fault, else the time of the last change; `undefined` if there was none. */
     lastFaultAt(now: number): number | undefined;
@@ -21,6 +24,8 @@
     let fault: LinkFault = "none";
     let lastFaultAt: number | undefined;
     const sockets = new Set<Socket>();
+    /** Connections that carry nothing any more, not even their end; each is its two sockets. */
+    const silentSockets = new WeakSet<Socket>();
     const server = createServer(client => {
         const [host, port] = target().split(":");
         if (fault === "refuse") {
@@ -34,7 +39,8 @@
             let delivered = Promise.resolve();
             let hasDroppedBytes = false;
             from.on("data", bytes => {
-                hasDroppedBytes ||= fault === "silent" || (fault === "one way" && isForward);
+                hasDroppedBytes ||= fault === "silent" || (fault === "one way" && isForward) ||
+                    silentSockets.has(from);
                 if (hasDroppedBytes) return;
                 const delayMs = fault === "delay" ? DELAY_MS : 0;
                 delivered = delivered.then(async () => {
@@ -44,12 +50,14 @@
             });
             from.on("end", () =>
                 void delivered.then(() => {
-                    if (!hasDroppedBytes) to.end();
+                    if (!hasDroppedBytes && !silentSockets.has(from)) to.end();
                 }));
-            from.on("error", () => to.resetAndDestroy());
+            from.on("error", () => {
+                if (!silentSockets.has(from)) to.resetAndDestroy();
+            });
             from.on("close", hadError => {
                 sockets.delete(from);
-                if (!hadError && from.readableEnded) return;
+                if (silentSockets.has(from) || (!hadError && from.readableEnded)) return;
                 void delivered.then(() => to.destroyed || to.resetAndDestroy());
             });
         }
@@ -61,8 +69,10 @@
         address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
         setFault: (newFault, now) => {
             lastFaultAt = now;
-            fault = newFault === "reset" ? "none" : newFault;
+            const affectsOpenOnly = newFault === "reset" || newFault === "silence open";
+            fault = affectsOpenOnly ? "none" : newFault;
             if (newFault === "reset") { for (const socket of sockets) socket.resetAndDestroy(); }
+            if (newFault === "silence open") { for (const socket of sockets) silentSockets.add(socket); }
         },
         lastFaultAt: now => fault === "none" ? lastFaultAt : now,
         close: () => {
