--- a/src/lib/clients/http.ts
+++ b/src/lib/clients/http.ts
@@ -142,6 +142,13 @@
     return { status: response.statusCode ?? 0, headers: response.headers, body };
 }
 
+/** Closes the idle connections of a pool, so that the next requests open new ones. */
+export function destroyIdleConnections(agent: http.Agent): void {
+    for (const sockets of Object.values(agent.freeSockets)) {
+        for (const socket of sockets ?? []) socket.destroy();
+    }
+}
+
 /** Returns whether an error proves that the request never reached the server. */
 export function provesNotSent(error: unknown): boolean {
     return error instanceof Error && VError.info(error).connected === false;
--- a/src/test/platform/store.test.ts
+++ b/src/test/platform/store.test.ts
@@ -8,6 +8,7 @@
 import { createEventLog, createServingMetrics } from "../../lib/observability/index.js";
 import { createPlatformStore } from "../../lib/platform/index.js";
 import { waitUntil } from "../router/routerHarness.js";
+import { startFaultProxy } from "../soak/faultProxy.js";
 import { type FakeStore, startFakeStore } from "./fakeStore.js";
 
 let fakeStore: FakeStore;
@@ -87,6 +88,25 @@
     await assert.rejects(store.putRow("own", "k", "w"), { name: "StoreError" });
 });
 
+// Guards against idle connections that fell silent together and are tried one after another, each until it times out.
+test("after a connection fell silent, the next call uses a new one", async () => {
+    const link = await startFaultProxy(() => fakeStore.address);
+    const client = createPlatformStore(link.address);
+    try {
+        await Promise.all(Array.from({ length: 4 }, () => client.readTable("t")));
+        link.setFault("silence open", performance.now());
+        await assert.rejects(client.readFeed("t", 0, 0), { name: "StoreError" });
+        const startedAt = performance.now();
+        await client.readFeed("t", 0, 0);
+        const elapsedMs = performance.now() - startedAt;
+        assert.ok(elapsedMs < 500, `the next call took ${elapsedMs} ms`);
+    }
+    finally {
+        client.close();
+        link.close();
+    }
+});
+
 // Guards against a change that is never delivered because the restored store has given its revision out before.
 test("a feed delivers the changes after a restoration", async () => {
     const copy = fakeStore.copy();
