--- a/src/lib/core/serving/storeReaders.ts
+++ b/src/lib/core/serving/storeReaders.ts
@@ -23,6 +23,70 @@
     return positionOf("store readers", self, [self, ...peers]) < readerCount;
 }
 
+/** An entry and whether it reaches the store, according to its heartbeats. */
+export interface ReaderCandidate {
+    readonly name: string;
+    readonly region: string;
+}
+
+/** Returns the names of the entries of all regions that read from the store, among those that reach it. */
+export function findStoreReaders(candidates: readonly ReaderCandidate[], regionCount: number): string[] {
+    return candidates.filter(candidate => {
+        const regionPeers = candidates.filter(({ name, region }) => {
+            return region === candidate.region && name !== candidate.name;
+        });
+        return isStoreReader(candidate.name, regionPeers.map(({ name }) => name), regionCount);
+    }).map(({ name }) => name);
+}
+
+/** Time from the decision to ask the store again until all entries that need it have the response. */
+const RECHECK_MS = 800;
+
+/** Lower limit of the age, for settings with very short bounds. */
+const MIN_RECHECK_AGE_MS = 300;
+
+/**
+ * Returns the age at which a table's replica is in doubt, so that a process asks the store again on a new connection.
+ * With the time for that, a replica never gets older than `boundMs`, as long as the store can be reached.
+ */
+export function recheckAgeMs(boundMs: number): number {
+    return Math.max(MIN_RECHECK_AGE_MS, boundMs - RECHECK_MS);
+}
+
+/** Time by which a process that isn't a reader asks the store later than the readers do. */
+export const NON_READER_RECHECK_DELAY_MS = 300;
+
+/**
+ * Time between the responses to two readers, as a part of the age at which a replica is in doubt. The rest is for
+ * the way from one entry to the others.
+ */
+const RESPONSE_INTERVAL_FRACTION = 0.6;
+
+/** The store ends a feed call without changes after this time at the latest. */
+const MAX_FEED_WAIT_MS = 10_000;
+
+export interface FeedWaitOptions {
+    /** Age at which a replica is in doubt; see `recheckAgeMs`. */
+    readonly recheckAgeMs: number;
+    readonly self: string;
+    /** All entries that read from the store. */
+    readonly readers: readonly string[];
+    /** The call follows one that returned changes, which ended the calls of all readers at the same moment. */
+    readonly followsChanges: boolean;
+}
+
+/**
+ * Returns the wait time of a feed call. The calls of all readers end at evenly spaced times, so that the response to
+ * any of them confirms the replicas of all before they are in doubt.
+ */
+export function feedWaitMs({ recheckAgeMs, self, readers, followsChanges }: FeedWaitOptions): number {
+    const intervalMs = recheckAgeMs * RESPONSE_INTERVAL_FRACTION;
+    const waitMs = Math.min(MAX_FEED_WAIT_MS, intervalMs * Math.max(1, readers.length));
+    if (!followsChanges) return Math.round(waitMs);
+    const position = positionOf("feed calls", self, readers);
+    return Math.round(position < 0 ? intervalMs : waitMs * (position + 1) / readers.length);
+}
+
 /** How far a peer has read a table, according to its heartbeat. */
 export interface PeerProgress {
     readonly table: string;
--- a/src/lib/node/metadataStore.ts
+++ b/src/lib/node/metadataStore.ts
@@ -29,9 +29,9 @@
     readTable(table: string, keyPrefix?: string): Promise<TableSnapshot>;
     /**
      * Long-polls up to `waitMs` for changes after a revision. If the store has been restored, the changes are those of
-     * the new epoch, in which the revision may denote another state.
+     * the new epoch, in which the revision may denote another state. Aborting the call closes its connection.
      */
-    readFeed(table: string, afterRevision: number, waitMs: number): Promise<FeedResult>;
+    readFeed(table: string, afterRevision: number, waitMs: number, signal?: AbortSignal): Promise<FeedResult>;
     /** Writes a row unconditionally. After an error it is unknown whether the write took effect. */
     putRow(table: string, key: string, value: string): Promise<void>;
     close(): void;
--- a/src/lib/node/peerMessages.ts
+++ b/src/lib/node/peerMessages.ts
@@ -29,6 +29,11 @@
     newest: z.record(z.string(), z.number()),
     /** Epoch of that revision, by table. Entries of earlier versions send none. */
     epochs: z.record(z.string(), z.number()).optional(),
+    /**
+     * Latest time of the store's clock at which the sender is known to have held every change, by table. Entries of
+     * earlier versions send none.
+     */
+    confirmed: z.record(z.string(), z.number()).optional(),
     /** Epoch and revision of the newest row that the sender retains from before a restoration of the store, by table. */
     retained: z.record(z.string(), z.tuple([z.number(), z.number()])).optional(),
     /** Time since the sender last saw the store fail; `undefined` if it hasn't. */
--- a/src/lib/node/tableFeed.ts
+++ b/src/lib/node/tableFeed.ts
@@ -2,12 +2,23 @@
  * Keeps a replica of one of the store's tables up to date with a complete read followed by the change feed. While the
  * store can't be reached, the replica keeps its rows, and changes from peers are added by the caller. When the store has
  * been restored from a copy, the table is read completely again.
+ *
+ * A connection may fall silent without an error. A waiting call is therefore given up as soon as nothing has confirmed
+ * the replica for too long, or as soon as a peer knows a change that the call hasn't returned, and the store is asked
+ * again on a new connection.
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import VError from "verror";
-import { laterPosition, type Row, type StorePosition, type TableFreshness } from "../core/serving/index.js";
+import {
+    comparePositions,
+    laterPosition,
+    NON_READER_RECHECK_DELAY_MS,
+    type Row,
+    type StorePosition,
+    type TableFreshness,
+} from "../core/serving/index.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
-import type { MetadataStore } from "./metadataStore.js";
+import type { FeedResult, MetadataStore } from "./metadataStore.js";
 import type { SharedTable } from "./sharedTable.js";
 
 /** Limits the rate of feed calls that return changes, so that many changes in succession are fetched in batches. */
@@ -20,8 +31,13 @@
 
 export interface TableFeedOptions extends SharedTable {
     readonly store: MetadataStore;
-    /** Returns the maximum time that the store holds a feed call open when there are no changes. */
-    readonly waitMs: () => number;
+    /**
+     * Returns the maximum time that the store holds a feed call open when there are no changes. `followsChanges` is true
+     * for the first call and for one after a response with changes.
+     */
+    readonly waitMs: (followsChanges: boolean) => number;
+    /** Returns the age of the replica at which the store is asked again. */
+    readonly recheckAgeMs: () => number;
     readonly rateLimit: FeedRateLimit;
     /**
      * Returns whether this process currently reads the feed itself; otherwise the caller adds changes from peers to
@@ -49,6 +65,8 @@
     lastOutageAt(): number | undefined;
     /** Returns whether the last call succeeded; true before the first one ends. */
     isConnected(): boolean;
+    /** Gives up a call whose connection may be silent. Call it every few hundred milliseconds at most. */
+    checkSilence(): void;
     stop(): void;
 }
 
@@ -59,6 +77,17 @@
 /** Interval at which a process that isn't a reader checks whether it has become one. */
 const READER_CHECK_INTERVAL_MS = 100;
 
+/** Time within which a waiting call returns a change that a peer has delivered. */
+const CHANGE_DELAY_MS = 200;
+
+/** A feed call that waits for changes. */
+interface WaitingCall {
+    readonly after: StorePosition;
+    readonly abortion: AbortController;
+    /** Time since when a peer has known a change that the call hasn't returned. */
+    overtakenAt: number | undefined;
+}
+
 export function startTableFeed(options: TableFeedOptions): TableFeed {
     const { store, table, replica, freshness, log, metrics } = options;
     let isStopped = false;
@@ -77,6 +106,10 @@
     /** State of the generic cell rate algorithm: when the next call would be due at exactly one call per interval. */
     let theoreticalArrivalTime = 0;
     let callStartedAt = 0;
+    let waitingCall: WaitingCall | undefined;
+    /** The last call was given up, so the next one must not wait. */
+    let isRechecking = false;
+    let followsChanges = true;
 
     async function run(): Promise<void> {
         while (!isStopped) {
@@ -86,6 +119,8 @@
             }
             catch (error) {
                 if (isStopped) return;
+                if (isRechecking && wasAborted(error as Error)) continue;
+                isRechecking = false;
                 await backOff(error as Error);
             }
         }
@@ -122,7 +157,7 @@
         }
         if (isContiguous) {
             // A process that has lost the store keeps calling it, so that it detects when the store is back.
-            if (failures === 0 && options.isReader?.() === false) {
+            if (failures === 0 && options.isReader?.() === false && !isInDoubt(NON_READER_RECHECK_DELAY_MS)) {
                 hasSkippedCalls = true;
                 await sleep(READER_CHECK_INTERVAL_MS);
                 return;
@@ -132,10 +167,10 @@
             enterEpoch(cursor);
         }
         // Without waiting for changes, the call detects a recovery or a restoration at once.
-        const waitMs = failures > 0 || hasSkippedCalls ? 0 : options.waitMs();
-        callStartedAt = options.now();
-        const feedResult = await store.readFeed(table, cursor.revision, waitMs);
+        const waitMs = failures > 0 || hasSkippedCalls || isRechecking ? 0 : options.waitMs(followsChanges);
+        const feedResult = await callFeed(cursor, waitMs);
         hasSkippedCalls = false;
+        isRechecking = false;
         metrics.storeCalls.inc({ result: "feed" });
         if (feedResult.kind === "changes" && feedResult.position.epoch < cursor.epoch) {
             throw outdatedError(feedResult.position, cursor);
@@ -149,11 +184,52 @@
         cursor = laterPosition(cursor, feedResult.position);
         isContiguous = true;
         const newRows = replica.apply(feedResult.rows);
+        // A call that doesn't wait ends at a time of its own, like one with changes.
+        followsChanges = feedResult.rows.length > 0 || waitMs === 0;
         recordConfirmation(feedResult.rows.length > 0, waitMs, feedResult.storeTime);
         if (newRows.length > 0) options.onChange(newRows, false);
         if (feedResult.rows.length > 0) await limitCallRate();
     }
 
+    async function callFeed(after: StorePosition, waitMs: number): Promise<FeedResult> {
+        callStartedAt = options.now();
+        const abortion = new AbortController();
+        waitingCall = waitMs === 0 ? undefined : { after, abortion, overtakenAt: undefined };
+        try {
+            return await store.readFeed(table, after.revision, waitMs, abortion.signal);
+        }
+        finally {
+            waitingCall = undefined;
+        }
+    }
+
+    function isInDoubt(delayMs = 0): boolean {
+        return freshness.ageMs(options.now()) > options.recheckAgeMs() + delayMs;
+    }
+
+    function isOvertaken(call: WaitingCall): boolean {
+        if (comparePositions(replica.newestPosition(), call.after) <= 0) return false;
+        call.overtakenAt ??= options.now();
+        return options.now() - call.overtakenAt >= CHANGE_DELAY_MS;
+    }
+
+    function checkSilence(): void {
+        const call = waitingCall;
+        if (call === undefined || !(isInDoubt() || isOvertaken(call))) return;
+        // What arrived while this process was paused is read first.
+        setImmediate(() => {
+            if (waitingCall !== call || !(isInDoubt() || isOvertaken(call))) return;
+            isRechecking = true;
+            log.info("store asked again", {
+                table,
+                callMs: Math.round(options.now() - callStartedAt),
+                ageMs: loggedAge(freshness, options.now()),
+                isOvertaken: isOvertaken(call),
+            });
+            call.abortion.abort();
+        });
+    }
+
     /** A response without changes has left the store when the wait was over, and may have been delayed since. */
     function recordConfirmation(hasChanges: boolean, waitMs: number, storeTime: number | undefined): void {
         const now = options.now();
@@ -199,12 +275,20 @@
     return {
         lastOutageAt: () => lastOutageAt,
         isConnected: () => failures === 0,
+        checkSilence,
         stop: () => {
             isStopped = true;
         },
     };
 }
 
+function wasAborted(error: Error): boolean {
+    for (let cause: Error | null = error; cause !== null; cause = VError.cause(cause)) {
+        if (cause.name === "AbortError") return true;
+    }
+    return false;
+}
+
 /** Returns the age of a table in whole milliseconds, or `undefined` if the table was never confirmed. */
 export function loggedAge(freshness: TableFreshness, now: number): number | undefined {
     const ageMs = Math.round(freshness.ageMs(now));
--- a/src/lib/platform/store.ts
+++ b/src/lib/platform/store.ts
@@ -57,7 +57,12 @@
     const closing = new AbortController();
     let newestEpoch = 0;
 
-    async function call(method: string, path: string, timeoutMs: number, body?: string): Promise<StoreResponse> {
+    async function call(
+        method: string,
+        path: string,
+        timeoutMs: number,
+        { body, signal }: { readonly body?: string; readonly signal?: AbortSignal | undefined; } = {},
+    ): Promise<StoreResponse> {
         const response = await sendRequest({
             method,
             url: `http://${address}${path}`,
@@ -65,7 +70,7 @@
             body,
             timeoutMs,
             agent,
-            signal: closing.signal,
+            signal: signal === undefined ? closing.signal : AbortSignal.any([closing.signal, signal]),
         }).catch(error => {
             // Whatever silenced this connection may have silenced the others.
             destroyIdleConnections(agent);
@@ -109,9 +114,14 @@
         }
     }
 
-    async function readFeed(table: string, afterRevision: number, waitMs: number): Promise<FeedResult> {
+    async function readFeed(
+        table: string,
+        afterRevision: number,
+        waitMs: number,
+        signal?: AbortSignal,
+    ): Promise<FeedResult> {
         const query = new URLSearchParams({ table, after: String(afterRevision), "wait-ms": String(waitMs) });
-        const response = await call("GET", `/-/rows-feed?${query}`, waitMs + FEED_TIMEOUT_MARGIN_MS);
+        const response = await call("GET", `/-/rows-feed?${query}`, waitMs + FEED_TIMEOUT_MARGIN_MS, { signal });
         if (response.status === 410) return { kind: "historyLost" };
         const { rows, position, storeTime } = parseRows(response);
         return { kind: "changes", rows, position, storeTime };
@@ -120,7 +130,7 @@
     async function putRow(table: string, key: string, value: string): Promise<void> {
         const encoded = Buffer.from(value).toString("base64");
         const body = { precondition: [], puts: [{ table, part: "", key, value: encoded }], remove: [] };
-        const response = await call("POST", "/-/rows-tx", CALL_TIMEOUT_MS, JSON.stringify(body));
+        const response = await call("POST", "/-/rows-tx", CALL_TIMEOUT_MS, { body: JSON.stringify(body) });
         if (response.status !== 200) throw statusError(response);
     }
 
--- a/src/lib/router/peerExchange.ts
+++ b/src/lib/router/peerExchange.ts
@@ -4,14 +4,16 @@
  * the store itself or hasn't received in time.
  */
 import {
+    comparePositions,
     createPeerCatchUp,
     type Dispatcher,
     type EntryIdentity,
+    findStoreReaders,
     isStoreReader,
     type PeerEntries,
     type QuarantineReport,
     type Row,
-    type RowReplica,
+    type StorePosition,
     type WeightsPolicy,
 } from "../core/serving/index.js";
 import {
@@ -23,6 +25,7 @@
     openPeerSocket,
     type PeerMessage,
 } from "../node/peerMessages.js";
+import type { SharedTable } from "../node/sharedTable.js";
 import type { EventLog } from "../observability/index.js";
 import type { VmSettings } from "../settings/vmSettings.js";
 import type { PromptGuard } from "./promptGuard.js";
@@ -34,8 +37,7 @@
     readonly peers: PeerEntries;
     readonly dispatcher: Dispatcher;
     readonly weights: WeightsPolicy;
-    /** Replicas of the tables that entries share, by table name. */
-    readonly replicas: ReadonlyMap<string, RowReplica>;
+    readonly tables: readonly SharedTable[];
     /**
      * Applies changes that were read from a peer. `outageAt` is the last time at which the peer saw the store fail;
      * `undefined` if it didn't. `isRestoration` is true for the changes by which the replica enters a later epoch.
@@ -65,6 +67,8 @@
      * costs a call of every reader and, for the operator table, the transfer of a whole configuration.
      */
     readsFromStore(): boolean;
+    /** Returns the names of all entries, of any region, that read from the store. */
+    storeReaders(): string[];
     /** Sends a message to an entry; it may be lost. */
     send(message: PeerMessage, ip: string): void;
     /** Sends a message to all live entries; it may be lost. */
@@ -86,7 +90,7 @@
 const LOADING_PAUSE_MS = 1200;
 
 export function createPeerExchange(options: PeerExchangeOptions): PeerExchange {
-    const { settings, self, peers, dispatcher, weights, replicas, log, now } = options;
+    const { settings, self, peers, dispatcher, weights, tables, log, now } = options;
     const [peerPort] = settings.peerPorts;
     /** Names of the entries whose last heartbeat said that they reach the store. */
     const peersReachingStore = new Set<string>();
@@ -105,6 +109,15 @@
         return isStoreReader(self.name, eligiblePeers.map(({ name }) => name), regionCount);
     }
 
+    function storeReaders(): string[] {
+        const reachingPeers = peers.live(now()).filter(({ name }) => peersReachingStore.has(name));
+        const candidates = [self, ...reachingPeers].map(({ name, failureDomain }) => ({
+            name,
+            region: settings.regions.get(failureDomain) ?? "",
+        }));
+        return findStoreReaders(candidates, regionCount);
+    }
+
     function onMessage(message: PeerMessage): void {
         const receivedAt = now();
         if (message.kind === "agent") onAgentHeartbeat(message, receivedAt);
@@ -154,21 +167,36 @@
     function mergeProgress(message: EntryHeartbeat | DomainDigest, receivedAt: number): void {
         for (const age of message.named) weights.mergePeerAge(age, receivedAt);
         options.promptGuard().mergeReports(message.quarantines ?? [], message.ip);
-        for (const table of replicas.keys()) void catchUpFromPeer(message, table, receivedAt);
+        for (const sharedTable of tables) {
+            recordConfirmation(message, sharedTable, receivedAt);
+            void catchUpFromPeer(message, sharedTable, receivedAt);
+        }
+    }
+
+    /** A replica that is at least as far as the peer's holds all that the peer's has been confirmed to hold. */
+    function recordConfirmation(
+        message: EntryHeartbeat | DomainDigest,
+        { table, replica, freshness }: SharedTable,
+        receivedAt: number,
+    ): void {
+        const confirmedAt = message.confirmed?.[table];
+        const position = positionIn(message, table);
+        const isAsFar = replica.hasSnapshot() && position.epoch === replica.newestPosition().epoch &&
+            comparePositions(replica.newestPosition(), position) >= 0;
+        if (confirmedAt !== undefined && isAsFar) freshness.recordPeerConfirmation(confirmedAt, receivedAt);
     }
 
     /** Reads from another entry the changes that this entry's own feed hasn't delivered in time. */
     async function catchUpFromPeer(
-        { ip, failureDomain, newest, epochs, retained, storeOutageAgeMs }: EntryHeartbeat | DomainDigest,
-        table: string,
+        message: EntryHeartbeat | DomainDigest,
+        { table, replica }: SharedTable,
         receivedAt: number,
     ): Promise<void> {
-        const replica = replicas.get(table);
-        if (replica === undefined) return;
+        const { ip, failureDomain, retained, storeOutageAgeMs } = message;
         const [retainedEpoch = 0, retainedRevision = 0] = retained?.[table] ?? [];
         const peerProgress = {
             table,
-            position: { epoch: epochs?.[table] ?? 0, revision: newest[table] ?? 0 },
+            position: positionIn(message, table),
             retained: { epoch: retainedEpoch, revision: retainedRevision },
             isSameRegion: isInOwnRegion(failureDomain),
         };
@@ -260,20 +288,23 @@
         }, digestIps);
     }
 
-    function tableProgress(): Pick<EntryHeartbeat, "newest" | "epochs" | "retained"> {
+    function tableProgress(): Pick<EntryHeartbeat, "newest" | "epochs" | "confirmed" | "retained"> {
         const newest: Record<string, number> = {};
         const epochs: Record<string, number> = {};
+        const confirmed: Record<string, number> = {};
         const retained: Record<string, [number, number]> = {};
-        for (const [table, replica] of replicas) {
+        for (const { table, replica, freshness } of tables) {
             const { epoch, revision } = replica.newestPosition();
             newest[table] = revision;
             epochs[table] = epoch;
+            const storeTime = freshness.storeTime();
+            if (storeTime !== undefined) confirmed[table] = storeTime;
             const retainedPosition = replica.retainedPosition();
             if (retainedPosition !== undefined) {
                 retained[table] = [retainedPosition.epoch, retainedPosition.revision];
             }
         }
-        return { newest, epochs, retained: Object.keys(retained).length === 0 ? undefined : retained };
+        return { newest, epochs, confirmed, retained: Object.keys(retained).length === 0 ? undefined : retained };
     }
 
     function reportedQuarantines(): QuarantineReport[] | undefined {
@@ -286,6 +317,7 @@
 
     return {
         readsFromStore,
+        storeReaders,
         send: (message, ip) => socket.send(message, [ip]),
         broadcast: message => socket.send(message, peers.live(now()).map(({ ip }) => ip)),
         tick,
@@ -294,6 +326,10 @@
     };
 }
 
+function positionIn({ newest, epochs }: EntryHeartbeat | DomainDigest, table: string): StorePosition {
+    return { epoch: epochs?.[table] ?? 0, revision: newest[table] ?? 0 };
+}
+
 function identityOf({ name, ip }: { readonly name: string; readonly ip: string; }, failureDomain: string) {
     return { name, ip, failureDomain };
 }
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -17,7 +17,9 @@
     createTableFreshness,
     createWeightsPolicy,
     type EntryIdentity,
+    feedWaitMs,
     Outcome,
+    recheckAgeMs,
     type RouteTable,
     type Row,
 } from "../core/serving/index.js";
@@ -54,13 +56,6 @@
     stop(): Promise<void>;
 }
 
-/** The store ends a feed call without changes after this time at the latest. */
-const MAX_FEED_WAIT_MS = 10_000;
-const MIN_FEED_WAIT_MS = 1000;
-
-/** Time to detect that a feed call gets no response, and to make another one. */
-const FEED_RECOVERY_MS = 2000;
-
 /** Bodies of requests and responses that an entry holds at the same time, a fraction of the memory of its VM. */
 const MAX_BUFFERED_BODY_BYTES = 96 * 1024 * 1024;
 
@@ -245,12 +240,21 @@
         // The rows of servers that serve may be missing until they write them again.
         applyChanges[table]?.(rows, now());
     }
+    /** Changes of the configuration and of servers that leave must be applied within these bounds. */
+    const replicaRecheckAgeMs = () => recheckAgeMs(Math.min(bounds.configurationMs, bounds.drainMs));
     // `feeds[1]` is the feed of the server registry.
     const feeds: TableFeed[] = sharedTables.map(sharedTable =>
         startTableFeed({
             ...sharedTable,
             store,
-            waitMs: () => feedWaitMs(bounds),
+            recheckAgeMs: replicaRecheckAgeMs,
+            waitMs: followsChanges =>
+                feedWaitMs({
+                    recheckAgeMs: replicaRecheckAgeMs(),
+                    self: self.name,
+                    readers: peerExchange.storeReaders(),
+                    followsChanges,
+                }),
             rateLimit: FEED_RATE_LIMIT,
             isReader: () => peerExchange.readsFromStore(),
             onChange: (rows, isRestoration) => {
@@ -272,7 +276,7 @@
         peers,
         dispatcher,
         weights,
-        replicas,
+        tables: sharedTables,
         onChange: (table, rows, outageAt, isRestoration) => {
             if (isRestoration) applyRestoration(table, rows);
             else applyChanges[table]?.(rows, outageAt);
@@ -319,6 +323,7 @@
         const newEntries = [self, ...peers.live(now())];
         if (!isDeepStrictEqual(newEntries, liveEntries)) liveEntries = newEntries;
         peerExchange.tick();
+        for (const feed of feeds) feed.checkSilence();
         for (const replica of replicas.values()) registration.renewIn(replica.newestPosition().epoch);
         metrics.waiting.set(dispatcher.queueLength());
         dispatcher.pool.forgetUnregistered(now());
@@ -390,14 +395,6 @@
     return { table, replica: createTableReplica(table), freshness: createTableFreshness() };
 }
 
-/**
- * Returns the wait time of feed calls. The store may lose the response to a call that waits during a fault, at all
- * entries at once. The call must time out early enough to apply a change that follows the fault in time.
- */
-function feedWaitMs({ stabilityMs, configurationMs }: VmBounds): number {
-    return Math.min(MAX_FEED_WAIT_MS, Math.max(MIN_FEED_WAIT_MS, stabilityMs + configurationMs - FEED_RECOVERY_MS));
-}
-
 /** Returns the configured weights origin and the model to load from it, or `undefined` if either is missing. */
 function findWeightsOrigin(routeTable: RouteTable | undefined, settings: VmSettings): WeightsOrigin | undefined {
     const services = routeTable?.configuration.services ?? [];
--- a/src/test/core/serving/storeReaders.test.ts
+++ b/src/test/core/serving/storeReaders.test.ts
@@ -2,9 +2,12 @@
 import { test } from "node:test";
 import {
     createPeerCatchUp,
+    feedWaitMs,
+    findStoreReaders,
     isStoreReader,
     type LocalProgress,
     type PeerProgress,
+    recheckAgeMs,
     STORE_READER_COUNT,
 } from "../../../lib/core/serving/index.js";
 
@@ -84,3 +87,35 @@
         true,
     );
 });
+
+// Guards against readers whose calls begin and end at the same moment, so that one silence makes all of them blind, and
+// against replicas that are in doubt although the store responds.
+test("after a change that all readers see, their feed calls end at evenly spaced times", () => {
+    for (const count of [1, 2, 4, 6, 12]) {
+        const ageMs = recheckAgeMs(2000);
+        const readers = NAMES.concat(NAMES.map(name => `${name}b`)).slice(0, count);
+        const responseTimes = readers.flatMap(self => {
+            let at = feedWaitMs({ recheckAgeMs: ageMs, self, readers, followsChanges: true });
+            const times = [at];
+            while (at < 60_000) {
+                at += feedWaitMs({ recheckAgeMs: ageMs, self, readers, followsChanges: false });
+                times.push(at);
+            }
+            return times;
+        }).toSorted((a, b) => a - b).filter(at => at < 60_000);
+        let previous = 0;
+        for (const at of responseTimes) {
+            assert.ok(at - previous < 0.7 * ageMs, `${count} readers: nothing from ${previous} to ${at} ms`);
+            previous = at;
+        }
+        const callsPerSecond = responseTimes.length / 60;
+        assert.ok(callsPerSecond <= 1000 / (0.6 * ageMs) + 0.5, `${count} readers: ${callsPerSecond} calls/s`);
+    }
+});
+
+// Guards against entries that disagree about who reads, and thus about the times at which calls end.
+test("the readers of all regions are those that each entry finds for itself", () => {
+    const candidates = NAMES.map((name, index) => ({ name, region: `region-${index % 3}` }));
+    const expected = [0, 1, 2].flatMap(region => readersOf(NAMES.filter((_name, index) => index % 3 === region)));
+    assert.deepEqual(findStoreReaders(candidates, 3).toSorted(), expected.toSorted());
+});
--- a/src/test/node/tableFeed.test.ts
+++ b/src/test/node/tableFeed.test.ts
@@ -6,6 +6,7 @@
 import { createEventLog, createServingMetrics } from "../../lib/observability/index.js";
 import { createPlatformStore } from "../../lib/platform/index.js";
 import { startFakeStore } from "../platform/fakeStore.js";
+import { startFaultProxy } from "../soak/faultProxy.js";
 
 const sleep = (ms: number) => new Promise<void>(resolve => setTimeout(resolve, ms));
 
@@ -41,6 +42,7 @@
         table: "servers",
         replica: createRowReplica(),
         freshness: createTableFreshness(),
+        recheckAgeMs: () => 1200,
         waitMs: () => 300,
         rateLimit: { intervalMs: 250, burst: 4 },
         onChange: () => undefined,
@@ -181,3 +183,72 @@
     const outageAt = feed.lastOutageAt();
     assert.ok(outageAt !== undefined && performance.now() - outageAt < 1000, `outage at ${outageAt}`);
 });
+
+/** Starts a feed whose connections to the store go through a link, and calls `checkSilence` as an entry does. */
+async function startFeedOnLink(changes: Partial<Parameters<typeof startTableFeed>[0]>) {
+    const fakeStore = await startFakeStore();
+    const link = await startFaultProxy(() => fakeStore.address);
+    const store = createPlatformStore(link.address);
+    const replica = createRowReplica();
+    const freshness = createTableFreshness();
+    const feed = startFeed(store, { replica, freshness, waitMs: () => 5000, ...changes });
+    const timer = setInterval(feed.checkSilence, 50);
+    const close = () => {
+        clearInterval(timer);
+        feed.stop();
+        store.close();
+        link.close();
+        fakeStore.close();
+    };
+    await sleep(300);
+    return { fakeStore, link, replica, freshness, feed, close };
+}
+
+// Guards against a change that waits until a feed call on a silent connection times out.
+test("a feed whose connection is silent asks again once the replica is too old", async () => {
+    const { fakeStore, link, replica, feed, close } = await startFeedOnLink({ recheckAgeMs: () => 800 });
+    link.setFault("silence open", performance.now());
+    fakeStore.put("servers", "i-1", "1");
+    await sleep(1200);
+    const { revision } = replica.newestPosition();
+    const isConnected = feed.isConnected();
+    close();
+    assert.equal(revision, 1);
+    assert.equal(isConnected, true, "a call that was given up counts as a failure of the store");
+});
+
+// Guards against a feed that stays silent while peers confirm the replica, so that each change has to come from them.
+test("a feed asks again when a peer knows a change that it hasn't returned", async () => {
+    const { fakeStore, link, replica, freshness, close } = await startFeedOnLink({ recheckAgeMs: () => 60_000 });
+    link.setFault("silence open", performance.now());
+    fakeStore.put("servers", "i-1", "1");
+    replica.apply([{ key: "i-1", epoch: 0, revision: 1, value: "1" }]);
+    await sleep(700);
+    fakeStore.put("servers", "i-2", "1");
+    await sleep(200);
+    const { revision } = replica.newestPosition();
+    const ageMs = freshness.ageMs(performance.now());
+    close();
+    assert.equal(revision, 2);
+    assert.ok(ageMs < 1000, `${ageMs} ms old`);
+});
+
+// Guards against an entry that waits for readers which don't know yet that they have lost the store.
+test("a process that isn't a reader asks the store itself when nothing confirms its replica", async () => {
+    let isReader = true;
+    const { fakeStore, replica, close } = await startFeedOnLink({
+        recheckAgeMs: () => 300,
+        waitMs: () => 50,
+        isReader: () => isReader,
+    });
+    isReader = false;
+    await sleep(100);
+    fakeStore.put("servers", "i-1", "1");
+    const callsBefore = fakeStore.calls.get("/-/rows-feed servers") ?? 0;
+    await sleep(900);
+    const calls = (fakeStore.calls.get("/-/rows-feed servers") ?? 0) - callsBefore;
+    const { revision } = replica.newestPosition();
+    close();
+    assert.equal(revision, 1);
+    assert.ok(calls <= 3, `${calls} calls`);
+});
--- a/src/test/platform/store.test.ts
+++ b/src/test/platform/store.test.ts
@@ -29,6 +29,7 @@
         table: "t",
         replica: createRowReplica(),
         freshness: createTableFreshness(),
+        recheckAgeMs: () => 1200,
         rateLimit: { intervalMs: 250, burst: 4 },
         waitMs: () => 500,
         onChange: rows => void receivedRows.push(...rows),
