Read changes from peers on connections of their own (CONFIG)

Found by looking for the cause of late configurations elsewhere: an entry reads what its own feed hasn't delivered from a peer through Node's shared pool. If its idle connections had fallen silent, the read took 2 s to fail, blocked all other reads of the table meanwhile, and the next one waited for up to 0.8 s anew. Each read now has a connection of its own and fails after 1 s without a byte, and a failed read doesn't restart the delay.

--- a/src/lib/core/serving/storeReaders.ts
+++ b/src/lib/core/serving/storeReaders.ts
@@ -113,8 +113,8 @@
      * `finish`.
      */
     tryBegin(peer: PeerProgress, local: LocalProgress, now: number): boolean;
-    /** Ends the read of a table; the next read, from any peer, is delayed anew. */
-    finish(table: string): void;
+    /** Ends the read of a table. After a failed one, the next read, from any peer, isn't delayed anew. */
+    finish(table: string, hasFailed: boolean): void;
 }
 
 /**
@@ -161,9 +161,9 @@
             readsInProgress.add(table);
             return true;
         },
-        finish: table => {
+        finish: (table, hasFailed) => {
             readsInProgress.delete(table);
-            missingByTable.delete(table);
+            if (!hasFailed) missingByTable.delete(table);
         },
     };
 }
--- a/src/lib/node/peerMessages.ts
+++ b/src/lib/node/peerMessages.ts
@@ -256,7 +256,10 @@
 }
 
 /** A peer responds from memory, but a link between regions may delay its response. */
-const CHANGES_TIMEOUT_MS = 2000;
+const CHANGES_TIMEOUT_MS = 1000;
+
+/** Each read uses a connection of its own: reads are rare, and an idle connection may have fallen silent. */
+const changesConnections = new http.Agent({ keepAlive: false });
 
 /** Many round trips between regions. */
 export const PEER_CONNECT_TIMEOUT_MS = 250;
@@ -286,6 +289,7 @@
         url: `http://${ip}:${port}${CHANGES_PATH}?${query}`,
         timeoutMs: CHANGES_TIMEOUT_MS,
         connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
+        agent: changesConnections,
         compressed: true,
     });
     const { complete, snapshot, epoch, revision, rows } = changesSchema.parse(JSON.parse(response.body.toString()));
--- a/src/lib/router/peerExchange.ts
+++ b/src/lib/router/peerExchange.ts
@@ -207,6 +207,7 @@
             readsFromStore: readsFromStore(),
         };
         if (!catchUp.tryBegin(peerProgress, localProgress, receivedAt)) return;
+        let hasFailed = false;
         try {
             const { rows, position, isSnapshot, isComplete } = await fetchPeerChanges(
                 ip,
@@ -231,10 +232,11 @@
             );
         }
         catch (error) {
+            hasFailed = true;
             log.info("neighbour not reached", { table, neighbour: ip, error: (error as Error).message });
         }
         finally {
-            catchUp.finish(table);
+            catchUp.finish(table, hasFailed);
         }
     }
 
--- a/src/test/core/serving/storeReaders.test.ts
+++ b/src/test/core/serving/storeReaders.test.ts
@@ -64,7 +64,7 @@
         assert.equal(catchUp.tryBegin(peer, local, 0), false);
         assert.equal(catchUp.tryBegin(peer, local, 1000), true);
         assert.equal(catchUp.tryBegin(peer, local, 1100), false, "a read is in progress");
-        catchUp.finish("t");
+        catchUp.finish("t", false);
         assert.equal(catchUp.tryBegin(peer, local, 1200), false, "the next read waits again");
         assert.equal(catchUp.tryBegin(peer, local, 2200), true);
     }
@@ -119,3 +119,15 @@
     const expected = [0, 1, 2].flatMap(region => readersOf(NAMES.filter((_name, index) => index % 3 === region)));
     assert.deepEqual(findStoreReaders(candidates, 3).toSorted(), expected.toSorted());
 });
+
+// Guards against a change that each failed read from a peer delays by the whole time for which an own response is
+// awaited.
+test("after a failed read from a peer, another one is tried without a new delay", () => {
+    const catchUp = createPeerCatchUp();
+    let now = 0;
+    while (!catchUp.tryBegin(OTHER_REGION, NON_READER, now)) now += 100;
+    catchUp.finish(OTHER_REGION.table, true);
+    assert.equal(catchUp.tryBegin(OTHER_REGION, NON_READER, now + 300), true);
+    catchUp.finish(OTHER_REGION.table, false);
+    assert.equal(catchUp.tryBegin(OTHER_REGION, NON_READER, now + 600), false);
+});
