Replace the idle connections of every pool after a request without a response

The cause mended for the store's pool stands in the HTTP client that also reads manifests and pieces from entries, agents and the origin, calls engines, and, on the product's own interface, the table service: after a time-out the next idle connection to the same server was used, which is as silent. The client now closes the idle connections to a server whenever a request to it gets no response. The store's client no longer does so itself. The test failed before (the second request timed out) and passes; idle connections to other servers stay.

--- a/src/lib/clients/http.ts
+++ b/src/lib/clients/http.ts
@@ -97,12 +97,25 @@
                 if (!hasProgressed) outgoing.destroy(new Error("no data received before the timeout"));
             });
         });
-        outgoing.on("error", rejectWith);
+        outgoing.on("error", cause => {
+            destroyIdleConnections(request);
+            rejectWith(cause);
+        });
         outgoing.on("response", resolve);
         outgoing.end(request.body);
     });
 }
 
+/**
+ * Closes the idle connections to the server of a request that got no response. Whatever silenced the request's
+ * connection may have silenced them too, and each would fail only after a time-out of its own.
+ */
+function destroyIdleConnections({ url, agent = http.globalAgent }: HttpRequest): void {
+    const { hostname, port } = new URL(url);
+    const idleSockets = agent.freeSockets[agent.getName({ host: hostname, port: Number(port) })] ?? [];
+    for (const socket of idleSockets) socket.destroy();
+}
+
 /** Sends a request and reads the complete response. Throws the same errors as `openRequest`. */
 export async function sendRequest(request: HttpRequest): Promise<HttpResponse> {
     const headers = request.compressed === true ? { ...request.headers, "accept-encoding": "gzip" } : request.headers;
@@ -142,13 +155,6 @@
     return { status: response.statusCode ?? 0, headers: response.headers, body };
 }
 
-/** Closes the idle connections of a pool, so that the next requests open new ones. */
-export function destroyIdleConnections(agent: http.Agent): void {
-    for (const sockets of Object.values(agent.freeSockets)) {
-        for (const socket of sockets ?? []) socket.destroy();
-    }
-}
-
 /** Returns whether an error proves that the request never reached the server. */
 export function provesNotSent(error: unknown): boolean {
     return error instanceof Error && VError.info(error).connected === false;
--- a/src/lib/platform/store.ts
+++ b/src/lib/platform/store.ts
@@ -6,7 +6,7 @@
 import * as http from "node:http";
 import VError from "verror";
 import * as z from "zod";
-import { destroyIdleConnections, type HttpResponse, sendRequest } from "../clients/index.js";
+import { type HttpResponse, sendRequest } from "../clients/index.js";
 import type { Row, StorePosition } from "../core/serving/index.js";
 import type { FeedResult, MetadataStore, TableSnapshot } from "../node/metadataStore.js";
 import { parseJson } from "./json.js";
@@ -72,8 +72,6 @@
             agent,
             signal: signal === undefined ? closing.signal : AbortSignal.any([closing.signal, signal]),
         }).catch(error => {
-            // Whatever silenced this connection may have silenced the others.
-            destroyIdleConnections(agent);
             throw new VError({ name: "StoreError", cause: error as Error }, "the request to the store failed");
         });
         const epoch = parseEpoch(response) ?? newestEpoch;
