Replace the idle connections to a server when a request finds one silent

When a request has waited longer for its server than expected, the server's idle connections are closed, and the next request opens a new one. The request itself goes on as before.

The soak silences open connections to the store, beside changes of keys, and to servers.

--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -63,6 +63,8 @@
     let silenceReason = "the answer timed out";
     let hasRecordedSilence = false;
     const silence = createSilenceTimer(async () => {
+        // They may have fallen silent with the connection of this attempt.
+        context.connections.closeIdle(server.id);
         try {
             if (!await onSilence(() => silence.isExpired() && !cancellation.signal.aborted)) return;
             // Recorded at once, because a server that hangs would receive further requests until this one ends.
--- a/src/lib/router/backendConnections.ts
+++ b/src/lib/router/backendConnections.ts
@@ -37,6 +37,8 @@
      * encoding) is complete if its connection was closed cleanly; Node reports it as complete also after a reset.
      */
     isComplete(response: http.IncomingMessage): Promise<boolean>;
+    /** Closes the idle connections to a server, so that the next requests open new ones. */
+    closeIdle(serverId: string): void;
     /** Closes the idle connections to a removed server; requests in progress continue. */
     removeServer(serverId: string): void;
     close(): void;
@@ -135,13 +137,17 @@
     return {
         send,
         isComplete: async response => response.complete && (await cleanCloses.get(response) ?? true),
+        closeIdle: serverId => {
+            const httpAgent = httpAgents.get(serverId);
+            if (httpAgent !== undefined) closeIdleSockets(httpAgent);
+        },
         removeServer: serverId => {
             const httpAgent = httpAgents.get(serverId);
             httpAgents.delete(serverId);
             if (httpAgent === undefined) return;
             // Makes the HTTP agent close the connections in use when they become idle.
             httpAgent.maxFreeSockets = 0;
-            for (const sockets of Object.values(httpAgent.freeSockets)) sockets?.forEach(socket => socket.destroy());
+            closeIdleSockets(httpAgent);
         },
         close: () => {
             for (const httpAgent of httpAgents.values()) httpAgent.destroy();
@@ -150,6 +156,10 @@
     };
 }
 
+function closeIdleSockets(httpAgent: http.Agent): void {
+    for (const sockets of Object.values(httpAgent.freeSockets)) sockets?.forEach(socket => socket.destroy());
+}
+
 function sendError(message: string, verdict: Verdict): VError {
     return new VError({ name: "SendError", info: { verdict } }, "%s", message);
 }
--- a/src/test/soak/soakFaults.ts
+++ b/src/test/soak/soakFaults.ts
@@ -86,7 +86,7 @@
     operator.writeConfiguration();
 }
 
-function createStoreFaults({ store, entries, servers, random }: SoakFaultsOptions): SoakFaults {
+function createStoreFaults({ store, entries, servers, operator, random }: SoakFaultsOptions): SoakFaults {
     return {
         "disturb the store": () =>
             store.exclusively(async () => {
@@ -115,6 +115,15 @@
             await sleep(random.between(500, 4000));
             storeLink.setFault("none", performance.now());
         },
+        "silence the open connections to the store, and change the keys": async () => {
+            const count = random.between(1, 4);
+            for (let index = 0; index < count; index++) {
+                for (const { storeLink } of entries.all) storeLink.setFault("silence open", performance.now());
+                await sleep(random.between(100, 1500));
+                changeKeys(operator);
+                await sleep(random.between(100, 1000));
+            }
+        },
     };
 }
 
@@ -129,6 +138,14 @@
             link.setFault("none", performance.now());
             servers.recordFault(performance.now());
         },
+        "silence the open connections to the servers": async () => {
+            const count = random.between(1, 3);
+            for (let index = 0; index < count; index++) {
+                for (const { link } of servers.all) link.setFault("silence open", performance.now());
+                servers.recordFault(performance.now());
+                await sleep(random.between(300, 1500));
+            }
+        },
         "crash a server": async () => {
             const server = random.pick(servers.all);
             if (server.isStopped) return;
