--- a/src/lib/core/serving/rowReplica.ts
+++ b/src/lib/core/serving/rowReplica.ts
@@ -21,7 +21,10 @@
     readonly rows: readonly Row[];
     /** Newest position of the sender. */
     readonly position: StorePosition;
-    /** Whether `rows` is the whole table instead of the changes after a position. */
+    /**
+     * Whether `rows` is the whole table instead of the changes after a position. The sender may have forgotten removals,
+     * so what a snapshot lacks has been removed.
+     */
     readonly isSnapshot: boolean;
 }
 
@@ -35,11 +38,20 @@
     applySnapshot(snapshot: readonly Row[], position: StorePosition): Row[];
     /**
      * Returns the changes after a position for a peer that is behind, oldest first; the whole table if the peer is in
-     * an earlier epoch, and nothing if it is in a later one. `retained` is the peer's newest retained position.
+     * an earlier epoch or so far behind that removals since may have been forgotten, and nothing if it is in a later one. `retained` is the peer's newest retained position.
      */
     changesSince(position: StorePosition, retained?: StorePosition): RowChanges;
     /** Returns the position of the newest change; `INITIAL_POSITION` for an empty replica. */
     newestPosition(): StorePosition;
+    /** Records that, up to this position of the present epoch, the table has no changes that the replica lacks. */
+    recordCovered(position: StorePosition): void;
+    /** Returns the latest position up to which the replica is known to hold every change. */
+    coveredPosition(): StorePosition;
+    /**
+     * Returns the position after which the replica shows every change as a row or a tombstone. A change before it may
+     * have left no trace: a row that was removed before a snapshot, or whose tombstone is forgotten.
+     */
+    tracedPosition(): StorePosition;
     /** Returns the newest position among the rows that are retained from earlier epochs, or `undefined` without any. */
     retainedPosition(): StorePosition | undefined;
     /** Returns whether a full snapshot was ever applied. */
@@ -61,6 +73,12 @@
     let hasSnapshot = false;
     /** Position of the newest snapshot. A row that changed before and isn't in the replica has been deleted. */
     let snapshotPosition = INITIAL_POSITION;
+    /** Removals up to this position may have been forgotten. */
+    let removalsKnownAfter = INITIAL_POSITION;
+    /** Up to this position, no change is missing; later pages of a snapshot may include changes after it. */
+    let completePosition = INITIAL_POSITION;
+    /** See `recordCovered`. */
+    let coveredPosition = INITIAL_POSITION;
 
     const isRetained = (row: Row) => row.epoch < newestPosition.epoch;
 
@@ -90,6 +108,7 @@
 
     function apply(changes: readonly Row[]): Row[] {
         const applied = changes.filter(applyRow);
+        completePosition = newestPosition;
         trimTombstones();
         return applied;
     }
@@ -97,6 +116,7 @@
     function applySnapshot(snapshot: readonly Row[], position: StorePosition): Row[] {
         const { epoch, revision } = position;
         if (epoch < newestPosition.epoch) return [];
+        const previouslyComplete = completePosition;
         if (epoch > newestPosition.epoch) enterEpoch(epoch);
         const presentKeys = new Set(snapshot.map(row => row.key));
         const removed = [...rows.values()]
@@ -106,6 +126,9 @@
         hasSnapshot = true;
         const applied = apply([...snapshot.toSorted(comparePositions), ...removed]);
         snapshotPosition = laterPosition(snapshotPosition, position);
+        // A row that was written and removed between two snapshots is in neither of them.
+        removalsKnownAfter = laterPosition(removalsKnownAfter, position);
+        completePosition = laterPosition(previouslyComplete, position);
         return applied;
     }
 
@@ -123,6 +146,11 @@
             const present = sorted.filter(({ value }) => value !== undefined);
             return { rows: present, position: newestPosition, isSnapshot: true };
         }
+        if (comparePositions(position, removalsKnownAfter) < 0) {
+            // The removals that are known bring the receiver to the same newest position.
+            const isComplete = comparePositions(newestPosition, completePosition) <= 0;
+            return { rows: sorted, position: isComplete ? newestPosition : completePosition, isSnapshot: true };
+        }
         const changes = position.epoch > newestPosition.epoch ?
             [] :
             sorted.filter(row => comparePositions(row, isRetained(row) ? retained : position) > 0);
@@ -131,7 +159,10 @@
 
     function trimTombstones(): void {
         const tombstones = [...rows.values()].filter(row => row.value === undefined);
-        for (const row of tombstones.slice(0, Math.max(0, tombstones.length - MAX_TOMBSTONES))) rows.delete(row.key);
+        for (const row of tombstones.slice(0, Math.max(0, tombstones.length - MAX_TOMBSTONES))) {
+            rows.delete(row.key);
+            removalsKnownAfter = laterPosition(removalsKnownAfter, { epoch: row.epoch, revision: row.revision });
+        }
     }
 
     function retainedPosition(): StorePosition | undefined {
@@ -147,6 +178,11 @@
         applySnapshot,
         changesSince,
         newestPosition: () => newestPosition,
+        recordCovered: position => {
+            if (position.epoch === newestPosition.epoch) coveredPosition = laterPosition(coveredPosition, position);
+        },
+        coveredPosition: () => laterPosition(coveredPosition, laterPosition(completePosition, snapshotPosition)),
+        tracedPosition: () => removalsKnownAfter,
         retainedPosition,
         hasSnapshot: () => hasSnapshot,
     };
--- a/src/lib/core/serving/storePosition.ts
+++ b/src/lib/core/serving/storePosition.ts
@@ -19,6 +19,21 @@
     return a.epoch - b.epoch || a.revision - b.revision;
 }
 
+/** How far a replica of a table has come; see `RowReplica` for the two positions. */
+export interface ReplicaProgress {
+    readonly newestPosition: StorePosition;
+    readonly tracedPosition: StorePosition;
+}
+
+/**
+ * Returns whether a replica that holds every change up to `covered` holds everything that a peer's does. The peer may have
+ * read a snapshot that doesn't show a removal.
+ */
+export function holdsChangesOf(peer: ReplicaProgress, covered: StorePosition): boolean {
+    const lastChange = laterPosition(peer.newestPosition, peer.tracedPosition);
+    return covered.epoch === lastChange.epoch && comparePositions(covered, lastChange) >= 0;
+}
+
 export function laterPosition(a: StorePosition, b: StorePosition): StorePosition {
     return comparePositions(a, b) < 0 ? b : a;
 }
--- a/src/lib/node/peerMessages.ts
+++ b/src/lib/node/peerMessages.ts
@@ -34,6 +34,8 @@
      * earlier versions send none.
      */
     confirmed: z.record(z.string(), z.number()).optional(),
+    /** Revision after which `newest` shows every change, by table; see `RowReplica.tracedPosition`. */
+    traced: z.record(z.string(), z.number()).optional(),
     /** Epoch and revision of the newest row that the sender retains from before a restoration of the store, by table. */
     retained: z.record(z.string(), z.tuple([z.number(), z.number()])).optional(),
     /** Time since the sender last saw the store fail; `undefined` if it hasn't. */
--- a/src/lib/node/tableFeed.ts
+++ b/src/lib/node/tableFeed.ts
@@ -184,6 +184,7 @@
         cursor = laterPosition(cursor, feedResult.position);
         isContiguous = true;
         const newRows = replica.apply(feedResult.rows);
+        replica.recordCovered(feedResult.position);
         // A call that doesn't wait ends at a time of its own, like one with changes.
         followsChanges = feedResult.rows.length > 0 || waitMs === 0;
         recordConfirmation(feedResult.rows.length > 0, waitMs, feedResult.storeTime);
--- a/src/lib/router/peerExchange.ts
+++ b/src/lib/router/peerExchange.ts
@@ -4,11 +4,11 @@
  * the store itself or hasn't received in time.
  */
 import {
-    comparePositions,
     createPeerCatchUp,
     type Dispatcher,
     type EntryIdentity,
     findStoreReaders,
+    holdsChangesOf,
     isStoreReader,
     type PeerEntries,
     type QuarantineReport,
@@ -173,17 +173,19 @@
         }
     }
 
-    /** A replica that is at least as far as the peer's holds all that the peer's has been confirmed to hold. */
+    /** A replica that holds everything that the peer's does was as complete when the peer's was confirmed. */
     function recordConfirmation(
         message: EntryHeartbeat | DomainDigest,
         { table, replica, freshness }: SharedTable,
         receivedAt: number,
     ): void {
         const confirmedAt = message.confirmed?.[table];
-        const position = positionIn(message, table);
-        const isAsFar = replica.hasSnapshot() && position.epoch === replica.newestPosition().epoch &&
-            comparePositions(replica.newestPosition(), position) >= 0;
-        if (confirmedAt !== undefined && isAsFar) freshness.recordPeerConfirmation(confirmedAt, receivedAt);
+        const tracedRevision = message.traced?.[table];
+        if (confirmedAt === undefined || tracedRevision === undefined || !replica.hasSnapshot()) return;
+        const newestPosition = positionIn(message, table);
+        const progress = { newestPosition, tracedPosition: { epoch: newestPosition.epoch, revision: tracedRevision } };
+        if (!holdsChangesOf(progress, replica.coveredPosition())) return;
+        freshness.recordPeerConfirmation(confirmedAt, receivedAt);
     }
 
     /** Reads from another entry the changes that this entry's own feed hasn't delivered in time. */
@@ -217,7 +219,7 @@
                 replica.retainedPosition(),
             );
             const previous = replica.newestPosition();
-            const needsSnapshot = !replica.hasSnapshot() || position.epoch > previous.epoch;
+            const needsSnapshot = !replica.hasSnapshot() || position.epoch > previous.epoch || isSnapshot;
             if (needsSnapshot && !isComplete) return;
             const isRestoration = replica.hasSnapshot() && isSnapshot && position.epoch > previous.epoch;
             const newRows = needsSnapshot ? replica.applySnapshot(rows, position) : replica.apply(rows);
@@ -290,15 +292,17 @@
         }, digestIps);
     }
 
-    function tableProgress(): Pick<EntryHeartbeat, "newest" | "epochs" | "confirmed" | "retained"> {
+    function tableProgress(): Pick<EntryHeartbeat, "newest" | "epochs" | "confirmed" | "traced" | "retained"> {
         const newest: Record<string, number> = {};
         const epochs: Record<string, number> = {};
         const confirmed: Record<string, number> = {};
+        const traced: Record<string, number> = {};
         const retained: Record<string, [number, number]> = {};
         for (const { table, replica, freshness } of tables) {
             const { epoch, revision } = replica.newestPosition();
             newest[table] = revision;
             epochs[table] = epoch;
+            traced[table] = replica.tracedPosition().revision;
             const storeTime = freshness.storeTime();
             if (storeTime !== undefined) confirmed[table] = storeTime;
             const retainedPosition = replica.retainedPosition();
@@ -306,7 +310,13 @@
                 retained[table] = [retainedPosition.epoch, retainedPosition.revision];
             }
         }
-        return { newest, epochs, confirmed, retained: Object.keys(retained).length === 0 ? undefined : retained };
+        return {
+            newest,
+            epochs,
+            confirmed,
+            traced,
+            retained: Object.keys(retained).length === 0 ? undefined : retained,
+        };
     }
 
     function reportedQuarantines(): QuarantineReport[] | undefined {
--- a/src/test/core/serving/restoredReplica.test.ts
+++ b/src/test/core/serving/restoredReplica.test.ts
@@ -67,8 +67,8 @@
 
 function copyFromPeer(sender: RowReplica, receiver: RowReplica): void {
     if (!sender.hasSnapshot()) return;
-    const { rows, position } = sender.changesSince(receiver.newestPosition(), receiver.retainedPosition());
-    const needsSnapshot = !receiver.hasSnapshot() || position.epoch > receiver.newestPosition().epoch;
+    const { rows, position, isSnapshot } = sender.changesSince(receiver.newestPosition(), receiver.retainedPosition());
+    const needsSnapshot = !receiver.hasSnapshot() || position.epoch > receiver.newestPosition().epoch || isSnapshot;
     if (needsSnapshot) receiver.applySnapshot(rows, position);
     else receiver.apply(rows);
 }
--- a/src/test/core/serving/rowReplica.test.ts
+++ b/src/test/core/serving/rowReplica.test.ts
@@ -1,7 +1,13 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createRowReplica, INITIAL_POSITION, type Row } from "../../../lib/core/serving/index.js";
+import {
+    createRowReplica,
+    holdsChangesOf,
+    INITIAL_POSITION,
+    type Row,
+    type RowReplica,
+} from "../../../lib/core/serving/index.js";
 
 const at = (revision: number) => ({ epoch: 0, revision });
 
@@ -81,3 +87,78 @@
     );
     assert.equal(contentOf(replica.changesSince(INITIAL_POSITION).rows).get("a"), "7");
 });
+
+const LAST_REVISION = 40;
+
+/** Returns the rows of the store after the changes up to a revision. */
+function presentRows(history: readonly Row[], revision: number): Row[] {
+    const newest = new Map(history.filter(row => row.revision <= revision).map(row => [row.key, row]));
+    return [...newest.values()].filter(({ value }) => value !== undefined);
+}
+
+// Guards against a removed server that stays in use for good, because the peer that an entry reads from has never seen
+// the removal, or has forgotten it.
+test("a replica that reads from a peer holds no row that has been removed", () => {
+    const revisions = fc.nat(LAST_REVISION);
+    fc.assert(
+        fc.property(histories, fc.tuple(revisions, revisions, revisions), (history, starts) => {
+            const [receiverStart, senderStart, senderEnd] = starts.toSorted((a, b) => a - b) as [
+                number,
+                number,
+                number,
+            ];
+            const receiver = createRowReplica();
+            receiver.applySnapshot(presentRows(history, receiverStart), at(receiverStart));
+            const sender = createRowReplica();
+            sender.applySnapshot(presentRows(history, senderStart), at(senderStart));
+            sender.apply(history.filter(({ revision }) => revision > senderStart && revision <= senderEnd));
+            if (sender.newestPosition().revision <= receiver.newestPosition().revision) return;
+            const { rows, position, isSnapshot } = sender.changesSince(receiver.newestPosition());
+            if (isSnapshot) receiver.applySnapshot(rows, position);
+            else receiver.apply(rows);
+            const expected = contentOf(presentRows(history, senderEnd));
+            assert.deepEqual(
+                new Map([...contentOf(receiver.changesSince(INITIAL_POSITION).rows)].toSorted()),
+                new Map([...expected].toSorted()),
+            );
+            assert.deepEqual(receiver.newestPosition(), sender.newestPosition());
+        }),
+        { seed: 2, numRuns: 2000 },
+    );
+});
+
+/** Reads a snapshot and then the feed up to a revision. */
+function readStore(history: readonly Row[], snapshotRevision: number, feedRevision: number): RowReplica {
+    const replica = createRowReplica();
+    replica.applySnapshot(presentRows(history, snapshotRevision), at(snapshotRevision));
+    replica.apply(history.filter(({ revision }) => revision > snapshotRevision && revision <= feedRevision));
+    replica.recordCovered(at(feedRevision));
+    return replica;
+}
+
+// Guards against a replica that a peer confirms although it holds a removed row, whose removal the peer hasn't seen.
+test("a replica that holds all changes of a peer holds none that the peer lacks", () => {
+    const revisions = fc.tuple(fc.nat(LAST_REVISION), fc.nat(LAST_REVISION)).map(pair =>
+        pair.toSorted((a, b) => a - b)
+    );
+    let confirmedCount = 0;
+    fc.assert(
+        fc.property(
+            histories,
+            revisions,
+            revisions,
+            (history, [ownStart = 0, ownEnd = 0], [peerStart = 0, peerEnd = 0]) => {
+                const own = readStore(history, ownStart, ownEnd);
+                const peer = readStore(history, peerStart, peerEnd);
+                const peerProgress = { newestPosition: peer.newestPosition(), tracedPosition: peer.tracedPosition() };
+                if (!holdsChangesOf(peerProgress, own.coveredPosition())) return;
+                confirmedCount++;
+                const expected = contentOf(presentRows(history, Math.max(ownEnd, peerEnd)));
+                const rows = own.changesSince(INITIAL_POSITION).rows;
+                assert.deepEqual(new Map([...contentOf(rows)].toSorted()), new Map([...expected].toSorted()));
+            },
+        ),
+        { seed: 3, numRuns: 2000 },
+    );
+    assert.ok(confirmedCount > 200, `only ${confirmedCount} replicas were confirmed`);
+});
