--- a/src/lib/core/serving/storeReaders.ts
+++ b/src/lib/core/serving/storeReaders.ts
@@ -23,13 +23,13 @@
     return positionOf("store readers", self, [self, ...peers]) < readerCount;
 }
 
-/** An entry and whether it reaches the store, according to its heartbeats. */
+/** An entry that reaches the store. */
 export interface ReaderCandidate {
     readonly name: string;
     readonly region: string;
 }
 
-/** Returns the names of the entries of all regions that read from the store, among those that reach it. */
+/** Returns the names of those that read from the store, in all regions. */
 export function findStoreReaders(candidates: readonly ReaderCandidate[], regionCount: number): string[] {
     return candidates.filter(candidate => {
         const regionPeers = candidates.filter(({ name, region }) => {
