--- a/src/test/router/restoredStore.test.ts
+++ b/src/test/router/restoredStore.test.ts
@@ -1,6 +1,5 @@
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, test } from "node:test";
-import type { Router } from "../../lib/router/index.js";
 import {
     completeResponse,
     configurationRow,
@@ -10,8 +9,8 @@
     startFakeRunner,
 } from "../platform/fakeRunner.js";
 import { type FakeStore, startFakeStore, type StoreCopy } from "../platform/fakeStore.js";
-import { type FaultProxy, startFaultProxy } from "../soak/faultProxy.js";
-import { createVmSettings, findFreePortRange, sendCall, startTestRouter, waitUntil } from "./routerHarness.js";
+import { type LinkedEntry, startLinkedEntry } from "./linkedEntry.js";
+import { findFreePortRange, sendCall, waitUntil } from "./routerHarness.js";
 
 const ENTRIES_TABLE = "endivewell-entries";
 
@@ -45,29 +44,18 @@
 
 const sleep = (ms: number) => new Promise<void>(resolve => setTimeout(resolve, ms));
 
-interface Entry {
-    readonly ip: string;
-    readonly router: Router;
-    /** Link of the entry to the store. */
-    readonly link: FaultProxy;
-}
-
-async function startEntry(ip: string): Promise<Entry> {
-    const link = await startFaultProxy(() => store.address);
-    const seeds = IPS.filter(other => other !== ip);
-    const router = await startTestRouter(createVmSettings(link.address, peerPort, { ip, seeds }));
-    cleanups.push(link.close, router.stop);
-    return { ip, router, link };
+function startEntry(ip: string): Promise<LinkedEntry> {
+    return startLinkedEntry({ ip, storeAddress: store.address, peerPort, ips: IPS, cleanups });
 }
 
 /** Starts all entries and lets them exchange heartbeats, so that some of them leave the reads to others. */
-async function startEntries(): Promise<Entry[]> {
+async function startEntries(): Promise<LinkedEntry[]> {
     const entries = await Promise.all(IPS.map(startEntry));
     await sleep(PROPAGATION_MS);
     return entries;
 }
 
-async function statusOf({ ip, router }: Entry, key = "key-a", path = "/read/"): Promise<number> {
+async function statusOf({ ip, router }: LinkedEntry, key = "key-a", path = "/read/"): Promise<number> {
     return (await sendCall(router.callerPort, { ip, path, headers: { key } })).status;
 }
 
@@ -80,7 +68,7 @@
     for (let version = lastVersion - 10; version <= lastVersion; version++) putConfiguration(version, key);
 }
 
-async function assertAppliedInTime(entries: readonly Entry[], key: string): Promise<void> {
+async function assertAppliedInTime(entries: readonly LinkedEntry[], key: string): Promise<void> {
     const startedAt = Date.now();
     for (const entry of entries) await waitUntil(async () => await statusOf(entry, key) === 200);
     const elapsedMs = Date.now() - startedAt;
@@ -236,7 +224,7 @@
 });
 
 /** Restores the store from the copy while a request is in progress at the server, and returns its result. */
-async function callDuringRestoration(entry: Entry, copy: StoreCopy) {
+async function callDuringRestoration(entry: LinkedEntry, copy: StoreCopy) {
     let answer: (() => void) | undefined;
     respond = request => {
         answer = () => void request.socket.write(completeResponse(request, "ok"));
--- a/src/test/router/silentStore.test.ts
+++ b/src/test/router/silentStore.test.ts
@@ -1,11 +1,10 @@
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, test } from "node:test";
 import { isStoreReader } from "../../lib/core/serving/index.js";
-import type { Router } from "../../lib/router/index.js";
 import { completeResponse, configurationRow, serverRow, startFakeRunner } from "../platform/fakeRunner.js";
 import { type FakeStore, startFakeStore } from "../platform/fakeStore.js";
-import { type FaultProxy, startFaultProxy } from "../soak/faultProxy.js";
-import { createVmSettings, findFreePortRange, sendCall, startTestRouter } from "./routerHarness.js";
+import { type LinkedEntry, startLinkedEntry } from "./linkedEntry.js";
+import { findFreePortRange, sendCall } from "./routerHarness.js";
 
 /** Time after the end of a disturbance from which on changes must be applied in time (`stability-window-ms`). */
 const STABILITY_WINDOW_MS = 3000;
@@ -22,7 +21,8 @@
 
 const REGION_COUNT = 1;
 
-const nameOf = (ip: string) => `entry-${ip}`;
+/** Name of the entry in its settings. */
+const nameOf = (ip: string) => `vm-${ip}`;
 
 const cleanups: (() => void | Promise<void>)[] = [];
 let store: FakeStore;
@@ -49,29 +49,18 @@
     store.put("op", "config", configurationRow(version, { tenants: [{ name: "tenant-a", "api-keys": keys }] }));
 }
 
-interface Entry {
-    readonly ip: string;
-    readonly router: Router;
-    /** Link of the entry to the store. */
-    readonly link: FaultProxy;
+function startEntry(ip: string): Promise<LinkedEntry> {
+    return startLinkedEntry({ ip, storeAddress: store.address, peerPort, ips: IPS, cleanups });
 }
 
-async function startEntry(ip: string): Promise<Entry> {
-    const link = await startFaultProxy(() => store.address);
-    const seeds = IPS.filter(other => other !== ip);
-    const router = await startTestRouter(createVmSettings(link.address, peerPort, { name: nameOf(ip), ip, seeds }));
-    cleanups.push(link.close, router.stop);
-    return { ip, router, link };
-}
-
-async function acceptsRevokedKey({ ip, router }: Entry): Promise<boolean> {
+async function acceptsRevokedKey({ ip, router }: LinkedEntry): Promise<boolean> {
     const { status } = await sendCall(router.callerPort, { ip, path: "/read/", headers: { key: REVOKED_KEY } });
     assert.ok(status === 200 || status === 401, `status ${status}`);
     return status === 200;
 }
 
 /** Revokes a key and asserts that no entry accepts it once the change must be in force. */
-async function assertRevokedInTime(entries: readonly Entry[], lastSilenceAt: number): Promise<void> {
+async function assertRevokedInTime(entries: readonly LinkedEntry[], lastSilenceAt: number): Promise<void> {
     const revokedAt = performance.now();
     configure("key-a");
     const dueAt = Math.max(lastSilenceAt + STABILITY_WINDOW_MS, revokedAt + APPLY_MS) + REQUEST_MS;
@@ -80,7 +69,7 @@
     assert.deepEqual(entries.filter((_entry, index) => accepted[index]).map(({ ip }) => ip), []);
 }
 
-function silenceOpenConnections(entries: readonly Entry[]): number {
+function silenceOpenConnections(entries: readonly LinkedEntry[]): number {
     const silencedAt = performance.now();
     for (const { link } of entries) link.setFault("silence open", silencedAt);
     return silencedAt;
@@ -121,7 +110,7 @@
     configure("key-a", REVOKED_KEY);
     await sleep(300);
     const names = IPS.map(nameOf);
-    const isReader = ({ ip }: Entry) =>
+    const isReader = ({ ip }: LinkedEntry) =>
         isStoreReader(nameOf(ip), names.filter(name => name !== nameOf(ip)), REGION_COUNT);
     const cutAt = performance.now();
     for (const { link } of entries.filter(isReader)) link.setFault("silent", cutAt);
--- a/src/test/soak/soak.test.ts
+++ b/src/test/soak/soak.test.ts
@@ -114,3 +114,8 @@
 // Guards against calls to servers that say in their answers that they are leaving or want a pause.
 test("entries fulfil their guarantees when servers leave or pause by their answers", () =>
     assertFulfilled(6, ["by its answers", "pauses", "disturb the store", "freeze", "stop an entry"]));
+
+// Guards against changes of the configuration that are late, and calls without an answer, after open connections to the
+// store and to servers have fallen silent.
+test("entries fulfil their guarantees when open connections fall silent", () =>
+    assertFulfilled(7, ["silence the open", "change the keys", "drain", "freeze", "stop an entry"]));
