Treat rows that disappear after an unconfirmed time as lapsed in an outage of the store

A call for a replica that nothing has confirmed for too long now counts as the end of a possible outage; the server is kept as a suspect, as after a failed call. outage.test and the new test of tableFeed.test failed before and pass.

--- a/src/lib/node/tableFeed.ts
+++ b/src/lib/node/tableFeed.ts
@@ -59,8 +59,8 @@
 
 export interface TableFeed {
     /**
-     * Returns the time of the last failed call, of the recovery after it or of the last restoration of the store;
-     * `undefined` if none of them has happened.
+     * Returns the time of the last failed call, of the recovery after it, of the last call for a replica that nothing
+     * had confirmed for too long, or of the last restoration of the store; `undefined` if none of them has happened.
      */
     lastOutageAt(): number | undefined;
     /** Returns whether the last call succeeded; true before the first one ends. */
@@ -194,6 +194,8 @@
 
     async function callFeed(after: StorePosition, waitMs: number): Promise<FeedResult> {
         callStartedAt = options.now();
+        // The store may have been away since, and rows may have lapsed meanwhile.
+        if (isInDoubt()) lastOutageAt = callStartedAt;
         const abortion = new AbortController();
         waitingCall = waitMs === 0 ? undefined : { after, abortion, overtakenAt: undefined };
         try {
--- a/src/test/node/tableFeed.test.ts
+++ b/src/test/node/tableFeed.test.ts
@@ -252,3 +252,16 @@
     assert.equal(revision, 1);
     assert.ok(calls <= 3, `${calls} calls`);
 });
+
+// Guards against servers that are dropped at once because their rows lapsed while the store was away, which no failed call
+// announced.
+test("a call that was given up because nothing confirmed the replica counts as an outage of the store", async () => {
+    const { link, feed, close } = await startFeedOnLink({ recheckAgeMs: () => 500 });
+    const before = feed.lastOutageAt();
+    link.setFault("silence open", performance.now());
+    await sleep(900);
+    const after = feed.lastOutageAt();
+    close();
+    assert.equal(before, undefined);
+    assert.ok(after !== undefined && performance.now() - after < 800, `outage at ${after}`);
+});
