Restrict requests to allowed regions and obey evacuations of failure domains

Routes and accounts may name allowed regions, and the operator may evacuate a failure domain. The dispatcher now drops servers of other regions before placement, and the pool expects nothing of evacuated servers. Capacity estimates count only servers that a request may use.

--- a/src/harness/enginePoolSimulation.ts
+++ b/src/harness/enginePoolSimulation.ts
@@ -22,6 +22,7 @@
     model: "m",
     chunkCount: 64,
     chunkBytes: 32_768,
+    memoryTokens: Number.POSITIVE_INFINITY,
 };
 
 /** Time step of the simulation. */
--- a/src/harness/placers.ts
+++ b/src/harness/placers.ts
@@ -6,6 +6,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import {
     createDispatcher,
+    createEvacuations,
     createServerBackoff,
     createServerHealth,
     createServerOwnership,
@@ -143,7 +144,15 @@
             weights: { model: "m", version: 1 },
         });
     }
-    const service = { name: "s", healthPath: "/", maxConnections: 1000, engine: ENGINE_SPEC, origin: undefined };
+    const service = {
+        name: "s",
+        healthPath: "/",
+        maxConnections: 1000,
+        engine: ENGINE_SPEC,
+        origin: undefined,
+        coldMs: 0,
+        coldRequestsPerSecond: 0,
+    };
     const generator = xoroshiro128plus(3 + index);
     const entries = Array.from({ length: entryCount }, (_, entry) => ({
         name: entryNameOf(entry),
@@ -159,8 +168,10 @@
         ownership: createServerOwnership(() => entries),
         reportLagMs: () => 0,
         weights: createWeightsPolicy(() => OLDER_VERSION_ALLOWED_MS),
+        evacuations: createEvacuations(),
         findService: () => service,
         failureDomain: "d",
+        regionOf: () => undefined,
         roundTripMs: () => 1,
         entryCount: () => entryCount,
         random: () => uniformFloat64(generator),
--- a/src/lib/core/serving/admissionControl.ts
+++ b/src/lib/core/serving/admissionControl.ts
@@ -25,7 +25,13 @@
     readonly expiresAt: number;
 }
 
-export type RefusalReason = "overloaded" | "servers backing off" | "expired" | "no server" | "quarantined prompt";
+export type RefusalReason =
+    | "overloaded"
+    | "servers backing off"
+    | "expired"
+    | "no server"
+    | "no server in the allowed regions"
+    | "quarantined prompt";
 
 export interface Refusal<T extends QueuedRequest> {
     readonly request: T;
@@ -42,6 +48,8 @@
     readonly untilAvailableMs: number;
     /** Delay after which the caller should retry if no server can take the request itself. */
     readonly noServerRetryAfterMs: number;
+    /** Whether some servers are outside of the request's allowed regions. */
+    readonly isRestricted: boolean;
     /** This entry's share of the requests that complete per second at the current load. */
     readonly completionsPerSecond: number;
     /** Late requests that were recently started per second. */
@@ -121,7 +129,10 @@
     random: number,
     now: number,
 ): Refusal<T> | undefined {
-    if (pool.serverCount === 0) return createRefusal(request, "no server", pool.noServerRetryAfterMs, random, now);
+    if (pool.serverCount === 0) {
+        const reason = pool.isRestricted ? "no server in the allowed regions" : "no server";
+        return createRefusal(request, reason, pool.noServerRetryAfterMs, random, now);
+    }
     if (now >= request.expiresAt) return createRefusal(request, "expired", NO_SERVER_RETRY_AFTER_MS, random, now);
     if (pool.untilAvailableMs > 0) return decideInBackoff(request, queueClass, aheadCount, pool, random, now);
     if (queueClass === QueueClass.onTime) {
--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -16,9 +16,11 @@
     sortQueue,
 } from "./admissionControl.js";
 import { typicalFirstEventMs } from "./engineModel.js";
+import type { Evacuations } from "./evacuations.js";
 import { createInFlightRequests, type InFlightRequests } from "./inFlightRequests.js";
 import type { EntryIdentity } from "./peerEntries.js";
 import { type PlacementRequest, placeOnEngine, placeOnService, TARGET_FRACTION } from "./placement.js";
+import { type AllowedRegions, isAllowedIn } from "./regions.js";
 import type { BackendService } from "./routeTable.js";
 import type { ServerBackoff } from "./serverBackoff.js";
 import type { ServerHealth } from "./serverHealth.js";
@@ -40,6 +42,8 @@
     readonly triedServerIds: ReadonlySet<string>;
     /** The only version of the weights that may continue a stream; `undefined` for a new answer. */
     readonly requiredVersion: number | undefined;
+    /** Returns the regions in which the request may be served now; without it, all regions. */
+    readonly allowedRegions?: (() => AllowedRegions) | undefined;
 }
 
 export interface Assignment {
@@ -68,6 +72,7 @@
     readonly health: ServerHealth;
     readonly speed: ServerSpeed;
     readonly weights: WeightsPolicy;
+    readonly evacuations: Pick<Evacuations, "isEvacuated">;
     readonly ownership: ServerOwnership;
     /** Name of this entry. */
     readonly self: string;
@@ -75,6 +80,8 @@
     readonly reportLagMs: (sender: string) => number;
     readonly findService: (name: string) => BackendService | undefined;
     readonly failureDomain: string;
+    /** Returns the region of a failure domain; `undefined` if it is unknown. */
+    readonly regionOf: (failureDomain: string) => string | undefined;
     /** Network round-trip time to a failure domain. */
     readonly roundTripMs: (failureDomain: string) => number;
     /** Number of entries that share the servers, including this one. */
@@ -108,9 +115,9 @@
     mayStillSend(server: BackendServer, now: number): boolean;
     /**
      * Returns the delay after which a caller should retry whose request a server refused; `undefined` if other servers
-     * accept requests or it is unknown when one will.
+     * accept the request or it is unknown when one will.
      */
-    suggestRetryAfterMs(service: string, expiresAt: number, now: number): number | undefined;
+    suggestRetryAfterMs(request: DispatchRequest, now: number): number | undefined;
     /** Records that the first event of a request has arrived. */
     recordFirstEvent(id: string, now: number): void;
     /** Records that a request has ended at its server, successfully or not. */
@@ -270,12 +277,16 @@
         };
     }
 
-    /** Returns whether the server holds acceptable weights and wasn't sent this request before. */
+    /** Returns whether the request may use the server, which holds acceptable weights and wasn't sent it before. */
     function isEligible({ server, version }: PoolServer, request: DispatchRequest): boolean {
-        if (request.triedServerIds.has(server.id)) return false;
+        if (request.triedServerIds.has(server.id) || !isAllowed(server, request)) return false;
         return request.requiredVersion === undefined || request.requiredVersion === version;
     }
 
+    function isAllowed({ failureDomain }: BackendServer, { allowedRegions }: DispatchRequest): boolean {
+        return isAllowedIn(allowedRegions?.(), options.regionOf(failureDomain));
+    }
+
     function constraintsFor(request: DispatchRequest, queueClass: QueueClass, now: number): PlacementRequest {
         return {
             promptTokens: request.promptTokens,
@@ -302,7 +313,8 @@
 
     function poolState(request: DispatchRequest, poolServers: readonly PoolServer[], now: number): PoolState {
         const { service } = request;
-        const untried = poolServers.filter(({ server }) => !request.triedServerIds.has(server.id));
+        const allowed = poolServers.filter(({ server }) => isAllowed(server, request));
+        const untried = allowed.filter(({ server }) => !request.triedServerIds.has(server.id));
         const available = untried.filter(({ isExpected }) => isExpected);
         const expected = available.length > 0 ? available : untried.filter(({ returnsAt }) => returnsAt !== undefined);
         const runningRequests = expected.reduce((sum, { candidate: { load } }) => {
@@ -316,7 +328,8 @@
         return {
             serverCount: expected.length,
             untilAvailableMs: available.length > 0 ? 0 : untilReturnMs(expected, now),
-            noServerRetryAfterMs: untilReturnMs(poolServers, now),
+            noServerRetryAfterMs: untilReturnMs(allowed, now),
+            isRestricted: allowed.length < poolServers.length,
             completionsPerSecond: runningRequests * 1000 / durationMs / entryCount,
             lateStartsPerSecond: recentLateStarts * 1000 / LATE_START_WINDOW_MS,
             freeSlots: Math.max(0, slots - runningRequests) / entryCount,
@@ -344,11 +357,12 @@
         processQueue(now);
     }
 
-    function suggestRetryAfterMs(service: string, expiresAt: number, now: number): number | undefined {
-        const servers = takeSnapshot(options.findService(service), now)?.servers() ?? [];
+    function suggestRetryAfterMs(request: DispatchRequest, now: number): number | undefined {
+        const poolServers = takeSnapshot(serviceOf(request), now)?.servers() ?? [];
+        const servers = poolServers.filter(({ server }) => isAllowed(server, request));
         const isReturnKnown = servers.some(({ returnsAt }) => returnsAt !== undefined);
         if (!isReturnKnown || servers.some(({ isExpected }) => isExpected)) return undefined;
-        return retryAfterMs(untilReturnMs(servers, now), expiresAt, options.random(), now);
+        return retryAfterMs(untilReturnMs(servers, now), request.expiresAt, options.random(), now);
     }
 
     function recordEnd(id: string, now: number): void {
@@ -372,7 +386,9 @@
             processQueue(now);
         },
         withdraw,
-        mayStillSend: (server, now) => registry.isUsable(server, now) && backoff.endsAt(server, now) === undefined,
+        mayStillSend: (server, now) =>
+            registry.isUsable(server, now) && backoff.endsAt(server, now) === undefined &&
+            !options.evacuations.isEvacuated(server.failureDomain),
         suggestRetryAfterMs,
         recordEnd,
         tick: processQueue,
--- a/src/lib/core/serving/routeTable.ts
+++ b/src/lib/core/serving/routeTable.ts
@@ -37,6 +37,8 @@
     readonly isResumable: boolean;
     /** Target for the longest gap between two events of a stream. */
     readonly maxEventGapMs: number;
+    /** Regions in which requests may be served; `undefined` for all. */
+    readonly allowedRegions: ReadonlySet<string> | undefined;
 }
 
 /** Capacity and speed of a model engine, as declared by its service. */
@@ -60,6 +62,8 @@
     readonly model: string;
     readonly chunkCount: number;
     readonly chunkBytes: number;
+    /** Tokens of requests that the engine's memory holds; infinite if the configuration doesn't tell. */
+    readonly memoryTokens: number;
 }
 
 /** The object server from which the pieces of new weights are fetched. */
@@ -76,6 +80,10 @@
     readonly maxConnections: number;
     readonly engine: EngineParameters | undefined;
     readonly origin: WeightOrigin | undefined;
+    /** Time after a start during which a server is cold, in milliseconds; 0 if servers are never cold. */
+    readonly coldMs: number;
+    /** Requests per second that a cold server tolerates; 0 if there is no limit. */
+    readonly coldRequestsPerSecond: number;
 }
 
 export interface ClientAccount {
@@ -83,6 +91,8 @@
     readonly keys: readonly string[];
     /** Overrides the rank of the route. */
     readonly rank: number | undefined;
+    /** Regions in which the account's requests may be served; `undefined` for all. */
+    readonly allowedRegions: ReadonlySet<string> | undefined;
 }
 
 export interface CallerLimits {
--- a/src/lib/core/serving/serverPool.ts
+++ b/src/lib/core/serving/serverPool.ts
@@ -6,6 +6,7 @@
  * One snapshot serves all queued requests that are decided together. Under overload the queue is decided again after
  * every event of every stream, and the state of each server would otherwise be computed for each waiting request.
  */
+import type { Evacuations } from "./evacuations.js";
 import type { InFlightRequests } from "./inFlightRequests.js";
 import type { EntryIdentity } from "./peerEntries.js";
 import type { PlacementCandidate } from "./placement.js";
@@ -23,7 +24,7 @@
     readonly version: number | undefined;
     /** Accepts new requests now. */
     readonly isUsable: boolean;
-    /** Accepts new requests now or as soon as it has loaded weights. */
+    /** Accepts new requests now or as soon as it has loaded weights; false while its failure domain is evacuated. */
     readonly isExpected: boolean;
     /** End of the backoff that the server asked for, if it is expected from then on; `undefined` otherwise. */
     readonly returnsAt: number | undefined;
@@ -64,6 +65,7 @@
     readonly health: ServerHealth;
     readonly speed: ServerSpeed;
     readonly weights: WeightsPolicy;
+    readonly evacuations: Pick<Evacuations, "isEvacuated">;
     readonly inFlight: InFlightRequests;
     readonly ownership: ServerOwnership;
     /** Name of this entry. */
@@ -114,7 +116,8 @@
         function describe(server: BackendServer, owner: EntryIdentity | undefined): PoolServer {
             const version = engine === undefined ? undefined : loadedVersion(server, engine);
             const backoffEnd = backoff.endsAt(server, now);
-            const isSound = health.isAvailable(server.id, backoffEnd ?? now) &&
+            const isSound = !options.evacuations.isEvacuated(server.failureDomain) &&
+                health.isAvailable(server.id, backoffEnd ?? now) &&
                 (engine === undefined || version !== undefined && version >= lowestVersion);
             const isExpected = isSound && backoffEnd === undefined;
             return {
--- a/src/lib/platform/operatorRows.ts
+++ b/src/lib/platform/operatorRows.ts
@@ -9,12 +9,18 @@
 /** Prefix of the keys of rows that name the weights version of a model. */
 export const NAMED_WEIGHTS_KEY_PREFIX = "version/";
 
+/** Prefix of the keys of rows that exist while a failure domain is evacuated. */
+const EVACUATION_KEY_PREFIX = "evacuate/";
+
 const REQUEST_KINDS = {
     idempotent: RequestKind.idempotent,
     non_idempotent: RequestKind.nonIdempotent,
     streaming: RequestKind.stream,
 } as const;
 
+/** Without regions there is no restriction. */
+const regionsSchema = z.array(z.string()).default([]);
+
 const routeSchema = z.object({
     name: z.string(),
     host: z.string(),
@@ -29,6 +35,7 @@
     public: z.boolean().default(false),
     resumable: z.boolean().default(false),
     "target-gap-ms": z.number().default(Number.POSITIVE_INFINITY),
+    "allowed-regions": regionsSchema,
 });
 
 const engineSchema = z.object({
@@ -47,6 +54,7 @@
     models: z.array(z.object({ name: z.string() })),
     chunks: z.number().default(0),
     "chunk-bytes": z.number().default(0),
+    "kv-capacity-tokens": z.number().positive().default(Number.POSITIVE_INFINITY),
 });
 
 const serviceSchema = z.object({
@@ -57,6 +65,8 @@
     engine: engineSchema.optional(),
     /** Address that weights are downloaded from. */
     origin: z.string().optional(),
+    "cold-s": z.number().nonnegative().default(0),
+    "cold-per-s": z.number().nonnegative().default(0),
 });
 
 const configurationSchema = z.object({
@@ -73,6 +83,7 @@
         name: z.string(),
         "api-keys": z.array(z.string()),
         priority: z.number().optional(),
+        "allowed-regions": regionsSchema,
     })).optional(),
 });
 
@@ -102,6 +113,8 @@
                 failureDomain: service.zone ?? "",
                 maxConnections: service["max-connections"],
             },
+            coldMs: service["cold-s"] * 1000,
+            coldRequestsPerSecond: service["cold-per-s"],
         })),
         limits: {
             maxHeaderBytes: wire.limits["max-header-bytes"],
@@ -113,6 +126,7 @@
             name: tenant.name,
             keys: tenant["api-keys"],
             rank: tenant.priority,
+            allowedRegions: translateRegions(tenant["allowed-regions"]),
         })),
     };
 }
@@ -124,6 +138,15 @@
     return result.success ? result.data : undefined;
 }
 
+/** Returns the failure domain that a row evacuates; `undefined` if the row is of another kind. */
+export function parseEvacuationKey(key: string): string | undefined {
+    return key.startsWith(EVACUATION_KEY_PREFIX) ? key.slice(EVACUATION_KEY_PREFIX.length) : undefined;
+}
+
+function translateRegions(regions: readonly string[]): ReadonlySet<string> | undefined {
+    return regions.length === 0 ? undefined : new Set(regions);
+}
+
 function translateRoute(route: z.infer<typeof routeSchema>): Route {
     const defaultServices = route.service === undefined ? [] : [{ service: route.service, weight: 1 }];
     return {
@@ -139,6 +162,7 @@
         isPublic: route.public,
         isResumable: route.resumable,
         maxEventGapMs: route["target-gap-ms"],
+        allowedRegions: translateRegions(route["allowed-regions"]),
     };
 }
 
@@ -156,5 +180,6 @@
         model: engine.models[0]?.name ?? "",
         chunkCount: engine.chunks,
         chunkBytes: engine["chunk-bytes"],
+        memoryTokens: engine["kv-capacity-tokens"],
     };
 }
--- a/src/lib/platform/settings.ts
+++ b/src/lib/platform/settings.ts
@@ -30,6 +30,8 @@
         "retry-budget-ratio": z.number(),
         "retry-budget-slack": z.number(),
         "budget-window-s": z.number(),
+        "cold-overshoot": z.number().nonnegative().optional(),
+        "cold-slack": z.number().nonnegative().optional(),
     }),
     platform: z.object({ address: addressSchema }),
 });
@@ -98,6 +100,9 @@
                 slack: bounds["retry-budget-slack"],
                 windowMs: bounds["budget-window-s"] * 1000,
             },
+            cold: bounds["cold-overshoot"] === undefined ?
+                undefined :
+                { overshoot: bounds["cold-overshoot"], slack: bounds["cold-slack"] ?? 0 },
         },
     };
 }
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -4,11 +4,15 @@
  */
 import type * as http from "node:http";
 import {
+    type AllowedRegions,
     type Assignment,
     type AssignmentResult,
     chooseService,
+    type ClientAccount,
     type DispatchRequest,
+    intersectRegions,
     type Route,
+    type RouteTable,
 } from "../core/serving/index.js";
 import { canRetry, Verdict } from "../core/verdict.js";
 import { type BodyResult, readLimitedBody } from "../node/limitedBody.js";
@@ -130,9 +134,8 @@
             refuseRequest(context, response, 404, "no route", caller);
             return;
         }
-        const requiresKey = currentTable.configuration.accounts !== undefined && !route.isPublic;
-        const account = caller.key === undefined || !requiresKey ? undefined : currentTable.findAccount(caller.key);
-        if (requiresKey && account === undefined) {
+        const account = findAccount(currentTable, route, caller);
+        if (requiresKey(currentTable, route) && account === undefined) {
             refuseRequest(context, response, 401, "unknown key", caller);
             return;
         }
@@ -149,6 +152,10 @@
             route,
             acceptedTable: currentTable,
             account,
+            allowedRegions: createRegionLookup(context, currentTable, table => {
+                const currentRoute = table.findRoute(host, path);
+                return { route: currentRoute, account: findAccount(table, currentRoute ?? route, caller) };
+            }),
             body: bodyResult.body,
             arrivedAt,
             expiresAt,
@@ -171,6 +178,14 @@
     }
 }
 
+function requiresKey({ configuration }: RouteTable, { isPublic }: Route): boolean {
+    return configuration.accounts !== undefined && !isPublic;
+}
+
+function findAccount(table: RouteTable, route: Route, { key }: CallerRequest): ClientAccount | undefined {
+    return key === undefined || !requiresKey(table, route) ? undefined : table.findAccount(key);
+}
+
 /** Ends a request whose body wasn't read completely. */
 function finishWithoutBody(
     context: ExchangeContext,
@@ -265,7 +280,8 @@
             findRetryDenial(exchange, result.verdict, service) :
             RetryDenial.implicatedPrompt;
         if (exchange.retryDenial !== undefined) {
-            const retryAfterMs = context.dispatcher.suggestRetryAfterMs(service, exchange.expiresAt, context.now());
+            const request = createDispatchRequest(exchange, service, exchange.dispatchId, queuedSince);
+            const retryAfterMs = context.dispatcher.suggestRetryAfterMs(request, context.now());
             finishFailed(exchange, result.summary, errorResponse, retryAfterMs);
             return;
         }
@@ -374,5 +390,31 @@
         maxEventGapMs: route.maxEventGapMs,
         triedServerIds: exchange.triedServerIds,
         requiredVersion: exchange.weightsVersion,
+        allowedRegions: exchange.allowedRegions,
+    };
+}
+
+/**
+ * Returns a function that tells in which regions the request may be served under the newest configuration; under the
+ * one that accepted it where the newest one lacks its route or account.
+ */
+function createRegionLookup(
+    context: ExchangeContext,
+    acceptedTable: RouteTable,
+    find: (table: RouteTable) => { readonly route: Route | undefined; readonly account: ClientAccount | undefined; },
+): () => AllowedRegions {
+    let knownTable: RouteTable | undefined;
+    let regions: AllowedRegions;
+    return () => {
+        const table = context.routeTable() ?? acceptedTable;
+        if (table === knownTable) return regions;
+        const accepted = find(acceptedTable);
+        const newest = find(table);
+        knownTable = table;
+        regions = intersectRegions(
+            (newest.route ?? accepted.route)?.allowedRegions,
+            (newest.account ?? accepted.account)?.allowedRegions,
+        );
+        return regions;
     };
 }
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -1,6 +1,7 @@
 /** Defines the state of one request in progress, which the modules that serve it share. */
 import type * as http from "node:http";
 import {
+    type AllowedRegions,
     type Assignment,
     type ClientAccount,
     type Dispatcher,
@@ -73,6 +74,8 @@
     /** The configuration under which the request was accepted. */
     readonly acceptedTable: RouteTable;
     readonly account: ClientAccount | undefined;
+    /** Returns the regions in which the request may be served now. */
+    readonly allowedRegions: () => AllowedRegions;
     readonly body: Buffer;
     readonly arrivedAt: number;
     /** The earlier of the caller's deadline and the route's timeout, on the clock of `context.now`. */
--- a/src/lib/router/operatorState.ts
+++ b/src/lib/router/operatorState.ts
@@ -1,9 +1,10 @@
 /**
- * Derives the route table, the named weights and the backend servers from the rows of the metadata store, and logs
+ * Derives the route table, the named weights, the evacuations and the backend servers from the rows of the metadata store, and logs
  * each change.
  */
 import {
     createRouteTable,
+    type Evacuations,
     type RouteTable,
     type Row,
     type ServerRegistry,
@@ -11,6 +12,7 @@
 } from "../core/serving/index.js";
 import type { EventLog } from "../observability/index.js";
 import {
+    parseEvacuationKey,
     parseNamedWeights,
     parseRoutingConfiguration,
     parseServerRow,
@@ -29,6 +31,9 @@
 export interface OperatorStateOptions {
     readonly registry: ServerRegistry;
     readonly weights: WeightsPolicy;
+    readonly evacuations: Evacuations;
+    /** Failure domains of the settings with their regions. */
+    readonly regions: ReadonlyMap<string, string>;
     readonly log: EventLog;
     readonly onConfiguration: (routeTable: RouteTable) => void;
     readonly onServerGone: (id: string) => void;
@@ -37,13 +42,16 @@
 }
 
 export function createOperatorState(options: OperatorStateOptions): OperatorState {
-    const { registry, weights, log } = options;
+    const { registry, weights, evacuations, log } = options;
+    const knownRegions = new Set(options.regions.values());
     let routeTable: RouteTable | undefined;
     let hasInitialRows = false;
 
     function applyOperatorRows(rows: readonly Row[], epoch: number, now: number): void {
         for (const row of rows) {
-            if (row.value === undefined) continue;
+            const evacuatedDomain = parseEvacuationKey(row.key);
+            if (evacuatedDomain !== undefined) applyEvacuation(evacuatedDomain, row, now);
+            if (evacuatedDomain !== undefined || row.value === undefined) continue;
             // A row that a peer has retained from before a restoration may be old.
             const isNew = hasInitialRows && row.epoch === epoch;
             if (row.key === ROUTING_CONFIGURATION_KEY) applyConfiguration(row.value, row.revision);
@@ -66,9 +74,29 @@
             routes: configuration.routes.length,
         });
         routeTable = createRouteTable(configuration);
+        warnOfUnknownRegions(routeTable, revision);
         options.onConfiguration(routeTable);
     }
 
+    function applyEvacuation(failureDomain: string, { value, revision }: Row, now: number): void {
+        if (!evacuations.record(failureDomain, value !== undefined, now)) return;
+        log.info(value === undefined ? "evacuation withdrawn" : "evacuation begun", {
+            revision,
+            evacuatedDomain: failureDomain,
+            evacuated: evacuations.all(),
+        });
+        if (!options.regions.has(failureDomain)) {
+            log.warn("unknown failure domain evacuated", { revision, evacuatedDomain: failureDomain });
+        }
+    }
+
+    function warnOfUnknownRegions({ configuration }: RouteTable, revision: number): void {
+        const restricted = [...configuration.routes, ...configuration.accounts ?? []];
+        const names = new Set(restricted.flatMap(({ allowedRegions }) => [...allowedRegions ?? []]));
+        const unknown = [...names].filter(name => !knownRegions.has(name));
+        if (unknown.length > 0) log.warn("unknown regions allowed", { revision, regions: unknown });
+    }
+
     function applyNamedWeights(key: string, text: string, revision: number, isNew: boolean, now: number): void {
         const named = parseNamedWeights(key, text);
         if (named === undefined) return;
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -7,6 +7,7 @@
 import { isDeepStrictEqual } from "node:util";
 import {
     createDispatcher,
+    createEvacuations,
     createPeerEntries,
     createServerBackoff,
     createServerHealth,
@@ -102,6 +103,7 @@
     const backoff = createServerBackoff();
     const health = createServerHealth();
     const speed = createServerSpeed();
+    const evacuations = createEvacuations();
     const weights = createWeightsPolicy(() => bounds.weightsMs);
     const connections = createBackendConnections();
     /** Live entries, including this one. Updated with each heartbeat, and only if one came, left or moved. */
@@ -116,8 +118,10 @@
         ownership: createServerOwnership(() => liveEntries),
         reportLagMs,
         weights,
+        evacuations,
         findService: name => operatorState.routeTable()?.findService(name),
         failureDomain: settings.failureDomain,
+        regionOf: domain => settings.regions.get(domain),
         roundTripMs: domain => roundTripMs(settings, domain),
         entryCount: countEntries,
         random,
@@ -140,6 +144,8 @@
     const operatorState = createOperatorState({
         registry,
         weights,
+        evacuations,
+        regions: settings.regions,
         log,
         onConfiguration: routeTable => callerServer?.applyLimits(routeTable.configuration.limits),
         onServerGone: id => {
--- a/src/lib/settings/vmSettings.ts
+++ b/src/lib/settings/vmSettings.ts
@@ -14,6 +14,14 @@
     readonly windowMs: number;
 }
 
+/** Bound on the requests to a cold server; see `coldLimit.ts`. */
+export interface ColdBounds {
+    /** Factor by which the requests in a window may exceed the rate that a cold server tolerates. */
+    readonly overshoot: number;
+    /** Requests that a window may have in addition. */
+    readonly slack: number;
+}
+
 export interface VmBounds {
     /** Time for which a server may still receive requests after its announcement to leave was acknowledged. */
     readonly drainMs: number;
@@ -26,6 +34,8 @@
     /** Time after a version of the weights is named within which requests must start on it. */
     readonly weightsMs: number;
     readonly retries: RetryBounds;
+    /** `undefined` if requests to cold servers aren't bounded. */
+    readonly cold: ColdBounds | undefined;
 }
 
 export interface VmSettings {
--- a/src/test/core/serving/routeTable.test.ts
+++ b/src/test/core/serving/routeTable.test.ts
@@ -19,6 +19,7 @@
         isPublic: false,
         isResumable: false,
         maxEventGapMs: 100,
+        allowedRegions: undefined,
     };
 }
 
--- a/src/test/core/serving/serverBackoff.test.ts
+++ b/src/test/core/serving/serverBackoff.test.ts
@@ -6,6 +6,7 @@
 import {
     type AssignmentResult,
     createDispatcher,
+    createEvacuations,
     createServerBackoff,
     createServerHealth,
     createServerOwnership,
@@ -50,7 +51,15 @@
             weights: undefined,
         });
     }
-    const service = { name: "s", healthPath: "/", maxConnections: 100, engine: undefined, origin: undefined };
+    const service = {
+        name: "s",
+        healthPath: "/",
+        maxConnections: 100,
+        engine: undefined,
+        origin: undefined,
+        coldMs: 0,
+        coldRequestsPerSecond: 0,
+    };
     const dispatcher = createDispatcher({
         registry,
         backoff,
@@ -60,8 +69,10 @@
         ownership: createServerOwnership(() => []),
         self: "entry",
         reportLagMs: () => 0,
+        evacuations: createEvacuations(),
         findService: () => service,
         failureDomain: "d",
+        regionOf: () => undefined,
         roundTripMs: () => 1,
         entryCount: () => 1,
         random: () => 0,
--- a/src/test/core/serving/serverPool.test.ts
+++ b/src/test/core/serving/serverPool.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import {
     type BackendServer,
+    createEvacuations,
     createInFlightRequests,
     createServerBackoff,
     createServerHealth,
@@ -12,7 +13,15 @@
     createWeightsPolicy,
 } from "../../../lib/core/serving/index.js";
 
-const SERVICE = { name: "s", healthPath: "/", maxConnections: 100, engine: undefined, origin: undefined };
+const SERVICE = {
+    name: "s",
+    healthPath: "/",
+    maxConnections: 100,
+    engine: undefined,
+    origin: undefined,
+    coldMs: 0,
+    coldRequestsPerSecond: 0,
+};
 
 const SERVER: BackendServer = {
     id: "a",
@@ -35,6 +44,7 @@
         speed: createServerSpeed(),
         weights: createWeightsPolicy(() => 8000),
         inFlight: createInFlightRequests(() => 0),
+        evacuations: createEvacuations(),
         ownership: createServerOwnership(() => []),
         self: "entry",
         failureDomain: "d",
--- a/src/test/router/operatorState.test.ts
+++ b/src/test/router/operatorState.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createServerRegistry, createWeightsPolicy } from "../../lib/core/serving/index.js";
+import { createEvacuations, createServerRegistry, createWeightsPolicy } from "../../lib/core/serving/index.js";
 import { createEventLog } from "../../lib/observability/index.js";
 import { createOperatorState } from "../../lib/router/operatorState.js";
 import { configurationRow } from "../platform/fakeRunner.js";
@@ -12,6 +12,8 @@
     const state = createOperatorState({
         registry: createServerRegistry(() => 2000),
         weights,
+        evacuations: createEvacuations(),
+        regions: new Map(),
         log: createEventLog({ process: "p", role: "entry", now: () => 0, write: () => undefined }),
         onConfiguration: () => undefined,
         onServerGone: () => undefined,
--- a/src/test/router/routerHarness.ts
+++ b/src/test/router/routerHarness.ts
@@ -59,6 +59,7 @@
             configurationMs: 2000,
             weightsMs: 8000,
             retries: { ratio: 0.2, slack: 100, windowMs: 10_000 },
+            cold: undefined,
         },
         ...changes,
     };
