Limit the requests that all entries together send to a cold server

The limit of a server is now divided into static shares among the known entries of its failure domain; others need a grant of the owner. A place is held until one window after the request was written.

--- a/src/harness/placers.ts
+++ b/src/harness/placers.ts
@@ -237,7 +237,7 @@
         inFlight: dispatcher.inFlight,
         reserve: (slot, sender, now) => {
             const slowdown = speed.slowdown(slot.serverId, now);
-            const owned = { engine: ENGINE_SPEC, slowdown, isPaused: false };
+            const owned = { engine: ENGINE_SPEC, slowdown, isPaused: false, takeShare: () => true };
             return decideReservation(slot, sender, owned, dispatcher.inFlight, now);
         },
         submit: (request, onDecision, now) => {
--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -15,6 +15,7 @@
     retryAfterMs,
     sortQueue,
 } from "./admissionControl.js";
+import type { ColdLimit } from "./coldLimit.js";
 import { typicalFirstEventMs } from "./engineModel.js";
 import type { Evacuations } from "./evacuations.js";
 import { createInFlightRequests, type InFlightRequests } from "./inFlightRequests.js";
@@ -59,7 +60,14 @@
      */
     readonly startDeadline: number | undefined;
     /** The reservation to make before the request is sent; `undefined` if none is needed. */
-    readonly reservation: { readonly owner: EntryIdentity; readonly slot: SlotRequest; } | undefined;
+    readonly reservation: Reservation | undefined;
+}
+
+export interface Reservation {
+    readonly owner: EntryIdentity;
+    readonly slot: SlotRequest;
+    /** The request must not be sent without the owner's grant, which it takes from its share; see `ColdLimit`. */
+    readonly requiresGrant: boolean;
 }
 
 export type AssignmentResult =
@@ -73,6 +81,8 @@
     readonly speed: ServerSpeed;
     readonly weights: WeightsPolicy;
     readonly evacuations: Pick<Evacuations, "isEvacuated">;
+    /** Without it, requests to cold servers aren't limited. */
+    readonly coldLimit?: ColdLimit | undefined;
     readonly ownership: ServerOwnership;
     /** Name of this entry. */
     readonly self: string;
@@ -250,7 +260,8 @@
             placeOnEngine(service.engine, candidates, constraints);
         const chosen = eligible.find(({ server }) => server.id === placement?.id);
         if (placement === undefined || chosen === undefined) return undefined;
-        const { server, version, candidate, otherOwner } = chosen;
+        const { server, version, candidate, otherOwner, requiresGrant } = chosen;
+        if (options.coldLimit?.isLimited(service) === true) options.coldLimit.open(request.id, server.id);
         inFlight.add({
             id: request.id,
             serverId: server.id,
@@ -273,7 +284,7 @@
                 weights.startDeadline(service.engine.model, version),
             reservation: service.engine === undefined || otherOwner === undefined ?
                 undefined :
-                { owner: otherOwner, slot: slotRequestFor(server, constraints, candidate.roundTripMs) },
+                { owner: otherOwner, slot: slotRequestFor(server, constraints, candidate.roundTripMs), requiresGrant },
         };
     }
 
@@ -352,6 +363,7 @@
     }
 
     function release(id: string, now: number): void {
+        options.coldLimit?.cancel(id);
         sends.delete(id);
         inFlight.remove(id);
         processQueue(now);
@@ -366,6 +378,7 @@
     }
 
     function recordEnd(id: string, now: number): void {
+        options.coldLimit?.cancel(id);
         const send = sends.get(id);
         if (send !== undefined) {
             const meanMs = meanDurationMsByService.get(send.service) ?? INITIAL_DURATION_MS;
--- a/src/lib/core/serving/index.ts
+++ b/src/lib/core/serving/index.ts
@@ -1,4 +1,6 @@
 export * from "./admissionControl.js";
+export * from "./coldLimit.js";
+export * from "./coldServers.js";
 export * from "./crashEvidence.js";
 export * from "./dispatcher.js";
 export * from "./engineModel.js";
--- a/src/lib/core/serving/peerEntries.ts
+++ b/src/lib/core/serving/peerEntries.ts
@@ -29,6 +29,8 @@
     recordAges(ages: readonly EntryAge[], now: number): void;
     /** Returns the entries with a recent heartbeat. */
     live(now: number): EntryIdentity[];
+    /** Returns all entries that were ever heard of or listed, including this one, in the order of their names. */
+    known(): EntryIdentity[];
     /** Returns the live entries of this failure domain, including this one, for the digest to other domains. */
     domainAges(now: number): EntryAge[];
     /** Returns the entries of the same failure domain to send a heartbeat to at this tick. */
@@ -104,6 +106,10 @@
             compensatePause(now);
             return [...peers.values()].filter(peer => isLive(peer, now)).map(({ entry }) => entry);
         },
+        known: () =>
+            // The settings list addresses only.
+            [self, ...[...peers.values()].map(({ entry }) => entry).filter(({ failureDomain }) => failureDomain !== "")]
+                .toSorted((a, b) => a.name < b.name ? -1 : 1),
         domainAges: now => {
             const domainPeers = [...peers.values()].filter(peer => isInDomain(peer.entry) && isLive(peer, now));
             return [
--- a/src/lib/core/serving/serverPool.ts
+++ b/src/lib/core/serving/serverPool.ts
@@ -6,6 +6,7 @@
  * One snapshot serves all queued requests that are decided together. Under overload the queue is decided again after
  * every event of every stream, and the state of each server would otherwise be computed for each waiting request.
  */
+import { type ColdLimit, SendPermission } from "./coldLimit.js";
 import type { Evacuations } from "./evacuations.js";
 import type { InFlightRequests } from "./inFlightRequests.js";
 import type { EntryIdentity } from "./peerEntries.js";
@@ -30,6 +31,8 @@
     readonly returnsAt: number | undefined;
     /** Another entry that owns the server; `undefined` if this entry or none does. */
     readonly otherOwner: EntryIdentity | undefined;
+    /** A request may be sent only if the owner grants a reservation; see `ColdLimit`. */
+    readonly requiresGrant: boolean;
     readonly candidate: PlacementCandidate;
 }
 
@@ -67,6 +70,8 @@
     readonly weights: WeightsPolicy;
     readonly evacuations: Pick<Evacuations, "isEvacuated">;
     readonly inFlight: InFlightRequests;
+    /** Without it, requests to cold servers aren't limited. */
+    readonly coldLimit?: ColdLimit | undefined;
     readonly ownership: ServerOwnership;
     /** Name of this entry. */
     readonly self: string;
@@ -120,14 +125,19 @@
                 health.isAvailable(server.id, backoffEnd ?? now) &&
                 (engine === undefined || version !== undefined && version >= lowestVersion);
             const isExpected = isSound && backoffEnd === undefined;
+            const otherOwner = owner?.name === options.self ? undefined : owner;
+            const permission = options.coldLimit?.permission(service, server, now) ?? SendPermission.granted;
+            const requiresGrant = permission === SendPermission.onReservation;
+            const mayAsk = permission === SendPermission.granted || requiresGrant && otherOwner !== undefined;
             return {
                 server,
                 version,
-                isUsable: isExpected && !isPaused(server, now) && (refusedUntil.get(server.id) ?? 0) <= now,
+                isUsable: isExpected && mayAsk && !isPaused(server, now) && (refusedUntil.get(server.id) ?? 0) <= now,
                 isExpected,
                 // An ejected server takes only a single request at first.
                 returnsAt: isSound && !health.isEjected(server.id) ? backoffEnd : undefined,
-                otherOwner: owner?.name === options.self ? undefined : owner,
+                otherOwner,
+                requiresGrant,
                 candidate: {
                     id: server.id,
                     roundTripMs: options.roundTripMs(server.failureDomain),
--- a/src/lib/core/serving/slotReservations.ts
+++ b/src/lib/core/serving/slotReservations.ts
@@ -40,13 +40,15 @@
     readonly slowdown: number;
     /** Accepts no requests now, because it loads weights. Its agent tells only some of the entries. */
     readonly isPaused: boolean;
+    /** Takes the request from the owner's share of the server if the sender has none, and returns whether it may. */
+    readonly takeShare: () => boolean;
 }
 
 /** Records a granted request as load of `sender`, the name under which its reports are recorded. */
 export function decideReservation(
     request: SlotRequest,
     sender: string,
-    { engine, slowdown, isPaused }: OwnedServer,
+    { engine, slowdown, isPaused, takeShare }: OwnedServer,
     inFlight: InFlightRequests,
     now: number,
 ): SlotDecision {
@@ -56,7 +58,7 @@
     if (isPaused) return { isGranted: false, load, pauseMs: LOADING_SERVER_PAUSE_MS };
     const { firstEventMs } = predictLatency(engine, known, promptTokens, slowdown);
     const isGranted = known.decoding + known.prefilling + 1 <= request.maxRunning &&
-        firstEventMs <= request.maxFirstEventMs;
+        firstEventMs <= request.maxFirstEventMs && takeShare();
     if (isGranted) inFlight.recordPeerChange(sender, serverId, [0, 1, promptTokens, 0], now);
     return { isGranted, load, pauseMs: isGranted ? 0 : FULL_SERVER_PAUSE_MS };
 }
--- a/src/lib/node/peerMessages.ts
+++ b/src/lib/node/peerMessages.ts
@@ -111,6 +111,8 @@
     maxRunning: z.number(),
     /** `undefined` for no limit. */
     maxFirstEventMs: z.number().optional(),
+    /** The sender has no share of the server and needs one of the owner; entries of earlier versions send none. */
+    requiresGrant: z.boolean().optional(),
 });
 
 const reservationReplySchema = z.object({
--- a/src/lib/platform/headers.ts
+++ b/src/lib/platform/headers.ts
@@ -61,6 +61,8 @@
     readonly slowdown: number | undefined;
     /** True if the server that responded is leaving and must get no new requests. */
     readonly isLeaving: boolean;
+    /** For how much longer the server is cold, in milliseconds; `undefined` if it doesn't say. */
+    readonly coldRemainingMs: number | undefined;
     /** Time for which the server wants no further requests; `undefined` if it names none. */
     readonly backoffMs: number | undefined;
 }
@@ -162,6 +164,7 @@
         .map(Number);
     const hasLoad = Number.isFinite(running) && Number.isFinite(waiting) && headers["instance-load"] !== undefined;
     const weightsVersion = Number(firstValue(headers["weight-versions"]) ?? Number.NaN);
+    const coldRemainingMs = Number(firstValue(headers["cold-ms"]) ?? Number.NaN);
     return {
         requestId: firstValue(headers["attempt-id"]),
         isNotRun: headers["not-executed"] !== undefined,
@@ -170,6 +173,7 @@
         weightsVersion: Number.isInteger(weightsVersion) ? weightsVersion : undefined,
         load: hasLoad ? { running: running ?? 0, waiting: waiting ?? 0 } : undefined,
         slowdown: Number.isFinite(percentOfUsualTime) && percentOfUsualTime > 0 ? percentOfUsualTime / 100 : undefined,
+        coldRemainingMs: Number.isFinite(coldRemainingMs) ? Math.max(0, coldRemainingMs) : undefined,
         isLeaving: firstValue(headers["server-leaving"]) === "1",
         backoffMs: status === UNAVAILABLE_STATUS ? parseRetryAfterMs(headers["retry-after"]) : undefined,
     };
--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -108,6 +108,7 @@
             body: exchange.body,
             signal: cancellation.signal,
             isRetryable: isRetryableRoute(route),
+            mayWrite: () => context.coldLimit.recordWrite(dispatchId, context.now()),
         });
         const metadata = parseResponseMetadata(response.statusCode ?? 0, response.headers);
         context.serverNotices.record(server, response.statusCode ?? 0, metadata);
@@ -142,11 +143,13 @@
     catch (error) {
         const verdict = (VError.info(error as Error).verdict as Verdict | undefined) ?? Verdict.mayHaveRun;
         const outcome = verdict === Verdict.notRun ? Outcome.unreachable : Outcome.broken;
+        const isWithheld = VError.info(error as Error).isWithheld === true;
         const isOverdue = context.now() - sentAt >= overdueAfterMs(exchange, assignment);
         const isCancelled = exchange.cancellation.signal.aborted || isSuperseded ||
             hasOutdatedWeights(assignment, context.now());
-        if (!hasRecordedSilence && (!isCancelled || isOverdue)) {
+        if (!hasRecordedSilence && !isWithheld && (!isCancelled || isOverdue)) {
             context.health.recordOutcome(server.id, outcome, context.now());
+            if (outcome === Outcome.unreachable) context.coldServers.recordPossibleStart(server, context.now());
         }
         if (verdict !== Verdict.notRun) exchange.verdicts.push(verdict);
         context.metrics.sends.inc({ result: outcome });
--- a/src/lib/router/backendConnections.ts
+++ b/src/lib/router/backendConnections.ts
@@ -23,13 +23,16 @@
     readonly signal: AbortSignal;
     /** If false, the request must not run twice; it gets a new connection, as a pooled one may be about to close. */
     readonly isRetryable: boolean;
+    /** Called right before the request is written; if it returns false, nothing is written. */
+    readonly mayWrite: () => boolean;
 }
 
 export interface BackendConnections {
     /**
      * Sends a request and resolves with the response once its headers have arrived.
      *
-     * @throws VError named `SendError` with the info `verdict`: `notRun` if nothing was written, else `mayHaveRun`.
+     * @throws VError named `SendError` with the info `verdict`: `notRun` if nothing was written, else `mayHaveRun`; and
+     * `isWithheld`: true if `mayWrite` returned false, which says nothing about the server.
      */
     send(request: BackendRequest): Promise<http.IncomingMessage>;
     /**
@@ -78,6 +81,7 @@
             const [host, port] = request.address.split(":");
             let mayBeWritten = false;
             let abortMessage: string | undefined;
+            let isWithheld = false;
             const outgoing = http.request({
                 host,
                 port,
@@ -101,7 +105,8 @@
             request.signal.addEventListener("abort", onAbort, { once: true });
             const fail = (message: string) => {
                 connectTimer.stop();
-                reject(sendError(abortMessage ?? message, mayBeWritten ? Verdict.mayHaveRun : Verdict.notRun));
+                const verdict = mayBeWritten ? Verdict.mayHaveRun : Verdict.notRun;
+                reject(sendError(abortMessage ?? message, verdict, isWithheld));
             };
             outgoing.once("close", () => {
                 request.signal.removeEventListener("abort", onAbort);
@@ -111,6 +116,11 @@
             const connectTimer = createSilenceTimer(async () => abort("connecting timed out"));
             connectTimer.start(CONNECT_TIMEOUT_MS);
             const onConnected = () => {
+                if (!request.mayWrite()) {
+                    isWithheld = true;
+                    abort("not sent in time");
+                    return;
+                }
                 mayBeWritten = true;
                 connectTimer.stop();
             };
@@ -160,8 +170,8 @@
     for (const sockets of Object.values(httpAgent.freeSockets)) sockets?.forEach(socket => socket.destroy());
 }
 
-function sendError(message: string, verdict: Verdict): VError {
-    return new VError({ name: "SendError", info: { verdict } }, "%s", message);
+function sendError(message: string, verdict: Verdict, isWithheld = false): VError {
+    return new VError({ name: "SendError", info: { verdict, isWithheld } }, "%s", message);
 }
 
 function isCloseDelimited(method: string, { headers, statusCode }: http.IncomingMessage): boolean {
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -295,7 +295,7 @@
 async function reserveSlot(exchange: Exchange, assignment: Assignment): Promise<boolean> {
     const { context, dispatchId } = exchange;
     const startedAt = context.now();
-    const refusal = await context.reservations.reserve(assignment);
+    const refusal = await context.reservations.reserve(assignment, dispatchId);
     const endedAt = context.now();
     exchange.waitedMs += endedAt - startedAt;
     if (refusal === undefined) {
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -4,6 +4,8 @@
     type AllowedRegions,
     type Assignment,
     type ClientAccount,
+    type ColdLimit,
+    type ColdServers,
     type Dispatcher,
     RequestKind,
     type Route,
@@ -33,6 +35,8 @@
     readonly promptGuard: PromptGuard;
     readonly retryBudget: SharedRetryBudget;
     readonly health: ServerHealth;
+    readonly coldLimit: Pick<ColdLimit, "recordWrite">;
+    readonly coldServers: Pick<ColdServers, "recordPossibleStart">;
     readonly speed: ServerSpeed;
     readonly serverNotices: ServerNotices;
     /** Memory for the bodies of all requests and responses in progress. */
--- a/src/lib/router/operatorState.ts
+++ b/src/lib/router/operatorState.ts
@@ -3,6 +3,7 @@
  * each change.
  */
 import {
+    type BackendServer,
     createRouteTable,
     type Evacuations,
     type RouteTable,
@@ -37,6 +38,8 @@
     readonly log: EventLog;
     readonly onConfiguration: (routeTable: RouteTable) => void;
     readonly onServerGone: (id: string) => void;
+    /** Called with each row of a server; `isNew` is true for the first row of an incarnation. */
+    readonly onServer: (server: BackendServer, isNew: boolean, now: number) => void;
     /** Called only for versions named while the process runs; earlier ones may already be distributed. */
     readonly onWeightsNamed: (version: number) => void;
 }
@@ -116,7 +119,10 @@
                 registry.remove(row.key, now, lastOutageAt);
                 if (registry.get(row.key) === undefined) options.onServerGone(row.key);
             }
-            else registry.put(server);
+            else {
+                registry.put(server);
+                options.onServer(server, registered?.startedAt !== server.startedAt, now);
+            }
             log.info("server changed", {
                 server: row.key,
                 revision: row.revision,
--- a/src/lib/router/registration.ts
+++ b/src/lib/router/registration.ts
@@ -10,6 +10,11 @@
 export interface Registration {
     /** Registers the entry again if the store is in a later epoch than when the row was last seen. */
     renewIn(epoch: number): void;
+    /**
+     * Returns whether the entry has read the table and all entries that run can be expected to know it: its row was there
+     * before it started, or was written some time ago.
+     */
+    isKnownToOthers(now: number): boolean;
     stop(): void;
 }
 
@@ -17,6 +22,12 @@
 const RETRY_DELAY_MS = 500;
 const RETRY_JITTER_MS = 1500;
 
+/**
+ * Time after which all entries have heard of a new one: several digests between failure domains, and a partition
+ * between some of them.
+ */
+const NEW_ENTRY_MS = 10_000;
+
 /** All entries renew their registration at about the same time. */
 const RENEWAL_JITTER_MS = 300;
 
@@ -27,6 +38,7 @@
     addPeer: (peer: EntryIdentity) => void,
     log: EventLog,
     random: () => number,
+    clock: () => number,
 ): Registration {
     let timer: NodeJS.Timeout | undefined;
     let failures = 0;
@@ -35,6 +47,10 @@
     let registeredEpoch: number | undefined;
     /** Number of registrations begun; an attempt that another one has replaced ends without effect. */
     let generation = 0;
+    /** Whether the row of an earlier start was found; `undefined` before the table was read. */
+    let hadRow: boolean | undefined;
+    /** Time from which all entries know this one; `undefined` while it isn't registered. */
+    let knownFrom: number | undefined;
 
     function scheduleAttempt(delayMs: number): void {
         clearTimeout(timer);
@@ -45,6 +61,9 @@
 
     async function attempt(ownGeneration: number): Promise<void> {
         try {
+            hadRow ??= (await store.readTable(ENTRIES_TABLE)).rows.some(({ key, value }) =>
+                key === self.name && value !== undefined
+            );
             await store.putRow(ENTRIES_TABLE, self.name, formatEntryRow(self));
             const { rows, position } = await store.readTable(ENTRIES_TABLE);
             for (const row of rows) {
@@ -53,6 +72,7 @@
             }
             if (!rows.some(({ key }) => key === self.name)) throw new Error("the store has lost the entry's row");
             failures = 0;
+            knownFrom ??= clock() + (hadRow ? 0 : NEW_ENTRY_MS);
             if (ownGeneration === generation) registeredEpoch = position.epoch;
         }
         catch (error) {
@@ -65,6 +85,7 @@
 
     scheduleAttempt(0);
     return {
+        isKnownToOthers: now => knownFrom !== undefined && now >= knownFrom,
         renewIn: epoch => {
             if (registeredEpoch !== undefined && epoch > registeredEpoch) scheduleAttempt(random() * RENEWAL_JITTER_MS);
         },
--- a/src/lib/router/reservations.ts
+++ b/src/lib/router/reservations.ts
@@ -5,6 +5,7 @@
  */
 import {
     type Assignment,
+    type ColdLimit,
     decideReservation,
     type Dispatcher,
     type EntryIdentity,
@@ -13,6 +14,7 @@
     type ServerRegistry,
     type ServerSpeed,
     type SlotDecision,
+    type SlotRequest,
 } from "../core/serving/index.js";
 import type { ReservationReply, ReservationRequest, SlotRelease } from "../node/peerMessages.js";
 import type { ServingMetrics } from "../observability/index.js";
@@ -22,6 +24,7 @@
     readonly dispatcher: Pick<Dispatcher, "inFlight" | "pool">;
     readonly registry: ServerRegistry;
     readonly speed: ServerSpeed;
+    readonly coldLimit: Pick<ColdLimit, "grant" | "recordGrant">;
     readonly routeTable: () => RouteTable | undefined;
     /** Sends a message to an entry. Messages may be lost. */
     readonly send: (message: ReservationRequest | ReservationReply | SlotRelease, ip: string) => void;
@@ -33,9 +36,10 @@
 export interface Reservations {
     /**
      * Reserves a slot for the assignment. Resolves with the owner's decision if it refuses, otherwise with `undefined`:
-     * if the owner grants it, doesn't respond in time, or the assignment needs no reservation.
+     * if the owner grants it, the assignment needs no reservation, or the owner doesn't respond in time and the request
+     * may be sent without a grant.
      */
-    reserve(assignment: Assignment): Promise<SlotDecision | undefined>;
+    reserve(assignment: Assignment, requestId: string): Promise<SlotDecision | undefined>;
     /** Tells the owner that the request is about to leave its server. Call it while the request is still in flight. */
     release(assignment: Assignment, requestId: string): void;
     handleRequest(message: ReservationRequest): void;
@@ -57,12 +61,14 @@
     const unresponsiveUntil = new Map<string, number>();
     let requestCount = 0;
 
-    async function reserve({ reservation }: Assignment): Promise<SlotDecision | undefined> {
+    async function reserve({ reservation }: Assignment, requestId: string): Promise<SlotDecision | undefined> {
         if (reservation === undefined) return undefined;
-        const { owner, slot } = reservation;
-        if ((unresponsiveUntil.get(owner.name) ?? 0) > now()) {
+        const { owner, slot, requiresGrant } = reservation;
+        const askedAt = now();
+        const unresponsiveMs = (unresponsiveUntil.get(owner.name) ?? 0) - askedAt;
+        if (unresponsiveMs > 0) {
             metrics.reservations.inc({ result: "skipped" });
-            return undefined;
+            return requiresGrant ? withoutGrant(slot, unresponsiveMs) : undefined;
         }
         const id = ++requestCount;
         const { maxFirstEventMs, ...otherFields } = slot;
@@ -74,13 +80,22 @@
             failureDomain: self.failureDomain,
             ...otherFields,
             maxFirstEventMs: Number.isFinite(maxFirstEventMs) ? maxFirstEventMs : undefined,
+            requiresGrant,
         }, owner.ip);
         const reply = await waitForReply(id);
         if (reply === undefined) unresponsiveUntil.set(owner.name, now() + UNRESPONSIVE_OWNER_PAUSE_MS);
         else unresponsiveUntil.delete(owner.name);
         const result = reply === undefined ? "unanswered" : reply.isGranted ? "granted" : "refused";
         metrics.reservations.inc({ result });
-        return reply === undefined || reply.isGranted ? undefined : reply;
+        if (reply === undefined) return requiresGrant ? withoutGrant(slot, UNRESPONSIVE_OWNER_PAUSE_MS) : undefined;
+        if (reply.isGranted && requiresGrant) options.coldLimit.recordGrant(requestId, askedAt);
+        return reply.isGranted ? undefined : reply;
+    }
+
+    /** Returns the decision on a reservation whose owner can't grant it. */
+    function withoutGrant({ serverId }: SlotRequest, pauseMs: number): SlotDecision {
+        const { decoding, prefilling, prefillTokens, contextTokens } = inFlight.loadOf(serverId, now());
+        return { isGranted: false, load: [decoding, prefilling, prefillTokens, contextTokens], pauseMs };
     }
 
     function waitForReply(id: number): Promise<ReservationReply | undefined> {
@@ -110,14 +125,16 @@
 
     function handleRequest(message: ReservationRequest): void {
         const server = registry.get(message.serverId);
-        const engine = server === undefined ? undefined : options.routeTable()?.findService(server.service)?.engine;
+        const service = server === undefined ? undefined : options.routeTable()?.findService(server.service);
+        const engine = service?.engine;
         // An owner that doesn't know the server has no reason to refuse.
         let decision: SlotDecision = { isGranted: true, load: [0, 0, 0, 0], pauseMs: 0 };
-        if (server !== undefined && engine !== undefined) {
+        if (server !== undefined && service !== undefined && engine !== undefined) {
             const slot = { ...message, maxFirstEventMs: message.maxFirstEventMs ?? Number.POSITIVE_INFINITY };
             const slowdown = speed.slowdown(message.serverId, now());
             const isPaused = dispatcher.pool.isPaused(server, now());
-            const owned = { engine, slowdown, isPaused };
+            const takeShare = () => message.requiresGrant !== true || options.coldLimit.grant(service, server, now());
+            const owned = { engine, slowdown, isPaused, takeShare };
             decision = decideReservation(slot, loadSender(self, message), owned, inFlight, now());
         }
         const { isGranted, load, pauseMs } = decision;
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -6,6 +6,8 @@
 import { setImmediate as waitForImmediate, setTimeout as sleep } from "node:timers/promises";
 import { isDeepStrictEqual } from "node:util";
 import {
+    createColdLimit,
+    createColdServers,
     createDispatcher,
     createEvacuations,
     createPeerEntries,
@@ -72,6 +74,9 @@
 /** The load balancer detects an unready process within two checks, which are one second apart. */
 const UNREADY_DETECTION_MS = 2200;
 
+/** Without a heartbeat for this long, this process didn't run, and servers may have restarted unnoticed. */
+const PAUSE_THRESHOLD_MS = 500;
+
 /** Part of the grace period (`bounds.graceMs`) that is reserved for answering the rest and closing connections. */
 const CLOSE_MARGIN_MS = 600;
 
@@ -109,6 +114,17 @@
     /** Live entries, including this one. Updated with each heartbeat, and only if one came, left or moved. */
     let liveEntries: readonly EntryIdentity[] = [self];
     const countEntries = () => liveEntries.length;
+    /** Entries that were ever heard of, including this one. */
+    let knownEntries: readonly EntryIdentity[] = [self];
+    const coldServers = createColdServers(now());
+    const coldLimit = createColdLimit({
+        self,
+        bounds: () => bounds.cold,
+        knownEntries: () => knownEntries,
+        isKnownToOthers: at => registration.isKnownToOthers(at),
+        coldServers,
+        withdrawnAt: evacuations.withdrawnAt,
+    });
     const dispatcher = createDispatcher({
         registry,
         backoff,
@@ -119,6 +135,7 @@
         reportLagMs,
         weights,
         evacuations,
+        coldLimit,
         findService: name => operatorState.routeTable()?.findService(name),
         failureDomain: settings.failureDomain,
         regionOf: domain => settings.regions.get(domain),
@@ -153,6 +170,14 @@
             health.remove(id);
             speed.remove(id);
         },
+        onServer: (server, isNew, at) => {
+            const coldMs = operatorState.routeTable()?.findService(server.service)?.coldMs ?? 0;
+            coldServers.recordRemaining(
+                server,
+                isNew ? Math.max(coldMs, server.remainingWarmupMs) : server.remainingWarmupMs,
+                at,
+            );
+        },
         onWeightsNamed: version => {
             void relay.prefetch(version);
             peerExchange.notifyAgents();
@@ -163,6 +188,7 @@
         dispatcher,
         registry,
         speed,
+        coldLimit,
         routeTable: operatorState.routeTable,
         send: (message, ip) => peerExchange.send(message, ip),
         metrics,
@@ -175,7 +201,8 @@
             const engine = operatorState.routeTable()?.findService(service)?.engine;
             return engine === undefined ? 0 : weights.lowestAllowed(engine.model, at);
         },
-        onCrash: ({ id }) => {
+        onCrash: ({ id, startedAt }) => {
+            coldServers.recordPossibleStart({ id, startedAt }, now());
             health.recordOutcome(id, Outcome.unreachable, now());
             // Idle connections to a server that crashed aren't always reset, and requests on them would time out.
             connections.removeServer(id);
@@ -199,8 +226,10 @@
         promptGuard,
         retryBudget,
         health,
+        coldLimit,
+        coldServers,
         speed,
-        serverNotices: createServerNotices({ registry, backoff, log, metrics, now }),
+        serverNotices: createServerNotices({ registry, backoff, coldServers, log, metrics, now }),
         bodyBudget: createBodyBudget(MAX_BUFFERED_BODY_BYTES),
         log,
         metrics,
@@ -223,7 +252,7 @@
     const serverTable = createSharedTable(PlatformTable.servers);
     const sharedTables = [operatorTable, serverTable];
     const replicas = new Map(sharedTables.map(({ table, replica }) => [table, replica]));
-    const registration = startRegistration(store, self, peers.addUnconfirmed, log, random);
+    const registration = startRegistration(store, self, peers.addUnconfirmed, log, random, now);
     /** `outageAt` is the last time at which the process that read the rows from the store saw it fail. */
     type ApplyChanges = (rows: readonly Row[], outageAt: number | undefined) => void;
     const applyChanges: Readonly<Record<string, ApplyChanges>> = {
@@ -325,14 +354,20 @@
     });
     await listen(peerServer, `${settings.ip}:${peerPort}`);
 
+    let lastHeartbeatAt = now();
     const heartbeatTimer = setInterval(() => {
         const newEntries = [self, ...peers.live(now())];
         if (!isDeepStrictEqual(newEntries, liveEntries)) liveEntries = newEntries;
+        const newKnownEntries = peers.known();
+        if (!isDeepStrictEqual(newKnownEntries, knownEntries)) knownEntries = newKnownEntries;
+        if (now() - lastHeartbeatAt > PAUSE_THRESHOLD_MS) coldServers.recordGap(now());
+        lastHeartbeatAt = now();
         peerExchange.tick();
         for (const feed of feeds) feed.checkSilence();
         for (const replica of replicas.values()) registration.renewIn(replica.newestPosition().epoch);
         metrics.waiting.set(dispatcher.queueLength());
         dispatcher.pool.forgetUnregistered(now());
+        coldLimit.forgetEnded(now());
         for (const id of registry.expire(now())) {
             log.info("server gone", { server: id, reason: "its entry didn't come back" });
             connections.removeServer(id);
--- a/src/lib/router/serverNotices.ts
+++ b/src/lib/router/serverNotices.ts
@@ -2,7 +2,7 @@
  * Applies what backend servers say about their own availability in the heads of their responses. A response is newer
  * than the server's row, and arrives also while the store doesn't.
  */
-import type { BackendServer, ServerBackoff, ServerRegistry } from "../core/serving/index.js";
+import type { BackendServer, ColdServers, ServerBackoff, ServerRegistry } from "../core/serving/index.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
 import type { ResponseMetadata } from "../platform/index.js";
 
@@ -14,6 +14,7 @@
 export interface ServerNoticesOptions {
     readonly registry: Pick<ServerRegistry, "get" | "markLeaving">;
     readonly backoff: ServerBackoff;
+    readonly coldServers: Pick<ColdServers, "recordRemaining">;
     readonly log: EventLog;
     readonly metrics: ServingMetrics;
     /** Monotonic clock, in milliseconds. */
@@ -23,7 +24,9 @@
 /** Status of a server that isn't the one that the request names. */
 const MISDIRECTED_STATUS = 421;
 
-export function createServerNotices({ registry, backoff, log, metrics, now }: ServerNoticesOptions): ServerNotices {
+export function createServerNotices(
+    { registry, backoff, coldServers, log, metrics, now }: ServerNoticesOptions,
+): ServerNotices {
     /** Returns the server that responded; `undefined` if another, unknown one has taken over the address. */
     function findResponder(server: BackendServer, status: number, { serverId }: ResponseMetadata) {
         if (status !== MISDIRECTED_STATUS || serverId === undefined || serverId === server.id) return server;
@@ -53,6 +56,9 @@
         record: (server, status, metadata) => {
             if (metadata.backoffMs !== undefined) recordBackoff(server, metadata.backoffMs);
             const responder = findResponder(server, status, metadata);
+            if (responder !== undefined && metadata.coldRemainingMs !== undefined) {
+                coldServers.recordRemaining(responder, metadata.coldRemainingMs, now());
+            }
             if (responder !== undefined && metadata.isLeaving) recordLeaving(responder);
         },
     };
--- a/src/lib/router/successor.ts
+++ b/src/lib/router/successor.ts
@@ -71,7 +71,7 @@
         const { dispatcher, reservations, retryBudget, now } = context;
         const assignment = dispatcher.assignNow(createDispatchRequest(dispatchId), now());
         if (assignment === undefined) return RetryDenial.noServer;
-        const refusal = await reservations.reserve(assignment);
+        const refusal = await reservations.reserve(assignment, dispatchId);
         if (refusal !== undefined) {
             dispatcher.withdraw(dispatchId, assignment.server.id, refusal, now());
             return RetryDenial.noServer;
--- a/src/lib/settings/vmSettings.ts
+++ b/src/lib/settings/vmSettings.ts
@@ -3,6 +3,8 @@
  * budgets that it must keep. `platform/settings` reads them from the platform's settings file.
  */
 
+import type { ColdBounds } from "../core/serving/index.js";
+
 /** IP address and port. */
 export type Address = string;
 
@@ -14,14 +16,6 @@
     readonly windowMs: number;
 }
 
-/** Bound on the requests to a cold server; see `coldLimit.ts`. */
-export interface ColdBounds {
-    /** Factor by which the requests in a window may exceed the rate that a cold server tolerates. */
-    readonly overshoot: number;
-    /** Requests that a window may have in addition. */
-    readonly slack: number;
-}
-
 export interface VmBounds {
     /** Time for which a server may still receive requests after its announcement to leave was acknowledged. */
     readonly drainMs: number;
--- a/src/test/core/serving/slotReservations.test.ts
+++ b/src/test/core/serving/slotReservations.test.ts
@@ -45,7 +45,7 @@
     assert.equal(createServerOwnership(() => []).ownersOf(servers)[0], undefined);
 });
 
-const OWNED = { engine: ENGINE_SPEC, slowdown: 1, isPaused: false };
+const OWNED = { engine: ENGINE_SPEC, slowdown: 1, isPaused: false, takeShare: () => true };
 
 // Guards against requests to an engine that loads weights from entries that its agent doesn't send heartbeats to; the
 // engine rejects them.
--- a/src/test/router/blockedProcess.test.ts
+++ b/src/test/router/blockedProcess.test.ts
@@ -119,6 +119,7 @@
         body: Buffer.alloc(0),
         signal: new AbortController().signal,
         isRetryable: true,
+        mayWrite: () => true,
     });
     blockEventLoop(700);
     assert.equal((await sending).statusCode, 200);
@@ -147,7 +148,7 @@
     const owner = { name: "owner", ip: "127.0.0.1", failureDomain: "a" };
     // The request leaves just before the event loop is blocked.
     await new Promise<void>(resolve => setImmediate(resolve));
-    const reserved = reservations.reserve({ reservation: { owner, slot: {} } } as Assignment);
+    const reserved = reservations.reserve({ reservation: { owner, slot: {} } } as Assignment, "r");
     Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 100);
     assert.equal((await reserved)?.isGranted, false);
 });
--- a/src/test/router/operatorState.test.ts
+++ b/src/test/router/operatorState.test.ts
@@ -17,6 +17,7 @@
         log: createEventLog({ process: "p", role: "entry", now: () => 0, write: () => undefined }),
         onConfiguration: () => undefined,
         onServerGone: () => undefined,
+        onServer: () => undefined,
         onWeightsNamed: () => undefined,
     });
     const named = (version: number, epoch: number) => [
