--- a/src/lib/core/serving/coldLimit.ts
+++ b/src/lib/core/serving/coldLimit.ts
@@ -63,9 +63,13 @@
     cancel(sendId: string): void;
     /** Decides as the owner of the server whether an entry without a share may send it a request. */
     grant(service: BackendService, server: BackendServer, now: number): boolean;
+    /** Returns the servers of limited services that count as cold. */
+    coldAmong(servers: readonly BackendServer[], findService: FindService, now: number): readonly BackendServer[];
     forgetEnded(now: number): void;
 }
 
+type FindService = (name: string) => BackendService | undefined;
+
 /** Window of the limit with a margin for the time between the count of a send and its first byte on the network. */
 const WINDOW_MS = 1100;
 
@@ -165,6 +169,11 @@
             sends.cancel(sendId);
         },
         grant,
+        coldAmong: (servers, findService, now) =>
+            servers.filter(server => {
+                const service = findService(server.service);
+                return service !== undefined && limitOf(service) !== undefined && isCold(service, server, now);
+            }),
         forgetEnded: now => {
             sends.forgetEnded(now);
             grants.forgetEnded(now);
--- a/src/lib/observability/explain.ts
+++ b/src/lib/observability/explain.ts
@@ -32,6 +32,9 @@
     actualMs: z.number().optional(),
     status: z.number().optional(),
     retryAfterMs: z.number().optional(),
+    allowedRegions: z.array(z.string()).optional(),
+    evacuated: z.array(z.string()).optional(),
+    coldServers: z.number().optional(),
 });
 
 type RequestEnd = Readonly<z.infer<typeof requestEndSchema>>;
@@ -83,7 +86,7 @@
         const lines = [...requestLines, ...nearbyLines].toSorted((a, b) => a.time - b.time);
         const cause = requestEnd === undefined ?
             "Its end was not logged: its process stopped before, or the log is incomplete." :
-            `${describeCause(requestEnd)}${describeContext(nearbyLines)}`;
+            `${describeCause(requestEnd)}${describeLimits(requestEnd)}${describeContext(nearbyLines)}`;
         return { id, cause, lines };
     }
 
@@ -128,6 +131,11 @@
         .with({ event: "request refused", reason: "no server" }, () => {
             return "Refused: no server of its service was known, healthy and loaded with acceptable weights.";
         })
+        .with({ event: "request refused", reason: "no server in the allowed regions" }, ({ allowedRegions = [] }) => {
+            return `Refused: no server in the regions that its route and account allow (${
+                allowedRegions.join(", ") || "none"
+            }) was known, healthy and loaded with acceptable weights.`;
+        })
         .with({ event: "request refused", reason: "servers backing off" }, ({ retryAfterMs }) => {
             return "Refused: all servers of its service had asked for a pause that was longer than the caller could " +
                 `wait; it was told to retry after ${retryAfterMs} ms.`;
@@ -181,6 +189,18 @@
     return `${latePrefix}${server} took ${actualMs} ms where ${predictedMs} ms were predicted.`;
 }
 
+/** Names what reduced the capacity when the request ended. */
+function describeLimits({ allowedRegions, evacuated, coldServers }: RequestEnd): string {
+    const parts = [
+        ...evacuated === undefined ? [] : [`the failure domain ${evacuated.join(", ")} was evacuated`],
+        ...coldServers === undefined ? [] : [`requests to ${coldServers} cold servers were limited`],
+        ...allowedRegions === undefined ?
+            [] :
+            [`only servers in ${allowedRegions.join(", ") || "no region"} were allowed`],
+    ];
+    return parts.length === 0 ? "" : ` At that time, ${parts.join(" and ")}.`;
+}
+
 function describeContext(nearbyLines: readonly LogLine[]): string {
     const unavailableServers = new Set(
         nearbyLines.flatMap(({ event, server }) => SERVER_EVENTS.has(event) ? server ?? [] : []),
--- a/src/lib/observability/servingMetrics.ts
+++ b/src/lib/observability/servingMetrics.ts
@@ -13,6 +13,9 @@
     /** Time to the first event, divided by the prediction that placed the request. */
     readonly predictionRatio: Histogram<"kind">;
     readonly waiting: Gauge;
+    /** Servers whose requests are limited because they count as cold. */
+    readonly coldServers: Gauge;
+    readonly evacuatedDomains: Gauge;
     readonly storeCalls: Counter<"result">;
     readonly pieces: Counter<"source">;
     readonly orders: Counter<"result">;
@@ -57,6 +60,16 @@
             RATIO_BUCKETS,
         ),
         waiting: new Gauge({ name: "endivewell_waiting", help: "Requests that wait for a server.", registers }),
+        coldServers: new Gauge({
+            name: "endivewell_cold_servers",
+            help: "Backend servers whose requests are limited because they count as cold.",
+            registers,
+        }),
+        evacuatedDomains: new Gauge({
+            name: "endivewell_evacuated_domains",
+            help: "Failure domains that the operator evacuates.",
+            registers,
+        }),
         storeCalls: counter("endivewell_store_calls_total", "Calls to the store by result.", ["result"]),
         pieces: counter("endivewell_pieces_total", "Pieces of weights received by source.", ["source"]),
         orders: counter("endivewell_orders_total", "Orders to the engine by result.", ["result"]),
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -58,6 +58,16 @@
     readonly isDraining: () => boolean;
     /** Cancellations of all exchanges in progress, for the end of the grace period. */
     readonly cancellations: Set<AbortController>;
+    /** What reduces the capacity at present. */
+    readonly capacityLimits: () => CapacityLimits;
+}
+
+/** What reduces the capacity, for the log; `undefined` where nothing does. */
+export interface CapacityLimits {
+    /** Evacuated failure domains. */
+    readonly evacuated: readonly string[] | undefined;
+    /** Number of servers that count as cold. */
+    readonly coldServers: number | undefined;
 }
 
 /** Why an exchange was cancelled; the values are the texts for the log. */
--- a/src/lib/router/localResponses.ts
+++ b/src/lib/router/localResponses.ts
@@ -202,10 +202,16 @@
             caller.sharedPromptParts,
         version: configurationVersion(context),
         versionAgeMs: context.configurationAgeMs(),
+        ...outcome === "answered" ? {} : { allowedRegions: regionNames(exchange), ...context.capacityLimits() },
         ...extraFields,
     });
 }
 
+function regionNames({ allowedRegions }: Exchange): readonly string[] | undefined {
+    const regions = allowedRegions();
+    return regions === undefined ? undefined : [...regions];
+}
+
 function configurationVersion(context: ExchangeContext): number | undefined {
     return context.routeTable()?.configuration.version;
 }
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -117,6 +117,8 @@
     /** Entries that were ever heard of, including this one. */
     let knownEntries: readonly EntryIdentity[] = [self];
     const coldServers = createColdServers(now());
+    /** Servers that counted as cold at the last heartbeat. */
+    let coldServerCount = 0;
     const coldLimit = createColdLimit({
         self,
         bounds: () => bounds.cold,
@@ -241,6 +243,10 @@
         closeAfter: response => callerServer?.closeAfter(response),
         isDraining: () => isDraining,
         cancellations: new Set(),
+        capacityLimits: () => ({
+            evacuated: evacuations.all().length === 0 ? undefined : evacuations.all(),
+            coldServers: coldServerCount === 0 ? undefined : coldServerCount,
+        }),
     };
     log.info("process started", {
         ip: settings.ip,
@@ -354,6 +360,14 @@
     });
     await listen(peerServer, `${settings.ip}:${peerPort}`);
 
+    function updateColdServers(): void {
+        const findService = (name: string) => operatorState.routeTable()?.findService(name);
+        const { length } = coldLimit.coldAmong(registry.all(), findService, now());
+        if (length !== coldServerCount) log.info("cold servers changed", { count: length, previous: coldServerCount });
+        coldServerCount = length;
+        metrics.coldServers.set(length);
+    }
+
     let lastHeartbeatAt = now();
     const heartbeatTimer = setInterval(() => {
         const newEntries = [self, ...peers.live(now())];
@@ -366,6 +380,8 @@
         for (const feed of feeds) feed.checkSilence();
         for (const replica of replicas.values()) registration.renewIn(replica.newestPosition().epoch);
         metrics.waiting.set(dispatcher.queueLength());
+        metrics.evacuatedDomains.set(evacuations.all().length);
+        updateColdServers();
         dispatcher.pool.forgetUnregistered(now());
         coldLimit.forgetEnded(now());
         for (const id of registry.expire(now())) {
--- a/src/test/observability/explain.test.ts
+++ b/src/test/observability/explain.test.ts
@@ -28,6 +28,12 @@
         ["request refused", { reason: "overloaded", status: 503, waitedMs: 250 }, /after waiting 250 ms/],
         ["request refused", { reason: "servers backing off", status: 503, retryAfterMs: 800 }, /pause .* after 800 ms/],
         ["request refused", { reason: "no server", status: 503 }, /no server of its service/],
+        [
+            "request refused",
+            { reason: "no server in the allowed regions", status: 503, allowedRegions: ["north"] },
+            /route and account allow \(north\)/,
+        ],
+        ["request refused", { reason: "overloaded", evacuated: ["a"], coldServers: 3 }, /a was evacuated .* 3 cold/],
         ["request refused", { reason: "quarantined prompt", status: 503 }, /part of its prompt is quarantined/],
         ["request failed", { reason: "quarantined prompt", status: 502, attempts: ["i-1 x"] }, /crashed \(i-1 x\)/],
         ["request refused", { reason: "unknown key", status: 401 }, /Refused with 401, unknown key/],
