Evacuate failure domains on the product's own interface

Until now only the router on the platform obeyed evacuations. The configuration row gets the field evacuatedDomains, with the row's revision, conditional writes and change identifiers; PUT and DELETE of /admin/v1/evacuations/DOMAIN change it. Rows without the field still parse. Processes send the field outside of the update, whose schema earlier versions check strictly, and a revision without it withdraws no evacuation.

Entries treat agents of the failure domain as leaving. Agents refuse new and queued requests with notRun and report that they are leaving, so that calls that may not be repeated move as well.

While an evacuation is in force, each process now also exchanges configurations with a peer in each other failure domain.

--- a/src/lib/agent/agent.ts
+++ b/src/lib/agent/agent.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import VError from "verror";
 import { createEngineClient } from "../clients/index.js";
-import { type ConfiguredProfile, DEFAULT_QUEUE_POLICY, profilesOf } from "../core/index.js";
+import { type ConfiguredProfile, DEFAULT_QUEUE_POLICY, isEvacuated, profilesOf } from "../core/index.js";
 import { createNodeService, createProfileStore, startNodeRuntime } from "../node/index.js";
 import { createLog, DevWarning, issueDevWarning } from "../observability/index.js";
 import { type AgentState, startRpcServer } from "../rpc/index.js";
@@ -173,14 +173,17 @@
             { events, metrics },
         ),
     });
-    const leavingCheckTimer = setInterval(() => {
+    const checkLeaving = () => {
         // The address distinguishes this VM from a replacement with the same name.
         const listedVm = membership.current().find(vm => vm.name === settings.process);
         const isThisVm = listedVm?.address.endsWith(`:${rpc.port}`) === true;
         const wasLeaving = gate.isLeaving();
         gate.setListedLeaving(isThisVm && listedVm.state === "leaving");
+        gate.setEvacuated(isEvacuated(configuration.current(), settings.failureDomain));
         if (gate.isLeaving() !== wasLeaving) notifyChange();
-    }, settings.pollMs);
+    };
+    const leavingCheckTimer = setInterval(checkLeaving, settings.pollMs);
+    configuration.onChange(checkLeaving);
     if (backendServer.kind === "model") {
         activation = startActivation({
             service: settings.service,
--- a/src/lib/agent/gate.ts
+++ b/src/lib/agent/gate.ts
@@ -36,11 +36,15 @@
     drain(): Promise<void>;
     /** Refuses queued and new requests while the platform lists this VM as leaving. */
     setListedLeaving(listed: boolean): void;
+    /** Refuses queued and new requests while the operator evacuates the agent's failure domain. */
+    setEvacuated(isEvacuated: boolean): void;
     readonly load: () => GateLoad;
+    /** Returns whether new requests are refused for one of these reasons. */
     readonly isLeaving: () => boolean;
 }
 
 const LEAVING_REASON = "the VM is leaving";
+const EVACUATED_REASON = "the failure domain is evacuated";
 
 export interface GateOptions {
     readonly backendUrl: string;
@@ -75,6 +79,7 @@
     let paused = false;
     let draining = false;
     let listedLeaving = false;
+    let evacuated = false;
     let pacingTimer: NodeJS.Timeout | undefined;
 
     function dispatch(request: DispatchRequest, sink: AnswerSink): Promise<void> {
@@ -89,7 +94,8 @@
     }
 
     function findRefusalReason(request: DispatchRequest): string | undefined {
-        if (isLeaving()) return LEAVING_REASON;
+        if (draining || listedLeaving) return LEAVING_REASON;
+        if (evacuated) return EVACUATED_REASON;
         if (options.kind === "plain") return undefined;
         if (paused) return "the engine is switching versions";
         if (bindRequest(request.rootDigest, options.serving()) === undefined) {
@@ -213,8 +219,13 @@
         listedLeaving = listed;
     }
 
+    function setEvacuated(isEvacuated: boolean): void {
+        if (isEvacuated && !evacuated) queue.refuseAll(EVACUATED_REASON);
+        evacuated = isEvacuated;
+    }
+
     function isLeaving(): boolean {
-        return draining || listedLeaving;
+        return draining || listedLeaving || evacuated;
     }
 
     function load(): GateLoad {
@@ -232,5 +243,5 @@
         return new Promise(resolve => idleWaiters.push(resolve));
     }
 
-    return { dispatch, pause, drain, setListedLeaving, load, isLeaving };
+    return { dispatch, pause, drain, setListedLeaving, setEvacuated, load, isLeaving };
 }
--- a/src/lib/core/configuration.ts
+++ b/src/lib/core/configuration.ts
@@ -1,5 +1,5 @@
 /**
- * The configuration: a snapshot of all profiles with one revision counter. This module computes changes without
+ * The configuration: a snapshot of all profiles and evacuations with one revision counter. This module computes changes without
  * I/O. The caller writes the resulting snapshot with a conditional write and computes the change again if another
  * change was written first. Processes exchange incremental updates, which contain only the profiles that changed
  * since a revision that the receiver has.
@@ -22,6 +22,11 @@
 export interface Configuration {
     readonly revision: number;
     readonly profiles: Readonly<Record<string, ConfiguredProfile>>;
+    /**
+     * Failure domains whose agents get no new work, in alphabetical order. `undefined` if the snapshot was written by a
+     * version of the program that doesn't know evacuations.
+     */
+    readonly evacuatedDomains?: readonly string[] | undefined;
     /** Recent changes, oldest first. Only the row in the table service has them; empty elsewhere. */
     readonly changes: readonly AppliedChange[];
 }
@@ -37,11 +42,18 @@
     /** Pauses or resumes a rollout without any other change. */
     | { readonly kind: "setPaused"; readonly paused: boolean; readonly reason: string; };
 
+/** Starts or withdraws the evacuation of a failure domain. */
+export interface EvacuationAction {
+    readonly kind: "setEvacuated";
+    readonly evacuated: boolean;
+}
+
 export interface ProfileChange {
     /** Idempotency key: a repeated command with the same identifier takes effect once. */
     readonly changeId: string;
+    /** Name of the profile, or of the failure domain if the action is an evacuation. */
     readonly name: string;
-    readonly action: ProfileAction;
+    readonly action: ProfileAction | EvacuationAction;
     /** Revision that the profile must have; `undefined` if it must not exist; `any` skips the check. */
     readonly expectedRevision: number | undefined | "any";
 }
@@ -49,6 +61,8 @@
 export type ChangeDecision =
     | { readonly kind: "apply"; readonly next: Configuration; }
     | { readonly kind: "alreadyApplied"; readonly revision: number; }
+    /** The failure domain is in the requested state already. */
+    | { readonly kind: "unchanged"; readonly revision: number; }
     | { readonly kind: "conflict"; readonly current: ConfiguredProfile | undefined; }
     | { readonly kind: "invalid"; readonly problems: readonly ProfileProblem[]; };
 
@@ -60,6 +74,9 @@
  */
 const MAX_RECENT_CHANGES = 256;
 
+/** Settings and the VM list accept any name; this excludes only what is probably a mistake of the operator. */
+const FAILURE_DOMAIN_PATTERN = /^[^\s\p{Cc}-][^\s\p{Cc}]{0,99}$/u;
+
 /** More than one, because several versions can be published before every replica has switched. */
 const MAX_EARLIER_DIGESTS = 4;
 
@@ -67,18 +84,19 @@
 export function decideChange(current: Configuration, change: ProfileChange): ChangeDecision {
     const appliedChange = current.changes.find(({ changeId }) => changeId === change.changeId);
     if (appliedChange !== undefined) return { kind: "alreadyApplied", revision: appliedChange.revision };
+    const { action } = change;
+    if (action.kind === "setEvacuated") return decideEvacuation(current, change, action.evacuated);
     const configured = findConfiguredProfile(current, change.name);
     if (change.expectedRevision !== "any" && configured?.revision !== change.expectedRevision) {
         return { kind: "conflict", current: configured };
     }
-    const revision = current.revision + 1;
-    const changes = [...current.changes, { changeId: change.changeId, revision }].slice(-MAX_RECENT_CHANGES);
-    if (change.action.kind === "retire") {
+    const { revision, changes } = nextRevision(current, change);
+    if (action.kind === "retire") {
         if (configured === undefined) return rejectUnknownProfile(change.name);
         const { [change.name]: _retired, ...profiles } = current.profiles;
-        return { kind: "apply", next: { revision, profiles, changes } };
+        return { kind: "apply", next: { ...current, revision, profiles, changes } };
     }
-    const proposed = applyAction(configured, change.action);
+    const proposed = applyAction(configured, action);
     if (proposed === undefined) return rejectUnknownProfile(change.name);
     const check = checkProfile(proposed);
     if (check.kind === "invalid") return check;
@@ -86,7 +104,30 @@
     if (problems.length > 0) return { kind: "invalid", problems };
     const changed = { profile: check.profile, revision, earlierDigests: earlierDigestsOf(configured, check.profile) };
     const profiles = { ...current.profiles, [change.name]: changed };
-    return { kind: "apply", next: { revision, profiles, changes } };
+    return { kind: "apply", next: { ...current, revision, profiles, changes } };
+}
+
+/** An evacuation needs no expected revision: its result doesn't depend on what other operators changed. */
+function decideEvacuation(current: Configuration, change: ProfileChange, evacuated: boolean): ChangeDecision {
+    const { name } = change;
+    if (!FAILURE_DOMAIN_PATTERN.test(name)) {
+        const reason = "the name of a failure domain has 1 to 100 characters, no spaces and no leading hyphen";
+        return { kind: "invalid", problems: [{ path: "name", reason }] };
+    }
+    if (isEvacuated(current, name) === evacuated) return { kind: "unchanged", revision: current.revision };
+    const others = (current.evacuatedDomains ?? []).filter(domain => domain !== name);
+    const evacuatedDomains = evacuated ? [...others, name].sort() : others;
+    return { kind: "apply", next: { ...current, ...nextRevision(current, change), evacuatedDomains } };
+}
+
+function nextRevision(current: Configuration, { changeId }: ProfileChange) {
+    const revision = current.revision + 1;
+    return { revision, changes: [...current.changes, { changeId, revision }].slice(-MAX_RECENT_CHANGES) };
+}
+
+/** Returns whether the operator has evacuated a failure domain, so that its agents get no new work. */
+export function isEvacuated(configuration: Configuration, failureDomain: string): boolean {
+    return configuration.evacuatedDomains?.includes(failureDomain) === true;
 }
 
 function earlierDigestsOf(before: ConfiguredProfile | undefined, { model, rootDigest, service }: Profile): Digest[] {
@@ -217,6 +258,7 @@
         z.string(),
         z.object({ profile: z.unknown(), revision: revisionSchema, earlierDigests: earlierSchema }),
     ),
+    evacuatedDomains: z.array(z.string()).optional(),
     changes: z.array(z.object({ changeId: z.string(), revision: revisionSchema })),
 });
 
--- a/src/lib/entry/adminApi.ts
+++ b/src/lib/entry/adminApi.ts
@@ -1,4 +1,4 @@
-/** Serves the administration API under `/admin/v1`: viewers may read, operators may also change profiles. */
+/** Serves the administration API under `/admin/v1`: viewers may read, operators may also change profiles and evacuations. */
 import { randomUUID } from "node:crypto";
 import { match } from "ts-pattern";
 import {
@@ -20,6 +20,7 @@
 import type { EntryDependencies, RequestContext } from "./requestContext.js";
 
 const PROFILES_PATH = "/admin/v1/profiles";
+const EVACUATIONS_PATH = "/admin/v1/evacuations";
 export const CHANGE_ID_HEADER = "endivewell-change-id";
 
 /** A profile is in use for this long after its last request or an agent's last report of work on its version. */
@@ -31,6 +32,8 @@
     readonly profileStore: ProfileStore;
     readonly profileUsage: ProfileUsage;
     readonly directory: AgentDirectory;
+    /** Returns whether the VM list has a VM in a failure domain. */
+    readonly isKnownDomain: (failureDomain: string) => boolean;
     /** Returns the status document: the state of the system as this entry sees it. */
     readonly status: () => object;
     readonly processQuery: ProcessQuery;
@@ -53,6 +56,7 @@
     if (isRead && url.pathname === PROFILES_PATH) {
         return sendJson(context, Object.values(dependencies.configuration.current().profiles));
     }
+    if (url.pathname.startsWith(`${EVACUATIONS_PATH}/`)) return changeEvacuation(dependencies, context, operator);
     if (!url.pathname.startsWith(`${PROFILES_PATH}/`)) {
         return sendProblem(response, rejection(404, "no such resource", "see docs/operator/"));
     }
@@ -106,6 +110,30 @@
     });
 }
 
+async function changeEvacuation(
+    dependencies: AdminDependencies,
+    context: RequestContext,
+    operator: Operator,
+): Promise<void> {
+    const { request, response, url } = context;
+    const name = decodeName(url.pathname.slice(EVACUATIONS_PATH.length + 1));
+    if (name === undefined) {
+        return sendProblem(response, rejection(400, "invalid address", "encode the failure domain's name for a URL"));
+    }
+    if (request.method !== "PUT" && request.method !== "DELETE") {
+        return sendProblem(response, rejection(405, "the method isn't allowed", "use PUT or DELETE"));
+    }
+    const change: ProfileChange = {
+        changeId: String(request.headers[CHANGE_ID_HEADER] ?? randomUUID()),
+        name,
+        action: { kind: "setEvacuated", evacuated: request.method === "PUT" },
+        expectedRevision: "any",
+    };
+    const result = await dependencies.profileStore.apply(change, { dryRun: url.searchParams.get("dryRun") === "true" });
+    recordAudit(dependencies, change, operator, result);
+    sendChangeResult(dependencies, context, change, result);
+}
+
 async function sendStatus(dependencies: AdminDependencies, context: RequestContext): Promise<void> {
     sendJson(context, { ...dependencies.status(), ...await dependencies.processQuery.readEntries() });
 }
@@ -184,15 +212,21 @@
 ): void {
     const { response } = context;
     const { action, changeId, name } = change;
+    const isUnknownDomain = action.kind === "setEvacuated" && !dependencies.isKnownDomain(name);
+    const extra = isUnknownDomain ? { warning: `no VM of the VM list is in the failure domain ${name}` } : {};
     match(result)
         .with({ kind: "accepted" }, ({ configuration, revision }) => {
             dependencies.configuration.applyIfNewer({ ...configuration, changes: [] });
-            sendJson(context, { name, revision }, { revision });
+            sendJson(context, { name, revision, ...extra }, { revision });
         })
+        .with(
+            { kind: "unchanged" },
+            ({ revision }) => sendJson(context, { unchanged: true, name, revision, ...extra }, { revision }),
+        )
         .with(
             { kind: "wouldApply" },
             ({ revision, entry }) =>
-                sendJson(context, { dryRun: true, name, revision, profile: entry?.profile ?? null }),
+                sendJson(context, { dryRun: true, name, revision, profile: entry?.profile ?? null, ...extra }),
         )
         .with({ kind: "conflict" }, ({ current }) =>
             sendProblem(response, {
@@ -229,15 +263,17 @@
     result: ChangeResult,
 ): void {
     const { action, changeId, name } = change;
-    const attributes = { operator: operator.name, action: action.kind, changeId };
-    if (result.kind === "wouldApply") return;
+    const actionName = action.kind !== "setEvacuated" ? action.kind : action.evacuated ? "evacuate" : "withdraw";
+    const attributes = { operator: operator.name, action: actionName, changeId };
+    const subjectKind = action.kind === "setEvacuated" ? "evacuation" : "profile";
+    if (result.kind === "wouldApply" || result.kind === "unchanged") return;
     if (result.kind !== "accepted") {
-        dependencies.events.record("profile.refused", name, { ...attributes, reason: result.kind });
+        dependencies.events.record(`${subjectKind}.refused`, name, { ...attributes, reason: result.kind });
         return;
     }
     const { revision } = result;
     const { rootDigest = "" } = (action.kind === "put" ? action.profile : {}) as Partial<Profile>;
-    dependencies.events.record("profile.accepted", name, { ...attributes, revision, rootDigest });
+    dependencies.events.record(`${subjectKind}.accepted`, name, { ...attributes, revision, rootDigest });
     if (rootDigest !== "") {
         dependencies.events.record("rollout.accepted", rootDigest, {
             operator: operator.name,
--- a/src/lib/entry/agentDirectory.ts
+++ b/src/lib/entry/agentDirectory.ts
@@ -67,10 +67,17 @@
 }
 
 export interface AgentDirectory {
-    /** Returns the agents of a pool that reported recently and aren't leaving. */
+    /** Returns the agents of a pool that reported recently, aren't leaving and aren't in an evacuated failure domain. */
     usableAgents(service: string, nowMs: number): UsableAgent[];
-    /** Returns whether an agent can be relied on to do its work; `undefined` if the agent isn't watched. */
+    /**
+     * Returns whether an agent can be relied on to do its work; `undefined` if the agent isn't watched. One in an
+     * evacuated failure domain counts as leaving: it finishes its work and gets no new work.
+     */
     trust(address: string, nowMs: number): Trust | undefined;
+    /** Returns the failure domain of a listed or watched agent, or an empty string if it isn't known. */
+    failureDomainOf(address: string): string;
+    /** Returns whether an agent's failure domain is evacuated. */
+    isEvacuated(address: string): boolean;
     /** Counts a request that is dispatched to an agent at `nowMs`. */
     recordDispatch(address: string, nowMs: number): void;
     /** Returns every watched agent with the age of its last state message, for the status document. */
@@ -98,6 +105,8 @@
     readonly failureDomain: string;
     readonly membership: MembershipTask;
     readonly connections: Connections;
+    /** Returns whether the operator has evacuated a failure domain. */
+    readonly isEvacuated: (failureDomain: string) => boolean;
     readonly now: () => number;
 }
 
@@ -174,7 +183,9 @@
             unusableByService.set(service, (unusableByService.get(service) ?? 0) + 1);
         }
         return [...unusableByService].flatMap(([service, count]) => {
-            const pool = liveAgents([...listedVms.values()]).filter(vm => vm.service === service).map(toSubsetMember);
+            const pool = liveAgents([...listedVms.values()])
+                .filter(vm => vm.service === service && !options.isEvacuated(vm.failureDomain))
+                .map(toSubsetMember);
             const self = { name: options.process, failureDomain: options.failureDomain };
             return chooseSubstitutes(self, pool, subset, Math.min(count, SUBSET_SIZE / 2));
         });
@@ -187,7 +198,18 @@
     function trustOf({ address, evidence }: AgentWatch, nowMs: number): Trust {
         // After a pause, requests may be read before the states that the agents have sent meanwhile.
         const countedMs = Math.min(nowMs, reconciledAt + 2 * RECONCILE_INTERVAL_MS);
-        return evaluateTrust(listedState(address), evidence, countedMs);
+        if (!isEvacuated(address)) return evaluateTrust(listedState(address), evidence, countedMs);
+        // The agent reports that it is leaving; its silence must still be noticed, so that its work can move.
+        const trust = evaluateTrust(listedState(address), { ...evidence, leaving: false }, countedMs);
+        return trust === "usable" ? "leaving" : trust;
+    }
+
+    function isEvacuated(address: string): boolean {
+        return options.isEvacuated(failureDomainOf(address));
+    }
+
+    function failureDomainOf(address: string): string {
+        return listedVms.get(address)?.failureDomain ?? watches.get(address)?.state?.failureDomain ?? "";
     }
 
     function createWatch(address: string): AgentWatch {
@@ -295,7 +317,17 @@
     // States that have arrived are read before the check.
     const timer = setInterval(() => void setImmediate().then(reconcile), RECONCILE_INTERVAL_MS);
     const lastBusyAt = (service: string, digest: string) => lastBusyTimes.get(`${service} ${digest}`) ?? 0;
-    return { usableAgents, trust, recordDispatch, watchedAgents, lastBusyAt, isReady, stop };
+    return {
+        usableAgents,
+        trust,
+        failureDomainOf,
+        isEvacuated,
+        recordDispatch,
+        watchedAgents,
+        lastBusyAt,
+        isReady,
+        stop,
+    };
 }
 
 /**
--- a/src/lib/entry/attemptMonitor.ts
+++ b/src/lib/entry/attemptMonitor.ts
@@ -27,6 +27,8 @@
 export interface AttemptMonitor {
     add(attempt: ActiveAttempt): void;
     remove(attempt: ActiveAttempt): void;
+    /** Returns the number of attempts in progress at the agents that the predicate selects. */
+    countAt(isSelected: (address: string) => boolean): number;
     stop(): void;
 }
 
@@ -91,6 +93,7 @@
     return {
         add: attempt => void activeAttempts.add(attempt),
         remove: attempt => void activeAttempts.delete(attempt),
+        countAt: isSelected => [...activeAttempts].filter(({ address }) => isSelected(address)).length,
         stop: () => clearInterval(timer),
     };
 }
--- a/src/lib/entry/dispatcher.ts
+++ b/src/lib/entry/dispatcher.ts
@@ -19,6 +19,8 @@
     dispatch(work: Work, receiver: ResponseReceiver): Promise<DispatchResult>;
     /** Returns the number of requests in progress. */
     readonly inProgressCount: () => number;
+    /** Returns the number of requests in progress at the agents that the predicate selects. */
+    inProgressAt(isSelected: (address: string) => boolean): number;
     stop(): void;
 }
 
@@ -57,6 +59,11 @@
         let attemptWork = work;
         /** Slot for the next attempt, whose retry has been taken from the budget. */
         let successor: ChosenSlot | undefined;
+        /**
+         * Whether the last attempt was at an evacuated agent. The next one then takes nothing from the retry budget:
+         * evacuated agents get no new attempts, so this happens about once for each request.
+         */
+        let isMoved = false;
 
         function claimSuccessor(phase: AttemptPhase): boolean {
             // The attempt in progress has no verdict yet.
@@ -91,7 +98,7 @@
                 if (verdicts.length === 0) lastFailure = slot.failure;
                 break;
             }
-            if (verdicts.length > 0 && claimedSlot === undefined && !retryBudget?.tryTake()) {
+            if (verdicts.length > 0 && claimedSlot === undefined && !isMoved && !retryBudget?.tryTake()) {
                 slot.release();
                 break;
             }
@@ -105,6 +112,7 @@
                 return result;
             }
             verdicts.push(result.verdict);
+            isMoved = options.directory.isEvacuated(slot.address);
             lastFailure = result;
             log.info(
                 "an attempt of request %s at agent %s failed: %s (%s)",
@@ -122,7 +130,7 @@
         return { ...lastFailure, verdict: verdicts.length === 0 ? lastFailure.verdict : combineVerdicts(verdicts) };
     }
 
-    return { dispatch, inProgressCount: () => inProgressCount, stop: monitor.stop };
+    return { dispatch, inProgressCount: () => inProgressCount, inProgressAt: monitor.countAt, stop: monitor.stop };
 }
 
 /** Returns whether another attempt can send the response, or the rest of it. */
--- a/src/lib/entry/entry.ts
+++ b/src/lib/entry/entry.ts
@@ -1,5 +1,5 @@
 /** Starts the entry process: configuration, membership, agent directory, dispatcher, gRPC and HTTP servers. */
-import { DEFAULT_QUEUE_POLICY, profilesOf } from "../core/index.js";
+import { DEFAULT_QUEUE_POLICY, isEvacuated, profilesOf } from "../core/index.js";
 import { createNodeService, createProfileStore, startNodeRuntime } from "../node/index.js";
 import { createLog } from "../observability/index.js";
 import { startRpcServer } from "../rpc/index.js";
@@ -34,11 +34,16 @@
         failureDomain: settings.failureDomain,
         membership,
         connections,
+        isEvacuated: failureDomain => isEvacuated(configuration.current(), failureDomain),
         now,
     });
+    const evacuatedDomains = () => configuration.current().evacuatedDomains ?? [];
+    const countAgents = (failureDomain: string) =>
+        membership.current().filter(vm => vm.role === "agent" && vm.failureDomain === failureDomain).length;
     const queue = settings.scheduling !== "entryQueues" ? undefined : createEntryQueue({
         policy: service => profilesOf(configuration.current(), service)[0]?.profile ?? DEFAULT_QUEUE_POLICY,
         entryCount: () => membership.current().filter(vm => vm.role === "entry" && vm.state === "live").length,
+        hasEvacuations: () => evacuatedDomains().length > 0,
         now,
     });
     const profileUsage = createProfileUsage(
@@ -58,6 +63,13 @@
         configurationRevision: configuration.current().revision,
         configurationAgeMs: now() - configuration.confirmedAt(),
         requestsInProgress: dispatcher.inProgressCount(),
+        evacuatedDomains: evacuatedDomains().map(failureDomain => ({
+            failureDomain,
+            agents: countAgents(failureDomain),
+            requestsInProgress: dispatcher.inProgressAt(address => {
+                return directory.failureDomainOf(address) === failureDomain;
+            }),
+        })),
         agents: directory.watchedAgents(now()),
     });
     const processQuery = createProcessQuery({ process: settings.process, membership, connections, events });
@@ -75,6 +87,7 @@
         profileStore,
         profileUsage,
         directory,
+        isKnownDomain: failureDomain => membership.current().some(vm => vm.failureDomain === failureDomain),
         status,
         processQuery,
         isReady: () => directory.isReady(now()),
--- a/src/lib/entry/entryQueue.ts
+++ b/src/lib/entry/entryQueue.ts
@@ -17,6 +17,8 @@
     readonly policy: (service: string) => QueuePolicy;
     /** Number of entries that share the agents. */
     readonly entryCount: () => number;
+    /** Whether any failure domain is evacuated. Requests for which no agent is left then don't wait. */
+    readonly hasEvacuations: () => boolean;
     readonly now: () => number;
 }
 
@@ -84,6 +86,11 @@
     function dispatchQueued(service: string): void {
         const queue = getOrCreateQueue(service);
         for (const item of queue.expire(now())) item.value.settle(refusedSlot("the deadline has passed", 0));
+        if (options.hasEvacuations() && candidatesOfLatestRequest(service).length === 0) {
+            for (const item of queue.clear()) {
+                item.value.settle(refusedSlot("no agent can take the request", QUEUE_CHECK_INTERVAL_MS));
+            }
+        }
         // Candidates differ between requests only during a rollout; those of the latest request decide whether to
         // take the next item, which is refused if its own candidates have no free slot.
         while (queue.length() > 0 && freeAgents(candidatesOfLatestRequest(service)).length > 0) {
--- a/src/lib/node/configurationSync.ts
+++ b/src/lib/node/configurationSync.ts
@@ -5,7 +5,8 @@
  * In each failure domain the first `READER_COUNT` processes in rendezvous order poll the table. The others poll only
  * when no reader has confirmed the configuration for a while. A process that learns a revision announces it to its
  * gossip peers, which request the update from it. Each process also exchanges revisions with its peers in rotation
- * (anti-entropy).
+ * (anti-entropy). While a failure domain is evacuated, a process also has a peer in each other failure domain, because an
+ * evacuation must reach all of them in seconds even if the table is lost right after it accepted the evacuation.
  *
  * Bandwidth with 50 profiles and 12,000 changes a day (0.14 a second): the row is 36 KB of JSON, 9.3 KB compressed, and
  * an update of one profile is 1.3 KB. A reader reads each changed row, 1.3 KB/s on average at that rate, and otherwise
@@ -116,11 +117,14 @@
     function applyIfNewer(snapshot: Configuration): void {
         const newer = newerConfiguration(current, snapshot);
         if (newer === current) return;
-        current = newer;
+        // A process or writer that doesn't know evacuations doesn't withdraw them.
+        const before = current;
+        current = { ...newer, evacuatedDomains: newer.evacuatedDomains ?? before.evacuatedDomains };
         events.record("configuration.inForce", CONFIGURATION_SUBJECT, { revision: current.revision });
         log.info("configuration revision %d is active", current.revision);
         for (const listener of listeners) listener(current);
-        for (const vm of gossipPeers()) void exchangeWith(vm);
+        const remotePeers = remotePeersFor(current).length > 0 ? remotePeersFor(current) : remotePeersFor(before);
+        for (const vm of [...gossipPeers(), ...remotePeers]) void exchangeWith(vm);
     }
 
     function recordConfirmation(time: number): void {
@@ -191,6 +195,18 @@
         return [...new Set([nextName, ...randomNames])].flatMap(name => byName.get(name) ?? []);
     }
 
+    /** Returns a peer in each other failure domain if any failure domain is evacuated. */
+    function remotePeersFor({ evacuatedDomains = [] }: Configuration): Vm[] {
+        if (evacuatedDomains.length === 0) return [];
+        const byName = new Map(options.vms().map(vm => [vm.name, vm]));
+        const domains = new Set([...byName.values()].map(vm => vm.failureDomain));
+        domains.delete(options.failureDomain);
+        const ordered = orderMembers(`remote peers of ${process}`, [...byName.keys()]).flatMap(n =>
+            byName.get(n) ?? []
+        );
+        return [...domains].flatMap(domain => ordered.find(vm => vm.failureDomain === domain) ?? []);
+    }
+
     /** Sends a peer the current revision and applies the update in its response. A failed call has no effect. */
     function exchangeWith(vm: Vm): Promise<void> {
         const startedAt = now();
@@ -199,7 +215,7 @@
             const deadline = new Date(Date.now() + EXCHANGE_TIMEOUT_MS);
             connections.node(vm.address).syncConfiguration(request, new Metadata(), { deadline }, (error, response) => {
                 if (error === null) {
-                    applyReceivedUpdate(response.snapshot, vm.name);
+                    applyReceivedUpdate(response.snapshot, vm.name, response.evacuated?.names);
                     if (response.revision === current.revision) recordConfirmation(startedAt - response.ageMs);
                 }
                 resolve();
@@ -207,10 +223,10 @@
         });
     }
 
-    function applyReceivedUpdate(snapshot: string, sender: string): void {
+    function applyReceivedUpdate(snapshot: string, sender: string, evacuatedDomains?: readonly string[]): void {
         if (snapshot === "") return;
         const result = applyUpdate(current, parseJson(snapshot));
-        if (result.kind === "adopted") applyIfNewer(result.configuration);
+        if (result.kind === "adopted") applyIfNewer({ ...result.configuration, evacuatedDomains });
         if (result.kind === "invalid") {
             log.warn("rejected an invalid configuration update from %s: %s", sender, result.reason);
         }
@@ -225,19 +241,20 @@
             revision: current.revision,
             snapshot: isSenderBehind ? JSON.stringify(updateSince(current, request.revision)) : "",
             ageMs: confirmationAgeAt(now()),
+            evacuated: current.evacuatedDomains && { names: [...current.evacuatedDomains] },
         };
     }
 
     /** Several peers announce a revision at about the same time; only the first is asked for its update. */
     function requestUpdate(sender: string, revision: number): void {
-        const vm = domainVms().find(candidate => candidate.name === sender);
+        const vm = options.vms().find(candidate => candidate.name === sender);
         if (vm === undefined || revision <= requestedRevision) return;
         requestedRevision = revision;
         void exchangeWith(vm).finally(() => requestedRevision = 0);
     }
 
     async function exchangeWithNextPeer(): Promise<void> {
-        const peers = gossipPeers();
+        const peers = [...gossipPeers(), ...remotePeersFor(current)];
         peerIndex = (peerIndex + 1) % Math.max(1, peers.length);
         const vm = peers[peerIndex];
         if (vm !== undefined) await exchangeWith(vm);
--- a/src/lib/node/profileStore.ts
+++ b/src/lib/node/profileStore.ts
@@ -1,5 +1,5 @@
 /**
- * Applies profile changes to the configuration row with optimistic concurrency control. A change is accepted only once
+ * Applies changes of profiles and evacuations to the configuration row with optimistic concurrency control. A change is accepted only once
  * its commit is known; if the outcome of a write is unknown, the change identifier is read back. Before a value is
  * replaced, it is added to the profile's history row, so that the history never lacks a value that was active and never
  * has one that wasn't.
@@ -112,8 +112,9 @@
             return { kind: "accepted", configuration: current, revision: decision.revision, retries };
         }
         if (decision.kind !== "apply") return decision;
-        const before = findConfiguredProfile(current, change.name);
-        const after = findConfiguredProfile(decision.next, change.name);
+        const findProfile = (configuration: Configuration) =>
+            change.action.kind === "setEvacuated" ? undefined : findConfiguredProfile(configuration, change.name);
+        const [before, after] = [findProfile(current), findProfile(decision.next)];
         const refusal = change.action.kind === "retire" && before && options.refuseRetire?.(before);
         if (refusal) return { kind: "invalid", problems: [{ path: "", reason: refusal }] };
         const problem = await findVersionProblem(before, after);
--- a/src/test/agent/gate.test.ts
+++ b/src/test/agent/gate.test.ts
@@ -217,27 +217,29 @@
     });
 });
 
-// Guards against starting queued requests on a VM that the platform lists as leaving.
-test("a VM that the list calls leaving refuses queued and new requests until the list no longer does", async () => {
-    const responses: ServerResponse[] = [];
-    await withGate(response => void responses.push(response), 1, async ({ gate }) => {
-        const [running, queued, late, later] = [createSink(), createSink(), createSink(), createSink()];
-        const dispatches = [gate.dispatch(request("r"), running.sink), gate.dispatch(request("q"), queued.sink)];
-        while (responses.length < 1) await sleep(5);
-        gate.setListedLeaving(true);
-        await Promise.all([dispatches[1], gate.dispatch(request("late"), late.sink)]);
-        assert.deepEqual([queued.kinds(), late.kinds()], [["refused"], ["refused"]]);
-        responses[0]?.end("data: {}\n\ndata: [DONE]\n\n");
-        await dispatches[0];
-        assert.equal(running.kinds().at(-1), "end");
-        gate.setListedLeaving(false);
-        const last = gate.dispatch(request("later"), later.sink);
-        while (responses.length < 2) await sleep(5);
-        responses[1]?.end("data: {}\n\ndata: [DONE]\n\n");
-        await last;
-        assert.equal(later.kinds().at(-1), "end");
+// Guards against starting queued requests on a VM that the platform lists as leaving, or in an evacuated failure domain.
+for (const reason of ["setListedLeaving", "setEvacuated"] as const) {
+    test(`after ${reason}, queued and new requests are refused until it is withdrawn`, async () => {
+        const responses: ServerResponse[] = [];
+        await withGate(response => void responses.push(response), 1, async ({ gate }) => {
+            const [running, queued, late, later] = [createSink(), createSink(), createSink(), createSink()];
+            const dispatches = [gate.dispatch(request("r"), running.sink), gate.dispatch(request("q"), queued.sink)];
+            while (responses.length < 1) await sleep(5);
+            gate[reason](true);
+            await Promise.all([dispatches[1], gate.dispatch(request("late"), late.sink)]);
+            assert.deepEqual([queued.kinds(), late.kinds()], [["refused"], ["refused"]]);
+            responses[0]?.end("data: {}\n\ndata: [DONE]\n\n");
+            await dispatches[0];
+            assert.equal(running.kinds().at(-1), "end");
+            gate[reason](false);
+            const last = gate.dispatch(request("later"), later.sink);
+            while (responses.length < 2) await sleep(5);
+            responses[1]?.end("data: {}\n\ndata: [DONE]\n\n");
+            await last;
+            assert.equal(later.kinds().at(-1), "end");
+        });
     });
-});
+}
 
 // Guards against a response from two versions of the weights that ends like a valid one, and against forwarding
 // more of it after the agent has read the engine's new state.
--- a/src/test/core/configuration.test.ts
+++ b/src/test/core/configuration.test.ts
@@ -6,6 +6,8 @@
     type Configuration,
     decideChange,
     EMPTY_CONFIGURATION,
+    isEvacuated,
+    parseConfiguration,
     updateSince,
 } from "../../lib/core/configuration.js";
 import { longTestParameters } from "../longTest.js";
@@ -60,3 +62,34 @@
     for (const input of invalidUpdates) assert.equal(applyUpdate(EMPTY_CONFIGURATION, input).kind, "invalid");
     assert.equal(applyUpdate(EMPTY_CONFIGURATION, update).kind, "adopted");
 });
+
+// Guards against an evacuation that is lost by a change of a profile or in an old row, and against a repeated or
+// concurrent change that is applied twice or undoes another operator's change.
+test("evacuations change, survive changes of profiles, and take effect once", () => {
+    const change = (changeId: string, name: string, evacuated: boolean) => {
+        return { changeId, name, action: { kind: "setEvacuated", evacuated }, expectedRevision: "any" } as const;
+    };
+    const apply = (current: Configuration, applied: ReturnType<typeof change>) => {
+        const decision = decideChange(current, applied);
+        assert.ok(decision.kind === "apply", decision.kind);
+        return decision.next;
+    };
+    const [oldRow = EMPTY_CONFIGURATION] = historyOf([{ name: "a", retire: false }]).slice(-1);
+    assert.equal(parseConfiguration(JSON.parse(JSON.stringify(oldRow)))?.evacuatedDomains, undefined);
+    const first = apply(oldRow, change("e1", "hall-2", true));
+    assert.deepEqual(decideChange(first, change("e1", "hall-2", true)), { kind: "alreadyApplied", revision: 2 });
+    assert.deepEqual(decideChange(first, change("e2", "hall-2", true)), { kind: "unchanged", revision: 2 });
+    // The second of two operators decides again on the row that the first has written.
+    const both = apply(first, change("e3", "hall-1", true));
+    assert.deepEqual(both.evacuatedDomains, ["hall-1", "hall-2"]);
+    const retired = decideChange(both, { changeId: "c", name: "a", action: { kind: "retire" }, expectedRevision: 1 });
+    assert.ok(retired.kind === "apply");
+    const row = parseConfiguration(JSON.parse(JSON.stringify(retired.next)));
+    assert.deepEqual([row?.evacuatedDomains, row?.revision], [["hall-1", "hall-2"], 4]);
+    const withdrawn = apply(retired.next, change("e4", "hall-2", false));
+    assert.deepEqual([isEvacuated(withdrawn, "hall-1"), isEvacuated(withdrawn, "hall-2")], [true, false]);
+    assert.deepEqual(decideChange(withdrawn, change("e5", "hall-2", false)), { kind: "unchanged", revision: 5 });
+    for (const name of ["", " ", "hall 2", "-h", "h\n", "x".repeat(101)]) {
+        assert.equal(decideChange(withdrawn, change("e6", name, true)).kind, "invalid", name);
+    }
+});
--- a/src/test/entry/agentDirectory.test.ts
+++ b/src/test/entry/agentDirectory.test.ts
@@ -33,6 +33,7 @@
     });
     const streams = new Map<string, EventEmitter>();
     const silentAddresses = new Set<string>();
+    const evacuatedDomains = new Set<string>();
 
     function watchState(address: string) {
         const stream = Object.assign(new EventEmitter(), { cancel: () => streams.delete(address) });
@@ -43,7 +44,8 @@
     function report(): void {
         for (const [address, stream] of streams) {
             if (silentAddresses.has(address)) continue;
-            stream.emit("data", AgentState.fromPartial({ process: address, service: "models" }));
+            const leaving = evacuatedDomains.size > 0;
+            stream.emit("data", AgentState.fromPartial({ process: address, service: "models", leaving }));
         }
     }
 
@@ -52,11 +54,18 @@
         closeConnection: () => undefined,
     } as unknown as Connections;
     const membership = { current: () => vms } as unknown as MembershipTask;
-    const directory = startAgentDirectory({ process: "entry", failureDomain: "d", membership, connections, now });
+    const directory = startAgentDirectory({
+        process: "entry",
+        failureDomain: "d",
+        membership,
+        connections,
+        isEvacuated: domain => evacuatedDomains.has(domain),
+        now,
+    });
     const timer = setInterval(report, REPORT_INTERVAL_MS);
     cleanups.push(() => clearInterval(timer), directory.stop);
     const addresses = () => [...streams.keys()];
-    return { directory, silentAddresses, addresses };
+    return { directory, silentAddresses, evacuatedDomains, addresses };
 }
 
 // Guards against work of a sound agent that is moved because its entry no longer watches the agent.
@@ -90,3 +99,20 @@
     assert.equal(usableCount(), 1);
     await waitUntil("the agent is silent", () => usableCount() === 0, SILENCE_TIMEOUT_MS);
 });
+
+// Guards against new work in an evacuated failure domain, against agents that stay unused after the withdrawal, and
+// against work that waits at an evacuated agent that has failed.
+test("agents in an evacuated failure domain count as leaving, fall silent like others, and return", async () => {
+    const now = () => performance.now();
+    const { directory, silentAddresses, evacuatedDomains, addresses } = startDirectory(1, now);
+    const usableCount = () => directory.usableAgents("models", now()).length;
+    const trust = () => directory.trust("runner-0", now());
+    await waitUntil("the agent is usable", () => usableCount() === 1, TIMEOUT_MS);
+    evacuatedDomains.add("d");
+    assert.deepEqual([usableCount(), trust()], [0, "leaving"]);
+    addresses().forEach(address => silentAddresses.add(address));
+    await waitUntil("the agent is silent", () => trust() === "silent", 2 * SILENCE_TIMEOUT_MS);
+    silentAddresses.clear();
+    evacuatedDomains.clear();
+    await waitUntil("the agent is usable again", () => usableCount() === 1, TIMEOUT_MS);
+});
--- a/src/test/entry/resumption.test.ts
+++ b/src/test/entry/resumption.test.ts
@@ -94,6 +94,7 @@
 const directory = {
     usableAgents: () => AGENTS.map(address => ({ address, state, sentSinceReport: 0 })),
     trust: () => "usable",
+    isEvacuated: () => false,
     recordDispatch: () => undefined,
 } as unknown as AgentDirectory;
 
--- a/src/test/entry/silentAttempts.test.ts
+++ b/src/test/entry/silentAttempts.test.ts
@@ -91,6 +91,7 @@
     const directory = {
         usableAgents,
         trust: (address: string) => address === SILENT ? "silent" : "usable",
+        isEvacuated: () => false,
         recordDispatch: (address: string) => void (sentToOther += address === OTHER ? 1 : 0),
     } as unknown as AgentDirectory;
     const connections = {
--- a/src/test/node/configurationSync.test.ts
+++ b/src/test/node/configurationSync.test.ts
@@ -169,3 +169,14 @@
         assert.equal(sync.current().revision, 4);
     });
 });
+
+// Guards against an evacuation that ends because a process that doesn't know evacuations wrote or passed on a revision.
+test("a revision without evacuations withdraws none", async () => {
+    await withTable(async (_table, sync) => {
+        const apply = (revision: number, evacuatedDomains?: string[]) => {
+            sync.applyIfNewer({ revision, profiles: {}, changes: [], evacuatedDomains });
+            return sync.current().evacuatedDomains;
+        };
+        assert.deepEqual([apply(1, ["d"]), apply(2), apply(3, [])], [["d"], ["d"], []]);
+    });
+});
--- a/src/test/node/profileStore.test.ts
+++ b/src/test/node/profileStore.test.ts
@@ -212,3 +212,25 @@
         1,
     ]]);
 });
+
+// Guards against an evacuation that is lost, or undone later by a repetition, when the answer of a write is lost.
+test("an evacuation whose write has an unknown outcome takes effect once when it is repeated", async () => {
+    const { committed, deliverLate, faults, store } = createSystem();
+    const change = (changeId: string, evacuated: boolean): ProfileChange => {
+        return { changeId, name: "hall-2", action: { kind: "setEvacuated", evacuated }, expectedRevision: "any" };
+    };
+    faults.loseNext = 1;
+    const lost = await store.apply(change("e1", true));
+    assert.ok(lost.kind === "accepted" && lost.revision === 1 && lost.retries === 1);
+    assert.equal((await store.apply(change("e2", false))).kind, "accepted");
+    const repeated = await store.apply(change("e1", true));
+    assert.ok(repeated.kind === "accepted" && repeated.revision === 1);
+    faults.rejectNext = 1000;
+    const unclear = await store.apply(change("e3", true));
+    assert.ok(unclear.kind === "unavailable" && unclear.mayHaveRun);
+    faults.rejectNext = 0;
+    const results = await Promise.all([store.apply(change("e3", true)), store.apply(put("c1", "desk", undefined))]);
+    assert.deepEqual(results.map(({ kind }) => kind), ["accepted", "accepted"]);
+    deliverLate();
+    assert.deepEqual(committed.map(row => row.evacuatedDomains), [["hall-2"], [], ["hall-2"], ["hall-2"]]);
+});
