Add the command evacuate and show evacuations in status and watch

endivewell evacuate DOMAIN [--withdraw] [--dry-run] changes the evacuation of a failure domain. A failure domain without VMs gives a warning, a change that isn't needed a message, an empty or malformed name exit code 2. status shows the evacuated failure domains with their agents and the requests in progress there, summed over the entries that reply; watch marks the replicas there.

--- a/src/lib/cli/commands.ts
+++ b/src/lib/cli/commands.ts
@@ -17,6 +17,7 @@
 const commandLoaders: Readonly<Record<string, () => Promise<CommandClass>>> = {
     agent: async () => (await import("./agentCommand.js")).AgentCommand,
     entry: async () => (await import("./entryCommand.js")).EntryCommand,
+    evacuate: async () => (await import("./evacuateCommand.js")).EvacuateCommand,
     explain: async () => (await import("./explainCommand.js")).ExplainCommand,
     local: async () => (await import("./localCommand.js")).LocalCommand,
     "profile:create": async () => (await import("./profileCommands.js")).ProfileCreateCommand,
--- a/src/lib/cli/operatorCommand.ts
+++ b/src/lib/cli/operatorCommand.ts
@@ -17,6 +17,8 @@
     }),
 };
 
+export const dryRunFlag = Flags.boolean({ summary: "Check the change and show the result without applying it." });
+
 export abstract class OperatorCommand extends Command {
     static override readonly enableJsonFlag = true;
 
--- a/src/lib/cli/profileCommands.ts
+++ b/src/lib/cli/profileCommands.ts
@@ -3,7 +3,7 @@
 import VError from "verror";
 import type { ConfiguredProfile } from "../core/index.js";
 import type { AdminClient } from "./adminClient.js";
-import { entryFlags, expectSuccess, OperatorCommand } from "./operatorCommand.js";
+import { dryRunFlag, entryFlags, expectSuccess, OperatorCommand } from "./operatorCommand.js";
 import { applyProfileFlags, profileFlags } from "./profileFlags.js";
 
 const nameArg = Args.string({ description: "Name of the profile.", required: true });
@@ -12,8 +12,6 @@
     summary: "Revision of the profile that the change is based on; the current one if absent.",
 });
 
-const dryRunFlag = Flags.boolean({ summary: "Check the change and show the result without applying it." });
-
 interface AcceptedChange {
     /** True if the change was only checked, not applied. */
     readonly dryRun?: boolean;
--- a/src/lib/cli/statusCommand.ts
+++ b/src/lib/cli/statusCommand.ts
@@ -1,6 +1,6 @@
 /** `endivewell status`: shows the state of the system as one entry sees it. */
 import { entryFlags, expectSuccess, OperatorCommand } from "./operatorCommand.js";
-import { replicaPhase, type SystemStatus } from "./systemStatus.js";
+import { isInEvacuatedDomain, replicaPhase, sumEvacuatedDomains, type SystemStatus } from "./systemStatus.js";
 
 export class StatusCommand extends OperatorCommand {
     static override readonly summary = "Show the entries and agents as one entry sees them.";
@@ -18,6 +18,10 @@
             const { configurationRevision, requestsInProgress } = entry.status;
             this.log(`${entry.process}: revision ${configurationRevision}, ${requestsInProgress} requests in progress`);
         }
+        const evacuatedDomains = sumEvacuatedDomains(status);
+        for (const { failureDomain, agents, requestsInProgress } of evacuatedDomains) {
+            this.log(`${failureDomain}: evacuated, ${agents} agents, ${requestsInProgress} requests in progress`);
+        }
         for (const agent of status.agents) {
             if (agent.state === undefined) {
                 this.log(`${agent.address}: no report`);
@@ -25,7 +29,7 @@
             }
             const { process, service, running, queued, leaving } = agent.state;
             const work = `${running} running, ${queued} queued`;
-            const suffix = leaving ? ", leaving" : "";
+            const suffix = isInEvacuatedDomain(status, agent.state) ? ", evacuated" : leaving ? ", leaving" : "";
             this.log(
                 `${process}: ${service}, ${replicaPhase(agent.state)}, ${work}, report ${agent.ageMs} ms old${suffix}`,
             );
@@ -33,6 +37,6 @@
         for (const { process, address, reason } of status.unreachable) {
             this.logToStderr(`not reached: ${process} (${address}): ${reason}`);
         }
-        return status;
+        return { ...status, evacuatedDomains };
     }
 }
--- a/src/lib/cli/systemStatus.ts
+++ b/src/lib/cli/systemStatus.ts
@@ -6,6 +6,14 @@
     readonly configurationRevision: number;
     readonly configurationAgeMs: number;
     readonly requestsInProgress: number;
+    /** Absent in the status of an entry that runs a version of the program that doesn't know evacuations. */
+    readonly evacuatedDomains?: readonly EvacuatedDomain[];
+}
+
+export interface EvacuatedDomain {
+    readonly failureDomain: string;
+    readonly agents: number;
+    readonly requestsInProgress: number;
 }
 
 export interface SystemStatus extends EntryStatus {
@@ -27,6 +35,21 @@
     }[];
 }
 
+/** Returns the evacuated failure domains with the requests in progress there of all entries that replied. */
+export function sumEvacuatedDomains({ evacuatedDomains = [], entries }: SystemStatus): EvacuatedDomain[] {
+    return evacuatedDomains.map(domain => {
+        const others = entries.flatMap(({ status }) => status.evacuatedDomains ?? [])
+            .filter(({ failureDomain }) => failureDomain === domain.failureDomain);
+        const requestsInProgress = others.reduce((sum, other) => sum + other.requestsInProgress, 0);
+        return { ...domain, requestsInProgress: domain.requestsInProgress + requestsInProgress };
+    });
+}
+
+/** Returns whether an agent's failure domain is evacuated. */
+export function isInEvacuatedDomain({ evacuatedDomains = [] }: EntryStatus, state: AgentState): boolean {
+    return evacuatedDomains.some(({ failureDomain }) => failureDomain === state.failureDomain);
+}
+
 /** Returns the phase of an agent's latest version change. */
 export function replicaPhase(state: AgentState): string {
     if (state.kind === "plain") return "ready";
--- a/src/lib/cli/watchCommand.ts
+++ b/src/lib/cli/watchCommand.ts
@@ -6,7 +6,7 @@
 import type { AgentState, TransferState } from "../rpc/index.js";
 import { ExitCode } from "./exitCode.js";
 import { entryFlags, expectSuccess, OperatorCommand } from "./operatorCommand.js";
-import { bytesReceived, replicaPhase, type SystemStatus } from "./systemStatus.js";
+import { bytesReceived, isInEvacuatedDomain, replicaPhase, type SystemStatus } from "./systemStatus.js";
 
 const POLL_INTERVAL_MS = 500;
 const BYTES_PER_MB = 1_000_000;
@@ -15,6 +15,8 @@
 export interface ReplicaProgress {
     readonly process: string;
     readonly phase: string;
+    /** Whether the replica's failure domain is evacuated, so that it loads the version but gets no work. */
+    readonly evacuated: boolean;
     readonly chunksHeld: number;
     readonly chunksTotal: number;
     readonly bytesFromOrigin: number;
@@ -59,7 +61,10 @@
             const status = expectSuccess(await client.get("/status")) as SystemStatus;
             const states = status.agents.flatMap(({ state }) => state ?? [])
                 .filter(state => state.service === profile.service && state.kind === "model");
-            const replicas = states.map(state => progressOf(state, profile.rootDigest, firstReports, Date.now()));
+            const replicas = states.map(state => ({
+                ...progressOf(state, profile.rootDigest, firstReports, Date.now()),
+                evacuated: isInEvacuatedDomain(status, state),
+            }));
             for (const replica of replicas) this.logIfChanged(replica, lastLines);
             const seconds = (Date.now() - startedAtMs) / 1000;
             const servingCount = replicas.filter(replica => replica.phase === "serving").length;
@@ -85,7 +90,7 @@
     rootDigest: string,
     firstReports: Map<string, FirstReport>,
     now: number,
-): ReplicaProgress {
+): Omit<ReplicaProgress, "evacuated"> {
     const transfer = state.transfers.find(candidate => candidate.rootDigest === rootDigest);
     const bytes = transfer === undefined ? 0 : bytesReceived(transfer);
     const chunks = transfer?.chunksHeld ?? 0;
@@ -124,7 +129,8 @@
     const showsRate = phase === "fetching" && remainingSeconds > 0;
     const rate = showsRate ? `, ${megabytes(bytesPerSecond)} MB/s, about ${remainingSeconds.toFixed(0)} s left` : "";
     const suffix = error === "" ? "" : `, error: ${error}`;
-    return `${process}: ${phase}, ${chunksHeld}/${chunksTotal} chunks, ${sources}${rate}${suffix}`;
+    const place = replica.evacuated ? ", evacuated" : "";
+    return `${process}: ${phase}${place}, ${chunksHeld}/${chunksTotal} chunks, ${sources}${rate}${suffix}`;
 }
 
 function timeoutError(servingCount: number, replicas: readonly ReplicaProgress[]): VError {
--- a/src/test/cli/commands.test.ts
+++ b/src/test/cli/commands.test.ts
@@ -128,6 +128,28 @@
     assert.equal((await runCommand("profile", "show", "spare")).code, 1);
 });
 
+// Guards against an evacuation whose result, warning or remaining work the operator doesn't see.
+test("evacuate starts and withdraws evacuations, which status and watch show", async () => {
+    const dryRun = await runCommand("evacuate", "local-1", "--dry-run");
+    assert.match(dryRun.out, /^evacuating local-1 would get revision/);
+    const evacuated = await runCommand("evacuate", "local-1");
+    assert.deepEqual([evacuated.code, evacuated.err], [0, ""]);
+    assert.match((await runCommand("evacuate", "local-1")).out, /local-1 is already evacuated; nothing changed/);
+    assert.match((await runCommand("status")).out, /^local-1: evacuated, 3 agents, 0 requests in progress$/m);
+    const status = JSON.parse((await runCommand("status", "--json")).out);
+    assert.deepEqual(status.evacuatedDomains, [{ failureDomain: "local-1", agents: 3, requestsInProgress: 0 }]);
+    assert.match((await runCommand("watch", "repair", "--timeout", "20")).out, /^runner-0: serving, evacuated, /m);
+    const withdrawn = await runCommand("evacuate", "local-1", "--withdraw");
+    assert.match(withdrawn.out, /^withdrew the evacuation of local-1 at revision/);
+    const repeated = await runCommand("evacuate", "local-1", "--withdraw", "--json");
+    assert.deepEqual([repeated.code, JSON.parse(repeated.out).unchanged], [0, true]);
+    const unknown = await runCommand("evacuate", "nowhere");
+    assert.equal(unknown.code, 0);
+    assert.match(unknown.err, /warning: no VM of the VM list is in the failure domain nowhere/);
+    assert.equal((await runCommand("evacuate", "nowhere", "--withdraw")).code, 0);
+    for (const name of ["", " ", "hall 2"]) assert.equal((await runCommand("evacuate", name)).code, 2, name);
+});
+
 // Guards against a status or timeline that hides a process, an operator's change or an unreachable VM.
 test("status and timeline merge all processes and name those that can't be reached", async () => {
     fleet.platform.setVm({
@@ -176,6 +198,7 @@
         [2, ["status", "--entry", "nonsense"]],
         [2, ["status", "--colour"]],
         [2, ["no-such-command"]],
+        [4, ["evacuate", "local-1", "--entry", "http://127.0.0.1:9"]],
         [1, ["publish", join(directory, "missing"), "--model", "m", "--store", fleet.platform.url]],
         [4, ["publish", join(directory, "weights"), "--model", "m", "--store", "http://127.0.0.1:9"]],
         [0, ["profile", "--help"]],
