Place requests only on engines whose memory holds them

An engine whose requests exceed its memory preempts the newest one in the middle of its stream, or crashes. Slots alone didn't limit that: twelve long prompts exceed the memory of an engine with free slots.

Predict what each request holds at its end (prompt and expected answer) and check it when placing a request and when the owner decides on a reservation. A request that no engine of its service holds is refused at once. The load report keeps its four numbers; where the memory is known, its context tokens include the expected answers. Reservations carry the answer's length in a new, optional field.

The simulation of an engine pool models memory and preemption now, and each trace may name its engine.

--- a/src/harness/enginePoolSimulation.ts
+++ b/src/harness/enginePoolSimulation.ts
@@ -1,7 +1,8 @@
 /**
  * Discrete-time simulation of an engine pool: replays a load trace against a placement policy. Engines work in
  * iterations: prefill of the new prompts, then one event for every running request. Callers time out, and retry once
- * after a refusal. Memory, preemption and the network aren't modelled.
+ * after a refusal. An engine whose memory runs out preempts its newest request and reads it again; the network isn't
+ * modelled.
  */
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
@@ -73,6 +74,8 @@
     readonly accountJain: number;
     /** Requests that engines turned away. */
     readonly turnedAwayCount: number;
+    /** Requests that engines preempted because their memory ran out. */
+    readonly preemptedCount: number;
 }
 
 interface SimulatedRequest {
@@ -84,12 +87,14 @@
     isCallerRetry: boolean;
     remainingPromptTokens: number;
     remainingEvents: number;
+    isPreempted: boolean;
     firstEventAt: number | undefined;
     isRefused: boolean;
 }
 
 /** Simulates the trace. Equal seeds give equal arrivals for every placement policy. */
 export function simulateTrace(trace: LoadTrace, placer: Placer, seed = 7): SimulationResult {
+    const spec = trace.engine ?? ENGINE_SPEC;
     const generator = xoroshiro128plus(seed);
     const random = () => uniformFloat64(generator);
     const engines = Array.from(
@@ -106,13 +111,14 @@
     /** Requests that engines turned away, which is reported to the placer after the decision. */
     let refusals: { id: string; request: SimulatedRequest; engineIndex: number; backoffMs: number; }[] = [];
     let turnedAwayCount = 0;
+    let preemptedCount = 0;
     /** Requests at unreachable engines, whose failure is reported to the placer after the decision. */
     let failures: { id: string; request: SimulatedRequest; engineIndex: number; hasStarted: boolean; }[] = [];
 
     function submit(request: SimulatedRequest, now: number): void {
         const id = String(submitCount++);
         undecided.set(id, request);
-        placer.submit(toDispatchRequest(id, request, now), decision => {
+        placer.submit(toDispatchRequest(id, request, spec, now), decision => {
             undecided.delete(id);
             if ("engine" in decision) send(id, request, decision.engine);
             else refuse(request, decision.retryAfterMs);
@@ -155,6 +161,7 @@
                     isCallerRetry: false,
                     remainingPromptTokens: requestClass.promptTokens,
                     remainingEvents: requestClass.events,
+                    isPreempted: false,
                     firstEventAt: undefined,
                     isRefused: false,
                 };
@@ -205,10 +212,18 @@
             placer.recordEnd(id, engineIndex, false, now);
         }
         if (engine.busyUntil > now || engine.requests.size === 0) return;
-        const running = [...engine.requests].slice(0, ENGINE_SPEC.slots);
+        const running = [...engine.requests].slice(0, spec.slots);
+        let heldTokens = running.reduce((sum, [, request]) => sum + heldTokensOf(request), 0);
+        while (heldTokens > spec.memoryTokens && running.length > 1) {
+            const [id, newest] = running.pop() ?? [];
+            if (id === undefined || newest === undefined) break;
+            heldTokens -= heldTokensOf(newest);
+            newest.remainingPromptTokens = heldTokensOf(newest);
+            if (!newest.isPreempted) preemptedCount++;
+            newest.isPreempted = true;
+        }
         const prefillTokens = running.reduce((sum, [, request]) => sum + request.remainingPromptTokens, 0);
-        const iterationMs = prefillTokens / ENGINE_SPEC.prefillTokensPerMs +
-            decodeIterationMs(ENGINE_SPEC, running.length, 0);
+        const iterationMs = prefillTokens / spec.prefillTokensPerMs + decodeIterationMs(spec, running.length, 0);
         engine.busyUntil = now + slowdown * iterationMs;
         for (const [id, request] of running) {
             request.remainingPromptTokens = 0;
@@ -223,6 +238,10 @@
         }
     }
 
+    function heldTokensOf({ requestClass, remainingEvents }: SimulatedRequest): number {
+        return requestClass.promptTokens + (requestClass.events - remainingEvents) * spec.tokensPerEvent;
+    }
+
     const accounts = Array.from({ length: trace.accountCount }, (_, index) => {
         return summarizeRequests(allRequests.filter(({ account }) => account === String(index)));
     });
@@ -232,6 +251,7 @@
         ),
         total: summarizeRequests(allRequests),
         turnedAwayCount,
+        preemptedCount,
         accountJain: jainIndex(
             accounts.filter(({ requestCount }) => requestCount > 0).map((
                 { servedCount, requestCount },
@@ -264,6 +284,7 @@
 function toDispatchRequest(
     id: string,
     { requestClass, account, firstSubmittedAt, isCallerRetry, triedEngines }: SimulatedRequest,
+    spec: EngineParameters,
     now: number,
 ): DispatchRequest {
     return {
@@ -277,7 +298,7 @@
         dueAt: (isCallerRetry ? now : firstSubmittedAt) + requestClass.firstEventTargetMs,
         expiresAt: firstSubmittedAt + REQUEST_TIMEOUT_MS,
         promptTokens: requestClass.promptTokens,
-        outputTokens: requestClass.events * ENGINE_SPEC.tokensPerEvent,
+        outputTokens: requestClass.events * spec.tokensPerEvent,
         maxEventGapMs: 300,
         triedServerIds: triedEngines,
         requiredVersion: undefined,
@@ -293,11 +314,12 @@
         utility: 0,
         maxUtility: 0,
     };
-    for (const { requestClass, firstSubmittedAt, firstEventAt, isRefused } of requests) {
+    for (const { requestClass, firstSubmittedAt, firstEventAt, isPreempted, isRefused } of requests) {
         result.maxUtility += requestClass.utility;
         if (isRefused) result.refusedCount++;
         if (firstEventAt === undefined) continue;
-        const isOnTime = firstEventAt - firstSubmittedAt <= requestClass.firstEventTargetMs;
+        // The stream of a preempted request pauses while its prompt is read again.
+        const isOnTime = !isPreempted && firstEventAt - firstSubmittedAt <= requestClass.firstEventTargetMs;
         result.servedCount++;
         if (isOnTime) result.onTimeCount++;
         result.utility += isOnTime ? requestClass.utility : requestClass.lateUtility;
--- a/src/harness/loadTraces.ts
+++ b/src/harness/loadTraces.ts
@@ -1,4 +1,5 @@
 /** Load traces for a pool of model engines, as data for simulations without processes. */
+import type { EngineParameters } from "../lib/core/serving/index.js";
 
 /** A class of requests that arrive throughout the trace. */
 export interface RequestClass {
@@ -46,6 +47,8 @@
     readonly engineCount: number;
     readonly accountCount: number;
     readonly durationMs: number;
+    /** By default `ENGINE_SPEC`. */
+    readonly engine?: EngineParameters;
     readonly requestClasses: readonly RequestClass[];
     readonly surges: readonly Surge[];
     readonly engineFaults: readonly EngineFault[];
@@ -80,6 +83,23 @@
     lateUtility: 0.37,
 };
 
+/** Engine with 12 slots and 5 tokens per event. */
+const SMALL_BATCH_ENGINE: EngineParameters = {
+    slots: 12,
+    stepMs: 9.27,
+    stepMsPerRequest: 0.0387,
+    stepMsPerKiloToken: 0.0203,
+    prefillTokensPerMs: 20.7,
+    prefillMsPerMillionPairs: 0,
+    tokensPerEvent: 5,
+    meanAnswerTokens: 90,
+    layers: 16,
+    model: "m",
+    chunkCount: 64,
+    chunkBytes: 32_768,
+    memoryTokens: 317_000,
+};
+
 const BASE_TRACE = {
     engineCount: 4,
     accountCount: 10,
@@ -102,6 +122,19 @@
     })),
 } as const;
 
+/**
+ * Engines whose memory holds half of their slots' worth of long prompts, some of them four times as long as the others.
+ */
+const LITTLE_MEMORY_TRACE = {
+    ...BASE_TRACE,
+    engine: { ...SMALL_BATCH_ENGINE, memoryTokens: 20_000 },
+    requestClasses: [
+        { ...URGENT, firstEventTargetMs: 402, requestsPerSecond: 8 },
+        { ...STANDARD, firstEventTargetMs: 402, promptTokens: 2000, requestsPerSecond: 8 },
+        { ...RELAXED, firstEventTargetMs: 1003, promptTokens: 8000, requestsPerSecond: 2.5 },
+    ],
+} as const;
+
 export const LOAD_TRACES: readonly LoadTrace[] = [
     /** The request rate of the least urgent class triples. */
     { ...BASE_TRACE, name: "burst", surges: [{ fromMs: 4000, toMs: 10_000, rateFactor: 3, rank: RELAXED.rank }] },
@@ -144,6 +177,8 @@
             toMs: 3000 + 2000 * index,
         })),
     },
+    /** Engines run out of memory before they run out of slots. */
+    { ...LITTLE_MEMORY_TRACE, name: "littleMemory" },
     /** An engine fails without notice and recovers. */
     { ...BASE_TRACE, name: "lostEngine", engineFaults: [{ engine: 2, fromMs: 4000, toMs: 9000, slowdown: Infinity }] },
 ];
--- a/src/harness/placers.ts
+++ b/src/harness/placers.ts
@@ -115,7 +115,6 @@
     readonly predictedMs: number;
     readonly assumedSlowdown: number;
     readonly promptTokens: number;
-    hasFirstEvent?: boolean;
 }
 
 const entryNameOf = (index: number) => `entry-${index}`;
@@ -126,6 +125,7 @@
     index: number,
     findOwner: (name: string) => EntryPlacer | undefined,
 ): EntryPlacer {
+    const spec = trace.engine ?? ENGINE_SPEC;
     const registry = createServerRegistry(() => DRAIN_MS);
     const backoff = createServerBackoff();
     const health = createServerHealth();
@@ -137,7 +137,7 @@
             service: "s",
             address: id,
             failureDomain: "d",
-            slots: ENGINE_SPEC.slots,
+            slots: spec.slots,
             isLeaving: false,
             startedAt: 1,
             remainingWarmupMs: 0,
@@ -148,7 +148,7 @@
         name: "s",
         healthPath: "/",
         maxConnections: 1000,
-        engine: ENGINE_SPEC,
+        engine: spec,
         origin: undefined,
         coldMs: 0,
         coldRequestsPerSecond: 0,
@@ -226,9 +226,10 @@
 
     /** Tells the owner of a request's server that the request has left it. */
     function release(id: string, engine: number, now: number): void {
-        const { promptTokens = 0, hasFirstEvent = false } = predictions.get(id) ?? {};
-        const change: ServerLoad = hasFirstEvent ? [-1, 0, 0, -promptTokens] : [0, -1, -promptTokens, 0];
-        ownerByRequestId.get(id)?.inFlight.recordPeerChange(entryName, engineName(engine), change, now);
+        const load = dispatcher.inFlight.loadOfRequest(id);
+        const change = load?.map(each => -each) as ServerLoad | undefined;
+        const owner = ownerByRequestId.get(id);
+        if (change !== undefined) owner?.inFlight.recordPeerChange(entryName, engineName(engine), change, now);
         ownerByRequestId.delete(id);
     }
 
@@ -237,7 +238,7 @@
         inFlight: dispatcher.inFlight,
         reserve: (slot, sender, now) => {
             const slowdown = speed.slowdown(slot.serverId, now);
-            const owned = { engine: ENGINE_SPEC, slowdown, isPaused: false };
+            const owned = { engine: spec, slowdown, isPaused: false };
             return decideReservation(slot, sender, owned, dispatcher.inFlight, now);
         },
         submit: (request, onDecision, now) => {
@@ -250,7 +251,6 @@
             recordReport(engine, now);
             const prediction = predictions.get(id);
             if (prediction !== undefined) {
-                prediction.hasFirstEvent = true;
                 speed.recordFirstEvent(engineName(engine), { ...prediction, measuredMs: tookMs }, now);
             }
             dispatcher.recordFirstEvent(id, now);
--- a/src/lib/core/serving/admissionControl.ts
+++ b/src/lib/core/serving/admissionControl.ts
@@ -27,6 +27,7 @@
 
 export type RefusalReason =
     | "overloaded"
+    | "exceeds the memory of an engine"
     | "servers backing off"
     | "expired"
     | "no server"
@@ -50,6 +51,8 @@
     readonly noServerRetryAfterMs: number;
     /** Whether some servers are outside of the request's allowed regions. */
     readonly isRestricted: boolean;
+    /** No engine of the service could hold the request, even without others. */
+    readonly exceedsMemory: boolean;
     /** This entry's share of the requests that complete per second at the current load. */
     readonly completionsPerSecond: number;
     /** Late requests that were recently started per second. */
@@ -129,6 +132,10 @@
     random: number,
     now: number,
 ): Refusal<T> | undefined {
+    if (pool.exceedsMemory) {
+        // Only a change of the service helps, so the delay is as long as callers honour.
+        return createRefusal(request, "exceeds the memory of an engine", Number.POSITIVE_INFINITY, random, now);
+    }
     if (pool.serverCount === 0) {
         const reason = pool.isRestricted ? "no server in the allowed regions" : "no server";
         return createRefusal(request, reason, pool.noServerRetryAfterMs, random, now);
--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -15,6 +15,7 @@
     retryAfterMs,
     sortQueue,
 } from "./admissionControl.js";
+import { canEverHold, countThatFit, expectedAnswerTokens } from "./engineMemory.js";
 import { typicalFirstEventMs } from "./engineModel.js";
 import type { Evacuations } from "./evacuations.js";
 import { createInFlightRequests, type InFlightRequests } from "./inFlightRequests.js";
@@ -256,6 +257,7 @@
             serverId: server.id,
             account: request.account,
             promptTokens: request.promptTokens,
+            answerTokens: service.engine === undefined ? 0 : expectedAnswerTokens(service.engine, request),
             sentAt: now,
             hasFirstEvent: false,
         });
@@ -321,6 +323,10 @@
             return sum + load.decoding + load.prefilling;
         }, 0);
         const slots = expected.reduce((sum, { server }) => sum + server.slots, 0);
+        const engine = serviceOf(request)?.engine;
+        const fittingCount = engine === undefined ?
+            Number.POSITIVE_INFINITY :
+            expected.reduce((sum, { candidate: { load } }) => sum + countThatFit(engine, load, request), 0);
         const durationMs = meanDurationMsByService.get(service) ?? INITIAL_DURATION_MS;
         const entryCount = Math.max(1, options.entryCount());
         while (lateStarts[0] !== undefined && now - lateStarts[0].startedAt > LATE_START_WINDOW_MS) lateStarts.shift();
@@ -330,9 +336,10 @@
             untilAvailableMs: available.length > 0 ? 0 : untilReturnMs(expected, now),
             noServerRetryAfterMs: untilReturnMs(allowed, now),
             isRestricted: allowed.length < poolServers.length,
+            exceedsMemory: engine !== undefined && !canEverHold(engine, request),
             completionsPerSecond: runningRequests * 1000 / durationMs / entryCount,
             lateStartsPerSecond: recentLateStarts * 1000 / LATE_START_WINDOW_MS,
-            freeSlots: Math.max(0, slots - runningRequests) / entryCount,
+            freeSlots: Math.min(Math.max(0, slots - runningRequests), fittingCount) / entryCount,
             typicalFirstEventMs: typicalFirstEventFor(request),
         };
     }
@@ -408,12 +415,13 @@
 
 function slotRequestFor(
     { id, slots }: BackendServer,
-    { promptTokens, timeToDueMs, slotFraction, mustBeOnTime }: PlacementRequest,
+    { promptTokens, outputTokens, timeToDueMs, slotFraction, mustBeOnTime }: PlacementRequest,
     roundTripMs: number,
 ): SlotRequest {
     return {
         serverId: id,
         promptTokens,
+        outputTokens,
         maxRunning: Math.floor(slots * slotFraction),
         maxFirstEventMs: mustBeOnTime ? timeToDueMs * TARGET_FRACTION - roundTripMs : Number.POSITIVE_INFINITY,
     };
--- a/src/lib/core/serving/engineModel.ts
+++ b/src/lib/core/serving/engineModel.ts
@@ -17,7 +17,10 @@
     readonly prefilling: number;
     /** Prompt tokens of the prefilling requests. */
     readonly prefillTokens: number;
-    /** Context tokens of the decoding requests. */
+    /**
+     * Context tokens of the decoding requests; where the engine's memory is known, also the expected answers of all
+     * requests. Together with `prefillTokens` they are what the requests will hold at their ends.
+     */
     readonly contextTokens: number;
 }
 
--- a/src/lib/core/serving/inFlightRequests.ts
+++ b/src/lib/core/serving/inFlightRequests.ts
@@ -9,6 +9,8 @@
     readonly serverId: string;
     readonly account: string;
     readonly promptTokens: number;
+    /** Expected length of the answer if the engine's memory is known; see `expectedAnswerTokens`. */
+    readonly answerTokens: number;
     readonly sentAt: number;
     /** The first event has arrived, so the request is decoding; until then it is prefilling. */
     hasFirstEvent: boolean;
@@ -16,7 +18,7 @@
 
 /**
  * Load that one entry puts on each server, as sent in heartbeats, keyed by the server's identifier: the numbers of
- * decoding requests, prefilling requests, prefill tokens and context tokens.
+ * decoding requests, prefilling requests, prefill tokens and context tokens, as in `EngineLoad`.
  */
 export type LoadReport = Readonly<Record<string, readonly [number, number, number, number]>>;
 
@@ -75,7 +77,7 @@
         if (requestsAtServer === undefined) requestsByServer.set(request.serverId, requestsAtServer = new Set());
         requestsAtServer.add(request);
         const ownerLoad = ownerLoads.get(request.serverId);
-        if (ownerLoad !== undefined) addLoad(ownerLoad.load, [0, 1, request.promptTokens, 0]);
+        if (ownerLoad !== undefined) addLoad(ownerLoad.load, requestLoad(request));
         countByAccount.set(request.account, (countByAccount.get(request.account) ?? 0) + 1);
     }
 
@@ -186,8 +188,8 @@
     };
 }
 
-function requestLoad({ hasFirstEvent, promptTokens }: InFlightRequest): ServerLoad {
-    return hasFirstEvent ? [1, 0, 0, promptTokens] : [0, 1, promptTokens, 0];
+function requestLoad({ hasFirstEvent, promptTokens, answerTokens }: InFlightRequest): ServerLoad {
+    return hasFirstEvent ? [1, 0, 0, promptTokens + answerTokens] : [0, 1, promptTokens, answerTokens];
 }
 
 /** Changes may be counted twice or late for a moment, so sums can be negative. */
--- a/src/lib/core/serving/index.ts
+++ b/src/lib/core/serving/index.ts
@@ -1,6 +1,7 @@
 export * from "./admissionControl.js";
 export * from "./crashEvidence.js";
 export * from "./dispatcher.js";
+export * from "./engineMemory.js";
 export * from "./engineModel.js";
 export * from "./evacuations.js";
 export * from "./inFlightRequests.js";
--- a/src/lib/core/serving/placement.ts
+++ b/src/lib/core/serving/placement.ts
@@ -6,6 +6,7 @@
  * This handles a pool that is nearly full in one failure domain while another has free capacity, a burst of requests in
  * one domain, and a pool with slow servers, which may begin a long answer in time but not end it before the deadline.
  */
+import { fitsMemory } from "./engineMemory.js";
 import { type EngineLoad, predictLatency } from "./engineModel.js";
 import type { EngineParameters } from "./routeTable.js";
 
@@ -66,6 +67,7 @@
         const { load, slots } = candidate;
         if (candidate.freeConnections <= 0) continue;
         if (load.decoding + load.prefilling >= Math.floor(slots * request.slotFraction)) continue;
+        if (!fitsMemory(engine, load, request)) continue;
         const prediction = predictLatency(engine, load, request.promptTokens, candidate.slowdown);
         if (
             load.decoding > 0 && prediction.maxEventGapMs > request.maxEventGapMs * TARGET_FRACTION &&
--- a/src/lib/core/serving/slotReservations.ts
+++ b/src/lib/core/serving/slotReservations.ts
@@ -6,6 +6,7 @@
  * This handles a large pool at its capacity behind many entries: without it, several requests are sent to the same
  * server at once and all of them start late.
  */
+import { expectedAnswerTokens, fitsMemory } from "./engineMemory.js";
 import { predictLatency } from "./engineModel.js";
 import type { InFlightRequests, ServerLoad } from "./inFlightRequests.js";
 import type { EngineParameters } from "./routeTable.js";
@@ -14,6 +15,8 @@
 export interface SlotRequest {
     readonly serverId: string;
     readonly promptTokens: number;
+    /** Expected length of the answer; entries of earlier versions don't tell it. */
+    readonly outputTokens?: number | undefined;
     /** Requests that may be at the server at most, including this one. */
     readonly maxRunning: number;
     /** Time to the first event up to which the server suits the request, in milliseconds; infinite for any. */
@@ -50,13 +53,16 @@
     inFlight: InFlightRequests,
     now: number,
 ): SlotDecision {
-    const { serverId, promptTokens } = request;
+    const { serverId, promptTokens, outputTokens = 0 } = request;
     const known = inFlight.loadOf(serverId, now);
     const load: ServerLoad = [known.decoding, known.prefilling, known.prefillTokens, known.contextTokens];
     if (isPaused) return { isGranted: false, load, pauseMs: LOADING_SERVER_PAUSE_MS };
     const { firstEventMs } = predictLatency(engine, known, promptTokens, slowdown);
     const isGranted = known.decoding + known.prefilling + 1 <= request.maxRunning &&
-        firstEventMs <= request.maxFirstEventMs;
-    if (isGranted) inFlight.recordPeerChange(sender, serverId, [0, 1, promptTokens, 0], now);
+        firstEventMs <= request.maxFirstEventMs && fitsMemory(engine, known, { promptTokens, outputTokens });
+    if (isGranted) {
+        const answerTokens = expectedAnswerTokens(engine, { promptTokens, outputTokens });
+        inFlight.recordPeerChange(sender, serverId, [0, 1, promptTokens, answerTokens], now);
+    }
     return { isGranted, load, pauseMs: isGranted ? 0 : FULL_SERVER_PAUSE_MS };
 }
--- a/src/lib/node/peerMessages.ts
+++ b/src/lib/node/peerMessages.ts
@@ -44,7 +44,7 @@
     named: z.array(z.object({ model: z.string(), version: z.number(), ageMs: z.number().nonnegative() })),
     /**
      * Load by server: the number of requests with a first event and of those without one, the prompt tokens of the
-     * latter, and the context tokens of the former. A heartbeat has the load from the sender's own requests, a digest
+     * latter, and the context tokens of the former with the expected answers, see `EngineLoad`. A heartbeat has the load from the sender's own requests, a digest
      * that from all requests of the sender's failure domain.
      */
     load: z.record(z.string(), serverLoadSchema),
@@ -108,6 +108,8 @@
     failureDomain: z.string(),
     serverId: z.string(),
     promptTokens: z.number(),
+    /** Entries of earlier versions send none. */
+    outputTokens: z.number().optional(),
     maxRunning: z.number(),
     /** `undefined` for no limit. */
     maxFirstEventMs: z.number().optional(),
--- a/src/test/core/serving/inFlightRequests.test.ts
+++ b/src/test/core/serving/inFlightRequests.test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { createInFlightRequests } from "../../../lib/core/serving/index.js";
 
-const REQUEST = { serverId: "s", account: "a", promptTokens: 100, sentAt: 0, hasFirstEvent: false };
+const REQUEST = { serverId: "s", account: "a", promptTokens: 100, answerTokens: 0, sentAt: 0, hasFirstEvent: false };
 
 // Guards against streams that still count as prefilling after their first event, which made predicted latencies several
 // times too long.
