--- a/src/lib/core/serving/index.ts
+++ b/src/lib/core/serving/index.ts
@@ -3,6 +3,7 @@
 export * from "./coldServers.js";
 export * from "./crashEvidence.js";
 export * from "./dispatcher.js";
+export * from "./engineMemory.js";
 export * from "./engineModel.js";
 export * from "./evacuations.js";
 export * from "./inFlightRequests.js";
