--- a/src/test/core/serving/engineMemory.test.ts
+++ b/src/test/core/serving/engineMemory.test.ts
@@ -85,7 +85,7 @@
             else if (each.kind === "send") {
                 const { sender, promptTokens, outputTokens } = each;
                 const slot = { serverId: "s", promptTokens, outputTokens, maxRunning: 16, maxFirstEventMs: Infinity };
-                const owned = { engine: ENGINE, slowdown: 1, isPaused: false };
+                const owned = { engine: ENGINE, slowdown: 1, isPaused: false, takeShare: () => true };
                 if (!decideReservation(slot, `sender-${sender}`, owned, owner, now).isGranted) continue;
                 const id = String(index);
                 const request = { id, serverId: "s", account: "a", sentAt: now, hasFirstEvent: false };
