Keep a freed slot for a more urgent request that its owner has just refused

Each entry queues its own requests by urgency, but a freed slot went to whichever entry asked first. Reservations now have a precedence, and an owner counts more urgent requests that it refused within 120 ms as ahead.

--- a/src/harness/placers.ts
+++ b/src/harness/placers.ts
@@ -7,6 +7,7 @@
 import {
     createDispatcher,
     createEvacuations,
+    createRefusedReservations,
     createServerBackoff,
     createServerHealth,
     createServerOwnership,
@@ -177,6 +178,7 @@
         random: () => uniformFloat64(generator),
     });
     const entryName = entryNameOf(index);
+    const refused = createRefusedReservations();
     const predictions = new Map<string, SentRequest>();
 
     function recordReport(engine: number, now: number): void {
@@ -238,7 +240,7 @@
         inFlight: dispatcher.inFlight,
         reserve: (slot, sender, now) => {
             const slowdown = speed.slowdown(slot.serverId, now);
-            const owned = { engine: spec, slowdown, isPaused: false, takeShare: () => true };
+            const owned = { engine: spec, slowdown, isPaused: false, takeShare: () => true, refused };
             return decideReservation(slot, sender, owned, dispatcher.inFlight, now);
         },
         submit: (request, onDecision, now) => {
--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -158,6 +158,9 @@
  */
 const LATE_SLOT_FRACTION = 0.8;
 
+/** Ranks that the precedence of a reservation tells apart within a queue class. */
+const PRECEDENCES_PER_CLASS = 10;
+
 /** Window over which the rate of late starts is measured. */
 const LATE_START_WINDOW_MS = 2000;
 
@@ -286,7 +289,15 @@
                 weights.startDeadline(service.engine.model, version),
             reservation: service.engine === undefined || otherOwner === undefined ?
                 undefined :
-                { owner: otherOwner, slot: slotRequestFor(server, constraints, candidate.roundTripMs), requiresGrant },
+                {
+                    owner: otherOwner,
+                    slot: {
+                        ...slotRequestFor(server, constraints, candidate.roundTripMs),
+                        precedence: queueClass * PRECEDENCES_PER_CLASS +
+                            Math.min(request.rank, PRECEDENCES_PER_CLASS - 1),
+                    },
+                    requiresGrant,
+                },
         };
     }
 
@@ -430,7 +441,7 @@
     { id, slots }: BackendServer,
     { promptTokens, outputTokens, timeToDueMs, slotFraction, mustBeOnTime }: PlacementRequest,
     roundTripMs: number,
-): SlotRequest {
+): Omit<SlotRequest, "precedence"> {
     return {
         serverId: id,
         promptTokens,
--- a/src/lib/core/serving/index.ts
+++ b/src/lib/core/serving/index.ts
@@ -12,6 +12,7 @@
 export * from "./pieceSources.js";
 export * from "./placement.js";
 export * from "./promptQuarantine.js";
+export * from "./refusedReservations.js";
 export * from "./regions.js";
 export * from "./routeTable.js";
 export * from "./rowReplica.js";
--- a/src/lib/core/serving/slotReservations.ts
+++ b/src/lib/core/serving/slotReservations.ts
@@ -9,6 +9,7 @@
 import { expectedAnswerTokens, fitsMemory } from "./engineMemory.js";
 import { predictLatency } from "./engineModel.js";
 import type { InFlightRequests, ServerLoad } from "./inFlightRequests.js";
+import type { RefusedReservations } from "./refusedReservations.js";
 import type { EngineParameters } from "./routeTable.js";
 
 /** Reservation of a slot for a request. */
@@ -21,6 +22,8 @@
     readonly maxRunning: number;
     /** Time to the first event up to which the server suits the request, in milliseconds; infinite for any. */
     readonly maxFirstEventMs: number;
+    /** Order in which requests get slots, lowest first; 0 for entries of earlier versions, which don't tell it. */
+    readonly precedence: number;
 }
 
 /** A refused entry uses the load that the owner knows to choose another server. */
@@ -45,25 +48,30 @@
     readonly isPaused: boolean;
     /** Takes the request from the owner's share of the server if the sender has none, and returns whether it may. */
     readonly takeShare: () => boolean;
+    /** Requests that were refused a moment ago. */
+    readonly refused: RefusedReservations;
 }
 
 /** Records a granted request as load of `sender`, the name under which its reports are recorded. */
 export function decideReservation(
     request: SlotRequest,
     sender: string,
-    { engine, slowdown, isPaused, takeShare }: OwnedServer,
+    { engine, slowdown, isPaused, takeShare, refused }: OwnedServer,
     inFlight: InFlightRequests,
     now: number,
 ): SlotDecision {
-    const { serverId, promptTokens, outputTokens = 0 } = request;
+    const { serverId, promptTokens, outputTokens = 0, precedence } = request;
     const known = inFlight.loadOf(serverId, now);
     const load: ServerLoad = [known.decoding, known.prefilling, known.prefillTokens, known.contextTokens];
     if (isPaused) return { isGranted: false, load, pauseMs: LOADING_SERVER_PAUSE_MS };
     const { firstEventMs } = predictLatency(engine, known, promptTokens, slowdown);
-    const isGranted = known.decoding + known.prefilling + 1 <= request.maxRunning &&
+    const aheadCount = refused.countAhead(serverId, precedence, now);
+    const isGranted = known.decoding + known.prefilling + aheadCount + 1 <= request.maxRunning &&
         firstEventMs <= request.maxFirstEventMs && fitsMemory(engine, known, { promptTokens, outputTokens }) &&
         takeShare();
-    if (isGranted) {
+    if (!isGranted) refused.record(serverId, precedence, now);
+    else {
+        refused.recordGrant(serverId, precedence);
         const answerTokens = expectedAnswerTokens(engine, { promptTokens, outputTokens });
         inFlight.recordPeerChange(sender, serverId, [0, 1, promptTokens, answerTokens], now);
     }
--- a/src/lib/node/peerMessages.ts
+++ b/src/lib/node/peerMessages.ts
@@ -113,6 +113,8 @@
     maxRunning: z.number(),
     /** `undefined` for no limit. */
     maxFirstEventMs: z.number().optional(),
+    /** See `SlotRequest`; entries of earlier versions send none. */
+    precedence: z.number().default(0),
     /** The sender has no share of the server and needs one of the owner; entries of earlier versions send none. */
     requiresGrant: z.boolean().optional(),
 });
--- a/src/lib/router/reservations.ts
+++ b/src/lib/router/reservations.ts
@@ -6,6 +6,7 @@
 import {
     type Assignment,
     type ColdLimit,
+    createRefusedReservations,
     decideReservation,
     type Dispatcher,
     type EntryIdentity,
@@ -56,6 +57,7 @@
 export function createReservations(options: ReservationsOptions): Reservations {
     const { self, dispatcher, registry, speed, metrics, now } = options;
     const { inFlight } = dispatcher;
+    const refused = createRefusedReservations();
     const pending = new Map<number, (reply: ReservationReply) => void>();
     /** Names of owners that didn't respond, with the time until which they aren't asked. */
     const unresponsiveUntil = new Map<string, number>();
@@ -134,7 +136,7 @@
             const slowdown = speed.slowdown(message.serverId, now());
             const isPaused = dispatcher.pool.isPaused(server, now());
             const takeShare = () => message.requiresGrant !== true || options.coldLimit.grant(service, server, now());
-            const owned = { engine, slowdown, isPaused, takeShare };
+            const owned = { engine, slowdown, isPaused, takeShare, refused };
             decision = decideReservation(slot, loadSender(self, message), owned, inFlight, now());
         }
         const { isGranted, load, pauseMs } = decision;
--- a/src/test/core/serving/engineMemory.test.ts
+++ b/src/test/core/serving/engineMemory.test.ts
@@ -7,6 +7,7 @@
 import {
     canEverHold,
     createInFlightRequests,
+    createRefusedReservations,
     decideAdmission,
     decideReservation,
     fitsMemory,
@@ -84,8 +85,21 @@
             if (each.kind === "heartbeat") report(each.sender, now);
             else if (each.kind === "send") {
                 const { sender, promptTokens, outputTokens } = each;
-                const slot = { serverId: "s", promptTokens, outputTokens, maxRunning: 16, maxFirstEventMs: Infinity };
-                const owned = { engine: ENGINE, slowdown: 1, isPaused: false, takeShare: () => true };
+                const slot = {
+                    serverId: "s",
+                    promptTokens,
+                    outputTokens,
+                    maxRunning: 16,
+                    maxFirstEventMs: Infinity,
+                    precedence: 0,
+                };
+                const owned = {
+                    engine: ENGINE,
+                    slowdown: 1,
+                    isPaused: false,
+                    takeShare: () => true,
+                    refused: createRefusedReservations(),
+                };
                 if (!decideReservation(slot, `sender-${sender}`, owned, owner, now).isGranted) continue;
                 const id = String(index);
                 const request = { id, serverId: "s", account: "a", sentAt: now, hasFirstEvent: false };
--- a/src/test/core/serving/slotReservations.test.ts
+++ b/src/test/core/serving/slotReservations.test.ts
@@ -6,6 +6,7 @@
 import {
     type BackendServer,
     createInFlightRequests,
+    createRefusedReservations,
     createServerOwnership,
     decideReservation,
     type EntryIdentity,
@@ -45,13 +46,25 @@
     assert.equal(createServerOwnership(() => []).ownersOf(servers)[0], undefined);
 });
 
-const OWNED = { engine: ENGINE_SPEC, slowdown: 1, isPaused: false, takeShare: () => true };
+const OWNED = {
+    engine: ENGINE_SPEC,
+    slowdown: 1,
+    isPaused: false,
+    takeShare: () => true,
+    refused: createRefusedReservations(),
+};
 
 // Guards against requests to an engine that loads weights from entries that its agent doesn't send heartbeats to; the
 // engine rejects them.
 test("an owner refuses requests to a server that loads weights, for longer than to a full one", () => {
     const inFlight = createInFlightRequests();
-    const slot = { serverId: "s", promptTokens: 100, maxRunning: 1, maxFirstEventMs: Number.POSITIVE_INFINITY };
+    const slot = {
+        serverId: "s",
+        promptTokens: 100,
+        maxRunning: 1,
+        maxFirstEventMs: Number.POSITIVE_INFINITY,
+        precedence: 0,
+    };
     const paused = decideReservation(slot, "a", { ...OWNED, isPaused: true }, inFlight, 0);
     decideReservation(slot, "a", OWNED, inFlight, 1);
     const full = decideReservation(slot, "b", OWNED, inFlight, 2);
@@ -62,7 +75,13 @@
 // Guards against two entries that see the same free slot and both fill it.
 test("an owner grants each free slot once, until it is released", () => {
     const inFlight = createInFlightRequests();
-    const slot = { serverId: "s", promptTokens: 100, maxRunning: 2, maxFirstEventMs: Number.POSITIVE_INFINITY };
+    const slot = {
+        serverId: "s",
+        promptTokens: 100,
+        maxRunning: 2,
+        maxFirstEventMs: Number.POSITIVE_INFINITY,
+        precedence: 0,
+    };
     const reserve = (sender: string, now: number) => decideReservation(slot, sender, OWNED, inFlight, now);
     assert.equal(reserve("a", 0).isGranted, true);
     assert.equal(reserve("b", 1).isGranted, true);
@@ -72,10 +91,30 @@
     assert.equal(reserve("c", 4).isGranted, true);
 });
 
+// Guards against a freed slot that goes to a late request because its entry asked first, and against one that stays free
+// because the more urgent request has gone elsewhere.
+test("a freed slot is kept a moment for a more urgent request that was refused", () => {
+    const inFlight = createInFlightRequests();
+    const owned = { ...OWNED, refused: createRefusedReservations() };
+    const reserve = (sender: string, precedence: number, now: number) => {
+        const slot = { serverId: "s", promptTokens: 100, maxRunning: 1, maxFirstEventMs: Infinity, precedence };
+        return decideReservation(slot, sender, owned, inFlight, now).isGranted;
+    };
+    const release = (sender: string, now: number) => inFlight.recordPeerChange(sender, "s", [0, -1, -100, 0], now);
+    assert.deepEqual([reserve("a", 0, 0), reserve("b", 1, 1)], [true, false]);
+    release("a", 2);
+    assert.deepEqual([reserve("c", 2, 3), reserve("b", 1, 60)], [false, true]);
+    release("b", 70);
+    assert.equal(reserve("c", 2, 75), true);
+    assert.equal(reserve("b", 1, 80), false);
+    release("c", 90);
+    assert.deepEqual([reserve("a", 2, 199), reserve("a", 2, 201)], [false, true]);
+});
+
 // Guards against a request that is sent to a server where it will be late, although others are free.
 test("an owner refuses a request that would be late at its server", () => {
     const inFlight = createInFlightRequests();
-    const slot = { serverId: "s", promptTokens: 1000, maxRunning: 16, maxFirstEventMs: 200 };
+    const slot = { serverId: "s", promptTokens: 1000, maxRunning: 16, maxFirstEventMs: 200, precedence: 0 };
     const decisions = Array.from({ length: 6 }, () => decideReservation(slot, "a", OWNED, inFlight, 0));
     assert.equal(decisions[0]?.isGranted, true);
     assert.equal(decisions.at(-1)?.isGranted, false);
@@ -104,7 +143,8 @@
         return total.utility / total.maxUtility;
     };
     const reference = utilityOf(SINGLE_ENTRY);
-    for (const entryCount of [4, 8, 12]) {
+    // Without a precedence among the entries, 59 entries got 0.928 of what one entry gets.
+    for (const entryCount of [4, 8, 12, 59]) {
         for (const skew of [0, 0.5]) {
             const fraction = utilityOf({ entryCount, heartbeatIntervalMs: 100, skew });
             assert.ok(fraction >= 0.95 * reference, `${fraction} with ${entryCount} entries and skew ${skew}`);
