Treat responses with a status outside 200 to 599 as broken

Node passes on any number of a status line, so a server in trouble could have its 600 or 999 relayed as its answer, and 000, 042 and 099 made `writeHead` throw after the attempt had begun to deliver. A non-idempotent request with 600 or 999 and a Not-Executed header was moved elsewhere as if it hadn't run.

BackendConnections.send now rejects such a response with the verdict mayHaveRun and `invalid status N` as its message, and resets its connection. The attempt is recorded as broken before anything is delivered, for every request kind, and nothing in the head of the response is applied.

--- a/src/lib/router/backendConnections.ts
+++ b/src/lib/router/backendConnections.ts
@@ -29,6 +29,8 @@
     /**
      * Sends a request and resolves with the response once its headers have arrived.
      *
+     * A response whose status isn't a final one is an error, and its connection is reset.
+     *
      * @throws VError named `SendError` with the info `verdict`: `notRun` if nothing was written, else `mayHaveRun`.
      */
     send(request: BackendRequest): Promise<http.IncomingMessage>;
@@ -50,6 +52,10 @@
 /** Informational (1xx) responses that may precede the final one. */
 const MAX_INFORMATIONAL_RESPONSES = 8;
 
+/** Statuses of final responses (RFC 9110, section 15). Node passes on any number; servers in trouble sent 0 to 999. */
+const MIN_FINAL_STATUS = 200;
+const MAX_FINAL_STATUS = 599;
+
 /** Idle connections are closed well before the server's own idle timeout could close them under a new request. */
 const IDLE_TIMEOUT_MS = 4000;
 
@@ -125,6 +131,12 @@
                 if (++informationalCount > MAX_INFORMATIONAL_RESPONSES) abort("too many informational responses");
             });
             outgoing.on("response", response => {
+                if (!isFinalStatus(response.statusCode)) {
+                    // The end of the connection is reported to the response, which nobody reads.
+                    response.on("error", () => undefined);
+                    abort(`invalid status ${response.statusCode}`);
+                    return;
+                }
                 if (isCloseDelimited(request.method, response)) {
                     cleanCloses.set(response, awaitCleanClose(response.socket, outgoing));
                 }
@@ -164,6 +176,10 @@
     return new VError({ name: "SendError", info: { verdict } }, "%s", message);
 }
 
+function isFinalStatus(status = 0): boolean {
+    return status >= MIN_FINAL_STATUS && status <= MAX_FINAL_STATUS;
+}
+
 function isCloseDelimited(method: string, { headers, statusCode }: http.IncomingMessage): boolean {
     return hasResponseBody(method, statusCode) && headers["content-length"] === undefined &&
         headers["transfer-encoding"] === undefined;
--- a/src/test/router/routerHarness.ts
+++ b/src/test/router/routerHarness.ts
@@ -65,12 +65,16 @@
     };
 }
 
-export async function startTestRouter(settings: VmSettings): Promise<Router> {
+/** `writeLog` receives the lines of the log. */
+export async function startTestRouter(
+    settings: VmSettings,
+    writeLog: (line: string) => void = () => undefined,
+): Promise<Router> {
     const log = createEventLog({
         process: settings.name,
         role: "entry",
         now: () => performance.now(),
-        write: () => undefined,
+        write: writeLog,
     });
     const router = await startRouter(settings, createPlatformStore(settings.storeAddress), log);
     await waitUntil(async () => (await readinessStatus(router.readyPort, settings.ip)) === 200);
--- a/src/test/router/testPool.ts
+++ b/src/test/router/testPool.ts
@@ -15,7 +15,8 @@
 const cleanups: (() => unknown)[] = [];
 
 afterEach(async () => {
-    for (const cleanup of cleanups.splice(0).reverse()) await cleanup();
+    // At once, because an entry takes over 2 s to stop.
+    await Promise.all(cleanups.splice(0).reverse().map(cleanup => cleanup()));
 });
 
 export interface Pool {
@@ -24,6 +25,10 @@
     /** All requests that the servers have received, in the order of their arrival. */
     readonly requests: readonly ReceivedRequest[];
     requestCount(): number;
+    /** Lines of the entry's log, oldest first. */
+    readonly logLines: readonly string[];
+    /** Returns the number of sends that ended with a result, from the entry's metrics. */
+    sendCount(result: string): Promise<number>;
 }
 
 export interface PoolOptions {
@@ -43,6 +48,7 @@
     store.put("op", "config", configurationRow(1, { routes: routes.map(base => ({ ...base, ...route })) }));
     const runners: FakeRunner[] = [];
     const requests: ReceivedRequest[] = [];
+    const logLines: string[] = [];
     for (const [index, row] of rows.entries()) {
         const runner = await startFakeRunner(request => {
             requests.push(request);
@@ -52,9 +58,10 @@
         runners.push(runner);
         store.put("servers", `i-${index + 1}`, serverRow(runner.address, row));
     }
-    const settings = createVmSettings(store.address, await findFreePortRange());
+    const peerPort = await findFreePortRange();
+    const settings = createVmSettings(store.address, peerPort);
     const bounds = retries === undefined ? settings.bounds : { ...settings.bounds, retries };
-    const router = await startTestRouter({ ...settings, bounds });
+    const router = await startTestRouter({ ...settings, bounds }, line => void logLines.push(line));
     cleanups.push(router.stop);
     await sleep(100);
     return {
@@ -69,5 +76,12 @@
                 headers: { "deadline-ms": String(deadlineMs) },
             }),
         requestCount: () => requests.length,
+        logLines,
+        sendCount: async result => {
+            const text = await (await fetch(`http://127.0.0.1:${peerPort}/metrics`)).text();
+            return Number(
+                new RegExp(`^endivewell_sends_total{.*result="${result}".*} (\\d+)$`, "m").exec(text)?.[1] ?? 0,
+            );
+        },
     };
 }
