--- a/src/lib/router/backendConnections.ts
+++ b/src/lib/router/backendConnections.ts
@@ -31,6 +31,8 @@
     /**
      * Sends a request and resolves with the response once its headers have arrived.
      *
+     * A response whose status isn't a final one is an error, and its connection is reset.
+     *
      * @throws VError named `SendError` with the info `verdict`: `notRun` if nothing was written, else `mayHaveRun`; and
      * `isWithheld`: true if `mayWrite` returned false, which says nothing about the server.
      */
@@ -53,6 +55,10 @@
 /** Informational (1xx) responses that may precede the final one. */
 const MAX_INFORMATIONAL_RESPONSES = 8;
 
+/** Statuses of final responses (RFC 9110, section 15). Node passes on any number; servers in trouble sent 0 to 999. */
+const MIN_FINAL_STATUS = 200;
+const MAX_FINAL_STATUS = 599;
+
 /** Idle connections are closed well before the server's own idle timeout could close them under a new request. */
 const IDLE_TIMEOUT_MS = 4000;
 
@@ -135,6 +141,12 @@
                 if (++informationalCount > MAX_INFORMATIONAL_RESPONSES) abort("too many informational responses");
             });
             outgoing.on("response", response => {
+                if (!isFinalStatus(response.statusCode)) {
+                    // The end of the connection is reported to the response, which nobody reads.
+                    response.on("error", () => undefined);
+                    abort(`invalid status ${response.statusCode}`);
+                    return;
+                }
                 if (isCloseDelimited(request.method, response)) {
                     cleanCloses.set(response, awaitCleanClose(response.socket, outgoing));
                 }
@@ -174,6 +186,10 @@
     return new VError({ name: "SendError", info: { verdict, isWithheld } }, "%s", message);
 }
 
+function isFinalStatus(status = 0): boolean {
+    return status >= MIN_FINAL_STATUS && status <= MAX_FINAL_STATUS;
+}
+
 function isCloseDelimited(method: string, { headers, statusCode }: http.IncomingMessage): boolean {
     return hasResponseBody(method, statusCode) && headers["content-length"] === undefined &&
         headers["transfer-encoding"] === undefined;
