Soak: evacuations and changes of the allowed regions

The soak drew no evacuation and no restriction to regions, so that nothing checked them while other faults overlap. The operator now evacuates a failure domain (row evacuate/ZONE) and withdraws that, and changes the allowed regions of two routes and an account. A call that reaches a forbidden server after the bound (5 s after the write, 2 s for regions, and 0.5 s for scheduling delays) is a violation if the entries, the store and the link to the server had no fault shortly before. The two failure domains are now in different regions.

--- a/src/test/soak/bounds.ts
+++ b/src/test/soak/bounds.ts
@@ -9,5 +9,11 @@
 /** Time during which a draining server may still get calls (`drain-ms`). */
 export const DRAIN_MS = 2000;
 
+/** Time within which no more calls reach an evacuated failure domain (`evacuate-ms`). */
+export const EVACUATE_MS = 5000;
+
+/** Regions of the failure domains. */
+export const REGION_BY_ZONE: Readonly<Record<string, string>> = { z0: "r", z1: "s" };
+
 /** Allowance for scheduling delays on a busy machine. */
 export const SCHEDULING_DELAY_MS = 500;
--- a/src/test/soak/entryProcesses.ts
+++ b/src/test/soak/entryProcesses.ts
@@ -4,7 +4,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { findFreePortRange, sendCall, waitUntil } from "../router/routerHarness.js";
-import { STABILITY_WINDOW_MS } from "./bounds.js";
+import { EVACUATE_MS, REGION_BY_ZONE, STABILITY_WINDOW_MS } from "./bounds.js";
 import { type FaultProxy, startFaultProxy } from "./faultProxy.js";
 
 export interface EntryProcess {
@@ -113,15 +113,16 @@
 
     function writeSettings({ name, ip, storeLink }: EntryProcess): string {
         const path = join(options.directory, `${name}.toml`);
+        const zones = Object.entries(REGION_BY_ZONE).map(([zone, region]) => `${zone} = "${region}"\n`).join("");
         const seeds = entries.map(entry => `"${entry.ip}:1"`).join(", ");
         writeFileSync(
             path,
             `node = "${name}"\nip = "${ip}"\nzone = "z0"\nregion = "r"\nseeds = [${seeds}]\n` +
-                `internal-ports = [${port + 2}, ${port + 9}]\n[zones]\nz0 = "r"\nz1 = "r"\n` +
+                `internal-ports = [${port + 2}, ${port + 9}]\n[zones]\n${zones}` +
                 `[listen]\nfront = "${ip}:${port}"\nready = "${ip}:${port + 1}"\n` +
                 "[limits]\nlink-mbps = 1000\n[bounds]\ndrain-ms = 2000\ngrace-s = 8\nstability-window-ms = 3000\n" +
                 "config-apply-ms = 2000\nversion_ms = 8000\nretry-budget-ratio = 0.2\nretry-budget-slack = 100\nbudget-window-s = 10\n" +
-                `[platform]\naddress = "${storeLink.address}"\n`,
+                `evacuate-ms = ${EVACUATE_MS}\n[platform]\naddress = "${storeLink.address}"\n`,
         );
         return path;
     }
--- a/src/test/soak/restorationFaults.ts
+++ b/src/test/soak/restorationFaults.ts
@@ -50,6 +50,7 @@
             await sleep(random.between(2000, 5000));
             operator.addKey();
             operator.writeConfiguration();
+            operator.writeAgain();
             return;
         }
         await sleep(random.between(0, MAX_REWRITE_DELAY_MS));
--- a/src/test/soak/soak.test.ts
+++ b/src/test/soak/soak.test.ts
@@ -115,6 +115,10 @@
 test("entries fulfil their guarantees when servers leave or pause by their answers", () =>
     assertFulfilled(6, ["by its answers", "pauses", "disturb the store", "freeze", "stop an entry"]));
 
+// Guards against calls that reach an evacuated failure domain or a forbidden region after the bounds.
+test("entries fulfil their guarantees under evacuations and changes of the allowed regions", () =>
+    assertFulfilled(8, ["evacuate", "allowed regions", "drain", "crash"]));
+
 // Guards against changes of the configuration that are late, and calls without an answer, after open connections to the
 // store and to servers have fallen silent.
 test("entries fulfil their guarantees when open connections fall silent", () =>
--- a/src/test/soak/soak.ts
+++ b/src/test/soak/soak.ts
@@ -66,7 +66,7 @@
         onSpanEnd: notices.endSpan,
     });
     const operator = createSoakOperator(store, random, nextSerial);
-    const servers = createSoakServers({ store, entries, ledger, notices, random, nextSerial });
+    const servers = createSoakServers({ store, entries, operator, onViolation, ledger, notices, random, nextSerial });
     let faultCount = 0;
     try {
         for (let index = 0; index < INITIAL_KEY_COUNT; index++) operator.addKey();
--- a/src/test/soak/soakFaults.ts
+++ b/src/test/soak/soakFaults.ts
@@ -1,6 +1,7 @@
 /** The faults that the soak injects. Each lasts until its promise resolves. */
 import { setTimeout as sleep } from "node:timers/promises";
 import type { StoreFault } from "../platform/fakeStore.js";
+import { EVACUATE_MS, REGION_BY_ZONE } from "./bounds.js";
 import type { EntryProcesses } from "./entryProcesses.js";
 import type { LinkFault } from "./faultProxy.js";
 import { createNoticeFaults, finishDrain } from "./noticeFaults.js";
@@ -33,6 +34,7 @@
         ...createEntryFaults(options),
         ...createStoreFaults(options),
         ...createServerFaults(options),
+        ...createPlacementFaults(options),
         ...createNoticeFaults(options),
         ...createRestorationFaults(options),
     };
@@ -127,6 +129,29 @@
     };
 }
 
+/** Changes of the servers that calls may use. They disturb no process. */
+function createPlacementFaults({ operator, random }: SoakFaultsOptions): SoakFaults {
+    return {
+        "evacuate a failure domain": async () => {
+            const zone = random.pick(Object.keys(REGION_BY_ZONE));
+            if (operator.isEvacuated(zone)) return;
+            operator.setEvacuated(zone, true);
+            await sleep(random.between(1000, 2.5 * EVACUATE_MS));
+            operator.setEvacuated(zone, false);
+        },
+        "change the allowed regions": async () => {
+            const account = random.pick(operator.keys().filter(key => key.removedIn === undefined)).account;
+            for (const name of ["read", "book", account]) {
+                operator.restrict(name, random.pick([undefined, ...Object.values(REGION_BY_ZONE)]));
+            }
+            operator.writeConfiguration();
+            await sleep(random.between(500, 4000));
+            operator.restrict(account, undefined);
+            operator.writeConfiguration();
+        },
+    };
+}
+
 function createServerFaults(options: SoakFaultsOptions): SoakFaults {
     const { servers, random } = options;
     return {
--- a/src/test/soak/soakServers.ts
+++ b/src/test/soak/soakServers.ts
@@ -12,6 +12,7 @@
 import type { Ledger } from "./ledger.js";
 import type { NoticeLedger } from "./noticeLedger.js";
 import { isCompletelyAnswered, sendRunResponse } from "./serverResponses.js";
+import type { SoakOperator } from "./soakOperator.js";
 import type { SoakRandom } from "./soakRandom.js";
 import type { SoakStore } from "./soakStore.js";
 
@@ -51,6 +52,8 @@
 export interface SoakServersOptions {
     readonly store: SoakStore;
     readonly entries: EntryProcesses;
+    readonly operator: SoakOperator;
+    readonly onViolation: (text: string) => void;
     readonly ledger: Ledger;
     readonly notices: NoticeLedger;
     readonly random: SoakRandom;
@@ -61,7 +64,7 @@
 export const SERVED_BY_HEADER = "x-served-by";
 
 export function createSoakServers(options: SoakServersOptions): SoakServers {
-    const { store, entries, ledger, notices, random, nextSerial } = options;
+    const { store, entries, operator, ledger, notices, random, nextSerial } = options;
     const servers: Server[] = [];
     let lastFaultAt = Number.NEGATIVE_INFINITY;
 
@@ -113,6 +116,26 @@
         return true;
     }
 
+    /** Returns whether the entries and the store were in touch from a time until now. */
+    function isInTouch(since: number, at: number): boolean {
+        return store.isStable(since) && store.isStable(at) &&
+            entries.all.every(entry => at - entries.lastFaultAt(entry, at) > STABILITY_WINDOW_MS);
+    }
+
+    /** Reports a call that reaches an evacuated server, or one in a region that is forbidden to it, after the bound. */
+    function checkPlace({ id, zone, link }: Server, request: ReceivedRequest, at: number): void {
+        // A faulty link delivers calls late that were sent in time.
+        if (at - (link.lastFaultAt(at) ?? Number.NEGATIVE_INFINITY) < STABILITY_WINDOW_MS) return;
+        const route = /^\w+ \/(\w+)\//.exec(request.head)?.[1] ?? "";
+        for (const { writtenAt, boundMs, reason } of operator.prohibitions(zone, route, request.header("tenant"))) {
+            const ageMs = at - writtenAt;
+            if (ageMs <= boundMs + SCHEDULING_DELAY_MS || !isInTouch(writtenAt, at)) continue;
+            options.onViolation(
+                `${request.attemptId} reached ${id} in ${zone} ${Math.round(ageMs)} ms after ${reason}`,
+            );
+        }
+    }
+
     /**
      * Handles a call on a server. Most calls succeed; the others fail in one of the ways that the requirements list,
      * drawn at random.
@@ -125,6 +148,7 @@
         }
         const at = performance.now();
         notices.recordArrival(id, server.id, at);
+        checkPlace(server, request, at);
         const headers = `${SERVED_BY_HEADER}: ${server.id}\r\n${
             server.announcesLeaving ? "Server-Leaving: 1\r\n" : ""
         }`;
@@ -135,9 +159,7 @@
             socket.write(notRunResponse(headers));
             return;
         }
-        const isStable = server.drainStartedAt !== undefined && store.isStable(server.drainStartedAt) &&
-            store.isStable(at) &&
-            entries.all.every(entry => at - entries.lastFaultAt(entry, at) > STABILITY_WINDOW_MS);
+        const isStable = server.drainStartedAt !== undefined && isInTouch(server.drainStartedAt, at);
         ledger.recordRun({
             id,
             account: request.header("tenant"),
