--- a/src/bench/placement.ts
+++ b/src/bench/placement.ts
@@ -4,7 +4,7 @@
  * `--entries N` splits the requests between that many entries (default: 1), which exchange their load every `--beat`
  * milliseconds (default: 100). `--skew F` gives the first entry an additional fraction of the requests. The design
  * `reported` is the product's dispatcher with engines that report their current speed, `told` with agents that tell the
- * lasting speed of their engines.
+ * lasting speed of their engines, `paced` with the slow start of `serverPace.ts` and `linear` with a ramp over time.
  */
 import { type Placer, simulateTrace } from "../harness/enginePoolSimulation.js";
 import { LOAD_TRACES, type LoadTrace } from "../harness/loadTraces.js";
@@ -29,6 +29,8 @@
         design: trace => createDispatcherPlacer(trace, group),
         reported: trace => createDispatcherPlacer(trace, { ...group, reportsSlowdown: true }),
         told: trace => createDispatcherPlacer(trace, { ...group, tellsEngineSlowdown: true }),
+        paced: trace => createDispatcherPlacer(trace, { ...group, ramp: "answers" }),
+        linear: trace => createDispatcherPlacer(trace, { ...group, ramp: "linear" }),
         leastInFlight: createLeastInFlightPlacer,
         firstComeRandom: createRandomPlacer,
     };
@@ -51,6 +53,10 @@
         worth: mean(({ total }) => total.utility / total.maxUtility),
         lateShare: mean(({ total }) => (total.servedCount - total.onTimeCount) / total.requestCount),
         refusedShare: mean(({ total }) => total.refusedCount / total.requestCount),
+        ...results.some(({ untilFullUseMs }) => untilFullUseMs !== undefined) &&
+            { untilFullUseMs: mean(({ untilFullUseMs }) => untilFullUseMs ?? 0) },
+        crashCount: mean(({ crashCount }) => crashCount),
+        onTimeShare: mean(({ total }) => total.onTimeCount / total.requestCount),
         tenantJain: mean(({ accountJain }) => accountJain),
         onTimeByRank: trace.requestClasses.map((_, index) =>
             mean(({ statisticsByClass }) =>
--- a/src/harness/enginePoolSimulation.ts
+++ b/src/harness/enginePoolSimulation.ts
@@ -50,6 +50,8 @@
     recordEnd(id: string, engine: number, hasSucceeded: boolean, now: number): void;
     /** Reports that the engine turned the request away and wants no others for `backoffMs`. */
     recordRefusal(id: string, engine: number, backoffMs: number, now: number): void;
+    /** Reports that the registry has dropped the engine, or registered its next start. */
+    recordRegistration?(engine: number, isRegistered: boolean, now: number): void;
     tick(now: number): void;
 }
 
@@ -73,6 +75,10 @@
     readonly accountJain: number;
     /** Requests that engines turned away. */
     readonly turnedAwayCount: number;
+    /** Times at which cold engines got more requests than they tolerate. */
+    readonly crashCount: number;
+    /** Mean time from the end of an engine's last fault until it gets its part of the requests again. */
+    readonly untilFullUseMs: number | undefined;
 }
 
 interface SimulatedRequest {
@@ -88,14 +94,32 @@
     isRefused: boolean;
 }
 
+interface SimulatedEngine {
+    readonly requests: Map<string, SimulatedRequest>;
+    busyUntil: number;
+    /** End of the restart after a crash. */
+    downUntil: number;
+    coldUntil: number;
+    isDown: boolean;
+    readonly sendTimes: number[];
+}
+
 /** Simulates the trace. Equal seeds give equal arrivals for every placement policy. */
 export function simulateTrace(trace: LoadTrace, placer: Placer, seed = 7): SimulationResult {
     const generator = xoroshiro128plus(seed);
     const random = () => uniformFloat64(generator);
     const engines = Array.from(
         { length: trace.engineCount },
-        () => ({ requests: new Map<string, SimulatedRequest>(), busyUntil: 0 }),
+        (): SimulatedEngine => ({
+            requests: new Map(),
+            busyUntil: 0,
+            downUntil: 0,
+            coldUntil: 0,
+            isDown: false,
+            sendTimes: [],
+        }),
     );
+    let crashCount = 0;
     const allRequests: SimulatedRequest[] = [];
     const scheduledRetries: { at: number; request: SimulatedRequest; }[] = [];
     const sentAt = new Map<string, number>();
@@ -131,9 +155,30 @@
             refusals.push({ id, request, engineIndex, backoffMs: pause.toMs - currentTime });
             return;
         }
-        const isUnreachable = slowdownAt(trace, engineIndex, currentTime) === Infinity;
-        if (isUnreachable) failures.push({ id, request, engineIndex, hasStarted: false });
-        else engines[engineIndex]?.requests.set(id, request);
+        const engine = engines[engineIndex];
+        if (engine === undefined || currentSlowdown(engine, engineIndex, currentTime) === Infinity) {
+            failures.push({ id, request, engineIndex, hasStarted: false });
+            return;
+        }
+        engine.sendTimes.push(currentTime);
+        engine.requests.set(id, request);
+        crashIfRushed(engine, currentTime);
+    }
+
+    function crashIfRushed(engine: SimulatedEngine, now: number): void {
+        const { coldStart } = trace;
+        if (coldStart === undefined || engine.coldUntil <= now) return;
+        const recentCount = engine.sendTimes.filter(at => at > now - 1000).length;
+        if (recentCount <= coldStart.maxRequestsPerSecond) return;
+        crashCount++;
+        engine.downUntil = now + coldStart.restartMs;
+    }
+
+    /** Returns the factor by which the engine is slower than its specification; infinite while it is down. */
+    function currentSlowdown(engine: SimulatedEngine, engineIndex: number, now: number): number {
+        if (engine.downUntil > now) return Infinity;
+        const slowdown = slowdownAt(trace, engineIndex, now);
+        return engine.coldUntil > now ? slowdown * (trace.coldStart?.slowdown ?? 1) : slowdown;
     }
 
     function refuse(request: SimulatedRequest, retryAfterMs: number): void {
@@ -190,11 +235,16 @@
 
     function step(
         engineIndex: number,
-        engine: { requests: Map<string, SimulatedRequest>; busyUntil: number; },
+        engine: SimulatedEngine,
         now: number,
     ): void {
-        const slowdown = slowdownAt(trace, engineIndex, now);
-        if (slowdown === Infinity) {
+        const slowdown = currentSlowdown(engine, engineIndex, now);
+        if (trace.coldStart?.isRegistered === true && engine.isDown !== (slowdown === Infinity)) {
+            placer.recordRegistration?.(engineIndex, engine.isDown, now);
+        }
+        engine.isDown = slowdown === Infinity;
+        if (engine.isDown) {
+            engine.coldUntil = now + (trace.coldStart?.coldMs ?? 0);
             for (const [id, request] of engine.requests) failures.push({ id, request, engineIndex, hasStarted: true });
             engine.requests.clear();
             return;
@@ -232,6 +282,8 @@
         ),
         total: summarizeRequests(allRequests),
         turnedAwayCount,
+        crashCount,
+        untilFullUseMs: untilFullUseMs(trace, engines),
         accountJain: jainIndex(
             accounts.filter(({ requestCount }) => requestCount > 0).map((
                 { servedCount, requestCount },
@@ -240,6 +292,29 @@
     };
 }
 
+/** Window over which the requests of an engine are counted, and their fraction of those of an engine without faults. */
+const FULL_USE_WINDOW_MS = 1000;
+const FULL_USE_FRACTION = 0.75;
+
+function untilFullUseMs(trace: LoadTrace, engines: readonly SimulatedEngine[]): number | undefined {
+    const lastEnds = engines.map((_, index) =>
+        trace.engineFaults.reduce((last, { engine, toMs }) => engine === index ? Math.max(last, toMs) : last, 0)
+    );
+    const steady = engines.filter((_, index) => lastEnds[index] === 0);
+    const faulty = lastEnds.flatMap((end, index) => end > 0 && end < trace.durationMs ? [{ end, index }] : []);
+    if (steady.length === 0 || faulty.length === 0) return undefined;
+    const countSends = (engine: SimulatedEngine | undefined, from: number) =>
+        engine?.sendTimes.filter(at => at >= from && at < from + FULL_USE_WINDOW_MS).length ?? 0;
+    const delays = faulty.map(({ end, index }) => {
+        for (let from = end; from < trace.durationMs - FULL_USE_WINDOW_MS; from += 50) {
+            const usual = steady.reduce((sum, engine) => sum + countSends(engine, from), 0) / steady.length;
+            if (countSends(engines[index], from) >= FULL_USE_FRACTION * usual) return from - end;
+        }
+        return trace.durationMs - end;
+    });
+    return delays.reduce((sum, delay) => sum + delay, 0) / delays.length;
+}
+
 /** Returns the account of each request of a class that arrives in this step. */
 function drawArrivals(trace: LoadTrace, requestClass: RequestClass, now: number, random: () => number): string[] {
     const anyAccount = () => String(Math.floor(random() * trace.accountCount));
--- a/src/harness/loadTraces.ts
+++ b/src/harness/loadTraces.ts
@@ -41,6 +41,20 @@
     readonly toMs: number;
 }
 
+/** How engines start again after they were unreachable. */
+export interface ColdStart {
+    /** Time for which an engine is cold after a start. */
+    readonly coldMs: number;
+    /** Factor on all durations of a cold engine. */
+    readonly slowdown: number;
+    /** Requests within one second above which a cold engine crashes, with all requests that it runs. */
+    readonly maxRequestsPerSecond: number;
+    /** Time until an engine that crashed starts again. */
+    readonly restartMs: number;
+    /** The registry drops an engine that is down and registers its next start. */
+    readonly isRegistered: boolean;
+}
+
 export interface LoadTrace {
     readonly name: string;
     readonly engineCount: number;
@@ -50,6 +64,8 @@
     readonly surges: readonly Surge[];
     readonly engineFaults: readonly EngineFault[];
     readonly enginePauses?: readonly EnginePause[];
+    /** Without it, engines start again at their full speed. */
+    readonly coldStart?: ColdStart;
 }
 
 const URGENT: RequestClass = {
@@ -102,6 +118,24 @@
     })),
 } as const;
 
+/** The large pool at three quarters of its capacity, so that the loss of a third of it is more than the rest can take. */
+const BUSY_POOL_TRACE = {
+    ...LARGE_POOL_TRACE,
+    requestClasses: LARGE_POOL_TRACE.requestClasses.map(each => ({
+        ...each,
+        requestsPerSecond: each.requestsPerSecond * 3 / 4,
+    })),
+} as const;
+
+/** A cold engine takes its usual rate, which is 10 requests per second in the large pool, but no rush. */
+const COLD_START: ColdStart = {
+    coldMs: 2000,
+    slowdown: 2.5,
+    maxRequestsPerSecond: 25,
+    restartMs: 1500,
+    isRegistered: true,
+};
+
 export const LOAD_TRACES: readonly LoadTrace[] = [
     /** The request rate of the least urgent class triples. */
     { ...BASE_TRACE, name: "burst", surges: [{ fromMs: 4000, toMs: 10_000, rateFactor: 3, rank: RELAXED.rank }] },
@@ -146,4 +180,58 @@
     },
     /** An engine fails without notice and recovers. */
     { ...BASE_TRACE, name: "lostEngine", engineFaults: [{ engine: 2, fromMs: 4000, toMs: 9000, slowdown: Infinity }] },
+    /** A third of the engines restarts at once, and is cold then. */
+    {
+        ...BUSY_POOL_TRACE,
+        name: "coldRestart",
+        engineFaults: [0, 1, 2, 3].map(engine => ({ engine, fromMs: 4000, toMs: 6000, slowdown: Infinity })),
+        coldStart: COLD_START,
+    },
+    /** As before, with short requests: a cold engine can take their usual rate, and crashes if it is rushed. */
+    {
+        ...BASE_TRACE,
+        name: "rushedRestart",
+        engineCount: 6,
+        requestClasses: BASE_TRACE.requestClasses.map(each => ({
+            ...each,
+            promptTokens: 150,
+            events: 3,
+            requestsPerSecond: 100,
+        })),
+        engineFaults: [0, 1].map(engine => ({ engine, fromMs: 4000, toMs: 6000, slowdown: Infinity })),
+        coldStart: { coldMs: 2000, slowdown: 1, maxRequestsPerSecond: 75, restartMs: 1500, isRegistered: true },
+    },
+    /** An engine crashes every 2 s until it stays up, and is cold after each start. */
+    {
+        ...BUSY_POOL_TRACE,
+        name: "flappingEngine",
+        engineFaults: Array.from({ length: 4 }, (_, index) => ({
+            engine: 2,
+            fromMs: 2000 + 2000 * index,
+            toMs: 2800 + 2000 * index,
+            slowdown: Infinity,
+        })),
+        coldStart: { ...COLD_START, isRegistered: false },
+    },
+    /** An engine runs at a quarter of its speed without reporting it. */
+    {
+        ...BUSY_POOL_TRACE,
+        name: "quarterSpeed",
+        engineFaults: [{ engine: 1, fromMs: 4000, toMs: 10_000, slowdown: 4 }],
+    },
+    /** Every 600 ms each engine is three times slower for 100 ms, as VMs that are shared with other work are. */
+    {
+        ...BUSY_POOL_TRACE,
+        name: "noisyEngines",
+        engineFaults: Array.from(
+            { length: LARGE_POOL_TRACE.engineCount },
+            (_, engine) =>
+                Array.from({ length: 24 }, (_each, index) => ({
+                    engine,
+                    fromMs: 1000 + 50 * engine + 600 * index,
+                    toMs: 1100 + 50 * engine + 600 * index,
+                    slowdown: 3,
+                })),
+        ).flat(),
+    },
 ];
--- a/src/harness/placers.ts
+++ b/src/harness/placers.ts
@@ -10,6 +10,7 @@
     createServerBackoff,
     createServerHealth,
     createServerOwnership,
+    createServerPace,
     createServerRegistry,
     createServerSpeed,
     createWeightsPolicy,
@@ -18,6 +19,7 @@
     type InFlightRequests,
     Outcome,
     type ServerLoad,
+    type ServerPace,
     type SlotDecision,
     type SlotRequest,
 } from "../lib/core/serving/index.js";
@@ -44,6 +46,8 @@
     readonly tellsEngineSlowdown?: boolean;
     /** Requests to servers of another entry are reserved there; true by default. */
     readonly reservesSlots?: boolean;
+    /** How engines get work after a start or a failure; without a ramp by default. */
+    readonly ramp?: "answers" | "linear";
     /** Entries send no requests to an engine for the time for which it asks; true by default. */
     readonly honorsBackoff?: boolean;
 }
@@ -51,6 +55,19 @@
 /** A single entry that gets all requests. */
 export const SINGLE_ENTRY: EntryGroupOptions = { entryCount: 1, heartbeatIntervalMs: 100 };
 
+/** Grows with time only, in `FULL_USE_MS`, whatever the answers are. */
+function createLinearPace(pace: ServerPace): ServerPace {
+    return {
+        ...pace,
+        allowance: (server, runningCount, now) => {
+            const allowance = pace.allowance(server, runningCount, now);
+            return allowance === undefined ? undefined : { ...allowance, overflowSlots: allowance.slots };
+        },
+        recordAnswer: () => undefined,
+        recordOutcome: () => undefined,
+    };
+}
+
 /** Uses the product's dispatchers. Each request goes to a random entry. */
 export function createDispatcherPlacer(
     trace: LoadTrace,
@@ -95,6 +112,9 @@
             ownerByRequestId.get(id)?.recordRefusal(id, ...details);
             ownerByRequestId.delete(id);
         },
+        recordRegistration: (...details) => {
+            for (const dispatcher of dispatchers) dispatcher.recordRegistration?.(...details);
+        },
         tick: now => {
             for (const dispatcher of dispatchers) dispatcher.tick(now);
             if (now < nextHeartbeatAt) return;
@@ -122,7 +142,7 @@
 
 function createEntryPlacer(
     trace: LoadTrace,
-    { entryCount, reportsSlowdown = false, tellsEngineSlowdown = false, honorsBackoff = true }: EntryGroupOptions,
+    { entryCount, reportsSlowdown = false, tellsEngineSlowdown = false, ramp, honorsBackoff = true }: EntryGroupOptions,
     index: number,
     findOwner: (name: string) => EntryPlacer | undefined,
 ): EntryPlacer {
@@ -130,8 +150,10 @@
     const backoff = createServerBackoff();
     const health = createServerHealth();
     const speed = createServerSpeed();
+    const answerPace = createServerPace({ isEjected: health.isEjected, withdrawnAt: () => undefined });
+    const pace = ramp === "linear" ? createLinearPace(answerPace) : answerPace;
     const engineNames = Array.from({ length: trace.engineCount }, (_, engine) => engineName(engine));
-    for (const id of engineNames) {
+    function register(id: string, startedAt: number): void {
         registry.put({
             id,
             service: "s",
@@ -139,18 +161,19 @@
             failureDomain: "d",
             slots: ENGINE_SPEC.slots,
             isLeaving: false,
-            startedAt: 1,
+            startedAt,
             remainingWarmupMs: 0,
             weights: { model: "m", version: 1 },
         });
     }
+    for (const id of engineNames) register(id, 1);
     const service = {
         name: "s",
         healthPath: "/",
         maxConnections: 1000,
         engine: ENGINE_SPEC,
         origin: undefined,
-        coldMs: 0,
+        coldMs: ramp === undefined ? 0 : 1,
         coldRequestsPerSecond: 0,
     };
     const generator = xoroshiro128plus(3 + index);
@@ -169,6 +192,7 @@
         reportLagMs: () => 0,
         weights: createWeightsPolicy(() => OLDER_VERSION_ALLOWED_MS),
         evacuations: createEvacuations(),
+        pace,
         findService: () => service,
         failureDomain: "d",
         regionOf: () => undefined,
@@ -184,6 +208,21 @@
         if (reportsSlowdown && Number.isFinite(slowdown)) speed.recordReport(engineName(engine), slowdown, now);
     }
 
+    const incarnationOf = (id: string) => ({ id, startedAt: registry.get(id)?.startedAt ?? 0 });
+
+    function recordAnswer(engine: number, { predictedMs }: SentRequest, tookMs: number, now: number) {
+        const id = engineName(engine);
+        const load = dispatcher.inFlight.loadOf(id, now);
+        const answer = {
+            predictedMs,
+            measuredMs: tookMs,
+            runningCount: load.decoding + load.prefilling,
+            ownCount: dispatcher.inFlight.countAtServer(id),
+            isQueueLong: false,
+        };
+        pace.recordAnswer(incarnationOf(id), answer, now);
+    }
+
     function recordEngineSlowdowns(now: number): void {
         if (!tellsEngineSlowdown || now < nextAgentHeartbeatAt) return;
         nextAgentHeartbeatAt = now + AGENT_HEARTBEAT_INTERVAL_MS;
@@ -251,7 +290,9 @@
             const prediction = predictions.get(id);
             if (prediction !== undefined) {
                 prediction.hasFirstEvent = true;
-                speed.recordFirstEvent(engineName(engine), { ...prediction, measuredMs: tookMs }, now);
+                recordAnswer(engine, prediction, tookMs, now);
+                const isUnsettled = ramp === "answers" && pace.isRamping(engineName(engine));
+                speed.recordFirstEvent(engineName(engine), { ...prediction, measuredMs: tookMs, isUnsettled }, now);
             }
             dispatcher.recordFirstEvent(id, now);
         },
@@ -260,7 +301,9 @@
             release(id, engine, now);
             predictions.delete(id);
             recordReport(engine, now);
-            health.recordOutcome(engineName(engine), hasSucceeded ? Outcome.success : Outcome.unreachable, now);
+            const outcome = hasSucceeded ? Outcome.success : Outcome.unreachable;
+            health.recordOutcome(engineName(engine), outcome, now);
+            pace.recordOutcome(incarnationOf(engineName(engine)), outcome, now);
             dispatcher.recordEnd(id, now);
         },
         recordRefusal: (id, engine, backoffMs, now) => {
@@ -269,12 +312,26 @@
             predictions.delete(id);
             const server = registry.get(engineName(engine));
             if (honorsBackoff && server !== undefined) backoff.record(server, backoffMs, now);
-            health.recordOutcome(engineName(engine), honorsBackoff ? Outcome.deferred : Outcome.refused, now);
+            const outcome = honorsBackoff ? Outcome.deferred : Outcome.refused;
+            health.recordOutcome(engineName(engine), outcome, now);
+            pace.recordOutcome(incarnationOf(engineName(engine)), outcome, now);
             dispatcher.recordEnd(id, now);
         },
+        recordRegistration: (engine, isRegistered, now) => {
+            const id = engineName(engine);
+            if (isRegistered) {
+                register(id, now);
+                return;
+            }
+            registry.remove(id, now, undefined);
+            health.remove(id);
+            speed.remove(id);
+            pace.remove(id);
+        },
         tick: now => {
             currentTime = now;
             recordEngineSlowdowns(now);
+            pace.tick(now);
             dispatcher.tick(now);
         },
     };
--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -19,12 +19,20 @@
 import type { Evacuations } from "./evacuations.js";
 import { createInFlightRequests, type InFlightRequests } from "./inFlightRequests.js";
 import type { EntryIdentity } from "./peerEntries.js";
-import { type PlacementRequest, placeOnEngine, placeOnService, TARGET_FRACTION } from "./placement.js";
+import {
+    maxRunning,
+    type PlacementCandidate,
+    type PlacementRequest,
+    placeOnEngine,
+    placeOnService,
+    TARGET_FRACTION,
+} from "./placement.js";
 import { type AllowedRegions, isAllowedIn } from "./regions.js";
 import type { BackendService } from "./routeTable.js";
 import type { ServerBackoff } from "./serverBackoff.js";
 import type { ServerHealth } from "./serverHealth.js";
 import type { ServerOwnership } from "./serverOwnership.js";
+import type { ServerPace } from "./serverPace.js";
 import { createServerPool, type PoolServer, type PoolSnapshot, type ServerPool } from "./serverPool.js";
 import type { BackendServer, ServerRegistry } from "./serverRegistry.js";
 import type { ServerSpeed } from "./serverSpeed.js";
@@ -73,6 +81,7 @@
     readonly speed: ServerSpeed;
     readonly weights: WeightsPolicy;
     readonly evacuations: Pick<Evacuations, "isEvacuated">;
+    readonly pace?: Pick<ServerPace, "allowance"> | undefined;
     readonly ownership: ServerOwnership;
     /** Name of this entry. */
     readonly self: string;
@@ -194,6 +203,10 @@
             const state = poolState(request, snapshot?.servers() ?? [], now);
             const refusal = decideAdmission(request, classOfRequest(request), aheadCount, state, options.random(), now);
             if (refusal === undefined) waitingByClass.set(key, aheadCount + 1);
+            else if (
+                refusal.reason === "overloaded" && snapshot !== undefined &&
+                tryPlace(request, classOfRequest(request), snapshot, now, snapshot.withOverflow())
+            ) continue;
             else deliverResult(request.id, { kind: "refused", refusal });
         }
         if (queue.size > 0) options.onWaiting?.();
@@ -216,8 +229,14 @@
         return engine === undefined ? 0 : typicalFirstEventMs(engine, request.promptTokens);
     }
 
-    function tryPlace(request: DispatchRequest, queueClass: QueueClass, snapshot: PoolSnapshot, now: number): boolean {
-        const eligible = snapshot.withCapacity().filter(poolServer => isEligible(poolServer, request));
+    function tryPlace(
+        request: DispatchRequest,
+        queueClass: QueueClass,
+        snapshot: PoolSnapshot,
+        now: number,
+        poolServers = snapshot.withCapacity(),
+    ): boolean {
+        const eligible = poolServers.filter(poolServer => isEligible(poolServer, request));
         const assignment = assign(request, queueClass, snapshot, eligible, now);
         if (assignment === undefined) return false;
         deliverResult(request.id, { kind: "assigned", assignment });
@@ -273,7 +292,7 @@
                 weights.startDeadline(service.engine.model, version),
             reservation: service.engine === undefined || otherOwner === undefined ?
                 undefined :
-                { owner: otherOwner, slot: slotRequestFor(server, constraints, candidate.roundTripMs) },
+                { owner: otherOwner, slot: slotRequestFor(candidate, constraints) },
         };
     }
 
@@ -320,7 +339,7 @@
         const runningRequests = expected.reduce((sum, { candidate: { load } }) => {
             return sum + load.decoding + load.prefilling;
         }, 0);
-        const slots = expected.reduce((sum, { server }) => sum + server.slots, 0);
+        const slots = expected.reduce((sum, { candidate }) => sum + maxRunning(candidate, 1), 0);
         const durationMs = meanDurationMsByService.get(service) ?? INITIAL_DURATION_MS;
         const entryCount = Math.max(1, options.entryCount());
         while (lateStarts[0] !== undefined && now - lateStarts[0].startedAt > LATE_START_WINDOW_MS) lateStarts.shift();
@@ -407,14 +426,15 @@
 }
 
 function slotRequestFor(
-    { id, slots }: BackendServer,
+    candidate: PlacementCandidate,
     { promptTokens, timeToDueMs, slotFraction, mustBeOnTime }: PlacementRequest,
-    roundTripMs: number,
 ): SlotRequest {
     return {
-        serverId: id,
+        serverId: candidate.id,
         promptTokens,
-        maxRunning: Math.floor(slots * slotFraction),
-        maxFirstEventMs: mustBeOnTime ? timeToDueMs * TARGET_FRACTION - roundTripMs : Number.POSITIVE_INFINITY,
+        maxRunning: maxRunning(candidate, slotFraction),
+        maxFirstEventMs: mustBeOnTime ?
+            timeToDueMs * TARGET_FRACTION - candidate.roundTripMs :
+            Number.POSITIVE_INFINITY,
     };
 }
--- a/src/lib/core/serving/index.ts
+++ b/src/lib/core/serving/index.ts
@@ -15,6 +15,7 @@
 export * from "./serverBackoff.js";
 export * from "./serverHealth.js";
 export * from "./serverOwnership.js";
+export * from "./serverPace.js";
 export * from "./serverPool.js";
 export * from "./serverRegistry.js";
 export * from "./serverSpeed.js";
--- a/src/lib/core/serving/placement.ts
+++ b/src/lib/core/serving/placement.ts
@@ -16,6 +16,8 @@
     readonly roundTripMs: number;
     readonly isLocal: boolean;
     readonly slots: number;
+    /** Requests that may be at the server at once while its slots are limited (`serverPace.ts`). */
+    readonly allowedSlots?: number | undefined;
     /** No other entry owns the server. */
     readonly isOwn: boolean;
     readonly load: EngineLoad;
@@ -54,6 +56,11 @@
 /** Delay added to the score of a server with a failure rate of 1; lower rates add proportionally less. */
 const FAILURE_PENALTY_MS = 2000;
 
+/** Returns how many requests may be at the server at once if they may use a fraction of its slots. */
+export function maxRunning({ slots, allowedSlots = slots }: PlacementCandidate, slotFraction: number): number {
+    return Math.min(allowedSlots, Math.floor(slots * slotFraction));
+}
+
 /** Places a request on a model engine. Returns `undefined` if no candidate has capacity for it. */
 export function placeOnEngine(
     engine: EngineParameters,
@@ -63,9 +70,9 @@
     let best: Placement | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
     for (const candidate of candidates) {
-        const { load, slots } = candidate;
+        const { load } = candidate;
         if (candidate.freeConnections <= 0) continue;
-        if (load.decoding + load.prefilling >= Math.floor(slots * request.slotFraction)) continue;
+        if (load.decoding + load.prefilling >= maxRunning(candidate, request.slotFraction)) continue;
         const prediction = predictLatency(engine, load, request.promptTokens, candidate.slowdown);
         if (
             load.decoding > 0 && prediction.maxEventGapMs > request.maxEventGapMs * TARGET_FRACTION &&
@@ -115,7 +122,7 @@
     for (const candidate of candidates) {
         if (candidate.freeConnections <= 0) continue;
         const running = candidate.load.decoding + candidate.load.prefilling;
-        if (running >= candidate.slots) continue;
+        if (running >= maxRunning(candidate, 1)) continue;
         const score = (running + 1) / candidate.slots * candidate.slowdown + candidate.failureRate +
             (candidate.isLocal ? 0 : 0.5);
         if (score >= bestScore) continue;
--- a/src/lib/core/serving/serverPool.ts
+++ b/src/lib/core/serving/serverPool.ts
@@ -9,11 +9,12 @@
 import type { Evacuations } from "./evacuations.js";
 import type { InFlightRequests } from "./inFlightRequests.js";
 import type { EntryIdentity } from "./peerEntries.js";
-import type { PlacementCandidate } from "./placement.js";
+import { maxRunning, type PlacementCandidate } from "./placement.js";
 import type { BackendService, EngineParameters } from "./routeTable.js";
 import type { ServerBackoff } from "./serverBackoff.js";
 import type { ServerHealth } from "./serverHealth.js";
 import type { ServerOwnership } from "./serverOwnership.js";
+import type { ServerPace } from "./serverPace.js";
 import type { BackendServer, ServerRegistry } from "./serverRegistry.js";
 import type { ServerSpeed } from "./serverSpeed.js";
 import type { WeightsPolicy } from "./weightsPolicy.js";
@@ -31,6 +32,8 @@
     /** Another entry that owns the server; `undefined` if this entry or none does. */
     readonly otherOwner: EntryIdentity | undefined;
     readonly candidate: PlacementCandidate;
+    /** Requests that may be at the server if they would be refused otherwise; `undefined` without a limit of its slots. */
+    readonly overflowSlots: number | undefined;
 }
 
 export interface PoolSnapshot {
@@ -38,6 +41,8 @@
     servers(): readonly PoolServer[];
     /** Servers that accept requests now and have a free slot and a free connection; few of them under overload. */
     withCapacity(): readonly PoolServer[];
+    /** Servers whose slots are limited, with the limit for requests that would be refused otherwise. */
+    withOverflow(): readonly PoolServer[];
     /** Computes the state of a server again, after a request was sent to it. */
     refresh(serverId: string): void;
 }
@@ -66,6 +71,8 @@
     readonly speed: ServerSpeed;
     readonly weights: WeightsPolicy;
     readonly evacuations: Pick<Evacuations, "isEvacuated">;
+    /** Limits the slots of servers of services with cold servers; without it, no server is limited. */
+    readonly pace?: Pick<ServerPace, "allowance"> | undefined;
     readonly inFlight: InFlightRequests;
     readonly ownership: ServerOwnership;
     /** Name of this entry. */
@@ -89,8 +96,14 @@
     readonly version: number;
 }
 
-function hasCapacity({ isUsable, candidate: { load, slots, freeConnections } }: PoolServer): boolean {
-    return isUsable && load.decoding + load.prefilling < slots && freeConnections > 0;
+function hasCapacity({ isUsable, candidate }: PoolServer): boolean {
+    const { load, freeConnections } = candidate;
+    return isUsable && load.decoding + load.prefilling < maxRunning(candidate, 1) && freeConnections > 0;
+}
+
+/** Only services that declare cold servers have servers that need a slow start. */
+function isPaced({ coldMs, coldRequestsPerSecond }: BackendService): boolean {
+    return coldMs > 0 || coldRequestsPerSecond > 0;
 }
 
 export function createServerPool(options: ServerPoolOptions): ServerPool {
@@ -120,6 +133,9 @@
                 health.isAvailable(server.id, backoffEnd ?? now) &&
                 (engine === undefined || version !== undefined && version >= lowestVersion);
             const isExpected = isSound && backoffEnd === undefined;
+            const load = inFlight.loadOf(server.id, now);
+            const runningCount = load.decoding + load.prefilling;
+            const allowance = isPaced(service) ? options.pace?.allowance(server, runningCount, now) : undefined;
             return {
                 server,
                 version,
@@ -133,12 +149,14 @@
                     roundTripMs: options.roundTripMs(server.failureDomain),
                     isLocal: server.failureDomain === options.failureDomain,
                     slots: server.slots,
+                    allowedSlots: allowance?.slots,
                     isOwn: owner === undefined || owner.name === options.self,
-                    load: inFlight.loadOf(server.id, now),
+                    load,
                     slowdown: speed.slowdown(server.id, now),
                     failureRate: health.failureRate(server.id),
                     freeConnections: connectionLimit - inFlight.countAtServer(server.id),
                 },
+                overflowSlots: allowance?.overflowSlots,
             };
         }
 
@@ -146,6 +164,13 @@
             service,
             servers: () => poolServers,
             withCapacity: () => serversWithCapacity ??= poolServers.filter(hasCapacity),
+            withOverflow: () =>
+                poolServers.flatMap(poolServer => {
+                    const { overflowSlots, candidate } = poolServer;
+                    if (overflowSlots === undefined) return [];
+                    const withLimit = { ...poolServer, candidate: { ...candidate, allowedSlots: overflowSlots } };
+                    return hasCapacity(withLimit) ? [withLimit] : [];
+                }),
             refresh: serverId => {
                 serversWithCapacity = undefined;
                 const index = servers.findIndex(({ id }) => id === serverId);
--- a/src/lib/core/serving/serverSpeed.ts
+++ b/src/lib/core/serving/serverSpeed.ts
@@ -16,6 +16,8 @@
     readonly measuredMs: number;
     /** Slowdown that the prediction assumed. */
     readonly assumedSlowdown: number;
+    /** The server is in a ramp (`serverPace.ts`), so that little is known of its speed. */
+    readonly isUnsettled?: boolean;
 }
 
 export interface ServerSpeed {
@@ -41,6 +43,9 @@
 /** Weight of the newest measurement in the moving average of the correction. */
 const CORRECTION_SMOOTHING = 0.05;
 
+/** Weight for a server in a ramp, which gets few requests: the predictions are right after a few answers. */
+const UNSETTLED_CORRECTION_SMOOTHING = 0.3;
+
 /**
  * Without new measurements, half of the correction's deviation from 1 is forgotten in this time: a server that seems slow
  * gets few requests, and would otherwise seem slow long after its recovery.
@@ -104,14 +109,15 @@
         recordEngineSlowdown: (id, slowdown, now) => {
             getOrCreateState(id).engine = { slowdown: Math.min(MAX_SLOWDOWN, slowdown), at: now };
         },
-        recordFirstEvent: (id, { predictedMs, measuredMs, assumedSlowdown }, now) => {
+        recordFirstEvent: (id, { predictedMs, measuredMs, assumedSlowdown, isUnsettled = false }, now) => {
             if (predictedMs <= 0) return;
             const state = getOrCreateState(id);
             const totalSlowdown = measuredMs * assumedSlowdown / predictedMs;
             const ratio = totalSlowdown / reportedSlowdown(state, now);
             const boundedRatio = Math.min(MAX_SLOWDOWN, Math.max(MIN_CORRECTION, ratio));
             const correction = correctionOf(state, now);
-            state.correction = correction + CORRECTION_SMOOTHING * (boundedRatio - correction);
+            const smoothing = isUnsettled ? UNSETTLED_CORRECTION_SMOOTHING : CORRECTION_SMOOTHING;
+            state.correction = correction + smoothing * (boundedRatio - correction);
             state.correctedAt = now;
         },
         slowdown: (id, now) => {
--- a/src/lib/observability/servingMetrics.ts
+++ b/src/lib/observability/servingMetrics.ts
@@ -13,6 +13,7 @@
     /** Time to the first event, divided by the prediction that placed the request. */
     readonly predictionRatio: Histogram<"kind">;
     readonly waiting: Gauge;
+    readonly rampingServers: Gauge;
     readonly storeCalls: Counter<"result">;
     readonly pieces: Counter<"source">;
     readonly orders: Counter<"result">;
@@ -57,6 +58,11 @@
             RATIO_BUCKETS,
         ),
         waiting: new Gauge({ name: "endivewell_waiting", help: "Requests that wait for a server.", registers }),
+        rampingServers: new Gauge({
+            name: "endivewell_ramping_servers",
+            help: "Backend servers that get fewer requests than they have slots, after a start or a failure.",
+            registers,
+        }),
         storeCalls: counter("endivewell_store_calls_total", "Calls to the store by result.", ["result"]),
         pieces: counter("endivewell_pieces_total", "Pieces of weights received by source.", ["source"]),
         orders: counter("endivewell_orders_total", "Orders to the engine by result.", ["result"]),
--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -1,7 +1,7 @@
 /** Sends a request to one backend server and relays the response to the caller, or reports why that failed. */
 import type * as http from "node:http";
 import VError from "verror";
-import { type Assignment, Outcome, RequestKind } from "../core/serving/index.js";
+import { type Assignment, type BackendServer, Outcome, RequestKind } from "../core/serving/index.js";
 import { Verdict } from "../core/verdict.js";
 import { readLimitedBody } from "../node/limitedBody.js";
 import { hasResponseBody } from "../node/responseBody.js";
@@ -68,7 +68,7 @@
         try {
             if (!await onSilence(() => silence.isExpired() && !cancellation.signal.aborted)) return;
             // Recorded at once, because a server that hangs would receive further requests until this one ends.
-            context.health.recordOutcome(server.id, Outcome.broken, context.now());
+            recordOutcome(exchange, server, Outcome.broken);
             hasRecordedSilence = true;
         }
         catch (error) {
@@ -114,6 +114,9 @@
         if (metadata.slowdown !== undefined) {
             context.speed.recordReport(server.id, metadata.slowdown, context.now());
         }
+        const headReceivedAt = context.now();
+        const isQueueLong = metadata.load !== undefined && metadata.load.waiting > 0 &&
+            metadata.load.waiting >= metadata.load.running;
         if (isStreamResponse(exchange, response)) {
             silenceReason = "no event in time";
             silence.start(silenceTimeoutMs(exchange, assignment, context.now()));
@@ -130,11 +133,14 @@
             onFirstEvent: () => {
                 silenceReason = "the stream paused too long";
                 hasStarted = true;
-                recordFirstEvent(exchange, { assignment, dispatchId }, sentAt);
+                recordFirstEvent(exchange, { assignment, dispatchId }, sentAt, isQueueLong);
             },
             onDelivery,
             onSurvival: () => context.promptGuard.recordSurvival(caller, server.service),
         });
+        if (result.kind === "answered" && !isStreamResponse(exchange, response) && !hasEngine(exchange, server)) {
+            recordAnswer(exchange, assignment, undefined, headReceivedAt - sentAt, isQueueLong);
+        }
         const isSilent = silence.isExpired() && !isSuperseded;
         recordResult(exchange, assignment, result, { metadata, isSilent, isSuperseded, hasRecordedSilence });
         return result.kind === "failed" ? { ...result, isSuperseded } : result;
@@ -146,7 +152,7 @@
         const isCancelled = exchange.cancellation.signal.aborted || isSuperseded ||
             hasOutdatedWeights(assignment, context.now());
         if (!hasRecordedSilence && (!isCancelled || isOverdue)) {
-            context.health.recordOutcome(server.id, outcome, context.now());
+            recordOutcome(exchange, server, outcome);
         }
         if (verdict !== Verdict.notRun) exchange.verdicts.push(verdict);
         context.metrics.sends.inc({ result: outcome });
@@ -196,12 +202,41 @@
     // A caller that leaves a silent server has waited for it.
     const isServerFailure = !isCancelled || isSilent && hasFirstEvent;
     if (result.kind === "answered" || isServerFailure && !hasRecordedSilence) {
-        context.health.recordOutcome(assignment.server.id, outcome, context.now());
+        recordOutcome(exchange, assignment.server, outcome);
     }
     context.metrics.sends.inc({ result: outcome });
     if (result.kind === "failed") exchange.verdicts.push(result.verdict);
 }
 
+function recordOutcome({ context }: Exchange, server: BackendServer, outcome: Outcome): void {
+    context.health.recordOutcome(server.id, outcome, context.now());
+    context.pace.recordOutcome(server, outcome, context.now());
+}
+
+function hasEngine({ context }: Exchange, { service }: BackendServer): boolean {
+    return context.routeTable()?.findService(service)?.engine !== undefined;
+}
+
+/** Records an answer, or its first event, as evidence of how much work the server can take. */
+function recordAnswer(
+    { context }: Exchange,
+    { server }: Assignment,
+    predictedMs: number | undefined,
+    measuredMs: number,
+    isQueueLong: boolean,
+): void {
+    if (!context.pace.isTracked(server.id)) return;
+    const { inFlight } = context.dispatcher;
+    const { decoding, prefilling } = inFlight.loadOf(server.id, context.now());
+    context.pace.recordAnswer(server, {
+        predictedMs,
+        measuredMs,
+        runningCount: decoding + prefilling,
+        ownCount: inFlight.countAtServer(server.id),
+        isQueueLong,
+    }, context.now());
+}
+
 function outcomeFor(result: AttemptResult, metadata: ResponseMetadata): Outcome {
     if (result.kind === "answered") return Outcome.success;
     if (metadata.isNotRun) return metadata.backoffMs === undefined ? Outcome.refused : Outcome.deferred;
@@ -301,17 +336,21 @@
     exchange: Exchange,
     { assignment, dispatchId }: Dispatch,
     sentAt: number,
+    isQueueLong: boolean,
 ): void {
     const { context, route } = exchange;
     const { server, predictedFirstEventMs, assumedSlowdown } = assignment;
     const now = context.now();
     const measuredMs = now - sentAt;
+    const predictedMs = hasEngine(exchange, server) ? predictedFirstEventMs : undefined;
+    recordAnswer(exchange, assignment, predictedMs, measuredMs, isQueueLong);
     context.dispatcher.recordFirstEvent(dispatchId, now);
-    context.speed.recordFirstEvent(
-        server.id,
-        { predictedMs: predictedFirstEventMs, measuredMs, assumedSlowdown },
-        now,
-    );
+    context.speed.recordFirstEvent(server.id, {
+        predictedMs: predictedFirstEventMs,
+        measuredMs,
+        assumedSlowdown,
+        isUnsettled: context.pace.isRamping(server.id),
+    }, now);
     exchange.prediction = {
         predictedMs: Math.round(predictedFirstEventMs),
         actualMs: Math.round(measuredMs),
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -9,6 +9,7 @@
     type Route,
     type RouteTable,
     type ServerHealth,
+    type ServerPace,
     type ServerSpeed,
     type SharedRetryBudget,
 } from "../core/serving/index.js";
@@ -34,6 +35,7 @@
     readonly retryBudget: SharedRetryBudget;
     readonly health: ServerHealth;
     readonly speed: ServerSpeed;
+    readonly pace: ServerPace;
     readonly serverNotices: ServerNotices;
     /** Memory for the bodies of all requests and responses in progress. */
     readonly bodyBudget: BodyBudget;
--- a/src/lib/router/reservations.ts
+++ b/src/lib/router/reservations.ts
@@ -10,6 +10,7 @@
     type EntryIdentity,
     type RouteTable,
     type ServerLoad,
+    type ServerPace,
     type ServerRegistry,
     type ServerSpeed,
     type SlotDecision,
@@ -22,6 +23,7 @@
     readonly dispatcher: Pick<Dispatcher, "inFlight" | "pool">;
     readonly registry: ServerRegistry;
     readonly speed: ServerSpeed;
+    readonly pace?: Pick<ServerPace, "maxRunning">;
     readonly routeTable: () => RouteTable | undefined;
     /** Sends a message to an entry. Messages may be lost. */
     readonly send: (message: ReservationRequest | ReservationReply | SlotRelease, ip: string) => void;
@@ -114,7 +116,15 @@
         // An owner that doesn't know the server has no reason to refuse.
         let decision: SlotDecision = { isGranted: true, load: [0, 0, 0, 0], pauseMs: 0 };
         if (server !== undefined && engine !== undefined) {
-            const slot = { ...message, maxFirstEventMs: message.maxFirstEventMs ?? Number.POSITIVE_INFINITY };
+            const slot = {
+                ...message,
+                // The other entry may have missed that the server is in a ramp.
+                maxRunning: Math.min(
+                    message.maxRunning,
+                    options.pace?.maxRunning(server.id, now()) ?? message.maxRunning,
+                ),
+                maxFirstEventMs: message.maxFirstEventMs ?? Number.POSITIVE_INFINITY,
+            };
             const slowdown = speed.slowdown(message.serverId, now());
             const isPaused = dispatcher.pool.isPaused(server, now());
             const owned = { engine, slowdown, isPaused };
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -12,6 +12,7 @@
     createServerBackoff,
     createServerHealth,
     createServerOwnership,
+    createServerPace,
     createServerRegistry,
     createServerSpeed,
     createSharedRetryBudget,
@@ -104,6 +105,18 @@
     const health = createServerHealth();
     const speed = createServerSpeed();
     const evacuations = createEvacuations();
+    const pace = createServerPace({
+        isEjected: health.isEjected,
+        withdrawnAt: evacuations.withdrawnAt,
+        onChange: ({ serverId, cause, tookMs }) => {
+            const isEnd = tookMs !== undefined;
+            log.info(isEnd ? "ramp ended" : "ramp begun", {
+                server: serverId,
+                cause,
+                ...isEnd && { tookMs: Math.round(tookMs) },
+            });
+        },
+    });
     const weights = createWeightsPolicy(() => bounds.weightsMs);
     const connections = createBackendConnections();
     /** Live entries, including this one. Updated with each heartbeat, and only if one came, left or moved. */
@@ -119,6 +132,7 @@
         reportLagMs,
         weights,
         evacuations,
+        pace,
         findService: name => operatorState.routeTable()?.findService(name),
         failureDomain: settings.failureDomain,
         regionOf: domain => settings.regions.get(domain),
@@ -152,6 +166,7 @@
             connections.removeServer(id);
             health.remove(id);
             speed.remove(id);
+            pace.remove(id);
         },
         onWeightsNamed: version => {
             void relay.prefetch(version);
@@ -163,6 +178,7 @@
         dispatcher,
         registry,
         speed,
+        pace,
         routeTable: operatorState.routeTable,
         send: (message, ip) => peerExchange.send(message, ip),
         metrics,
@@ -200,6 +216,7 @@
         retryBudget,
         health,
         speed,
+        pace,
         serverNotices: createServerNotices({ registry, backoff, log, metrics, now }),
         bodyBudget: createBodyBudget(MAX_BUFFERED_BODY_BYTES),
         log,
@@ -331,6 +348,8 @@
         peerExchange.tick();
         for (const feed of feeds) feed.checkSilence();
         for (const replica of replicas.values()) registration.renewIn(replica.newestPosition().epoch);
+        pace.tick(now());
+        metrics.rampingServers.set(pace.rampingCount());
         metrics.waiting.set(dispatcher.queueLength());
         dispatcher.pool.forgetUnregistered(now());
         for (const id of registry.expire(now())) {
@@ -338,6 +357,7 @@
             connections.removeServer(id);
             health.remove(id);
             speed.remove(id);
+            pace.remove(id);
         }
     }, HEARTBEAT_INTERVAL_MS);
 
