--- a/src/harness/loadTraces.ts
+++ b/src/harness/loadTraces.ts
@@ -187,7 +187,7 @@
         engineFaults: [0, 1, 2, 3].map(engine => ({ engine, fromMs: 4000, toMs: 6000, slowdown: Infinity })),
         coldStart: COLD_START,
     },
-    /** As before, with short requests: a cold engine can take their usual rate, and crashes if it is rushed. */
+    /** As before, with short requests: a cold engine takes 1.2 times their usual rate, and crashes above it. */
     {
         ...BASE_TRACE,
         name: "rushedRestart",
@@ -199,7 +199,7 @@
             requestsPerSecond: 100,
         })),
         engineFaults: [0, 1].map(engine => ({ engine, fromMs: 4000, toMs: 6000, slowdown: Infinity })),
-        coldStart: { coldMs: 2000, slowdown: 1, maxRequestsPerSecond: 75, restartMs: 1500, isRegistered: true },
+        coldStart: { coldMs: 2000, slowdown: 1, maxRequestsPerSecond: 60, restartMs: 1500, isRegistered: true },
     },
     /** An engine crashes every 2 s until it stays up, and is cold after each start. */
     {
--- a/src/harness/placers.ts
+++ b/src/harness/placers.ts
@@ -319,14 +319,12 @@
         },
         recordRegistration: (engine, isRegistered, now) => {
             const id = engineName(engine);
-            if (isRegistered) {
-                register(id, now);
-                return;
-            }
-            registry.remove(id, now, undefined);
+            // Failures of requests at the previous start may have been recorded after its end.
             health.remove(id);
             speed.remove(id);
             pace.remove(id);
+            if (isRegistered) register(id, now);
+            else registry.remove(id, now, undefined);
         },
         tick: now => {
             currentTime = now;
--- a/src/lib/core/serving/serverPace.ts
+++ b/src/lib/core/serving/serverPace.ts
@@ -106,10 +106,7 @@
  * is slower by a constant factor is one that the predictions soon describe (`serverSpeed.ts`), not an overloaded one.
  */
 const GOOD_RATIO = 1.25;
-const LATE_RATIO = 2;
-
-/** Times of plain services vary more, because their requests aren't alike. */
-const PLAIN_LATE_RATIO = 3;
+const LATE_RATIO = 3;
 
 /** Smaller differences in milliseconds are those of timers and links. */
 const GOOD_EXCESS_MS = 15;
@@ -264,9 +261,8 @@
         return Math.max(1, predictedMs ?? usualMsByService.get(server.service) ?? measuredMs);
     }
 
-    function judge(expectedMs: number, { predictedMs, measuredMs, isQueueLong }: ServerAnswer): Judgement {
-        const lateRatio = predictedMs === undefined ? PLAIN_LATE_RATIO : LATE_RATIO;
-        if (measuredMs > expectedMs * lateRatio && measuredMs > expectedMs + LATE_EXCESS_MS) return Judgement.bad;
+    function judge(expectedMs: number, { measuredMs, isQueueLong }: ServerAnswer): Judgement {
+        if (measuredMs > expectedMs * LATE_RATIO && measuredMs > expectedMs + LATE_EXCESS_MS) return Judgement.bad;
         if (isQueueLong) return Judgement.neutral;
         return measuredMs <= expectedMs * GOOD_RATIO + GOOD_EXCESS_MS ? Judgement.good : Judgement.neutral;
     }
--- a/src/lib/core/serving/serverSpeed.ts
+++ b/src/lib/core/serving/serverSpeed.ts
@@ -44,7 +44,7 @@
 const CORRECTION_SMOOTHING = 0.05;
 
 /** Weight for a server in a ramp, which gets few requests: the predictions are right after a few answers. */
-const UNSETTLED_CORRECTION_SMOOTHING = 0.3;
+const UNSETTLED_CORRECTION_SMOOTHING = 0.5;
 
 /**
  * Without new measurements, half of the correction's deviation from 1 is forgotten in this time: a server that seems slow
