--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -21,12 +21,20 @@
 import type { Evacuations } from "./evacuations.js";
 import { createInFlightRequests, type InFlightRequests } from "./inFlightRequests.js";
 import type { EntryIdentity } from "./peerEntries.js";
-import { type PlacementRequest, placeOnEngine, placeOnService, TARGET_FRACTION } from "./placement.js";
+import {
+    maxRunning,
+    type PlacementCandidate,
+    type PlacementRequest,
+    placeOnEngine,
+    placeOnService,
+    TARGET_FRACTION,
+} from "./placement.js";
 import { type AllowedRegions, isAllowedIn } from "./regions.js";
 import type { BackendService } from "./routeTable.js";
 import type { ServerBackoff } from "./serverBackoff.js";
 import type { ServerHealth } from "./serverHealth.js";
 import type { ServerOwnership } from "./serverOwnership.js";
+import type { ServerPace } from "./serverPace.js";
 import { createServerPool, type PoolServer, type PoolSnapshot, type ServerPool } from "./serverPool.js";
 import type { BackendServer, ServerRegistry } from "./serverRegistry.js";
 import type { ServerSpeed } from "./serverSpeed.js";
@@ -84,6 +92,7 @@
     readonly evacuations: Pick<Evacuations, "isEvacuated">;
     /** Without it, requests to cold servers aren't limited. */
     readonly coldLimit?: ColdLimit | undefined;
+    readonly pace?: Pick<ServerPace, "allowance"> | undefined;
     readonly ownership: ServerOwnership;
     /** Name of this entry. */
     readonly self: string;
@@ -208,6 +217,10 @@
             const state = poolState(request, snapshot?.servers() ?? [], now);
             const refusal = decideAdmission(request, classOfRequest(request), aheadCount, state, options.random(), now);
             if (refusal === undefined) waitingByClass.set(key, aheadCount + 1);
+            else if (
+                refusal.reason === "overloaded" && snapshot !== undefined &&
+                tryPlace(request, classOfRequest(request), snapshot, now, snapshot.withOverflow())
+            ) continue;
             else deliverResult(request.id, { kind: "refused", refusal });
         }
         if (queue.size > 0) options.onWaiting?.();
@@ -230,8 +243,14 @@
         return engine === undefined ? 0 : typicalFirstEventMs(engine, request.promptTokens);
     }
 
-    function tryPlace(request: DispatchRequest, queueClass: QueueClass, snapshot: PoolSnapshot, now: number): boolean {
-        const eligible = snapshot.withCapacity().filter(poolServer => isEligible(poolServer, request));
+    function tryPlace(
+        request: DispatchRequest,
+        queueClass: QueueClass,
+        snapshot: PoolSnapshot,
+        now: number,
+        poolServers = snapshot.withCapacity(),
+    ): boolean {
+        const eligible = poolServers.filter(poolServer => isEligible(poolServer, request));
         const assignment = assign(request, queueClass, snapshot, eligible, now);
         if (assignment === undefined) return false;
         deliverResult(request.id, { kind: "assigned", assignment });
@@ -292,7 +311,7 @@
                 {
                     owner: otherOwner,
                     slot: {
-                        ...slotRequestFor(server, constraints, candidate.roundTripMs),
+                        ...slotRequestFor(candidate, constraints),
                         precedence: queueClass * PRECEDENCES_PER_CLASS +
                             Math.min(request.rank, PRECEDENCES_PER_CLASS - 1),
                     },
@@ -344,7 +363,7 @@
         const runningRequests = expected.reduce((sum, { candidate: { load } }) => {
             return sum + load.decoding + load.prefilling;
         }, 0);
-        const slots = expected.reduce((sum, { server }) => sum + server.slots, 0);
+        const slots = expected.reduce((sum, { candidate }) => sum + maxRunning(candidate, 1), 0);
         const engine = serviceOf(request)?.engine;
         const fittingCount = engine === undefined ?
             Number.POSITIVE_INFINITY :
@@ -438,15 +457,16 @@
 }
 
 function slotRequestFor(
-    { id, slots }: BackendServer,
+    candidate: PlacementCandidate,
     { promptTokens, outputTokens, timeToDueMs, slotFraction, mustBeOnTime }: PlacementRequest,
-    roundTripMs: number,
 ): Omit<SlotRequest, "precedence"> {
     return {
-        serverId: id,
+        serverId: candidate.id,
         promptTokens,
         outputTokens,
-        maxRunning: Math.floor(slots * slotFraction),
-        maxFirstEventMs: mustBeOnTime ? timeToDueMs * TARGET_FRACTION - roundTripMs : Number.POSITIVE_INFINITY,
+        maxRunning: maxRunning(candidate, slotFraction),
+        maxFirstEventMs: mustBeOnTime ?
+            timeToDueMs * TARGET_FRACTION - candidate.roundTripMs :
+            Number.POSITIVE_INFINITY,
     };
 }
--- a/src/lib/core/serving/serverPool.ts
+++ b/src/lib/core/serving/serverPool.ts
@@ -10,11 +10,12 @@
 import type { Evacuations } from "./evacuations.js";
 import type { InFlightRequests } from "./inFlightRequests.js";
 import type { EntryIdentity } from "./peerEntries.js";
-import type { PlacementCandidate } from "./placement.js";
+import { maxRunning, type PlacementCandidate } from "./placement.js";
 import type { BackendService, EngineParameters } from "./routeTable.js";
 import type { ServerBackoff } from "./serverBackoff.js";
 import type { ServerHealth } from "./serverHealth.js";
 import type { ServerOwnership } from "./serverOwnership.js";
+import type { ServerPace } from "./serverPace.js";
 import type { BackendServer, ServerRegistry } from "./serverRegistry.js";
 import type { ServerSpeed } from "./serverSpeed.js";
 import type { WeightsPolicy } from "./weightsPolicy.js";
@@ -34,6 +35,8 @@
     /** A request may be sent only if the owner grants a reservation; see `ColdLimit`. */
     readonly requiresGrant: boolean;
     readonly candidate: PlacementCandidate;
+    /** Requests that may be at the server if they would be refused otherwise; `undefined` without a limit of its slots. */
+    readonly overflowSlots: number | undefined;
 }
 
 export interface PoolSnapshot {
@@ -41,6 +44,8 @@
     servers(): readonly PoolServer[];
     /** Servers that accept requests now and have a free slot and a free connection; few of them under overload. */
     withCapacity(): readonly PoolServer[];
+    /** Servers whose slots are limited, with the limit for requests that would be refused otherwise. */
+    withOverflow(): readonly PoolServer[];
     /** Computes the state of a server again, after a request was sent to it. */
     refresh(serverId: string): void;
 }
@@ -69,6 +74,8 @@
     readonly speed: ServerSpeed;
     readonly weights: WeightsPolicy;
     readonly evacuations: Pick<Evacuations, "isEvacuated">;
+    /** Limits the slots of servers of services with cold servers; without it, no server is limited. */
+    readonly pace?: Pick<ServerPace, "allowance"> | undefined;
     readonly inFlight: InFlightRequests;
     /** Without it, requests to cold servers aren't limited. */
     readonly coldLimit?: ColdLimit | undefined;
@@ -94,8 +101,14 @@
     readonly version: number;
 }
 
-function hasCapacity({ isUsable, candidate: { load, slots, freeConnections } }: PoolServer): boolean {
-    return isUsable && load.decoding + load.prefilling < slots && freeConnections > 0;
+function hasCapacity({ isUsable, candidate }: PoolServer): boolean {
+    const { load, freeConnections } = candidate;
+    return isUsable && load.decoding + load.prefilling < maxRunning(candidate, 1) && freeConnections > 0;
+}
+
+/** Only services that declare cold servers have servers that need a slow start. */
+function isPaced({ coldMs, coldRequestsPerSecond }: BackendService): boolean {
+    return coldMs > 0 || coldRequestsPerSecond > 0;
 }
 
 export function createServerPool(options: ServerPoolOptions): ServerPool {
@@ -129,6 +142,9 @@
             const permission = options.coldLimit?.permission(service, server, now) ?? SendPermission.granted;
             const requiresGrant = permission === SendPermission.onReservation;
             const mayAsk = permission === SendPermission.granted || requiresGrant && otherOwner !== undefined;
+            const load = inFlight.loadOf(server.id, now);
+            const runningCount = load.decoding + load.prefilling;
+            const allowance = isPaced(service) ? options.pace?.allowance(server, runningCount, now) : undefined;
             return {
                 server,
                 version,
@@ -143,12 +159,14 @@
                     roundTripMs: options.roundTripMs(server.failureDomain),
                     isLocal: server.failureDomain === options.failureDomain,
                     slots: server.slots,
+                    allowedSlots: allowance?.slots,
                     isOwn: owner === undefined || owner.name === options.self,
-                    load: inFlight.loadOf(server.id, now),
+                    load,
                     slowdown: speed.slowdown(server.id, now),
                     failureRate: health.failureRate(server.id),
                     freeConnections: connectionLimit - inFlight.countAtServer(server.id),
                 },
+                overflowSlots: allowance?.overflowSlots,
             };
         }
 
@@ -156,6 +174,13 @@
             service,
             servers: () => poolServers,
             withCapacity: () => serversWithCapacity ??= poolServers.filter(hasCapacity),
+            withOverflow: () =>
+                poolServers.flatMap(poolServer => {
+                    const { overflowSlots, candidate } = poolServer;
+                    if (overflowSlots === undefined) return [];
+                    const withLimit = { ...poolServer, candidate: { ...candidate, allowedSlots: overflowSlots } };
+                    return hasCapacity(withLimit) ? [withLimit] : [];
+                }),
             refresh: serverId => {
                 serversWithCapacity = undefined;
                 const index = servers.findIndex(({ id }) => id === serverId);
--- a/src/lib/observability/servingMetrics.ts
+++ b/src/lib/observability/servingMetrics.ts
@@ -16,6 +16,7 @@
     /** Servers whose requests are limited because they count as cold. */
     readonly coldServers: Gauge;
     readonly evacuatedDomains: Gauge;
+    readonly rampingServers: Gauge;
     readonly storeCalls: Counter<"result">;
     readonly pieces: Counter<"source">;
     readonly orders: Counter<"result">;
@@ -70,6 +71,11 @@
             help: "Failure domains that the operator evacuates.",
             registers,
         }),
+        rampingServers: new Gauge({
+            name: "endivewell_ramping_servers",
+            help: "Backend servers that get fewer requests than they have slots, after a start or a failure.",
+            registers,
+        }),
         storeCalls: counter("endivewell_store_calls_total", "Calls to the store by result.", ["result"]),
         pieces: counter("endivewell_pieces_total", "Pieces of weights received by source.", ["source"]),
         orders: counter("endivewell_orders_total", "Orders to the engine by result.", ["result"]),
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -11,6 +11,7 @@
     type Route,
     type RouteTable,
     type ServerHealth,
+    type ServerPace,
     type ServerSpeed,
     type SharedRetryBudget,
 } from "../core/serving/index.js";
@@ -38,6 +39,7 @@
     readonly coldLimit: Pick<ColdLimit, "recordWrite">;
     readonly coldServers: Pick<ColdServers, "recordPossibleStart">;
     readonly speed: ServerSpeed;
+    readonly pace: ServerPace;
     readonly serverNotices: ServerNotices;
     /** Memory for the bodies of all requests and responses in progress. */
     readonly bodyBudget: BodyBudget;
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -14,6 +14,7 @@
     createServerBackoff,
     createServerHealth,
     createServerOwnership,
+    createServerPace,
     createServerRegistry,
     createServerSpeed,
     createSharedRetryBudget,
@@ -109,6 +110,18 @@
     const health = createServerHealth();
     const speed = createServerSpeed();
     const evacuations = createEvacuations();
+    const pace = createServerPace({
+        isEjected: health.isEjected,
+        withdrawnAt: evacuations.withdrawnAt,
+        onChange: ({ serverId, cause, tookMs }) => {
+            const isEnd = tookMs !== undefined;
+            log.info(isEnd ? "ramp ended" : "ramp begun", {
+                server: serverId,
+                cause,
+                ...isEnd && { tookMs: Math.round(tookMs) },
+            });
+        },
+    });
     const weights = createWeightsPolicy(() => bounds.weightsMs);
     const connections = createBackendConnections();
     /** Live entries, including this one. Updated with each heartbeat, and only if one came, left or moved. */
@@ -138,6 +151,7 @@
         weights,
         evacuations,
         coldLimit,
+        pace,
         findService: name => operatorState.routeTable()?.findService(name),
         failureDomain: settings.failureDomain,
         regionOf: domain => settings.regions.get(domain),
@@ -171,6 +185,7 @@
             connections.removeServer(id);
             health.remove(id);
             speed.remove(id);
+            pace.remove(id);
         },
         onServer: (server, isNew, at) => {
             const coldMs = operatorState.routeTable()?.findService(server.service)?.coldMs ?? 0;
@@ -191,6 +206,7 @@
         registry,
         speed,
         coldLimit,
+        pace,
         routeTable: operatorState.routeTable,
         send: (message, ip) => peerExchange.send(message, ip),
         metrics,
@@ -231,6 +247,7 @@
         coldLimit,
         coldServers,
         speed,
+        pace,
         serverNotices: createServerNotices({ registry, backoff, coldServers, log, metrics, now }),
         bodyBudget: createBodyBudget(MAX_BUFFERED_BODY_BYTES),
         log,
@@ -379,6 +396,8 @@
         peerExchange.tick();
         for (const feed of feeds) feed.checkSilence();
         for (const replica of replicas.values()) registration.renewIn(replica.newestPosition().epoch);
+        pace.tick(now());
+        metrics.rampingServers.set(pace.rampingCount());
         metrics.waiting.set(dispatcher.queueLength());
         metrics.evacuatedDomains.set(evacuations.all().length);
         updateColdServers();
@@ -389,6 +408,7 @@
             connections.removeServer(id);
             health.remove(id);
             speed.remove(id);
+            pace.remove(id);
         }
     }, HEARTBEAT_INTERVAL_MS);
 
