--- a/src/harness/placers.ts
+++ b/src/harness/placers.ts
@@ -292,7 +292,6 @@
             recordReport(engine, now);
             const prediction = predictions.get(id);
             if (prediction !== undefined) {
-                prediction.hasFirstEvent = true;
                 recordAnswer(engine, prediction, tookMs, now);
                 const isUnsettled = ramp === "answers" && pace.isRamping(engineName(engine));
                 speed.recordFirstEvent(engineName(engine), { ...prediction, measuredMs: tookMs, isUnsettled }, now);
