--- a/src/harness/placers.ts
+++ b/src/harness/placers.ts
@@ -277,7 +277,8 @@
         reserve: (slot, sender, now) => {
             const slowdown = speed.slowdown(slot.serverId, now);
             const owned = { engine: ENGINE_SPEC, slowdown, isPaused: false };
-            return decideReservation(slot, sender, owned, dispatcher.inFlight, now);
+            const maxRunning = Math.min(slot.maxRunning, pace.maxRunning(slot.serverId, now));
+            return decideReservation({ ...slot, maxRunning }, sender, owned, dispatcher.inFlight, now);
         },
         submit: (request, onDecision, now) => {
             currentTime = now;
--- a/src/test/core/serving/serverPace.test.ts
+++ b/src/test/core/serving/serverPace.test.ts
@@ -6,6 +6,7 @@
 import { createDispatcherPlacer, SINGLE_ENTRY } from "../../../harness/placers.js";
 import {
     type BackendServer,
+    createDispatcher,
     createEvacuations,
     createInFlightRequests,
     createServerBackoff,
@@ -120,6 +121,9 @@
     const { pace, slotsOf } = createRampingServer();
     for (let index = 1; index <= 3; index++) pace.recordAnswer(B, GOOD, 10_000 + 100 * index);
     const grown = slotsOf(B, 10_300);
+    pace.recordAnswer(B, { ...GOOD, isQueueLong: true }, 10_300);
+    assert.equal(slotsOf(B, 10_300), grown);
+    assert.deepEqual([pace.maxRunning("b", 10_300), pace.maxRunning("a", 10_300)], [Math.ceil(grown * 1.5), Infinity]);
     assert.ok(grown >= 8, `${grown} slots after three answers`);
     pace.recordAnswer(B, LATE, 10_310);
     const allowance = pace.allowance(B, 0, 10_310);
@@ -204,6 +208,64 @@
     assert.deepEqual([limitOf(0, 0), limitOf(1000, 0), limitOf(0, 17)], [undefined, 2, 2]);
 });
 
+// Guards against a server that is idle while callers are refused.
+test("a request that would be refused may exceed the allowance", () => {
+    const registry = createServerRegistry(() => 2000);
+    registry.put(A);
+    const service = {
+        name: "s",
+        healthPath: "/",
+        maxConnections: 100,
+        engine: undefined,
+        origin: undefined,
+        coldMs: 1000,
+        coldRequestsPerSecond: 0,
+    };
+    const dispatcher = createDispatcher({
+        registry,
+        backoff: createServerBackoff(),
+        health: createServerHealth(),
+        speed: createServerSpeed(),
+        weights: createWeightsPolicy(() => 8000),
+        evacuations: createEvacuations(),
+        pace: { allowance: () => ({ slots: 2, overflowSlots: 3 }) },
+        ownership: createServerOwnership(() => []),
+        self: "entry",
+        reportLagMs: () => 0,
+        findService: () => service,
+        failureDomain: "d",
+        regionOf: () => undefined,
+        roundTripMs: () => 1,
+        entryCount: () => 1,
+        random: () => 0,
+    });
+    const results = new Map<string, string>();
+    for (const id of ["1", "2", "3", "4", "5"]) {
+        dispatcher.submit(
+            {
+                id,
+                service: "s",
+                rank: 0,
+                routeRank: 0,
+                account: "",
+                isCallerRetry: false,
+                arrivedAt: 0,
+                dueAt: 100,
+                expiresAt: 6000,
+                promptTokens: 0,
+                outputTokens: 0,
+                maxEventGapMs: 300,
+                triedServerIds: new Set(),
+                requiredVersion: undefined,
+            },
+            ({ kind }) => void results.set(id, kind),
+            0,
+        );
+    }
+    // The third waits for one of the first two.
+    assert.deepEqual(Object.fromEntries(results), { 1: "assigned", 2: "assigned", 4: "assigned", 5: "refused" });
+});
+
 function simulate(name: string, ramp: "answers" | undefined) {
     const trace = LOAD_TRACES.find(each => each.name === name);
     assert.ok(trace !== undefined);
