--- a/src/test/core/serving/serverPace.test.ts
+++ b/src/test/core/serving/serverPace.test.ts
@@ -174,17 +174,21 @@
     assert.ok((pace.allowance(B, 0, 15_700)?.overflowSlots ?? SLOTS) > slotsOf(B, 15_700));
 });
 
-// Guards against limits for services that declare no cold servers.
-test("only servers of services with cold servers are limited", () => {
+function serviceOf(coldMs: number, coldRequestsPerSecond: number) {
+    const limits = { maxConnections: 100, coldMs, coldRequestsPerSecond };
+    return { name: "s", healthPath: "/", engine: undefined, origin: undefined, ...limits };
+}
+
+/** Options of a pool and a dispatcher with server `a`, which is in a ramp. */
+function createOptions() {
     const registry = createServerRegistry(() => 2000);
     registry.put(A);
-    const pool = createServerPool({
+    return {
         registry,
         backoff: createServerBackoff(),
         health: createServerHealth(),
         speed: createServerSpeed(),
         weights: createWeightsPolicy(() => 8000),
-        inFlight: createInFlightRequests(() => 0),
         evacuations: createEvacuations(),
         pace: { allowance: () => ({ slots: 2, overflowSlots: 3 }) },
         ownership: createServerOwnership(() => []),
@@ -192,51 +196,25 @@
         failureDomain: "d",
         roundTripMs: () => 1,
         entryCount: () => 1,
-    });
+    };
+}
+
+// Guards against limits for services that declare no cold servers.
+test("only servers of services with cold servers are limited", () => {
+    const pool = createServerPool({ ...createOptions(), inFlight: createInFlightRequests(() => 0) });
     const limitOf = (coldMs: number, coldRequestsPerSecond: number) => {
-        const service = {
-            name: "s",
-            healthPath: "/",
-            maxConnections: 100,
-            engine: undefined,
-            origin: undefined,
-            coldMs,
-            coldRequestsPerSecond,
-        };
-        return pool.takeSnapshot(service, 0).servers()[0]?.candidate.allowedSlots;
+        return pool.takeSnapshot(serviceOf(coldMs, coldRequestsPerSecond), 0).servers()[0]?.candidate.allowedSlots;
     };
     assert.deepEqual([limitOf(0, 0), limitOf(1000, 0), limitOf(0, 17)], [undefined, 2, 2]);
 });
 
 // Guards against a server that is idle while callers are refused.
 test("a request that would be refused may exceed the allowance", () => {
-    const registry = createServerRegistry(() => 2000);
-    registry.put(A);
-    const service = {
-        name: "s",
-        healthPath: "/",
-        maxConnections: 100,
-        engine: undefined,
-        origin: undefined,
-        coldMs: 1000,
-        coldRequestsPerSecond: 0,
-    };
     const dispatcher = createDispatcher({
-        registry,
-        backoff: createServerBackoff(),
-        health: createServerHealth(),
-        speed: createServerSpeed(),
-        weights: createWeightsPolicy(() => 8000),
-        evacuations: createEvacuations(),
-        pace: { allowance: () => ({ slots: 2, overflowSlots: 3 }) },
-        ownership: createServerOwnership(() => []),
-        self: "entry",
+        ...createOptions(),
         reportLagMs: () => 0,
-        findService: () => service,
-        failureDomain: "d",
+        findService: () => serviceOf(1000, 0),
         regionOf: () => undefined,
-        roundTripMs: () => 1,
-        entryCount: () => 1,
         random: () => 0,
     });
     const results = new Map<string, string>();
