Test that the status counts the requests in progress in an evacuated failure domain

The test of the evacuation looked only at the engines, and the test of the command only at a fleet without requests, so a count that is always 0 passed.

--- a/src/test/entry/evacuation.test.ts
+++ b/src/test/entry/evacuation.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { PROFILE, startPool } from "../../bench/pool.js";
 import { type Fleet, type FleetProcess, OPERATOR_TOKEN, sendToEntry, waitUntil } from "../../harness/index.js";
+import type { EvacuatedDomain } from "../../lib/cli/systemStatus.js";
 import { sendRequest } from "../../lib/clients/index.js";
 import { expectedToken } from "../../lib/fakes/index.js";
 
@@ -20,6 +21,11 @@
     return JSON.parse((await sendRequest({ method: "GET", url: `${url}/evidence` })).body.toString()).started;
 }
 
+async function evacuatedDomainsAt(entry: FleetProcess): Promise<readonly EvacuatedDomain[]> {
+    const response = await sendToEntry(entry, "GET", "/admin/v1/status", OPERATOR_TOKEN);
+    return (JSON.parse(response.body.toString()) as { evacuatedDomains: EvacuatedDomain[]; }).evacuatedDomains;
+}
+
 async function changeEvacuation({ entries: [entry] }: Fleet, method: "PUT" | "DELETE", domain: string): Promise<void> {
     assert.ok(entry);
     const response = await sendToEntry(entry, method, `/admin/v1/evacuations/${domain}`, OPERATOR_TOKEN);
@@ -27,7 +33,7 @@
 }
 
 // Guards against new work at an evacuated failure domain from an entry that has heard of the evacuation or has started
-// while the store is away, against requests that are cut off or lost there, and against agents that stay unused.
+// while the store is away, against requests that are cut off, lost or not shown there, and against agents that stay unused.
 for (const scheduling of ["agentQueues", "entryQueues"] as const) {
     test(`work stops at an evacuated failure domain and returns, with ${scheduling}`, async () => {
         const options = { entries: 2, modelAgentCount: 2, regions: ["a", "b"], engine: ENGINE };
@@ -45,10 +51,14 @@
             const early = Array.from({ length: 28 }, (_, i) => complete(i % 2 === 0 ? first : second, `e${i}`, 60));
             await sleep(400);
             await changeEvacuation(fleet, "PUT", "b-1");
+            const inProgress = await evacuatedDomainsAt(first);
+            assert.deepEqual(inProgress.map(({ failureDomain, agents }) => [failureDomain, agents]), [["b-1", 1]]);
+            assert.ok((inProgress[0]?.requestsInProgress ?? 0) > 0, "the status shows no request in progress");
             await fleet.setFaults(fleet.platformUrl, { tableOutage: true });
             for (const [i, response] of (await Promise.all(early)).entries()) {
                 assert.ok(isWhole(response.body, `e${i}`, 60), `request ${i}: ${response.status} ${response.body}`);
             }
+            assert.equal((await evacuatedDomainsAt(first))[0]?.requestsInProgress, 0);
             await second.stop(10_000);
             const restarted = await fleet.restart(second);
             await sleep(EVACUATION_BOUND_MS);
