--- a/src/harness/enginePoolSimulation.ts
+++ b/src/harness/enginePoolSimulation.ts
@@ -72,6 +72,8 @@
     /** Results by request class, in the order of the trace. */
     readonly statisticsByClass: readonly RequestStatistics[];
     readonly total: RequestStatistics;
+    /** Results by account, in the order of their numbers. */
+    readonly statisticsByAccount: readonly RequestStatistics[];
     /** Jain's fairness index of the fractions of their requests that accounts get served; 1 if all are equal. */
     readonly accountJain: number;
     /** Requests that engines turned away. */
@@ -161,6 +163,14 @@
             refusals.push({ id, request, engineIndex, backoffMs: pause.toMs - currentTime });
             return;
         }
+        const departure = trace.engineDepartures?.find(({ engine, atMs }) =>
+            engine === engineIndex && currentTime >= atMs
+        );
+        if (departure !== undefined) {
+            turnedAwayCount++;
+            refusals.push({ id, request, engineIndex, backoffMs: trace.durationMs - departure.atMs });
+            return;
+        }
         const engine = engines[engineIndex];
         if (engine === undefined || currentSlowdown(engine, engineIndex, currentTime) === Infinity) {
             failures.push({ id, request, engineIndex, hasStarted: false });
@@ -299,6 +309,7 @@
         statisticsByClass: trace.requestClasses.map(requestClass =>
             summarizeRequests(allRequests.filter(request => request.requestClass === requestClass))
         ),
+        statisticsByAccount: accounts,
         total: summarizeRequests(allRequests),
         turnedAwayCount,
         preemptedCount,
