Count responses of slow callers as memory and disconnect stalled callers

The memory of a buffered answer was released when the answer was handed to the caller's connection, so the answers of callers that read slowly were bounded by nothing. It is now held until the response closes, which is when the connection has taken all bytes or has closed; that includes error responses that wait for a retry. An answer without memory ends with 502 and `no memory for the answer` and isn't a failure of its server.

The end of a stream whose caller has paused for 1 s or more is no longer recorded as a failure of the server, which cuts off streams that nobody reads.

--- a/src/lib/node/limitedBody.ts
+++ b/src/lib/node/limitedBody.ts
@@ -44,6 +44,12 @@
     });
 }
 
+/** A body up to this size may use all memory; a usual request or answer is well below. */
+const SMALL_BODY_BYTES = 256 * 1024;
+
+/** Part of the memory that larger bodies may use, so that those which are held for long leave room for small ones. */
+const LARGE_BODY_SHARE = 2 / 3;
+
 /** Memory for buffered bodies. */
 export interface BodyBudget {
     /** Opens a reservation, which grows with the bytes that are read. */
@@ -57,7 +63,8 @@
             let reservedBytes = 0;
             return {
                 reserve: bytes => {
-                    if (usedBytes + bytes > maxBytes) return false;
+                    const isLarge = reservedBytes + bytes > SMALL_BODY_BYTES;
+                    if (usedBytes + bytes > (isLarge ? LARGE_BODY_SHARE : 1) * maxBytes) return false;
                     usedBytes += bytes;
                     reservedBytes += bytes;
                     return true;
--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -191,7 +191,8 @@
     const { context } = exchange;
     const outcome = outcomeFor(result, metadata);
     const hasFirstEvent = result.kind === "failed" && result.hasFirstEvent === true;
-    const isCancelled = exchange.cancellation.signal.aborted || isSuperseded ||
+    const isCausedByEntry = result.kind === "failed" && result.isCausedByEntry === true;
+    const isCancelled = exchange.cancellation.signal.aborted || isSuperseded || isCausedByEntry ||
         !hasFirstEvent && hasOutdatedWeights(assignment, context.now());
     // A caller that leaves a silent server has waited for it.
     const isServerFailure = !isCancelled || isSilent && hasFirstEvent;
@@ -230,6 +231,7 @@
     }
     if (isStreamResponse(exchange, response)) return relayStream(exchange, response, stream);
     const memory = exchange.context.bodyBudget.open();
+    let isHeld = false;
     try {
         const maxBytes = hasResponseBody(exchange.request.method, status) ?
             MAX_RESPONSE_BODY_BYTES :
@@ -239,14 +241,22 @@
             await exchange.context.connections.isComplete(response);
         if (!isComplete) {
             response.destroy();
+            if (bodyResult.kind === "tooLarge" && bodyResult.isMemoryExhausted === true) {
+                const summary = "no memory for the answer";
+                return { kind: "failed", verdict: Verdict.mayHaveRun, summary, isCausedByEntry: true };
+            }
             const summary = bodyResult.kind === "tooLarge" ? "the answer is too large" : "the answer is incomplete";
             return { kind: "failed", verdict: Verdict.mayHaveRun, summary };
         }
         if (status < 300) stream.onSurvival();
-        return deliverBuffered(exchange, response, bodyResult.body, stream);
+        const result = deliverBuffered(exchange, response, bodyResult.body, stream);
+        isHeld = result.kind === "answered" || result.errorResponse !== undefined;
+        return result;
     }
     finally {
-        memory.release();
+        // The response closes once its caller's connection has taken all bytes.
+        if (isHeld && !exchange.response.destroyed) exchange.response.once("close", memory.release);
+        else memory.release();
     }
 }
 
--- a/src/lib/router/callerConnections.ts
+++ b/src/lib/router/callerConnections.ts
@@ -22,6 +22,8 @@
     inProgressCount(): number;
     /** Returns whether other requests on the connection of this response are in progress. */
     hasOtherRequests(response: http.ServerResponse): boolean;
+    /** Returns whether requests on the connection are in progress. */
+    hasRequests(socket: Socket): boolean;
     sockets(): Iterable<Socket>;
 }
 
@@ -104,6 +106,7 @@
         },
         inProgressCount: () => inProgressCount,
         hasOtherRequests: ({ req }) => (connections.get(req.socket)?.responses.size ?? 0) > 1,
+        hasRequests: socket => (connections.get(socket)?.responses.size ?? 0) > 0,
         sockets: () => connections.keys(),
     };
 }
--- a/src/lib/router/callerServer.ts
+++ b/src/lib/router/callerServer.ts
@@ -9,6 +9,7 @@
 import { listen, stopListening } from "../node/listen.js";
 import type { Address } from "../settings/vmSettings.js";
 import { createCallerConnections } from "./callerConnections.js";
+import { CALLER_STALL_TIMEOUT_MS, createCallerStalls } from "./callerStalls.js";
 
 export interface CallerServer {
     applyLimits(limits: CallerLimits): void;
@@ -41,17 +42,27 @@
 export async function startCallerServer(
     address: Address,
     serve: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>,
+    stallTimeoutMs = CALLER_STALL_TIMEOUT_MS,
 ): Promise<CallerServer> {
     const connections = createCallerConnections();
+    const stalls = createCallerStalls(stallTimeoutMs, () => performance.now());
+    // Node sets the timeout of an idle connection after its last response.
+    const keepIdleFor = (socket: Socket, idleMs: number) => {
+        if (!connections.hasRequests(socket)) extendIdleTimeout(socket, idleMs);
+    };
     const server = http.createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true }, (request, response) => {
         if (!connections.accept(response)) return;
         // The response carries the timeout that is set now.
         const advertisedIdleMs = server.keepAliveTimeout;
         response.once("close", () => keepIdleFor(request.socket, advertisedIdleMs + IDLE_MARGIN_MS));
+        stalls.watch(request.socket);
         void serve(request, response);
     });
     server.on("connection", connections.add);
-    server.on("timeout", closeUnlessReceiving);
+    server.on("timeout", socket => {
+        if (connections.hasRequests(socket)) stalls.onTimeout(socket);
+        else closeUnlessReceiving(socket);
+    });
     // Also called for errors of the socket, which is destroyed then.
     server.on("clientError", ({ code = "" }: NodeJS.ErrnoException, socket) => {
         connections.endWith(ERROR_STATUSES[code] ?? 400, socket as Socket);
@@ -84,8 +95,8 @@
     };
 }
 
-/** Restarts the timeout of an idle connection with at least `idleMs`; Node sets no timeout for any other. */
-function keepIdleFor(socket: Socket, idleMs: number): void {
+/** Restarts the timeout of an idle connection with at least `idleMs`. */
+function extendIdleTimeout(socket: Socket, idleMs: number): void {
     const { timeout = 0 } = socket;
     if (!socket.destroyed && timeout > 0) socket.setTimeout(Math.max(timeout, idleMs));
 }
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -137,6 +137,8 @@
         readonly summary: string;
         /** Another attempt began to answer while this server wasn't silent, so the failure isn't the server's. */
         readonly isSuperseded?: boolean;
+        /** The entry lacked memory or the caller paused, so the failure isn't the server's. */
+        readonly isCausedByEntry?: boolean;
         /** An event had arrived, so the server had started to run the request. */
         readonly hasFirstEvent?: boolean;
         /** The stream went on after its first events, so the request can't have crashed the server. */
--- a/src/lib/router/streamRelay.ts
+++ b/src/lib/router/streamRelay.ts
@@ -27,6 +27,12 @@
 /** Comments that are held back at the same time. */
 const MAX_COMMENT_BYTES = 64 * 1024;
 
+/**
+ * Servers cut off streams that nobody reads, so the end of a stream whose caller has paused for this long at any time
+ * isn't a failure of the server. Later chunks don't matter: they may have been sent before the stream was cut off.
+ */
+const MIN_CALLER_PAUSE_MS = 1000;
+
 const NO_BYTES: Buffer = Buffer.alloc(0);
 
 /** Describes the attempt whose response is relayed. */
@@ -62,6 +68,9 @@
     const pauseTimeoutMs = Math.max(MIN_PAUSE_TIMEOUT_MS, PAUSE_TIMEOUT_FACTOR * maxGapMs);
     let hasFirstEvent = false;
     let hasSurvived = false;
+    /** Time since which the caller hasn't read what waits for it. */
+    let callerPausedAt: number | undefined;
+    let hasCallerPaused = false;
     /** Received comments that aren't relayed yet. */
     let comments = NO_BYTES;
 
@@ -105,22 +114,42 @@
     /** Waits for a caller that reads slowly; the server's pause counts from the time at which more is read from it. */
     async function waitForCaller(): Promise<void> {
         silence.stop();
+        callerPausedAt = context.now();
         await waitForDrain(response);
+        checkCallerPause();
+        callerPausedAt = undefined;
         if (!upstream.destroyed) silence.restart();
     }
 
+    function checkCallerPause(): void {
+        if (callerPausedAt === undefined) return;
+        hasCallerPaused ||= context.now() - callerPausedAt >= MIN_CALLER_PAUSE_MS;
+    }
+
+    function fail(summary: string): AttemptResult {
+        checkCallerPause();
+        return {
+            kind: "failed",
+            verdict: Verdict.mayHaveRun,
+            summary: `${summary}${hasFirstEvent ? " after its first event" : ""}`,
+            isCausedByEntry: hasCallerPaused,
+            hasFirstEvent,
+            hasSurvived,
+        };
+    }
+
     try {
         await forEachChunk(upstream, onChunk);
         silence.stop();
         const isComplete = parser.pendingBytes() === 0 && metadata.isSigned &&
             await context.connections.isComplete(upstream);
-        if (!isComplete) return streamFailure(hasFirstEvent, hasSurvived, "the stream ended early");
+        if (!isComplete) return fail("the stream ended early");
         if (signal.aborted) throw new VError("cancelled");
     }
     catch (error) {
         const reason: unknown = signal.reason;
         const summary = typeof reason === "string" ? reason : (error as Error).message;
-        return streamFailure(hasFirstEvent, hasSurvived, summary);
+        return fail(summary);
     }
     onDelivery();
     if (!response.headersSent) response.writeHead(200, streamHeaders(exchange, upstream.rawHeaders));
@@ -129,16 +158,6 @@
     return { kind: "answered", summary: isResumed ? "200 resumed" : "200" };
 }
 
-function streamFailure(hasFirstEvent: boolean, hasSurvived: boolean, summary: string): AttemptResult {
-    return {
-        kind: "failed",
-        verdict: Verdict.mayHaveRun,
-        summary: `${summary}${hasFirstEvent ? " after its first event" : ""}`,
-        hasFirstEvent,
-        hasSurvived,
-    };
-}
-
 function streamHeaders(exchange: Exchange, rawHeaders: readonly string[]): string[] {
     return [...forwardedResponseHeaders(rawHeaders), ...connectionCloseHeader(exchange.context, exchange.response)];
 }
--- a/src/test/router/testPool.ts
+++ b/src/test/router/testPool.ts
@@ -25,6 +25,7 @@
     /** All requests that the servers have received, in the order of their arrival. */
     readonly requests: readonly ReceivedRequest[];
     requestCount(): number;
+    readonly callerPort: number;
     /** Lines of the entry's log, oldest first. */
     readonly logLines: readonly string[];
     /** Returns the number of sends that ended with a result, from the entry's metrics. */
@@ -76,6 +77,7 @@
                 headers: { "deadline-ms": String(deadlineMs) },
             }),
         requestCount: () => requests.length,
+        callerPort: router.callerPort,
         logLines,
         sendCount: async result => {
             const text = await (await fetch(`http://127.0.0.1:${peerPort}/metrics`)).text();
