--- a/src/test/router/testPool.ts
+++ b/src/test/router/testPool.ts
@@ -80,7 +80,7 @@
         callerPort: router.callerPort,
         logLines,
         sendCount: async result => {
-            const text = await (await fetch(`http://127.0.0.1:${peerPort}/metrics`)).text();
+            const { body: text } = await sendCall(peerPort, { path: "/metrics" });
             return Number(
                 new RegExp(`^endivewell_sends_total{.*result="${result}".*} (\\d+)$`, "m").exec(text)?.[1] ?? 0,
             );
