--- a/src/lib/core/serving/admissionControl.ts
+++ b/src/lib/core/serving/admissionControl.ts
@@ -57,10 +57,8 @@
     readonly exceedsMemory: boolean;
     /** This entry's share of the requests that complete per second at the current load. */
     readonly completionsPerSecond: number;
-    /** Late requests that were recently started per second; for a returning caller, also those of returning callers. */
+    /** Late requests that were recently started per second. */
     readonly lateStartsPerSecond: number;
-    /** Fraction of the requests that this entry recently started that were on time and more urgent, 0 to 1. */
-    readonly urgentStartFraction: number;
     /** This entry's share of the slots that are free now. */
     readonly freeSlots: number;
     /**
@@ -98,14 +96,8 @@
 /** Lost servers become usable again after a restart and a load of their weights, which take seconds. */
 export const NO_SERVER_RETRY_AFTER_MS = 3000;
 
-/**
- * Lower bound for the rate of late starts as a fraction of all completions, for when none was observed recently. With
- * 0.05, returning callers were refused for good who could have been served.
- */
-const MIN_LATE_START_FRACTION = 0.25;
-
-/** Part of the recent starts of more urgent requests that is expected to go on, because bursts end. */
-const CONTINUING_URGENT_FRACTION = 0.5;
+/** Lower bound for the rate of late starts as a fraction of all completions, for when none was observed recently. */
+const MIN_LATE_START_FRACTION = 0.05;
 
 export function queueClassOf(request: QueuedRequest, typicalFirstEventMs: number, now: number): QueueClass {
     if (request.isCallerRetry) return QueueClass.callerRetry;
@@ -183,15 +175,11 @@
     return queueClass === QueueClass.callerRetry ? MAX_CALLER_RETRY_WAIT_MS : MAX_LATE_WAIT_MS;
 }
 
-/**
- * Returns the predicted time until a request with `aheadCount` others before it starts, in milliseconds. More urgent
- * requests that arrive meanwhile go first.
- */
+/** Returns the predicted time until a request with `aheadCount` others before it starts, in milliseconds. */
 export function predictWaitMs(aheadCount: number, pool: PoolState): number {
     const requestsToFinish = aheadCount + 1 - pool.freeSlots;
     if (requestsToFinish <= 0) return 0;
-    const remainingFraction = 1 - pool.urgentStartFraction * CONTINUING_URGENT_FRACTION;
-    return 1000 * requestsToFinish / Math.max(1, pool.completionsPerSecond * remainingFraction);
+    return 1000 * requestsToFinish / Math.max(1, pool.completionsPerSecond);
 }
 
 /** Late requests get only the capacity that requests on time leave over. */
--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -162,26 +162,17 @@
 const DEFAULT_SLOT_FRACTION = 0.9;
 
 /**
- * Fraction of a server's slots that requests that are already late, and those of callers that return after a refusal,
- * may fill. Full batches would make the following requests late too.
+ * Fraction of a server's slots that requests that are already late may fill. Full batches would make the following
+ * requests late too.
  */
 const LATE_SLOT_FRACTION = 0.8;
 
 /** Ranks that the precedence of a reservation tells apart within a queue class. */
 const PRECEDENCES_PER_CLASS = 10;
 
-/**
- * Weight of this entry's part of the load in its share of the capacity; the rest is shared equally. With equal shares
- * alone, an account gains by splitting its calls over the entries; with larger weights, by sending all to one of them.
- */
-const OWN_LOAD_WEIGHT = 0.25;
-
 /** Window over which the rate of late starts is measured. */
 const LATE_START_WINDOW_MS = 2000;
 
-/** Window over which the ranks of starts are measured; bursts and losses of servers begin within a second. */
-const START_WINDOW_MS = 1000;
-
 /** Mean duration of a service's requests that is assumed before any was measured. */
 const INITIAL_DURATION_MS = 1000;
 
@@ -201,8 +192,7 @@
     /** Requests at servers, keyed by the request's identifier. */
     const sends = new Map<string, { service: string; sentAt: number; }>();
     const meanDurationMsByService = new Map<string, number>();
-    const lateStarts: { service: string; queueClass: QueueClass; startedAt: number; }[] = [];
-    const starts: { service: string; rank: number; queueClass: QueueClass; startedAt: number; }[] = [];
+    const lateStarts: { service: string; startedAt: number; }[] = [];
 
     function submit(request: DispatchRequest, onResult: (result: AssignmentResult) => void, now: number): void {
         queue.set(request.id, { request, onResult });
@@ -306,9 +296,7 @@
             hasFirstEvent: false,
         });
         sends.set(request.id, { service: request.service, sentAt: now });
-        const { service: serviceName, rank } = request;
-        if (queueClass !== QueueClass.onTime) lateStarts.push({ service: serviceName, queueClass, startedAt: now });
-        starts.push({ service: serviceName, rank, queueClass, startedAt: now });
+        if (queueClass === QueueClass.late) lateStarts.push({ service: request.service, startedAt: now });
         health.recordSend(server.id, now);
         snapshot.refresh(server.id);
         return {
@@ -351,9 +339,9 @@
             timeToDueMs: request.dueAt - now,
             timeToExpiryMs: request.expiresAt - now,
             maxEventGapMs: request.maxEventGapMs,
-            slotFraction: mustBeOnTime ?
-                RANK_SLOT_FRACTIONS[request.routeRank] ?? DEFAULT_SLOT_FRACTION :
-                LATE_SLOT_FRACTION,
+            slotFraction: queueClass === QueueClass.late ?
+                LATE_SLOT_FRACTION :
+                RANK_SLOT_FRACTIONS[request.routeRank] ?? DEFAULT_SLOT_FRACTION,
             mustBeOnTime,
         };
     }
@@ -383,48 +371,22 @@
             Number.POSITIVE_INFINITY :
             expected.reduce((sum, { candidate: { load } }) => sum + countThatFit(engine, load, request), 0);
         const durationMs = meanDurationMsByService.get(service) ?? INITIAL_DURATION_MS;
-        const share = shareOf(expected, runningRequests);
+        const entryCount = Math.max(1, options.entryCount());
         while (lateStarts[0] !== undefined && now - lateStarts[0].startedAt > LATE_START_WINDOW_MS) lateStarts.shift();
-        // Returning callers go before late requests, whose starts they can take.
-        const recentLateStarts = lateStarts.filter(start => {
-            return start.service === service && (request.isCallerRetry || start.queueClass === QueueClass.late);
-        }).length;
+        const recentLateStarts = lateStarts.filter(start => start.service === service).length;
         return {
             serverCount: expected.length,
             untilAvailableMs: available.length > 0 ? 0 : untilReturnMs(expected, now),
             noServerRetryAfterMs: untilReturnMs(allowed, now),
             isRestricted: allowed.length < poolServers.length,
             exceedsMemory: engine !== undefined && !canEverHold(engine, request),
-            completionsPerSecond: runningRequests * 1000 / durationMs * share,
+            completionsPerSecond: runningRequests * 1000 / durationMs / entryCount,
             lateStartsPerSecond: recentLateStarts * 1000 / LATE_START_WINDOW_MS,
-            urgentStartFraction: urgentStartFraction(request, now),
-            freeSlots: Math.min(Math.max(0, slots - runningRequests), fittingCount) * share,
+            freeSlots: Math.min(Math.max(0, slots - runningRequests), fittingCount) / entryCount,
             typicalFirstEventMs: typicalFirstEventFor(request),
         };
     }
 
-    /** Returns the fraction of the recent starts that were more urgent requests on time. */
-    function urgentStartFraction({ service, rank }: DispatchRequest, now: number): number {
-        while (starts[0] !== undefined && now - starts[0].startedAt > START_WINDOW_MS) starts.shift();
-        let startCount = 0;
-        let urgentCount = 0;
-        for (const start of starts) {
-            if (start.service !== service) continue;
-            startCount++;
-            if (start.queueClass === QueueClass.onTime && start.rank < rank) urgentCount++;
-        }
-        return urgentCount / Math.max(1, startCount);
-    }
-
-    /** Returns the fraction of the servers' capacity on which this entry counts for its requests. */
-    function shareOf(poolServers: readonly PoolServer[], runningRequests: number): number {
-        const equalShare = 1 / Math.max(1, options.entryCount());
-        if (runningRequests === 0) return equalShare;
-        const ownRequests = poolServers.reduce((sum, { server }) => sum + inFlight.countAtServer(server.id), 0);
-        const share = OWN_LOAD_WEIGHT * Math.min(1, ownRequests / runningRequests);
-        return share + (1 - OWN_LOAD_WEIGHT) * equalShare;
-    }
-
     function deliverResult(id: string, result: AssignmentResult): void {
         const item = queue.get(id);
         queue.delete(id);
