--- a/src/lib/cli/adminClient.ts
+++ b/src/lib/cli/adminClient.ts
@@ -49,7 +49,8 @@
             const info = { exitCode: ExitCode.unreachable };
             const message = method === "GET" ?
                 "the entry at %s can't be reached; check --entry" :
-                "the entry at %s did not respond, so the change may have been applied; check with 'profile list' or 'status'";
+                "the entry at %s did not respond, so the change may have been applied; check with 'profile list'" +
+                " or 'status'";
             throw new VError({ name: "AdminError", cause: error as Error, info }, message, url);
         }
     }
--- a/src/lib/core/configuration.ts
+++ b/src/lib/core/configuration.ts
@@ -1,8 +1,8 @@
 /**
- * The configuration: a snapshot of all profiles and evacuations with one revision counter. This module computes changes without
- * I/O. The caller writes the resulting snapshot with a conditional write and computes the change again if another
- * change was written first. Processes exchange incremental updates, which contain only the profiles that changed
- * since a revision that the receiver has.
+ * The configuration: a snapshot of all profiles and evacuations with one revision counter. This module computes changes
+ * without I/O. The caller writes the resulting snapshot with a conditional write and computes the change again if
+ * another change was written first. Processes exchange incremental updates, which contain only the profiles that
+ * changed since a revision that the receiver has.
  */
 import * as z from "zod";
 import { type Digest, isDigest } from "./manifest.js";
--- a/src/lib/core/serving/refusedReservations.ts
+++ b/src/lib/core/serving/refusedReservations.ts
@@ -1,7 +1,7 @@
 /**
- * Remembers which requests the owner of a server refused a moment ago for lack of room, so that a slot that becomes free
- * goes to the most urgent of them. Each entry queues its own requests by urgency, but the queues of many entries don't
- * know of each other, and a freed slot would go to whichever entry asks first.
+ * Remembers which requests the owner of a server refused a moment ago for lack of room, so that a slot that becomes
+ * free goes to the most urgent of them. Each entry queues its own requests by urgency, but the queues of many entries
+ * don't know of each other, and a freed slot would go to whichever entry asks first.
  *
  * This handles a pool at its capacity behind more entries than servers, where most requests come from entries that own
  * no server.
--- a/src/lib/core/serving/regions.ts
+++ b/src/lib/core/serving/regions.ts
@@ -1,7 +1,7 @@
 /**
  * Restrictions of requests to regions. The operator restricts a route or a client account where law or contract forbids
- * that a request is processed elsewhere, so a restriction is never relaxed for the sake of load: without a server in the
- * allowed regions, the request is refused.
+ * that a request is processed elsewhere, so a restriction is never relaxed for the sake of load: without a server in
+ * the allowed regions, the request is refused.
  */
 
 /** Regions in which a request may be served; `undefined` for all. An empty set allows none. */
--- a/src/lib/core/serving/serverPace.ts
+++ b/src/lib/core/serving/serverPace.ts
@@ -1,13 +1,13 @@
 /**
  * Slow start: how many requests may be at a server at once while it is unknown how much it can take. A ramp begins when
- * a server appears while this entry runs, returns after an ejection or an evacuation, or has become slow. It grows while
- * the server answers about as fast as predicted, shrinks when answers are late, refused or broken, and ends at the full
- * slots. Without answers it grows slowly with time, so that a server without work isn't held back for long.
+ * a server appears while this entry runs, returns after an ejection or an evacuation, or has become slow. It grows
+ * while the server answers about as fast as predicted, shrinks when answers are late, refused or broken, and ends at
+ * the full slots. Without answers it grows slowly with time, so that a server without work isn't held back for long.
  *
  * This handles a third of the servers that restart together, or a failure domain that returns, while callers wait: all
  * waiting requests would go to the empty servers at once, which are slow just then and crash above a certain rate. It
- * also handles a server that fails and recovers in turn. Short disturbances of a few hundred milliseconds, which servers
- * have many times a minute, begin no ramp.
+ * also handles a server that fails and recovers in turn. Short disturbances of a few hundred milliseconds, which
+ * servers have many times a minute, begin no ramp.
  *
  * The allowance limits the known load of all entries together. One answer stands for as many as the server has requests
  * of all entries for each of this entry's own, so that each entry finds about the same allowance from its part of the
@@ -102,8 +102,9 @@
 const GROWTH_PER_ANSWER = 2;
 
 /**
- * Ratios of the measured to the predicted time up to which an answer is good and from which on it is late. A server that
- * is slower by a constant factor is one that the predictions soon describe (`serverSpeed.ts`), not an overloaded one.
+ * Ratios of the measured to the predicted time up to which an answer is good and from which on it is late. A server
+ * that is slower by a constant factor is one that the predictions soon describe (`serverSpeed.ts`), not an overloaded
+ * one.
  */
 const GOOD_RATIO = 1.25;
 const LATE_RATIO = 3;
--- a/src/lib/node/configurationSync.ts
+++ b/src/lib/node/configurationSync.ts
@@ -5,14 +5,14 @@
  * In each failure domain the first `READER_COUNT` processes in rendezvous order poll the table. The others poll only
  * when no reader has confirmed the configuration for a while. A process that learns a revision announces it to its
  * gossip peers, which request the update from it. Each process also exchanges revisions with its peers in rotation
- * (anti-entropy). While a failure domain is evacuated, a process also has a peer in each other failure domain, because an
- * evacuation must reach all of them in seconds even if the table is lost right after it accepted the evacuation.
+ * (anti-entropy). While a failure domain is evacuated, a process also has a peer in each other failure domain, because
+ * an evacuation must reach all of them in seconds even if the table is lost right after it accepted the evacuation.
  *
  * Bandwidth with 50 profiles and 12,000 changes a day (0.14 a second): the row is 36 KB of JSON, 9.3 KB compressed, and
  * an update of one profile is 1.3 KB. A reader reads each changed row, 1.3 KB/s on average at that rate, and otherwise
- * polls twice a second and gets a response without a body. A process hears of a revision from several peers but
- * fetches and forwards its update about once, 0.4 KB/s in both directions together. An exchange without changes has no
- * content and runs once a second. HTTP and gRPC headers are not included.
+ * polls twice a second and gets a response without a body. A process hears of a revision from several peers but fetches
+ * and forwards its update about once, 0.4 KB/s in both directions together. An exchange without changes has no content
+ * and runs once a second. HTTP and gRPC headers are not included.
  */
 import { Metadata } from "@grpc/grpc-js";
 import type { TableService, Vm } from "../clients/index.js";
--- a/src/lib/node/peerMessages.ts
+++ b/src/lib/node/peerMessages.ts
@@ -1,8 +1,8 @@
 /**
  * Sends and receives the heartbeats of entries and agents, the notifications of named weights and the reservations of
- * slots, over UDP. Sends crashes of servers and survivals of prompts between entries. Serves table changes over HTTP, so
- * that an entry that is behind can read them from a peer. Heartbeats are periodic, and a notification is repeated until
- * the agent's heartbeats show the version, so the loss of a message is harmless.
+ * slots, over UDP. Sends crashes of servers and survivals of prompts between entries. Serves table changes over HTTP,
+ * so that an entry that is behind can read them from a peer. Heartbeats are periodic, and a notification is repeated
+ * until the agent's heartbeats show the version, so the loss of a message is harmless.
  */
 import { createSocket } from "node:dgram";
 import * as http from "node:http";
@@ -44,8 +44,8 @@
     named: z.array(z.object({ model: z.string(), version: z.number(), ageMs: z.number().nonnegative() })),
     /**
      * Load by server: the number of requests with a first event and of those without one, the prompt tokens of the
-     * latter, and the context tokens of the former with the expected answers, see `EngineLoad`. A heartbeat has the load from the sender's own requests, a digest
-     * that from all requests of the sender's failure domain.
+     * latter, and the context tokens of the former with the expected answers, see `EngineLoad`. A heartbeat has the
+     * load from the sender's own requests, a digest that from all requests of the sender's failure domain.
      */
     load: z.record(z.string(), serverLoadSchema),
     /** Number of requests in flight by account, of the same requests. Entries of earlier versions send none. */
--- a/src/lib/node/profileStore.ts
+++ b/src/lib/node/profileStore.ts
@@ -1,8 +1,8 @@
 /**
- * Applies changes of profiles and evacuations to the configuration row with optimistic concurrency control. A change is accepted only once
- * its commit is known; if the outcome of a write is unknown, the change identifier is read back. Before a value is
- * replaced, it is added to the profile's history row, so that the history never lacks a value that was active and never
- * has one that wasn't.
+ * Applies changes of profiles and evacuations to the configuration row with optimistic concurrency control. A change is
+ * accepted only once its commit is known; if the outcome of a write is unknown, the change identifier is read back.
+ * Before a value is replaced, it is added to the profile's history row, so that the history never lacks a value that
+ * was active and never has one that wasn't.
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import {
--- a/src/lib/platform/tableReplica.ts
+++ b/src/lib/platform/tableReplica.ts
@@ -1,9 +1,9 @@
 /**
  * Replicas of the platform's tables. The operator writes a configuration or names weights once, and the versions in
- * these rows only rise, so an older one in a restored store doesn't replace what is known from before. An evacuation has
- * no version; one that the restored store lacks stays in force until the operator writes and removes it again, because
- * requests to an evacuated failure domain do more harm than its idle servers. Servers write their rows all the time, so
- * their table is taken as the restored store has it.
+ * these rows only rise, so an older one in a restored store doesn't replace what is known from before. An evacuation
+ * has no version; one that the restored store lacks stays in force until the operator writes and removes it again,
+ * because requests to an evacuated failure domain do more harm than its idle servers. Servers write their rows all the
+ * time, so their table is taken as the restored store has it.
  */
 import { createRowReplica, type Row, type RowReplica } from "../core/serving/index.js";
 import {
--- a/src/lib/router/callerStalls.ts
+++ b/src/lib/router/callerStalls.ts
@@ -15,8 +15,8 @@
 }
 
 /**
- * A connection that accepts nothing for this long, or up to a quarter longer, is closed. Recoveries from lost packets and pauses of a caller take
- * up to a few seconds; the deadline of a usual request, 6 s, is over by then.
+ * A connection that accepts nothing for this long, or up to a quarter longer, is closed. Recoveries from lost packets
+ * and pauses of a caller take up to a few seconds; the deadline of a usual request, 6 s, is over by then.
  */
 export const CALLER_STALL_TIMEOUT_MS = 10_000;
 
--- a/src/lib/router/operatorState.ts
+++ b/src/lib/router/operatorState.ts
@@ -1,6 +1,6 @@
 /**
- * Derives the route table, the named weights, the evacuations and the backend servers from the rows of the metadata store, and logs
- * each change.
+ * Derives the route table, the named weights, the evacuations and the backend servers from the rows of the metadata
+ * store, and logs each change.
  */
 import {
     type BackendServer,
--- a/src/lib/router/registration.ts
+++ b/src/lib/router/registration.ts
@@ -11,8 +11,8 @@
     /** Registers the entry again if the store is in a later epoch than when the row was last seen. */
     renewIn(epoch: number): void;
     /**
-     * Returns whether the entry has read the table and all entries that run can be expected to know it: its row was there
-     * before it started, or was written some time ago.
+     * Returns whether the entry has read the table and all entries that run can be expected to know it: its row was
+     * there before it started, or was written some time ago.
      */
     isKnownToOthers(now: number): boolean;
     stop(): void;
@@ -31,7 +31,10 @@
 /** All entries renew their registration at about the same time. */
 const RENEWAL_JITTER_MS = 300;
 
-/** Calls `addPeer` with each other entry that is registered. `random` returns a number in [0, 1). */
+/**
+ * Calls `addPeer` with each other entry that is registered. `random` returns a number in [0, 1), `clock` the monotonic
+ * time in milliseconds. `looksForEarlierRow` costs a read at the start; without it the entry counts as new.
+ */
 export function startRegistration(
     store: Pick<MetadataStore, "putRow" | "readTable">,
     self: EntryIdentity,
@@ -39,6 +42,7 @@
     log: EventLog,
     random: () => number,
     clock: () => number,
+    looksForEarlierRow: boolean,
 ): Registration {
     let timer: NodeJS.Timeout | undefined;
     let failures = 0;
@@ -61,9 +65,10 @@
 
     async function attempt(ownGeneration: number): Promise<void> {
         try {
-            hadRow ??= (await store.readTable(ENTRIES_TABLE)).rows.some(({ key, value }) =>
-                key === self.name && value !== undefined
-            );
+            hadRow ??= looksForEarlierRow &&
+                (await store.readTable(ENTRIES_TABLE)).rows.some(({ key, value }) =>
+                    key === self.name && value !== undefined
+                );
             await store.putRow(ENTRIES_TABLE, self.name, formatEntryRow(self));
             const { rows, position } = await store.readTable(ENTRIES_TABLE);
             for (const row of rows) {
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -275,7 +275,15 @@
     const serverTable = createSharedTable(PlatformTable.servers);
     const sharedTables = [operatorTable, serverTable];
     const replicas = new Map(sharedTables.map(({ table, replica }) => [table, replica]));
-    const registration = startRegistration(store, self, peers.addUnconfirmed, log, random, now);
+    const registration = startRegistration(
+        store,
+        self,
+        peers.addUnconfirmed,
+        log,
+        random,
+        now,
+        bounds.cold !== undefined,
+    );
     /** `outageAt` is the last time at which the process that read the rows from the store saw it fail. */
     type ApplyChanges = (rows: readonly Row[], outageAt: number | undefined) => void;
     const applyChanges: Readonly<Record<string, ApplyChanges>> = {
--- a/src/test/router/registration.test.ts
+++ b/src/test/router/registration.test.ts
@@ -30,7 +30,7 @@
         readTable: client.readTable,
     };
     const log = createEventLog({ process: "e", role: "entry", now: () => 0, write: () => undefined });
-    const registration = startRegistration(store, SELF, () => undefined, log, () => 0, () => 0);
+    const registration = startRegistration(store, SELF, () => undefined, log, () => 0, () => 0, true);
     cleanups.push(registration.stop);
     return { fakeStore, registration };
 }
