Forget a server in one place; remove a count that nothing used any more

The same four lines ran for a server that is gone and for one whose suspicion ended. Since accounts are counted over all entries, only a test used the count of one entry; it asks for the count over all entries now, with the same expectation.

--- a/src/lib/core/serving/dispatcher.ts
+++ b/src/lib/core/serving/dispatcher.ts
@@ -332,7 +332,6 @@
     }
 
     function constraintsFor(request: DispatchRequest, queueClass: QueueClass, now: number): PlacementRequest {
-        const mustBeOnTime = queueClass === QueueClass.onTime;
         return {
             promptTokens: request.promptTokens,
             outputTokens: request.outputTokens,
@@ -342,7 +341,7 @@
             slotFraction: queueClass === QueueClass.late ?
                 LATE_SLOT_FRACTION :
                 RANK_SLOT_FRACTIONS[request.routeRank] ?? DEFAULT_SLOT_FRACTION,
-            mustBeOnTime,
+            mustBeOnTime: queueClass === QueueClass.onTime,
         };
     }
 
--- a/src/lib/core/serving/inFlightRequests.ts
+++ b/src/lib/core/serving/inFlightRequests.ts
@@ -30,7 +30,6 @@
     /** Records that the first event of the request has arrived. */
     recordFirstEvent(id: string): void;
     remove(id: string): void;
-    countForAccount(account: string): number;
     /** Returns the number of an account's requests of this process plus those that other entries recently reported. */
     countEverywhere(account: string, now: number): number;
     countAtServer(serverId: string): number;
@@ -175,7 +174,6 @@
             if (request !== undefined) request.hasFirstEvent = true;
         },
         remove,
-        countForAccount: account => countByAccount.get(account) ?? 0,
         countEverywhere: (account, now) => {
             return (countByAccount.get(account) ?? 0) + (totalsOfPeers(now).byAccount.get(account) ?? 0);
         },
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -174,6 +174,13 @@
     let isDraining = false;
     let exchangeCount = 0;
     let callerServer: Awaited<ReturnType<typeof startCallerServer>> | undefined;
+    function forgetServer(id: string): void {
+        connections.removeServer(id);
+        health.remove(id);
+        speed.remove(id);
+        pace.remove(id);
+    }
+
     const operatorState = createOperatorState({
         registry,
         weights,
@@ -181,12 +188,7 @@
         regions: settings.regions,
         log,
         onConfiguration: routeTable => callerServer?.applyLimits(routeTable.configuration.limits),
-        onServerGone: id => {
-            connections.removeServer(id);
-            health.remove(id);
-            speed.remove(id);
-            pace.remove(id);
-        },
+        onServerGone: forgetServer,
         onServer: (server, isNew, at) => {
             const coldMs = operatorState.routeTable()?.findService(server.service)?.coldMs ?? 0;
             coldServers.recordRemaining(
@@ -413,10 +415,7 @@
         coldLimit.forgetEnded(now());
         for (const id of registry.expire(now())) {
             log.info("server gone", { server: id, reason: "its entry didn't come back" });
-            connections.removeServer(id);
-            health.remove(id);
-            speed.remove(id);
-            pace.remove(id);
+            forgetServer(id);
         }
     }, HEARTBEAT_INTERVAL_MS);
 
--- a/src/test/core/serving/inFlightRequests.test.ts
+++ b/src/test/core/serving/inFlightRequests.test.ts
@@ -14,7 +14,7 @@
     assert.deepEqual(inFlight.loadOf("s", 0), { decoding: 1, prefilling: 0, prefillTokens: 0, contextTokens: 100 });
     inFlight.remove("1");
     assert.deepEqual(inFlight.loadOf("s", 0), { decoding: 0, prefilling: 0, prefillTokens: 0, contextTokens: 0 });
-    assert.equal(inFlight.countForAccount("a"), 0);
+    assert.equal(inFlight.countEverywhere("a", 0), 0);
 });
 
 // Guards against reservations that count as load forever because no report of their sender arrives.
