Bodies and events in small chunks take memory and time for their bytes, not for their chunks

Cause: readers bounded the bytes of a body, but kept each chunk as a buffer, and a chunk costs about 2 µs whatever its size. Event parsers put the pending event together anew with each chunk.

Change: small chunks are copied together (core/byteCollector) wherever bytes are collected by chunk: bodies, responses of the store, the origin and peers, pieces, recorded results, events. Messages that come fast and in small chunks take turns (node/readTurns), and leave the process as much time as they take; what arrives while one waits is merged (node/heldMessage).

Tests failed before: readLimitedBody held 218 MiB for 1 MiB in chunks of 1 byte; an event of 200 KB took 5.7 s; the median of calls beside four endless bodies was 435 ms (target 300).

The 39 tests of the files concerned pass.

--- a/src/lib/agent/chunkSources.ts
+++ b/src/lib/agent/chunkSources.ts
@@ -1,7 +1,7 @@
 /** Reads single chunks from other agents or the origin within the link rate limits, and verifies them. */
 import type { ClientReadableStream } from "@grpc/grpc-js";
 import { chunkKey, type ObjectStore, type Vm } from "../clients/index.js";
-import { type Digest, digestOf, type DistinctChunk, RequestOutcome } from "../core/index.js";
+import { createByteCollector, type Digest, digestOf, type DistinctChunk, RequestOutcome } from "../core/index.js";
 import type { ChunkPiece, Connections } from "../rpc/index.js";
 import type { LinkLimiter } from "./linkLimiter.js";
 
@@ -80,7 +80,7 @@
         waitMs: number,
         signal: AbortSignal,
     ): Promise<ChunkResult> {
-        const received: Buffer[] = [];
+        const received = createByteCollector();
         let bytes = 0;
         const iterator = pieces[Symbol.asyncIterator]();
         try {
@@ -91,7 +91,7 @@
                 if (typeof step.value === "string") return { outcome: step.value, bytes };
                 bytes += step.value.length;
                 if (bytes > chunk.size) return { outcome: RequestOutcome.corrupt, bytes };
-                received.push(step.value);
+                received.append(step.value);
                 await linkLimiter.throttleReceive(step.value.length, region);
             }
         }
@@ -99,7 +99,7 @@
             return { outcome: signal.aborted ? RequestOutcome.cancelled : RequestOutcome.failed, bytes };
         }
         if (signal.aborted) return { outcome: RequestOutcome.cancelled, bytes };
-        const content = Buffer.concat(received, bytes);
+        const content = received.take();
         if (digestOf(content) !== chunk.digest) return { outcome: RequestOutcome.corrupt, bytes };
         return { outcome: RequestOutcome.held, bytes, content };
     }
--- a/src/lib/agent/claims.ts
+++ b/src/lib/agent/claims.ts
@@ -19,6 +19,7 @@
     type ClaimRow,
     type ClaimStep,
     type ClaimWriteStep,
+    createByteCollector,
     isTerminalClaimStep,
     type Settlement,
     Verdict,
@@ -220,7 +221,7 @@
 
 /** Collects the frames of a response. `addFrame` returns the result to record at the end of a complete response. */
 function createRecorder() {
-    const recordedData: Buffer[] = [];
+    const recordedData = createByteCollector();
     let bodyBytes = 0;
     let head: AnswerHead | undefined;
 
@@ -228,10 +229,10 @@
         if (frame.$case === "head") head = frame.head;
         if (frame.$case === "data") {
             bodyBytes += frame.data.length;
-            if (bodyBytes <= MAX_RECORDED_BYTES) recordedData.push(frame.data);
+            if (bodyBytes <= MAX_RECORDED_BYTES) recordedData.append(frame.data);
         }
         if (frame.$case !== "end" || frame.end.error !== "" || head === undefined) return undefined;
-        const body = bodyBytes <= MAX_RECORDED_BYTES ? Buffer.concat(recordedData).toString("base64") : undefined;
+        const body = bodyBytes <= MAX_RECORDED_BYTES ? recordedData.take().toString("base64") : undefined;
         const headers = head.headers.map(({ name, value }) => ({ name, value }));
         return { status: head.status, headers, ...(body === undefined ? {} : { body }) };
     }
--- a/src/lib/clients/http.ts
+++ b/src/lib/clients/http.ts
@@ -6,6 +6,7 @@
 import { promisify } from "node:util";
 import { gunzip } from "node:zlib";
 import VError from "verror";
+import { createByteCollector } from "../core/byteCollector.js";
 
 export interface HttpRequest {
     readonly method: string;
@@ -134,16 +135,16 @@
 }
 
 async function readResponse(request: HttpRequest, response: http.IncomingMessage): Promise<HttpResponse> {
-    const buffers: Buffer[] = [];
-    let receivedBytes = 0;
+    const received = createByteCollector();
     let body: Buffer;
     try {
         for await (const buffer of response as AsyncIterable<Buffer>) {
-            receivedBytes += buffer.length;
-            if (receivedBytes > MAX_BODY_BYTES) throw new Error(`the response body exceeds ${MAX_BODY_BYTES} bytes`);
-            buffers.push(buffer);
+            received.append(buffer);
+            if (received.byteCount() > MAX_BODY_BYTES) {
+                throw new Error(`the response body exceeds ${MAX_BODY_BYTES} bytes`);
+            }
         }
-        body = Buffer.concat(buffers);
+        body = received.take();
         if (response.headers["content-encoding"] === "gzip") {
             body = await gunzipAsync(body, { maxOutputLength: MAX_BODY_BYTES });
         }
--- a/src/lib/core/eventStream.ts
+++ b/src/lib/core/eventStream.ts
@@ -1,7 +1,9 @@
 /**
  * Parser that splits a server-sent event stream into complete events. It counts the events with output, so that an
- * interrupted answer can be resumed at an exact position. Memory use is bounded by the longest event.
+ * interrupted answer can be resumed at an exact position. Memory use is bounded by the longest event, and the time by
+ * the number of bytes, whatever the size of the chunks in which they arrive.
  */
+import { type ByteCollector, createByteCollector } from "./byteCollector.js";
 
 export interface EventSplitter {
     /**
@@ -16,7 +18,11 @@
     readonly hasEnded: () => boolean;
 }
 
-const EVENT_END = "\n\n";
+/** Separates the events of a stream. */
+export const EVENT_END = "\n\n";
+const NEWLINE = 0x0a;
+const NO_BYTES: Buffer = Buffer.alloc(0);
+
 const DONE_EVENT_TEXT = "data: [DONE]";
 
 /** The event that ends a complete answer. */
@@ -24,19 +30,32 @@
 
 const MAX_EVENT_BYTES = 256 * 1024;
 
+/**
+ * Returns the events that the chunk completes, and keeps the bytes after them in `pending`. Only the chunk is searched,
+ * because the bytes kept before it hold no separator.
+ */
+export function takeCompleteEvents(pending: ByteCollector, chunk: Buffer): Buffer {
+    const lastSeparator = chunk.lastIndexOf(EVENT_END);
+    const isSeparatorDivided = pending.lastByte() === NEWLINE && chunk[0] === NEWLINE;
+    if (lastSeparator < 0 && !isSeparatorDivided) {
+        pending.append(chunk);
+        return NO_BYTES;
+    }
+    const end = lastSeparator < 0 ? 1 : lastSeparator + EVENT_END.length;
+    pending.append(chunk.subarray(0, end));
+    const complete = pending.take();
+    pending.append(chunk.subarray(end));
+    return complete;
+}
+
 export function createEventSplitter(maxEventBytes = MAX_EVENT_BYTES): EventSplitter {
-    let pending = Buffer.alloc(0);
+    const pending = createByteCollector();
     let outputCount = 0;
     let hasEnded = false;
 
     function push(received: Buffer): Buffer {
-        const buffered = pending.length === 0 ? received : Buffer.concat([pending, received]);
-        const lastBoundary = buffered.lastIndexOf(EVENT_END);
-        const completeLength = lastBoundary < 0 ? 0 : lastBoundary + EVENT_END.length;
-        // Copied, so that a short remainder doesn't retain a large buffer.
-        pending = Buffer.from(buffered.subarray(completeLength));
-        if (pending.length > maxEventBytes) throw new Error(`an event exceeds ${maxEventBytes} bytes`);
-        const complete = buffered.subarray(0, completeLength);
+        const complete = takeCompleteEvents(pending, received);
+        if (pending.byteCount() > maxEventBytes) throw new Error(`an event exceeds ${maxEventBytes} bytes`);
         for (const event of complete.toString("latin1").split(EVENT_END)) {
             if (event === "") continue;
             if (hasEnded) throw new Error("an event follows the end of the stream");
--- a/src/lib/core/index.ts
+++ b/src/lib/core/index.ts
@@ -1,5 +1,6 @@
 export * from "./attempt.js";
 export * from "./binding.js";
+export * from "./byteCollector.js";
 export * from "./chunkAssignment.js";
 export * from "./claim.js";
 export * from "./concurrencyLimit.js";
--- a/src/lib/entry/adminApi.ts
+++ b/src/lib/entry/adminApi.ts
@@ -146,7 +146,10 @@
     operator: Operator,
 ): Promise<void> {
     const { request, response, url } = context;
-    const bodyResult = await readLimitedBody(request, dependencies.settings.limits.bodyBytes);
+    const bodyResult = await readLimitedBody(request, {
+        maxBytes: dependencies.settings.limits.bodyBytes,
+        turns: dependencies.readTurns,
+    });
     if (bodyResult.kind === "aborted") return;
     if (bodyResult.kind === "tooLarge") {
         return sendProblem(response, rejection(413, "the body is too large", "shorten it"));
--- a/src/lib/entry/clientRequest.ts
+++ b/src/lib/entry/clientRequest.ts
@@ -34,7 +34,11 @@
     if (permit === undefined) return sendProblem(response, TOO_MANY_REQUESTS);
 
     async function readBody(): Promise<Buffer | undefined> {
-        const bodyResult = await readLimitedBody(request, dependencies.settings.limits.bodyBytes, permit?.reserve);
+        const bodyResult = await readLimitedBody(request, {
+            maxBytes: dependencies.settings.limits.bodyBytes,
+            reserve: permit?.reserve,
+            turns: dependencies.readTurns,
+        });
         if (bodyResult.kind === "complete") return bodyResult.body;
         if (bodyResult.kind === "tooLarge") {
             const tooLarge = rejection(413, "the body is too large", "shorten the request");
--- a/src/lib/entry/entry.ts
+++ b/src/lib/entry/entry.ts
@@ -1,6 +1,7 @@
 /** Starts the entry process: configuration, membership, agent directory, dispatcher, gRPC and HTTP servers. */
 import { DEFAULT_QUEUE_POLICY, isEvacuated, profilesOf } from "../core/index.js";
 import { createNodeService, createProfileStore, startNodeRuntime } from "../node/index.js";
+import { createReadTurns } from "../node/readTurns.js";
 import { createLog } from "../observability/index.js";
 import { startRpcServer } from "../rpc/index.js";
 import type { EntrySettings } from "../settings/index.js";
@@ -81,6 +82,7 @@
         configuration,
         dispatcher,
         requestLimit: createRequestLimit(settings.limits),
+        readTurns: createReadTurns(() => performance.now()),
         events,
         metrics,
         now,
--- a/src/lib/node/limitedBody.ts
+++ b/src/lib/node/limitedBody.ts
@@ -1,5 +1,8 @@
 /** Reads message bodies up to a size limit and within a memory budget that all bodies of a process share. */
 import type { IncomingMessage } from "node:http";
+import { createByteCollector } from "../core/byteCollector.js";
+import { holdMessage } from "./heldMessage.js";
+import type { ReadTurns } from "./readTurns.js";
 
 export type BodyResult =
     | { readonly kind: "complete"; readonly body: Buffer; }
@@ -8,35 +11,56 @@
     /** The connection ended, or `signal` was aborted, before the end of the body. */
     | { readonly kind: "aborted"; };
 
+export interface BodyOptions {
+    readonly maxBytes: number;
+    /** Called with the size of each chunk; returns false if there is no memory for it. By default there always is. */
+    readonly reserve?: ((bytes: number) => boolean) | undefined;
+    /** Turns that the bodies of a process take if they arrive in small chunks; without them, a body is read at once. */
+    readonly turns?: ReadTurns;
+    /** Ends the reading. */
+    readonly signal?: AbortSignal;
+}
+
 /**
- * Reads a body. `reserve` is called with the size of each buffer and returns false if there is no memory for it. The
- * message is left paused unless its body is complete; it isn't destroyed, because that would close the connection
- * before the caller reads the response.
+ * Reads a body. The message is left paused unless its body is complete; it isn't destroyed, because that would close the
+ * connection before the caller reads the response.
  */
-export function readLimitedBody(
-    message: IncomingMessage,
-    maxBytes: number,
-    reserve: (bytes: number) => boolean = () => true,
-    signal?: AbortSignal,
-): Promise<BodyResult> {
+export function readLimitedBody(message: IncomingMessage, options: BodyOptions): Promise<BodyResult> {
+    const { maxBytes, reserve = () => true, signal } = options;
     if (Number(message.headers["content-length"] ?? 0) > maxBytes) return Promise.resolve({ kind: "tooLarge" });
     if (message.destroyed && !message.readableEnded) return Promise.resolve({ kind: "aborted" });
-    const buffers: Buffer[] = [];
-    let size = 0;
+    const body = createByteCollector();
+    const pace = options.turns?.start();
     return new Promise(resolve => {
+        /** Set while the message waits for its turn. */
+        let release: (() => void) | undefined;
         function finish(result: BodyResult): void {
+            release?.();
+            release = undefined;
             message.off("data", onData).off("end", onEnd).off("error", onAborted).off("close", onAborted);
             signal?.removeEventListener("abort", onAborted);
             if (result.kind !== "complete") message.pause();
             resolve(result);
         }
-        function onData(buffer: Buffer): void {
-            size += buffer.length;
-            if (size > maxBytes) finish({ kind: "tooLarge" });
-            else if (!reserve(buffer.length)) finish({ kind: "tooLarge", isMemoryExhausted: true });
-            else buffers.push(buffer);
+        function onData(chunk: Buffer): void {
+            if (body.byteCount() + chunk.length > maxBytes) finish({ kind: "tooLarge" });
+            else if (!reserve(chunk.length)) finish({ kind: "tooLarge", isMemoryExhausted: true });
+            else {
+                body.append(chunk);
+                const turn = pace?.(chunk);
+                if (turn !== undefined) holdUntil(turn);
+            }
+        }
+        function holdUntil(turn: Promise<void>): void {
+            release = holdMessage(message);
+            void turn.then(() => {
+                if (release === undefined) return;
+                release();
+                release = undefined;
+                message.resume();
+            });
         }
-        const onEnd = () => finish({ kind: "complete", body: Buffer.concat(buffers) });
+        const onEnd = () => finish({ kind: "complete", body: body.take() });
         const onAborted = () => finish({ kind: "aborted" });
         message.on("data", onData).once("end", onEnd).once("error", onAborted).once("close", onAborted);
         signal?.addEventListener("abort", onAborted, { once: true });
--- a/src/lib/router/attempt.ts
+++ b/src/lib/router/attempt.ts
@@ -274,7 +274,11 @@
         const maxBytes = hasResponseBody(exchange.request.method, status) ?
             MAX_RESPONSE_BODY_BYTES :
             Number.POSITIVE_INFINITY;
-        const bodyResult = await readLimitedBody(response, maxBytes, memory.reserve);
+        const bodyResult = await readLimitedBody(response, {
+            maxBytes,
+            reserve: memory.reserve,
+            turns: exchange.context.readTurns,
+        });
         const isComplete = bodyResult.kind === "complete" && metadata.isSigned &&
             await exchange.context.connections.isComplete(response);
         if (!isComplete) {
--- a/src/lib/router/eventStreamParser.ts
+++ b/src/lib/router/eventStreamParser.ts
@@ -3,6 +3,8 @@
  * can be resumed exactly after it. Partial events are never returned.
  */
 import VError from "verror";
+import { createByteCollector } from "../core/byteCollector.js";
+import { EVENT_END, takeCompleteEvents } from "../core/eventStream.js";
 
 export interface EventStreamParser {
     /**
@@ -25,8 +27,6 @@
     readonly parseWeightsVersion: (event: string) => number | undefined;
 }
 
-const EVENT_END = "\n\n";
-
 /** Matches a line that isn't a comment. */
 const ANY_FIELD = /^[^:\n]/m;
 
@@ -38,18 +38,15 @@
     { parseId, parseWeightsVersion }: EventFieldReaders,
     previous?: EventStreamParser,
 ): EventStreamParser {
-    let pending: Buffer = Buffer.alloc(0);
+    const pending = createByteCollector();
     let lastId = previous?.lastEventId();
     let weightsVersion = previous?.weightsVersion();
     let eventCount = 0;
 
     function push(chunk: Buffer): Buffer {
-        const buffered = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
-        const lastSeparator = buffered.lastIndexOf(EVENT_END);
-        const end = lastSeparator < 0 ? 0 : lastSeparator + EVENT_END.length;
-        pending = buffered.subarray(end);
-        if (pending.length > MAX_EVENT_BYTES) throw new VError("an event exceeds %d bytes", MAX_EVENT_BYTES);
-        const complete = buffered.subarray(0, end);
+        const complete = takeCompleteEvents(pending, chunk);
+        if (pending.byteCount() > MAX_EVENT_BYTES) throw new VError("an event exceeds %d bytes", MAX_EVENT_BYTES);
+        if (complete.length === 0) return complete;
         for (const event of complete.toString("latin1").split(EVENT_END)) {
             lastId = parseId(event) ?? lastId;
             weightsVersion = parseWeightsVersion(event) ?? weightsVersion;
@@ -61,7 +58,7 @@
     return {
         push,
         eventCount: () => eventCount,
-        pendingBytes: () => pending.length,
+        pendingBytes: pending.byteCount,
         lastEventId: () => lastId,
         weightsVersion: () => weightsVersion,
     };
--- a/src/lib/router/exchange.ts
+++ b/src/lib/router/exchange.ts
@@ -122,7 +122,12 @@
         if (!response.writableFinished) cancellation.abort(CancelReason.callerLeft);
     });
     try {
-        const bodyResult = await readLimitedBody(request, limits.maxBodyBytes, reserve, cancellation.signal);
+        const bodyResult = await readLimitedBody(request, {
+            maxBytes: limits.maxBodyBytes,
+            reserve,
+            turns: context.readTurns,
+            signal: cancellation.signal,
+        });
         if (bodyResult.kind !== "complete") {
             finishWithoutBody(context, response, caller, bodyResult, cancellation.signal);
             return;
--- a/src/lib/router/exchangeState.ts
+++ b/src/lib/router/exchangeState.ts
@@ -17,6 +17,7 @@
 } from "../core/serving/index.js";
 import type { Verdict } from "../core/verdict.js";
 import type { BodyBudget } from "../node/limitedBody.js";
+import type { ReadTurns } from "../node/readTurns.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
 import type { CallerRequest } from "../platform/index.js";
 import type { BackendConnections } from "./backendConnections.js";
@@ -43,6 +44,7 @@
     readonly serverNotices: ServerNotices;
     /** Memory for the bodies of all requests and responses in progress. */
     readonly bodyBudget: BodyBudget;
+    readonly readTurns: ReadTurns;
     readonly log: EventLog;
     readonly metrics: ServingMetrics;
     /** Monotonic clock in milliseconds. */
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -31,6 +31,7 @@
 import { listen } from "../node/listen.js";
 import type { MetadataStore } from "../node/metadataStore.js";
 import { handleChangesRequest } from "../node/peerMessages.js";
+import { createReadTurns } from "../node/readTurns.js";
 import type { SharedTable } from "../node/sharedTable.js";
 import { type FeedRateLimit, loggedAge, startTableFeed, type TableFeed } from "../node/tableFeed.js";
 import { createServingMetrics, type EventLog, handleMetricsRequest } from "../observability/index.js";
@@ -252,6 +253,7 @@
         pace,
         serverNotices: createServerNotices({ registry, backoff, coldServers, log, metrics, now }),
         bodyBudget: createBodyBudget(MAX_BUFFERED_BODY_BYTES),
+        readTurns: createReadTurns(now),
         log,
         metrics,
         now,
--- a/src/lib/router/streamRelay.ts
+++ b/src/lib/router/streamRelay.ts
@@ -1,6 +1,7 @@
 /** Relays the events of a stream to the caller; a stream that broke is resumed with the response of another server. */
 import type * as http from "node:http";
 import VError from "verror";
+import { createByteCollector } from "../core/byteCollector.js";
 import { Verdict } from "../core/verdict.js";
 import { forEachChunk } from "../node/forEachChunk.js";
 import type { SilenceTimer } from "../node/silenceTimer.js";
@@ -33,8 +34,6 @@
  */
 const MIN_CALLER_PAUSE_MS = 1000;
 
-const NO_BYTES: Buffer = Buffer.alloc(0);
-
 /** Describes the attempt whose response is relayed. */
 export interface StreamAttempt {
     readonly metadata: ResponseMetadata;
@@ -71,8 +70,8 @@
     /** Time since which the caller hasn't read what waits for it. */
     let callerPausedAt: number | undefined;
     let hasCallerPaused = false;
-    /** Received comments that aren't relayed yet. */
-    let comments = NO_BYTES;
+    /** Received comments that aren't relayed yet, and the events that follow them. */
+    const unsent = createByteCollector();
 
     function onFirstEvents(): void {
         hasFirstEvent = true;
@@ -95,20 +94,20 @@
         const eventCountBefore = parser.eventCount();
         const completeEvents = parser.push(chunk);
         if (completeEvents.length === 0) return undefined;
-        const completeBytes = comments.length === 0 ? completeEvents : Buffer.concat([comments, completeEvents]);
+        unsent.append(completeEvents);
         // Bytes that complete no event and comments don't restart the timer. Comments wait for the next event, so
         // that another server can still answer.
         if (parser.eventCount() === eventCountBefore) {
-            comments = completeBytes;
-            if (comments.length > MAX_COMMENT_BYTES) throw new VError("comments exceed %d bytes", MAX_COMMENT_BYTES);
+            if (unsent.byteCount() > MAX_COMMENT_BYTES) {
+                throw new VError("comments exceed %d bytes", MAX_COMMENT_BYTES);
+            }
             return undefined;
         }
-        comments = NO_BYTES;
         onDelivery();
         if (hasFirstEvent) onFurtherEvents();
         else onFirstEvents();
         exchange.weightsVersion = parser.weightsVersion() ?? exchange.weightsVersion;
-        return response.write(completeBytes) ? undefined : waitForCaller();
+        return response.write(unsent.take()) ? undefined : waitForCaller();
     }
 
     /** Waits for a caller that reads slowly; the server's pause counts from the time at which more is read from it. */
@@ -139,7 +138,7 @@
     }
 
     try {
-        await forEachChunk(upstream, onChunk);
+        await forEachChunk(upstream, onChunk, context.readTurns);
         silence.stop();
         const isComplete = parser.pendingBytes() === 0 && metadata.isSigned &&
             await context.connections.isComplete(upstream);
@@ -153,7 +152,7 @@
     }
     onDelivery();
     if (!response.headersSent) response.writeHead(200, streamHeaders(exchange, upstream.rawHeaders));
-    response.end(comments);
+    response.end(unsent.take());
     if (!hasSurvived) onSurvival();
     return { kind: "answered", summary: isResumed ? "200 resumed" : "200" };
 }
--- a/src/test/core/eventStream.test.ts
+++ b/src/test/core/eventStream.test.ts
@@ -36,3 +36,15 @@
         for (let i = 0; i < 100; i++) splitter.push(Buffer.alloc(100, "x"));
     }, /exceeds 1000 bytes/);
 });
+
+// Guards against an event in small chunks that takes time in the square of its size, and keeps the process busy for seconds.
+test("a large event in small chunks takes time for its bytes, not for their square", () => {
+    const splitter = createEventSplitter();
+    const event = `data: "${"x".repeat(200_000)}"\n\n`;
+    const startedAt = performance.now();
+    let output = "";
+    for (const character of event) output += splitter.push(Buffer.from(character)).toString();
+    assert.equal(output, event);
+    const tookMs = performance.now() - startedAt;
+    assert.ok(tookMs < 1000, `${tookMs} ms`);
+});
--- a/src/test/router/endlessBytes.test.ts
+++ b/src/test/router/endlessBytes.test.ts
@@ -105,6 +105,10 @@
         request.socket.write(`${head(request)}Transfer-Encoding: chunked\r\n\r\n`);
         writeEndlessly(request.socket, encodeChunk("x".repeat(64 * 1024)));
     },
+    "body in small chunks": request => {
+        request.socket.write(`${head(request)}Transfer-Encoding: chunked\r\n\r\n`);
+        writeEndlessly(request.socket, encodeChunk("x").repeat(10_000));
+    },
     "body without a length": request => {
         request.socket.write(`${head(request)}\r\n`);
         writeEndlessly(request.socket, "x".repeat(64 * 1024));
@@ -136,6 +140,27 @@
     });
 }
 
+// Guards against an entry that hardly serves anyone while a few servers send bytes without end in small chunks.
+test("other requests are answered in time beside endless bodies in small chunks", async () => {
+    const respond = (request: ReceivedRequest) => {
+        if (!request.head.includes("/read/spoilt")) return respondOk(request);
+        ENDLESS_RESPONSES["body in small chunks"]?.(request);
+    };
+    await addRunners(respond, respond);
+    const spoiltCalls = Array.from({ length: 4 }, () => sendCall(router.callerPort, { path: "/read/spoilt" }));
+    await waitUntil(() => runners.flatMap(({ requests }) => requests).length >= 4);
+    const durations: number[] = [];
+    for (let count = 0; count < 10; count++) {
+        const startedAt = performance.now();
+        assert.equal((await sendCall(router.callerPort, { path: "/read/" })).body, "ok");
+        durations.push(performance.now() - startedAt);
+    }
+    const medianMs = durations.sort((a, b) => a - b)[5] ?? 0;
+    // The route's target.
+    assert.ok(medianMs < 300, `median ${Math.round(medianMs)} ms, longest ${Math.round(durations.at(-1) ?? 0)} ms`);
+    for (const { status } of await Promise.all(spoiltCalls)) assert.ok([502, 504].includes(status), `status ${status}`);
+});
+
 // Guards against reading the body of a refusal for as long as the server sends it.
 test("endless bytes after a refusal close the connection", async () => {
     let endlessSocket: Socket | undefined;
--- a/src/test/router/requestBody.test.ts
+++ b/src/test/router/requestBody.test.ts
@@ -28,6 +28,23 @@
     assert.equal((await caller.nextResponse()).status, 413);
 });
 
+// Guards against a body that isn't read to its end, or a connection that stays held, because its chunks are small.
+test("bodies in chunks of one byte reach the server whole, and their connections serve on", async () => {
+    const body = "ab".repeat(10_000);
+    const send = async () => {
+        const caller = await entry.openCaller();
+        const headers = { "Transfer-Encoding": "chunked" };
+        caller.send(formatRequest({ path: "/book/", id: "a", headers }));
+        caller.send(`${[...body].map(byte => `1\r\n${byte}\r\n`).join("")}0\r\n\r\n`);
+        assert.equal((await caller.nextResponse()).status, 200);
+        caller.send(formatRequest({ path: "/read/", id: "b" }));
+        assert.equal((await caller.nextResponse()).status, 200);
+    };
+    await Promise.all(Array.from({ length: 6 }, send));
+    const bodies = entry.runner.requests.filter(({ head }) => head.includes("/book/")).map(request => request.body);
+    assert.deepEqual(bodies, Array.from({ length: 6 }, () => body));
+});
+
 // Guards against a body that never ends and is never answered, and against a time limit that restarts at its end.
 test("a caller that stalls in its body is answered at its deadline", async () => {
     const caller = await entry.openCaller();
