--- a/src/lib/router/operatorState.ts
+++ b/src/lib/router/operatorState.ts
@@ -13,6 +13,7 @@
 } from "../core/serving/index.js";
 import type { EventLog } from "../observability/index.js";
 import {
+    type NamedWeights,
     parseEvacuationKey,
     parseNamedWeights,
     parseRoutingConfiguration,
@@ -41,7 +42,7 @@
     /** Called with each row of a server; `isNew` is true for the first row of an incarnation. */
     readonly onServer: (server: BackendServer, isNew: boolean, now: number) => void;
     /** Called only for versions named while the process runs; earlier ones may already be distributed. */
-    readonly onWeightsNamed: (version: number) => void;
+    readonly onWeightsNamed: (named: NamedWeights) => void;
 }
 
 export function createOperatorState(options: OperatorStateOptions): OperatorState {
@@ -105,7 +106,7 @@
         if (named === undefined) return;
         if (!weights.recordNamed(named.model, named.version, isNew, now)) return;
         log.info("weights named", { revision, ...named });
-        if (hasInitialRows) options.onWeightsNamed(named.version);
+        if (hasInitialRows) options.onWeightsNamed(named);
     }
 
     function applyServerRows(rows: readonly Row[], lastOutageAt: number | undefined, now: number): void {
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -37,8 +37,9 @@
 import { createServingMetrics, type EventLog, handleMetricsRequest } from "../observability/index.js";
 import { createTableReplica, PlatformTable } from "../platform/index.js";
 import type { VmBounds, VmSettings } from "../settings/vmSettings.js";
+import { createModelRelays } from "../stager/modelRelays.js";
+import type { WeightsOrigin } from "../stager/originAccess.js";
 import { handlePieceRequest, pieceErrorStatus } from "../stager/peerApi.js";
-import { createPieceRelay, type WeightsOrigin } from "../stager/pieceRelay.js";
 import { createReceiverThrottles } from "../stager/uploadThrottle.js";
 import { createBackendConnections } from "./backendConnections.js";
 import { startCallerServer, startReadinessServer } from "./callerServer.js";
@@ -198,8 +199,8 @@
                 at,
             );
         },
-        onWeightsNamed: version => {
-            void relay.prefetch(version);
+        onWeightsNamed: ({ model, version }) => {
+            void relays.prefetch(model, version);
             peerExchange.notifyAgents();
         },
     });
@@ -362,13 +363,14 @@
         log,
         now,
     });
-    const relay = createPieceRelay({
+    const relays = createModelRelays({
         self: settings,
         entries: () =>
             peers.live(now()).map(({ ip, failureDomain }) => ({
                 ip,
                 region: settings.regions.get(failureDomain) ?? "",
             })),
+        models: () => configuredModels(operatorState.routeTable()),
         origin: () => findWeightsOrigin(operatorState.routeTable(), settings),
         entryPort: peerPort,
         log,
@@ -379,7 +381,7 @@
     const throttleFor = createReceiverThrottles();
     const peerServer = http.createServer((request, response) => {
         if (handleChangesRequest(request, response, replicas)) return;
-        handlePieceRequest(relay, throttleFor, request, response)
+        handlePieceRequest(relays.find, throttleFor, request, response)
             .then(isHandled => isHandled ? undefined : handleMetricsRequest(metrics, response))
             .catch(error => {
                 log.info("piece not relayed", { error: (error as Error).message });
@@ -457,7 +459,7 @@
         clearTimeout(dispatchTimer);
         for (const feed of feeds) feed.stop();
         registration.stop();
-        relay.stop();
+        relays.stop();
         store.close();
         peerExchange.close();
         callerServer?.close();
@@ -481,14 +483,16 @@
     return { table, replica: createTableReplica(table), freshness: createTableFreshness() };
 }
 
-/** Returns the configured weights origin and the model to load from it, or `undefined` if either is missing. */
+function configuredModels(routeTable: RouteTable | undefined): ReadonlySet<string> {
+    return new Set((routeTable?.configuration.services ?? []).flatMap(({ engine }) => engine?.model ?? []));
+}
+
+/** Returns the configured weights origin, which serves all models; `undefined` if there is none. */
 function findWeightsOrigin(routeTable: RouteTable | undefined, settings: VmSettings): WeightsOrigin | undefined {
-    const services = routeTable?.configuration.services ?? [];
-    const origin = services.find(service => service.origin !== undefined)?.origin;
-    const model = services.find(({ engine }) => engine !== undefined)?.engine?.model;
-    if (origin === undefined || model === undefined) return undefined;
+    const origin = routeTable?.configuration.services.find(service => service.origin !== undefined)?.origin;
+    if (origin === undefined) return undefined;
     const { address, failureDomain, maxConnections } = origin;
-    return { address, region: settings.regions.get(failureDomain) ?? "", model, maxConnections };
+    return { address, region: settings.regions.get(failureDomain) ?? "", maxConnections };
 }
 
 function roundTripMs(settings: VmSettings, failureDomain: string): number {
--- a/src/lib/stager/engineTask.ts
+++ b/src/lib/stager/engineTask.ts
@@ -20,14 +20,20 @@
 import { hasDigest, type HeldVersion, isComplete, type PieceStore } from "./pieceStore.js";
 import type { VersionFetcher } from "./versionFetcher.js";
 
+/** The weights of the engine's model that the agent fetches and holds. */
+export interface ModelWeights {
+    readonly pieceStore: PieceStore;
+    readonly fetcher: VersionFetcher;
+}
+
 export interface EngineTask {
     /**
-     * Polls the engine now and loads the newest complete version of the model. Does nothing while an earlier poll is in
-     * progress. Never throws.
+     * Polls the engine now and loads the newest complete version of the model, if one is configured. Does nothing while
+     * an earlier poll is in progress. Never throws.
      */
-    poll(model: string | undefined): Promise<void>;
-    /** Returns the version that the engine holds, or 0 for none. */
-    loadedVersion(): number;
+    poll(weights: ModelWeights | undefined): Promise<void>;
+    /** Returns the version of the model that the engine holds, or 0 for none. */
+    loadedVersion(model: string): number;
     /** Returns whether the engine holds the newest named version and is idle, so that it can be polled less often. */
     isSettled(): boolean;
 }
@@ -36,8 +42,6 @@
     readonly context: AgentContext;
     readonly engine: LocalEngineClient;
     readonly fleet: FleetView;
-    readonly pieceStore: PieceStore;
-    readonly fetcher: VersionFetcher;
     readonly weightsPolicy: ReturnType<typeof createWeightsPolicy>;
     readonly peerSocket: PeerSocket;
     /** Returns when recent versions were named; lacks those that were named before this process started. */
@@ -66,6 +70,7 @@
 
 /** An order that the engine may have accepted after the check of the staged pieces had expired. */
 interface LateOrder {
+    readonly model: string;
     readonly version: number;
     /** Start of the engine that got the order. */
     readonly engineStartedAt: number;
@@ -76,7 +81,7 @@
 }
 
 export function createEngineTask(options: EngineTaskOptions): EngineTask {
-    const { context, engine, fleet, pieceStore, fetcher, weightsPolicy } = options;
+    const { context, engine, fleet, weightsPolicy } = options;
     const { settings, log, metrics, now, readClocks } = context;
     let lateOrder: LateOrder | undefined;
     let report: EngineReport | undefined;
@@ -88,11 +93,11 @@
     let isPolling = false;
     let isReachable = true;
 
-    async function poll(model: string | undefined): Promise<void> {
+    async function poll(weights: ModelWeights | undefined): Promise<void> {
         if (isPolling) return;
         isPolling = true;
         try {
-            await pollOnce(model);
+            await pollOnce(weights);
             if (!isReachable) log.info("engine regained", { startedAt: report?.startedAt });
             isReachable = true;
         }
@@ -106,25 +111,26 @@
         }
     }
 
-    async function pollOnce(model: string | undefined): Promise<void> {
-        const previousVersion = report?.weights?.version ?? 0;
+    async function pollOnce(weights: ModelWeights | undefined): Promise<void> {
+        const model = weights?.pieceStore.model;
+        const previousVersion = model === undefined ? 0 : loadedVersion(model);
         report = await engine.report();
-        if (model === undefined) return;
-        const loaded = loadedVersion();
+        if (weights === undefined || model === undefined) return;
+        const loaded = loadedVersion(model);
         const hasVersionChanged = loaded !== previousVersion;
         if (hasVersionChanged) log.info("weights loaded", { model, version: loaded, previous: previousVersion });
-        await examineLateOrder(model, report);
+        await examineLateOrder(weights.pieceStore, report);
         isSettled = loaded === weightsPolicy.newest(model) && !report.isLoadInProgress;
-        const { target, shouldDrain } = planNextSwitch(model, loaded);
+        const { target, shouldDrain } = planNextSwitch(weights, loaded);
         isOutOfRotation = lateOrder?.isSuspect === true ||
             target !== undefined && (report.isLoadInProgress || loaded === 0 || shouldDrain);
         sendHeartbeatIfDue(model, hasVersionChanged || hasSlowdownChanged());
-        const held = target === undefined ? undefined : pieceStore.find(target);
+        const held = target === undefined ? undefined : weights.pieceStore.find(target);
         if (!isOutOfRotation || report.isLoadInProgress || held === undefined || !isComplete(held)) return;
         await load(held, loaded);
     }
 
-    function planNextSwitch(model: string, loaded: number): SwitchPlan {
+    function planNextSwitch({ pieceStore: { model }, fetcher }: ModelWeights, loaded: number): SwitchPlan {
         const newest = weightsPolicy.newest(model);
         // A version that was named before the start of this process may be the one before the newest.
         const namedAt = options.namedAt(model);
@@ -152,7 +158,13 @@
         const stagedMs = now() - startedAt;
         // Until the response arrives in time, the order may be accepted late or may have been accepted unnoticed.
         const earlierOrder = lateOrder;
-        lateOrder = { version, engineStartedAt: report?.startedAt ?? 0, wasRepaired: false, isSuspect: false };
+        lateOrder = {
+            model: held.model,
+            version,
+            engineStartedAt: report?.startedAt ?? 0,
+            wasRepaired: false,
+            isSuspect: false,
+        };
         const result = await engine.orderLoad(held.model, version);
         const respondedAt = readClocks();
         // If the order hasn't begun anything, an earlier one has taken effect.
@@ -184,6 +196,7 @@
             if (now() < orderAt) await sleep(orderAt - now());
             if (!mayOrder(checkedSince, readClocks())) continue;
             log.info("pieces staged", {
+                model: held.model,
                 version,
                 written: writtenCount,
                 kept: held.pieces.length - writtenCount,
@@ -191,7 +204,7 @@
             });
             return checkedSince;
         }
-        log.warn("staged pieces not verified", { version, written: writtenCount });
+        log.warn("staged pieces not verified", { model: held.model, version, written: writtenCount });
         return undefined;
     }
 
@@ -201,7 +214,9 @@
         for (const [index, bytes] of held.pieces.entries()) {
             if (bytes === undefined || await isStaged(held, index)) continue;
             repairedCount++;
-            if (lateOrder?.version === held.manifest.version) lateOrder.wasRepaired = true;
+            if (lateOrder?.model === held.model && lateOrder.version === held.manifest.version) {
+                lateOrder.wasRepaired = true;
+            }
             await engine.stagePiece(held.model, index, bytes);
         }
         return repairedCount;
@@ -218,14 +233,14 @@
      * holds another version or has restarted.
      */
     async function examineLateOrder(
-        model: string,
-        { weights, startedAt, isLoadInProgress }: EngineReport,
+        { model, find }: PieceStore,
+        { startedAt, isLoadInProgress }: EngineReport,
     ): Promise<void> {
         if (lateOrder === undefined) return;
         const { version, engineStartedAt, isSuspect } = lateOrder;
-        const held = pieceStore.find(version);
-        const loaded = weights?.version ?? 0;
-        if (startedAt !== engineStartedAt || loaded > version || held?.model !== model) lateOrder = undefined;
+        const held = lateOrder.model === model ? find(version) : undefined;
+        const loaded = loadedVersion(model);
+        if (startedAt !== engineStartedAt || loaded > version || held === undefined) lateOrder = undefined;
         // The order may still be on its way to the engine.
         if (lateOrder === undefined || held === undefined || isSuspect || isLoadInProgress || loaded < version) return;
         for (const index of held.pieces.keys()) {
@@ -251,13 +266,15 @@
             backendAddress: settings.backendAddress ?? "",
             startedAt: report.startedAt,
             model,
-            version: loadedVersion(),
+            version: loadedVersion(model),
             isLoading: isOutOfRotation,
             slowdown: report.slowdown,
         }, fleet.entryIps());
     }
 
-    const loadedVersion = () => report?.weights?.version ?? 0;
+    function loadedVersion(model: string): number {
+        return report?.weights?.model === model ? report.weights.version : 0;
+    }
 
     return { poll, loadedVersion, isSettled: () => isSettled };
 }
--- a/src/lib/stager/fleetView.ts
+++ b/src/lib/stager/fleetView.ts
@@ -19,10 +19,10 @@
     refresh(): Promise<void>;
     /** Returns the IP addresses of the entries of the region; reads their list if none is known. Never throws. */
     regionEntryIps(): Promise<readonly string[]>;
-    /** Agents beside the engines of the same service, except this one. */
-    peers(): TransferPeer[];
+    /** Agents beside the engines of the same service, except this one, as sources of the model's weights. */
+    peers(model: string): TransferPeer[];
     /** Entries of the same region in the order in which they are asked, at most `MAX_RELAYS`. */
-    relays(): Relay[];
+    relays(model: string): Relay[];
     /** Names of the agents in this failure domain, including this one. */
     domainReplicas(): string[];
     /** Failure domains of the engines of the same service, including this one's. */
@@ -117,20 +117,20 @@
         return domainByIp;
     }
 
-    function peers(): TransferPeer[] {
+    function peers(model: string): TransferPeer[] {
         return [...peerDomains()].map(([ip, failureDomain]) => ({
             name: ip,
             region: settings.regions.get(failureDomain) ?? "",
             failureDomain,
-            client: createPeerClient(ip, agentPort, connections, receiveRateMbps),
+            client: createPeerClient({ model, ip, port: agentPort, connections, rateMbps: receiveRateMbps }),
         }));
     }
 
     /** The agents of a region prefer different entries, so that the pieces load the links of all of them alike. */
-    function relays(): Relay[] {
+    function relays(model: string): Relay[] {
         return orderMembers(`relays of ${settings.ip}`, regionIps()).slice(0, MAX_RELAYS).map(ip => ({
             name: `relay ${ip}`,
-            client: createPeerClient(ip, entryPort, connections, receiveRateMbps),
+            client: createPeerClient({ model, ip, port: entryPort, connections, rateMbps: receiveRateMbps }),
         }));
     }
 
--- a/src/lib/stager/manifestReader.ts
+++ b/src/lib/stager/manifestReader.ts
@@ -23,7 +23,7 @@
                 readings.forget(version);
                 return manifest;
             }
-            if (count > 1) log.warn("manifest readings differ", { version, count });
+            if (count > 1) log.warn("manifest readings differ", { model, version, count });
         }
         throw new VError("the origin's manifests of version %d differ from each other", version);
     }
--- a/src/lib/stager/peerApi.ts
+++ b/src/lib/stager/peerApi.ts
@@ -1,5 +1,6 @@
 /**
  * HTTP API through which agents and entries exchange weights: manifests, the list of held pieces, and the pieces.
+ * Requests and responses name the model, because the versions of different models have the same numbers.
  */
 import * as http from "node:http";
 import VError from "verror";
@@ -18,7 +19,10 @@
     readonly loaded: number;
 }
 
-/** Every method throws if the peer can't be reached, times out or responds with a status other than 200. */
+/**
+ * Requests weights of one model. Every method throws if the peer can't be reached, times out, or responds with a status
+ * other than 200 or for another model.
+ */
 export interface PeerClient {
     readManifest(version: number): Promise<WeightManifest>;
     /** Long-polls until the peer holds more than `knownCount` pieces, for at most `STATE_WAIT_MS`. */
@@ -39,10 +43,27 @@
 /** Inactivity timeout of a call, added to the requested wait. A piece takes 50 ms on an idle link. */
 const STALL_TIMEOUT_MS = 1500;
 
-/** Creates a client of the peer API. `rateMbps` is the rate at which the peer is asked to send pieces. */
-export function createPeerClient(ip: string, port: number, agent: http.Agent, rateMbps: number): PeerClient {
+/**
+ * Response header with the URI-encoded name of the model. Processes of earlier versions send none and ignore the model
+ * that a request names, so their responses may be for another one.
+ */
+const MODEL_HEADER = "weights-model";
+
+export interface PeerClientOptions {
+    readonly model: string;
+    readonly ip: string;
+    readonly port: number;
+    readonly connections: http.Agent;
+    /** Rate at which the peer is asked to send pieces. */
+    readonly rateMbps: number;
+}
+
+export function createPeerClient({ model, ip, port, connections, rateMbps }: PeerClientOptions): PeerClient {
+    const encodedModel = encodeURIComponent(model);
+
     async function get(path: string, timeoutMs: number): Promise<Buffer> {
-        const response = await sendRequest({ method: "GET", url: `http://${ip}:${port}${path}`, timeoutMs, agent });
+        const url = `http://${ip}:${port}${path}&model=${encodedModel}`;
+        const response = await sendRequest({ method: "GET", url, timeoutMs, agent: connections });
         if (response.status !== 200) {
             throw new VError(
                 { name: "PeerError", info: { status: response.status } },
@@ -53,6 +74,16 @@
                 response.status,
             );
         }
+        if (response.headers[MODEL_HEADER] !== encodedModel) {
+            throw new VError(
+                { name: "PeerError" },
+                "peer %s:%d responded for the model %s instead of %s",
+                ip,
+                port,
+                response.headers[MODEL_HEADER] ?? "of an earlier version",
+                encodedModel,
+            );
+        }
         return response.body;
     }
     return {
@@ -97,8 +128,9 @@
     return VError.info(error).status === PIECE_UNAVAILABLE_STATUS;
 }
 
-/** Provides the pieces that a process serves, held or fetched on demand. */
+/** Provides the pieces of a model that a process serves, held or fetched on demand. */
 export interface PieceProvider {
+    readonly model: string;
     manifest(version: number): Promise<WeightManifest | undefined>;
     /** Waits up to `waitMs` for the piece; `undefined` if it isn't available then. */
     piece(version: number, piece: number, waitMs: number): Promise<Buffer | undefined>;
@@ -106,11 +138,17 @@
     state(version: number, knownCount: number): Promise<PeerState>;
 }
 
+/**
+ * Returns the provider of the model; `undefined` if the process has none. Processes of earlier versions name no model,
+ * because they know one only.
+ */
+export type ProviderLookup = (model: string | undefined) => PieceProvider | undefined;
+
 const PIECE_PATHS: ReadonlySet<string> = new Set(["/manifest", "/state", "/piece"]);
 
 /** Handles a request of the peer API; returns false for any other path. Throws what the provider throws. */
 export async function handlePieceRequest(
-    provider: PieceProvider,
+    findProvider: ProviderLookup,
     throttleFor: (request: http.IncomingMessage) => UploadThrottle,
     request: http.IncomingMessage,
     response: http.ServerResponse,
@@ -120,8 +158,17 @@
     const countParameter = (name: string) => parseCount(url.searchParams.get(name));
     const version = countParameter("version");
     const piece = countParameter("piece");
-    if (version === undefined || url.pathname === "/piece" && piece === undefined) response.writeHead(400).end();
-    else if (url.pathname === "/manifest") sendJson(response, await provider.manifest(version));
+    if (version === undefined || url.pathname === "/piece" && piece === undefined) {
+        response.writeHead(400).end();
+        return true;
+    }
+    const provider = findProvider(url.searchParams.get("model") ?? undefined);
+    if (provider === undefined) {
+        response.writeHead(404).end();
+        return true;
+    }
+    response.setHeader(MODEL_HEADER, encodeURIComponent(provider.model));
+    if (url.pathname === "/manifest") sendJson(response, await provider.manifest(version));
     else if (url.pathname === "/state") sendJson(response, await provider.state(version, countParameter("known") ?? 0));
     else if (piece !== undefined) {
         const waitMs = Math.min(countParameter("wait") ?? 0, MAX_PIECE_WAIT_MS);
@@ -142,12 +189,12 @@
 
 /** Creates a server for the peer API. It responds to every other path with the metrics of the process. */
 export function createPieceServer(
-    provider: PieceProvider,
+    findProvider: ProviderLookup,
     throttleFor: (request: http.IncomingMessage) => UploadThrottle,
     metrics: ServingMetrics,
 ): http.Server {
     return http.createServer((request, response) => {
-        handlePieceRequest(provider, throttleFor, request, response).then(
+        handlePieceRequest(findProvider, throttleFor, request, response).then(
             isHandled => isHandled ? undefined : handleMetricsRequest(metrics, response),
             // With stored pieces, only sending to a client that has disconnected fails; the client sends its request
             // again.
@@ -162,6 +209,7 @@
  */
 export function createStoredPieceProvider(pieceStore: PieceStore, loadedVersion: () => number): PieceProvider {
     return {
+        model: pieceStore.model,
         manifest: async version => pieceStore.find(version)?.manifest,
         piece: (version, piece, waitMs) => waitForPiece(pieceStore, version, piece, waitMs),
         state: async (version, knownCount) => {
--- a/src/lib/stager/pieceRelay.ts
+++ b/src/lib/stager/pieceRelay.ts
@@ -1,5 +1,5 @@
 /**
- * Fetches and caches pieces in an entry and serves them to the agents of its region. The pieces of a version are
+ * Fetches and caches the pieces of a model in an entry and serves them to the agents of its region. The pieces of a version are
  * distributed over the entries of a region, and each entry prefetches its part as soon as the version is named: from
  * the origin if it is in the same region, otherwise through an entry of the origin's region. A region that loses its
  * connection during a rollout then has all the pieces that its agents need. Entries do this because their links are
@@ -19,14 +19,9 @@
     pieceSources,
 } from "../core/serving/index.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
-import {
-    createWeightsOriginClient,
-    isVersionWithdrawn,
-    type WeightManifest,
-    type WeightsOriginClient,
-} from "../platform/index.js";
+import { isVersionWithdrawn, type WeightManifest } from "../platform/index.js";
 import { createManifestReader } from "./manifestReader.js";
-import { createOrderedLimit } from "./orderedLimit.js";
+import type { OriginAccess, WeightsOrigin } from "./originAccess.js";
 import { createPeerClient, isPieceUnavailable, type PeerClient, type PieceProvider } from "./peerApi.js";
 import { countHeld, createPieceStore, type HeldVersion } from "./pieceStore.js";
 
@@ -34,8 +29,12 @@
     readonly self: { readonly ip: string; readonly region: string; };
     /** Live entries with their regions, except this one. */
     readonly entries: () => readonly { readonly ip: string; readonly region: string; }[];
-    /** The origin and the model that it serves; `undefined` until a configuration is known. */
+    readonly model: string;
+    /** Returns the origin; `undefined` if none is configured. */
     readonly origin: () => WeightsOrigin | undefined;
+    /** Connections to other entries. */
+    readonly connections: http.Agent;
+    readonly originAccess: OriginAccess;
     readonly entryPort: number;
     readonly log: EventLog;
     readonly metrics: ServingMetrics;
@@ -45,14 +44,6 @@
     readonly random: () => number;
 }
 
-export interface WeightsOrigin {
-    readonly address: string;
-    readonly region: string;
-    readonly model: string;
-    /** Maximum number of connections that the origin accepts from all processes together. */
-    readonly maxConnections: number;
-}
-
 /** A fetch that has not succeeded after this time is abandoned; the next request for the piece starts another one. */
 const FETCH_TIMEOUT_MS = 5000;
 
@@ -63,21 +54,6 @@
 const MIN_RETRY_DELAY_MS = 80;
 const MAX_RETRY_DELAY_MS = 240;
 
-/** Fraction of the origin's connections for all entries together; agents without a working entry need the rest. */
-const ORIGIN_CONNECTION_FRACTION = 0.75;
-
-/** Idle connections count against the origin's limit, so they are closed early. */
-const ORIGIN_IDLE_TIMEOUT_MS = 1000;
-
-/**
- * Requests to the origin in progress from all entries of its region together. A few keep its link busy; with more, each
- * piece takes longer to arrive, and the first ones could not be passed on early.
- */
-const REGION_ORIGIN_REQUESTS = 6;
-
-/** Upper bound of one entry's requests to the origin. */
-const MAX_ORIGIN_REQUESTS = 2;
-
 /** Time that another entry may take to fetch a piece that it doesn't hold. */
 const ENTRY_WAIT_MS = 1200;
 
@@ -112,12 +88,9 @@
 const PREFETCH_RETRY_DELAY_MS = 300;
 
 export function createPieceRelay(options: PieceRelayOptions): PieceRelay {
-    const { self, log } = options;
-    const pieceStore = createPieceStore();
-    const connections = new http.Agent({ keepAlive: true, maxSockets: 8 });
-    const originConnections = new http.Agent({ keepAlive: true, timeout: ORIGIN_IDLE_TIMEOUT_MS });
+    const { self, log, model, originAccess } = options;
+    const pieceStore = createPieceStore(model);
     const openVersions = new Map<number, Promise<HeldVersion>>();
-    const originLimit = createOrderedLimit(maxOriginRequests);
     const manifestReader = createManifestReader(log);
     /** Versions whose manifest is contradicted by their pieces and has to be read from the origin again. */
     const contradictedVersions = new Set<number>();
@@ -129,9 +102,7 @@
     function openVersion(version: number): Promise<HeldVersion> {
         let opening = openVersions.get(version);
         if (opening === undefined) {
-            opening = fetchFromSources(version, MANIFEST_INDEX, fetchManifest).then(({ model, manifest }) =>
-                pieceStore.open(model, manifest)
-            );
+            opening = fetchFromSources(version, MANIFEST_INDEX, fetchManifest).then(pieceStore.open);
             openVersions.set(version, opening);
             forgetOldVersions();
             // After a failure the next request opens the version again.
@@ -142,7 +113,7 @@
 
     /** Makes the next request for the version read its manifest from the origin. */
     function reopenContradicted(version: number): void {
-        log.warn("manifest contradicted by a piece", { version });
+        log.warn("manifest contradicted by a piece", { model, version });
         contradictedVersions.add(version);
         openVersions.delete(version);
     }
@@ -156,31 +127,22 @@
         version: number,
         source: PieceSource,
         origin: WeightsOrigin,
-    ): Promise<{ model: string; manifest: WeightManifest; }> {
+    ): Promise<WeightManifest> {
         const manifest = source === ORIGIN || contradictedVersions.has(version) ?
-            await manifestReader.read(createOriginClient(origin), origin.model, version) :
+            await manifestReader.read(originAccess.client(origin), model, version) :
             await createEntryClient(source).readManifest(version);
         contradictedVersions.delete(version);
-        return { model: origin.model, manifest };
-    }
-
-    /** Returns this entry's share of the requests that the origin gets from its region at the same time. */
-    function maxOriginRequests(): number {
-        const regionEntryCount = options.entries().filter(({ region }) => region === self.region).length + 1;
-        return Math.max(1, Math.min(MAX_ORIGIN_REQUESTS, Math.floor(REGION_ORIGIN_REQUESTS / regionEntryCount)));
-    }
-
-    /** Limits the connections to this entry's share, because the origin resets connections above its limit. */
-    function createOriginClient({ address, maxConnections }: WeightsOrigin): WeightsOriginClient {
-        const connectionShare = Math.floor(
-            maxConnections * ORIGIN_CONNECTION_FRACTION / (options.entries().length + 1),
-        );
-        originConnections.maxSockets = Math.max(1, Math.min(MAX_ORIGIN_REQUESTS, connectionShare));
-        return createWeightsOriginClient(address, originConnections);
+        return manifest;
     }
 
     function createEntryClient(ip: string): PeerClient {
-        return createPeerClient(ip, options.entryPort, connections, ENTRY_RATE_MBPS);
+        return createPeerClient({
+            model,
+            ip,
+            port: options.entryPort,
+            connections: options.connections,
+            rateMbps: ENTRY_RATE_MBPS,
+        });
     }
 
     function sourceOptions({ region }: WeightsOrigin, version: number, piece: number): PieceSourceOptions {
@@ -210,13 +172,20 @@
             catch (error) {
                 log.info("piece not received", {
                     piece,
+                    model,
                     version,
                     source: source === ORIGIN ? "origin" : `entry ${source}`,
                     error: (error as Error).message,
                 });
                 const isWithdrawn = version < newestVersion && isVersionWithdrawn(error as Error);
                 if (isWithdrawn || isStopped || options.now() - startedAt >= FETCH_TIMEOUT_MS) {
-                    throw new VError({ cause: error as Error }, "piece %d of version %d not received", piece, version);
+                    throw new VError(
+                        { cause: error as Error },
+                        "piece %d of version %d of %s not received",
+                        piece,
+                        version,
+                        model,
+                    );
                 }
                 const failure = isPieceUnavailable(error as Error) ? FetchFailure.unavailable : FetchFailure.failed;
                 progress = advanceFetch(progress, failure, sources.length, options.now());
@@ -250,9 +219,9 @@
     ): Promise<Buffer> {
         const held = await openVersion(version);
         const bytes = source === ORIGIN ?
-            await originLimit.run(
+            await originAccess.pieceLimit.run(
                 version * held.pieces.length + piece,
-                () => createOriginClient(origin).readPiece(held.model, version, piece),
+                () => originAccess.client(origin).readPiece(model, version, piece),
             ) :
             await createEntryClient(source).readPiece(version, piece, ENTRY_WAIT_MS);
         if (!pieceStore.put(held, piece, bytes)) {
@@ -316,16 +285,17 @@
                 }
             };
             await Promise.all(Array.from({ length: MAX_CONCURRENT_PREFETCHES }, fetchUnclaimed));
-            log.info("pieces prefetched", { version, pieces: ownedPieces.length });
+            log.info("pieces prefetched", { model, version, pieces: ownedPieces.length });
             return true;
         }
         catch (error) {
-            log.info("pieces not prefetched", { version, error: (error as Error).message });
+            log.info("pieces not prefetched", { model, version, error: (error as Error).message });
             return false;
         }
     }
 
     return {
+        model,
         prefetch,
         stop: () => {
             isStopped = true;
--- a/src/lib/stager/pieceStore.ts
+++ b/src/lib/stager/pieceStore.ts
@@ -1,4 +1,4 @@
-/** Holds the pieces of the newest weights versions in memory, each verified against its digest. */
+/** Holds the pieces of the newest versions of a model's weights in memory, each verified against its digest. */
 import { createHash } from "node:crypto";
 import type { WeightManifest } from "../platform/index.js";
 
@@ -22,11 +22,12 @@
 const CONTRADICTING_RECEPTIONS = 3;
 
 export interface PieceStore {
+    readonly model: string;
     /**
      * Returns the version's pieces; creates an empty set if the version isn't held yet. A manifest that differs from the
      * earlier one replaces it, and the pieces that match both are kept.
      */
-    open(model: string, manifest: WeightManifest): HeldVersion;
+    open(manifest: WeightManifest): HeldVersion;
     find(version: number): HeldVersion | undefined;
     /** Stores a received piece. Returns false if the bytes don't match its digest. */
     put(held: HeldVersion, piece: number, bytes: Buffer): boolean;
@@ -40,11 +41,11 @@
  */
 const KEPT_VERSION_COUNT = 2;
 
-export function createPieceStore(): PieceStore {
+export function createPieceStore(model: string): PieceStore {
     const versions = new Map<number, HeldVersion>();
     const listeners = new Set<() => void>();
 
-    function open(model: string, manifest: WeightManifest): HeldVersion {
+    function open(manifest: WeightManifest): HeldVersion {
         const existing = versions.get(manifest.version);
         if (existing !== undefined && hasSameDigests(existing.manifest, manifest)) {
             existing.rejections.clear();
@@ -96,7 +97,7 @@
         });
     }
 
-    return { open, find: version => versions.get(version), put, waitForMore };
+    return { model, open, find: version => versions.get(version), put, waitForMore };
 }
 
 function recordRejection(held: HeldVersion, piece: number, digest: string): void {
--- a/src/lib/stager/pieceTransfer.ts
+++ b/src/lib/stager/pieceTransfer.ts
@@ -190,14 +190,20 @@
         try {
             const bytes = await read();
             if (!options.pieceStore.put(held, piece, bytes)) {
-                options.log.warn("piece corrupt", { piece, version: held.manifest.version, source });
+                options.log.warn("piece corrupt", { piece, model: held.model, version: held.manifest.version, source });
                 return RequestOutcome.corrupt;
             }
             options.metrics.pieces.inc({ source });
             return RequestOutcome.held;
         }
         catch (error) {
-            options.log.info("piece not received", { piece, source, error: (error as Error).message });
+            options.log.info("piece not received", {
+                piece,
+                model: held.model,
+                version: held.manifest.version,
+                source,
+                error: (error as Error).message,
+            });
             if (options.isSuperseded() && isVersionWithdrawn(error as Error)) withdrawal = error as Error;
             return source === "relay" && isPieceUnavailable(error as Error) ?
                 RequestOutcome.busy :
--- a/src/lib/stager/stager.ts
+++ b/src/lib/stager/stager.ts
@@ -23,10 +23,10 @@
 } from "../platform/index.js";
 import type { VmBounds, VmSettings } from "../settings/vmSettings.js";
 import type { AgentContext } from "./agentContext.js";
-import { createEngineTask } from "./engineTask.js";
+import { createEngineTask, type ModelWeights } from "./engineTask.js";
 import { createFleetView } from "./fleetView.js";
 import { startOperatorPoller } from "./operatorPoller.js";
-import { createPieceServer, createStoredPieceProvider } from "./peerApi.js";
+import { createPieceServer, createStoredPieceProvider, type PieceProvider } from "./peerApi.js";
 import { createPieceStore } from "./pieceStore.js";
 import { createSharedReads } from "./sharedReads.js";
 import { createUploadThrottle, UPLINK_FRACTION } from "./uploadThrottle.js";
@@ -61,7 +61,9 @@
     const weightsPolicy = createWeightsPolicy(() => bounds.weightsMs);
     /** When recent versions of each model were named, by version. */
     const namingTimes = new Map<string, Map<number, number>>();
-    const pieceStore = createPieceStore();
+    let isStopped = false;
+    /** Replaced if a configuration gives the service another model. */
+    let weights: ModelWeights | undefined;
     const engine = createLocalEngineClient(settings.backendAddress ?? "");
     const [entryPort] = settings.peerPorts;
     const agentPort = agentPortOf(entryPort);
@@ -88,41 +90,61 @@
     const peerSocket = openPeerSocket(settings.ip, agentPort, entryPort, message => {
         if (message.kind === "weights") applyNamedWeights(message, "an entry");
     });
-    const fetcher = createVersionFetcher({
-        context,
-        fleet,
-        pieceStore,
-        readStagedPiece: engine.readStagedPiece,
-        mayBeStaged: version => version === engineTask.loadedVersion() || now() - startedAt < STAGED_REUSE_WINDOW_MS,
-        untilOutdatedMs: model => {
-            const loaded = engineTask.loadedVersion();
-            const newerNamedAt = [...namedAt(model)].flatMap(([version, at]) =>
-                loaded > 0 && version > loaded ? at : []
-            );
-            return Math.min(...newerNamedAt) + bounds.weightsMs - now();
-        },
-        onTransferEnd: () => void reconcile(),
-    });
     const engineTask = createEngineTask({
         context,
         engine,
         fleet,
-        pieceStore,
-        fetcher,
         weightsPolicy,
         peerSocket,
         namedAt,
         allowedMs: () => bounds.weightsMs,
     });
-    const pieceProvider = createStoredPieceProvider(pieceStore, engineTask.loadedVersion);
+    function findProvider(model: string | undefined): PieceProvider | undefined {
+        if (weights === undefined) return undefined;
+        const { pieceStore } = weights;
+        // Agents of earlier versions name no model, and ask only the agents of their own service.
+        if (model !== undefined && model !== pieceStore.model) return undefined;
+        return createStoredPieceProvider(pieceStore, () => engineTask.loadedVersion(pieceStore.model));
+    }
     const uploadThrottle = createUploadThrottle(settings.linkMbps * UPLINK_FRACTION);
-    const server = createPieceServer(pieceProvider, () => uploadThrottle, metrics);
+    const server = createPieceServer(findProvider, () => uploadThrottle, metrics);
     await listen(server, `${settings.ip}:${agentPort}`);
 
     function namedAt(model: string): ReadonlyMap<number, number> {
         return namingTimes.get(model) ?? new Map();
     }
 
+    function createModelWeights(model: string): ModelWeights {
+        const pieceStore = createPieceStore(model);
+        const mayBeStaged = (version: number) =>
+            version === engineTask.loadedVersion(model) || now() - startedAt < STAGED_REUSE_WINDOW_MS;
+        const fetcher = createVersionFetcher({
+            context,
+            fleet,
+            pieceStore,
+            readStagedPiece: piece => engine.readStagedPiece(model, piece),
+            mayBeStaged,
+            untilOutdatedMs: () => {
+                const loaded = engineTask.loadedVersion(model);
+                const newerNamedAt = [...namedAt(model)].flatMap(([version, at]) =>
+                    loaded > 0 && version > loaded ? at : []
+                );
+                return Math.min(...newerNamedAt) + bounds.weightsMs - now();
+            },
+            onTransferEnd: () => void reconcile(),
+        });
+        return { pieceStore, fetcher };
+    }
+
+    /** Returns the weights of the model; gives up those of an earlier one. */
+    function weightsOf(model: string): ModelWeights {
+        if (weights?.pieceStore.model === model) return weights;
+        if (weights !== undefined) log.info("model changed", { model, previous: weights.pieceStore.model });
+        weights?.fetcher.stop();
+        weights = createModelWeights(model);
+        return weights;
+    }
+
     let hasReadOperatorTable = false;
     const operatorPoller = startOperatorPoller({
         tables,
@@ -167,19 +189,16 @@
 
     /** Starts the transfer of the newest named version if it is needed, and polls the engine. */
     async function reconcile(): Promise<void> {
+        if (isStopped) return;
         const engineConfiguration = configuration?.services.find(({ name }) => name === settings.backendService)
             ?.engine;
         const origin = configuration?.services.find(({ origin }) => origin !== undefined)?.origin;
         if (engineConfiguration !== undefined && origin !== undefined) {
-            const version = Math.max(INITIAL_WEIGHTS_VERSION, weightsPolicy.newest(engineConfiguration.model));
-            fetcher.ensureFetched(
-                engineConfiguration.model,
-                version,
-                engineConfiguration.chunkCount * engineConfiguration.chunkBytes,
-                origin,
-            );
+            const { model, chunkCount, chunkBytes } = engineConfiguration;
+            const version = Math.max(INITIAL_WEIGHTS_VERSION, weightsPolicy.newest(model));
+            weightsOf(model).fetcher.ensureFetched(version, chunkCount * chunkBytes, origin);
         }
-        await engineTask.poll(engineConfiguration?.model);
+        await engineTask.poll(engineConfiguration === undefined ? undefined : weightsOf(engineConfiguration.model));
     }
 
     const reconcileTask = startPeriodicTask(
@@ -190,7 +209,8 @@
     function stop(): void {
         log.info("process stopping", {});
         void reconcileTask.stop();
-        fetcher.stop();
+        isStopped = true;
+        weights?.fetcher.stop();
         operatorPoller.stop();
         store.close();
         peerSocket.close();
--- a/src/lib/stager/versionFetcher.ts
+++ b/src/lib/stager/versionFetcher.ts
@@ -1,5 +1,5 @@
 /**
- * Fetches weights versions into memory, one at a time. A newer version replaces the transfer in progress unless that
+ * Fetches versions of a model's weights into memory, one at a time. A newer version replaces the transfer in progress unless that
  * one can be finished first without making the newer one late. Complete versions stay available for the engine and for
  * other agents.
  */
@@ -29,7 +29,7 @@
      * Starts to fetch the version unless it is complete, is being fetched or waits for an older one. Called repeatedly,
      * which also retries failed transfers. `bytes` is the size of the version.
      */
-    ensureFetched(model: string, version: number, bytes: number, origin: OriginLocation): void;
+    ensureFetched(version: number, bytes: number, origin: OriginLocation): void;
     /** Estimates the time until a version is complete: 0 if it is, infinite if it is stalled or isn't being fetched. */
     estimateRemainingMs(version: number): number;
     /** Aborts the transfer in progress and starts no other one. */
@@ -41,11 +41,11 @@
     readonly fleet: FleetView;
     readonly pieceStore: PieceStore;
     /** Reads a piece back from the engine's staging area; `undefined` if it isn't there. */
-    readonly readStagedPiece: (model: string, piece: number) => Promise<Buffer | undefined>;
+    readonly readStagedPiece: (piece: number) => Promise<Buffer | undefined>;
     /** Returns whether pieces of the version may already be staged at the engine. */
     readonly mayBeStaged: (version: number) => boolean;
     /** Returns the time until the loaded weights may answer no more requests; infinite if that isn't known. */
-    readonly untilOutdatedMs: (model: string) => number;
+    readonly untilOutdatedMs: () => number;
     /** Called when a transfer ends, whether it completed, failed or was aborted. */
     readonly onTransferEnd: () => void;
 }
@@ -77,6 +77,7 @@
 
 export function createVersionFetcher(options: VersionFetcherOptions): VersionFetcher {
     const { context, fleet, pieceStore } = options;
+    const { model } = pieceStore;
     const { settings, log, now, random } = context;
     // No keep-alive: the origin accepts few connections, and idle ones count against its limit.
     const originConnections = new http.Agent({ keepAlive: false, maxSockets: MAX_ORIGIN_CONNECTIONS });
@@ -95,10 +96,10 @@
         return manifestWait.originDueAt;
     }
 
-    function ensureFetched(model: string, version: number, bytes: number, originLocation: OriginLocation): void {
+    function ensureFetched(version: number, bytes: number, originLocation: OriginLocation): void {
         if (isStopped || isComplete(pieceStore.find(version))) return;
         if (transfer !== undefined) {
-            if (transfer.version >= version || mustFinishBefore(transfer, model, version)) return;
+            if (transfer.version >= version || mustFinishBefore(transfer, version)) return;
             transfer.cancellation.abort();
         }
         const current: Transfer = {
@@ -111,11 +112,11 @@
             lastProgress: { count: 0, at: now() },
         };
         transfer = current;
-        runTransfer(model, current, originLocation)
+        runTransfer(current, originLocation)
             .catch(async error => {
                 current.cancellation.abort();
                 if (pieceStore.find(version)?.isContradicted === true) contradictedVersion = version;
-                log.warn("transfer failed", { version, error: (error as Error).message });
+                log.warn("transfer failed", { model, version, error: (error as Error).message });
                 await sleep(MAX_RETRY_DELAY_MS * (0.5 + random() / 2));
             })
             .finally(() => {
@@ -124,7 +125,7 @@
             });
     }
 
-    function mustFinishBefore(current: Transfer, model: string, newest: number): boolean {
+    function mustFinishBefore(current: Transfer, newest: number): boolean {
         if (newest > current.newestNamed) {
             const isFirstNewer = current.newestNamed === current.version;
             current.newestNamed = newest;
@@ -133,11 +134,12 @@
                 usualMs: current.typicalMs,
                 allowedMs: settings.bounds.weightsMs,
                 loadMs: LOAD_DURATION_MS,
-                untilOutdatedMs: options.untilOutdatedMs(model),
+                untilOutdatedMs: options.untilOutdatedMs(),
             };
             // The first newer version limits the time for the transfer: it has the earliest deadline.
             if (isFirstNewer) current.hasPrecedenceUntil = now() + precedenceMs(times);
             log.info("newer weights named during a transfer", {
+                model,
                 newest,
                 version: current.version,
                 finishFirst: now() < current.hasPrecedenceUntil,
@@ -147,20 +149,20 @@
         return now() < current.hasPrecedenceUntil;
     }
 
-    async function runTransfer(model: string, current: Transfer, originLocation: OriginLocation): Promise<void> {
+    async function runTransfer(current: Transfer, originLocation: OriginLocation): Promise<void> {
         const { version, cancellation } = current;
         const startedAt = now();
         await fleet.refresh();
         const origin = createWeightsOriginClient(originLocation.address, originConnections);
-        const peers = fleet.peers();
-        const relays = fleet.relays();
+        const peers = fleet.peers(model);
+        const relays = fleet.relays(model);
         const mayAskOrigin = () => now() >= originDueAt(version, relays.length > 0);
         const readFromOrigin = () => manifestReader.read(origin, model, version);
         const manifest = contradictedVersion === version ?
             await readFromOrigin() :
             await readManifest(version, [...relays, ...peers], mayAskOrigin, readFromOrigin);
         contradictedVersion = undefined;
-        const held = pieceStore.open(model, manifest);
+        const held = pieceStore.open(manifest);
         if (options.mayBeStaged(version)) await reuseStagedPieces(held);
         const stagedCount = countHeld(held);
         await transferPieces({
@@ -180,6 +182,7 @@
         });
         const tookMs = Math.round(now() - startedAt);
         log.info("transfer ended", {
+            model,
             version,
             held: countHeld(held),
             fromStage: stagedCount,
@@ -191,14 +194,18 @@
     async function reuseStagedPieces(held: HeldVersion): Promise<void> {
         try {
             for (const index of held.pieces.keys()) {
-                const staged = await options.readStagedPiece(held.model, index);
+                const staged = await options.readStagedPiece(index);
                 if (staged !== undefined && hasDigest(held.manifest, index, staged)) {
                     pieceStore.put(held, index, staged);
                 }
             }
         }
         catch (error) {
-            log.info("staged pieces not read", { version: held.manifest.version, error: (error as Error).message });
+            log.info("staged pieces not read", {
+                model,
+                version: held.manifest.version,
+                error: (error as Error).message,
+            });
         }
     }
 
--- a/src/test/stager/peerApi.test.ts
+++ b/src/test/stager/peerApi.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { createHash } from "node:crypto";
-import { Agent, type Server } from "node:http";
+import { Agent, createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, test } from "node:test";
 import { createServingMetrics } from "../../lib/observability/index.js";
@@ -8,12 +8,14 @@
     createPeerClient,
     createPieceServer,
     createStoredPieceProvider,
+    type PeerClient,
     type PieceProvider,
 } from "../../lib/stager/peerApi.js";
 import { createPieceStore } from "../../lib/stager/pieceStore.js";
 import { createUploadThrottle } from "../../lib/stager/uploadThrottle.js";
 
 const PIECE = Buffer.from("held");
+const MODEL = "m";
 
 let server: Server | undefined;
 
@@ -24,15 +26,21 @@
 
 /** Serves a version with two pieces, of which the first one is held. */
 async function startServer(): Promise<string> {
-    const pieceStore = createPieceStore();
+    const pieceStore = createPieceStore(MODEL);
     const digest = createHash("sha256").update(PIECE).digest("hex");
-    pieceStore.put(pieceStore.open("m", { version: 1, digests: [digest, digest] }), 0, PIECE);
+    pieceStore.put(pieceStore.open({ version: 1, digests: [digest, digest] }), 0, PIECE);
     const throttle = createUploadThrottle(1000);
-    server = createPieceServer(createStoredPieceProvider(pieceStore, () => 0), () => throttle, createServingMetrics());
+    const provider = createStoredPieceProvider(pieceStore, () => 0);
+    const findProvider = (model: string | undefined) => (model ?? MODEL) === MODEL ? provider : undefined;
+    server = createPieceServer(findProvider, () => throttle, createServingMetrics());
     await new Promise<void>(resolve => server?.listen(0, "127.0.0.1", resolve));
     return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
+function createTestClient(port: number, model = MODEL): PeerClient {
+    return createPeerClient({ model, ip: "127.0.0.1", port, connections: new Agent(), rateMbps: 1000 });
+}
+
 // Guards against requests with a missing or invalid number, which would be waited for without end.
 test("a request with invalid numbers is answered at once", async () => {
     const url = await startServer();
@@ -53,14 +61,41 @@
 test("a peer's manifest of another version than the requested one is an error", async () => {
     const manifest = { version: 1, digests: [createHash("sha256").update(PIECE).digest("hex")] };
     const provider: PieceProvider = {
+        model: MODEL,
         manifest: async () => manifest,
         piece: async () => undefined,
         state: async () => ({ held: [], loaded: 0 }),
     };
     const throttle = createUploadThrottle(1000);
-    server = createPieceServer(provider, () => throttle, createServingMetrics());
+    server = createPieceServer(() => provider, () => throttle, createServingMetrics());
     await new Promise<void>(resolve => server?.listen(0, "127.0.0.1", resolve));
-    const client = createPeerClient("127.0.0.1", (server.address() as AddressInfo).port, new Agent(), 1000);
+    const client = createTestClient((server.address() as AddressInfo).port);
     assert.deepEqual(await client.readManifest(1), manifest);
     await assert.rejects(client.readManifest(2), /version 1 instead of 2/);
 });
+
+// Guards against weights of another model, which has a version with the same number (review/7).
+test("a peer that has another model isn't a source", async () => {
+    const port = Number(new URL(await startServer()).port);
+    const client = createTestClient(port);
+    assert.equal((await client.readManifest(1)).digests.length, 2);
+    assert.deepEqual(await client.readPiece(1, 0, 0), PIECE);
+    assert.deepEqual((await client.readState(1, 0)).held, [0]);
+    const otherClient = createTestClient(port, "other/model");
+    await assert.rejects(otherClient.readManifest(1), /status 404/);
+    await assert.rejects(otherClient.readPiece(1, 0, 0), /status 404/);
+    await assert.rejects(otherClient.readState(1, 0), /status 404/);
+});
+
+// Guards against the weights of another model from a process of an earlier version, which ignores the model that a request
+// names, while some processes still run that version.
+test("a peer that doesn't name the model of its response isn't a source", async () => {
+    const manifest = { version: 1, digests: [createHash("sha256").update(PIECE).digest("hex")] };
+    server = createServer((request, response) => {
+        response.end(request.url?.startsWith("/manifest") === true ? JSON.stringify(manifest) : PIECE);
+    });
+    await new Promise<void>(resolve => server?.listen(0, "127.0.0.1", resolve));
+    const client = createTestClient((server.address() as AddressInfo).port);
+    await assert.rejects(client.readManifest(1), /earlier version/);
+    await assert.rejects(client.readPiece(1, 0, 0), /earlier version/);
+});
--- a/src/test/stager/pieceRelay.test.ts
+++ b/src/test/stager/pieceRelay.test.ts
@@ -4,13 +4,15 @@
 import type { AddressInfo } from "node:net";
 import { afterEach, test } from "node:test";
 import { createEventLog, createServingMetrics } from "../../lib/observability/index.js";
+import { createModelRelays, type ModelRelays } from "../../lib/stager/modelRelays.js";
 import { createPieceServer } from "../../lib/stager/peerApi.js";
-import { createPieceRelay, type PieceRelay } from "../../lib/stager/pieceRelay.js";
+import type { PieceRelay } from "../../lib/stager/pieceRelay.js";
 import { createReceiverThrottles } from "../../lib/stager/uploadThrottle.js";
 import { findFreePortRange, waitUntil } from "../router/routerHarness.js";
 
 const PIECE_COUNT = 16;
-const pieceOf = (version: number, piece: number) => Buffer.alloc(512, `${version}/${piece} `);
+const MODEL = "m";
+const pieceOf = (version: number, piece: number, model = MODEL) => Buffer.alloc(512, `${model} ${version}/${piece} `);
 
 /** Longer than a relay tries its sources one after the other. */
 const PIECE_WAIT_MS = 8000;
@@ -19,7 +21,7 @@
 const TEST_OPTIONS = { timeout: 10_000 };
 
 const servers: http.Server[] = [];
-const startedRelays: PieceRelay[] = [];
+const startedRelays: ModelRelays[] = [];
 
 afterEach(() => {
     for (const relay of startedRelays.splice(0)) relay.stop();
@@ -47,12 +49,13 @@
     const server = http.createServer((request, response) => {
         const url = new URL(request.url ?? "/", "http://origin");
         const version = Number(url.searchParams.get("version"));
+        const model = decodeURIComponent(url.pathname.split("/").at(-1) ?? "");
         if (url.pathname.startsWith("/-/manifest/")) {
             const digests = Array.from(
                 { length: PIECE_COUNT },
-                (_, piece) => createHash("sha256").update(pieceOf(version, piece)).digest("hex"),
+                (_, piece) => createHash("sha256").update(pieceOf(version, piece, model)).digest("hex"),
             );
-            response.end(JSON.stringify(corruptManifest({ model: "m", version, digests }, manifestCount++)));
+            response.end(JSON.stringify(corruptManifest({ model, version, digests }, manifestCount++)));
             return;
         }
         versionsSent.push(version);
@@ -60,7 +63,7 @@
             response.writeHead(410).end();
             return;
         }
-        response.end(pieceOf(version, Number(url.searchParams.get("num-items"))));
+        response.end(pieceOf(version, Number(url.searchParams.get("num-items")), model));
     });
     server.on("connection", socket => {
         if (isResetting) {
@@ -97,25 +100,29 @@
     origin: string,
     regions: Readonly<Record<string, string>>,
     maxConnections = 48,
+    models = new Set([MODEL]),
 ): Promise<PieceRelay[]> {
     const entryPort = await findFreePortRange();
     const all = Object.entries(regions).map(([ip, region]) => ({ ip, region }));
     return Promise.all(all.map(async self => {
         const metrics = createServingMetrics();
-        const relay = createPieceRelay({
+        const relays = createModelRelays({
             self,
             entries: () => all.filter(({ ip }) => ip !== self.ip),
-            origin: () => ({ address: origin, region: "near", model: "m", maxConnections }),
+            models: () => models,
+            origin: () => ({ address: origin, region: "near", maxConnections }),
             entryPort,
             log: createEventLog({ process: self.ip, role: "entry", now: () => 0, write: () => undefined }),
             metrics,
             now: () => performance.now(),
             random: Math.random,
         });
-        startedRelays.push(relay);
-        const server = createPieceServer(relay, createReceiverThrottles(), metrics);
+        startedRelays.push(relays);
+        const server = createPieceServer(relays.find, createReceiverThrottles(), metrics);
         servers.push(server);
         await new Promise<void>(resolve => server.listen(entryPort, self.ip, resolve));
+        const relay = relays.find(MODEL);
+        assert.ok(relay !== undefined);
         return relay;
     }));
 }
@@ -274,3 +281,48 @@
     await assert.rejects(relay?.piece(2, 0, PIECE_WAIT_MS) ?? Promise.resolve(), /not received/);
     assert.equal(origin.versionsSent.filter(version => version === 2).length, 1);
 });
+
+const OTHER_MODEL = "other/model";
+
+// Guards against engines that load the pieces of another model whose version has the same number (review/7), and against
+// versions of one model that push out those of another one or end their prefetch.
+test("the versions of two models are served apart, whatever their numbers", TEST_OPTIONS, async () => {
+    const origin = await startOrigin();
+    const models = new Set([MODEL, OTHER_MODEL]);
+    await startRelays(origin.address, { "127.0.0.2": "near", "127.0.0.3": "far" }, 48, models);
+    const [near, far] = startedRelays;
+    await Promise.all([near, far].flatMap(relays => [
+        ...[11, 12, 13].map(version => relays?.prefetch(MODEL, version)),
+        relays?.prefetch(OTHER_MODEL, 2),
+        relays?.prefetch(MODEL, 2),
+    ]));
+    assert.equal(origin.versionsSent.filter(version => version === 2).length, PIECE_COUNT);
+    for (const relays of [near, far]) {
+        for (let piece = 0; piece < PIECE_COUNT; piece++) {
+            const read = (model: string, version: number) => relays?.find(model)?.piece(version, piece, PIECE_WAIT_MS);
+            assert.deepEqual(await read(OTHER_MODEL, 2), pieceOf(2, piece, OTHER_MODEL));
+            assert.deepEqual(await read(MODEL, 2), pieceOf(2, piece));
+            assert.deepEqual(await read(MODEL, 13), pieceOf(13, piece));
+        }
+    }
+});
+
+// Guards against pieces that are kept for a model which no service has any more, and against a model that is guessed for
+// a process of an earlier version.
+test(
+    "only configured models are served, and a request without a model only if there is one",
+    TEST_OPTIONS,
+    async () => {
+        const origin = await startOrigin();
+        const models = new Set([MODEL]);
+        await startRelays(origin.address, { "127.0.0.2": "near" }, 48, models);
+        const [relays] = startedRelays;
+        assert.equal(relays?.find(undefined), relays?.find(MODEL));
+        assert.equal(relays?.find(OTHER_MODEL), undefined);
+        models.add(OTHER_MODEL);
+        assert.equal(relays?.find(undefined), undefined);
+        assert.equal(relays?.find(OTHER_MODEL)?.model, OTHER_MODEL);
+        models.delete(MODEL);
+        assert.equal(relays?.find(MODEL), undefined);
+    },
+);
--- a/src/test/stager/pieceTransfer.test.ts
+++ b/src/test/stager/pieceTransfer.test.ts
@@ -20,8 +20,8 @@
  */
 async function transferThrough(readFromRelay: (piece: number) => Promise<Buffer>, isSuperseded = false) {
     const requests = { relay: 0, origin: 0, peerStates: 0 };
-    const pieceStore = createPieceStore();
-    const held = pieceStore.open("m", { version: 2, digests });
+    const pieceStore = createPieceStore("m");
+    const held = pieceStore.open({ version: 2, digests });
     const client: PeerClient = {
         readManifest: () => Promise.reject(new Error("not used")),
         readState: () => Promise.resolve({ held: [], loaded: 0 }),
--- a/src/test/stager/stager.test.ts
+++ b/src/test/stager/stager.test.ts
@@ -28,16 +28,15 @@
 beforeEach(async () => {
     store = await startFakeStore();
     engine = await startTestEngine();
-    const parameters = engineParameters(MODEL, PIECE_COUNT, PIECE_BYTES);
-    const services = [
-        { name: "llm", "health-path": "/h", "max-connections": 10, engine: parameters },
-        { name: "weights", origin: engine.address, zone: "a", "max-connections": 10 },
-    ];
-    store.put("op", "config", configurationRow(1, { services }));
+    putConfiguration(1, MODEL);
     store.put("servers", "i-1", serverRow(engine.address, { service: "llm" }));
     entryPort = await findFreePortRange();
     messagesToEntry.length = 0;
     entrySocket = openPeerSocket("127.0.0.1", entryPort, entryPort, message => messagesToEntry.push(message));
+    stager = await startTestStager();
+});
+
+function startTestStager(): Promise<Stager> {
     const settings = createVmSettings(store.address, entryPort, {
         backendAddress: engine.address,
         backendService: "llm",
@@ -49,8 +48,8 @@
         now: () => performance.now(),
         write: () => undefined,
     });
-    stager = await startStager(settings, createPlatformStore(store.address), log);
-});
+    return startStager(settings, createPlatformStore(store.address), log);
+}
 
 afterEach(() => {
     entrySocket.close();
@@ -59,6 +58,16 @@
     store.close();
 });
 
+/** Puts a configuration that gives the engine's service the model. */
+function putConfiguration(version: number, model: string): void {
+    const parameters = engineParameters(model, PIECE_COUNT, PIECE_BYTES);
+    const services = [
+        { name: "llm", "health-path": "/h", "max-connections": 10, engine: parameters },
+        { name: "weights", origin: engine.address, zone: "a", "max-connections": 10 },
+    ];
+    store.put("op", "config", configurationRow(version, { services }));
+}
+
 const assertLoaded = (version: number) => engine.assertLoaded(version);
 
 /**
@@ -98,6 +107,20 @@
     assertLoaded(2);
 });
 
+// Guards against an engine that goes on with the weights of its service's earlier model, because their version isn't lower
+// than that of the new one.
+test("a service that gets another model loads that model's weights", async () => {
+    await nameVersions(3);
+    await waitUntil(() => engine.state.version === 3);
+    putConfiguration(2, "other");
+    store.put("op", "version/other", { model: "other", version: 2 });
+    // An agent that runs reads the configuration once a minute.
+    stager.stop();
+    stager = await startTestStager();
+    await waitUntil(() => engine.state.model === "other");
+    engine.assertLoaded(2, "other");
+});
+
 // Guards against a rollout that stops for good: an agent had decided to finish version 2 first, whose pieces the origin
 // didn't have any more, and repeated its requests without an end (review/2).
 test("a version that the origin withdraws during its transfer doesn't hold up a newer one", async () => {
--- a/src/test/stager/testEngine.ts
+++ b/src/test/stager/testEngine.ts
@@ -10,7 +10,8 @@
 export const PIECE_COUNT = 8;
 export const PIECE_BYTES = 2048;
 
-export const pieceOf = (version: number, piece: number) => Buffer.alloc(PIECE_BYTES, `${version}/${piece} `);
+export const pieceOf = (version: number, piece: number, model = MODEL) =>
+    Buffer.alloc(PIECE_BYTES, `${model} ${version}/${piece} `);
 export const digestOf = (bytes: Buffer) => createHash("sha256").update(bytes).digest("hex");
 
 export interface Manifest {
@@ -21,9 +22,11 @@
 
 export type TestEngine = Awaited<ReturnType<typeof startTestEngine>>;
 
-export async function startTestEngine() {
+export async function startTestEngine(ip = "127.0.0.1") {
     const staged = new Map<number, Buffer>();
+    const stagedByModel = new Map([[MODEL, staged]]);
     const state = {
+        model: MODEL,
         version: 1,
         startedAt: 1,
         pace: 1,
@@ -48,38 +51,42 @@
         const version = Number(url.searchParams.get("version"));
         const body: Buffer[] = [];
         for await (const part of request as AsyncIterable<Buffer>) body.push(part);
-        const [, , call] = url.pathname.split("/");
+        const [, , call, model = MODEL] = url.pathname.split("/");
         if (call === "report") {
             const layers = state.version === 0 ? null : { from: 0, to: 4, version: state.version };
-            const models = state.version === 0 ? [] : [{ name: MODEL, version: state.version, adapters: [] }];
+            const models = state.version === 0 ? [] : [{ name: state.model, version: state.version, adapters: [] }];
             return [200, { models, layers, busy: false, born: state.startedAt, pace: state.pace }];
         }
         if (call === "manifest") {
-            const digests = Array.from({ length: PIECE_COUNT }, (_, index) => digestOf(pieceOf(version, index)));
-            return [200, state.corruptManifest({ model: MODEL, version, digests })];
+            const digests = Array.from({ length: PIECE_COUNT }, (_, index) => digestOf(pieceOf(version, index, model)));
+            return [200, state.corruptManifest({ model, version, digests })];
         }
         if (call === "piece") {
             state.requestedVersions.push(version);
             const status = state.pieceStatus(version);
             if (status !== 200) return [status, {}];
             const isCorrupt = state.isCorruptingPieces && ++state.piecesSent % 3 === 0;
-            return [200, isCorrupt ? Buffer.alloc(PIECE_BYTES) : pieceOf(version, piece)];
+            return [200, isCorrupt ? Buffer.alloc(PIECE_BYTES) : pieceOf(version, piece, model)];
         }
         if (call === "stage-put" || call === "stage-get") await state.beforeStageCall(call, piece);
         if (call === "stage-put") {
-            staged.set(piece, Buffer.concat(body));
+            const stagedPieces = stagedByModel.get(model) ?? new Map<number, Buffer>();
+            stagedByModel.set(model, stagedPieces.set(piece, Buffer.concat(body)));
             return [200, {}];
         }
         if (call === "stage-get") {
-            const bytes = staged.get(piece);
+            const bytes = stagedByModel.get(model)?.get(piece);
             return bytes === undefined ? [404, {}] : [200, bytes];
         }
         await state.beforeOrder();
-        const { version: ordered } = JSON.parse(Buffer.concat(body).toString()) as { version: number; };
-        if (ordered === state.version) return [200, {}];
+        const ordered = JSON.parse(Buffer.concat(body).toString()) as { model: string; version: number; };
+        if (ordered.model === state.model && ordered.version === state.version) return [200, {}];
         state.orders++;
-        state.version = ordered;
-        state.loaded = new Map([...staged].map(([index, bytes]) => [index, digestOf(bytes)]));
+        state.model = ordered.model;
+        state.version = ordered.version;
+        state.loaded = new Map(
+            [...stagedByModel.get(ordered.model) ?? []].map(([index, bytes]) => [index, digestOf(bytes)]),
+        );
         return [202, {}];
     }
 
@@ -89,16 +96,16 @@
             response.writeHead(status, { "content-length": bytes.length }).end(bytes);
         });
     });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    await new Promise<void>(resolve => server.listen(0, ip, resolve));
     return {
-        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        address: `${ip}:${(server.address() as AddressInfo).port}`,
         staged,
         state,
         /** Asserts that the engine holds the version, and that all of its pieces were sound when it took them. */
-        assertLoaded: (version: number) => {
-            assert.equal(state.version, version);
+        assertLoaded: (version: number, model = MODEL) => {
+            assert.deepEqual([state.model, state.version], [model, version]);
             for (let piece = 0; piece < PIECE_COUNT; piece++) {
-                assert.equal(state.loaded.get(piece), digestOf(pieceOf(version, piece)), `piece ${piece}`);
+                assert.equal(state.loaded.get(piece), digestOf(pieceOf(version, piece, model)), `piece ${piece}`);
             }
         },
         close: () => {
