Agents don't wait again and again for entries that were removed

Cause: agents chose entries by their rows, which stay, and each request to a removed one held its place until its time-out: table reads for 1 s, manifests for 1.5 s, three pieces at a time for up to 2.7 s, again and again.

Change: an agent checks by a connection whether the VMs of the entries of its region are there, and looks again during a transfer. Connecting to another process takes 250 ms at most. A source that failed gets one request at a time until it delivers. Without an entry the origin may be asked at once.

--- a/src/lib/clients/http.ts
+++ b/src/lib/clients/http.ts
@@ -160,3 +160,8 @@
 export function provesNotSent(error: unknown): boolean {
     return error instanceof Error && VError.info(error).connected === false;
 }
+
+/** Returns whether a call failed because the VM responds, but no process listens there. */
+export function isConnectionRefused(error: unknown): boolean {
+    return error instanceof Error && (VError.cause(error) as NodeJS.ErrnoException | null)?.code === "ECONNREFUSED";
+}
--- a/src/lib/core/transferPlan.ts
+++ b/src/lib/core/transferPlan.ts
@@ -108,6 +108,8 @@
      * chunks that only suspended peers announce are fetched from upstream.
      */
     suspended: boolean;
+    /** Whether the peer has delivered nothing since it failed. It then gets one request at a time, which holds few places. */
+    isDoubtful: boolean;
 }
 
 export function createTransferPlan(options: TransferPlanOptions): TransferPlan {
@@ -140,6 +142,7 @@
             failures: 0,
             retryAt: 0,
             suspended: false,
+            isDoubtful: false,
         });
     }
 
@@ -229,7 +232,7 @@
 
     function availablePeers(now: number): Peer[] {
         return [...peers.values()].filter(peer => {
-            return peer.inFlightRequests < options.maxRequestsPerPeer && peer.retryAt <= now;
+            return peer.inFlightRequests < (peer.isDoubtful ? 1 : options.maxRequestsPerPeer) && peer.retryAt <= now;
         });
     }
 
@@ -283,11 +286,17 @@
         if (peer === undefined) return;
         peer.inFlightRequests = Math.max(0, peer.inFlightRequests - 1);
         if (outcome === RequestOutcome.unknown && peer.chunks.delete(chunk) && !peer.suspended) addCopies(chunk, -1);
-        if (outcome === RequestOutcome.held) peer.failures = 0;
+        if (outcome === RequestOutcome.held) {
+            peer.failures = 0;
+            peer.isDoubtful = false;
+        }
         if (outcome === RequestOutcome.held || outcome === RequestOutcome.cancelled) return;
         peer.failures++;
         peer.retryAt = Math.max(peer.retryAt, now + backoffMs(outcome, peer.failures));
-        if (SUSPENDING_OUTCOMES.has(outcome)) suspend(peer);
+        if (SUSPENDING_OUTCOMES.has(outcome)) {
+            suspend(peer);
+            peer.isDoubtful = true;
+        }
     }
 
     function backoffMs(outcome: RequestOutcome, failures: number): number {
--- a/src/lib/stager/fleetView.ts
+++ b/src/lib/stager/fleetView.ts
@@ -5,12 +5,14 @@
 import * as http from "node:http";
 import { orderMembers } from "../core/index.js";
 import type { BackendServer, EntryIdentity } from "../core/serving/index.js";
+import { checkConnect, ConnectResult } from "../node/connectCheck.js";
 import { ENTRIES_TABLE, parseEntryRow } from "../node/entryRows.js";
 import type { MetadataStore } from "../node/metadataStore.js";
+import { PEER_CONNECT_TIMEOUT_MS } from "../node/peerMessages.js";
 import { parseServerRow, PlatformTable } from "../platform/index.js";
 import type { AgentContext } from "./agentContext.js";
 import { createPeerClient } from "./peerApi.js";
-import type { Relay, TransferPeer } from "./pieceTransfer.js";
+import { MAX_RELAYS, type Relay, type TransferPeer } from "./pieceTransfer.js";
 import type { TableReader } from "./sharedReads.js";
 import { DOWNLINK_FRACTION } from "./uploadThrottle.js";
 
@@ -21,8 +23,11 @@
     regionEntryIps(): Promise<readonly string[]>;
     /** Agents beside the engines of the same service, except this one, as sources of the model's weights. */
     peers(model: string): TransferPeer[];
-    /** Entries of the same region in the order in which they are asked, at most `MAX_RELAYS`. */
-    relays(model: string): Relay[];
+    /**
+     * Finds the entries of the same region whose VMs respond, in the order in which they are asked, at most `MAX_RELAYS`.
+     * A row may be that of an entry which has been removed for good. Never throws.
+     */
+    findRelays(model: string): Promise<Relay[]>;
     /** Names of the agents in this failure domain, including this one. */
     domainReplicas(): string[];
     /** Failure domains of the engines of the same service, including this one's. */
@@ -31,8 +36,11 @@
     entryIps(): readonly string[];
 }
 
-/** Maximum number of entries that an agent requests pieces from. The second one is used if the first one fails. */
-const MAX_RELAYS = 2;
+/** Entries that are checked at the same time until enough of them respond. */
+const CHECKED_TOGETHER = 6;
+
+/** A lost packet is no sign of a lost VM, so a VM that doesn't respond is checked again. */
+const PRESENCE_CHECKS = 2;
 
 /** Time after which an agent that knows no entry reads their list again. */
 const ENTRIES_RETRY_INTERVAL_MS = 5000;
@@ -127,18 +135,33 @@
     }
 
     /** The agents of a region prefer different entries, so that the pieces load the links of all of them alike. */
-    function relays(model: string): Relay[] {
-        return orderMembers(`relays of ${settings.ip}`, regionIps()).slice(0, MAX_RELAYS).map(ip => ({
+    async function findRelays(model: string): Promise<Relay[]> {
+        const ips = orderMembers(`relays of ${settings.ip}`, regionIps());
+        const presentIps: string[] = [];
+        for (let first = 0; first < ips.length && presentIps.length < MAX_RELAYS; first += CHECKED_TOGETHER) {
+            const checked = ips.slice(first, first + CHECKED_TOGETHER);
+            const arePresent = await Promise.all(checked.map(isPresent));
+            presentIps.push(...checked.filter((_, index) => arePresent[index]));
+        }
+        return presentIps.slice(0, MAX_RELAYS).map(ip => ({
             name: `relay ${ip}`,
             client: createPeerClient({ model, ip, port: entryPort, connections, rateMbps: receiveRateMbps }),
         }));
     }
 
+    /** An entry that is about to start refuses connections, and is present too. */
+    async function isPresent(ip: string): Promise<boolean> {
+        for (let count = 0; count < PRESENCE_CHECKS; count++) {
+            if (await checkConnect(ip, entryPort, PEER_CONNECT_TIMEOUT_MS) !== ConnectResult.none) return true;
+        }
+        return false;
+    }
+
     return {
         refresh,
         regionEntryIps,
         peers,
-        relays,
+        findRelays,
         domainReplicas: () => {
             const domainPeers = [...peerDomains()].filter(([, failureDomain]) => {
                 return failureDomain === settings.failureDomain;
--- a/src/lib/stager/peerApi.ts
+++ b/src/lib/stager/peerApi.ts
@@ -7,6 +7,7 @@
 import * as z from "zod";
 import { sendRequest } from "../clients/index.js";
 import { DIGEST_PATTERN } from "../core/serving/index.js";
+import { PEER_CONNECT_TIMEOUT_MS } from "../node/peerMessages.js";
 import { handleMetricsRequest, type ServingMetrics } from "../observability/index.js";
 import { isVersionWithdrawn, type WeightManifest } from "../platform/index.js";
 import { countHeld, type PieceStore } from "./pieceStore.js";
@@ -63,7 +64,13 @@
 
     async function get(path: string, timeoutMs: number): Promise<Buffer> {
         const url = `http://${ip}:${port}${path}&model=${encodedModel}`;
-        const response = await sendRequest({ method: "GET", url, timeoutMs, agent: connections });
+        const response = await sendRequest({
+            method: "GET",
+            url,
+            timeoutMs,
+            connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
+            agent: connections,
+        });
         if (response.status !== 200) {
             throw new VError(
                 { name: "PeerError", info: { status: response.status } },
--- a/src/lib/stager/pieceTransfer.ts
+++ b/src/lib/stager/pieceTransfer.ts
@@ -35,6 +35,8 @@
     readonly peers: readonly TransferPeer[];
     /** Entries of the region in order of preference, which fetch each piece once for all of its agents. */
     readonly relays: readonly Relay[];
+    /** Finds the entries of the region that are there now. Never rejects. */
+    readonly findRelays: () => Promise<readonly Relay[]>;
     readonly origin: WeightsOriginClient;
     readonly originRegion: string;
     readonly pieceStore: PieceStore;
@@ -80,11 +82,17 @@
 /** Time after which the plan is consulted again if no request ends before. */
 const PLAN_POLL_INTERVAL_MS = 50;
 
+/** While an entry of the region isn't there, it is looked for at this interval. */
+const RELAY_SEARCH_INTERVAL_MS = 2000;
+
 /** Maximum number of polled agents of the region; more add traffic without making the transfer faster. */
 const MAX_POLLED_PEERS = 8;
 
 const PEER_POLL_INTERVAL_MS = 60;
 
+/** Entries that are used at the same time. The second one is used if the first one fails. */
+export const MAX_RELAYS = 2;
+
 /** Interval at which it is checked whether the relays have failed, so that peers are needed. */
 const RELAY_CHECK_INTERVAL_MS = 100;
 const PEER_FAILURE_DELAY_MS = 500;
@@ -103,6 +111,7 @@
         startedAt + takeoverDelayMs(position, random(), TAKEOVER_STEP_MS)
     );
     const relays = new Map(options.relays.map(relay => [relay.name, relay]));
+    let isOver = false;
     /** For each busy relay, when it first responded that it can't get a piece, since its last delivery. */
     const busySinceByRelay = new Map<string, number>();
     /**
@@ -120,30 +129,52 @@
     held.pieces.forEach((piece, index) => piece === undefined ? undefined : plan.hold(index));
     const peersByName = new Map(options.peers.map(peer => [peer.name, peer]));
     const regionPeers = options.peers.filter(peer => peer.region === self.region).slice(0, MAX_POLLED_PEERS);
-    for (const [index, { name }] of options.relays.entries()) {
-        plan.addPeer(name, RELAY_DISTANCES[index] ?? RELAY_DISTANCES[1]);
-        digests.forEach((_, piece) => plan.addPeerChunk(name, piece));
-    }
+    options.relays.forEach(({ name }, index) => addToPlan(name, index));
+    void searchRelays();
     for (const peer of regionPeers) {
         plan.addPeer(peer.name, peer.failureDomain === self.failureDomain ? 1 : 2);
         void pollPeer(options, peer, () => now() < inOrderFrom, piece => plan.addPeerChunk(peer.name, piece));
     }
 
+    function addToPlan(relay: string, index: number): void {
+        plan.addPeer(relay, RELAY_DISTANCES[index] ?? RELAY_DISTANCES[1]);
+        digests.forEach((_, piece) => plan.addPeerChunk(relay, piece));
+    }
+
+    /** Adds entries that were not there at the start of the transfer. */
+    async function searchRelays(): Promise<void> {
+        while (relays.size < MAX_RELAYS) {
+            await sleep(RELAY_SEARCH_INTERVAL_MS, undefined, { ref: false });
+            if (isOver || signal.aborted) return;
+            for (const relay of await options.findRelays()) {
+                if (relays.has(relay.name) || relays.size >= MAX_RELAYS) continue;
+                if (relays.size === 0) inOrderFrom = now();
+                addToPlan(relay.name, relays.size);
+                relays.set(relay.name, relay);
+            }
+        }
+    }
+
     let withdrawal: Error | undefined;
     let wakePlanLoop: () => void = () => undefined;
-    while (plan.missingCount() > 0 && !signal.aborted) {
-        if (held.isContradicted) throw new VError("the manifest is contradicted by a piece");
-        if (withdrawal !== undefined) throw new VError({ cause: withdrawal }, "the version was withdrawn");
-        for (let next = plan.next(now()); next !== undefined; next = plan.next(now())) {
-            void performRequest(next).then(() => wakePlanLoop());
+    try {
+        while (plan.missingCount() > 0 && !signal.aborted) {
+            if (held.isContradicted) throw new VError("the manifest is contradicted by a piece");
+            if (withdrawal !== undefined) throw new VError({ cause: withdrawal }, "the version was withdrawn");
+            for (let next = plan.next(now()); next !== undefined; next = plan.next(now())) {
+                void performRequest(next).then(() => wakePlanLoop());
+            }
+            await new Promise<void>(resolve => {
+                const timer = setTimeout(resolve, PLAN_POLL_INTERVAL_MS);
+                wakePlanLoop = () => {
+                    clearTimeout(timer);
+                    resolve();
+                };
+            });
         }
-        await new Promise<void>(resolve => {
-            const timer = setTimeout(resolve, PLAN_POLL_INTERVAL_MS);
-            wakePlanLoop = () => {
-                clearTimeout(timer);
-                resolve();
-            };
-        });
+    }
+    finally {
+        isOver = true;
     }
 
     async function performRequest(request: PlannedRequest): Promise<void> {
--- a/src/lib/stager/versionFetcher.ts
+++ b/src/lib/stager/versionFetcher.ts
@@ -86,14 +86,12 @@
     let contradictedVersion: number | undefined;
     let transfer: Transfer | undefined;
     let isStopped = false;
-    /** The version whose manifest is needed, and when the origin may be asked for it. */
-    let manifestWait: { readonly version: number; readonly originDueAt: number; } | undefined;
+    /** The version whose manifest is needed, since when, and the random part of the wait before the origin is asked. */
+    let manifestWait: { readonly version: number; readonly since: number; readonly random: number; } | undefined;
 
     function originDueAt(version: number, hasEntries: boolean): number {
-        if (manifestWait?.version !== version) {
-            manifestWait = { version, originDueAt: now() + originFallbackDelayMs(hasEntries, random()) };
-        }
-        return manifestWait.originDueAt;
+        if (manifestWait?.version !== version) manifestWait = { version, since: now(), random: random() };
+        return manifestWait.since + originFallbackDelayMs(hasEntries, manifestWait.random);
     }
 
     function ensureFetched(version: number, bytes: number, originLocation: OriginLocation): void {
@@ -155,7 +153,7 @@
         await fleet.refresh();
         const origin = createWeightsOriginClient(originLocation.address, originConnections);
         const peers = fleet.peers(model);
-        const relays = fleet.relays(model);
+        const relays = await fleet.findRelays(model);
         const mayAskOrigin = () => now() >= originDueAt(version, relays.length > 0);
         const readFromOrigin = () => manifestReader.read(origin, model, version);
         const manifest = contradictedVersion === version ?
@@ -169,6 +167,7 @@
             self: { name: settings.ip, region: settings.region, failureDomain: settings.failureDomain },
             peers,
             relays,
+            findRelays: () => fleet.findRelays(model),
             origin,
             originRegion: settings.regions.get(originLocation.failureDomain) ?? settings.region,
             pieceStore,
--- a/src/test/core/transferPlan.test.ts
+++ b/src/test/core/transferPlan.test.ts
@@ -98,3 +98,22 @@
     plan.finish(request, RequestOutcome.stalled, 100);
     assert.equal(plan.next(100)?.source, UPSTREAM);
 });
+
+// Guards against requests to a source that doesn't respond which hold all places of the transfer again and again.
+test("a source that failed gets one request at a time until it delivers", () => {
+    const { plan } = createPlan(10, SEED, () => Number.POSITIVE_INFINITY);
+    plan.addPeer("relay", 0);
+    for (let chunk = 0; chunk < 10; chunk++) plan.addPeerChunk("relay", chunk);
+    const startAll = (now: number) => {
+        const started: PlannedRequest[] = [];
+        for (let next = plan.next(now); next !== undefined; next = plan.next(now)) started.push(next);
+        return started;
+    };
+    const first = startAll(0);
+    assert.equal(first.length, LIMITS.maxRequestsPerPeer);
+    for (const request of first) plan.finish(request, RequestOutcome.failed, 100);
+    const retried = startAll(60_000);
+    assert.equal(retried.length, 1);
+    for (const request of retried) plan.finish(request, RequestOutcome.held, 60_100);
+    assert.equal(startAll(60_100).length, LIMITS.maxRequestsPerPeer);
+});
--- a/src/test/stager/pieceTransfer.test.ts
+++ b/src/test/stager/pieceTransfer.test.ts
@@ -18,7 +18,10 @@
  * Transfers all pieces from one relay, an origin that has every piece and a peer that has none. Returns the number of
  * requests to each.
  */
-async function transferThrough(readFromRelay: (piece: number) => Promise<Buffer>, isSuperseded = false) {
+async function transferThrough(
+    readFromRelay: (piece: number) => Promise<Buffer>,
+    { isSuperseded = false, isRelayLate = false } = {},
+) {
     const requests = { relay: 0, origin: 0, peerStates: 0 };
     const pieceStore = createPieceStore("m");
     const held = pieceStore.open({ version: 2, digests });
@@ -45,12 +48,13 @@
                 },
             },
         }],
-        relays: [{ name: "relay", client }],
+        relays: isRelayLate ? [] : [{ name: "relay", client }],
+        findRelays: () => Promise.resolve([{ name: "relay", client }]),
         origin: {
             readManifest: () => Promise.reject(new Error("not used")),
             readPiece: (_model, _version, piece) => {
                 requests.origin++;
-                return Promise.resolve(pieceOf(piece));
+                return isRelayLate ? Promise.reject(new Error("the origin is down")) : Promise.resolve(pieceOf(piece));
             },
         },
         originRegion: "r",
@@ -103,13 +107,19 @@
     assert.deepEqual(requests, { relay: PIECE_COUNT, origin: 0, peerStates: 0 });
 });
 
+// Guards against an agent that never uses an entry again which wasn't there when the transfer began.
+test("an agent finds an entry that comes back during a transfer", { timeout: 10_000 }, async () => {
+    const requests = await transferThrough(piece => Promise.resolve(pieceOf(piece)), { isRelayLate: true });
+    assert.equal(requests.relay, PIECE_COUNT);
+});
+
 const rejectAsWithdrawn = () =>
     Promise.reject(new VError({ info: { status: 410 } }, "the peer responded with status 410"));
 
 // Guards against requests that are repeated without an end for a version that can't be completed any more, and against
 // giving up the newest version because of one corrupt status.
 test("a transfer ends when its superseded version is withdrawn, and goes on if it is the newest", async () => {
-    await assert.rejects(transferThrough(rejectAsWithdrawn, true), /withdrawn/);
+    await assert.rejects(transferThrough(rejectAsWithdrawn, { isSuperseded: true }), /withdrawn/);
     const requests = await transferThrough(rejectAsWithdrawn);
     assert.equal(requests.origin, PIECE_COUNT);
 });
