Entries that were removed for good are forgotten, and their rows removed

They take places among the recipients of heartbeats and shares of the limit for cold servers, and agents check them again and again.

Cause: nobody could tell a removed entry from one that is paused or cut off.

Change: an entry renews its row every 5 to 7.5 minutes. Others forget it, and remove the row, after 30 minutes without a change of the row and without a heartbeat. An entry whose last renewal began over 15 minutes ago doesn't count on being known, so it uses no share of a limit that others may have divided anew. Entries of earlier builds are never forgotten.

--- a/src/lib/core/serving/coldLimit.ts
+++ b/src/lib/core/serving/coldLimit.ts
@@ -40,7 +40,7 @@
     readonly self: EntryIdentity;
     /** Bounds of the settings; `undefined` if requests to cold servers aren't limited. */
     readonly bounds: () => ColdBounds | undefined;
-    /** All entries that were ever heard of, including this one; the same array as long as they are the same. */
+    /** All entries that were heard of and not forgotten, including this one; the same array as long as they are the same. */
     readonly knownEntries: () => readonly EntryIdentity[];
     /** Returns whether the other entries know this one, so that the shares that they use leave room for its own. */
     readonly isKnownToOthers: (now: number) => boolean;
--- a/src/lib/core/serving/index.ts
+++ b/src/lib/core/serving/index.ts
@@ -5,6 +5,7 @@
 export * from "./dispatcher.js";
 export * from "./engineMemory.js";
 export * from "./engineModel.js";
+export * from "./entryLeases.js";
 export * from "./evacuations.js";
 export * from "./inFlightRequests.js";
 export * from "./manifestReadings.js";
--- a/src/lib/core/serving/peerEntries.ts
+++ b/src/lib/core/serving/peerEntries.ts
@@ -25,11 +25,15 @@
     /** Adds an entry that the settings or the table of entries list; it is live only after its first heartbeat. */
     addUnconfirmed(entry: EntryIdentity): void;
     recordHeartbeat(entry: EntryIdentity, now: number): void;
+    /** Returns the time of an entry's last heartbeat; `undefined` if there was none. */
+    lastHeardAt(name: string): number | undefined;
+    /** Forgets an entry until it is heard of again. */
+    forget(name: string): void;
     /** Records what a digest of another failure domain says about its entries. */
     recordAges(ages: readonly EntryAge[], now: number): void;
     /** Returns the entries with a recent heartbeat. */
     live(now: number): EntryIdentity[];
-    /** Returns all entries that were ever heard of or listed, including this one, in the order of their names. */
+    /** Returns all entries that were heard of or listed and not forgotten, including this one, in the order of their names. */
     known(): EntryIdentity[];
     /** Returns the live entries of this failure domain, including this one, for the digest to other domains. */
     domainAges(now: number): EntryAge[];
@@ -99,6 +103,8 @@
             peers.set(entry.name, { entry, lastHeartbeatAt: undefined });
         },
         recordHeartbeat: record,
+        lastHeardAt: name => peers.get(name)?.lastHeartbeatAt,
+        forget: name => void peers.delete(name),
         recordAges: (ages, now) => {
             for (const { entry, ageMs } of ages) record(entry, now - ageMs);
         },
--- a/src/lib/node/metadataStore.ts
+++ b/src/lib/node/metadataStore.ts
@@ -34,5 +34,7 @@
     readFeed(table: string, afterRevision: number, waitMs: number, signal?: AbortSignal): Promise<FeedResult>;
     /** Writes a row unconditionally. After an error it is unknown whether the write took effect. */
     putRow(table: string, key: string, value: string): Promise<void>;
+    /** Removes a row if it hasn't changed since the revision. After an error it is unknown whether it was removed. */
+    removeRow(table: string, key: string, revision: number): Promise<void>;
     close(): void;
 }
--- a/src/lib/platform/store.ts
+++ b/src/lib/platform/store.ts
@@ -127,12 +127,20 @@
 
     async function putRow(table: string, key: string, value: string): Promise<void> {
         const encoded = Buffer.from(value).toString("base64");
-        const body = { precondition: [], puts: [{ table, part: "", key, value: encoded }], remove: [] };
-        const response = await call("POST", "/-/rows-tx", CALL_TIMEOUT_MS, { body: JSON.stringify(body) });
+        await write({ precondition: [], puts: [{ table, part: "", key, value: encoded }], remove: [] });
+    }
+
+    async function removeRow(table: string, key: string, revision: number): Promise<void> {
+        const row = { table, part: "", key };
+        await write({ precondition: [{ ...row, ver: revision }], puts: [], remove: [row] });
+    }
+
+    async function write(transaction: object): Promise<void> {
+        const response = await call("POST", "/-/rows-tx", CALL_TIMEOUT_MS, { body: JSON.stringify(transaction) });
         if (response.status !== 200) throw statusError(response);
     }
 
-    return { readTable, readFeed, putRow, close: () => closing.abort() };
+    return { readTable, readFeed, putRow, removeRow, close: () => closing.abort() };
 }
 
 /** Returns the exclusive upper bound of the keys with a prefix, which must end with an ASCII character. */
--- a/src/lib/router/registration.ts
+++ b/src/lib/router/registration.ts
@@ -1,8 +1,19 @@
 /**
  * Registers an entry in the store, so that entries and agents that start later can find it, and reads the rows of the
- * other entries. A restored store may lack the row, so the registration is renewed then.
+ * other entries. The registration is renewed from time to time, and when the store was restored, as it may lack the row
+ * then. Entries that have been removed for good are forgotten, and their rows removed; see `core/serving/entryLeases`.
  */
-import type { EntryIdentity } from "../core/serving/index.js";
+import {
+    type ClockReading,
+    createEntryLeases,
+    elapsedMs,
+    type EntryIdentity,
+    type EntryLease,
+    LEASE_RENEWAL_INTERVAL_MS,
+    LEASE_VALID_MS,
+    type PeerEntries,
+    type Row,
+} from "../core/serving/index.js";
 import { ENTRIES_TABLE, formatEntryRow, parseEntryRow } from "../node/entryRows.js";
 import type { MetadataStore } from "../node/metadataStore.js";
 import type { EventLog } from "../observability/index.js";
@@ -12,9 +23,9 @@
     renewIn(epoch: number): void;
     /**
      * Returns whether the entry has read the table and all entries that run can be expected to know it: its row was
-     * there before it started, or was written some time ago.
+     * there before it started, or was written some time ago, and has been renewed since.
      */
-    isKnownToOthers(now: number): boolean;
+    isKnownToOthers(): boolean;
     stop(): void;
 }
 
@@ -31,19 +42,21 @@
 /** All entries renew their registration at about the same time. */
 const RENEWAL_JITTER_MS = 300;
 
-/**
- * Calls `addPeer` with each other entry that is registered. `random` returns a number in [0, 1), `clock` the monotonic
- * time in milliseconds. `looksForEarlierRow` costs a read at the start; without it the entry counts as new.
- */
-export function startRegistration(
-    store: Pick<MetadataStore, "putRow" | "readTable">,
-    self: EntryIdentity,
-    addPeer: (peer: EntryIdentity) => void,
-    log: EventLog,
-    random: () => number,
-    clock: () => number,
-    looksForEarlierRow: boolean,
-): Registration {
+export interface RegistrationOptions {
+    readonly store: Pick<MetadataStore, "putRow" | "readTable" | "removeRow">;
+    readonly self: EntryIdentity;
+    readonly peers: Pick<PeerEntries, "addUnconfirmed" | "lastHeardAt" | "forget">;
+    /** Whether to look for the row of an earlier start, which costs a read; without it the entry counts as new. */
+    readonly looksForEarlierRow: boolean;
+    readonly log: EventLog;
+    /** Returns a number in [0, 1). */
+    readonly random: () => number;
+    readonly readClocks: () => ClockReading;
+}
+
+export function startRegistration(options: RegistrationOptions): Registration {
+    const { store, self, peers, log, random, readClocks } = options;
+    const leases = createEntryLeases();
     let timer: NodeJS.Timeout | undefined;
     let failures = 0;
     let isStopped = false;
@@ -53,8 +66,14 @@
     let generation = 0;
     /** Whether the row of an earlier start was found; `undefined` before the table was read. */
     let hadRow: boolean | undefined;
-    /** Time from which all entries know this one; `undefined` while it isn't registered. */
+    /** Monotonic time from which all entries know this one; `undefined` while it isn't registered. */
     let knownFrom: number | undefined;
+    /** When the last successful renewal of the row began. */
+    let renewedAt: ClockReading | undefined;
+
+    function isLeaseValid(): boolean {
+        return renewedAt !== undefined && elapsedMs(renewedAt, readClocks()) < LEASE_VALID_MS;
+    }
 
     function scheduleAttempt(delayMs: number): void {
         clearTimeout(timer);
@@ -65,20 +84,26 @@
 
     async function attempt(ownGeneration: number): Promise<void> {
         try {
-            hadRow ??= looksForEarlierRow &&
-                (await store.readTable(ENTRIES_TABLE)).rows.some(({ key, value }) =>
-                    key === self.name && value !== undefined
-                );
-            await store.putRow(ENTRIES_TABLE, self.name, formatEntryRow(self));
+            hadRow ??= options.looksForEarlierRow &&
+                isOwnLeaseValid((await store.readTable(ENTRIES_TABLE)).rows, readClocks().wallMs);
+            const beganAt = readClocks();
+            await store.putRow(ENTRIES_TABLE, self.name, formatEntryRow(self, beganAt.wallMs));
             const { rows, position } = await store.readTable(ENTRIES_TABLE);
-            for (const row of rows) {
-                const entry = parseEntryRow(row);
-                if (entry !== undefined && entry.name !== self.name) addPeer(entry);
-            }
             if (!rows.some(({ key }) => key === self.name)) throw new Error("the store has lost the entry's row");
+            // Others may have forgotten an entry that couldn't renew its row for long.
+            if (renewedAt !== undefined && !isLeaseValid()) {
+                log.warn("registration lapsed", { sinceMs: Math.round(elapsedMs(renewedAt, readClocks())) });
+                knownFrom = undefined;
+                hadRow = false;
+            }
             failures = 0;
-            knownFrom ??= clock() + (hadRow ? 0 : NEW_ENTRY_MS);
-            if (ownGeneration === generation) registeredEpoch = position.epoch;
+            knownFrom ??= readClocks().monotonicMs + (hadRow ? 0 : NEW_ENTRY_MS);
+            renewedAt = beganAt;
+            if (ownGeneration === generation) {
+                scheduleAttempt(LEASE_RENEWAL_INTERVAL_MS * (1 + random() / 2));
+                registeredEpoch = position.epoch;
+            }
+            await applyRows(rows);
         }
         catch (error) {
             if (ownGeneration !== generation) return;
@@ -88,9 +113,47 @@
         }
     }
 
+    /** Returns whether the row of an earlier start shows that no entry can have forgotten this one. */
+    function isOwnLeaseValid(rows: readonly Row[], wallMs: number): boolean {
+        const own = rows.map(parseEntryRow).find(entry => entry?.name === self.name);
+        return own !== undefined && (own.renewedAt === undefined || wallMs - own.renewedAt < LEASE_VALID_MS);
+    }
+
+    /** Adds the entries that have rows, and forgets those that have been removed for good. */
+    async function applyRows(rows: readonly Row[]): Promise<void> {
+        const registered = rows.flatMap(row => {
+            const entry = parseEntryRow(row);
+            return entry === undefined || entry.name === self.name ? [] : { entry, row };
+        });
+        const entryLeases = registered.map(({ entry: { name, renewedAt: at }, row }): EntryLease => ({
+            name,
+            position: row,
+            isRenewed: at !== undefined,
+        }));
+        const gone = new Set(leases.findGone(entryLeases, peers.lastHeardAt, readClocks().monotonicMs));
+        for (const name of gone) {
+            log.warn("entry forgotten", { entry: name });
+            peers.forget(name);
+        }
+        for (const { entry: { name, ip, failureDomain }, row } of registered) {
+            if (!gone.has(name)) peers.addUnconfirmed({ name, ip, failureDomain });
+            else await removeRow(row);
+        }
+    }
+
+    /** Another entry may have removed the row already, or its own entry may have renewed it. */
+    async function removeRow({ key, revision }: Row): Promise<void> {
+        try {
+            await store.removeRow(ENTRIES_TABLE, key, revision);
+        }
+        catch (error) {
+            log.info("entry's row not removed", { entry: key, error: (error as Error).message });
+        }
+    }
+
     scheduleAttempt(0);
     return {
-        isKnownToOthers: now => knownFrom !== undefined && now >= knownFrom,
+        isKnownToOthers: () => knownFrom !== undefined && readClocks().monotonicMs >= knownFrom && isLeaseValid(),
         renewIn: epoch => {
             if (registeredEpoch !== undefined && epoch > registeredEpoch) scheduleAttempt(random() * RENEWAL_JITTER_MS);
         },
--- a/src/lib/router/router.ts
+++ b/src/lib/router/router.ts
@@ -129,7 +129,7 @@
     /** Live entries, including this one. Updated with each heartbeat, and only if one came, left or moved. */
     let liveEntries: readonly EntryIdentity[] = [self];
     const countEntries = () => liveEntries.length;
-    /** Entries that were ever heard of, including this one. */
+    /** Entries that were heard of and not forgotten, including this one. */
     let knownEntries: readonly EntryIdentity[] = [self];
     const coldServers = createColdServers(now());
     /** Servers that counted as cold at the last heartbeat. */
@@ -138,7 +138,7 @@
         self,
         bounds: () => bounds.cold,
         knownEntries: () => knownEntries,
-        isKnownToOthers: at => registration.isKnownToOthers(at),
+        isKnownToOthers: () => registration.isKnownToOthers(),
         coldServers,
         withdrawnAt: evacuations.withdrawnAt,
     });
@@ -280,15 +280,15 @@
     const serverTable = createSharedTable(PlatformTable.servers);
     const sharedTables = [operatorTable, serverTable];
     const replicas = new Map(sharedTables.map(({ table, replica }) => [table, replica]));
-    const registration = startRegistration(
+    const registration = startRegistration({
         store,
         self,
-        peers.addUnconfirmed,
+        peers,
+        looksForEarlierRow: bounds.cold !== undefined,
         log,
         random,
-        now,
-        bounds.cold !== undefined,
-    );
+        readClocks: () => ({ monotonicMs: now(), wallMs: Date.now() }),
+    });
     /** `outageAt` is the last time at which the process that read the rows from the store saw it fail. */
     type ApplyChanges = (rows: readonly Row[], outageAt: number | undefined) => void;
     const applyChanges: Readonly<Record<string, ApplyChanges>> = {
--- a/src/test/node/tableFeed.test.ts
+++ b/src/test/node/tableFeed.test.ts
@@ -27,6 +27,7 @@
             return { kind: "changes", rows: rows.slice(after), position: { epoch: 0, revision: rows.length } };
         },
         putRow: () => Promise.resolve(),
+        removeRow: () => Promise.reject(new Error("not used")),
         close: () => undefined,
     };
     const change = (key: string) => void rows.push({ key, epoch: 0, revision: rows.length + 1, value: "x" });
--- a/src/test/platform/fakeStore.ts
+++ b/src/test/platform/fakeStore.ts
@@ -112,10 +112,18 @@
         }
         const chunks: Buffer[] = [];
         for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
-        const { puts } = JSON.parse(Buffer.concat(chunks).toString()) as {
+        const { precondition, puts, remove } = JSON.parse(Buffer.concat(chunks).toString()) as {
+            precondition: { table: string; key: string; ver: number; }[];
             puts: { table: string; key: string; value: string; }[];
+            remove: { table: string; key: string; }[];
         };
+        const revisionOf = (table: string, key: string) => {
+            const row = rows.get(`${table} ${key}`);
+            return row?.value === undefined ? 0 : row.revision;
+        };
+        if (precondition.some(({ table, key, ver }) => revisionOf(table, key) !== ver)) return [412, { ver: revision }];
         for (const put of puts) write(put.table, put.key, Buffer.from(put.value, "base64").toString());
+        for (const { table, key } of remove) write(table, key, undefined);
         return [200, { ver: revision, "now-ms": Date.now() }];
     }
 
--- a/src/test/stager/removedEntries.test.ts
+++ b/src/test/stager/removedEntries.test.ts
@@ -66,7 +66,7 @@
     const entryPort = await findFreePortRange("127.0.0.1", ...REMOVED_IPS);
     removed = await silenceAddresses(REMOVED_IPS, entryPort);
     for (const ip of REMOVED_IPS) {
-        store.put(ENTRIES_TABLE, `entry ${ip}`, JSON.parse(formatEntryRow({ name: "", ip, failureDomain: "a" })));
+        store.put(ENTRIES_TABLE, `entry ${ip}`, JSON.parse(formatEntryRow({ name: "", ip, failureDomain: "a" }, 0)));
     }
     const settings = createVmSettings(store.address, entryPort, {
         backendAddress: engine.address,
