Held connections go on after a refusal; peers on full links have more time to connect

Cause, both found by reading the change: if the bytes that arrive while a message is held end its reading, its connection was paused after its release. And 250 ms to connect is less than packets may wait at a full link, so that agents behind one could have lost all their relays.

Change: a released message is never paused again. Connections of the piece API may take 800 ms, and the presence of an entry is checked for 250 and 800 ms.

--- a/src/lib/node/heldMessage.ts
+++ b/src/lib/node/heldMessage.ts
@@ -13,14 +13,16 @@
 export function holdMessage(message: Readable & Partial<Pick<IncomingMessage, "socket" | "complete">>): () => void {
     // A complete message no longer owns its connection.
     const ownConnection = () => message.complete === true ? undefined : message.socket;
+    let isHeld = true;
     message.pause();
     ownConnection()?.pause();
     const merging = setImmediate(() => {
-        // Returns everything at once, as the message is paused; but it also makes its connection go on.
+        // Emits everything at once, as the message is paused; but it also makes its connection go on.
         message.read();
-        ownConnection()?.pause();
+        if (isHeld) ownConnection()?.pause();
     });
     return () => {
+        isHeld = false;
         clearImmediate(merging);
         ownConnection()?.resume();
     };
--- a/src/lib/stager/fleetView.ts
+++ b/src/lib/stager/fleetView.ts
@@ -8,7 +8,6 @@
 import { checkConnect, ConnectResult } from "../node/connectCheck.js";
 import { ENTRIES_TABLE, parseEntryRow } from "../node/entryRows.js";
 import type { MetadataStore } from "../node/metadataStore.js";
-import { PEER_CONNECT_TIMEOUT_MS } from "../node/peerMessages.js";
 import { parseServerRow, PlatformTable } from "../platform/index.js";
 import type { AgentContext } from "./agentContext.js";
 import { createPeerClient } from "./peerApi.js";
@@ -39,8 +38,11 @@
 /** Entries that are checked at the same time until enough of them respond. */
 const CHECKED_TOGETHER = 6;
 
-/** A lost packet is no sign of a lost VM, so a VM that doesn't respond is checked again. */
-const PRESENCE_CHECKS = 2;
+/**
+ * Time-outs of the checks, one after another. A lost packet is no sign of a lost VM, so a VM that doesn't respond is checked
+ * again, and longer, as packets may wait at a link that is full.
+ */
+const PRESENCE_TIMEOUTS_MS = [250, 800] as const;
 
 /** Time after which an agent that knows no entry reads their list again. */
 const ENTRIES_RETRY_INTERVAL_MS = 5000;
@@ -151,8 +153,8 @@
 
     /** An entry that is about to start refuses connections, and is present too. */
     async function isPresent(ip: string): Promise<boolean> {
-        for (let count = 0; count < PRESENCE_CHECKS; count++) {
-            if (await checkConnect(ip, entryPort, PEER_CONNECT_TIMEOUT_MS) !== ConnectResult.none) return true;
+        for (const timeoutMs of PRESENCE_TIMEOUTS_MS) {
+            if (await checkConnect(ip, entryPort, timeoutMs) !== ConnectResult.none) return true;
         }
         return false;
     }
--- a/src/lib/stager/peerApi.ts
+++ b/src/lib/stager/peerApi.ts
@@ -7,7 +7,6 @@
 import * as z from "zod";
 import { sendRequest } from "../clients/index.js";
 import { DIGEST_PATTERN } from "../core/serving/index.js";
-import { PEER_CONNECT_TIMEOUT_MS } from "../node/peerMessages.js";
 import { handleMetricsRequest, type ServingMetrics } from "../observability/index.js";
 import { isVersionWithdrawn, type WeightManifest } from "../platform/index.js";
 import { countHeld, type PieceStore } from "./pieceStore.js";
@@ -41,6 +40,12 @@
 /** Maximum time that a server waits for a piece that it doesn't hold yet. */
 const MAX_PIECE_WAIT_MS = 2000;
 
+/**
+ * A VM that is gone doesn't respond, and a request to it shouldn't hold its place for long. Packets may wait for half a
+ * second at a link that is full.
+ */
+const CONNECT_TIMEOUT_MS = 800;
+
 /** Inactivity timeout of a call, added to the requested wait. A piece takes 50 ms on an idle link. */
 const STALL_TIMEOUT_MS = 1500;
 
@@ -68,7 +73,7 @@
             method: "GET",
             url,
             timeoutMs,
-            connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
+            connectTimeoutMs: CONNECT_TIMEOUT_MS,
             agent: connections,
         });
         if (response.status !== 200) {
--- a/src/test/router/requestBody.test.ts
+++ b/src/test/router/requestBody.test.ts
@@ -45,6 +45,21 @@
     assert.deepEqual(bodies, Array.from({ length: 6 }, () => body));
 });
 
+// Guards against a connection that stays held after its body, which came in small chunks, was refused.
+test("a caller that sends too large a body in small chunks receives the refusal, and its body is read to the end", async () => {
+    const caller = await entry.openCaller();
+    caller.send(formatRequest({ path: "/book/", id: "a", headers: { "Transfer-Encoding": "chunked" } }));
+    const part = "1\r\nx\r\n".repeat(20_000);
+    for (let count = 0; count < 20; count++) {
+        caller.send(part);
+        await sleep(10);
+    }
+    assert.equal((await caller.nextResponse()).status, 413);
+    await sleep(500);
+    assert.equal(caller.socket.writableLength, 0);
+    assert.equal(caller.error(), undefined);
+});
+
 // Guards against a body that never ends and is never answered, and against a time limit that restarts at its end.
 test("a caller that stalls in its body is answered at its deadline", async () => {
     const caller = await entry.openCaller();
