A removed entry delays a transfer by a quarter of a second at most while another one responds

Cause, found by reading: every transfer waited for both checks of all entries, over a second while a removed one had a row.

Change: the longer check follows only if no entry has responded to the first one.

--- a/src/lib/stager/fleetView.ts
+++ b/src/lib/stager/fleetView.ts
@@ -39,8 +39,8 @@
 const CHECKED_TOGETHER = 6;
 
 /**
- * Time-outs of the checks, one after another. A lost packet is no sign of a lost VM, so a VM that doesn't respond is checked
- * again, and longer, as packets may wait at a link that is full.
+ * Time-outs of the checks in milliseconds, one after another until any entry responds. A lost packet is no sign of a lost
+ * VM, and packets may wait at a link that is full.
  */
 const PRESENCE_TIMEOUTS_MS = [250, 800] as const;
 
@@ -139,24 +139,25 @@
     /** The agents of a region prefer different entries, so that the pieces load the links of all of them alike. */
     async function findRelays(model: string): Promise<Relay[]> {
         const ips = orderMembers(`relays of ${settings.ip}`, regionIps());
-        const presentIps: string[] = [];
-        for (let first = 0; first < ips.length && presentIps.length < MAX_RELAYS; first += CHECKED_TOGETHER) {
-            const checked = ips.slice(first, first + CHECKED_TOGETHER);
-            const arePresent = await Promise.all(checked.map(isPresent));
-            presentIps.push(...checked.filter((_, index) => arePresent[index]));
+        let presentIps: readonly string[] = [];
+        for (const timeoutMs of PRESENCE_TIMEOUTS_MS) {
+            if (presentIps.length === 0) presentIps = await findPresent(ips, timeoutMs);
         }
-        return presentIps.slice(0, MAX_RELAYS).map(ip => ({
+        return presentIps.map(ip => ({
             name: `relay ${ip}`,
             client: createPeerClient({ model, ip, port: entryPort, connections, rateMbps: receiveRateMbps }),
         }));
     }
 
-    /** An entry that is about to start refuses connections, and is present too. */
-    async function isPresent(ip: string): Promise<boolean> {
-        for (const timeoutMs of PRESENCE_TIMEOUTS_MS) {
-            if (await checkConnect(ip, entryPort, timeoutMs) !== ConnectResult.none) return true;
+    /** Returns the first addresses that respond. An entry that is about to start refuses connections, and is present too. */
+    async function findPresent(ips: readonly string[], timeoutMs: number): Promise<readonly string[]> {
+        const presentIps: string[] = [];
+        for (let first = 0; first < ips.length && presentIps.length < MAX_RELAYS; first += CHECKED_TOGETHER) {
+            const checked = ips.slice(first, first + CHECKED_TOGETHER);
+            const results = await Promise.all(checked.map(ip => checkConnect(ip, entryPort, timeoutMs)));
+            presentIps.push(...checked.filter((_, index) => results[index] !== ConnectResult.none));
         }
-        return false;
+        return presentIps.slice(0, MAX_RELAYS);
     }
 
     return {
