Agents get weights though the processes of all their entries stand still

Cause, the same as for removed entries on a related path: a process that stands still accepts connections, so it seemed to be there. Each request waited for its time-out, and after each back-off the pieces of such a relay counted as copies again, so that none was fetched from the origin.

The pieces of a source that failed don't count as copies until it delivers again.

--- a/src/lib/core/transferPlan.ts
+++ b/src/lib/core/transferPlan.ts
@@ -60,6 +60,8 @@
     /** Adds or resets a peer. Peers at a smaller distance are preferred. */
     addPeer(name: string, distance: number): void;
     removePeer(name: string): void;
+    /** Treats a peer as one that has failed until it delivers. */
+    suspendPeer(name: string): void;
     /** Records that a peer has a chunk. */
     addPeerChunk(name: string, chunk: number): void;
     /** Returns the next request to start, or `undefined` if there is none at `now`. */
@@ -104,12 +106,10 @@
     failures: number;
     retryAt: number;
     /**
-     * Whether the peer failed and its backoff hasn't ended. Its chunks don't count as copies meanwhile, so that
-     * chunks that only suspended peers announce are fetched from upstream.
+     * Whether the peer has delivered nothing since it failed. Its chunks don't count as copies, so that chunks that only
+     * suspended peers announce are fetched from upstream, and it gets one request at a time, which holds few places.
      */
     suspended: boolean;
-    /** Whether the peer has delivered nothing since it failed. It then gets one request at a time, which holds few places. */
-    isDoubtful: boolean;
 }
 
 export function createTransferPlan(options: TransferPlanOptions): TransferPlan {
@@ -142,7 +142,6 @@
             failures: 0,
             retryAt: 0,
             suspended: false,
-            isDoubtful: false,
         });
     }
 
@@ -181,9 +180,6 @@
     }
 
     function next(now: number): PlannedRequest | undefined {
-        for (const peer of peers.values()) {
-            if (peer.suspended && peer.retryAt <= now) resume(peer);
-        }
         return nextUpstream(now) ?? nextFromPeers(now) ?? nextDuplicate(now);
     }
 
@@ -207,7 +203,7 @@
         let rarest: number | undefined;
         let tieCount = 0;
         for (const chunk of missing) {
-            if (copyCountOf(chunk) === 0 || inFlight.has(chunk)) continue;
+            if (inFlight.has(chunk)) continue;
             if (rarest !== undefined && copyCountOf(chunk) > copyCountOf(rarest)) continue;
             if (!available.some(peer => peer.chunks.has(chunk))) continue;
             if (options.inOrder?.() === true) return startFromPeer(chunk, available, now);
@@ -232,7 +228,7 @@
 
     function availablePeers(now: number): Peer[] {
         return [...peers.values()].filter(peer => {
-            return peer.inFlightRequests < (peer.isDoubtful ? 1 : options.maxRequestsPerPeer) && peer.retryAt <= now;
+            return peer.inFlightRequests < (peer.suspended ? 1 : options.maxRequestsPerPeer) && peer.retryAt <= now;
         });
     }
 
@@ -288,15 +284,12 @@
         if (outcome === RequestOutcome.unknown && peer.chunks.delete(chunk) && !peer.suspended) addCopies(chunk, -1);
         if (outcome === RequestOutcome.held) {
             peer.failures = 0;
-            peer.isDoubtful = false;
+            if (peer.suspended) resume(peer);
         }
         if (outcome === RequestOutcome.held || outcome === RequestOutcome.cancelled) return;
         peer.failures++;
         peer.retryAt = Math.max(peer.retryAt, now + backoffMs(outcome, peer.failures));
-        if (SUSPENDING_OUTCOMES.has(outcome)) {
-            suspend(peer);
-            peer.isDoubtful = true;
-        }
+        if (SUSPENDING_OUTCOMES.has(outcome)) suspend(peer);
     }
 
     function backoffMs(outcome: RequestOutcome, failures: number): number {
@@ -315,6 +308,10 @@
         missingCount: () => missing.size,
         addPeer,
         removePeer,
+        suspendPeer: name => {
+            const peer = peers.get(name);
+            if (peer !== undefined) suspend(peer);
+        },
         addPeerChunk,
         next,
         finish,
--- a/src/lib/stager/fleetView.ts
+++ b/src/lib/stager/fleetView.ts
@@ -10,6 +10,7 @@
 import type { MetadataStore } from "../node/metadataStore.js";
 import { parseServerRow, PlatformTable } from "../platform/index.js";
 import type { AgentContext } from "./agentContext.js";
+import type { EntryResponses } from "./entryResponses.js";
 import { createPeerClient } from "./peerApi.js";
 import { MAX_RELAYS, type Relay, type TransferPeer } from "./pieceTransfer.js";
 import type { TableReader } from "./sharedReads.js";
@@ -23,7 +24,7 @@
     /** Agents beside the engines of the same service, except this one, as sources of the model's weights. */
     peers(model: string): TransferPeer[];
     /**
-     * Finds the entries of the same region whose VMs respond, in the order in which they are asked, at most `MAX_RELAYS`.
+     * Finds the entries of the same region that respond, in the order in which they are asked, at most `MAX_RELAYS`.
      * A row may be that of an entry which has been removed for good. Never throws.
      */
     findRelays(model: string): Promise<Relay[]>;
@@ -61,6 +62,7 @@
     tables: () => TableReader,
     ports: { readonly entry: number; readonly agent: number; },
     connections: http.Agent,
+    entryResponses: EntryResponses,
 ): FleetView {
     const { entry: entryPort, agent: agentPort } = ports;
     const receiveRateMbps = settings.linkMbps * DOWNLINK_FRACTION;
@@ -138,13 +140,16 @@
 
     /** The agents of a region prefer different entries, so that the pieces load the links of all of them alike. */
     async function findRelays(model: string): Promise<Relay[]> {
-        const ips = orderMembers(`relays of ${settings.ip}`, regionIps());
+        const ips = orderMembers(`relays of ${settings.ip}`, regionIps()).filter(ip =>
+            entryResponses.mayAsk(ip, now())
+        );
         let presentIps: readonly string[] = [];
         for (const timeoutMs of PRESENCE_TIMEOUTS_MS) {
             if (presentIps.length === 0) presentIps = await findPresent(ips, timeoutMs);
         }
         return presentIps.map(ip => ({
             name: `relay ${ip}`,
+            recordFailure: error => entryResponses.recordFailure(ip, error, now()),
             client: createPeerClient({ model, ip, port: entryPort, connections, rateMbps: receiveRateMbps }),
         }));
     }
--- a/src/lib/stager/pieceTransfer.ts
+++ b/src/lib/stager/pieceTransfer.ts
@@ -28,6 +28,8 @@
 export interface Relay {
     readonly name: string;
     readonly client: PeerClient;
+    /** Records a failed call, so that an entry that doesn't respond isn't chosen again at once. */
+    readonly recordFailure: (error: Error) => void;
 }
 
 export interface PieceTransferOptions {
@@ -150,6 +152,7 @@
                 if (relays.has(relay.name) || relays.size >= MAX_RELAYS) continue;
                 if (relays.size === 0) inOrderFrom = now();
                 addToPlan(relay.name, relays.size);
+                plan.suspendPeer(relay.name);
                 relays.set(relay.name, relay);
             }
         }
@@ -185,7 +188,15 @@
     async function fetchPiece({ chunk: piece, source }: PlannedRequest): Promise<RequestOutcome> {
         const relay = relays.get(source);
         if (relay !== undefined) {
-            const read = () => relay.client.readPiece(held.manifest.version, piece, PIECE_WAIT_MS);
+            const read = async () => {
+                try {
+                    return await relay.client.readPiece(held.manifest.version, piece, PIECE_WAIT_MS);
+                }
+                catch (error) {
+                    relay.recordFailure(error as Error);
+                    throw error;
+                }
+            };
             const outcome = await fetchFrom(piece, "relay", read);
             if (outcome === RequestOutcome.held) busySinceByRelay.delete(source);
             if (outcome === RequestOutcome.busy && recordBusyAndMayRetry(source)) return outcome;
--- a/src/lib/stager/sharedReads.ts
+++ b/src/lib/stager/sharedReads.ts
@@ -4,19 +4,19 @@
  * it saturated the links between regions for seconds, and no engine got its weights meanwhile.
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import VError from "verror";
-import { isConnectionRefused } from "../clients/index.js";
 import { INITIAL_POSITION, type RowReplica } from "../core/serving/index.js";
 import type { MetadataStore, TableSnapshot } from "../node/metadataStore.js";
 import { fetchPeerChanges } from "../node/peerMessages.js";
 import type { EventLog, ServingMetrics } from "../observability/index.js";
 import { createTableReplica } from "../platform/index.js";
+import type { EntryResponses } from "./entryResponses.js";
 
 export interface SharedReadsOptions {
     readonly store: Pick<MetadataStore, "readTable">;
     /** Returns the IP addresses of the entries of the region; empty if none is known. */
     readonly entryIps: () => Promise<readonly string[]>;
     readonly entryPort: number;
+    readonly entryResponses: EntryResponses;
     readonly log: EventLog;
     readonly metrics: ServingMetrics;
     /** Monotonic clock, in milliseconds. */
@@ -30,13 +30,6 @@
 /** Entries that start at the same time as the agent have no table yet, so the agent asks them for this long. */
 const STORE_FALLBACK_DELAY_MS = 1500;
 
-/**
- * Bounds of the time, in milliseconds, for which an entry that didn't respond isn't asked; doubled with each further
- * failure. It may have been removed for good, but its row stays.
- */
-const MIN_UNREACHABLE_MS = 1000;
-const MAX_UNREACHABLE_MS = 60_000;
-
 /** An entry needs a few hundred milliseconds to start and to read the tables. */
 const MEAN_RETRY_PAUSE_MS = 150;
 
@@ -46,33 +39,22 @@
     /** The last read ended at the store, because the entries didn't deliver. */
     let areEntriesFailing = false;
     let requestCount = 0;
-    /** Entries that didn't respond, and when they are asked again. */
-    const unreachable = new Map<string, { readonly pauseMs: number; readonly until: number; }>();
-
-    function recordUnreachable(ip: string): void {
-        const pauseMs = Math.min(MAX_UNREACHABLE_MS, 2 * (unreachable.get(ip)?.pauseMs ?? MIN_UNREACHABLE_MS / 2));
-        unreachable.set(ip, { pauseMs, until: now() + pauseMs });
-    }
-
     async function readTable(table: string, keyPrefix = ""): Promise<TableSnapshot> {
         const startedAt = now();
         for (;;) {
             const allIps = await options.entryIps();
-            const reachableIps = allIps.filter(ip => (unreachable.get(ip)?.until ?? 0) <= now());
+            const reachableIps = allIps.filter(ip => options.entryResponses.mayAsk(ip, now()));
             const entryIps = reachableIps.length > 0 || areEntriesFailing ? reachableIps : allIps;
             const ip = entryIps[requestCount++ % Math.max(1, entryIps.length)];
             if (ip === undefined) break;
             try {
                 const snapshot = await readFromEntry(ip, table, keyPrefix);
                 areEntriesFailing = false;
-                unreachable.delete(ip);
+                options.entryResponses.recordSuccess(ip);
                 return snapshot;
             }
             catch (error) {
-                // An entry that is about to start refuses connections, and has to be asked again soon.
-                if (VError.hasCauseWithName(error as Error, "HttpError") && !isConnectionRefused(error)) {
-                    recordUnreachable(ip);
-                }
+                options.entryResponses.recordFailure(ip, error as Error, now());
                 log.info("table not read from an entry", { table, entry: ip, error: (error as Error).message });
             }
             if (areEntriesFailing || now() - startedAt >= STORE_FALLBACK_DELAY_MS) break;
--- a/src/lib/stager/stager.ts
+++ b/src/lib/stager/stager.ts
@@ -24,6 +24,7 @@
 import type { VmBounds, VmSettings } from "../settings/vmSettings.js";
 import type { AgentContext } from "./agentContext.js";
 import { createEngineTask, type ModelWeights } from "./engineTask.js";
+import { createEntryResponses } from "./entryResponses.js";
 import { createFleetView } from "./fleetView.js";
 import { startOperatorPoller } from "./operatorPoller.js";
 import { createPieceServer, createStoredPieceProvider, type PieceProvider } from "./peerApi.js";
@@ -68,17 +69,20 @@
     const [entryPort] = settings.peerPorts;
     const agentPort = agentPortOf(entryPort);
     const connections = new http.Agent({ keepAlive: true });
+    const entryResponses = createEntryResponses();
     const fleet = createFleetView(
         context,
         store,
         () => tables,
         { entry: entryPort, agent: agentPort },
         connections,
+        entryResponses,
     );
     const tables = createSharedReads({
         store,
         entryIps: fleet.regionEntryIps,
         entryPort,
+        entryResponses,
         log,
         metrics,
         now,
--- a/src/lib/stager/versionFetcher.ts
+++ b/src/lib/stager/versionFetcher.ts
@@ -17,7 +17,7 @@
 import type { FleetView } from "./fleetView.js";
 import { createManifestReader } from "./manifestReader.js";
 import { countHeld, hasDigest, type HeldVersion, isComplete, type PieceStore } from "./pieceStore.js";
-import { type Relay, transferPieces } from "./pieceTransfer.js";
+import { type Relay, type TransferPeer, transferPieces } from "./pieceTransfer.js";
 
 export interface OriginLocation {
     readonly address: string;
@@ -158,7 +158,7 @@
         const readFromOrigin = () => manifestReader.read(origin, model, version);
         const manifest = contradictedVersion === version ?
             await readFromOrigin() :
-            await readManifest(version, [...relays, ...peers], mayAskOrigin, readFromOrigin);
+            await readManifest(version, relays, peers, mayAskOrigin, readFromOrigin);
         contradictedVersion = undefined;
         const held = pieceStore.open(manifest);
         if (options.mayBeStaged(version)) await reuseStagedPieces(held);
@@ -237,17 +237,20 @@
  */
 async function readManifest(
     version: number,
-    sources: readonly Relay[],
+    relays: readonly Relay[],
+    peers: readonly TransferPeer[],
     mayAskOrigin: () => boolean,
     readFromOrigin: () => Promise<WeightManifest>,
 ): Promise<WeightManifest> {
     let cause: Error | undefined;
-    for (const { client } of sources.slice(0, MAX_MANIFEST_SOURCES)) {
+    const peerSources = peers.map(({ client }) => ({ client, recordFailure: () => undefined }));
+    for (const { client, recordFailure } of [...relays, ...peerSources].slice(0, MAX_MANIFEST_SOURCES)) {
         try {
             return await client.readManifest(version);
         }
         catch (error) {
             cause = error as Error;
+            recordFailure(cause);
         }
     }
     if (mayAskOrigin()) return readFromOrigin();
--- a/src/test/core/transferPlan.test.ts
+++ b/src/test/core/transferPlan.test.ts
@@ -99,9 +99,10 @@
     assert.equal(plan.next(100)?.source, UPSTREAM);
 });
 
-// Guards against requests to a source that doesn't respond which hold all places of the transfer again and again.
+// Guards against requests to a source that doesn't respond which hold all places of the transfer again and again, and keep
+// its chunks from being fetched upstream.
 test("a source that failed gets one request at a time until it delivers", () => {
-    const { plan } = createPlan(10, SEED, () => Number.POSITIVE_INFINITY);
+    const { plan } = createPlan(10, SEED, () => 0);
     plan.addPeer("relay", 0);
     for (let chunk = 0; chunk < 10; chunk++) plan.addPeerChunk("relay", chunk);
     const startAll = (now: number) => {
@@ -113,7 +114,8 @@
     assert.equal(first.length, LIMITS.maxRequestsPerPeer);
     for (const request of first) plan.finish(request, RequestOutcome.failed, 100);
     const retried = startAll(60_000);
-    assert.equal(retried.length, 1);
+    const sources = retried.map(({ source }) => source);
+    assert.deepEqual(sources, [UPSTREAM, UPSTREAM, "relay"]);
     for (const request of retried) plan.finish(request, RequestOutcome.held, 60_100);
-    assert.equal(startAll(60_100).length, LIMITS.maxRequestsPerPeer);
+    assert.deepEqual(startAll(60_100).map(({ source }) => source), ["relay", "relay"]);
 });
--- a/src/test/stager/pieceTransfer.test.ts
+++ b/src/test/stager/pieceTransfer.test.ts
@@ -33,6 +33,7 @@
             return readFromRelay(piece);
         },
     };
+    const relay = { name: "relay", client, recordFailure: () => undefined };
     await transferPieces({
         self: { name: "agent", region: "r", failureDomain: "a" },
         peers: [{
@@ -48,8 +49,8 @@
                 },
             },
         }],
-        relays: isRelayLate ? [] : [{ name: "relay", client }],
-        findRelays: () => Promise.resolve([{ name: "relay", client }]),
+        relays: isRelayLate ? [] : [relay],
+        findRelays: () => Promise.resolve([relay]),
         origin: {
             readManifest: () => Promise.reject(new Error("not used")),
             readPiece: (_model, _version, piece) => {
--- a/src/test/stager/removedEntries.test.ts
+++ b/src/test/stager/removedEntries.test.ts
@@ -16,14 +16,17 @@
 /** Time within which the users require a recovery, in milliseconds. */
 const RECOVERY_MS = 12_000;
 
-/** Starts a process that accepts no connection, so that the addresses don't respond, as those of a VM without power. */
-async function silenceAddresses(ips: readonly string[], port: number): Promise<ChildProcess> {
+/**
+ * Starts a process that listens at the addresses and stands still. Connections beyond the backlog get no response, as from a
+ * VM without power; the others are accepted, but nothing more.
+ */
+async function silenceAddresses(ips: readonly string[], port: number, backlog: number): Promise<ChildProcess> {
     const script = `
         const { connect, createServer } = require("node:net");
         const ips = ${JSON.stringify(ips)};
         let remaining = ips.length;
         for (const host of ips) {
-            createServer().listen({ port: ${port}, host, backlog: 1 }, () => {
+            createServer().listen({ port: ${port}, host, backlog: ${backlog} }, () => {
                 if (--remaining === 0) process.stdout.write("listening");
             });
         }`;
@@ -60,11 +63,9 @@
     store.close();
 });
 
-// Guards against agents that wait again and again for entries which were removed for good, whose rows are still there, so
-// that no engine gets its weights (review/9).
-test("an agent loads its weights although all entries of its region were removed", async () => {
+async function assertLoadsInTime(backlog: number): Promise<void> {
     const entryPort = await findFreePortRange("127.0.0.1", ...REMOVED_IPS);
-    removed = await silenceAddresses(REMOVED_IPS, entryPort);
+    removed = await silenceAddresses(REMOVED_IPS, entryPort, backlog);
     for (const ip of REMOVED_IPS) {
         store.put(ENTRIES_TABLE, `entry ${ip}`, JSON.parse(formatEntryRow({ name: "", ip, failureDomain: "a" }, 0)));
     }
@@ -80,4 +81,11 @@
         await new Promise(resolve => setTimeout(resolve, 50));
     }
     engine.assertLoaded(1);
-});
+}
+
+// Guards against agents that wait again and again for entries which were removed for good, whose rows are still there, so
+// that no engine gets its weights (review/9).
+test("an agent loads its weights although all entries of its region were removed", () => assertLoadsInTime(1));
+
+// Guards against the same if the entries' processes stand still, which accept connections.
+test("an agent loads its weights although all entries of its region stand still", () => assertLoadsInTime(500));
--- a/src/test/stager/sharedReads.test.ts
+++ b/src/test/stager/sharedReads.test.ts
@@ -4,6 +4,7 @@
 import { createRowReplica, type Row } from "../../lib/core/serving/index.js";
 import { handleChangesRequest } from "../../lib/node/peerMessages.js";
 import { createEventLog, createServingMetrics } from "../../lib/observability/index.js";
+import { createEntryResponses } from "../../lib/stager/entryResponses.js";
 import { createSharedReads } from "../../lib/stager/sharedReads.js";
 import { findFreePortRange } from "../router/routerHarness.js";
 
@@ -45,6 +46,7 @@
         },
         entryIps: () => Promise.resolve(["127.0.0.1"]),
         entryPort,
+        entryResponses: createEntryResponses(),
         log: createEventLog({ process: "p", role: "agent", now: () => 0, write: () => undefined }),
         metrics: createServingMetrics(),
         now: () => performance.now(),
