The report of a crash with very many parts names the suspected ones of all prompts first

Seen by reading: a report is bounded to 8,192 parts, and those that aren't known to survive should go first. They did so within each prompt only, so that the known parts of the first prompts used the report up, and other entries never heard of a suspected part of a later one.

Change: the parts of all prompts that aren't known to survive are taken first, then the others.

Test failed before: "the report of a crash with very many parts names those first that aren't known to survive".

--- a/src/lib/router/promptGuard.ts
+++ b/src/lib/router/promptGuard.ts
@@ -260,15 +260,18 @@
         const reportedCount = selected.reduce((sum, { parts }) => sum + parts.length, 0);
         if (reportedCount <= MAX_REPORTED_PARTS_PER_CRASH) return selected;
         let remaining = MAX_REPORTED_PARTS_PER_CRASH;
-        const isUnknown = (part: string) => !quarantine.isKnownToSurvive(part, now());
-        return selected.map(({ id, parts }) => {
-            const reported = [...parts.filter(isUnknown), ...parts.filter(part => !isUnknown(part))].slice(
-                0,
-                remaining,
-            );
-            remaining -= reported.length;
-            return { id, parts: reported };
-        });
+        const take = (parts: readonly string[]) => {
+            const taken = parts.slice(0, remaining);
+            remaining -= taken.length;
+            return taken;
+        };
+        const at = now();
+        const isKnown = (part: string) => quarantine.isKnownToSurvive(part, at);
+        const unknownParts = selected.map(({ parts }) => take(parts.filter(part => !isKnown(part))));
+        return selected.map(({ id, parts }, index) => ({
+            id,
+            parts: [...unknownParts[index] ?? [], ...take(parts.filter(isKnown))],
+        }));
     }
 
     /** Returns false if the crash is known already. */
--- a/src/test/router/promptGuard.test.ts
+++ b/src/test/router/promptGuard.test.ts
@@ -128,6 +128,24 @@
     assert.ok(replies.every(message => JSON.stringify(message).length < LONGEST_DATAGRAM_BYTES));
 });
 
+// Guards against a report that is used up by parts which are known to survive, before it names those that may be the cause.
+test("the report of a crash with very many parts names those first that aren't known to survive", async () => {
+    const server = backendServer("i-1", await startListener(true));
+    const { guard, sent } = createTestGuard([server]);
+    const callers = Array.from({ length: 6 }, (_, request) => {
+        const parts = Array.from({ length: 2000 }, (__, index) => `${request}a${index}`);
+        guard.recordSurvival(callerWith(parts, "sound"), "m");
+        return callerWith([...parts, `unknown${request}`], `own${request}`);
+    });
+    await Promise.all(callers.map(caller => guard.examineFailure(caller, server, true)));
+    const reported = new Set(
+        sent.flatMap(message => message.kind === "crash" ? message.prompts : [])
+            .flatMap(({ parts }) => parts),
+    );
+    assert.equal(reported.size, 8192);
+    assert.ok(callers.every((_, request) => reported.has(`m unknown${request}`)));
+});
+
 // Guards against a crash that is never recorded because the last of its messages was lost.
 test("a crash whose last message is lost is recorded soon", async () => {
     const { guard } = createTestGuard([]);
