Derive the end of the search for relays; look up the weights of a reconciliation once

The search for relays ended by a flag that a try and finally set around the whole transfer. It ends now, as the polling of peers does, with the last piece or with the abort that follows every failed transfer. No change of behaviour otherwise.

--- a/src/lib/stager/pieceRelay.ts
+++ b/src/lib/stager/pieceRelay.ts
@@ -1,9 +1,9 @@
 /**
- * Fetches and caches the pieces of a model in an entry and serves them to the agents of its region. The pieces of a version are
- * distributed over the entries of a region, and each entry prefetches its part as soon as the version is named: from
- * the origin if it is in the same region, otherwise through an entry of the origin's region. A region that loses its
- * connection during a rollout then has all the pieces that its agents need. Entries do this because their links are
- * fast, while an agent's link also carries the response streams of its engine.
+ * Fetches and caches the pieces of a model in an entry and serves them to the agents of its region. The pieces of a
+ * version are distributed over the entries of a region, and each entry prefetches its part as soon as the version is
+ * named: from the origin if it is in the same region, otherwise through an entry of the origin's region. A region that
+ * loses its connection during a rollout then has all the pieces that its agents need. Entries do this because their links
+ * are fast, while an agent's link also carries the response streams of its engine.
  */
 import * as http from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
--- a/src/lib/stager/pieceTransfer.ts
+++ b/src/lib/stager/pieceTransfer.ts
@@ -113,7 +113,6 @@
         startedAt + takeoverDelayMs(position, random(), TAKEOVER_STEP_MS)
     );
     const relays = new Map(options.relays.map(relay => [relay.name, relay]));
-    let isOver = false;
     /** For each busy relay, when it first responded that it can't get a piece, since its last delivery. */
     const busySinceByRelay = new Map<string, number>();
     /**
@@ -147,7 +146,7 @@
     async function searchRelays(): Promise<void> {
         while (relays.size < MAX_RELAYS) {
             await sleep(RELAY_SEARCH_INTERVAL_MS, undefined, { ref: false });
-            if (isOver || signal.aborted) return;
+            if (signal.aborted || plan.missingCount() === 0) return;
             for (const relay of await options.findRelays()) {
                 if (relays.has(relay.name) || relays.size >= MAX_RELAYS) continue;
                 if (relays.size === 0) inOrderFrom = now();
@@ -160,24 +159,19 @@
 
     let withdrawal: Error | undefined;
     let wakePlanLoop: () => void = () => undefined;
-    try {
-        while (plan.missingCount() > 0 && !signal.aborted) {
-            if (held.isContradicted) throw new VError("the manifest is contradicted by a piece");
-            if (withdrawal !== undefined) throw new VError({ cause: withdrawal }, "the version was withdrawn");
-            for (let next = plan.next(now()); next !== undefined; next = plan.next(now())) {
-                void performRequest(next).then(() => wakePlanLoop());
-            }
-            await new Promise<void>(resolve => {
-                const timer = setTimeout(resolve, PLAN_POLL_INTERVAL_MS);
-                wakePlanLoop = () => {
-                    clearTimeout(timer);
-                    resolve();
-                };
-            });
+    while (plan.missingCount() > 0 && !signal.aborted) {
+        if (held.isContradicted) throw new VError("the manifest is contradicted by a piece");
+        if (withdrawal !== undefined) throw new VError({ cause: withdrawal }, "the version was withdrawn");
+        for (let next = plan.next(now()); next !== undefined; next = plan.next(now())) {
+            void performRequest(next).then(() => wakePlanLoop());
         }
-    }
-    finally {
-        isOver = true;
+        await new Promise<void>(resolve => {
+            const timer = setTimeout(resolve, PLAN_POLL_INTERVAL_MS);
+            wakePlanLoop = () => {
+                clearTimeout(timer);
+                resolve();
+            };
+        });
     }
 
     async function performRequest(request: PlannedRequest): Promise<void> {
--- a/src/lib/stager/stager.ts
+++ b/src/lib/stager/stager.ts
@@ -197,12 +197,13 @@
         const engineConfiguration = configuration?.services.find(({ name }) => name === settings.backendService)
             ?.engine;
         const origin = configuration?.services.find(({ origin }) => origin !== undefined)?.origin;
+        const current = engineConfiguration === undefined ? undefined : weightsOf(engineConfiguration.model);
         if (engineConfiguration !== undefined && origin !== undefined) {
             const { model, chunkCount, chunkBytes } = engineConfiguration;
             const version = Math.max(INITIAL_WEIGHTS_VERSION, weightsPolicy.newest(model));
-            weightsOf(model).fetcher.ensureFetched(version, chunkCount * chunkBytes, origin);
+            current?.fetcher.ensureFetched(version, chunkCount * chunkBytes, origin);
         }
-        await engineTask.poll(engineConfiguration === undefined ? undefined : weightsOf(engineConfiguration.model));
+        await engineTask.poll(current);
     }
 
     const reconcileTask = startPeriodicTask(
--- a/src/lib/stager/versionFetcher.ts
+++ b/src/lib/stager/versionFetcher.ts
@@ -1,7 +1,7 @@
 /**
- * Fetches versions of a model's weights into memory, one at a time. A newer version replaces the transfer in progress unless that
- * one can be finished first without making the newer one late. Complete versions stay available for the engine and for
- * other agents.
+ * Fetches versions of a model's weights into memory, one at a time. A newer version replaces the transfer in progress
+ * unless that one can be finished first without making the newer one late. Complete versions stay available for the
+ * engine and for other agents.
  */
 import * as http from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
