An agent that has just switched versions gets requests despite the affinity of another one

A rollout of a failing version went on: the next agent switched too before it was halted.

Cause: an agent keeps its slot for 2 s after a switch, until its first requests show whether the version works. All callers sent one prompt, whose prefix was cached at the other agent, and the bonus for that outweighed the work of four requests. The switched agent got no request in its 2 s and released the slot. Ruled out: a halt that is lost or read late; it was accepted within 0.1 s of the third failure each time.

Change: an entry that compares an agent that switched in the last 2 s doesn't use the affinity for that choice. Others aren't affected: in a large pool the agent gets its part of the requests, and the remaining ones keep their affinity. The log line of the outcome has the number of requests.

The test of `chooseAgent` fails without the change.

--- a/src/lib/agent/activation.ts
+++ b/src/lib/agent/activation.ts
@@ -9,7 +9,14 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import VError from "verror";
 import type { EngineClient, EngineState } from "../clients/index.js";
-import { type Configuration, type ConfiguredProfile, type Digest, evaluateRollout, profilesOf } from "../core/index.js";
+import {
+    type Configuration,
+    type ConfiguredProfile,
+    type Digest,
+    evaluateRollout,
+    OBSERVATION_TIMEOUT_MS,
+    profilesOf,
+} from "../core/index.js";
 import type { ConfigurationSync, EventRecorder } from "../node/index.js";
 import { createLog } from "../observability/index.js";
 import type { ChunkStore } from "./chunkStore.js";
@@ -33,9 +40,6 @@
 const INITIAL_LEASE_RETRY_MS = 250;
 const MAX_LEASE_RETRY_MS = 4000;
 
-/** How long a replica keeps its slot after a switch while too few requests have shown whether the version works. */
-const OBSERVATION_TIMEOUT_MS = 2000;
-
 /** Table of the engines' leases. The key is the name of the VM. */
 export const ENGINE_LEASE_TABLE = "engineLeases";
 
@@ -250,7 +254,12 @@
             await sleep(OBSERVATION_TIMEOUT_MS / pollCount);
         }
         if (pendingHalt !== undefined) await reportHalt(pendingHalt);
-        log.info("health of version %s after its first requests: %s", digest, evaluateRollout(outcomes));
+        log.info(
+            "health of version %s after its first %d requests: %s",
+            digest,
+            outcomes.length,
+            evaluateRollout(outcomes),
+        );
     }
 
     function recordOutcome(succeeded: boolean): void {
--- a/src/lib/core/loadBalancing.ts
+++ b/src/lib/core/loadBalancing.ts
@@ -1,7 +1,9 @@
 /**
  * Load balancing between agents by the power of two choices: of two random candidates, the one with less predicted
  * work is chosen. Load reports lag, so requests sent since the last report are added. An agent that has the prompt's
- * prefix cached is compared as well, with a bonus that decays with age and is withdrawn while it is overloaded.
+ * prefix cached is compared as well, with a bonus that decays with age and is withdrawn while it is overloaded. An agent
+ * that has just switched versions is compared without that bonus, because its first requests show whether the version
+ * works.
  */
 
 /** An agent that may be chosen, with its load. */
@@ -15,6 +17,8 @@
     readonly predictedWaitMs: number;
     /** Requests that this process sent to the agent since that report. */
     readonly sentSinceReport: number;
+    /** Whether the agent switched versions so recently that its first requests may not have been evaluated yet. */
+    readonly isObserved: boolean;
 }
 
 export interface PrefixAffinity {
@@ -44,11 +48,11 @@
     if (candidates.length === 0) return undefined;
     const first = Math.floor(random() * candidates.length);
     const offset = 1 + Math.floor(random() * (candidates.length - 1));
-    const compared = [candidates[first], candidates[(first + offset) % candidates.length]];
-    compared.push(candidates.find(({ address }) => address === affinity?.address));
-    return compared
+    const sampled = [candidates[first], candidates[(first + offset) % candidates.length]];
+    const usedAffinity = sampled.some(candidate => candidate?.isObserved === true) ? undefined : affinity;
+    return [...sampled, candidates.find(({ address }) => address === usedAffinity?.address)]
         .filter(candidate => candidate !== undefined)
-        .reduce((best, candidate) => scoreOf(candidate, affinity) < scoreOf(best, affinity) ? candidate : best);
+        .reduce((best, candidate) => scoreOf(candidate, usedAffinity) < scoreOf(best, usedAffinity) ? candidate : best);
 }
 
 /** Returns the predicted work ahead of a new request, in milliseconds. */
--- a/src/lib/core/rolloutHealth.ts
+++ b/src/lib/core/rolloutHealth.ts
@@ -12,6 +12,12 @@
 /** Failures that halt the rollout; fewer could be caused by one bad request and its retries. */
 const FAILURE_THRESHOLD = 3;
 
+/**
+ * How long a replica is observed after a switch, in milliseconds, while too few requests have shown whether the version
+ * works.
+ */
+export const OBSERVATION_TIMEOUT_MS = 2000;
+
 /** Evaluates the outcomes of the requests since the switch, oldest first; `true` is a success. */
 export function evaluateRollout(outcomes: readonly boolean[]): RolloutHealth {
     const evaluated = outcomes.slice(0, EVALUATED_REQUESTS);
--- a/src/lib/entry/agentDirectory.ts
+++ b/src/lib/entry/agentDirectory.ts
@@ -12,6 +12,7 @@
     type Evidence,
     type ListedState,
     NO_EVIDENCE,
+    OBSERVATION_TIMEOUT_MS,
     shouldKeepConnection,
     SILENCE_TIMEOUT_MS,
     SUBSET_SIZE,
@@ -56,6 +57,8 @@
     readonly state: AgentState;
     /** Requests dispatched by this entry that the last state message can't include yet. */
     readonly sentSinceReport: number;
+    /** Whether the agent switched versions within the last `OBSERVATION_TIMEOUT_MS`. */
+    readonly isObserved: boolean;
 }
 
 export interface WatchedAgent {
@@ -95,6 +98,8 @@
     /** Stream of the agent's state messages; `undefined` from its loss until it is reopened. */
     stateStream: ClientReadableStream<AgentState> | undefined;
     state: AgentState | undefined;
+    /** Time at which the agent reported its last switch of versions. */
+    switchedAt: number;
     evidence: Evidence;
     /** Dispatch times of the requests that the last state message can't include yet. */
     unreportedDispatchTimes: number[];
@@ -218,6 +223,7 @@
             startedAt: now(),
             stateStream: undefined,
             state: undefined,
+            switchedAt: Number.NEGATIVE_INFINITY,
             evidence: NO_EVIDENCE,
             unreportedDispatchTimes: [],
         };
@@ -232,8 +238,9 @@
         stateStream.on("data", (report: AgentState) => {
             const state = applyReport(watch.state, report);
             if (state === undefined) return;
-            watch.state = state;
             const receivedAt = now();
+            if (isSwitch(watch.state, state)) watch.switchedAt = receivedAt;
+            watch.state = state;
             watch.evidence = { lastMessageAt: receivedAt, leaving: state.leaving, disconnectedAt: undefined };
             watch.unreportedDispatchTimes = watch.unreportedDispatchTimes.filter(dispatchedAt =>
                 dispatchedAt > receivedAt - REPORT_LATENCY_MS
@@ -280,9 +287,10 @@
     function usableAgents(service: string, nowMs: number): UsableAgent[] {
         const agents: UsableAgent[] = [];
         for (const watch of watches.values()) {
-            const { address, state, unreportedDispatchTimes } = watch;
+            const { address, state, switchedAt, unreportedDispatchTimes } = watch;
             if (state?.service !== service || trustOf(watch, nowMs) !== "usable") continue;
-            agents.push({ address, state, sentSinceReport: unreportedDispatchTimes.length });
+            const isObserved = nowMs - switchedAt < OBSERVATION_TIMEOUT_MS;
+            agents.push({ address, state, sentSinceReport: unreportedDispatchTimes.length, isObserved });
         }
         return agents;
     }
@@ -356,6 +364,11 @@
     return addresses;
 }
 
+/** Returns whether an agent reports a load that its previous state doesn't include. */
+function isSwitch(previous: AgentState | undefined, { loadGeneration }: AgentState): boolean {
+    return previous !== undefined && loadGeneration > previous.loadGeneration;
+}
+
 function liveAgents(vms: readonly Vm[]): Vm[] {
     return vms.filter(vm => vm.role === "agent" && vm.state === "live");
 }
--- a/src/lib/entry/slotSelector.ts
+++ b/src/lib/entry/slotSelector.ts
@@ -103,7 +103,7 @@
     return { kind: "refused", failure: failure(Verdict.notRun, `no agent of ${service} can take the request`) };
 }
 
-function toCandidate({ address, state, sentSinceReport }: UsableAgent, rank: Rank) {
+function toCandidate({ address, state, sentSinceReport, isObserved }: UsableAgent, rank: Rank) {
     return {
         address,
         running: state.running,
@@ -111,5 +111,6 @@
         limit: state.concurrencyLimit,
         predictedWaitMs: state.predictedWaitMs[RANKS.indexOf(rank)] ?? 0,
         sentSinceReport,
+        isObserved,
     };
 }
--- a/src/test/core/loadBalancing.test.ts
+++ b/src/test/core/loadBalancing.test.ts
@@ -5,7 +5,7 @@
 import { longTestParameters } from "../longTest.js";
 
 const SEED = 6;
-const idle = { running: 0, queued: 0, limit: 8, predictedWaitMs: 0, sentSinceReport: 0 };
+const idle = { running: 0, queued: 0, limit: 8, predictedWaitMs: 0, sentSinceReport: 0, isObserved: false };
 const randomSequence = (...numbers: number[]) => () => numbers.shift() ?? 0;
 
 // Guards against herding: load reports lag, and all requests go to the agent that was idle in the last report.
@@ -26,6 +26,20 @@
     assert.equal(choose([{ ...idle, address: "a", running: 7 }, { ...idle, address: "b", running: 8 }], 0), "a");
 });
 
+// Guards against a rollout that continues with a version that no request has reached, because all prefixes of the
+// prompts are cached at agents that haven't switched.
+test("an agent that has just switched versions is compared without the affinity of another one", () => {
+    const affinity = { address: "b", ageMs: 0 };
+    const choose = (isObserved: boolean) => {
+        const candidates = [{ ...idle, address: "a", isObserved }, { ...idle, address: "b", running: 1 }];
+        return chooseAgent(candidates, affinity, randomSequence(0, 0))?.address;
+    };
+    assert.equal(choose(false), "b");
+    assert.equal(choose(true), "a");
+    const others = ["a", "b", "c"].map(address => ({ ...idle, address, isObserved: address === "c" }));
+    assert.equal(chooseAgent(others, affinity, randomSequence(0, 0))?.address, "b", "the observed one isn't compared");
+});
+
 // Guards against an index out of range for some random numbers.
 test("a candidate is chosen whenever there is one", () => {
     const number = fc.double({ min: 0, max: 1, maxExcluded: true, noNaN: true });
--- a/src/test/entry/agentDirectory.test.ts
+++ b/src/test/entry/agentDirectory.test.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { waitUntil } from "../../harness/index.js";
 import type { Vm } from "../../lib/clients/index.js";
-import { SILENCE_TIMEOUT_MS, SUBSET_SIZE } from "../../lib/core/index.js";
+import { OBSERVATION_TIMEOUT_MS, SILENCE_TIMEOUT_MS, SUBSET_SIZE } from "../../lib/core/index.js";
 import { startAgentDirectory } from "../../lib/entry/agentDirectory.js";
 import type { MembershipTask } from "../../lib/node/index.js";
 import { AgentState, type Connections } from "../../lib/rpc/index.js";
@@ -34,6 +34,7 @@
     const streams = new Map<string, EventEmitter>();
     const silentAddresses = new Set<string>();
     const evacuatedDomains = new Set<string>();
+    const loadGenerations = new Map<string, number>();
 
     function watchState(address: string) {
         const stream = Object.assign(new EventEmitter(), { cancel: () => streams.delete(address) });
@@ -45,7 +46,9 @@
         for (const [address, stream] of streams) {
             if (silentAddresses.has(address)) continue;
             const leaving = evacuatedDomains.size > 0;
-            stream.emit("data", AgentState.fromPartial({ process: address, service: "models", leaving }));
+            const loadGeneration = loadGenerations.get(address) ?? 0;
+            const state = { process: address, service: "models", leaving, loadGeneration };
+            stream.emit("data", AgentState.fromPartial(state));
         }
     }
 
@@ -65,7 +68,7 @@
     const timer = setInterval(report, REPORT_INTERVAL_MS);
     cleanups.push(() => clearInterval(timer), directory.stop);
     const addresses = () => [...streams.keys()];
-    return { directory, silentAddresses, evacuatedDomains, addresses };
+    return { directory, silentAddresses, evacuatedDomains, loadGenerations, addresses };
 }
 
 // Guards against work of a sound agent that is moved because its entry no longer watches the agent.
@@ -100,6 +103,23 @@
     await waitUntil("the agent is silent", () => usableCount() === 0, SILENCE_TIMEOUT_MS);
 });
 
+// Guards against a switched agent that gets none of the first requests, so that a rollout continues unevaluated.
+test("an agent is observed for a while after it has switched versions", async () => {
+    const now = () => performance.now();
+    const { directory, loadGenerations } = startDirectory(2, now);
+    const observed = () => {
+        const agents = directory.usableAgents("models", now());
+        return agents.filter(({ isObserved }) => isObserved).map(({ address }) => address);
+    };
+    await waitUntil("both agents are usable", () => directory.usableAgents("models", now()).length === 2, TIMEOUT_MS);
+    assert.deepEqual(observed(), [], "an agent counts as switched because it is new to the entry");
+    loadGenerations.set("runner-1", 1);
+    await waitUntil("the switched agent is observed", () => observed().join() === "runner-1", TIMEOUT_MS);
+    const observedAt = now();
+    await waitUntil("it isn't observed any more", () => observed().length === 0, TIMEOUT_MS);
+    assert.ok(now() - observedAt > OBSERVATION_TIMEOUT_MS / 2);
+});
+
 // Guards against new work in an evacuated failure domain, against agents that stay unused after the withdrawal, and
 // against work that waits at an evacuated agent that has failed.
 test("agents in an evacuated failure domain count as leaving, fall silent like others, and return", async () => {
--- a/src/test/entry/resumption.test.ts
+++ b/src/test/entry/resumption.test.ts
@@ -92,7 +92,7 @@
 }
 
 const directory = {
-    usableAgents: () => AGENTS.map(address => ({ address, state, sentSinceReport: 0 })),
+    usableAgents: () => AGENTS.map(address => ({ address, state, sentSinceReport: 0, isObserved: false })),
     trust: () => "usable",
     isEvacuated: () => false,
     recordDispatch: () => undefined,
--- a/src/test/entry/silentAttempts.test.ts
+++ b/src/test/entry/silentAttempts.test.ts
@@ -69,8 +69,9 @@
             address: OTHER,
             state: { ...state, concurrencyLimit: otherSlots },
             sentSinceReport: sentToOther,
+            isObserved: false,
         };
-        const agents = isSilent ? [other] : [{ address: SILENT, state, sentSinceReport: 0 }];
+        const agents = isSilent ? [other] : [{ address: SILENT, state, sentSinceReport: 0, isObserved: false }];
         return agents as unknown as UsableAgent[];
     }
 
