The first version of an agent doesn't count as a switch

A pool that has just started spread the requests of a conversation over its engines for 2 s.

An entry took each new load that an agent reported for a switch of versions, also the first one, and left the affinity out for 2 s after it. But only a switch from another version is observed by the agent.

Change: a switch is a served version that differs from the one served before.

The test of the directory now has a first version as well.

--- a/src/lib/entry/agentDirectory.ts
+++ b/src/lib/entry/agentDirectory.ts
@@ -98,6 +98,8 @@
     /** Stream of the agent's state messages; `undefined` from its loss until it is reopened. */
     stateStream: ClientReadableStream<AgentState> | undefined;
     state: AgentState | undefined;
+    /** Digest of the version that the agent served last; empty before the first one. */
+    servedDigest: string;
     /** Time at which the agent reported its last switch of versions. */
     switchedAt: number;
     evidence: Evidence;
@@ -223,6 +225,7 @@
             startedAt: now(),
             stateStream: undefined,
             state: undefined,
+            servedDigest: "",
             switchedAt: Number.NEGATIVE_INFINITY,
             evidence: NO_EVIDENCE,
             unreportedDispatchTimes: [],
@@ -239,8 +242,8 @@
             const state = applyReport(watch.state, report);
             if (state === undefined) return;
             const receivedAt = now();
-            if (isSwitch(watch.state, state)) watch.switchedAt = receivedAt;
             watch.state = state;
+            recordVersion(watch, state.servingDigest, receivedAt);
             watch.evidence = { lastMessageAt: receivedAt, leaving: state.leaving, disconnectedAt: undefined };
             watch.unreportedDispatchTimes = watch.unreportedDispatchTimes.filter(dispatchedAt =>
                 dispatchedAt > receivedAt - REPORT_LATENCY_MS
@@ -364,9 +367,11 @@
     return addresses;
 }
 
-/** Returns whether an agent reports a load that its previous state doesn't include. */
-function isSwitch(previous: AgentState | undefined, { loadGeneration }: AgentState): boolean {
-    return previous !== undefined && loadGeneration > previous.loadGeneration;
+/** Records a switch if the agent served another version before. During a switch, it serves none. */
+function recordVersion(watch: AgentWatch, servingDigest: string, nowMs: number): void {
+    if (servingDigest === "" || servingDigest === watch.servedDigest) return;
+    if (watch.servedDigest !== "") watch.switchedAt = nowMs;
+    watch.servedDigest = servingDigest;
 }
 
 function liveAgents(vms: readonly Vm[]): Vm[] {
--- a/src/test/entry/agentDirectory.test.ts
+++ b/src/test/entry/agentDirectory.test.ts
@@ -34,7 +34,7 @@
     const streams = new Map<string, EventEmitter>();
     const silentAddresses = new Set<string>();
     const evacuatedDomains = new Set<string>();
-    const loadGenerations = new Map<string, number>();
+    const servingDigests = new Map<string, string>();
 
     function watchState(address: string) {
         const stream = Object.assign(new EventEmitter(), { cancel: () => streams.delete(address) });
@@ -46,8 +46,8 @@
         for (const [address, stream] of streams) {
             if (silentAddresses.has(address)) continue;
             const leaving = evacuatedDomains.size > 0;
-            const loadGeneration = loadGenerations.get(address) ?? 0;
-            const state = { process: address, service: "models", leaving, loadGeneration };
+            const servingDigest = servingDigests.get(address) ?? "";
+            const state = { process: address, service: "models", leaving, servingDigest };
             stream.emit("data", AgentState.fromPartial(state));
         }
     }
@@ -68,7 +68,7 @@
     const timer = setInterval(report, REPORT_INTERVAL_MS);
     cleanups.push(() => clearInterval(timer), directory.stop);
     const addresses = () => [...streams.keys()];
-    return { directory, silentAddresses, evacuatedDomains, loadGenerations, addresses };
+    return { directory, silentAddresses, evacuatedDomains, servingDigests, addresses };
 }
 
 // Guards against work of a sound agent that is moved because its entry no longer watches the agent.
@@ -106,14 +106,19 @@
 // Guards against a switched agent that gets none of the first requests, so that a rollout continues unevaluated.
 test("an agent is observed for a while after it has switched versions", async () => {
     const now = () => performance.now();
-    const { directory, loadGenerations } = startDirectory(2, now);
+    const { directory, servingDigests } = startDirectory(2, now);
     const observed = () => {
         const agents = directory.usableAgents("models", now());
         return agents.filter(({ isObserved }) => isObserved).map(({ address }) => address);
     };
     await waitUntil("both agents are usable", () => directory.usableAgents("models", now()).length === 2, TIMEOUT_MS);
     assert.deepEqual(observed(), [], "an agent counts as switched because it is new to the entry");
-    loadGenerations.set("runner-1", 1);
+    servingDigests.set("runner-0", "a").set("runner-1", "a");
+    await sleep(2 * REPORT_INTERVAL_MS);
+    assert.deepEqual(observed(), [], "an agent counts as switched because it serves its first version");
+    servingDigests.set("runner-1", "");
+    await sleep(2 * REPORT_INTERVAL_MS);
+    servingDigests.set("runner-1", "b");
     await waitUntil("the switched agent is observed", () => observed().join() === "runner-1", TIMEOUT_MS);
     const observedAt = now();
     await waitUntil("it isn't observed any more", () => observed().length === 0, TIMEOUT_MS);
